Play a site on loopback: a store, runners, daemons and callers, with their faults

Sixteen tests of the whole path without the kit: requests of each kind, bad requests, streams that go on elsewhere, lost answers, refusals, timeouts, callers that leave, draining, versions that never go back, dropped history, a store that turns one daemon away or is away from all, a planned stop.

--- /dev/null
+++ b/standIns/site/SiteRunner.ts
@@ -0,0 +1,159 @@
+/**
+ * A stand-in of a runner on the platform: answers with its own id and signature, streams events, and fails as
+ * it is told. It remembers what it ran, so that a test can count.
+ */
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+/** What a runner does with a request. */
+export type RunnerBehaviour =
+  | 'answers'
+  /** States that it has not run the request. */
+  | 'refuses'
+  /** Runs it and resets the connection without an answer. */
+  | 'loses_answer'
+  /** Sends some events, half of the next one, and resets the connection. */
+  | 'cuts_stream'
+  /** Runs it and says nothing. */
+  | 'mute'
+  /** Answers 500, signed. */
+  | 'fails'
+  /** Is another runner by now. */
+  | 'misdirected';
+
+/** What a runner was asked to do. */
+export interface ReceivedRequest {
+  readonly id: string | undefined;
+  readonly method: string;
+  readonly target: string;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: string;
+}
+
+/** Options of a {@link SiteRunner}. */
+export interface SiteRunnerOptions {
+  id: string;
+  service: string;
+  dataCentre?: string;
+  /** Events of each stream. */
+  events?: number;
+  /** Between events, in ms. */
+  eventMilliseconds?: number;
+  /** Before a plain answer, in ms. */
+  workMilliseconds?: number;
+}
+
+const EVENTS_BEFORE_CUT = 2;
+
+/** Serves requests on a loopback port. */
+export class SiteRunner {
+  readonly id: string;
+
+  /** Every request that it ran, in order. */
+  readonly ran: ReceivedRequest[] = [];
+
+  behaviour: RunnerBehaviour = 'answers';
+
+  private readonly options: Required<SiteRunnerOptions>;
+
+  private readonly server: Server;
+
+  private address = '';
+
+  /**
+   * @param options - who it is, and how fast.
+   */
+  constructor(options: SiteRunnerOptions) {
+    this.options = {
+      dataCentre: 'here',
+      events: 5,
+      eventMilliseconds: 2,
+      workMilliseconds: 1,
+      ...options,
+    };
+    this.id = options.id;
+    this.server = createServer((request, response) => {
+      void this.take(request, response);
+    });
+  }
+
+  /** @returns Once it listens. */
+  async start(): Promise<void> {
+    await new Promise<void>((done) => {
+      this.server.listen(0, '127.0.0.1', done);
+    });
+    this.address = `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  /** Ends it, with its connections. */
+  stop(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  /**
+   * @param state - `ready` or `draining`.
+   * @returns What it writes of itself into the store.
+   */
+  entry(state = 'ready'): object {
+    const { service, dataCentre } = this.options;
+    return { service, address: this.address, zone: dataCentre, version: 'v1', slots: 8, state };
+  }
+
+  private async take(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) chunks.push(chunk as Buffer);
+    const expected = request.headers['expect-instance'];
+    if (this.behaviour === 'misdirected' || (expected !== undefined && expected !== this.id)) {
+      response.writeHead(421, { 'Instance-Id': 'another' }).end();
+      return;
+    }
+    const id = request.headers['attempt-id'] as string | undefined;
+    if (this.behaviour === 'refuses') {
+      const headers = { 'Not-Executed': '1', ...(id && { 'Attempt-Id': id }) };
+      response.writeHead(503, headers).end();
+      return;
+    }
+    const { method = 'GET', url: target = '/', headers } = request;
+    this.ran.push({ id, method, target, headers, body: Buffer.concat(chunks).toString() });
+    if (this.behaviour === 'mute') return;
+    if (this.behaviour === 'loses_answer') request.socket.resetAndDestroy();
+    else if (headers['prompt-prefix'] !== undefined) await this.stream(request, response);
+    else await this.answerPlain(id, response);
+  }
+
+  private headersFor(id: string | undefined): Record<string, string> {
+    return { 'Response-Seal': `seal-${this.id}`, ...(id && { 'Attempt-Id': id }) };
+  }
+
+  private async answerPlain(id: string | undefined, response: ServerResponse): Promise<void> {
+    await this.pause(this.options.workMilliseconds);
+    const status = this.behaviour === 'fails' ? 500 : 200;
+    response.writeHead(status, this.headersFor(id)).end(`answer of ${this.id}`);
+  }
+
+  private async stream(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const id = request.headers['attempt-id'] as string | undefined;
+    const after = Number(request.headers['last-event-id'] ?? 0);
+    const { behaviour } = this;
+    response.writeHead(200, { ...this.headersFor(id), 'Content-Type': 'text/event-stream' });
+    for (let event = after + 1; event <= this.options.events; event += 1) {
+      if (behaviour === 'cuts_stream' && event > after + EVENTS_BEFORE_CUT) {
+        response.write(`id: ${event}\ndata: ha`);
+        await this.pause(this.options.eventMilliseconds);
+        request.socket.resetAndDestroy();
+        return;
+      }
+      response.write(`id: ${event}\ndata: token ${event}\n\n`);
+      await this.pause(this.options.eventMilliseconds);
+    }
+    response.end();
+  }
+
+  private pause(milliseconds: number): Promise<void> {
+    return new Promise((done) => {
+      setTimeout(done, milliseconds);
+    });
+  }
+}
--- /dev/null
+++ b/standIns/site/StandInSite.ts
@@ -0,0 +1,204 @@
+/**
+ * A small site on loopback: a store, runners, and daemons that forward directly, in this process.
+ */
+import { createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
+
+import { PlatformRunnerProtocol } from '../../platform/headers.js';
+import { servePlatformRoles } from '../../platform/PlatformRoles.js';
+import { StoreClient } from '../../platform/StoreClient.js';
+import type { Log } from '../../src/logging/Log.js';
+import { SilentLog } from '../../src/logging/Log.js';
+import { RouterDaemon } from '../../src/router/RouterDaemon.js';
+import type { RouterSettings } from '../../src/router/routerFeature.js';
+import { routerSettings } from '../../src/router/routerFeature.js';
+import type { SiteRunnerOptions } from './SiteRunner.js';
+import { SiteRunner } from './SiteRunner.js';
+import { StoreStandIn } from './StoreStandIn.js';
+
+/** Host of all routes. */
+export const SITE_HOST = 'site.example';
+
+/** A key of the one client account. */
+export const SITE_KEY = 'key-of-the-account';
+
+/** A daemon with what a test needs of it. */
+export interface SiteDaemon {
+  readonly daemon: RouterDaemon;
+  readonly settings: RouterSettings;
+  /** Ends its readiness and directory servers. */
+  readonly closeRoles: () => void;
+}
+
+/** Options of a {@link StandInSite}. */
+export interface StandInSiteOptions {
+  log?: Log;
+  /** How often conditions are looked at, in ms. */
+  pollMilliseconds?: number;
+}
+
+function freePort(): Promise<number> {
+  const server = createServer();
+  return new Promise((done) => {
+    server.listen(0, '127.0.0.1', () => {
+      const { port } = server.address() as AddressInfo;
+      server.close(() => done(port));
+    });
+  });
+}
+
+/**
+ * The configuration of the site.
+ *
+ * @param version - grows with each change.
+ * @param changes - routes to add, and the route timeout in ms.
+ * @returns As operators write it.
+ */
+export function siteConfiguration(
+  version: number,
+  { routes = [], timeout = 5_000 }: { routes?: readonly object[]; timeout?: number } = {},
+): object {
+  const common = { hostname: SITE_HOST, timeout_ms: timeout, target_latency_ms: 500, priority: 1 };
+  return {
+    version,
+    routes: [
+      {
+        ...common,
+        name: 'read',
+        path_prefix: '/read/',
+        kind: 'idempotent',
+        service: 'plain',
+        max_attempts: 2,
+      },
+      {
+        ...common,
+        name: 'write',
+        path_prefix: '/write/',
+        kind: 'non_idempotent',
+        service: 'plain',
+        max_attempts: 1,
+      },
+      {
+        ...common,
+        name: 'chat',
+        path_prefix: '/chat/',
+        kind: 'streaming',
+        service: 'engine',
+        max_attempts: 2,
+        sticky: true,
+        resumable: true,
+      },
+      {
+        ...common,
+        name: 'draft',
+        path_prefix: '/draft/',
+        kind: 'streaming',
+        service: 'engine',
+        max_attempts: 1,
+        sticky: true,
+      },
+      ...routes.map((route) => ({ ...common, ...route })),
+    ],
+    services: ['plain', 'engine'].map((name) => ({ name, max_connections: 100 })),
+    limits: {
+      max_header_bytes: 4_096,
+      max_body_bytes: 1_000,
+      header_timeout_ms: 3_000,
+      idle_timeout_ms: 15_000,
+    },
+    tenants: [{ name: 'account-1', api_keys: [SITE_KEY] }],
+  };
+}
+
+/** Starts and ends the parts. */
+export class StandInSite {
+  readonly store = new StoreStandIn();
+
+  readonly runners: SiteRunner[] = [];
+
+  readonly daemons: SiteDaemon[] = [];
+
+  private readonly log: Log;
+
+  private readonly pollMilliseconds: number;
+
+  private storeAddress = '';
+
+  /**
+   * @param options - log and pace.
+   */
+  constructor({ log = new SilentLog(), pollMilliseconds = 5 }: StandInSiteOptions = {}) {
+    this.log = log;
+    this.pollMilliseconds = pollMilliseconds;
+  }
+
+  /** Starts the store with a first configuration. */
+  async start(): Promise<void> {
+    this.storeAddress = await this.store.start();
+    this.store.write('op/config', siteConfiguration(1));
+  }
+
+  /**
+   * @param options - the runner.
+   * @returns A runner that is listed.
+   */
+  async addRunner(options: SiteRunnerOptions): Promise<SiteRunner> {
+    const runner = new SiteRunner(options);
+    await runner.start();
+    this.runners.push(runner);
+    this.store.write(`servers/${runner.id}`, runner.entry());
+    return runner;
+  }
+
+  /**
+   * @param name - of the daemon.
+   * @param seeds - addresses of daemons that it may ask.
+   * @returns The daemon, once it listens.
+   */
+  async addDaemon(name: string, seeds: readonly string[] = []): Promise<SiteDaemon> {
+    const roles = ['callers', 'readiness', 'directory', 'peers', 'news', 'metrics'];
+    const ports = await Promise.all(roles.map(freePort));
+    const addresses = Object.fromEntries(
+      roles.map((role, index) => [role, `127.0.0.1:${ports[index]}`]),
+    );
+    const settings = routerSettings.parse({
+      name,
+      region: 'region',
+      dataCentre: 'here',
+      addresses,
+      seeds: [...seeds],
+      store: this.storeAddress,
+      stopSeconds: 2,
+      gatherMilliseconds: 20,
+    });
+    const store = new StoreClient({ address: () => settings.store });
+    const protocol = new PlatformRunnerProtocol();
+    const daemon = new RouterDaemon({ settings, store, protocol, log: this.log });
+    await daemon.start();
+    const servers = await servePlatformRoles(daemon, settings);
+    const closeRoles = () => servers.forEach((server) => server.close());
+    const made = { daemon, settings, closeRoles };
+    this.daemons.push(made);
+    return made;
+  }
+
+  /**
+   * @param condition - looked at again and again until it holds.
+   */
+  async until(condition: () => boolean | Promise<boolean>): Promise<void> {
+    while (!(await condition())) {
+      await new Promise((done) => {
+        setTimeout(done, this.pollMilliseconds);
+      });
+    }
+  }
+
+  /** Ends everything. */
+  async stop(): Promise<void> {
+    this.store.faultFor({ fault: 'none' });
+    await Promise.all(this.daemons.map(({ daemon }) => daemon.stop()));
+    for (const { closeRoles } of this.daemons) closeRoles();
+    for (const runner of this.runners) runner.stop();
+    this.store.stop();
+  }
+}
--- /dev/null
+++ b/standIns/site/callSite.ts
@@ -0,0 +1,77 @@
+/**
+ * A caller of the site: one request on a connection of its own.
+ */
+import { Agent, request as sendRequest } from 'node:http';
+import type { IncomingHttpHeaders } from 'node:http';
+
+import { SITE_HOST, SITE_KEY } from './StandInSite.js';
+
+/** What a caller sends. */
+export interface SiteCall {
+  /** IP number and port of a daemon. */
+  address: string;
+  path: string;
+  method?: string;
+  body?: string;
+  headers?: Record<string, string>;
+  /** Called with the connection's first bytes, for example to act while a stream runs. */
+  onData?: () => void;
+  agent?: Agent;
+}
+
+/** What a caller gets. */
+export interface SiteAnswer {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: string;
+  /** Whether the answer ended as an HTTP message ends. */
+  readonly isComplete: boolean;
+}
+
+let nextId = 0;
+
+/**
+ * @param call - the request.
+ * @returns The answer, also where it breaks off in the middle.
+ */
+export function callSite({
+  address,
+  path,
+  method = 'POST',
+  body = '',
+  headers = {},
+  onData = () => undefined,
+  agent = new Agent({ keepAlive: false }),
+}: SiteCall): Promise<SiteAnswer> {
+  const [host, port] = address.split(':');
+  nextId += 1;
+  const own = { Host: SITE_HOST, 'Attempt-Id': `attempt-${nextId}`, Credential: SITE_KEY };
+  return new Promise((done, fail) => {
+    const request = sendRequest({
+      host,
+      port,
+      path,
+      method,
+      agent,
+      headers: { ...own, ...headers },
+    });
+    request.once('error', fail);
+    request.once('response', (response) => {
+      const chunks: Buffer[] = [];
+      response.on('error', () => undefined);
+      response.on('data', (chunk: Buffer) => {
+        if (chunks.length === 0) onData();
+        chunks.push(chunk);
+      });
+      response.once('close', () =>
+        done({
+          status: response.statusCode ?? 0,
+          headers: response.headers,
+          body: Buffer.concat(chunks).toString(),
+          isComplete: response.complete,
+        }),
+      );
+    });
+    request.end(body);
+  });
+}
--- /dev/null
+++ b/tests/sitePath.spec.ts
@@ -0,0 +1,269 @@
+import { Agent } from 'node:http';
+import { afterEach, beforeEach, describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import { callSite } from '../standIns/site/callSite.js';
+import type { SiteCall } from '../standIns/site/callSite.js';
+import type { SiteRunner } from '../standIns/site/SiteRunner.js';
+import { siteConfiguration, StandInSite } from '../standIns/site/StandInSite.js';
+
+const CHAT = { 'Prompt-Prefix': 'a1:100,b2:200,c3:10', Model: 'm' };
+
+function wholeStream(events: number): string {
+  return Array.from(
+    { length: events },
+    (_, index) => `id: ${index + 1}\ndata: token ${index + 1}\n\n`,
+  ).join('');
+}
+
+describe('a site of daemons that forward directly', () => {
+  let site: StandInSite;
+  let plain: SiteRunner;
+  let engine: SiteRunner;
+  let address: string;
+
+  beforeEach(async () => {
+    site = new StandInSite();
+    await site.start();
+    plain = await site.addRunner({ id: 'plain-1', service: 'plain' });
+    engine = await site.addRunner({ id: 'engine-1', service: 'engine' });
+    const { daemon, settings } = await site.addDaemon('daemon-1');
+    address = settings.addresses.callers;
+    await site.until(() => daemon.isReady && daemon.knowledge.runners.size === 2);
+  });
+
+  afterEach(() => site.stop());
+
+  async function isIdle(id: string): Promise<void> {
+    await site.until(() => site.daemons[0]?.daemon.knowledge.runners.get(id)?.inFlight === 0);
+  }
+
+  it('passes a request and its answer unchanged, with what only the system may set', async () => {
+    const headers = { Tenant: 'forged', Hold: 'forged', 'Deadline-Ms': '800', 'X-Own': 'kept' };
+    const answer = await callSite({ address, path: '/write/a?b=c', body: 'order', headers });
+    expect(answer.status).toEqual(200);
+    expect(answer.body).toEqual('answer of plain-1');
+    expect(answer.headers['response-seal']).toEqual('seal-plain-1');
+    const [ran] = plain.ran;
+    expect(ran).toEqual(expect.subset({ method: 'POST', target: '/write/a?b=c', body: 'order' }));
+    expect(ran?.headers).toEqual(
+      expect.subset({ tenant: 'account-1', 'expect-instance': 'plain-1', 'x-own': 'kept' }),
+    );
+    expect(ran?.headers.credential).toEqual(undefined);
+    expect(ran?.headers.hold).toEqual(undefined);
+    expect(Number(ran?.headers['deadline-ms'])).toBeLessThanOrEqual(800);
+  });
+
+  it('answers bad requests itself, and the connection carries the next one', async () => {
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    const cases: readonly (Omit<SiteCall, 'address'> & { expected: number })[] = [
+      { path: '/none/', expected: 404 },
+      { path: '/read/', headers: { Credential: 'unknown' }, expected: 401 },
+      { path: '/read/', headers: { 'X-Large': 'x'.repeat(5_000) }, expected: 431 },
+      { path: '/read/', expected: 200 },
+      { path: '/read/', body: 'x'.repeat(2_000), expected: 413 },
+    ];
+    for (const { expected, ...call } of cases) {
+      const { status } = await callSite({ address, agent, ...call });
+      expect(status).toEqual(expected);
+    }
+    expect(plain.ran.length).toEqual(1);
+    agent.destroy();
+  });
+
+  it('goes on with a cut stream at another runner, within the same answer', async () => {
+    // Symptom: a caller sees half an event, an event twice, or a gap. Sequence: a runner dies in the middle
+    // of an event; the stream may be resumed. Cause: bytes of the unfinished event had been passed on.
+    engine.behaviour = 'cuts_stream';
+    const second = await site.addRunner({ id: 'engine-2', service: 'engine' });
+    await site.until(() => site.daemons[0]?.daemon.knowledge.runners.size === 3);
+    second.behaviour = 'cuts_stream';
+    const pending = callSite({
+      address,
+      path: '/chat/',
+      headers: CHAT,
+      onData: () => {
+        engine.behaviour = 'answers';
+        second.behaviour = 'answers';
+      },
+    });
+    const answer = await pending;
+    expect(answer.body).toEqual(wholeStream(5));
+    expect(answer.isComplete).toEqual(true);
+    const [first, resumed] = [...engine.ran, ...second.ran].sort(
+      (a, b) => Number(a.headers['last-event-id'] ?? 0) - Number(b.headers['last-event-id'] ?? 0),
+    );
+    expect(first?.headers['last-event-id']).toEqual(undefined);
+    expect(resumed?.headers['last-event-id']).toEqual('2');
+  });
+
+  it('cuts the answer where a stream may not be resumed', async () => {
+    // Symptom: a caller takes half a draft for the whole. Sequence: the runner dies in the middle of a stream
+    // that may not run twice. Cause: an answer that ends as HTTP messages end looks complete.
+    engine.behaviour = 'cuts_stream';
+    const answer = await callSite({ address, path: '/draft/', headers: CHAT });
+    expect(answer.isComplete).toEqual(false);
+    expect(answer.body).toEqual(wholeStream(2));
+    expect(engine.ran.length).toEqual(1);
+  });
+
+  it('does not repeat what may run once when its answer is lost', async () => {
+    // Symptom: a board is reserved twice. Sequence: a runner reserves it and its answer is lost; another
+    // runner is free. Cause: a reset tells nothing of whether the request has run.
+    await site.addRunner({ id: 'plain-2', service: 'plain' });
+    await site.until(() => site.daemons[0]?.daemon.knowledge.runners.size === 3);
+    for (const runner of site.runners) runner.behaviour = 'loses_answer';
+    const answer = await callSite({ address, path: '/write/a' });
+    expect(answer.status).toEqual(502);
+    const runs = site.runners.reduce((sum, { ran }) => sum + ran.length, 0);
+    expect(runs).toEqual(1);
+  });
+
+  it('repeats what may be repeated when its answer is lost', async () => {
+    const second = await site.addRunner({ id: 'plain-2', service: 'plain' });
+    await site.until(() => site.daemons[0]?.daemon.knowledge.runners.size === 3);
+    plain.behaviour = 'loses_answer';
+    for (let count = 0; count < 4; count += 1) {
+      expect((await callSite({ address, path: '/read/a' })).status).toEqual(200);
+    }
+    expect(second.ran.length).toEqual(4);
+  });
+
+  it('says "not run" only where no runner has run the request', async () => {
+    for (const behaviour of ['refuses', 'misdirected'] as const) {
+      plain.behaviour = behaviour;
+      const answer = await callSite({ address, path: '/write/a' });
+      expect(answer.status).toEqual(503);
+      expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0);
+    }
+    expect(plain.ran.length).toEqual(0);
+    plain.stop();
+    expect((await callSite({ address, path: '/write/a' })).status).toEqual(503);
+  });
+
+  it('gives a runner’s own error, signed, when no other runner does better', async () => {
+    plain.behaviour = 'fails';
+    const answer = await callSite({ address, path: '/read/a' });
+    expect(answer.status).toEqual(500);
+    expect(answer.headers['response-seal']).toEqual('seal-plain-1');
+  });
+
+  it('ends a request at the timeout of its route, and its run with it', async () => {
+    // Symptom: callers wait beyond the operators' timeout, and the runner works on for nobody. Sequence: a
+    // runner says nothing. Cause: only the caller's own, longer deadline was watched.
+    site.store.write('op/config', siteConfiguration(2, { timeout: 60 }));
+    const { knowledge } = site.daemons[0]?.daemon ?? {};
+    await site.until(() => knowledge?.routes?.configuration.version === 2);
+    plain.behaviour = 'mute';
+    const answer = await callSite({
+      address,
+      path: '/write/a',
+      headers: { 'Deadline-Ms': '5000' },
+    });
+    expect(answer.status).toEqual(504);
+    await isIdle('plain-1');
+  });
+
+  it('breaks a run off when its caller leaves', async () => {
+    plain.behaviour = 'mute';
+    const agent = new Agent({ keepAlive: true });
+    const pending = callSite({ address, path: '/read/a', agent }).catch(() => 'left');
+    await site.until(() => plain.ran.length === 1);
+    agent.destroy();
+    await pending;
+    await isIdle('plain-1');
+  });
+
+  it('sends nothing new to a draining runner, and finishes what it has', async () => {
+    // Symptom: requests reach a runner that has announced its end. Sequence: it writes that it drains while
+    // a stream runs. Cause: the list was read once, or the stream's connection was closed with it.
+    await site.addRunner({ id: 'engine-2', service: 'engine' });
+    const { knowledge } = site.daemons[0]?.daemon ?? {};
+    await site.until(() => knowledge?.runners.size === 3);
+    const drains = () => site.store.write('servers/engine-1', engine.entry('draining'));
+    const answer = await callSite({ address, path: '/chat/', headers: CHAT, onData: drains });
+    expect(answer.body).toEqual(wholeStream(5));
+    await site.until(() => knowledge?.runners.get('engine-1')?.entry.state === 'draining');
+    const before = engine.ran.length;
+    for (let count = 0; count < 5; count += 1) {
+      await callSite({ address, path: '/chat/', headers: CHAT });
+    }
+    expect(engine.ran.length).toEqual(before);
+  });
+
+  it('never goes back to an older configuration', async () => {
+    const { knowledge } = site.daemons[0]?.daemon ?? {};
+    const version = () => knowledge?.routes?.configuration.version;
+    site.store.write('op/config', siteConfiguration(7));
+    await site.until(() => version() === 7);
+    site.store.write('op/config', siteConfiguration(6));
+    const revision = site.store.write('op/other', {});
+    await site.until(() => (knowledge?.revision ?? 0) >= revision);
+    expect(version()).toEqual(7);
+  });
+
+  it('reads everything anew when the store has forgotten its history', async () => {
+    // Symptom: a daemon keeps sending to a runner that is gone. Sequence: the watch is cut, a runner leaves,
+    // and the store drops its history. Cause: what was removed is in no later change.
+    const { knowledge } = site.daemons[0]?.daemon ?? {};
+    site.store.faultFor({ fault: 'busy' });
+    site.store.write('servers/engine-1', undefined);
+    site.store.dropHistory();
+    site.store.faultFor({ fault: 'none' });
+    await site.until(() => knowledge?.runners.get('engine-1') === undefined);
+  });
+
+  it('learns from another daemon what the store does not tell it', async () => {
+    // Symptom: one daemon refuses a new route for seconds. Sequence: the store turns this daemon away and
+    // serves the others; an operator adds the route. Cause: it waited for the store alone.
+    const first = site.daemons[0];
+    if (!first) throw new Error('the site has no daemon');
+    const second = await site.addDaemon('daemon-2', [first.settings.addresses.peers]);
+    await site.until(() => second.daemon.isReady && first.daemon.knowledge.daemons.size === 2);
+    const own = new Set<number>();
+    site.store.faultFor({
+      fault: 'busy',
+      concerns: ({ socket }) => {
+        // The daemon that is turned away is the one whose watch comes first from now on.
+        if (own.size === 0) own.add(socket.remotePort ?? 0);
+        return own.has(socket.remotePort ?? 0);
+      },
+    });
+    site.store.write('op/config', siteConfiguration(3));
+    const versions = () =>
+      site.daemons.map(({ daemon }) => daemon.knowledge.routes?.configuration.version);
+    await site.until(() => versions().every((version) => version === 3));
+  });
+
+  it('starts from another daemon’s knowledge while the store is away', async () => {
+    const first = site.daemons[0];
+    if (!first) throw new Error('the site has no daemon');
+    await site.until(() => first.daemon.knowledge.daemons.size === 1);
+    site.store.faultFor({ fault: 'silent' });
+    const second = await site.addDaemon('daemon-2', [first.settings.addresses.peers]);
+    await site.until(() => second.daemon.isReady);
+    const answer = await callSite({ address: second.settings.addresses.callers, path: '/read/a' });
+    expect(answer.status).toEqual(200);
+  });
+
+  it('finishes what is in progress in a planned stop, and is out of the directory at once', async () => {
+    // Symptom: callers lose answers around each restart. Sequence: a daemon is told to stop while a stream
+    // runs. Cause: connections were closed, or callers were still sent there.
+    const [first] = site.daemons;
+    if (!first) throw new Error('the site has no daemon');
+    await site.until(() => site.store.keys('daemons/').length === 1);
+    let stopped: Promise<number> | undefined;
+    const stop = () => {
+      stopped = first.daemon.stop();
+    };
+    const answer = await callSite({ address, path: '/chat/', headers: CHAT, onData: stop });
+    expect(answer.body).toEqual(wholeStream(5));
+    expect(first.daemon.isReady).toEqual(false);
+    expect(first.daemon.addressesFor('here')).toEqual([]);
+    await site.until(() => site.store.keys('daemons/').length === 0);
+    const next = await callSite({ address, path: '/read/a' });
+    expect(next.headers.connection).toEqual('close');
+    expect(await stopped).toEqual(0);
+  });
+});
