Keep in the store where shared prompts are cached, for daemons that start

Cause: after each loss of all daemons their knowledge of warm places was gone; prompts were placed by hashing over the runners of that moment and read again.

Without a configuration a caller is told to come back in 0.1 s, in 1.5 s while the store does not answer.

--- a/src/forwarding/admitRequest.ts
+++ b/src/forwarding/admitRequest.ts
@@ -23,8 +23,14 @@
 /** Without a word of the service any number would do. */
 const DEFAULT_CONNECTIONS = 64;
 
-/** A first configuration takes about this long, in seconds. */
-const CONFIGURATION_RETRY_SECONDS = 0.3;
+/** A first configuration takes a few ms where the store answers; in seconds. */
+const CONFIGURATION_RETRY_SECONDS = 0.1;
+
+/**
+ * Outages of the store last seconds. Callers come back once, at most after a third of the time they have; the
+ * later they do, the likelier they are served.
+ */
+const OUTAGE_RETRY_SECONDS = 1.5;
 
 /** Another daemon can take the request at once. */
 const STOPPING_RETRY_SECONDS = 0.02;
@@ -101,7 +107,11 @@
  */
 export function admitRequest(request: IncomingMessage, context: ForwardingContext): Admission {
   const table = context.routes();
-  if (!table) return rejected(503, 'no_configuration', CONFIGURATION_RETRY_SECONDS);
+  if (!table) {
+    const isOutage = context.isStoreSilent();
+    const wait = isOutage ? OUTAGE_RETRY_SECONDS : CONFIGURATION_RETRY_SECONDS;
+    return rejected(503, 'no_configuration', wait);
+  }
   if (context.stopPhase() === 'closing') return rejected(503, 'stopping', STOPPING_RETRY_SECONDS);
   const { names } = context.protocol;
   const { headers, url = '/', method = 'GET' } = request;
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -24,6 +24,8 @@
   readonly routes: () => RouteTable | undefined;
   /** Daemons that share the runners' connections, this one too. */
   readonly daemons: () => number;
+  /** Whether the store does not answer, so that a first configuration may take a while. */
+  readonly isStoreSilent: () => boolean;
   /** How far a planned stop has come. */
   readonly stopPhase: () => StopPhase;
 }
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -21,11 +21,13 @@
 import { RunnerChoice } from '../runners/RunnerChoice.js';
 import type { RunnerEntry } from '../runners/Runner.js';
 import { WarmPlaces } from '../runners/WarmPlaces.js';
+import type { WarmPlace } from '../runners/WarmPlaces.js';
 import { DaemonRegistration } from '../sync/DaemonRegistration.js';
 import { FleetKnowledge } from '../sync/FleetKnowledge.js';
 import type { DaemonEntry, FleetStore } from '../sync/FleetStore.js';
 import { PeerExchange } from '../sync/PeerExchange.js';
 import { StoreFollower } from '../sync/StoreFollower.js';
+import { WarmPlacesKeeper } from '../sync/WarmPlacesKeeper.js';
 import { syncLogEvents } from '../sync/syncFeature.js';
 import type { Clock } from '../time/Clock.js';
 import { SystemClock } from '../time/SystemClock.js';
@@ -81,6 +83,8 @@
 
   private readonly news: NewsTask;
 
+  private readonly warmPlacesKeeper: WarmPlacesKeeper;
+
   private readonly front: CallerFront;
 
   private readonly follower: StoreFollower;
@@ -128,6 +132,13 @@
       seeds,
       isStoreSilent: () => this.follower.isStoreSilent,
     });
+    this.warmPlacesKeeper = new WarmPlacesKeeper({
+      store,
+      warmPlaces: this.warmPlaces,
+      log,
+      name,
+      daemons: () => knowledge.daemons.keys(),
+    });
     this.front = new CallerFront(this.createContext(protocol));
   }
 
@@ -161,6 +172,7 @@
       this.serveMetrics(),
     ]);
     void this.follower.run();
+    this.warmPlacesKeeper.start();
     this.log.write(routerLogEvents.started, {
       ...addresses,
       store: this.settings.store,
@@ -182,6 +194,7 @@
     this.follower.stop();
     this.peers.close();
     this.news.close();
+    this.warmPlacesKeeper.stop();
     this.metricsServer?.close();
     const cut = this.front.inFlight;
     const milliseconds = Math.round(this.clock.monotonicMilliseconds() - startedAt);
@@ -215,6 +228,7 @@
       }),
       routes: () => knowledge.routes,
       stopPhase: () => this.phase,
+      isStoreSilent: () => this.follower.isStoreSilent,
     };
   }
 
@@ -255,6 +269,7 @@
         };
         this.log.write(syncLogEvents.runnerChanged, fields);
       },
+      warmPlacesKept: (places: readonly WarmPlace[]) => this.warmPlaces.import(places),
       updated: () => {
         this.becomeReady();
         this.ensureSecret();
--- a/src/runners/WarmPlaces.ts
+++ b/src/runners/WarmPlaces.ts
@@ -13,6 +13,13 @@
 /** Places of one key: its first, and those that took over when that was full or away. */
 const MAXIMUM_PLACES = 12;
 
+/** A key with its places. */
+export interface WarmPlace {
+  readonly key: string;
+  /** The first place first. */
+  readonly runnerIds: readonly string[];
+}
+
 /** Least recently used keys go first. */
 export class WarmPlaces {
   private readonly places = new Map<string, readonly string[]>();
@@ -61,4 +68,24 @@
     if (!known || known.every(isListed)) return;
     this.places.set(key, known.filter(isListed));
   }
+
+  /**
+   * @param maximumKeys - the most recently used ones are given.
+   * @returns Keys with their places, as they can be stored.
+   */
+  export(maximumKeys: number): WarmPlace[] {
+    const all = [...this.places].slice(-maximumKeys);
+    return all.map(([key, runnerIds]) => ({ key, runnerIds }));
+  }
+
+  /**
+   * Takes what was stored, for keys that have no place here yet: a daemon that has just started knows none.
+   *
+   * @param stored - from {@link export}, of any daemon.
+   */
+  import(stored: readonly WarmPlace[]): void {
+    for (const { key, runnerIds } of stored) {
+      if (!this.places.has(key)) for (const id of runnerIds) this.learn(key, id);
+    }
+  }
 }
--- a/src/sync/FleetKnowledge.ts
+++ b/src/sync/FleetKnowledge.ts
@@ -6,6 +6,7 @@
 import type { RoutingConfiguration } from '../routes/routeTypes.js';
 import type { RunnerEntry } from '../runners/Runner.js';
 import { RunnerTable } from '../runners/RunnerTable.js';
+import type { WarmPlace } from '../runners/WarmPlaces.js';
 import type { DaemonEntry, StoreFact, StoreRead } from './FleetStore.js';
 
 /** Everything in a form that can be sent to another daemon. */
@@ -22,6 +23,8 @@
   configurationChanged(configuration: RoutingConfiguration): void;
   /** A runner was added, changed its state, or is gone (`undefined`). */
   runnerChanged(id: string, entry: RunnerEntry | undefined): void;
+  /** Another daemon has kept where shared prompts are cached. */
+  warmPlacesKept(places: readonly WarmPlace[]): void;
   /** All of a read has been taken. */
   updated(): void;
   /** A fact could not be decoded. */
@@ -174,6 +177,9 @@
       case 'secret':
         this.secret = fact.secret;
         break;
+      case 'warm_places':
+        this.listener.warmPlacesKept(fact.places);
+        break;
       case 'daemon_gone':
         this.daemons.delete(fact.name);
         break;
--- a/src/sync/FleetStore.ts
+++ b/src/sync/FleetStore.ts
@@ -4,6 +4,7 @@
  */
 import type { RoutingConfiguration } from '../routes/routeTypes.js';
 import type { RunnerEntry } from '../runners/Runner.js';
+import type { WarmPlace } from '../runners/WarmPlaces.js';
 
 /** One daemon of the fleet, as it registers itself. */
 export interface DaemonEntry {
@@ -26,6 +27,8 @@
   | { readonly kind: 'daemon_gone'; readonly name: string }
   /** The secret by which daemons know each other's messages. */
   | { readonly kind: 'secret'; readonly secret: string }
+  /** Where shared prompts are cached, as one of the daemons has kept it. */
+  | { readonly kind: 'warm_places'; readonly places: readonly WarmPlace[] }
   /** Decoded without success; it changes nothing and is reported. */
   | { readonly kind: 'unreadable'; readonly key: string; readonly message: string };
 
@@ -81,6 +84,13 @@
    */
   abstract proposeSecret(secret: string): Promise<void>;
 
+  /**
+   * Keeps where shared prompts are cached, for daemons that start later.
+   *
+   * @param places - the last write wins.
+   */
+  abstract saveWarmPlaces(places: readonly WarmPlace[]): Promise<void>;
+
   /**
    * @param registration - from {@link register}; the daemon is gone for everybody else at once.
    */
--- a/src/sync/syncFeature.ts
+++ b/src/sync/syncFeature.ts
@@ -72,7 +72,7 @@
     number: 2709,
     name: 'sync.registration_failed',
     level: 'warn',
-    text: 'This daemon could not register itself, or its registration has lapsed; it tries again.',
+    text: 'A write to the store failed, or this daemon’s registration has lapsed; it tries again.',
     operatorAction: 'Look at the store if it goes on.',
   }),
 };
--- /dev/null
+++ b/standIns/site/siteLoad.ts
@@ -0,0 +1,94 @@
+/**
+ * Load for a site: requests of all kinds at a steady rate, with what callers got and how long they waited.
+ */
+import { Agent } from 'node:http';
+
+import { build } from 'hdr-histogram-js';
+
+import { seededRandom } from '../../src/random/seededRandom.js';
+import { callSite } from './callSite.js';
+
+/** Options of {@link runSiteLoad}. */
+export interface SiteLoadOptions {
+  /** IP numbers and ports of daemons. */
+  addresses: readonly string[];
+  /** Requests a second, over all daemons. */
+  rate: number;
+  seconds: number;
+  seed?: number;
+  /** Different shared prompts. */
+  prompts?: number;
+  /** Bytes of a chat's body. */
+  bodyBytes?: number;
+}
+
+/** What came of a load. */
+export interface SiteLoadResult {
+  readonly sent: number;
+  /** By status; 0 where a connection broke. */
+  readonly statuses: Readonly<Record<string, number>>;
+  /** Until the whole answer, in ms. */
+  readonly medianMilliseconds: number;
+  readonly slowestMilliseconds: number;
+}
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+const CHAT_SHARE = 0.7;
+const WRITE_SHARE = 0.2;
+
+/**
+ * Sends requests at their times, whether earlier ones have been answered or not.
+ *
+ * @param options - where, how many and how long.
+ * @returns What callers got.
+ */
+export async function runSiteLoad({
+  addresses,
+  rate,
+  seconds,
+  seed = 1,
+  prompts = 50,
+  bodyBytes = 900,
+}: SiteLoadOptions): Promise<SiteLoadResult> {
+  const random = seededRandom(seed);
+  const agent = new Agent({ keepAlive: true });
+  const latencies = build();
+  const statuses: Record<string, number> = {};
+  const pending: Promise<void>[] = [];
+  const body = 'x'.repeat(bodyBytes);
+  const sendOne = async () => {
+    const address = addresses[Math.floor(random() * addresses.length)] ?? '';
+    const kind = random();
+    const parts = `a${Math.floor(random() * 4)}:2500,b${Math.floor(random() * prompts)}:6000,c:500`;
+    const startedAt = performance.now();
+    const chat = {
+      path: '/chat/x',
+      body,
+      headers: { 'Prompt-Prefix': parts, 'Deadline-Ms': '6000' },
+    };
+    const plain = { path: kind < CHAT_SHARE + WRITE_SHARE ? '/write/x' : '/read/x', body: 'order' };
+    const call = { address, agent, ...(kind < CHAT_SHARE ? chat : plain) };
+    const status = await callSite(call).then(
+      (answer) => (answer.isComplete ? answer.status : 0),
+      () => 0,
+    );
+    statuses[status] = (statuses[status] ?? 0) + 1;
+    latencies.recordValue(performance.now() - startedAt);
+  };
+  const total = Math.round(rate * seconds);
+  for (let sent = 0; sent < total; sent += 1) {
+    pending.push(sendOne());
+    await new Promise((done) => {
+      setTimeout(done, MILLISECONDS_PER_SECOND / rate);
+    });
+  }
+  await Promise.all(pending);
+  agent.destroy();
+  return {
+    sent: total,
+    statuses,
+    medianMilliseconds: latencies.getValueAtPercentile(50),
+    slowestMilliseconds: latencies.maxValue,
+  };
+}
