Tell a store that turns one daemon away from one that is down

The store had turned one daemon away for nine seconds; on its return the daemon took missing entries for lapsed ones and kept them for 2.3 s, and looked only at its next read. Other daemons had refused to answer it, since its own entry had lapsed meanwhile. Ruled out: the watch (the removal came at once), the gathering of changes.

No grace where another daemon learnt from the store meanwhile; the grace ends by a timer; a daemon that was listed in the last five minutes may ask.

--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -41,6 +41,9 @@
 /** Between proposals while the store does not take one, in ms. */
 const PROPOSAL_MILLISECONDS = 2_000;
 
+/** How exactly the end of a runner's grace is kept, in ms. */
+const EXPIRY_MILLISECONDS = 100;
+
 /** Options of a {@link RouterDaemon}. */
 export interface RouterDaemonOptions {
   settings: RouterSettings;
@@ -95,6 +98,8 @@
 
   private metricsServer: Server | undefined;
 
+  private expiryTimer: NodeJS.Timeout | undefined;
+
   private phase: StopPhase = 'serving';
 
   private wasReady = false;
@@ -173,6 +178,10 @@
     ]);
     void this.follower.run();
     this.warmPlacesKeeper.start();
+    this.expiryTimer = setInterval(
+      () => this.knowledge.expire(this.clock.monotonicMilliseconds()),
+      EXPIRY_MILLISECONDS,
+    );
     this.log.write(routerLogEvents.started, {
       ...addresses,
       store: this.settings.store,
@@ -195,6 +204,7 @@
     this.peers.close();
     this.news.close();
     this.warmPlacesKeeper.stop();
+    clearInterval(this.expiryTimer);
     this.metricsServer?.close();
     const cut = this.front.inFlight;
     const milliseconds = Math.round(this.clock.monotonicMilliseconds() - startedAt);
--- a/src/sync/FleetKnowledge.ts
+++ b/src/sync/FleetKnowledge.ts
@@ -63,6 +63,9 @@
 
   private graceUntil = Number.NEGATIVE_INFINITY;
 
+  /** Whether another daemon has learnt from the store what it did not tell this one. */
+  private wasServedElsewhere = false;
+
   /**
    * @param options - who hears of changes.
    */
@@ -75,13 +78,19 @@
     return this.table;
   }
 
+  /** The store does not answer this daemon any more. */
+  storeLost(): void {
+    this.wasServedElsewhere = false;
+  }
+
   /**
-   * The store answers again after it was away: entries that are missing now may only have lapsed.
+   * The store answers again after it was away: entries that are missing now may only have lapsed. Where it
+   * turned away this daemon alone, others have gone on learning from it; what is missing then is gone.
    *
    * @param now - monotonic milliseconds.
    */
   storeReturned(now: number): void {
-    this.graceUntil = now + LAPSE_GRACE_MILLISECONDS;
+    if (!this.wasServedElsewhere) this.graceUntil = now + LAPSE_GRACE_MILLISECONDS;
   }
 
   /**
@@ -129,6 +138,7 @@
     const newVersion = (configuration?.version ?? 0) > (this.table?.configuration.version ?? 0);
     if (configuration && newVersion) this.putConfiguration(configuration);
     if (revision <= this.revision) return newVersion;
+    this.wasServedElsewhere = true;
     const facts: StoreFact[] = [
       ...runners.map((runner) => ({ kind: 'runner', runner }) as const),
       ...daemons.map((daemon) => ({ kind: 'daemon', daemon }) as const),
--- a/src/sync/PeerExchange.ts
+++ b/src/sync/PeerExchange.ts
@@ -29,6 +29,9 @@
 /** How often others are asked while the store is silent, in ms. */
 const POLL_MILLISECONDS = 400;
 
+/** Longer than the store turns a daemon away; in ms. */
+const REMEMBERED_MILLISECONDS = 300_000;
+
 /** An answer within a region takes a few ms; a dead daemon must not hold up the next question. */
 const TIMEOUT_MILLISECONDS = 300;
 
@@ -51,6 +54,9 @@
 
   private next = 0;
 
+  /** When a host was last listed as a daemon's, monotonic ms. */
+  private readonly listedAt = new Map<string, number>();
+
   /**
    * @param options - beliefs, and who is asked.
    */
@@ -91,15 +97,32 @@
     response.writeHead(200, { 'Content-Type': 'application/json' }).end(text);
   }
 
+  /**
+   * A daemon that the store turns away loses its entry after some seconds, just when it needs the others most;
+   * so whoever was listed lately may ask.
+   */
   private mayAsk(host: string): boolean {
-    const { knowledge, seeds } = this.options;
-    const known = [...knowledge.daemons.values()].map(({ peerAddress }) => peerAddress);
-    return [...known, ...seeds].some((address) => hostOf(address) === host);
+    const { seeds, clock } = this.options;
+    if (seeds.some((address) => hostOf(address) === host)) return true;
+    const listedAt = this.listedAt.get(host);
+    const age = clock.monotonicMilliseconds() - (listedAt ?? Number.NEGATIVE_INFINITY);
+    return age < REMEMBERED_MILLISECONDS;
+  }
+
+  private rememberListed(): void {
+    const now = this.options.clock.monotonicMilliseconds();
+    for (const { peerAddress } of this.options.knowledge.daemons.values()) {
+      this.listedAt.set(hostOf(peerAddress), now);
+    }
+    for (const [host, at] of this.listedAt) {
+      if (now - at >= REMEMBERED_MILLISECONDS) this.listedAt.delete(host);
+    }
   }
 
   /** Asks one daemon after the other. */
   private async poll(): Promise<void> {
     const { knowledge, clock, log, ownAddress, seeds, isStoreSilent } = this.options;
+    this.rememberListed();
     if (!isStoreSilent()) return;
     const known = [...knowledge.daemons.values()].map(({ peerAddress }) => peerAddress);
     const others = [...new Set([...known, ...seeds])].filter((address) => address !== ownAddress);
--- a/src/sync/StoreFollower.ts
+++ b/src/sync/StoreFollower.ts
@@ -140,14 +140,14 @@
   }
 
   private async recover(error: Error): Promise<void> {
-    const { log, sleep, knowledge, clock } = this.options;
-    knowledge.expire(clock.monotonicMilliseconds());
+    const { log, sleep, knowledge } = this.options;
     if (error instanceof HistoryLost) {
       log.write(syncLogEvents.historyLost, { revision: this.revision });
       this.revision = undefined;
       return;
     }
     if (this.failures === 0) {
+      knowledge.storeLost();
       log.write(syncLogEvents.storeLost, { error: error.message, revision: this.revision });
     }
     const pause = Math.min(
