--- /dev/null
+++ b/src/news/news.spec.ts
@@ -0,0 +1,42 @@
+import { describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import { ForeignLoads } from './ForeignLoads.js';
+import { decodeNews, encodeNews } from './newsCodec.js';
+import type { DaemonNews } from './newsTypes.js';
+
+function newsOf(changes: Partial<DaemonNews> = {}): DaemonNews {
+  return { daemon: 'd', life: 1, number: 1, counts: { r: 2 }, warm: [], ...changes };
+}
+
+describe('news between daemons', () => {
+  it('is taken only with the seal of the fleet', () => {
+    const datagram = encodeNews(newsOf(), 'secret');
+    expect(decodeNews(datagram, 'secret')).toEqual(newsOf());
+    expect(decodeNews(datagram, 'other')).toEqual(undefined);
+    const forged = Buffer.from(datagram);
+    forged[forged.length - 2] = 0x20;
+    expect(decodeNews(forged, 'secret')).toEqual(undefined);
+    expect(decodeNews(Buffer.alloc(4), 'secret')).toEqual(undefined);
+  });
+
+  it('sums what daemons have, and lets older messages not undo newer ones', () => {
+    const loads = new ForeignLoads();
+    loads.take(newsOf({ number: 5, counts: { r: 3 } }), 0);
+    loads.take(newsOf({ number: 4, counts: { r: 9 } }), 1);
+    loads.take(newsOf({ daemon: 'e', counts: { r: 1, s: 1 } }), 2);
+    expect([loads.of('r'), loads.of('s'), loads.of('t')]).toEqual([4, 1, 0]);
+    loads.take(newsOf({ life: 2, number: 1, counts: {} }), 3);
+    expect(loads.of('r')).toEqual(1);
+  });
+
+  it('forgets what a daemon had that has fallen silent', () => {
+    // Symptom: runners look full for good. Sequence: a daemon dies with requests under way. Cause: its last
+    // message stood for ever.
+    const loads = new ForeignLoads();
+    loads.take(newsOf(), 0);
+    loads.expire(2_501);
+    expect(loads.of('r')).toEqual(0);
+  });
+});
