Load only the router's own settings in the daemon for the platform; put its settings and events on the pages

Cause: reading settings named every feature of the program, so that the daemon for the platform loaded the schemas of all of them at each start.

--- a/src/logging/logCatalogue.spec.ts
+++ b/src/logging/logCatalogue.spec.ts
@@ -4,6 +4,7 @@
 import { z } from 'zod';
 
 import { ALL_FEATURES } from '../features/allFeatures.js';
+import { ROUTER_FEATURES } from '../features/routerFeatures.js';
 import { defineFeature } from '../features/Feature.js';
 import { formatFinding } from '../findings/Findings.js';
 import { checkLogEvents, listLogEvents } from './logCatalogue.js';
@@ -24,8 +25,12 @@
 
 describe(checkLogEvents.name, () => {
   it('has nothing to say about the events of the program', () => {
-    expect(checkLogEvents(ALL_FEATURES).list().map(formatFinding)).toEqual([]);
-    expect(listLogEvents(ALL_FEATURES).length > 0).toEqual(true);
+    expect(
+      checkLogEvents([...ALL_FEATURES, ...ROUTER_FEATURES])
+        .list()
+        .map(formatFinding),
+    ).toEqual([]);
+    expect(listLogEvents([...ALL_FEATURES, ...ROUTER_FEATURES]).length > 0).toEqual(true);
   });
 
   const faults: [string, Partial<LogEvent>, string][] = [
--- a/src/settings/loadSettings.spec.ts
+++ b/src/settings/loadSettings.spec.ts
@@ -12,7 +12,8 @@
 import { defineFeature } from '../features/Feature.js';
 import { formatFinding } from '../findings/Findings.js';
 import { checkSettings } from './checkSettings.js';
-import { loadSettings, parseSettings } from './loadSettings.js';
+import { loadSettings } from './loadSettings.js';
+import { parseSettings } from './parseSettings.js';
 
 const FILE = 'fleet.yaml';
 
--- a/tools/generatedPages.spec.ts
+++ b/tools/generatedPages.spec.ts
@@ -4,6 +4,7 @@
 import { expect } from 'earl';
 
 import { ALL_FEATURES } from '../src/features/allFeatures.js';
+import { ROUTER_FEATURES } from '../src/features/routerFeatures.js';
 import { undescribedSettings } from '../src/settings/settingsReference.js';
 import { generatePages } from './generatedPages.js';
 
@@ -18,6 +19,6 @@
   });
 
   it('describe every setting', () => {
-    expect(undescribedSettings(ALL_FEATURES)).toEqual([]);
+    expect(undescribedSettings([...ALL_FEATURES, ...ROUTER_FEATURES])).toEqual([]);
   });
 });
--- a/tools/generatedPages.ts
+++ b/tools/generatedPages.ts
@@ -5,6 +5,7 @@
 
 import { formatChart } from '../src/charts/formatChart.js';
 import { ALL_FEATURES } from '../src/features/allFeatures.js';
+import { ROUTER_FEATURES } from '../src/features/routerFeatures.js';
 import { formatLogCatalogue } from '../src/logging/logCatalogue.js';
 import { formatSettingsReference } from '../src/settings/settingsReference.js';
 import { readChartFiles } from './chartFiles.js';
@@ -38,8 +39,15 @@
  */
 export async function generatePages(): Promise<GeneratedPage[]> {
   const drafts = [
-    { path: 'docs/LOG_EVENTS.md', content: formatLogCatalogue(ALL_FEATURES) },
+    {
+      path: 'docs/LOG_EVENTS.md',
+      content: formatLogCatalogue([...ALL_FEATURES, ...ROUTER_FEATURES]),
+    },
     { path: 'docs/SETTINGS.md', content: formatSettingsReference(ALL_FEATURES) },
+    {
+      path: 'docs/SETTINGS_ROUTER.md',
+      content: formatSettingsReference(ROUTER_FEATURES.slice(0, 1)),
+    },
     { path: 'docs/STATE_CHARTS.md', content: formatChartPage() },
   ];
   return Promise.all(
--- a/tools/usedDefinitions.spec.ts
+++ b/tools/usedDefinitions.spec.ts
@@ -5,16 +5,20 @@
 import { expect } from 'earl';
 
 import { ALL_FEATURES } from '../src/features/allFeatures.js';
+import { ROUTER_FEATURES } from '../src/features/routerFeatures.js';
 import { describeSettings } from '../src/settings/settingsSchema.js';
 
 /** Where events and settings are defined rather than used, and tests. */
 const NOT_A_USE = /(?:Feature|LogEvents|\.spec)\.ts$/u;
 
 function programText(): string {
-  return readdirSync('src', { recursive: true, encoding: 'utf8' })
-    .filter((name) => name.endsWith('.ts') && !NOT_A_USE.test(name))
-    .filter((name) => !name.startsWith('generated'))
-    .map((name) => readFileSync(join('src', name), 'utf8'))
+  return ['src', 'platform']
+    .flatMap((folder) =>
+      readdirSync(folder, { recursive: true, encoding: 'utf8' })
+        .filter((name) => name.endsWith('.ts') && !NOT_A_USE.test(name))
+        .filter((name) => !name.startsWith('generated'))
+        .map((name) => readFileSync(join(folder, name), 'utf8')),
+    )
     .join('\n');
 }
 
@@ -27,7 +31,7 @@
   it('hold no event that nothing writes', () => {
     // Symptom: an alert never fires. Sequence: somebody on call sets it up from the catalogue.
     // Cause: the code that wrote the event is gone, its definition is not.
-    const events = ALL_FEATURES.flatMap(({ name, logEvents }) =>
+    const events = [...ALL_FEATURES, ...ROUTER_FEATURES].flatMap(({ name, logEvents }) =>
       Object.entries(logEvents).map(([key, { number }]) => [`${name} ${number}`, key] as const),
     );
     expect(unused(events)).toEqual([]);
@@ -36,7 +40,7 @@
   it('hold no setting that nothing reads', () => {
     // Symptom: an operator raises a limit and nothing changes. Sequence: a setting from the reference
     // is put into the file and accepted. Cause: the code no longer reads it.
-    const { properties = {} } = describeSettings(ALL_FEATURES);
+    const { properties = {} } = describeSettings([...ALL_FEATURES, ...ROUTER_FEATURES]);
     const settings = Object.entries(properties).flatMap(([section, schema]) =>
       Object.keys(schema.properties ?? {}).map((key) => [`${section}.${key}`, key] as const),
     );
