--- a/src/configuration/ConfigurationEditor.spec.ts
+++ b/src/configuration/ConfigurationEditor.spec.ts
@@ -14,7 +14,7 @@
 import type { EntityEdit } from '../generated/baobabdock/v1/changes_pb.js';
 import { SilentLog } from '../logging/Log.js';
 import type { ChangeOutcome } from '../operators/ConfigurationChanges.js';
-import type { PlatformStore } from '../platform/PlatformStore.js';
+import type { PlatformStore } from '../store/PlatformStore.js';
 import { ManualClock } from '../time/ManualClock.js';
 import { ConfigurationDocument } from './ConfigurationDocument.js';
 import { ConfigurationEditor } from './ConfigurationEditor.js';
--- a/src/configuration/ConfigurationEditor.ts
+++ b/src/configuration/ConfigurationEditor.ts
@@ -13,7 +13,7 @@
 import { ConfigurationChanges } from '../operators/ConfigurationChanges.js';
 import type { ChangeOutcome, RequestedChange } from '../operators/ConfigurationChanges.js';
 import type { EntityKind } from '../operators/resourceKinds.js';
-import { PlatformStoreError } from '../platform/PlatformStore.js';
+import { PlatformStoreError } from '../store/PlatformStore.js';
 import type { Clock } from '../time/Clock.js';
 import { changesAnswer, wholeAnswer } from './ConfigurationDocument.js';
 import type { ConfigurationDocument } from './ConfigurationDocument.js';
--- a/src/configuration/ConfigurationRepository.ts
+++ b/src/configuration/ConfigurationRepository.ts
@@ -11,7 +11,7 @@
   ConfigurationChange,
   ConfigurationHead,
 } from '../generated/baobabdock/v1/changes_pb.js';
-import type { PlatformStore, StoreEntry, TransactionResult } from '../platform/PlatformStore.js';
+import type { PlatformStore, StoreEntry, TransactionResult } from '../store/PlatformStore.js';
 import { changesAnswer, wholeAnswer } from './ConfigurationDocument.js';
 import { InconsistentStoreError } from './configurationErrors.js';
 import {
--- a/src/configuration/ConfigurationTask.spec.ts
+++ b/src/configuration/ConfigurationTask.spec.ts
@@ -14,7 +14,7 @@
 import type { Member } from '../generated/baobabdock/v1/peers_pb.js';
 import { SilentLog } from '../logging/Log.js';
 import { PeerLink } from '../peers/PeerLink.js';
-import { EtcdPlatformStore } from '../platform/EtcdPlatformStore.js';
+import { EtcdPlatformStore } from '../store/EtcdPlatformStore.js';
 import { SystemClock } from '../time/SystemClock.js';
 import { ConfigurationEditor } from './ConfigurationEditor.js';
 import { configurationSettings } from './configurationFeature.js';
--- a/src/configuration/ConfigurationTask.ts
+++ b/src/configuration/ConfigurationTask.ts
@@ -17,7 +17,7 @@
 } from '../generated/baobabdock/v1/peers_pb.js';
 import type { Log } from '../logging/Log.js';
 import type { PeerLink } from '../peers/PeerLink.js';
-import type { PlatformStore, WatchEvent } from '../platform/PlatformStore.js';
+import type { PlatformStore, WatchEvent } from '../store/PlatformStore.js';
 import type { Clock } from '../time/Clock.js';
 import { changesAnswer } from './ConfigurationDocument.js';
 import { ConfigurationDecisions } from './ConfigurationDecisions.js';
--- a/src/configuration/InstanceDirectory.ts
+++ b/src/configuration/InstanceDirectory.ts
@@ -13,7 +13,7 @@
   StoreEntry,
   StoreWrite,
   WatchEvent,
-} from '../platform/PlatformStore.js';
+} from '../store/PlatformStore.js';
 import { INSTANCES_PREFIX, instanceKey, runnerOfKey } from './configurationKeys.js';
 import type { DocumentAnswer } from './configurationTypes.js';
 import { runnerChangesAnswer, runnerListAnswer } from './RunnerListDocument.js';
--- a/src/configuration/SnapshotStore.ts
+++ b/src/configuration/SnapshotStore.ts
@@ -5,7 +5,7 @@
 
 import { ConfigurationSnapshotSchema } from '../generated/baobabdock/v1/changes_pb.js';
 import type { ConfigurationHead } from '../generated/baobabdock/v1/changes_pb.js';
-import type { PlatformStore, StoreEntry } from '../platform/PlatformStore.js';
+import type { PlatformStore, StoreEntry } from '../store/PlatformStore.js';
 import { InconsistentStoreError } from './configurationErrors.js';
 import { CHUNKS_PREFIX, HEAD_KEY, chunkKey } from './configurationKeys.js';
 import { ConfigurationState } from './ConfigurationState.js';
--- a/src/daemon/createOrders.ts
+++ b/src/daemon/createOrders.ts
@@ -5,7 +5,7 @@
 import type { Log } from '../logging/Log.js';
 import type { ConfigurationChanges } from '../operators/ConfigurationChanges.js';
 import { OrderSupervisor } from '../orders/OrderSupervisor.js';
-import type { PlatformStore } from '../platform/PlatformStore.js';
+import type { PlatformStore } from '../store/PlatformStore.js';
 import type { Settings } from '../settings/settingsSchema.js';
 import type { Clock } from '../time/Clock.js';
 import { createUpstream } from '../upstreams/createUpstream.js';
--- a/src/features/allFeatures.ts
+++ b/src/features/allFeatures.ts
@@ -11,7 +11,7 @@
 import { membershipFeature } from '../membership/membershipFeature.js';
 import { ordersFeature } from '../orders/ordersFeature.js';
 import { peersFeature } from '../peers/peersFeature.js';
-import { platformFeature } from '../platform/platformFeature.js';
+import { platformFeature } from '../store/platformFeature.js';
 import { requestsFeature } from '../requests/requestsFeature.js';
 import { routingFeature } from '../routing/routingFeature.js';
 
--- a/src/orders/LeaseStore.ts
+++ b/src/orders/LeaseStore.ts
@@ -1,8 +1,8 @@
 /**
  * The platform's calls of one lease, with every failure turned into a message.
  */
-import type { PlatformStore } from '../platform/PlatformStore.js';
-import { PlatformStoreError } from '../platform/PlatformStore.js';
+import type { PlatformStore } from '../store/PlatformStore.js';
+import { PlatformStoreError } from '../store/PlatformStore.js';
 import type { LeaseClaim, LeaseReading, LeaseTerm, LeaseWriting } from './leaseTypes.js';
 
 const encoder = new TextEncoder();
--- a/src/orders/OrderSupervisor.ts
+++ b/src/orders/OrderSupervisor.ts
@@ -4,7 +4,7 @@
 import type { FleetView } from '../fleet/FleetView.js';
 import type { Log } from '../logging/Log.js';
 import type { ConfigurationChanges } from '../operators/ConfigurationChanges.js';
-import type { PlatformStore } from '../platform/PlatformStore.js';
+import type { PlatformStore } from '../store/PlatformStore.js';
 import type { Clock } from '../time/Clock.js';
 import type { Upstream } from '../upstreams/Upstream.js';
 import { CANDIDATES } from './leaseTimings.js';
--- a/src/orders/OrderTask.ts
+++ b/src/orders/OrderTask.ts
@@ -9,7 +9,7 @@
 import type { FleetView } from '../fleet/FleetView.js';
 import type { Log } from '../logging/Log.js';
 import type { ChangeOutcome, ConfigurationChanges } from '../operators/ConfigurationChanges.js';
-import type { PlatformStore } from '../platform/PlatformStore.js';
+import type { PlatformStore } from '../store/PlatformStore.js';
 import type { Clock } from '../time/Clock.js';
 import type { Upstream } from '../upstreams/Upstream.js';
 import { LeaseStore } from './LeaseStore.js';
--- a/standIns/fleet/FleetProcesses.ts
+++ b/standIns/fleet/FleetProcesses.ts
@@ -14,8 +14,8 @@
 import type { RunnerRecord } from '../../src/generated/baobabdock/v1/configuration_pb.js';
 import { RunnerRecordSchema } from '../../src/generated/baobabdock/v1/configuration_pb.js';
 import { OperatorClient } from '../../src/operators/OperatorClient.js';
-import { EtcdPlatformStore } from '../../src/platform/EtcdPlatformStore.js';
-import { platformFeature } from '../../src/platform/platformFeature.js';
+import { EtcdPlatformStore } from '../../src/store/EtcdPlatformStore.js';
+import { platformFeature } from '../../src/store/platformFeature.js';
 import type { OutputLine } from './ChildProgram.js';
 import { ChildProgram } from './ChildProgram.js';
 
--- a/standIns/platform/EtcdService.ts
+++ b/standIns/platform/EtcdService.ts
@@ -13,8 +13,8 @@
   WatchCreateRequest,
   WatchRequest,
 } from '../../src/generated/etcd/etcdserverpb/rpc_pb.js';
-import { PlatformCallMeter } from '../../src/platform/PlatformCallMeter.js';
-import { keyText } from '../../src/platform/etcdMessages.js';
+import { PlatformCallMeter } from '../../src/store/PlatformCallMeter.js';
+import { keyText } from '../../src/store/etcdMessages.js';
 import type { Clock } from '../../src/time/Clock.js';
 import { ChangeQueue } from './ChangeQueue.js';
 import { CompactedError, LeaseNotFoundError } from './KeyValueState.js';
--- a/standIns/platform/FollowingDaemon.ts
+++ b/standIns/platform/FollowingDaemon.ts
@@ -24,8 +24,8 @@
 import { seededRandom } from '../../src/random/seededRandom.js';
 import type { DecisionStep } from '../../src/decisions/DecisionTask.js';
 import { ConfigurationChangeSchema } from '../../src/generated/baobabdock/v1/changes_pb.js';
-import { CountingPlatformStore } from '../../src/platform/CountingPlatformStore.js';
-import type { PlatformCallMeter } from '../../src/platform/PlatformCallMeter.js';
+import { CountingPlatformStore } from '../../src/store/CountingPlatformStore.js';
+import type { PlatformCallMeter } from '../../src/store/PlatformCallMeter.js';
 import { CompactedError, prefixEnd } from './KeyValueState.js';
 import type { KeyChange } from './KeyValueState.js';
 import type { MemoryPlatformStore } from './MemoryPlatformStore.js';
--- a/standIns/platform/FollowingFleet.ts
+++ b/standIns/platform/FollowingFleet.ts
@@ -6,8 +6,8 @@
 import type { SyncTiming } from '../../src/configuration/SyncTimes.js';
 import { seededRandom } from '../../src/random/seededRandom.js';
 import { SilentLog } from '../../src/logging/Log.js';
-import { CountingPlatformStore } from '../../src/platform/CountingPlatformStore.js';
-import { PlatformCallMeter } from '../../src/platform/PlatformCallMeter.js';
+import { CountingPlatformStore } from '../../src/store/CountingPlatformStore.js';
+import { PlatformCallMeter } from '../../src/store/PlatformCallMeter.js';
 import { ManualClock } from '../../src/time/ManualClock.js';
 import { FollowingDaemon } from './FollowingDaemon.js';
 import { MemoryPlatformStore } from './MemoryPlatformStore.js';
--- a/standIns/platform/KeyValueState.ts
+++ b/standIns/platform/KeyValueState.ts
@@ -8,7 +8,7 @@
   StoreEntry,
   StoreTransaction,
   TransactionResult,
-} from '../../src/platform/PlatformStore.js';
+} from '../../src/store/PlatformStore.js';
 
 /** One change of one key, as the history keeps it. */
 export interface KeyChange {
--- a/standIns/platform/MemoryPlatformStore.ts
+++ b/standIns/platform/MemoryPlatformStore.ts
@@ -6,14 +6,14 @@
   MAXIMUM_VALUE_BYTES,
   PlatformStore,
   PlatformStoreError,
-} from '../../src/platform/PlatformStore.js';
+} from '../../src/store/PlatformStore.js';
 import type {
   StoreEntry,
   StoreRange,
   StoreTransaction,
   TransactionResult,
   WatchEvent,
-} from '../../src/platform/PlatformStore.js';
+} from '../../src/store/PlatformStore.js';
 import type { Clock } from '../../src/time/Clock.js';
 import { ManualClock } from '../../src/time/ManualClock.js';
 import { ChangeQueue } from './ChangeQueue.js';
--- a/standIns/platform/PlatformAdministration.spec.ts
+++ b/standIns/platform/PlatformAdministration.spec.ts
@@ -5,8 +5,8 @@
 
 import { expect } from 'earl';
 
-import { EtcdPlatformStore } from '../../src/platform/EtcdPlatformStore.js';
-import type { PlatformStoreError } from '../../src/platform/PlatformStore.js';
+import { EtcdPlatformStore } from '../../src/store/EtcdPlatformStore.js';
+import type { PlatformStoreError } from '../../src/store/PlatformStore.js';
 import { PlatformAdministration } from './PlatformAdministration.js';
 import { PlatformStandIn } from './PlatformStandIn.js';
 
--- a/standIns/platform/standInMessages.ts
+++ b/standIns/platform/standInMessages.ts
@@ -13,14 +13,14 @@
   TxnRequest,
 } from '../../src/generated/etcd/etcdserverpb/rpc_pb.js';
 import { Event_EventType as EventType } from '../../src/generated/etcd/mvccpb/kv_pb.js';
-import { MAXIMUM_VALUE_BYTES } from '../../src/platform/PlatformStore.js';
+import { MAXIMUM_VALUE_BYTES } from '../../src/store/PlatformStore.js';
 import type {
   StoreEntry,
   StoreTransaction,
   StoreWrite,
   TransactionResult,
-} from '../../src/platform/PlatformStore.js';
-import { keyBytes, keyText } from '../../src/platform/etcdMessages.js';
+} from '../../src/store/PlatformStore.js';
+import { keyBytes, keyText } from '../../src/store/etcdMessages.js';
 import type { KeyChange } from './KeyValueState.js';
 
 /**
