--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -8,12 +8,12 @@
 import type { Choice } from '../runners/RunnerChoice.js';
 import type { RunnerOutcome } from '../runners/RunnerHealth.js';
 import type { AnswerRelay, HeldAnswer, OwnAnswer } from './AnswerRelay.js';
-import { EventStreamCut } from './EventStreamCut.js';
 import type { AdmittedRequest, ForwardingContext } from './forwardingTypes.js';
 import { decideRetry, isRepeatable } from './retryDecision.js';
 import type { AttemptFailure } from './RunnerAttempt.js';
 import { AttemptObserver, RunnerAttempt } from './RunnerAttempt.js';
 import { RequestReport } from './RequestReport.js';
+import { isEventStream, StreamedAnswer } from './StreamedAnswer.js';
 import type { EndEvent } from './RequestReport.js';
 import { attemptHeaders } from './attemptHeaders.js';
 import { nextCheck, quietAttempt, shouldHedge } from './patience.js';
@@ -22,8 +22,6 @@
 const MAXIMUM_HELD_BYTES = 262_144;
 
 const SERVER_ERROR = 500;
-const SUCCESS = 200;
-
 /** A runner's answer to a deadline that has passed; it says nothing against the runner. */
 const GATEWAY_TIMEOUT = 504;
 
@@ -62,10 +60,7 @@
 
   private readonly held = new Map<RunnerAttempt, HeldAnswer>();
 
-  private readonly cut = new EventStreamCut();
-
-  /** The attempt whose stream passes to the caller. */
-  private streaming: RunnerAttempt | undefined;
+  private readonly stream: StreamedAnswer;
 
   /** A runner's own error, given if no other runner does better. */
   private fallback: HeldAnswer | undefined;
@@ -92,6 +87,7 @@
     this.body = body;
     this.relay = relay;
     this.context = context;
+    this.stream = new StreamedAnswer(relay);
     this.report = new RequestReport({ request, context });
   }
 
@@ -116,17 +112,15 @@
   override answered(attempt: RunnerAttempt, answer: IncomingMessage): void {
     this.lastProgressAt = this.now();
     this.held.set(attempt, { answer, chunks: [], bytes: 0 });
-    const isStream =
-      this.request.route.kind === 'stream' &&
-      answer.statusCode === SUCCESS &&
-      (answer.headers['content-type'] ?? '').startsWith('text/event-stream');
-    if (isStream) this.streaming = attempt;
+    const isStream = this.request.route.kind === 'stream' && isEventStream(answer);
+    if (isStream) this.stream.take(attempt, answer);
   }
 
   override received(attempt: RunnerAttempt, chunk: Buffer): void {
     this.lastProgressAt = this.now();
-    if (attempt === this.streaming) {
-      this.passEvents(attempt, chunk);
+    if (this.stream.isFrom(attempt)) {
+      this.stream.pass(chunk);
+      if (this.relay.hasHead) this.firstAnswerAt ??= this.now();
       return;
     }
     const held = this.held.get(attempt);
@@ -143,8 +137,10 @@
     const failed = (held.answer.statusCode ?? SERVER_ERROR) >= SERVER_ERROR;
     const expired = held.answer.statusCode === GATEWAY_TIMEOUT;
     this.recordOutcome(attempt.runner, failed && !expired ? 'failed' : 'answered');
-    if (attempt === this.streaming) {
-      this.endStream(held);
+    if (this.stream.isFrom(attempt)) {
+      this.stopAttempts();
+      this.stream.end();
+      this.end('answered', 'answered');
       return;
     }
     if (this.relay.hasHead) {
@@ -163,12 +159,9 @@
     this.recordOutcome(attempt.runner, OUTCOMES[failure]);
     if (failure === 'not_connected' || failure === 'refused') this.notRun += 1;
     else this.mayHaveRun += 1;
-    if (attempt === this.streaming) {
-      this.streaming = undefined;
-      this.cut.drop();
-    }
+    if (this.stream.isFrom(attempt)) this.stream.breakOff();
     const verdict = this.active.size > 0 ? 'wait' : this.decide(failure);
-    this.report.attemptFailed(attempt, failure, { verdict, lastEventId: this.cut.lastEventId });
+    this.report.attemptFailed(attempt, failure, { verdict, lastEventId: this.stream.lastEventId });
     if (verdict === 'wait') return;
     if (verdict === 'retry') this.sendNext();
     else this.giveUp(verdict, failure);
@@ -222,7 +215,7 @@
   }
 
   private headersFor({ runner, cacheSource }: Choice): string[] {
-    const { request, body, relay } = this;
+    const { request, body } = this;
     const hasBody = body !== undefined || request.method === 'POST' || request.method === 'PUT';
     return attemptHeaders({
       request,
@@ -231,33 +224,10 @@
       cacheSource: cacheSource && `${cacheSource.entry.host}:${cacheSource.entry.port}`,
       remainingMilliseconds: request.deadlineAt - this.now(),
       bodyBytes: hasBody ? (body?.length ?? 0) : undefined,
-      resumesAfter: relay.hasHead ? this.cut.lastEventId : undefined,
+      resumesAfter: this.stream.lastEventId,
     });
   }
 
-  private passEvents(attempt: RunnerAttempt, chunk: Buffer): void {
-    const events = this.cut.push(chunk);
-    if (!events) return;
-    this.beginStream(attempt);
-    this.relay.pass(events);
-  }
-
-  private beginStream(attempt: RunnerAttempt): void {
-    if (this.relay.hasHead) return;
-    this.firstAnswerAt = this.now();
-    const held = this.held.get(attempt);
-    if (held) this.relay.begin(held.answer);
-  }
-
-  private endStream(held: HeldAnswer): void {
-    const rest = this.cut.rest();
-    if (!this.relay.hasHead) this.relay.begin(held.answer);
-    if (rest) this.relay.pass(rest);
-    this.finish();
-    this.relay.finish();
-    this.end('answered', 'answered');
-  }
-
   /** A large answer passes as it comes from here on; no other runner can replace it any more. */
   private passUnheld(attempt: RunnerAttempt, held: HeldAnswer): void {
     for (const other of this.active) if (other !== attempt) other.cancel();
@@ -309,12 +279,8 @@
     this.end('notServed', own.reason);
   }
 
-  private finish(): void {
-    clearTimeout(this.timer);
-  }
-
   private stopAttempts(): void {
-    this.finish();
+    clearTimeout(this.timer);
     for (const attempt of this.active) attempt.cancel();
     this.active.clear();
   }
