--- /dev/null
+++ b/demo/siteDemo.ts
@@ -0,0 +1,160 @@
+/**
+ * A site on a platform in half a minute: daemons as processes before stand-ins of a store and of runners. Under
+ * load a runner dies, a daemon is stopped as planned, another is killed, and the configuration changes.
+ * `npm run demo:site`.
+ */
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { get } from 'node:http';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import type { RouterSettings } from '../src/router/routerFeature.js';
+import { runSiteLoad } from '../standIns/site/siteLoad.js';
+import { siteConfiguration, StandInSite } from '../standIns/site/StandInSite.js';
+
+/** A daemon as a process. */
+interface DaemonProcess {
+  readonly settings: RouterSettings;
+  readonly child: ChildProcess;
+}
+
+const DAEMONS = 3;
+const RUNNERS_A_SERVICE = 4;
+const RATE = 40;
+const SECONDS = 10;
+
+/** When the troubles come, in ms after the load begins. */
+const RUNNER_DIES_AT = 2_000;
+const DAEMON_STOPS_AT = 3_500;
+const DAEMON_KILLED_AT = 6_000;
+const CONFIGURATION_AT = 7_500;
+
+/** Between questions to the directory, in ms. */
+const RESOLVE_MILLISECONDS = 200;
+
+/** What dies in the middle of requests costs some of them; planned work costs none. */
+const MINIMUM_SERVED_SHARE = 0.95;
+
+const OK = 200;
+
+function fetchText(address: string, path: string): Promise<{ status: number; text: string }> {
+  return new Promise((done, fail) => {
+    const question = get(`http://${address}${path}`, (answer) => {
+      const chunks: Buffer[] = [];
+      answer.on('data', (chunk: Buffer) => chunks.push(chunk));
+      answer.once('end', () =>
+        done({ status: answer.statusCode ?? 0, text: Buffer.concat(chunks).toString() }),
+      );
+    });
+    question.once('error', fail);
+  });
+}
+
+function tell(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
+
+async function startDaemon(
+  site: StandInSite,
+  name: string,
+  folder: string,
+): Promise<DaemonProcess> {
+  const settings = await site.settingsOf(name);
+  const file = join(folder, `${name}.yaml`);
+  // JSON is YAML as well.
+  writeFileSync(file, JSON.stringify({ router: settings }));
+  const child = spawn(process.execPath, ['--import', 'tsx', 'platform/main.ts'], {
+    env: { ...process.env, BAOBABDOCK_BOOT: file },
+    stdio: ['ignore', 'ignore', 'inherit'],
+  });
+  await site.until(async () => {
+    const ready = fetchText(settings.addresses.readiness, '/v1/readyz').catch(() => undefined);
+    return (await ready)?.status === OK;
+  });
+  tell(`${name} is ready at ${settings.addresses.callers}`);
+  return { settings, child };
+}
+
+/** Keeps asking the daemons where to connect, as callers do. */
+class Directory {
+  addresses: readonly string[] = [];
+
+  private readonly timer: NodeJS.Timeout;
+
+  constructor(private readonly daemons: readonly DaemonProcess[]) {
+    this.timer = setInterval(() => {
+      void this.ask();
+    }, RESOLVE_MILLISECONDS);
+  }
+
+  async ask(): Promise<void> {
+    for (const { settings } of this.daemons) {
+      const path = '/v1/resolve?name=site.example&zone=here';
+      const answer = await fetchText(settings.addresses.directory, path).catch(() => undefined);
+      if (answer?.status === OK) {
+        this.addresses = (JSON.parse(answer.text) as { addresses: string[] }).addresses;
+        return;
+      }
+    }
+  }
+
+  close(): void {
+    clearInterval(this.timer);
+  }
+}
+
+function plan(site: StandInSite, daemons: readonly DaemonProcess[]): void {
+  const steps: readonly [number, string, () => unknown][] = [
+    [RUNNER_DIES_AT, 'a runner dies', () => site.runners[0]?.stop()],
+    [DAEMON_STOPS_AT, 'daemon-0 is stopped as planned', () => daemons[0]?.child.kill('SIGTERM')],
+    [DAEMON_KILLED_AT, 'daemon-1 is killed', () => daemons[1]?.child.kill('SIGKILL')],
+    [
+      CONFIGURATION_AT,
+      'the configuration changes',
+      () => site.store.write('op/config', siteConfiguration(2)),
+    ],
+  ];
+  for (const [at, text, act] of steps) {
+    setTimeout(() => {
+      tell(text);
+      act();
+    }, at);
+  }
+}
+
+async function main(): Promise<number> {
+  const site = new StandInSite();
+  const folder = mkdtempSync(join(tmpdir(), 'baobabdock-'));
+  const daemons: DaemonProcess[] = [];
+  await site.start();
+  try {
+    for (let index = 0; index < RUNNERS_A_SERVICE; index += 1) {
+      await site.addRunner({ id: `plain-${index}`, service: 'plain', workMilliseconds: 15 });
+      await site.addRunner({ id: `engine-${index}`, service: 'engine', eventMilliseconds: 20 });
+    }
+    for (let index = 0; index < DAEMONS; index += 1) {
+      daemons.push(await startDaemon(site, `daemon-${index}`, folder));
+    }
+    const directory = new Directory(daemons);
+    await directory.ask();
+    plan(site, daemons);
+    const result = await runSiteLoad({
+      addresses: () => directory.addresses,
+      rate: RATE,
+      seconds: SECONDS,
+    });
+    directory.close();
+    tell(JSON.stringify(result));
+    const share = (result.statuses[OK] ?? 0) / result.sent;
+    tell(`${(share * 100).toFixed(1)} % served`);
+    return share >= MINIMUM_SERVED_SHARE ? 0 : 1;
+  } finally {
+    for (const { child } of daemons) child.kill('SIGKILL');
+    await site.stop();
+    rmSync(folder, { recursive: true });
+  }
+}
+
+process.exitCode = await main();
--- a/standIns/site/StandInSite.ts
+++ b/standIns/site/StandInSite.ts
@@ -151,17 +151,17 @@
   }
 
   /**
-   * @param name - of the daemon.
+   * @param name - of a daemon.
    * @param seeds - addresses of daemons that it may ask.
-   * @returns The daemon, once it listens.
+   * @returns Its settings, with ports of its own.
    */
-  async addDaemon(name: string, seeds: readonly string[] = []): Promise<SiteDaemon> {
+  async settingsOf(name: string, seeds: readonly string[] = []): Promise<RouterSettings> {
     const roles = ['callers', 'readiness', 'directory', 'peers', 'news', 'metrics'];
     const ports = await Promise.all(roles.map(freePort));
     const addresses = Object.fromEntries(
       roles.map((role, index) => [role, `127.0.0.1:${ports[index]}`]),
     );
-    const settings = routerSettings.parse({
+    return routerSettings.parse({
       name,
       region: 'region',
       dataCentre: 'here',
@@ -171,6 +171,15 @@
       stopSeconds: 2,
       gatherMilliseconds: 20,
     });
+  }
+
+  /**
+   * @param name - of the daemon.
+   * @param seeds - addresses of daemons that it may ask.
+   * @returns The daemon, in this process, once it listens.
+   */
+  async addDaemon(name: string, seeds: readonly string[] = []): Promise<SiteDaemon> {
+    const settings = await this.settingsOf(name, seeds);
     const store = new StoreClient({ address: () => settings.store });
     const protocol = new PlatformRunnerProtocol();
     const daemon = new RouterDaemon({ settings, store, protocol, log: this.log });
--- a/standIns/site/siteLoad.ts
+++ b/standIns/site/siteLoad.ts
@@ -7,11 +7,12 @@
 
 import { seededRandom } from '../../src/random/seededRandom.js';
 import { callSite } from './callSite.js';
+import type { SiteCall } from './callSite.js';
 
 /** Options of {@link runSiteLoad}. */
 export interface SiteLoadOptions {
-  /** IP numbers and ports of daemons. */
-  addresses: readonly string[];
+  /** IP numbers and ports of daemons, asked before each request. */
+  addresses: () => readonly string[];
   /** Requests a second, over all daemons. */
   rate: number;
   seconds: number;
@@ -57,22 +58,29 @@
   const statuses: Record<string, number> = {};
   const pending: Promise<void>[] = [];
   const body = 'x'.repeat(bodyBytes);
+  const refusing = new Set<string>();
+  /** Callers leave an address alone that refused a connection; nothing was sent there. */
+  const callAnywhere = async (call: Omit<SiteCall, 'address'>): Promise<number> => {
+    const choices = addresses().filter((address) => !refusing.has(address));
+    const address = choices[Math.floor(random() * choices.length)];
+    if (address === undefined) return 0;
+    try {
+      const answer = await callSite({ ...call, address });
+      return answer.isComplete ? answer.status : 0;
+    } catch (error) {
+      if ((error as NodeJS.ErrnoException).code !== 'ECONNREFUSED') return 0;
+      refusing.add(address);
+      return callAnywhere(call);
+    }
+  };
   const sendOne = async () => {
-    const address = addresses[Math.floor(random() * addresses.length)] ?? '';
     const kind = random();
     const parts = `a${Math.floor(random() * 4)}:2500,b${Math.floor(random() * prompts)}:6000,c:500`;
     const startedAt = performance.now();
-    const chat = {
-      path: '/chat/x',
-      body,
-      headers: { 'Prompt-Prefix': parts, 'Deadline-Ms': '6000' },
-    };
+    const headers = { 'Prompt-Prefix': parts, 'Deadline-Ms': '6000' };
+    const chat = { path: '/chat/x', body, headers };
     const plain = { path: kind < CHAT_SHARE + WRITE_SHARE ? '/write/x' : '/read/x', body: 'order' };
-    const call = { address, agent, ...(kind < CHAT_SHARE ? chat : plain) };
-    const status = await callSite(call).then(
-      (answer) => (answer.isComplete ? answer.status : 0),
-      () => 0,
-    );
+    const status = await callAnywhere({ agent, ...(kind < CHAT_SHARE ? chat : plain) });
     statuses[status] = (statuses[status] ?? 0) + 1;
     latencies.recordValue(performance.now() - startedAt);
   };
