--- a/src/configuration/InstanceDirectory.ts
+++ b/src/configuration/InstanceDirectory.ts
@@ -8,12 +8,7 @@
 import { RunnerListChangeSchema } from '../generated/baobabdock/v1/changes_pb.js';
 import { RunnerRecordSchema } from '../generated/baobabdock/v1/configuration_pb.js';
 import type { RunnerRecord } from '../generated/baobabdock/v1/configuration_pb.js';
-import type {
-  PlatformStore,
-  StoreEntry,
-  StoreWrite,
-  WatchEvent,
-} from '../store/PlatformStore.js';
+import type { PlatformStore, StoreEntry, StoreWrite, WatchEvent } from '../store/PlatformStore.js';
 import { INSTANCES_PREFIX, instanceKey, runnerOfKey } from './configurationKeys.js';
 import type { DocumentAnswer } from './configurationTypes.js';
 import { runnerChangesAnswer, runnerListAnswer } from './RunnerListDocument.js';
