Pass answers that are too large to be held to their end

Found by reading. A failure in the middle is now final as well: no other runner's answer fits behind the beginning. The test fails without the change.

--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -62,6 +62,9 @@
 
   private readonly stream: StreamedAnswer;
 
+  /** The attempt whose large answer passes as it comes. */
+  private unheld: RunnerAttempt | undefined;
+
   /** A runner's own error, given if no other runner does better. */
   private fallback: HeldAnswer | undefined;
 
@@ -143,6 +146,12 @@
       this.end('answered', 'answered');
       return;
     }
+    if (attempt === this.unheld) {
+      this.stopAttempts();
+      this.relay.finish();
+      this.end('answered', 'answered');
+      return;
+    }
     if (this.relay.hasHead) {
       // A stream that goes on elsewhere got something that is no stream: the caller must see the break.
       this.endWith({ status: 502, reason: 'not_resumed' });
@@ -160,6 +169,11 @@
     if (failure === 'not_connected' || failure === 'refused') this.notRun += 1;
     else this.mayHaveRun += 1;
     if (this.stream.isFrom(attempt)) this.stream.breakOff();
+    if (attempt === this.unheld) {
+      // Its beginning is with the caller; no other runner's answer fits behind it.
+      this.endWith({ status: 502, reason: failure });
+      return;
+    }
     const verdict = this.active.size > 0 ? 'wait' : this.decide(failure);
     this.report.attemptFailed(attempt, failure, { verdict, lastEventId: this.stream.lastEventId });
     if (verdict === 'wait') return;
@@ -231,6 +245,8 @@
   /** A large answer passes as it comes from here on; no other runner can replace it any more. */
   private passUnheld(attempt: RunnerAttempt, held: HeldAnswer): void {
     for (const other of this.active) if (other !== attempt) other.cancel();
+    this.unheld = attempt;
+    this.firstAnswerAt ??= this.now();
     this.relay.begin(held.answer);
     const keepsUp = held.chunks.map((chunk) => this.relay.pass(chunk)).every(Boolean);
     this.held.set(attempt, { ...held, chunks: [], bytes: MAXIMUM_HELD_BYTES });
--- a/standIns/site/SiteRunner.ts
+++ b/standIns/site/SiteRunner.ts
@@ -42,6 +42,8 @@
   eventMilliseconds?: number;
   /** Before a plain answer, in ms. */
   workMilliseconds?: number;
+  /** Body of a plain answer. */
+  plainBody?: string;
 }
 
 const EVENTS_BEFORE_CUT = 2;
@@ -70,6 +72,7 @@
       events: 5,
       eventMilliseconds: 2,
       workMilliseconds: 1,
+      plainBody: `answer of ${options.id}`,
       ...options,
     };
     this.id = options.id;
@@ -130,7 +133,7 @@
   private async answerPlain(id: string | undefined, response: ServerResponse): Promise<void> {
     await this.pause(this.options.workMilliseconds);
     const status = this.behaviour === 'fails' ? 500 : 200;
-    response.writeHead(status, this.headersFor(id)).end(`answer of ${this.id}`);
+    response.writeHead(status, this.headersFor(id)).end(this.options.plainBody);
   }
 
   private async stream(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/tests/sitePath.spec.ts
+++ b/tests/sitePath.spec.ts
@@ -149,6 +149,21 @@
     expect(answer.headers['response-seal']).toEqual('seal-plain-1');
   });
 
+  it('passes an answer that is too large to be held', async () => {
+    // Symptom: large answers end broken. Sequence: an answer outgrows what is held for a second try, passes as
+    // it comes, and ends. Cause: its end was taken for a second answer behind one that had begun.
+    const plainBody = 'x'.repeat(600_000);
+    const large = await site.addRunner({ id: 'plain-2', service: 'plain', plainBody });
+    site.store.write('servers/plain-1', undefined);
+    const { knowledge } = site.daemons[0]?.daemon ?? {};
+    await site.until(() => knowledge?.runners.get('plain-1') === undefined);
+    await site.until(() => knowledge?.runners.get('plain-2') !== undefined);
+    const answer = await callSite({ address, path: '/read/a' });
+    expect(answer.body.length).toEqual(plainBody.length);
+    expect(answer.isComplete).toEqual(true);
+    expect(large.ran.length).toEqual(1);
+  });
+
   it('ends a request at the timeout of its route, and its run with it', async () => {
     // Symptom: callers wait beyond the operators' timeout, and the runner works on for nobody. Sequence: a
     // runner says nothing. Cause: only the caller's own, longer deadline was watched.
