Tell a caller that came back for a dropped stream that the rest is gone

Symptom: a caller resumes a stream that no runner has any more and is told stream_cut, come back, for ever. Cause: the gate's cannot_resume was passed on as one more cut; and a gate that took up an attempt that may not run twice called the runner's "unknown" an unknown outcome. Ruled out: the event id's check, which answers cannot_resume already; the first ending of a request that was cut, which stays stream_cut, not resumable, as the tables of RequestOwner.spec say. The test's caller no longer counts vain resumes: it starts over only when told so.

--- a/src/gates/GateTask.spec.ts
+++ b/src/gates/GateTask.spec.ts
@@ -171,6 +171,22 @@
     });
   }
 
+  it('says that the rest of a stream is gone when its runner has dropped it', async () => {
+    // Symptom: a caller of a stream that nobody has any more is told to come back, again and again.
+    // Sequence: a stream that may not run twice is cut; the runner drops it before it is taken up again.
+    // Cause: "may not run twice" goes before what the runner says, and reads as one more cut.
+    const { task, upstream } = open();
+    upstream.onRun = (call) => call.answer(begun(), chunkOf(1), cut(true));
+    const request = requestOf('a', { idempotent: false, streaming: true });
+    const reading = readAll(task.execute(request, never()));
+    await until(() => upstream.resumes.length === 1);
+    const message = 'status 404';
+    const gone = { kind: 'failed', reason: 'unknown_attempt', message, resumable: false } as const;
+    upstream.resumes[0]!.answer(gone);
+    expect(await reading).toEqual(['started', '1', 'failed cannot_resume']);
+    expect(upstream.runs.length).toEqual(1);
+  });
+
   it('does not run a doubled attempt', async () => {
     // Symptom: the runner does the work twice. Sequence: the attempt's message arrives twice.
     // Cause: the second is taken for a new attempt; "not run" for it would be as wrong.
--- a/src/gates/GateTaskAttempt.ts
+++ b/src/gates/GateTaskAttempt.ts
@@ -233,6 +233,7 @@
     const code = attemptFailureCode({
       failure,
       stopReason: this.stopReason,
+      resumed: this.isResumed,
       begun: this.begun,
       streaming,
       idempotent,
--- a/src/gates/GateTaskFailures.ts
+++ b/src/gates/GateTaskFailures.ts
@@ -15,6 +15,8 @@
   readonly failure: AttemptFailure;
   /** Whether this side stopped it. */
   readonly stopReason: 'cancelled' | 'deadline' | undefined;
+  /** Whether the runner was asked for the rest of an answer rather than for the whole. */
+  readonly resumed: boolean;
   /** Whether the answer had begun. */
   readonly begun: boolean;
   readonly streaming: boolean;
@@ -43,15 +45,17 @@
 export function attemptFailureCode({
   failure,
   stopReason,
+  resumed,
   begun,
   streaming,
   idempotent,
 }: FailedAttempt): OutcomeCode {
+  const isGone = resumed && failure.reason === 'unknown_attempt';
+  if (isGone && stopReason === undefined) return 'cannot_resume';
   // Whatever stopped it: what may not run twice may have run, and the caller must not be led to repeat it.
   if (!idempotent) return 'outcome_unknown';
   if (stopReason === 'cancelled') return 'cancelled';
   if (stopReason === 'deadline') return 'deadline_exceeded';
   if (failure.reason === 'malformed') return 'upstream_error';
-  if (failure.reason === 'unknown_attempt') return 'cannot_resume';
   return begun && streaming ? 'stream_cut' : 'outcome_unknown';
 }
--- a/src/requests/RequestDecisions.ts
+++ b/src/requests/RequestDecisions.ts
@@ -13,11 +13,17 @@
 import { RequestContext } from './RequestContext.js';
 import type {
   RequestAction,
+  RequestFailure,
   RequestMessage,
   RequestSummary,
   ResumedStream,
 } from './requestDecisionTypes.js';
-import { cancelledFailure, cutFailure, reportedFailure } from './requestFailures.js';
+import {
+  cancelledFailure,
+  cutFailure,
+  reportedFailure,
+  restGoneFailure,
+} from './requestFailures.js';
 import type { RequestTimings } from './requestTimings.js';
 import { DEFAULT_REQUEST_TIMINGS } from './requestTimings.js';
 import type { RetryBudget } from './RetryBudget.js';
@@ -49,6 +55,9 @@
 
   private readonly stream: StreamPhase;
 
+  /** Whether the caller has a part from an earlier request and came back for the rest. */
+  private isCallersResume = false;
+
   /**
    * @param options - the shared retry budget and the timings.
    */
@@ -139,6 +148,7 @@
       streaming: true,
       attemptSeed: stream.attemptId,
     };
+    this.isCallersResume = true;
     this.context.advance('resume');
     this.stream.beginResume({ deadlineMilliseconds, clientAccount, service, ...stream });
   }
@@ -178,7 +188,7 @@
     else if (this.maySendAgain()) this.sendAgain(reading, message);
     else if (context.delivered) {
       context.abandonReading(reading);
-      context.fail(cutFailure(context.knowledge(), message, false));
+      context.fail(this.brokenFailure(code, message));
     } else context.fail(failure);
   }
 
@@ -222,6 +232,12 @@
     }
   }
 
+  /** A caller that came back for the rest has to hear that there is none, or it comes back for ever. */
+  private brokenFailure(code: string, message: string): RequestFailure {
+    if (this.isCallersResume && code === 'cannot_resume') return restGoneFailure(message);
+    return cutFailure(this.context.knowledge(), message, false);
+  }
+
   private maySendAgain(): boolean {
     return this.context.facts.idempotent && !this.context.delivered;
   }
--- a/src/requests/StreamPhase.spec.ts
+++ b/src/requests/StreamPhase.spec.ts
@@ -81,6 +81,26 @@
     }),
   );
 
+  // Symptom: a caller comes back for the rest of its stream again and again, and is told to come back each time.
+  // Sequence: the stream is cut, and by the time it is resumed its runner has dropped the attempt.
+  // Cause: "the rest is gone" from the gate is passed on as one more cut.
+  it(
+    'says that the rest is gone where the runner has dropped the attempt',
+    withHarness(async (harness) => {
+      const gone = { attemptId: 'any', code: 'cannot_resume', resumable: false };
+      harness.gates.follow(saying((attempt) => [attempt.head(), attempt.chunk(1)]));
+      harness.gates.failResumes(gateEvent('failed', gone));
+      const events = await harness.run(requestOf());
+      expect(events.at(-1)).toEqual(
+        expect.subset({ kind: 'failed', code: 'stream_cut', notRun: false, resumable: false }),
+      );
+      harness.gates.failResumes(gateEvent('failed', gone));
+      const id = lastEventId(events);
+      const resumed = harness.owner.resume('litoral.showroom', id, 1_000, STAYS);
+      expect(endsOf(await harness.time.until(collect(resumed)))).toEqual(['cannot_resume']);
+    }),
+  );
+
   it(
     'gives up a stream that nobody can continue, at once and in so many words',
     withHarness(async (harness) => {
--- a/src/requests/requestFailures.ts
+++ b/src/requests/requestFailures.ts
@@ -140,6 +140,17 @@
   };
 }
 
+/**
+ * The caller came back for the rest of an answer, and no runner has it any more. Called one more cut, it would
+ * bring the caller back for ever.
+ *
+ * @param message - the gate's words.
+ * @returns The last event.
+ */
+export function restGoneFailure(message: string): RequestFailure {
+  return { code: 'cannot_resume', notRun: false, message, resumable: false };
+}
+
 /**
  * The gate reported a failure after the attempt reached the runner.
  *
--- a/tests/ManyChats.ts
+++ b/tests/ManyChats.ts
@@ -39,8 +39,6 @@
 const MAXIMUM_CALLS = 40;
 const OK = 200;
 
-/** After so many resumes in a row without a chunk a caller takes its stream for lost. */
-const MAXIMUM_VAIN_RESUMES = 4;
 const DEFAULT_RETRY_MILLISECONDS = 250;
 
 /** What one caller has of its answer. */
@@ -57,9 +55,6 @@
 
   private restarts = 0;
 
-  /** Resumes in a row that brought nothing. */
-  private vainResumes = 0;
-
   private foreign = false;
 
   private lastCode = '';
@@ -76,9 +71,7 @@
     this.calls += 1;
     this.lastCode = result?.code ?? 'unreachable';
     if (result?.status === OK) this.read(result);
-    else if (result?.code === 'stream_cut') this.vainResumes += 1;
-    const lost = result?.code === 'cannot_resume' || this.vainResumes >= MAXIMUM_VAIN_RESUMES;
-    if (lost && !this.whole) this.startOver();
+    if (result?.code === 'cannot_resume' && !this.whole) this.startOver();
   }
 
   /**
@@ -92,7 +85,6 @@
   }
 
   private read({ text, lastEventId, whole }: CallResult): void {
-    this.vainResumes = this.lastEventId !== '' && text === '' ? this.vainResumes + 1 : 0;
     this.text += text;
     this.foreign ||= !this.expected.startsWith(this.text);
     this.lastEventId = lastEventId || this.lastEventId;
@@ -102,7 +94,6 @@
 
   private startOver(): void {
     this.restarts += 1;
-    this.vainResumes = 0;
     this.text = '';
     this.lastEventId = '';
   }
