End a request once, name the runner of a cut large answer, and read peers' answers without ending the process

Causes: where a second try after a runner's own error finds no runner, the search ends the request and its caller ended it again (two lines 2600, counted twice; the answer itself was given once). A large answer that broke off wrote no line 2603. An answer of a peer that is no JSON was parsed in an event handler, where the error ends the process. A daemon's life in its news was the time of day, so that after a step back its news was passed over for 2.5 s.

--- a/src/directory/DirectoryDecisions.ts
+++ b/src/directory/DirectoryDecisions.ts
@@ -5,7 +5,7 @@
 
 /** What the answer depends on. */
 export interface DirectoryQuestion {
-  /** Daemons that are registered, with this one or without. */
+  /** The other daemons that are registered. */
   readonly daemons: readonly DaemonEntry[];
   /** This daemon, as long as it takes requests. */
   readonly own: DaemonEntry | undefined;
@@ -24,8 +24,7 @@
  * @returns Addresses for callers; empty when there is none.
  */
 export function addressesFor({ daemons, own, dataCentre }: DirectoryQuestion): string[] {
-  const others = daemons.filter(({ name }) => name !== own?.name);
-  const all = own ? [own, ...others] : others;
+  const all = own ? [own, ...daemons] : daemons;
   const near = all.filter((daemon) => daemon.dataCentre === dataCentre);
   const far = all.filter((daemon) => daemon.dataCentre !== dataCentre);
   const addresses = [...near, ...far].map(({ callerAddress }) => callerAddress);
--- a/src/forwarding/CallerFront.ts
+++ b/src/forwarding/CallerFront.ts
@@ -5,6 +5,8 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
+import { listen } from '../http/listen.js';
+import type { HostAndPort } from '../http/parseAddress.js';
 import type { CallerLimits } from '../routes/routeTypes.js';
 import { admitRequest } from './admitRequest.js';
 import { AnswerRelay } from './AnswerRelay.js';
@@ -20,6 +22,9 @@
   ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
 };
 
+/** After a loss of all daemons every caller connects anew within a second; the system caps it at its own limit. */
+const WAITING_CONNECTIONS = 1_024;
+
 const BAD_REQUEST = '400 Bad Request';
 
 /** Owns the callers' connections. */
@@ -47,18 +52,11 @@
   }
 
   /**
-   * @param host - IP number.
-   * @param port - TCP port.
+   * @param address - of this daemon for callers.
    * @returns Once connections are taken.
    */
-  listen(host: string, port: number): Promise<void> {
-    return new Promise((done, fail) => {
-      this.server.once('error', fail);
-      this.server.listen({ host, port, backlog: 1_024 }, () => {
-        this.server.off('error', fail);
-        done();
-      });
-    });
+  listen(address: HostAndPort): Promise<unknown> {
+    return listen(this.server, { ...address, backlog: WAITING_CONNECTIONS });
   }
 
   /**
--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -7,8 +7,10 @@
 import type { Runner } from '../runners/Runner.js';
 import type { Choice } from '../runners/RunnerChoice.js';
 import type { RunnerOutcome } from '../runners/RunnerHealth.js';
-import type { AnswerRelay, HeldAnswer, OwnAnswer } from './AnswerRelay.js';
+import type { AnswerRelay, OwnAnswer } from './AnswerRelay.js';
 import type { AdmittedRequest, ForwardingContext } from './forwardingTypes.js';
+import type { HeldAnswer } from './HeldAnswers.js';
+import { HeldAnswers } from './HeldAnswers.js';
 import { decideRetry, isRepeatable } from './retryDecision.js';
 import type { AttemptFailure } from './RunnerAttempt.js';
 import { AttemptObserver, RunnerAttempt } from './RunnerAttempt.js';
@@ -18,9 +20,6 @@
 import { attemptHeaders } from './attemptHeaders.js';
 import { nextCheck, quietAttempt, shouldHedge } from './patience.js';
 
-/** Answers up to this size are held until complete, so that a broken one can be replaced; in bytes. */
-const MAXIMUM_HELD_BYTES = 262_144;
-
 const SERVER_ERROR = 500;
 /** A runner's answer to a deadline that has passed; it says nothing against the runner. */
 const GATEWAY_TIMEOUT = 504;
@@ -58,13 +57,10 @@
 
   private readonly tried = new Set<string>();
 
-  private readonly held = new Map<RunnerAttempt, HeldAnswer>();
+  private readonly held: HeldAnswers;
 
   private readonly stream: StreamedAnswer;
 
-  /** The attempt whose large answer passes as it comes. */
-  private unheld: RunnerAttempt | undefined;
-
   /** A runner's own error, given if no other runner does better. */
   private fallback: HeldAnswer | undefined;
 
@@ -90,6 +86,7 @@
     this.body = body;
     this.relay = relay;
     this.context = context;
+    this.held = new HeldAnswers(relay);
     this.stream = new StreamedAnswer(relay);
     this.report = new RequestReport({ request, context });
   }
@@ -114,7 +111,7 @@
 
   override answered(attempt: RunnerAttempt, answer: IncomingMessage): void {
     this.lastProgressAt = this.now();
-    this.held.set(attempt, { answer, chunks: [], bytes: 0 });
+    this.held.begin(attempt, answer);
     const isStream = this.request.route.kind === 'stream' && isEventStream(answer);
     if (isStream) this.stream.take(attempt, answer);
   }
@@ -126,16 +123,14 @@
       if (this.relay.hasHead) this.firstAnswerAt ??= this.now();
       return;
     }
-    const held = this.held.get(attempt);
-    if (!held) return;
-    held.chunks.push(chunk);
-    held.bytes += chunk.length;
-    if (held.bytes > MAXIMUM_HELD_BYTES) this.passUnheld(attempt, held);
+    if (!this.held.take(attempt, chunk)) return;
+    this.firstAnswerAt ??= this.now();
+    for (const other of this.active) if (other !== attempt) other.cancel();
   }
 
   override ended(attempt: RunnerAttempt): void {
     this.active.delete(attempt);
-    const held = this.held.get(attempt);
+    const held = this.held.of(attempt);
     if (!held || this.relay.isDone) return;
     const failed = (held.answer.statusCode ?? SERVER_ERROR) >= SERVER_ERROR;
     const expired = held.answer.statusCode === GATEWAY_TIMEOUT;
@@ -146,7 +141,7 @@
       this.end('answered', 'answered');
       return;
     }
-    if (attempt === this.unheld) {
+    if (this.held.isPassing(attempt)) {
       this.stopAttempts();
       this.relay.finish();
       this.end('answered', 'answered');
@@ -163,24 +158,26 @@
 
   override failed(attempt: RunnerAttempt, failure: AttemptFailure): void {
     this.active.delete(attempt);
-    this.held.delete(attempt);
+    this.held.drop(attempt);
     if (this.relay.isDone) return;
     this.recordOutcome(attempt.runner, OUTCOMES[failure]);
     if (failure === 'not_connected' || failure === 'refused') this.notRun += 1;
     else this.mayHaveRun += 1;
     if (this.stream.isFrom(attempt)) this.stream.breakOff();
-    if (attempt === this.unheld) {
-      // Its beginning is with the caller; no other runner's answer fits behind it.
-      this.endWith({ status: 502, reason: failure });
-      return;
-    }
-    const verdict = this.active.size > 0 ? 'wait' : this.decide(failure);
+    const verdict = this.verdictOn(attempt, failure);
     this.report.attemptFailed(attempt, failure, { verdict, lastEventId: this.stream.lastEventId });
     if (verdict === 'wait') return;
     if (verdict === 'retry') this.sendNext();
+    else if (verdict === 'cut') this.endWith({ status: 502, reason: failure });
     else this.giveUp(verdict, failure);
   }
 
+  private verdictOn(attempt: RunnerAttempt, failure: AttemptFailure) {
+    // Its beginning is with the caller; no other runner's answer fits behind it.
+    if (this.held.isPassing(attempt)) return 'cut';
+    return this.active.size > 0 ? 'wait' : this.decide(failure);
+  }
+
   private decide(failure: AttemptFailure) {
     const { route, service, deadlineAt } = this.request;
     return decideRetry({
@@ -242,19 +239,6 @@
     });
   }
 
-  /** A large answer passes as it comes from here on; no other runner can replace it any more. */
-  private passUnheld(attempt: RunnerAttempt, held: HeldAnswer): void {
-    for (const other of this.active) if (other !== attempt) other.cancel();
-    this.unheld = attempt;
-    this.firstAnswerAt ??= this.now();
-    this.relay.begin(held.answer);
-    const keepsUp = held.chunks.map((chunk) => this.relay.pass(chunk)).every(Boolean);
-    this.held.set(attempt, { ...held, chunks: [], bytes: MAXIMUM_HELD_BYTES });
-    if (keepsUp) return;
-    held.answer.pause();
-    this.relay.onceDrained(() => held.answer.resume());
-  }
-
   private answerHeld(held: HeldAnswer): void {
     this.stopAttempts();
     this.firstAnswerAt ??= this.now();
@@ -262,7 +246,11 @@
     this.end('answered', 'answered');
   }
 
-  /** A runner's own error may be chance: a request that may be repeated gets a second opinion. */
+  /**
+   * A runner's own error may be chance: a request that may be repeated gets a second opinion.
+   *
+   * @returns Whether the request is taken care of.
+   */
   private retryError(held: HeldAnswer): boolean {
     const { route, service, deadlineAt } = this.request;
     this.mayHaveRun += 1;
@@ -273,8 +261,9 @@
       this.mayHaveRun < route.maximumAttempts &&
       deadlineAt > this.now() &&
       this.context.budget.take(service, this.now());
+    // Where no other runner is left, this answer has been given by now.
     if (may) this.sendNext();
-    return may && this.active.size > 0;
+    return may;
   }
 
   private giveUp(verdict: 'refuse' | 'fail', reason: string): void {
--- /dev/null
+++ b/src/http/listen.ts
@@ -0,0 +1,20 @@
+/**
+ * Opens a port.
+ */
+import type { AddressInfo, ListenOptions, Server } from 'node:net';
+
+/**
+ * @param server - that does not listen yet.
+ * @param options - host, port, and what else the system takes.
+ * @returns The address, with the port that the system chose where 0 was asked for.
+ * @throws The system's error when the port cannot be opened.
+ */
+export function listen(server: Server, options: ListenOptions): Promise<AddressInfo> {
+  return new Promise((done, fail) => {
+    server.once('error', fail);
+    server.listen(options, () => {
+      server.off('error', fail);
+      done(server.address() as AddressInfo);
+    });
+  });
+}
--- a/src/news/ForeignLoads.ts
+++ b/src/news/ForeignLoads.ts
@@ -30,9 +30,7 @@
    */
   take({ daemon, life, number, counts }: DaemonNews, now: number): boolean {
     const before = this.byDaemon.get(daemon);
-    const isOld =
-      before && (life < before.life || (life === before.life && number <= before.number));
-    if (isOld) return false;
+    if (before?.life === life && number <= before.number) return false;
     this.byDaemon.set(daemon, { life, number, at: now, counts });
     this.sum(now);
     return true;
--- a/src/news/NewsTask.ts
+++ b/src/news/NewsTask.ts
@@ -2,9 +2,11 @@
  * Sends this daemon's news to the others and takes theirs, in datagrams: each message holds all counts, so that
  * a lost one is made good by the next.
  */
+import { randomInt } from 'node:crypto';
 import { createSocket } from 'node:dgram';
 import type { Socket } from 'node:dgram';
 
+import type { HostAndPort } from '../http/parseAddress.js';
 import type { Log } from '../logging/Log.js';
 import type { RunnerTable } from '../runners/RunnerTable.js';
 import type { WarmPlaces } from '../runners/WarmPlaces.js';
@@ -14,12 +16,6 @@
 import { newsLogEvents } from './newsFeature.js';
 import type { WarmNews } from './newsTypes.js';
 
-/** Where a datagram goes. */
-export interface NewsAddress {
-  readonly host: string;
-  readonly port: number;
-}
-
 /** Options of a {@link NewsTask}. */
 export interface NewsTaskOptions {
   daemon: string;
@@ -29,7 +25,7 @@
   clock: Clock;
   log: Log;
   /** The other daemons. */
-  others: () => readonly NewsAddress[];
+  others: () => readonly HostAndPort[];
   /** The secret of the fleet, once it is known. */
   secret: () => string | undefined;
 }
@@ -52,11 +48,14 @@
 /** Warm places that wait to be told; older ones are dropped, others will find them by hashing. */
 const MAXIMUM_WAITING = 400;
 
+/** Two lives of one daemon get the same number once in this many restarts. */
+const LIVES = 2 ** 32;
+
 /** Owns the socket. */
 export class NewsTask {
   private readonly options: NewsTaskOptions;
 
-  private readonly life = Date.now();
+  private readonly life = randomInt(LIVES);
 
   private readonly waiting: WarmNews[] = [];
 
@@ -78,11 +77,10 @@
   }
 
   /**
-   * @param host - IP number.
-   * @param port - UDP port.
+   * @param address - of this daemon for news.
    * @returns Once news is taken.
    */
-  listen(host: string, port: number): Promise<void> {
+  listen({ host, port }: HostAndPort): Promise<void> {
     const socket = createSocket('udp4');
     this.socket = socket;
     socket.on('message', (datagram) => this.take(datagram));
--- a/src/news/news.spec.ts
+++ b/src/news/news.spec.ts
@@ -31,6 +31,15 @@
     expect(loads.of('r')).toEqual(1);
   });
 
+  it('takes the news of a daemon that has started anew, whatever its clock says', () => {
+    // Symptom: a runner looks fuller or emptier than it is for seconds. Sequence: the time of day is set back,
+    // and a daemon starts anew. Cause: its lives were ordered by their time, and the new one looked older.
+    const loads = new ForeignLoads();
+    loads.take(newsOf({ life: 9, number: 50, counts: { r: 3 } }), 0);
+    loads.take(newsOf({ life: 4, number: 1, counts: { r: 1 } }), 1);
+    expect(loads.of('r')).toEqual(1);
+  });
+
   it('forgets what a daemon had that has fallen silent', () => {
     // Symptom: runners look full for good. Sequence: a daemon dies with requests under way. Cause: its last
     // message stood for ever.
--- a/src/news/newsTypes.ts
+++ b/src/news/newsTypes.ts
@@ -13,7 +13,7 @@
 export interface DaemonNews {
   /** The sender. */
   readonly daemon: string;
-  /** New at each start of the sender; grows. */
+  /** Another at each start of the sender; no time of day, which may have been set back meanwhile. */
   readonly life: number;
   /** Grows with each message of a life. */
   readonly number: number;
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -12,6 +12,8 @@
 import { RunnerConnections } from '../forwarding/RunnerConnections.js';
 import type { RunnerProtocol } from '../forwarding/RunnerProtocol.js';
 import { SharedRetryBudget } from '../forwarding/SharedRetryBudget.js';
+import { listen } from '../http/listen.js';
+import { parseAddress } from '../http/parseAddress.js';
 import type { Log } from '../logging/Log.js';
 import { MetricRegistry } from '../metrics/MetricRegistry.js';
 import { formatScrapePage, SCRAPE_CONTENT_TYPE } from '../metrics/scrapePage.js';
@@ -53,15 +55,6 @@
   clock?: Clock;
 }
 
-/**
- * @param address - IP number and port.
- * @returns Both apart.
- */
-export function splitAddress(address: string): { host: string; port: number } {
-  const [host = '', port = ''] = address.split(':');
-  return { host, port: Number(port) };
-}
-
 /** Owns all tasks of the process. */
 export class RouterDaemon {
   readonly knowledge: FleetKnowledge;
@@ -158,22 +151,20 @@
    * @returns Addresses for callers.
    */
   addressesFor(dataCentre: string | undefined): string[] {
-    const daemons = [...this.knowledge.daemons.values()];
-    const own = this.isReady ? this.entry : undefined;
-    const others = daemons.filter(({ name }) => name !== this.entry.name);
-    return addressesFor({ daemons: others, own, dataCentre });
+    return addressesFor({
+      daemons: this.otherDaemons(),
+      own: this.isReady ? this.entry : undefined,
+      dataCentre,
+    });
   }
 
   /** Listens, follows the store and registers. */
   async start(): Promise<void> {
     const { addresses } = this.settings;
-    const callers = splitAddress(addresses.callers);
-    const peers = splitAddress(addresses.peers);
-    const news = splitAddress(addresses.news);
     await Promise.all([
-      this.front.listen(callers.host, callers.port),
-      this.peers.listen(peers.host, peers.port),
-      this.news.listen(news.host, news.port),
+      this.front.listen(parseAddress(addresses.callers)),
+      this.peers.listen(parseAddress(addresses.peers)),
+      this.news.listen(parseAddress(addresses.news)),
       this.serveMetrics(),
     ]);
     void this.follower.run();
@@ -242,6 +233,11 @@
     };
   }
 
+  private otherDaemons(): DaemonEntry[] {
+    const { knowledge, entry } = this;
+    return [...knowledge.daemons.values()].filter(({ name }) => name !== entry.name);
+  }
+
   private createNews(): NewsTask {
     const { knowledge, clock, log, warmPlaces, foreignLoads, entry } = this;
     return new NewsTask({
@@ -251,10 +247,7 @@
       warmPlaces,
       clock,
       log,
-      others: () =>
-        [...knowledge.daemons.values()]
-          .filter(({ name }) => name !== entry.name)
-          .map(({ newsAddress }) => splitAddress(newsAddress)),
+      others: () => this.otherDaemons().map(({ newsAddress }) => parseAddress(newsAddress)),
       secret: () => knowledge.secret,
     });
   }
@@ -314,16 +307,12 @@
     });
   }
 
-  private serveMetrics(): Promise<void> {
-    const { host, port } = splitAddress(this.settings.addresses.metrics);
+  private serveMetrics(): Promise<unknown> {
     const server = createServer((_request, response) => {
       const page = formatScrapePage(this.registry.snapshot());
       response.writeHead(200, { 'Content-Type': SCRAPE_CONTENT_TYPE }).end(page);
     });
     this.metricsServer = server;
-    return new Promise((done, fail) => {
-      server.once('error', fail);
-      server.listen({ host, port }, done);
-    });
+    return listen(server, parseAddress(this.settings.addresses.metrics));
   }
 }
--- a/src/router/plannedStop.ts
+++ b/src/router/plannedStop.ts
@@ -6,6 +6,8 @@
  * First the daemon only becomes unknown (not ready, out of the directory) and ends each connection with its
  * next answer; then it refuses what is new; it is gone once nothing is in progress.
  */
+import { setTimeout as wait } from 'node:timers/promises';
+
 import type { CallerFront } from '../forwarding/CallerFront.js';
 import type { StopPhase } from '../forwarding/forwardingTypes.js';
 import type { Clock } from '../time/Clock.js';
@@ -27,12 +29,6 @@
 
 const CHECK_MILLISECONDS = 25;
 
-function sleep(milliseconds: number): Promise<void> {
-  return new Promise((done) => {
-    setTimeout(done, milliseconds);
-  });
-}
-
 /**
  * @param options - the front, and how its phase is set.
  * @returns Once no request is in progress, or the time is up.
@@ -47,8 +43,8 @@
   const grace = settings.stopSeconds * 1_000;
   const elapsed = () => clock.monotonicMilliseconds() - startedAt;
   setPhase('leaving');
-  while (elapsed() < grace * LEAVING_SHARE) await sleep(CHECK_MILLISECONDS);
+  while (elapsed() < grace * LEAVING_SHARE) await wait(CHECK_MILLISECONDS);
   setPhase('closing');
-  while (front.inFlight > 0 && elapsed() < grace * LATEST_SHARE) await sleep(CHECK_MILLISECONDS);
+  while (front.inFlight > 0 && elapsed() < grace * LATEST_SHARE) await wait(CHECK_MILLISECONDS);
   front.close();
 }
--- a/src/runners/Runner.ts
+++ b/src/runners/Runner.ts
@@ -14,8 +14,6 @@
   readonly host: string;
   readonly port: number;
   readonly dataCentre: string;
-  /** Requests that it runs at once. */
-  readonly slots: number;
   readonly state: RunnerState;
 }
 
--- a/src/sync/FleetKnowledge.spec.ts
+++ b/src/sync/FleetKnowledge.spec.ts
@@ -4,8 +4,8 @@
 
 import type { RoutingConfiguration } from '../routes/routeTypes.js';
 import type { RunnerEntry } from '../runners/Runner.js';
-import { FleetKnowledge } from './FleetKnowledge.js';
 import type { StoreFact } from './FleetStore.js';
+import { createTestKnowledge } from './testKnowledge.js';
 
 const LIMITS = {
   maximumHeaderBytes: 1_000,
@@ -19,7 +19,7 @@
 }
 
 function runnerOf(id: string): RunnerEntry {
-  const place = { host: '10.0.0.1', port: 80, dataCentre: 'here', slots: 4 };
+  const place = { host: '10.0.0.1', port: 80, dataCentre: 'here' };
   return { id, service: 'plain', state: 'ready', ...place };
 }
 
@@ -28,19 +28,7 @@
 }
 
 function createKnowledge() {
-  const gone: string[] = [];
-  const unreadable: string[] = [];
-  const knowledge = new FleetKnowledge({
-    listener: {
-      configurationChanged: () => undefined,
-      runnerChanged: (id, entry) => {
-        if (!entry) gone.push(id);
-      },
-      warmPlacesKept: () => undefined,
-      updated: () => undefined,
-      unreadable: (key) => unreadable.push(key),
-    },
-  });
+  const { knowledge, gone, unreadable } = createTestKnowledge();
   knowledge.applyAll({ revision: 10, facts: [factOf('a'), factOf('b')] }, 0);
   return { knowledge, gone, unreadable };
 }
--- a/src/sync/PeerExchange.ts
+++ b/src/sync/PeerExchange.ts
@@ -5,6 +5,9 @@
 import { Agent, createServer, request as sendRequest } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 
+import { listen } from '../http/listen.js';
+import { parseAddress } from '../http/parseAddress.js';
+import type { HostAndPort } from '../http/parseAddress.js';
 import type { Log } from '../logging/Log.js';
 import type { Clock } from '../time/Clock.js';
 import type { FleetKnowledge, KnowledgeSnapshot } from './FleetKnowledge.js';
@@ -21,8 +24,13 @@
   seeds: readonly string[];
   /** Whether this daemon has to ask others. */
   isStoreSilent: () => boolean;
+  /** Between questions while the store is silent. */
+  pollMilliseconds?: number;
 }
 
+const OK = 200;
+const FORBIDDEN = 403;
+
 /** Path of the one call. */
 const PATH = '/knowledge';
 
@@ -38,10 +46,6 @@
 /** A whole configuration with hundreds of routes is about 200 kB. */
 const MAXIMUM_ANSWER_BYTES = 4_194_304;
 
-function hostOf(address: string): string {
-  return address.split(':', 1)[0] ?? '';
-}
-
 /** Answers others, and asks them. */
 export class PeerExchange {
   private readonly options: PeerExchangeOptions;
@@ -66,18 +70,15 @@
   }
 
   /**
-   * @param host - IP number.
-   * @param port - TCP port.
+   * @param address - of this daemon for other daemons.
    * @returns Once questions are taken.
    */
-  listen(host: string, port: number): Promise<void> {
+  listen(address: HostAndPort): Promise<unknown> {
+    const { pollMilliseconds = POLL_MILLISECONDS } = this.options;
     this.timer = setInterval(() => {
       void this.poll();
-    }, POLL_MILLISECONDS);
-    return new Promise((done, fail) => {
-      this.server.once('error', fail);
-      this.server.listen({ host, port }, done);
-    });
+    }, pollMilliseconds);
+    return listen(this.server, address);
   }
 
   /** Neither asks nor answers from now on. */
@@ -90,11 +91,11 @@
   private answer(request: IncomingMessage, response: ServerResponse): void {
     const version = Number(new URL(request.url ?? '/', 'http://peer').searchParams.get('version'));
     if (!this.mayAsk(request.socket.remoteAddress ?? '')) {
-      response.writeHead(403, { 'Content-Length': 0 }).end();
+      response.writeHead(FORBIDDEN, { 'Content-Length': 0 }).end();
       return;
     }
     const text = JSON.stringify(this.options.knowledge.snapshot(version || 0));
-    response.writeHead(200, { 'Content-Type': 'application/json' }).end(text);
+    response.writeHead(OK, { 'Content-Type': 'application/json' }).end(text);
   }
 
   /**
@@ -103,7 +104,7 @@
    */
   private mayAsk(host: string): boolean {
     const { seeds, clock } = this.options;
-    if (seeds.some((address) => hostOf(address) === host)) return true;
+    if (seeds.some((address) => parseAddress(address).host === host)) return true;
     const listedAt = this.listedAt.get(host);
     const age = clock.monotonicMilliseconds() - (listedAt ?? Number.NEGATIVE_INFINITY);
     return age < REMEMBERED_MILLISECONDS;
@@ -112,7 +113,7 @@
   private rememberListed(): void {
     const now = this.options.clock.monotonicMilliseconds();
     for (const { peerAddress } of this.options.knowledge.daemons.values()) {
-      this.listedAt.set(hostOf(peerAddress), now);
+      this.listedAt.set(parseAddress(peerAddress).host, now);
     }
     for (const [host, at] of this.listedAt) {
       if (now - at >= REMEMBERED_MILLISECONDS) this.listedAt.delete(host);
@@ -130,7 +131,7 @@
     const address = others[this.next % others.length] as string;
     this.next += 1;
     try {
-      const snapshot = await this.ask(address);
+      const snapshot = JSON.parse(await this.ask(address)) as KnowledgeSnapshot;
       if (!knowledge.applyPeer(snapshot, clock.monotonicMilliseconds())) return;
       log.write(syncLogEvents.learntFromPeer, { address, revision: snapshot.revision });
     } catch (error) {
@@ -138,8 +139,8 @@
     }
   }
 
-  private ask(address: string): Promise<KnowledgeSnapshot> {
-    const [host, port] = address.split(':');
+  private ask(address: string): Promise<string> {
+    const { host, port } = parseAddress(address);
     const version = this.options.knowledge.routes?.configuration.version ?? 0;
     const path = `${PATH}?version=${version}`;
     return new Promise((done, fail) => {
@@ -153,8 +154,8 @@
         });
         answer.once('error', fail);
         answer.once('end', () => {
-          if (answer.statusCode !== 200) fail(new Error(`status ${answer.statusCode}`));
-          else done(JSON.parse(Buffer.concat(chunks).toString()) as KnowledgeSnapshot);
+          if (answer.statusCode === OK) done(Buffer.concat(chunks).toString());
+          else fail(new Error(`status ${answer.statusCode}`));
         });
       });
       const timer = setTimeout(
--- a/src/sync/StoreFollower.ts
+++ b/src/sync/StoreFollower.ts
@@ -5,6 +5,8 @@
  * nothing for longer is a sign that its connection is dead although it looks open; a watch of the
  * configuration alone would be silent for minutes and nobody would notice that it hears nothing.
  */
+import { setTimeout as wait } from 'node:timers/promises';
+
 import type { Log } from '../logging/Log.js';
 import type { Clock } from '../time/Clock.js';
 import type { FleetKnowledge } from './FleetKnowledge.js';
@@ -21,7 +23,7 @@
   /** How long changes are gathered before the next call, in ms. */
   gatherMilliseconds: number;
   /** Waits for a time; replaced by tests. */
-  sleep?: (milliseconds: number) => Promise<void>;
+  sleep?: (milliseconds: number) => Promise<unknown>;
 }
 
 /** Longest wait of one watch, in ms; see the module's comment. */
@@ -39,12 +41,6 @@
 /** An outage shorter than this lets no runner's entry lapse, in ms. */
 const OUTAGE_MILLISECONDS = 1_000;
 
-function realSleep(milliseconds: number): Promise<void> {
-  return new Promise((done) => {
-    setTimeout(done, milliseconds);
-  });
-}
-
 /** Runs until it is stopped. */
 export class StoreFollower {
   private readonly options: Required<StoreFollowerOptions>;
@@ -57,12 +53,10 @@
 
   private stopped = false;
 
-  private wake: (() => void) | undefined;
-
   /**
    * @param options - store, beliefs and pace.
    */
-  constructor({ sleep = realSleep, ...options }: StoreFollowerOptions) {
+  constructor({ sleep = wait, ...options }: StoreFollowerOptions) {
     this.options = { sleep, ...options };
     this.lastAnswerAt = options.clock.monotonicMilliseconds();
   }
@@ -83,19 +77,13 @@
   /** Ends after the call in progress. */
   stop(): void {
     this.stopped = true;
-    this.hurry();
-  }
-
-  /** Asks for changes now: something hints that there is one. */
-  hurry(): void {
-    this.wake?.();
   }
 
   private async step(): Promise<void> {
     try {
       if (this.revision === undefined) await this.readAll();
       else await this.readChanges(this.revision);
-      await this.gather();
+      await this.options.sleep(this.options.gatherMilliseconds);
     } catch (error) {
       await this.recover(error as Error);
     }
@@ -117,14 +105,6 @@
     this.revision = read.revision;
   }
 
-  private gather(): Promise<void> {
-    const { sleep, gatherMilliseconds } = this.options;
-    const hurried = new Promise<void>((done) => {
-      this.wake = done;
-    });
-    return Promise.race([sleep(gatherMilliseconds), hurried]);
-  }
-
   private answered(): void {
     const { knowledge, clock, log } = this.options;
     const now = clock.monotonicMilliseconds();
--- /dev/null
+++ b/src/sync/testKnowledge.ts
@@ -0,0 +1,22 @@
+/**
+ * Beliefs for tests, with what their listener has heard.
+ */
+import { FleetKnowledge } from './FleetKnowledge.js';
+
+/** @returns Empty beliefs, runners that have gone, and keys that could not be read. */
+export function createTestKnowledge() {
+  const gone: string[] = [];
+  const unreadable: string[] = [];
+  const knowledge = new FleetKnowledge({
+    listener: {
+      configurationChanged: () => undefined,
+      runnerChanged: (id, entry) => {
+        if (!entry) gone.push(id);
+      },
+      warmPlacesKept: () => undefined,
+      updated: () => undefined,
+      unreadable: (key) => unreadable.push(key),
+    },
+  });
+  return { knowledge, gone, unreadable };
+}
--- a/src/upstreams/RunnerConnection.ts
+++ b/src/upstreams/RunnerConnection.ts
@@ -4,11 +4,9 @@
  */
 import http from 'node:http';
 import type { IncomingMessage } from 'node:http';
-import net from 'node:net';
 import { pipeline, Readable } from 'node:stream';
 
-import VError from 'verror';
-
+import { parseAddress } from '../http/parseAddress.js';
 import { MAXIMUM_TIMER_MILLISECONDS } from './AttemptGuard.js';
 import type { AttemptGuard, StopReason } from './AttemptGuard.js';
 
@@ -55,20 +53,6 @@
 const DEFAULT_MAXIMUM_HEADER_BYTES = 16_384;
 const DEFAULT_IDLE_SOCKET_MILLISECONDS = 4_000;
 
-/**
- * @param address - `address:port`, version 6 in brackets.
- * @returns Host and port.
- * @throws {@link VError} when it is not an IP number with a port: names would need a look-up on the way.
- */
-export function parseAddress(address: string): { host: string; port: number } {
-  const colon = address.lastIndexOf(':');
-  const host = address.slice(0, Math.max(0, colon)).replace(/^\[(.*)\]$/, '$1');
-  const port = Number(address.slice(colon + 1));
-  const valid = net.isIP(host) !== 0 && Number.isInteger(port) && port > 0 && port < 65_536;
-  if (!valid) throw new VError('the runner address "%s" is not an IP number with a port', address);
-  return { host, port };
-}
-
 function lengthHeader(body: ExchangeRequest['body']): Record<string, string> {
   if (body === undefined) return { 'content-length': '0' };
   return body instanceof Uint8Array ? { 'content-length': String(body.byteLength) } : {};
--- a/standIns/site/SiteRunner.ts
+++ b/standIns/site/SiteRunner.ts
@@ -15,6 +15,8 @@
   | 'loses_answer'
   /** Sends some events, half of the next one, and resets the connection. */
   | 'cuts_stream'
+  /** Sends most of a plain answer and closes the connection. */
+  | 'cuts_plain'
   /** Runs it and says nothing. */
   | 'mute'
   /** Answers 500, signed. */
@@ -47,6 +49,7 @@
 }
 
 const EVENTS_BEFORE_CUT = 2;
+const SHARE_BEFORE_CUT = 0.9;
 
 /** Serves requests on a loopback port. */
 export class SiteRunner {
@@ -132,8 +135,16 @@
 
   private async answerPlain(id: string | undefined, response: ServerResponse): Promise<void> {
     await this.pause(this.options.workMilliseconds);
+    const { plainBody } = this.options;
     const status = this.behaviour === 'fails' ? 500 : 200;
-    response.writeHead(status, this.headersFor(id)).end(this.options.plainBody);
+    const headers = { ...this.headersFor(id), 'Content-Length': plainBody.length };
+    response.writeHead(status, headers);
+    if (this.behaviour !== 'cuts_plain') {
+      response.end(plainBody);
+      return;
+    }
+    const most = plainBody.slice(0, Math.floor(plainBody.length * SHARE_BEFORE_CUT));
+    response.write(most, () => response.destroy());
   }
 
   private async stream(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/tests/sitePath.spec.ts
+++ b/tests/sitePath.spec.ts
@@ -3,6 +3,8 @@
 
 import { expect } from 'earl';
 
+import { MemoryLog } from '../src/callers/testFakes.js';
+import { forwardingLogEvents } from '../src/forwarding/forwardingFeature.js';
 import { callSite } from '../standIns/site/callSite.js';
 import type { SiteCall } from '../standIns/site/callSite.js';
 import type { SiteRunner } from '../standIns/site/SiteRunner.js';
@@ -19,12 +21,14 @@
 
 describe('a site of daemons that forward directly', () => {
   let site: StandInSite;
+  let log: MemoryLog;
   let plain: SiteRunner;
   let engine: SiteRunner;
   let address: string;
 
   beforeEach(async () => {
-    site = new StandInSite();
+    log = new MemoryLog();
+    site = new StandInSite({ log });
     await site.start();
     plain = await site.addRunner({ id: 'plain-1', service: 'plain' });
     engine = await site.addRunner({ id: 'engine-1', service: 'engine' });
@@ -149,6 +153,32 @@
     expect(answer.headers['response-seal']).toEqual('seal-plain-1');
   });
 
+  it('tells the end of a request once, also where a second try finds no runner', async () => {
+    // Symptom: more requests end than come. Sequence: a runner answers with an error of its own, and there is
+    // no other. Cause: the search for another runner ends the request, and so does whoever asked for it.
+    plain.behaviour = 'fails';
+    await callSite({ address, path: '/read/a' });
+    expect(log.of(forwardingLogEvents.answered).length).toEqual(1);
+  });
+
+  it('says which runner broke off an answer that is too large to be held', async () => {
+    // Symptom: a caller complains of half an answer, and no line names the runner. Sequence: a large answer
+    // passes as it comes, and its runner dies. Cause: no other runner can do better, so nothing was decided.
+    const plainBody = 'x'.repeat(600_000);
+    const large = await site.addRunner({ id: 'plain-2', service: 'plain', plainBody });
+    large.behaviour = 'cuts_plain';
+    site.store.write('servers/plain-1', undefined);
+    const { knowledge } = site.daemons[0]?.daemon ?? {};
+    await site.until(() => knowledge?.runners.get('plain-1') === undefined);
+    await site.until(() => knowledge?.runners.get('plain-2') !== undefined);
+    const answer = await callSite({ address, path: '/read/a' });
+    expect(answer.isComplete).toEqual(false);
+    const failed = log.of(forwardingLogEvents.attemptFailed);
+    expect(failed).toEqual([
+      expect.subset({ runner: 'plain-2', failure: 'broken', verdict: 'cut' }),
+    ]);
+  });
+
   it('passes an answer that is too large to be held', async () => {
     // Symptom: large answers end broken. Sequence: an answer outgrows what is held for a second try, passes as
     // it comes, and ends. Cause: its end was taken for a second answer behind one that had begun.
