--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -14,6 +14,7 @@
 import { SharedRetryBudget } from '../forwarding/SharedRetryBudget.js';
 import { listen } from '../http/listen.js';
 import { parseAddress } from '../http/parseAddress.js';
+import type { HostAndPort } from '../http/parseAddress.js';
 import type { Log } from '../logging/Log.js';
 import { MetricRegistry } from '../metrics/MetricRegistry.js';
 import { formatScrapePage, SCRAPE_CONTENT_TYPE } from '../metrics/scrapePage.js';
@@ -55,6 +56,10 @@
   clock?: Clock;
 }
 
+function listenAddress(address: string): HostAndPort {
+  return parseAddress(address, { mayChoosePort: true });
+}
+
 /** Owns all tasks of the process. */
 export class RouterDaemon {
   readonly knowledge: FleetKnowledge;
@@ -162,9 +167,9 @@
   async start(): Promise<void> {
     const { addresses } = this.settings;
     await Promise.all([
-      this.front.listen(parseAddress(addresses.callers)),
-      this.peers.listen(parseAddress(addresses.peers)),
-      this.news.listen(parseAddress(addresses.news)),
+      this.front.listen(listenAddress(addresses.callers)),
+      this.peers.listen(listenAddress(addresses.peers)),
+      this.news.listen(listenAddress(addresses.news)),
       this.serveMetrics(),
     ]);
     void this.follower.run();
@@ -313,6 +318,6 @@
       response.writeHead(200, { 'Content-Type': SCRAPE_CONTENT_TYPE }).end(page);
     });
     this.metricsServer = server;
-    return listen(server, parseAddress(this.settings.addresses.metrics));
+    return listen(server, listenAddress(this.settings.addresses.metrics));
   }
 }
--- a/tools/buildPlatform.ts
+++ b/tools/buildPlatform.ts
@@ -59,6 +59,6 @@
 writeFileSync(settings, WARM_UP_SETTINGS);
 execFileSync(process.execPath, [...RUNTIME_OPTIONS, join(OUTPUT, 'router.cjs'), '--compile'], {
   env: { ...process.env, BAOBABDOCK_BOOT: settings },
-  stdio: 'ignore',
+  stdio: ['ignore', 'ignore', 'inherit'],
 });
 rmSync(settings);
