Explain a request from the logs of several daemons; log what is refused before a runner is chosen

Refusals by the head alone (503 before a configuration, 404, 401, 413, 431) had a counter only; they write 2606. The end line says when the first event came.

--- a/src/commands/createProgram.spec.ts
+++ b/src/commands/createProgram.spec.ts
@@ -158,3 +158,38 @@
     });
   }
 });
+
+describe('explain', () => {
+  const line = (number: number, fields: object) =>
+    JSON.stringify({
+      time: '2026-01-05T10:00:00.000Z',
+      level: 'warn',
+      number,
+      event: 'forwarding.not_served',
+      text: '',
+      daemon: 'router-1',
+      fields,
+    });
+
+  it('tells what became of a request, from the logs of several daemons', async () => {
+    const log = temporaryFile(
+      'router-1.log',
+      line(2601, { request: 'r1', status: 503, outcome: 'no_runner', milliseconds: 3 }),
+    );
+    const other = temporaryFile('router-2.log', line(2600, { request: 'r2' }));
+    const { exitCode, results } = await run('explain', 'r1', log, other);
+    expect(exitCode).toEqual(0);
+    expect(results).toEqual(expect.includes('status 503 after 3 ms: no runner of the service'));
+    expect(results).toEqual(expect.includes('router-1 2601 forwarding.not_served status=503'));
+  });
+
+  it('fails with a reason where no line names the request, or a file is missing', async () => {
+    const log = temporaryFile('router-1.log', line(2600, { request: 'r1' }));
+    const unknown = await run('explain', 'r9', log);
+    expect([unknown.exitCode, unknown.results]).toEqual([1, '']);
+    expect(unknown.errors).toEqual(expect.includes('no line of 1 names the request r9'));
+    const missing = await run('explain', 'r1', log, join(folder, 'missing.log'));
+    expect(missing.exitCode).toEqual(1);
+    expect(missing.errors).toEqual(expect.includes('missing.log: cannot be read'));
+  });
+});
--- a/src/commands/createProgram.ts
+++ b/src/commands/createProgram.ts
@@ -5,6 +5,7 @@
 import type { BaseContext, CommandClass } from 'clipanion';
 
 import { CheckCommand } from './CheckCommand.js';
+import { ExplainCommand } from './ExplainCommand.js';
 import { operatorCommands } from './operator/operatorCommands.js';
 import { PROGRAM_VERSION } from './programVersion.js';
 import { ReplayCommand } from './ReplayCommand.js';
@@ -18,6 +19,7 @@
   ServeCommand,
   CheckCommand,
   ReplayCommand,
+  ExplainCommand,
   VersionCommand,
   Builtins.HelpCommand,
   ...operatorCommands,
--- a/src/forwarding/CallerFront.ts
+++ b/src/forwarding/CallerFront.ts
@@ -10,6 +10,8 @@
 import type { CallerLimits } from '../routes/routeTypes.js';
 import { admitRequest } from './admitRequest.js';
 import { AnswerRelay } from './AnswerRelay.js';
+import type { OwnAnswer } from './AnswerRelay.js';
+import { forwardingLogEvents } from './forwardingFeature.js';
 import { ForwardedRequest } from './ForwardedRequest.js';
 import type { AdmittedRequest, ForwardingContext } from './forwardingTypes.js';
 
@@ -25,6 +27,8 @@
 /** After a loss of all daemons every caller connects anew within a second; the system caps it at its own limit. */
 const WAITING_CONNECTIONS = 1_024;
 
+const BODY_TOO_LARGE: OwnAnswer = { status: 413, reason: 'body_too_large' };
+
 const BAD_REQUEST = '400 Bad Request';
 
 /** Owns the callers' connections. */
@@ -94,13 +98,24 @@
     request: IncomingMessage,
     response: ServerResponse,
     relay: AnswerRelay,
-    own: Parameters<AnswerRelay['answerOwn']>[0],
+    own: OwnAnswer,
   ): void {
-    const { requests } = this.context.metrics;
-    requests.increment({ route: 'none', outcome: own.reason });
     if (own.status === 413) response.shouldKeepAlive = false;
     request.resume();
+    this.refuse(request, relay, own);
+  }
+
+  private refuse({ headers }: IncomingMessage, relay: AnswerRelay, own: OwnAnswer): void {
+    const { status, reason } = own;
     relay.answerOwn(own);
+    const { metrics, log, protocol, routes } = this.context;
+    metrics.requests.increment({ route: 'none', outcome: reason });
+    log.write(forwardingLogEvents.rejected, {
+      request: String(headers[protocol.names.requestId] ?? ''),
+      outcome: reason,
+      status,
+      configurationVersion: routes()?.configuration.version,
+    });
   }
 
   private forward(
@@ -135,7 +150,7 @@
     request.on('data', (chunk: Buffer) => {
       bytes += chunk.length;
       if (bytes <= limit) chunks.push(chunk);
-      else relay.answerOwn({ status: 413, reason: 'body_too_large' });
+      else if (!relay.isDone) this.refuse(request, relay, BODY_TOO_LARGE);
     });
     request.once('end', () => {
       if (!relay.isDone) done(Buffer.concat(chunks, bytes));
--- a/src/forwarding/RequestReport.ts
+++ b/src/forwarding/RequestReport.ts
@@ -117,6 +117,7 @@
       load: this.choice?.load,
       meanLoad: this.choice && Math.round(this.choice.meanLoad * LOAD_STEPS) / LOAD_STEPS,
       tried,
+      firstMilliseconds: firstAnswerAt && Math.round(firstAnswerAt - arrivedAt),
       milliseconds: Math.round(clock.monotonicMilliseconds() - arrivedAt),
     });
   }
--- a/src/forwarding/forwardingFeature.ts
+++ b/src/forwarding/forwardingFeature.ts
@@ -48,4 +48,11 @@
     text: 'A runner fails requests and is left alone for a while.',
     operatorAction: 'Look at the runner; it is tried again by itself.',
   }),
+  rejected: defineLogEvent({
+    number: 2606,
+    name: 'forwarding.rejected',
+    level: 'info',
+    text: 'A request was refused before any runner was chosen: no route, no valid key, too large, or not ready.',
+    operatorAction: 'Many with one reason: look at callers, or at why the daemon is not ready.',
+  }),
 };
