--- a/src/sync/FleetKnowledge.ts
+++ b/src/sync/FleetKnowledge.ts
@@ -42,6 +42,15 @@
  */
 const LAPSE_GRACE_MILLISECONDS = 2_300;
 
+/**
+ * Whether a fact says who is there. Such a fact of an older revision than what is known would bring back a
+ * runner that has left: one would see requests at a runner that this daemon knew to be draining. It comes when
+ * a slow answer of the store arrives behind another daemon's newer knowledge.
+ */
+function isListing({ kind }: StoreFact): boolean {
+  return ['runner', 'runner_gone', 'daemon', 'daemon_gone'].includes(kind);
+}
+
 /** Holds beliefs; the follower and the peers feed it. */
 export class FleetKnowledge {
   readonly runners = new RunnerTable();
@@ -54,8 +63,14 @@
   /** The store's revision that all of it has reached; 0 before anything is known. */
   revision = 0;
 
+  /** The revision at which the configuration or a runner was last seen to change. */
+  changedAtRevision = 0;
+
   private readonly listener: KnowledgeListener;
 
+  /** How often the configuration or a runner has changed. */
+  private changes = 0;
+
   private table: RouteTable | undefined;
 
   /** Runners without an entry that may be back, by when they count as gone; monotonic ms. */
@@ -100,8 +115,11 @@
    * @param now - monotonic milliseconds.
    */
   applyChanges({ revision, facts }: StoreRead, now: number): void {
-    for (const fact of facts) this.apply(fact, now);
+    const isOld = revision < this.revision;
+    const changesBefore = this.changes;
+    for (const fact of facts) if (!isOld || !isListing(fact)) this.apply(fact, now);
     this.revision = Math.max(this.revision, revision);
+    if (this.changes > changesBefore) this.changedAtRevision = this.revision;
     this.expire(now);
     this.listener.updated();
   }
@@ -113,6 +131,10 @@
    * @param now - monotonic milliseconds.
    */
   applyAll(read: StoreRead, now: number): void {
+    if (read.revision < this.revision) {
+      this.applyChanges(read, now);
+      return;
+    }
     const runners = new Set<string>();
     const daemons = new Set<string>();
     for (const fact of read.facts) {
@@ -200,6 +222,7 @@
 
   private putConfiguration(configuration: RoutingConfiguration): void {
     if (this.table && configuration.version <= this.table.configuration.version) return;
+    this.changes += 1;
     this.table = new RouteTable({ configuration });
     this.listener.configurationChanged(configuration);
   }
@@ -210,6 +233,7 @@
     if (before?.state === entry.state && before.port === entry.port && before.host === entry.host) {
       return;
     }
+    this.changes += 1;
     this.runners.put(entry);
     this.listener.runnerChanged(entry.id, entry);
   }
@@ -223,6 +247,7 @@
   private dropRunner(id: string): void {
     this.lapsed.delete(id);
     if (!this.runners.get(id)) return;
+    this.changes += 1;
     this.runners.remove(id);
     this.listener.runnerChanged(id, undefined);
   }
