Tell changes of the store at once between daemons, and read it less often

Change: who reads a change first tells the others, who read at once; the store is read at 0.4 of the time in which changes must be in force (800 ms for 2 s) instead of every 500 ms. A daemon whom others tell of a change that the store has not shown it for 600 ms asks them. News is a schema message now (was JSON): repeated field names are gone. Ruled out: telling the revision of a whole read, which has every daemon answer every other one's read with one of its own.

--- a/src/news/ForeignLoads.ts
+++ b/src/news/ForeignLoads.ts
@@ -5,7 +5,7 @@
  * on its own count means nothing. One would see a runner with three times the mean while each daemon is
  * within its bound.
  */
-import type { DaemonNews } from './newsTypes.js';
+import type { DaemonNews, RunnerLoad } from '../generated/baobabdock/v1/news_pb.js';
 
 /** A daemon that says nothing for this long has died or is cut off; in ms. */
 const LIFE_MILLISECONDS = 2_500;
@@ -14,7 +14,7 @@
   readonly life: number;
   readonly number: number;
   readonly at: number;
-  readonly counts: Readonly<Record<string, number>>;
+  readonly loads: readonly RunnerLoad[];
 }
 
 /** Sums what is told by runner. */
@@ -28,10 +28,10 @@
    * @param now - monotonic milliseconds.
    * @returns Whether it is newer than what that daemon told before.
    */
-  take({ daemon, life, number, counts }: DaemonNews, now: number): boolean {
+  take({ daemon, life, number, loads }: DaemonNews, now: number): boolean {
     const before = this.byDaemon.get(daemon);
     if (before?.life === life && number <= before.number) return false;
-    this.byDaemon.set(daemon, { life, number, at: now, counts });
+    this.byDaemon.set(daemon, { life, number, at: now, loads });
     this.sum(now);
     return true;
   }
@@ -58,10 +58,10 @@
 
   private sum(now: number): void {
     const totals = new Map<string, number>();
-    for (const { at, counts } of this.byDaemon.values()) {
+    for (const { at, loads } of this.byDaemon.values()) {
       if (now - at > LIFE_MILLISECONDS) continue;
-      for (const [id, count] of Object.entries(counts)) {
-        totals.set(id, (totals.get(id) ?? 0) + count);
+      for (const { runner, requests } of loads) {
+        totals.set(runner, (totals.get(runner) ?? 0) + requests);
       }
     }
     this.totals = totals;
--- /dev/null
+++ b/src/news/NewsTask.spec.ts
@@ -0,0 +1,84 @@
+import { createSocket } from 'node:dgram';
+import type { Socket } from 'node:dgram';
+import { once } from 'node:events';
+import { afterEach, beforeEach, describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import { MemoryLog } from '../callers/testFakes.js';
+import { RunnerTable } from '../runners/RunnerTable.js';
+import { WarmPlaces } from '../runners/WarmPlaces.js';
+import { ManualClock } from '../time/ManualClock.js';
+import { ForeignLoads } from './ForeignLoads.js';
+import { decodeNews, encodeNews } from './newsCodec.js';
+import { NewsTask } from './NewsTask.js';
+
+const HOST = '127.0.0.1';
+const SECRET = 'secret';
+
+describe(NewsTask.name, () => {
+  let other: Socket;
+  let task: NewsTask;
+  let revision: number;
+  let heard: number[];
+  let told: number[];
+
+  beforeEach(async () => {
+    revision = 5;
+    heard = [];
+    told = [];
+    other = createSocket('udp4');
+    other.on('message', (datagram) => {
+      told.push(Number(decodeNews(datagram, SECRET)?.revision));
+    });
+    other.bind({ address: HOST, port: 0 });
+    await once(other, 'listening');
+    task = new NewsTask({
+      daemon: 'daemon-1',
+      runners: new RunnerTable(),
+      loads: new ForeignLoads(),
+      warmPlaces: new WarmPlaces(),
+      // The clock stands still: only what is told at once is told a second time.
+      clock: new ManualClock(),
+      log: new MemoryLog(),
+      changedAtRevision: () => revision,
+      onRevision: (newer) => heard.push(newer),
+      others: () => [other.address()].map(({ port }) => ({ host: HOST, port })),
+      secret: () => SECRET,
+    });
+    await task.listen({ host: HOST, port: 0 });
+  });
+
+  afterEach(() => {
+    task.close();
+    other.close();
+  });
+
+  async function until(condition: () => boolean): Promise<void> {
+    while (!condition()) await new Promise(setImmediate);
+  }
+
+  it('tells of a change at once, and of each change once', async () => {
+    task.tellChange();
+    task.tellChange();
+    revision = 6;
+    task.tellChange();
+    await until(() => told.length >= 2);
+    expect(told).toEqual([5, 6]);
+  });
+
+  it('leaves a change to the daemon that has told of it', async () => {
+    // Symptom: each change makes every daemon send to every other one. Sequence: one daemon tells of a change,
+    // the others read it. Cause: who has learnt of it from a message tells it again.
+    const news = { daemon: 'daemon-2', life: 1, number: 1, revision: 9n };
+    other.send(encodeNews(news, SECRET), task.port, HOST);
+    await until(() => heard.length > 0);
+    expect(heard).toEqual([9]);
+    revision = 9;
+    task.tellChange();
+    revision = 10;
+    task.tellChange();
+    await until(() => told.includes(10));
+    expect(told.includes(9)).toEqual(false);
+  });
+});
--- a/src/news/NewsTask.ts
+++ b/src/news/NewsTask.ts
@@ -6,6 +6,9 @@
 import { createSocket } from 'node:dgram';
 import type { Socket } from 'node:dgram';
 
+import type { MessageInitShape } from '@bufbuild/protobuf';
+
+import type { WarmPartSchema } from '../generated/baobabdock/v1/news_pb.js';
 import type { HostAndPort } from '../http/parseAddress.js';
 import type { Log } from '../logging/Log.js';
 import type { RunnerTable } from '../runners/RunnerTable.js';
@@ -14,7 +17,6 @@
 import type { ForeignLoads } from './ForeignLoads.js';
 import { decodeNews, encodeNews } from './newsCodec.js';
 import { newsLogEvents } from './newsFeature.js';
-import type { WarmNews } from './newsTypes.js';
 
 /** Options of a {@link NewsTask}. */
 export interface NewsTaskOptions {
@@ -24,6 +26,10 @@
   warmPlaces: WarmPlaces;
   clock: Clock;
   log: Log;
+  /** The store's revision of the latest change that bears on requests, as far as it is known here. */
+  changedAtRevision: () => number;
+  /** Hears what another daemon knows of that. */
+  onRevision: (revision: number) => void;
   /** The other daemons. */
   others: () => readonly HostAndPort[];
   /** The secret of the fleet, once it is known. */
@@ -57,7 +63,7 @@
 
   private readonly life = randomInt(LIVES);
 
-  private readonly waiting: WarmNews[] = [];
+  private readonly waiting: MessageInitShape<typeof WarmPartSchema>[] = [];
 
   private socket: Socket | undefined;
 
@@ -65,10 +71,16 @@
 
   private number = 0;
 
-  private lastCounts = '';
+  private lastTold = '';
 
   private lastSentAt = 0;
 
+  /** Of the latest change that this daemon was the first to tell of. */
+  private toldRevision = 0;
+
+  /** Of the latest change that another daemon has told of. */
+  private heardRevision = 0;
+
   /**
    * @param options - what is told, and to whom.
    */
@@ -95,15 +107,31 @@
     });
   }
 
+  /** @returns The port at which news is taken. */
+  get port(): number {
+    return this.socket?.address().port ?? 0;
+  }
+
   /**
    * @param key - a shared part of prompts.
    * @param runnerId - where it was sent for the first time.
    */
   tellWarm(key: string, runnerId: string): void {
-    this.waiting.push({ key, runnerId });
+    this.waiting.push({ key, runner: runnerId });
     if (this.waiting.length > MAXIMUM_WAITING) this.waiting.shift();
   }
 
+  /**
+   * Tells of a change at once if nobody else has: whichever daemon reads it first spares the others their wait.
+   * Who learnt of it from a message stays silent, or each change would be told by all to all.
+   */
+  tellChange(): void {
+    const revision = this.options.changedAtRevision();
+    if (revision <= Math.max(this.heardRevision, this.toldRevision)) return;
+    this.toldRevision = revision;
+    this.send();
+  }
+
   /** Neither sends nor takes from now on. */
   close(): void {
     clearTimeout(this.timer);
@@ -121,36 +149,37 @@
   }
 
   private send(): void {
-    const { daemon, runners, others, secret, clock, loads } = this.options;
+    const { daemon, runners, others, secret, clock, changedAtRevision } = this.options;
     const now = clock.monotonicMilliseconds();
     const key = secret();
-    loads.expire(now);
+    this.options.loads.expire(now);
     if (key === undefined) return;
     const busy = runners.list().filter(({ inFlight }) => inFlight > 0);
-    const counts = Object.fromEntries(busy.map(({ entry, inFlight }) => [entry.id, inFlight]));
-    const text = JSON.stringify(counts);
+    const loads = busy.map(({ entry, inFlight }) => ({ runner: entry.id, requests: inFlight }));
+    const told = JSON.stringify([loads, changedAtRevision()]);
     const isDue = now - this.lastSentAt >= REPEAT_MILLISECONDS;
-    if (text === this.lastCounts && this.waiting.length === 0 && !isDue) return;
-    this.lastCounts = text;
+    if (told === this.lastTold && this.waiting.length === 0 && !isDue) return;
+    this.lastTold = told;
     this.lastSentAt = now;
     this.number += 1;
     const warm = this.waiting.splice(0, MAXIMUM_WARM);
-    const datagram = encodeNews(
-      { daemon, life: this.life, number: this.number, counts, warm },
-      key,
-    );
+    const { life, number } = this;
+    const revision = BigInt(changedAtRevision());
+    const datagram = encodeNews({ daemon, life, number, loads, warm, revision }, key);
     for (const { host, port } of others()) this.socket?.send(datagram, port, host);
   }
 
   private take(datagram: Buffer): void {
-    const { loads, warmPlaces, clock, secret, daemon } = this.options;
+    const { loads, warmPlaces, clock, secret, daemon, onRevision } = this.options;
     const key = secret();
     if (key === undefined) return;
     try {
       const news = decodeNews(datagram, key);
       if (!news || news.daemon === daemon) return;
       loads.take(news, clock.monotonicMilliseconds());
-      for (const { key: parts, runnerId } of news.warm) warmPlaces.learn(parts, runnerId);
+      for (const { key: parts, runner } of news.warm) warmPlaces.learn(parts, runner);
+      this.heardRevision = Math.max(this.heardRevision, Number(news.revision));
+      onRevision(this.heardRevision);
     } catch (error) {
       this.reportError(error as Error);
     }
--- a/src/news/newsCodec.ts
+++ b/src/news/newsCodec.ts
@@ -3,13 +3,17 @@
  */
 import { createHmac, timingSafeEqual } from 'node:crypto';
 
-import type { DaemonNews } from './newsTypes.js';
+import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
+import type { MessageInitShape } from '@bufbuild/protobuf';
+
+import { DaemonNewsSchema, SealedNewsSchema } from '../generated/baobabdock/v1/news_pb.js';
+import type { DaemonNews } from '../generated/baobabdock/v1/news_pb.js';
 
 /** Half of SHA-256 is as hard to guess as a random key of that length; in bytes. */
 const SEAL_BYTES = 16;
 
-function sealOf(text: Buffer, secret: string): Buffer {
-  return createHmac('sha256', secret).update(text).digest().subarray(0, SEAL_BYTES);
+function sealOf(message: Uint8Array, secret: string): Buffer {
+  return createHmac('sha256', secret).update(message).digest().subarray(0, SEAL_BYTES);
 }
 
 /**
@@ -17,19 +21,23 @@
  * @param secret - of the fleet.
  * @returns One datagram.
  */
-export function encodeNews(news: DaemonNews, secret: string): Buffer {
-  const text = Buffer.from(JSON.stringify(news));
-  return Buffer.concat([sealOf(text, secret), text]);
+export function encodeNews(
+  news: MessageInitShape<typeof DaemonNewsSchema>,
+  secret: string,
+): Uint8Array {
+  const message = toBinary(DaemonNewsSchema, create(DaemonNewsSchema, news));
+  const seal = sealOf(message, secret);
+  return toBinary(SealedNewsSchema, create(SealedNewsSchema, { seal, message }));
 }
 
 /**
  * @param datagram - as received.
  * @param secret - of the fleet.
  * @returns The message, or `undefined` where the seal is not one of the fleet.
+ * @throws When it is no message of this kind.
  */
-export function decodeNews(datagram: Buffer, secret: string): DaemonNews | undefined {
-  if (datagram.length <= SEAL_BYTES) return undefined;
-  const text = datagram.subarray(SEAL_BYTES);
-  if (!timingSafeEqual(datagram.subarray(0, SEAL_BYTES), sealOf(text, secret))) return undefined;
-  return JSON.parse(text.toString()) as DaemonNews;
+export function decodeNews(datagram: Uint8Array, secret: string): DaemonNews | undefined {
+  const { seal, message } = fromBinary(SealedNewsSchema, datagram);
+  const isSealed = seal.length === SEAL_BYTES && timingSafeEqual(seal, sealOf(message, secret));
+  return isSealed ? fromBinary(DaemonNewsSchema, message) : undefined;
 }
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -41,6 +41,12 @@
 /** As hard to guess as the seal of a message. */
 const SECRET_BYTES = 24;
 
+/**
+ * Changes are gathered for this share of the time in which they have to be in force. Two such waits, a lost
+ * message and a slow read fit into it; every call to the store has its price.
+ */
+const GATHER_SHARE = 0.4;
+
 /** Between proposals while the store does not take one, in ms. */
 const PROPOSAL_MILLISECONDS = 2_000;
 
@@ -114,7 +120,8 @@
     this.clock = clock;
     this.registry = new MetricRegistry({ clock });
     this.knowledge = new FleetKnowledge({ listener: this.createListener() });
-    const { name, dataCentre, addresses, seeds, gatherMilliseconds } = settings;
+    const { name, dataCentre, addresses, seeds } = settings;
+    const gatherMilliseconds = GATHER_SHARE * Math.min(...settings.changeBoundsMilliseconds);
     this.entry = {
       name,
       dataCentre,
@@ -252,6 +259,8 @@
       warmPlaces,
       clock,
       log,
+      changedAtRevision: () => knowledge.changedAtRevision,
+      onRevision: (revision) => this.follower.hear(revision),
       others: () => this.otherDaemons().map(({ newsAddress }) => parseAddress(newsAddress)),
       secret: () => knowledge.secret,
     });
@@ -279,6 +288,7 @@
       },
       warmPlacesKept: (places: readonly WarmPlace[]) => this.warmPlaces.import(places),
       updated: () => {
+        this.news.tellChange();
         this.becomeReady();
         this.ensureSecret();
       },
--- a/src/router/routerFeature.ts
+++ b/src/router/routerFeature.ts
@@ -39,11 +39,11 @@
     .positive()
     .default(1.5)
     .describe('How long callers keep an answer of the directory.'),
-  gatherMilliseconds: z
-    .int()
-    .min(0)
-    .default(500)
-    .describe('How long changes of the store are gathered before the next call.'),
+  changeBoundsMilliseconds: z
+    .array(z.int().positive())
+    .min(1)
+    .default([2_000])
+    .describe('Times within which changes of the store have to be in force; the shortest counts.'),
   stopSeconds: z.number().positive().default(8).describe('Time that a planned stop may take.'),
   retryBudget: z
     .strictObject({
--- a/src/sync/FleetKnowledge.ts
+++ b/src/sync/FleetKnowledge.ts
@@ -63,7 +63,7 @@
   /** The store's revision that all of it has reached; 0 before anything is known. */
   revision = 0;
 
-  /** The revision at which the configuration or a runner was last seen to change. */
+  /** The revision of the latest change of the configuration or of a runner that the store has told. */
   changedAtRevision = 0;
 
   private readonly listener: KnowledgeListener;
@@ -116,10 +116,8 @@
    */
   applyChanges({ revision, facts }: StoreRead, now: number): void {
     const isOld = revision < this.revision;
-    const changesBefore = this.changes;
     for (const fact of facts) if (!isOld || !isListing(fact)) this.apply(fact, now);
     this.revision = Math.max(this.revision, revision);
-    if (this.changes > changesBefore) this.changedAtRevision = this.revision;
     this.expire(now);
     this.listener.updated();
   }
@@ -193,6 +191,14 @@
   }
 
   private apply(fact: StoreFact, now: number): void {
+    const before = this.changes;
+    this.take(fact, now);
+    const { revision = 0 } = fact;
+    if (this.changes > before && revision > this.changedAtRevision)
+      this.changedAtRevision = revision;
+  }
+
+  private take(fact: StoreFact, now: number): void {
     switch (fact.kind) {
       case 'configuration':
         this.putConfiguration(fact.configuration);
--- a/src/sync/FleetStore.ts
+++ b/src/sync/FleetStore.ts
@@ -18,8 +18,8 @@
   readonly newsAddress: string;
 }
 
-/** Something that the store says is so, or is so no more. */
-export type StoreFact =
+/** What one key of the store says. */
+type StoreStatement =
   | { readonly kind: 'configuration'; readonly configuration: RoutingConfiguration }
   | { readonly kind: 'runner'; readonly runner: RunnerEntry }
   | { readonly kind: 'runner_gone'; readonly id: string }
@@ -32,6 +32,12 @@
   /** Decoded without success; it changes nothing and is reported. */
   | { readonly kind: 'unreadable'; readonly key: string; readonly message: string };
 
+/** Something that the store says is so, or is so no more. */
+export type StoreFact = StoreStatement & {
+  /** The store's revision of this change; missing where another daemon told it. */
+  readonly revision?: number;
+};
+
 /** What a read of the store gives. */
 export interface StoreRead {
   /** The store's revision that the facts belong to. */
--- a/src/sync/StoreFollower.ts
+++ b/src/sync/StoreFollower.ts
@@ -38,6 +38,12 @@
 /** Without an answer for this long other daemons are asked, in ms. */
 const SILENT_MILLISECONDS = 2_600;
 
+/**
+ * Another daemon has told of a change, and the store has not shown it for this long: the store may serve the
+ * others and not this one. Its slowest sound answer takes 240 ms; in ms.
+ */
+const BEHIND_MILLISECONDS = 600;
+
 /** An outage shorter than this lets no runner's entry lapse, in ms. */
 const OUTAGE_MILLISECONDS = 1_000;
 
@@ -51,6 +57,11 @@
 
   private failures = 0;
 
+  /** The newest revision that another daemon has told of, and when. */
+  private told: { readonly revision: number; readonly at: number } | undefined;
+
+  private wake: (() => void) | undefined;
+
   private stopped = false;
 
   /**
@@ -63,10 +74,9 @@
 
   /** @returns Whether the store has not answered for a while. */
   get isStoreSilent(): boolean {
-    const { clock } = this.options;
-    return (
-      this.failures > 0 || clock.monotonicMilliseconds() - this.lastAnswerAt > SILENT_MILLISECONDS
-    );
+    const now = this.options.clock.monotonicMilliseconds();
+    const isBehind = this.told !== undefined && now - this.told.at > BEHIND_MILLISECONDS;
+    return this.failures > 0 || isBehind || now - this.lastAnswerAt > SILENT_MILLISECONDS;
   }
 
   /** Follows until {@link stop}. */
@@ -77,13 +87,26 @@
   /** Ends after the call in progress. */
   stop(): void {
     this.stopped = true;
+    this.wake?.();
+  }
+
+  /**
+   * Reads changes at once, if this is newer than what is known.
+   *
+   * @param revision - of a change that another daemon has seen.
+   */
+  hear(revision: number): void {
+    const { knowledge, clock } = this.options;
+    if (revision <= Math.max(knowledge.revision, this.told?.revision ?? 0)) return;
+    this.told = { revision, at: clock.monotonicMilliseconds() };
+    this.wake?.();
   }
 
   private async step(): Promise<void> {
     try {
       if (this.revision === undefined) await this.readAll();
       else await this.readChanges(this.revision);
-      await this.options.sleep(this.options.gatherMilliseconds);
+      await this.gather();
     } catch (error) {
       await this.recover(error as Error);
     }
@@ -105,6 +128,17 @@
     this.revision = read.revision;
   }
 
+  /** Waits for more changes, but no longer than until another daemon tells of one that is not known here. */
+  private async gather(): Promise<void> {
+    const { sleep, gatherMilliseconds, knowledge } = this.options;
+    if (this.told && this.told.revision <= knowledge.revision) this.told = undefined;
+    const woken = new Promise<void>((done) => {
+      this.wake = done;
+    });
+    await Promise.race([sleep(gatherMilliseconds), woken]);
+    this.wake = undefined;
+  }
+
   private answered(): void {
     const { knowledge, clock, log } = this.options;
     const now = clock.monotonicMilliseconds();
--- a/standIns/site/StandInSite.ts
+++ b/standIns/site/StandInSite.ts
@@ -169,7 +169,7 @@
       seeds: [...seeds],
       store: this.storeAddress,
       stopSeconds: 2,
-      gatherMilliseconds: 20,
+      changeBoundsMilliseconds: [50],
     });
   }
 
