Never end an attempt for silence where no other runner may go on; test built daemons as processes

Tests with processes, built as deployed: all daemons lost at once, store away at the start, a paused process, a planned stop, wrong settings.

--- a/demo/siteDemo.ts
+++ b/demo/siteDemo.ts
@@ -3,23 +3,14 @@
  * load a runner dies, a daemon is stopped as planned, another is killed, and the configuration changes.
  * `npm run demo:site`.
  */
-import { spawn } from 'node:child_process';
-import type { ChildProcess } from 'node:child_process';
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
-import { get } from 'node:http';
+import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 
-import type { RouterSettings } from '../src/router/routerFeature.js';
 import { runSiteLoad } from '../standIns/site/siteLoad.js';
+import { fetchText, SiteProcess } from '../standIns/site/SiteProcess.js';
 import { siteConfiguration, StandInSite } from '../standIns/site/StandInSite.js';
 
-/** A daemon as a process. */
-interface DaemonProcess {
-  readonly settings: RouterSettings;
-  readonly child: ChildProcess;
-}
-
 const DAEMONS = 3;
 const RUNNERS_A_SERVICE = 4;
 const RATE = 40;
@@ -39,42 +30,17 @@
 
 const OK = 200;
 
-function fetchText(address: string, path: string): Promise<{ status: number; text: string }> {
-  return new Promise((done, fail) => {
-    const question = get(`http://${address}${path}`, (answer) => {
-      const chunks: Buffer[] = [];
-      answer.on('data', (chunk: Buffer) => chunks.push(chunk));
-      answer.once('end', () =>
-        done({ status: answer.statusCode ?? 0, text: Buffer.concat(chunks).toString() }),
-      );
-    });
-    question.once('error', fail);
-  });
-}
-
 function tell(text: string): void {
   process.stdout.write(`${text}\n`);
 }
 
-async function startDaemon(
-  site: StandInSite,
-  name: string,
-  folder: string,
-): Promise<DaemonProcess> {
+async function startDaemon(site: StandInSite, name: string, folder: string): Promise<SiteProcess> {
   const settings = await site.settingsOf(name);
-  const file = join(folder, `${name}.yaml`);
-  // JSON is YAML as well.
-  writeFileSync(file, JSON.stringify({ router: settings }));
-  const child = spawn(process.execPath, ['--import', 'tsx', 'platform/main.ts'], {
-    env: { ...process.env, BAOBABDOCK_BOOT: file },
-    stdio: ['ignore', 'ignore', 'inherit'],
-  });
-  await site.until(async () => {
-    const ready = fetchText(settings.addresses.readiness, '/v1/readyz').catch(() => undefined);
-    return (await ready)?.status === OK;
-  });
+  const daemon = new SiteProcess({ settings, folder });
+  daemon.start();
+  await site.until(() => daemon.isReady());
   tell(`${name} is ready at ${settings.addresses.callers}`);
-  return { settings, child };
+  return daemon;
 }
 
 /** Keeps asking the daemons where to connect, as callers do. */
@@ -83,7 +49,7 @@
 
   private readonly timer: NodeJS.Timeout;
 
-  constructor(private readonly daemons: readonly DaemonProcess[]) {
+  constructor(private readonly daemons: readonly SiteProcess[]) {
     this.timer = setInterval(() => {
       void this.ask();
     }, RESOLVE_MILLISECONDS);
@@ -92,8 +58,8 @@
   async ask(): Promise<void> {
     for (const { settings } of this.daemons) {
       const path = '/v1/resolve?name=site.example&zone=here';
-      const answer = await fetchText(settings.addresses.directory, path).catch(() => undefined);
-      if (answer?.status === OK) {
+      const answer = await fetchText(settings.addresses.directory, path);
+      if (answer.status === OK) {
         this.addresses = (JSON.parse(answer.text) as { addresses: string[] }).addresses;
         return;
       }
@@ -105,11 +71,11 @@
   }
 }
 
-function plan(site: StandInSite, daemons: readonly DaemonProcess[]): void {
+function plan(site: StandInSite, daemons: readonly SiteProcess[]): void {
   const steps: readonly [number, string, () => unknown][] = [
     [RUNNER_DIES_AT, 'a runner dies', () => site.runners[0]?.stop()],
-    [DAEMON_STOPS_AT, 'daemon-0 is stopped as planned', () => daemons[0]?.child.kill('SIGTERM')],
-    [DAEMON_KILLED_AT, 'daemon-1 is killed', () => daemons[1]?.child.kill('SIGKILL')],
+    [DAEMON_STOPS_AT, 'daemon-0 is stopped as planned', () => daemons[0]?.signal('SIGTERM')],
+    [DAEMON_KILLED_AT, 'daemon-1 is killed', () => daemons[1]?.signal('SIGKILL')],
     [
       CONFIGURATION_AT,
       'the configuration changes',
@@ -127,7 +93,7 @@
 async function main(): Promise<number> {
   const site = new StandInSite();
   const folder = mkdtempSync(join(tmpdir(), 'baobabdock-'));
-  const daemons: DaemonProcess[] = [];
+  const daemons: SiteProcess[] = [];
   await site.start();
   try {
     for (let index = 0; index < RUNNERS_A_SERVICE; index += 1) {
@@ -151,7 +117,7 @@
     tell(`${(share * 100).toFixed(1)} % served`);
     return share >= MINIMUM_SERVED_SHARE ? 0 : 1;
   } finally {
-    for (const { child } of daemons) child.kill('SIGKILL');
+    await Promise.all(daemons.map((daemon) => daemon.kill()));
     await site.stop();
     rmSync(folder, { recursive: true });
   }
--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -304,6 +304,7 @@
       mayHaveRun: this.mayHaveRun,
       lastProgressAt: this.lastProgressAt,
       hasEvents: this.relay.hasHead,
+      hasBudget: () => this.context.budget.hasRoom(this.request.service, this.now()),
     };
   }
 
--- a/src/forwarding/SharedRetryBudget.ts
+++ b/src/forwarding/SharedRetryBudget.ts
@@ -59,12 +59,21 @@
    * @returns Whether it may; if so it is counted.
    */
   take(service: string, now: number): boolean {
+    if (!this.hasRoom(service, now)) return false;
+    this.countedOf(service, now).retries.push(now);
+    return true;
+  }
+
+  /**
+   * @param service - where a request may have to be sent once more.
+   * @param now - monotonic milliseconds.
+   * @returns Whether it could; nothing is counted.
+   */
+  hasRoom(service: string, now: number): boolean {
     const { ratio, allowance, daemons } = this.options;
     const { requests, retries } = this.countedOf(service, now);
     const limit = ratio * requests.length + allowance / Math.max(1, daemons());
-    if (retries.length + 1 > limit * SPENT_SHARE) return false;
-    retries.push(now);
-    return true;
+    return retries.length + 1 <= limit * SPENT_SHARE;
   }
 
   private countedOf(service: string, now: number): Counted {
--- a/src/forwarding/patience.ts
+++ b/src/forwarding/patience.ts
@@ -17,6 +17,8 @@
   readonly lastProgressAt: number;
   /** Whether the caller has events of a stream already. */
   readonly hasEvents: boolean;
+  /** Whether the retry budget has room for one more attempt. */
+  readonly hasBudget: () => boolean;
 }
 
 /** A second runner is asked at this share of the target latency, which leaves as much for its answer. */
@@ -53,6 +55,10 @@
   return request.route.kind === 'stream' && request.route.resumable;
 }
 
+function canGoOnElsewhere({ request, mayHaveRun, hasBudget }: PatienceView): boolean {
+  return mayHaveRun + 1 < request.route.maximumAttempts && hasBudget();
+}
+
 function silenceLimit({ request, hasEvents }: PatienceView): number {
   if (hasEvents) return PAUSE_MILLISECONDS;
   const share = request.route.targetLatencyMilliseconds * FIRST_EVENT_SHARE;
@@ -90,6 +96,9 @@
  * A runner that says nothing to anybody may be dark; one that only keeps this request waiting is busy, and
  * another runner would have to read the prompt again.
  *
+ * Where no other runner may go on, silence ends nothing: the caller would get a broken answer in place of a late
+ * one. One would see streams cut around bursts that had used up their attempts.
+ *
  * @param view - the request.
  * @returns The quiet attempt, or `undefined` while there is nothing to do.
  */
@@ -98,7 +107,7 @@
   if (!attempt || !watchesSilence(view)) return undefined;
   const quiet = view.now - view.lastProgressAt;
   const limit = silenceLimit(view);
-  if (quiet < limit) return undefined;
+  if (quiet < limit || !canGoOnElsewhere(view)) return undefined;
   if (quiet >= limit * BUSY_FACTOR) return { attempt, action: 'give_up' };
   const heard = view.now - attempt.runner.lastHeardAt < limit;
   return heard ? undefined : { attempt, action: 'probe' };
--- /dev/null
+++ b/standIns/site/SiteProcess.ts
@@ -0,0 +1,131 @@
+/**
+ * A daemon of a site as a process of its own.
+ */
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
+import { writeFileSync } from 'node:fs';
+import { get } from 'node:http';
+import { join } from 'node:path';
+
+import type { RouterSettings } from '../../src/router/routerFeature.js';
+
+/** Options of a {@link SiteProcess}. */
+export interface SiteProcessOptions {
+  settings: RouterSettings;
+  /** Where its settings file is written. */
+  folder: string;
+  /** Arguments of the runtime: its options and the program; the sources where missing. */
+  program?: readonly string[];
+}
+
+/** What a short question got. */
+export interface SiteText {
+  /** 0 where nobody answered. */
+  readonly status: number;
+  readonly text: string;
+}
+
+const SOURCES: readonly string[] = ['--import', 'tsx', 'platform/main.ts'];
+
+const OK = 200;
+
+/**
+ * @param address - IP number and port.
+ * @param path - with the query.
+ * @returns The whole answer.
+ */
+export function fetchText(address: string, path: string): Promise<SiteText> {
+  return new Promise((done) => {
+    const question = get(`http://${address}${path}`, (answer) => {
+      const chunks: Buffer[] = [];
+      answer.on('data', (chunk: Buffer) => chunks.push(chunk));
+      answer.once('end', () =>
+        done({ status: answer.statusCode ?? 0, text: Buffer.concat(chunks).toString() }),
+      );
+    });
+    question.once('error', (error) => done({ status: 0, text: error.message }));
+  });
+}
+
+/** Owns the process. */
+export class SiteProcess {
+  readonly settings: RouterSettings;
+
+  /** What it has written to standard output. */
+  log = '';
+
+  /** What it has written to standard error. */
+  complaints = '';
+
+  private readonly file: string;
+
+  private readonly program: readonly string[];
+
+  private child: ChildProcess | undefined;
+
+  private exit: Promise<unknown[]> = Promise.resolve([]);
+
+  /**
+   * @param options - settings and program.
+   */
+  constructor({ settings, folder, program = SOURCES }: SiteProcessOptions) {
+    this.settings = settings;
+    this.program = program;
+    this.file = join(folder, `${settings.name}.yaml`);
+    this.writeSettings({ router: settings });
+  }
+
+  /**
+   * @returns Whether it says that it takes requests.
+   * @throws When it has ended by itself: it never will.
+   */
+  async isReady(): Promise<boolean> {
+    const { exitCode = null } = this.child ?? {};
+    if (exitCode !== null) throw new Error(`ended with ${exitCode}: ${this.complaints}`);
+    const { status } = await fetchText(this.settings.addresses.readiness, '/v1/readyz');
+    return status === OK;
+  }
+
+  /**
+   * @param content - of its settings file; JSON is YAML as well.
+   */
+  writeSettings(content: object): void {
+    writeFileSync(this.file, JSON.stringify(content));
+  }
+
+  /** Starts it, anew where it has ended. */
+  start(): void {
+    const child = spawn(process.execPath, this.program, {
+      env: { ...process.env, BAOBABDOCK_BOOT: this.file },
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    child.stdout.on('data', (chunk: Buffer) => {
+      this.log += String(chunk);
+    });
+    child.stderr.on('data', (chunk: Buffer) => {
+      this.complaints += String(chunk);
+    });
+    this.child = child;
+    this.exit = once(child, 'close');
+  }
+
+  /**
+   * @param signal - to send.
+   */
+  signal(signal: NodeJS.Signals): void {
+    this.child?.kill(signal);
+  }
+
+  /** @returns Its exit code once it has ended; `null` where a signal has ended it. */
+  async ended(): Promise<unknown> {
+    const [code] = await this.exit;
+    return code;
+  }
+
+  /** Kills it, whatever it does. */
+  async kill(): Promise<void> {
+    this.signal('SIGKILL');
+    await this.ended();
+  }
+}
--- a/standIns/site/StandInSite.ts
+++ b/standIns/site/StandInSite.ts
@@ -1,9 +1,6 @@
 /**
  * A small site on loopback: a store, runners, and daemons that forward directly, in this process.
  */
-import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
-
 import { PlatformRunnerProtocol } from '../../platform/headers.js';
 import { servePlatformRoles } from '../../platform/PlatformRoles.js';
 import { StoreClient } from '../../platform/StoreClient.js';
@@ -12,6 +9,7 @@
 import { RouterDaemon } from '../../src/router/RouterDaemon.js';
 import type { RouterSettings } from '../../src/router/routerFeature.js';
 import { routerSettings } from '../../src/router/routerFeature.js';
+import { freePort } from './freePort.js';
 import type { SiteRunnerOptions } from './SiteRunner.js';
 import { SiteRunner } from './SiteRunner.js';
 import { StoreStandIn } from './StoreStandIn.js';
@@ -37,16 +35,6 @@
   pollMilliseconds?: number;
 }
 
-function freePort(): Promise<number> {
-  const server = createServer();
-  return new Promise((done) => {
-    server.listen(0, '127.0.0.1', () => {
-      const { port } = server.address() as AddressInfo;
-      server.close(() => done(port));
-    });
-  });
-}
-
 /**
  * The configuration of the site.
  *
--- /dev/null
+++ b/tests/siteProcesses.spec.ts
@@ -0,0 +1,142 @@
+/**
+ * Daemons as the platform runs them, built and as processes: what callers see around starts, stops and losses.
+ */
+import { execFileSync } from 'node:child_process';
+import { mkdtempSync, readFileSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { after, afterEach, before, beforeEach, describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import { callSite } from '../standIns/site/callSite.js';
+import { SiteProcess } from '../standIns/site/SiteProcess.js';
+import type { SiteRunner } from '../standIns/site/SiteRunner.js';
+import { siteConfiguration, StandInSite } from '../standIns/site/StandInSite.js';
+
+const DAEMONS = 3;
+const ENDED_BY_SIGNAL = null;
+const MISTAKES_IN_SETTINGS = 1;
+
+const LATER_ROUTE = {
+  name: 'later',
+  path_prefix: '/later/',
+  kind: 'idempotent',
+  service: 'plain',
+  max_attempts: 2,
+};
+
+describe('a site of processes', () => {
+  let folder: string;
+  let program: string[];
+  let site: StandInSite;
+  let plain: SiteRunner;
+  let processes: SiteProcess[];
+
+  async function allReady(): Promise<void> {
+    for (const one of processes) await site.until(() => one.isReady());
+  }
+
+  before(() => {
+    folder = mkdtempSync(join(tmpdir(), 'baobabdock-'));
+    execFileSync(process.execPath, ['--import', 'tsx', 'tools/buildPlatform.ts', folder]);
+    const deployed = readFileSync('deploy/system.toml', 'utf8');
+    const [, options] = /^run = "node (.*) target\/router\.cjs"$/m.exec(deployed) ?? [];
+    expect(options).not.toEqual(undefined);
+    program = [...(options ?? '').split(' '), join(folder, 'router.cjs')];
+  });
+
+  after(() => rmSync(folder, { recursive: true }));
+
+  beforeEach(async () => {
+    site = new StandInSite();
+    await site.start();
+    plain = await site.addRunner({ id: 'plain-1', service: 'plain' });
+    await site.addRunner({ id: 'engine-1', service: 'engine', eventMilliseconds: 50 });
+    processes = [];
+    for (let index = 0; index < DAEMONS; index += 1) {
+      const settings = await site.settingsOf(`daemon-${index}`);
+      processes.push(new SiteProcess({ settings, folder, program }));
+    }
+    for (const one of processes) one.start();
+    await allReady();
+  });
+
+  afterEach(async () => {
+    await Promise.all(processes.map((one) => one.kill()));
+    await site.stop();
+  });
+
+  function addressOf(index: number): string {
+    return processes[index]?.settings.addresses.callers ?? '';
+  }
+
+  it('serves by the last acknowledged configuration after all daemons were lost at once', async () => {
+    // Symptom: after a loss of power routes of the last minute are unknown. Sequence: an operator adds a route,
+    // the store acknowledges it, all daemons die, and start. Cause: daemons had kept it for themselves.
+    site.store.write('op/config', siteConfiguration(2, { routes: [LATER_ROUTE] }));
+    await Promise.all(processes.map((one) => one.kill()));
+    for (const one of processes) one.start();
+    await allReady();
+    for (const [index] of processes.entries()) {
+      const answer = await callSite({ address: addressOf(index), path: '/later/a' });
+      expect(answer.status).toEqual(200);
+    }
+  });
+
+  it('says "come back" while nothing is known, and serves once the store is back', async () => {
+    // Symptom: callers are told for good that routes do not exist. Sequence: all daemons die while the store is
+    // away, and start. Cause: "no configuration" was taken for "no route".
+    site.store.faultFor({ fault: 'busy' });
+    await Promise.all(processes.map((one) => one.kill()));
+    for (const one of processes) one.start();
+    const address = addressOf(0);
+    const isThere = () => callSite({ address, path: '/read/a' }).then(Boolean, () => false);
+    await site.until(isThere);
+    const refused = await callSite({ address, path: '/read/a' });
+    expect(refused.status).toEqual(503);
+    expect(Number(refused.headers['retry-after'])).toBeGreaterThan(0);
+    site.store.faultFor({ fault: 'none' });
+    await allReady();
+    expect((await callSite({ address, path: '/read/a' })).status).toEqual(200);
+  });
+
+  it('answers what waited through a pause of the process, once', async () => {
+    // Symptom: a request runs twice, or its caller gets nothing. Sequence: a process stands still while a
+    // request waits in its connection, and goes on. Cause: timers that are due go before what has arrived.
+    const [paused] = processes;
+    paused?.signal('SIGSTOP');
+    const headers = { 'Deadline-Ms': '60000' };
+    const pending = callSite({ address: addressOf(0), path: '/write/a', headers });
+    const served = await callSite({ address: addressOf(1), path: '/write/b' });
+    paused?.signal('SIGCONT');
+    expect([served.status, (await pending).status]).toEqual([200, 200]);
+    expect(plain.ran.length).toEqual(2);
+  });
+
+  it('finishes a stream in a planned stop and ends with success', async () => {
+    const [first] = processes;
+    const stop = () => first?.signal('SIGTERM');
+    const headers = { 'Prompt-Prefix': 'a:1,b:1', Model: 'm' };
+    const path = '/chat/';
+    const answer = await callSite({ address: addressOf(0), path, headers, onData: stop });
+    expect(answer.isComplete).toEqual(true);
+    expect(await first?.ended()).toEqual(0);
+    expect(first?.log).toEqual(expect.includes('"event":"router.stopped"'));
+  });
+
+  it('keeps the settings in force where new ones are wrong, and does not start with wrong ones', async () => {
+    const [first] = processes;
+    if (!first) throw new Error('there is no process');
+    first.writeSettings({ router: { ...first.settings, stopSeconds: -1, nmae: 'x' } });
+    first.signal('SIGHUP');
+    await site.until(() => first.log.includes('"event":"router.settings_refused"'));
+    expect((await callSite({ address: addressOf(0), path: '/read/a' })).status).toEqual(200);
+    first.signal('SIGKILL');
+    expect(await first.ended()).toEqual(ENDED_BY_SIGNAL);
+    first.start();
+    expect(await first.ended()).toEqual(MISTAKES_IN_SETTINGS);
+    expect(first.complaints).toEqual(expect.includes('router.stopSeconds'));
+    expect(first.complaints).toEqual(expect.includes('router.nmae'));
+  });
+});
--- a/tools/buildPlatform.ts
+++ b/tools/buildPlatform.ts
@@ -1,6 +1,6 @@
 /**
- * Builds the daemon for the platform: `target/daemon.cjs`, one bundle without what the daemon does not use;
- * `target/daemon.cache`, its compiled code; `target/router.cjs`, which starts it from both.
+ * Builds the daemon for the platform: `daemon.cjs`, one bundle without what the daemon does not use;
+ * `daemon.cache`, its compiled code; `router.cjs`, which starts it from both.
  */
 import { execFileSync } from 'node:child_process';
 import { rmSync, writeFileSync } from 'node:fs';
@@ -9,7 +9,8 @@
 import { build } from 'esbuild';
 import type { BuildOptions } from 'esbuild';
 
-const OUTPUT = 'target';
+/** The folder that is written to: the first argument, or where the deployment looks for it. */
+const OUTPUT = process.argv[2] ?? 'target';
 
 /** Compiled code is good only for the options with which the runtime was started; see deploy/system.toml. */
 const RUNTIME_OPTIONS = ['--max-old-space-size=160', '--max-semi-space-size=1', '--v8-pool-size=0'];
