Turn round the three circles between files

VirtualConfiguration names what it needs of the fleet itself; an attempt's listener stands with the attempt; what is held of an answer stands with the relay that gives it. Circles of imports: 3 before, none after.

--- a/measure/control/VirtualConfiguration.ts
+++ b/measure/control/VirtualConfiguration.ts
@@ -12,15 +12,24 @@
   MemberRevisions,
 } from '../../src/configuration/configurationTypes.js';
 import type { LocalNews, MemberRecord } from '../../src/membership/membershipTypes.js';
-import type { VirtualFleetParts } from './VirtualDaemon.js';
+import type { VirtualTime } from '../routing/VirtualTime.js';
+import type { VirtualStore } from './VirtualStore.js';
 import { Wake } from './Wake.js';
-import type { SizeOf } from './Wire.js';
+import type { SizeOf, Wire } from './Wire.js';
 import { REQUEST_OVERHEAD_BYTES, RESPONSE_OVERHEAD_BYTES } from './wireSize.js';
 
+/** What the configurations of all daemons share. */
+export interface VirtualConfigurationParts {
+  readonly time: VirtualTime;
+  readonly wire: Wire;
+  readonly store: VirtualStore;
+  readonly configurationAt: (peerAddress: string) => VirtualConfiguration | undefined;
+}
+
 /** Options of a {@link VirtualConfiguration}. */
 export interface VirtualConfigurationOptions {
   self: MemberRecord;
-  parts: VirtualFleetParts;
+  parts: VirtualConfigurationParts;
   isKilled: () => boolean;
   /** Told when a revision came into force here. */
   onApplied: (revision: number) => void;
@@ -40,7 +49,7 @@
 
   private readonly self: MemberRecord;
 
-  private readonly parts: VirtualFleetParts;
+  private readonly parts: VirtualConfigurationParts;
 
   private readonly isKilled: () => boolean;
 
@@ -155,7 +164,7 @@
 
   private pull(pull: Extract<ConfigurationAction, { kind: 'pull' }>): void {
     const { document, daemonId, peerAddress, haveRevision } = pull;
-    const target = this.parts.daemonAt(peerAddress)?.configuration;
+    const target = this.parts.configurationAt(peerAddress);
     if (!target) return;
     this.parts.wire.call({
       from: this.self,
--- a/measure/control/VirtualDaemon.ts
+++ b/measure/control/VirtualDaemon.ts
@@ -83,9 +83,11 @@
     this.pools = pools;
     this.membership = new MembershipDecisions({ self, seed });
     this.wake = new Wake(parts.time, () => this.tellMembership({ kind: 'tick' }));
+    const { time, wire, store, daemonAt } = parts;
+    const configurationAt = (address: string) => daemonAt(address)?.configuration;
     this.configuration = new VirtualConfiguration({
       self,
-      parts,
+      parts: { time, wire, store, configurationAt },
       isKilled: () => this.isKilled,
       onApplied: (revision) => {
         parts.onApplied(this, revision);
--- a/src/forwarding/AnswerRelay.ts
+++ b/src/forwarding/AnswerRelay.ts
@@ -4,7 +4,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import { passingHeaders } from './forwardedHeaders.js';
-import type { HeldAnswer } from './HeldAnswers.js';
 
 /** An answer of the daemon's own; none of them carries a runner's signature. */
 export interface OwnAnswer {
@@ -15,6 +14,13 @@
   readonly retryAfterSeconds?: number | undefined;
 }
 
+/** A runner's answer that is held until it is complete. */
+export interface HeldAnswer {
+  readonly answer: IncomingMessage;
+  readonly chunks: Buffer[];
+  bytes: number;
+}
+
 const NOTHING: ReadonlySet<string> = new Set();
 
 const BAD_GATEWAY = 502;
--- a/src/forwarding/HeldAnswers.ts
+++ b/src/forwarding/HeldAnswers.ts
@@ -4,16 +4,9 @@
  */
 import type { IncomingMessage } from 'node:http';
 
-import type { AnswerRelay } from './AnswerRelay.js';
+import type { AnswerRelay, HeldAnswer } from './AnswerRelay.js';
 import type { RunnerAttempt } from './RunnerAttempt.js';
 
-/** A runner's answer. */
-export interface HeldAnswer {
-  readonly answer: IncomingMessage;
-  readonly chunks: Buffer[];
-  bytes: number;
-}
-
 /**
  * Answers up to this size are held, in bytes: a thousand requests in progress hold 256 MB at worst, and the
  * answers of ordinary calls are a hundredth of it.
--- a/src/gates/GateTaskAttempt.ts
+++ b/src/gates/GateTaskAttempt.ts
@@ -3,7 +3,8 @@
  * again, goes on without a reader for a while, and ends exactly once.
  */
 import type { ExecuteEvent } from '../generated/baobabdock/v1/peers_pb.js';
-import type { UpstreamAttempt, UpstreamEvent } from '../upstreams/Upstream.js';
+import type { Clock } from '../time/Clock.js';
+import type { Upstream, UpstreamAttempt, UpstreamEvent } from '../upstreams/Upstream.js';
 import { attemptFailureCode, canTakeUpAgain } from './GateTaskFailures.js';
 import type { AttemptFailure } from './GateTaskFailures.js';
 import {
@@ -15,7 +16,7 @@
   takenOverEvent,
 } from './GateTaskEvents.js';
 import type { RefusalDetails } from './GateTaskEvents.js';
-import type { AttemptDetails, GateTaskAttemptOptions } from './GateTaskAttemptTypes.js';
+import type { AttemptDetails } from './GateTaskAttemptTypes.js';
 import { GateTaskStream } from './GateTaskStream.js';
 import type { AttemptEnd } from './gateTypes.js';
 
@@ -34,6 +35,31 @@
 /** Two timers of the same deadline do not fire in the same millisecond. */
 const DEADLINE_SLACK_MILLISECONDS = 5;
 
+/** What the gate is told of an attempt. */
+export interface AttemptListener {
+  started: (attempt: GateTaskAttempt, cachedTokens: number) => void;
+  progress: (attempt: GateTaskAttempt, generatedTokens: number) => void;
+  /** The runner did not start it; the gate answers with {@link GateTaskAttempt.refuse}. */
+  notRun: (attempt: GateTaskAttempt, reason: 'refused' | 'unreachable', message: string) => void;
+  completed: (attempt: GateTaskAttempt, cachedTokens: number) => void;
+  failed: (attempt: GateTaskAttempt, failure: AttemptFailure) => void;
+  takenUpAgain: (attempt: GateTaskAttempt, failure: AttemptFailure) => void;
+  /** The last call for this attempt. */
+  ended: (attempt: GateTaskAttempt, end: AttemptEnd) => void;
+  /** The reader went while the attempt was running or waiting. */
+  left: (attempt: GateTaskAttempt) => void;
+}
+
+/** Options of a {@link GateTaskAttempt}. */
+export interface GateTaskAttemptOptions {
+  details: AttemptDetails;
+  upstream: Upstream;
+  clock: Clock;
+  listener: AttemptListener;
+  maximumBufferedBytes: number;
+  maximumResumes: number;
+}
+
 /** One attempt, from its request to its end. */
 export class GateTaskAttempt {
   readonly details: AttemptDetails;
