Check any of the product's files, and open every port by one function

baobabdock check takes settings of either kind of daemon, resources and sessions, and says what it took each for; before, it took everything for settings of the first kind.

--- a/src/callers/CallerServer.ts
+++ b/src/callers/CallerServer.ts
@@ -4,11 +4,12 @@
 import { randomUUID } from 'node:crypto';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 
 import type { FleetView } from '../fleet/FleetView.js';
 import type { HomePort } from '../homes/HomePort.js';
+import { listen } from '../http/listen.js';
 import type { Log } from '../logging/Log.js';
 import { SilentLog } from '../logging/Log.js';
 import type { BindingIssuer } from '../requests/BindingIssuer.js';
@@ -127,14 +128,7 @@
    * @throws When the address cannot be taken.
    */
   async start(): Promise<ListenAddress> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(this.address.port, this.address.host, () => {
-        this.server.off('error', reject);
-        resolve();
-      });
-    });
-    const { address, port } = this.server.address() as AddressInfo;
+    const { address, port } = await listen(this.server, this.address);
     this.context.log.write(CALLER_EVENTS.listening, { host: address, port });
     return { host: address, port };
   }
--- a/src/commands/CheckCommand.ts
+++ b/src/commands/CheckCommand.ts
@@ -1,9 +1,9 @@
 /**
- * `baobabdock check`: finds all mistakes in settings files.
+ * `baobabdock check`: finds all mistakes in files of the product.
  */
 import { Command, Option } from 'clipanion';
 
-import { checkSettingsFile } from '../settings/loadSettings.js';
+import { checkFile } from './checkFile.js';
 import { EXIT_FAILURE, EXIT_SUCCESS, ProgramCommand } from './ProgramCommand.js';
 
 /** Checks files without starting anything. */
@@ -12,9 +12,10 @@
 
   static override usage = Command.Usage({
     category: 'Daemon',
-    description: 'check settings files',
+    description: 'check files of the product',
     details: `
-      Lists every mistake of every file as \`file:line:column: field: message\` on standard error, and
+      Takes settings of either kind of daemon, resources and sessions, says what it took each file for, and
+      lists every mistake of every file as \`file:line:column: field: message\` on standard error, and
       exits with 1 when there is any.
 
       Values that come \`fromEnvironment\` or \`fromFile\` need not be there on the machine that checks;
@@ -24,7 +25,7 @@
     examples: [
       ['Check one file', '$0 check litoral.yaml'],
       ['Check on the instance itself, secrets included', '$0 check --complete litoral.yaml'],
-      ['Check several files', '$0 check examples/litoral.yaml examples/kutiya-punkt.yaml'],
+      ['Check several files', '$0 check examples/litoral.yaml examples/litoral-resources.yaml'],
     ],
   });
 
@@ -32,7 +33,7 @@
     description: 'Count values from outside that are not there as mistakes.',
   });
 
-  files = Option.Rest({ name: 'settings files', required: 1 });
+  files = Option.Rest({ name: 'files', required: 1 });
 
   override async execute(): Promise<number> {
     const valid = this.files.map((file) => this.check(file));
@@ -40,12 +41,12 @@
   }
 
   private check(file: string): boolean {
-    const { findings, absent } = checkSettingsFile(file);
+    const { kind, findings, absent } = checkFile(file);
     const mistakes = this.complete ? [...findings, ...absent] : findings;
     this.complainOf(mistakes);
     if (mistakes.length > 0) return false;
     for (const { place, message } of absent) this.print(`note: ${place.field}: ${message}`);
-    this.print(`${file}: valid`);
+    this.print(`${file}: valid ${kind}`);
     return true;
   }
 }
--- a/src/commands/createProgram.spec.ts
+++ b/src/commands/createProgram.spec.ts
@@ -105,6 +105,38 @@
   });
 });
 
+describe('check of each kind of file', () => {
+  const ROUTER = JSON.stringify({ router: { name: 'r1', regoin: 'x' } });
+
+  it('says what it took a file for', async () => {
+    const session = temporaryFile('session.jsonl', SESSION);
+    const resources = 'examples/litoral-resources.yaml';
+    const { exitCode, results } = await run('check', session, resources);
+    expect(exitCode).toEqual(0);
+    expect(results).toEqual(expect.includes('session.jsonl: valid session of decisions'));
+    expect(results).toEqual(expect.includes(`${resources}: valid resources`));
+  });
+
+  it('names every mistake in settings of a daemon that forwards directly', async () => {
+    const file = temporaryFile('router.yaml', ROUTER);
+    const { exitCode, errors } = await run('check', file);
+    expect(exitCode).toEqual(1);
+    expect(errors).toEqual(
+      expect.includes('router.regoin: is not a setting; did you mean region?'),
+    );
+    expect(errors).toEqual(expect.includes('router.addresses'));
+  });
+
+  it('names mistakes in resources and in sessions with their place', async () => {
+    const resources = temporaryFile('resources.yaml', 'services:\n  - nmae: x\n');
+    const session = temporaryFile('session.jsonl', '{"feature":"x"}\nnothing\n');
+    const { exitCode, errors } = await run('check', resources, session);
+    expect(exitCode).toEqual(1);
+    expect(errors).toEqual(expect.includes(`${resources}:2:`));
+    expect(errors).toEqual(expect.includes(`${session}:2:`));
+  });
+});
+
 describe('replay', () => {
   it('fills in a session, prints why, and finds it the same byte for byte', async () => {
     const file = temporaryFile('gates.jsonl', SESSION);
--- a/src/operators/ResourceFile.ts
+++ b/src/operators/ResourceFile.ts
@@ -21,6 +21,9 @@
   routingPolicies: 'routing_policy',
 };
 
+/** The names of the sections. */
+export const RESOURCE_SECTIONS: readonly string[] = Object.keys(SECTIONS);
+
 const RESOURCE_FIELD = /^resources\[(\d+)\](?:\.[A-Za-z]+)?\.?(.*)$/u;
 
 type PathStep = string | number;
@@ -93,7 +96,7 @@
   private readSections(): void {
     const root = this.document.contents;
     if (!isMap(root)) {
-      const known = Object.keys(SECTIONS).join(', ');
+      const known = RESOURCE_SECTIONS.join(', ');
       this.collected.add({ file: this.file, line: 1, column: 1 }, `has to hold ${known}`);
       return;
     }
@@ -102,7 +105,7 @@
       const kind = Object.hasOwn(SECTIONS, name) ? SECTIONS[name] : undefined;
       if (kind) this.readSection(name, kind);
       else {
-        const known = Object.keys(SECTIONS).join(', ');
+        const known = RESOURCE_SECTIONS.join(', ');
         this.collected.add(this.placeOfNode(key, name), `is unknown; there are ${known}`);
       }
     }
--- a/src/peers/PeerServer.ts
+++ b/src/peers/PeerServer.ts
@@ -3,13 +3,14 @@
  */
 import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type { Socket } from 'node:net';
 
 import type { Interceptor, ServiceImpl } from '@connectrpc/connect';
 import { Code, ConnectError, createContextValues } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 
 import { PeerService } from '../generated/baobabdock/v1/peers_pb.js';
+import { listen } from '../http/listen.js';
 import type { Log } from '../logging/Log.js';
 import { SilentLog } from '../logging/Log.js';
 import { gzipCompression } from './gzipCompression.js';
@@ -141,11 +142,7 @@
           this.identities.get(request as IncomingMessage) ?? '',
         ),
     });
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
-    });
-    const { port: actualPort } = this.server.address() as AddressInfo;
+    const { port: actualPort } = await listen(this.server, { host, port });
     this.log.write(peersLogEvents.serverListening, { host, port: actualPort });
     return actualPort;
   }
--- a/src/settings/loadSettings.ts
+++ b/src/settings/loadSettings.ts
@@ -5,15 +5,18 @@
 
 import { ALL_FEATURES } from '../features/allFeatures.js';
 import { Findings } from '../findings/Findings.js';
-import { checkSettings } from './checkSettings.js';
-import type { CheckedSettings } from './checkSettings.js';
 import { parseSettings } from './parseSettings.js';
 import type { LoadSettingsOptions, SettingsResult } from './parseSettings.js';
 
 /** A settings file is a few kilobytes. */
 const MAXIMUM_FILE_BYTES = 1_048_576;
 
-function readSettingsFile(file: string, findings: Findings): string | undefined {
+/**
+ * @param file - its path.
+ * @param findings - gets the reason where it cannot be read.
+ * @returns Its text, or `undefined`.
+ */
+export function readSettingsFile(file: string, findings: Findings): string | undefined {
   try {
     if (statSync(file).size <= MAXIMUM_FILE_BYTES) return readFileSync(file, 'utf8');
     findings.add({ file }, `is larger than ${MAXIMUM_FILE_BYTES} bytes`);
@@ -36,20 +39,3 @@
   if (text === undefined) return { kind: 'invalid', findings: findings.list() };
   return parseSettings(text, { ...options, features: ALL_FEATURES, file });
 }
-
-/**
- * Checks a file on a machine that need not have the secrets.
- *
- * @param file - its path.
- * @param options - where outside values come from.
- * @returns Findings, and apart from them the outside values that are not there; never throws.
- */
-export function checkSettingsFile(
-  file: string,
-  { environment = process.env }: LoadSettingsOptions = {},
-): Pick<CheckedSettings, 'findings' | 'absent'> {
-  const findings = new Findings();
-  const text = readSettingsFile(file, findings);
-  if (text === undefined) return { findings: findings.list(), absent: [] };
-  return checkSettings(text, { features: ALL_FEATURES, file, environment });
-}
--- a/standIns/platform/PlatformAdministration.ts
+++ b/standIns/platform/PlatformAdministration.ts
@@ -8,11 +8,11 @@
  */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import { text } from 'node:stream/consumers';
 
 import { z } from 'zod';
 
+import { listen } from '../../src/http/listen.js';
 import type { PlatformStandIn } from './PlatformStandIn.js';
 
 const lastingFaults = z.strictObject({
@@ -88,11 +88,8 @@
    * @returns The address, as `http://host:port`.
    */
   async start(): Promise<string> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(this.port, this.host, resolve);
-    });
-    return `http://${this.host}:${(this.server.address() as AddressInfo).port}`;
+    const { port } = await listen(this.server, { host: this.host, port: this.port });
+    return `http://${this.host}:${port}`;
   }
 
   /** Stops listening. */
--- a/standIns/platform/PlatformStandIn.ts
+++ b/standIns/platform/PlatformStandIn.ts
@@ -2,12 +2,12 @@
  * The platform's stand-in: serves the etcd subset of `proto/etcd/` on loopback, with the limits that the
  * brief names and with faults to switch on.
  */
-import type { AddressInfo } from 'node:net';
 import { createServer } from 'node:http2';
 import type { Http2Server, ServerHttp2Session } from 'node:http2';
 
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 
+import { listen } from '../../src/http/listen.js';
 import type { Clock } from '../../src/time/Clock.js';
 import { SystemClock } from '../../src/time/SystemClock.js';
 import { EtcdService } from './EtcdService.js';
@@ -93,11 +93,8 @@
    * @returns The address, as `http://host:port`.
    */
   async start(): Promise<string> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(this.port, this.host, resolve);
-    });
-    this.port = (this.server.address() as AddressInfo).port;
+    const { port } = await listen(this.server, { host: this.host, port: this.port });
+    this.port = port;
     this.leaseTimer = setInterval(
       () => this.state.expireLeases(this.clock.monotonicMilliseconds()),
       LEASE_CHECK_MILLISECONDS,
--- a/standIns/runners/RunnerServer.ts
+++ b/standIns/runners/RunnerServer.ts
@@ -5,6 +5,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 
+import { listen } from '../../src/http/listen.js';
 import { ATTEMPT_ID_HEADER, NOT_STARTED_HEADER } from '../../src/upstreams/runnerProtocol.js';
 import { FaultSwitch } from './runnerFaults.js';
 import type { RunnerFaults, RunnerFaultsInput } from './runnerFaults.js';
@@ -119,10 +120,7 @@
 
   /** Starts listening. */
   async listen(): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(this.port, this.host, resolve);
-    });
+    await listen(this.server, { host: this.host, port: this.port });
   }
 
   /** @returns `address:port` while it listens. */
--- a/standIns/site/SiteRunner.ts
+++ b/standIns/site/SiteRunner.ts
@@ -4,7 +4,8 @@
  */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+
+import { listen } from '../../src/http/listen.js';
 
 /** What a runner does with a request. */
 export type RunnerBehaviour =
@@ -86,10 +87,8 @@
 
   /** @returns Once it listens. */
   async start(): Promise<void> {
-    await new Promise<void>((done) => {
-      this.server.listen(0, '127.0.0.1', done);
-    });
-    this.address = `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    const { address, port } = await listen(this.server, { host: '127.0.0.1', port: 0 });
+    this.address = `${address}:${port}`;
   }
 
   /** Ends it, with its connections. */
--- a/standIns/site/StoreStandIn.ts
+++ b/standIns/site/StoreStandIn.ts
@@ -3,7 +3,8 @@
  */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+
+import { listen } from '../../src/http/listen.js';
 
 interface Item {
   readonly key: string;
@@ -80,10 +81,8 @@
 
   /** @returns Its address, once it listens. */
   async start(): Promise<string> {
-    await new Promise<void>((done) => {
-      this.server.listen(0, '127.0.0.1', done);
-    });
-    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    const { address, port } = await listen(this.server, { host: '127.0.0.1', port: 0 });
+    return `${address}:${port}`;
   }
 
   /** Ends everything. */
