--- a/measure/measure.ts
+++ b/measure/measure.ts
@@ -14,6 +14,7 @@
 import type { Measurement } from './Measurement.js';
 import { RequestMeasurement } from './requests.js';
 import { RoutingMeasurement } from './routing.js';
+import { SiteMeasurement } from './site.js';
 
 const MEASUREMENTS: readonly Measurement[] = [
   RoutingMeasurement,
@@ -24,6 +25,7 @@
   ControlHomesMeasurement,
   FleetMeasurement,
   RequestMeasurement,
+  SiteMeasurement,
 ];
 
 const cli = new Cli({ binaryLabel: 'baobabdock measurements', binaryName: 'npm run measure --' });
--- a/standIns/site/SiteProcess.ts
+++ b/standIns/site/SiteProcess.ts
@@ -76,6 +76,11 @@
     this.writeSettings({ router: settings });
   }
 
+  /** @returns The process's id, or 0 before its start. */
+  get id(): number {
+    return this.child?.pid ?? 0;
+  }
+
   /**
    * @returns Whether it says that it takes requests.
    * @throws When it has ended by itself: it never will.
