--- a/src/explanations/RequestStory.spec.ts
+++ b/src/explanations/RequestStory.spec.ts
@@ -69,6 +69,30 @@
     expect(storyOf('r1', [lost, regained, end])?.conclusions.length).toEqual(1);
   });
 
+  it('leaves out what an earlier process of the daemon believed', () => {
+    // Symptom: the story names a configuration that the daemon did not have. Sequence: it is killed, starts while
+    // the store is away, and refuses a request. Cause: the latest line counts, whichever process wrote it.
+    const story = storyOf('r1', [
+      lineOf({ number: 2700, time: at(1), fields: { version: 11 } }),
+      lineOf({ number: 2500, time: at(2), fields: {} }),
+      lineOf({ number: 2703, time: at(3), fields: {} }),
+      lineOf({ number: 2606, fields: { request: 'r1', status: 503, outcome: 'no_configuration' } }),
+    ]);
+    expect(story?.beliefs.map(({ number }) => number)).toEqual([2500, 2703]);
+    expect(story?.conclusions).toEqual([
+      'The caller got status 503: the daemon had no configuration yet.',
+      expect.includes('it knew nothing yet'),
+    ]);
+  });
+
+  it('names the runner that kept a request until its deadline', () => {
+    const fields = { request: 'r1', runner: 'i-4', status: 504, outcome: 'deadline', tried: 1 };
+    expect(storyOf('r1', [lineOf({ number: 2601, fields })])?.conclusions).toEqual([
+      expect.includes('its deadline, or the timeout of its route, passed'),
+      'Runner i-4 had it all the time and said nothing final.',
+    ]);
+  });
+
   it('says so where no line tells the end, and knows nothing of a request that no line names', () => {
     const only = [lineOf({ number: 2603, fields: LOST })];
     expect(storyOf('r1', only)?.conclusions[0]).toEqual(expect.includes('No line tells its end'));
--- a/src/explanations/RequestStory.ts
+++ b/src/explanations/RequestStory.ts
@@ -46,12 +46,19 @@
   return RUNNER_BELIEFS.has(number) ? `${daemon} ${number} ${String(fields.runner)}` : undefined;
 }
 
+/** What a daemon believed ends with its process; told as a belief of the next one, it would mislead. */
+function forget(latest: Map<string, LogLine>, name: string): void {
+  for (const [key, { daemon }] of latest) if (daemon === name) latest.delete(key);
+}
+
 function beliefsOf(own: readonly LogLine[], all: readonly LogLine[]): LogLine[] {
   const endOf = new Map(own.map(({ daemon, time }) => [daemon, time]));
   const runners = new Set(own.map(({ fields }) => fields.runner));
   const latest = new Map<string, LogLine>();
   for (const line of all) {
     const key = beliefKey(line);
+    const isNewLife = line.number === routerLogEvents.started.number;
+    if (isNewLife && line.time <= (endOf.get(line.daemon) ?? '')) forget(latest, line.daemon);
     const end = endOf.get(line.daemon);
     const isBefore = end !== undefined && line.time <= end;
     const concerns = !RUNNER_BELIEFS.has(line.number) || runners.has(line.fields.runner);
--- a/src/explanations/causeOf.ts
+++ b/src/explanations/causeOf.ts
@@ -63,6 +63,14 @@
   return [...failed, ...second];
 }
 
+/** A request that ends without any failed attempt has waited for one runner. */
+function waitedFor(own: readonly LogLine[]): string[] {
+  const end = linesOf(own, notServed).at(-1);
+  const isLate = end?.fields.outcome === 'deadline' && end.fields.tried === 1;
+  if (!isLate || linesOf(own, attemptFailed).length > 0) return [];
+  return [`Runner ${String(end.fields.runner)} had it all the time and said nothing final.`];
+}
+
 function loadOf(own: readonly LogLine[]): string[] {
   const { load, meanLoad, runner } = own.at(-1)?.fields ?? {};
   const isBusy =
@@ -76,9 +84,11 @@
   const regained = linesOf(beliefs, syncLogEvents.storeRegained).at(-1);
   if (!lost || (regained && regained.time >= lost.time)) return [];
   const { revision } = lost.fields;
-  return [
-    `The store had not answered ${lost.daemon} since ${lost.time}; its beliefs were of revision ${String(revision)}.`,
-  ];
+  const age =
+    revision === undefined
+      ? 'it knew nothing yet'
+      : `its beliefs were of revision ${String(revision)}`;
+  return [`The store had not answered ${lost.daemon} since ${lost.time}; ${age}.`];
 }
 
 /**
@@ -87,5 +97,11 @@
  * @returns What became of the request and why, one sentence each.
  */
 export function causeOf(own: readonly LogLine[], beliefs: readonly LogLine[]): string[] {
-  return [...endOf(own), ...attemptsOf(own), ...loadOf(own), ...storeOf(beliefs)];
+  return [
+    ...endOf(own),
+    ...attemptsOf(own),
+    ...waitedFor(own),
+    ...loadOf(own),
+    ...storeOf(beliefs),
+  ];
 }
