--- a/src/configuration/ConfigurationDecisions.spec.ts
+++ b/src/configuration/ConfigurationDecisions.spec.ts
@@ -1,5 +1,5 @@
 /**
- * How daemons follow the configuration and the list of runners, through outages, cuts and restarts.
+ * How daemons follow the configuration, through outages, cuts and restarts.
  */
 import { describe, it } from 'node:test';
 
@@ -7,45 +7,12 @@
 import fc from 'fast-check';
 
 import { FollowingFleet } from '../../standIns/platform/FollowingFleet.js';
-import type { FleetPlace } from '../../standIns/platform/FollowingFleet.js';
-import { MemoryPlatformStore } from '../../standIns/platform/MemoryPlatformStore.js';
-import { policyEdit, runnerRecord } from '../../standIns/platform/sampleConfiguration.js';
+import { runnerRecord } from '../../standIns/platform/sampleConfiguration.js';
 import { ConfigurationDecisions } from './ConfigurationDecisions.js';
 import { instanceWrite } from './InstanceDirectory.js';
 import { seededRandom } from '../random/seededRandom.js';
 import { DEFAULT_SYNC_TIMING, SyncTimes } from './SyncTimes.js';
-
-const SECOND = 1000;
-
-/** Longest time for all of a small fleet to follow: gossip in turns, a pull, and a failed peer or two. */
-const SETTLE = 6 * SECOND;
-
-const QUICK_CHECKS = {
-  checkMilliseconds: 8 * SECOND,
-  runnersCheckMilliseconds: 8 * SECOND,
-} as const;
-
-function places(regions: number, dataCentres: number, daemons: number): FleetPlace[] {
-  return Array.from({ length: regions }, (_r, region) =>
-    Array.from({ length: dataCentres }, (_d, dataCentre) =>
-      Array.from({ length: daemons }, () => ({
-        region: `region-${region + 1}`,
-        dataCentre: `region-${region + 1}-${dataCentre + 1}`,
-      })),
-    ),
-  ).flat(2);
-}
-
-const change = (fleet: FollowingFleet, index: number, name: string, bound = 1.2) =>
-  fleet.editor(index).change({
-    changeId: name,
-    author: 'ana',
-    comment: '',
-    edits: [policyEdit('warm', bound)],
-  });
-
-const allEqual = (fleet: FollowingFleet, revision: number): void =>
-  expect(fleet.revisions()).toEqual(fleet.revisions().map(() => revision));
+import { allEqual, change, places, QUICK_CHECKS, SECOND, SETTLE } from './testFollowing.js';
 
 describe('following the configuration', () => {
   it('brings a change into force everywhere with two watches for each data centre', async () => {
@@ -281,73 +248,3 @@
     expect(Math.max(...bySecond.values()) <= watchers / 6).toEqual(true);
   });
 });
-
-describe('following the list of runners', () => {
-  it('keeps a runner leaving within its incarnation, however the list flaps', async () => {
-    // Symptom: a stream breaks at the planned stop of a runner that had said it was leaving.
-    // Sequence: leaving, then live again in the lagging list, then off it and live once more.
-    // Cause: believing the newest entry of a list that lags.
-    const fleet = new FollowingFleet({ places: places(1, 2, 2) });
-    const list = async (state: string, incarnation: bigint): Promise<void> => {
-      const record = runnerRecord({ runnerId: 'sales-1', state, incarnation });
-      await fleet.store.transact({ expected: [], writes: [instanceWrite(record)] });
-      await fleet.pass(SETTLE);
-    };
-    const seen = (): (string | undefined)[] =>
-      [...fleet.daemons.values()].map(
-        ({ decisions }) => decisions.runners.list().runners[0]?.state,
-      );
-    await list('live', 5n);
-    expect(seen()).toEqual(Array(4).fill('live'));
-    await list('leaving', 5n);
-    await list('live', 5n);
-    expect(seen()).toEqual(Array(4).fill('leaving'));
-    const removal = { kind: 'delete', key: 'instances/sales-1' } as const;
-    await fleet.store.transact({ expected: [], writes: [removal] });
-    await fleet.pass(SETTLE);
-    expect(seen()).toEqual(Array(4).fill(undefined));
-    await list('live', 5n);
-    expect(seen()).toEqual(Array(4).fill('leaving'));
-    await list('live', 6n);
-    expect(seen()).toEqual(Array(4).fill('live'));
-  });
-
-  it('is not pulled again because other keys changed, but is when an entry was missed', async () => {
-    // Symptom: every minute each daemon pulls the whole list, although no runner came or went.
-    // Sequence: the configuration changes; a watcher's check reads the list at a newer store revision.
-    // Cause: taking the store's revision of a read for the list's own. The removal is the counter-case: a
-    // watcher that missed it has to tell the others, although no entry shows it.
-    const fleet = new FollowingFleet({ places: places(1, 2, 4), timing: QUICK_CHECKS });
-    const records = ['sales-1', 'sales-2'].map((runnerId) => runnerRecord({ runnerId }));
-    await fleet.store.transact({ expected: [], writes: records.map(instanceWrite) });
-    await fleet.pass(SETTLE);
-    const pulled = (): number =>
-      [...fleet.daemons.values()]
-        .flatMap(({ steps }) => steps.flatMap(({ actions }) => actions))
-        .filter((action) => action.kind === 'pull' && action.document === 'runners').length;
-    const before = pulled();
-    await change(fleet, 0, 'one');
-    await fleet.pass(30 * SECOND);
-    expect(pulled()).toEqual(before);
-    fleet.store.faults.set({ muteWatches: true });
-    const removal = { kind: 'delete', key: 'instances/sales-2' } as const;
-    await fleet.store.transact({ expected: [], writes: [removal] });
-    await fleet.pass(30 * SECOND);
-    const left = [...fleet.daemons.values()].map(
-      ({ decisions }) => decisions.runners.list().runners.length,
-    );
-    expect(left).toEqual(Array(8).fill(1));
-  });
-
-  it('leaves out an unreadable entry and keeps the others', async () => {
-    const store = new MemoryPlatformStore();
-    const good = instanceWrite(runnerRecord({ runnerId: 'sales-1' }));
-    const value = new TextEncoder().encode('{"state":');
-    const bad = { kind: 'put', key: 'instances/sales-2', value } as const;
-    await store.transact({ expected: [], writes: [good, bad] });
-    const fleet = new FollowingFleet({ places: places(1, 1, 1), store });
-    await fleet.pass(SETTLE);
-    const { runners } = fleet.daemon(0).decisions.runners.list();
-    expect(runners.map(({ runnerId }) => runnerId)).toEqual(['sales-1']);
-  });
-});
--- /dev/null
+++ b/src/configuration/RunnerListDocument.spec.ts
@@ -0,0 +1,82 @@
+/**
+ * How daemons follow the list of runners.
+ */
+import { describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import { FollowingFleet } from '../../standIns/platform/FollowingFleet.js';
+import { MemoryPlatformStore } from '../../standIns/platform/MemoryPlatformStore.js';
+import { runnerRecord } from '../../standIns/platform/sampleConfiguration.js';
+import { instanceWrite } from './InstanceDirectory.js';
+import { change, places, QUICK_CHECKS, SECOND, SETTLE } from './testFollowing.js';
+
+describe('following the list of runners', () => {
+  it('keeps a runner leaving within its incarnation, however the list flaps', async () => {
+    // Symptom: a stream breaks at the planned stop of a runner that had said it was leaving.
+    // Sequence: leaving, then live again in the lagging list, then off it and live once more.
+    // Cause: believing the newest entry of a list that lags.
+    const fleet = new FollowingFleet({ places: places(1, 2, 2) });
+    const list = async (state: string, incarnation: bigint): Promise<void> => {
+      const record = runnerRecord({ runnerId: 'sales-1', state, incarnation });
+      await fleet.store.transact({ expected: [], writes: [instanceWrite(record)] });
+      await fleet.pass(SETTLE);
+    };
+    const seen = (): (string | undefined)[] =>
+      [...fleet.daemons.values()].map(
+        ({ decisions }) => decisions.runners.list().runners[0]?.state,
+      );
+    await list('live', 5n);
+    expect(seen()).toEqual(Array(4).fill('live'));
+    await list('leaving', 5n);
+    await list('live', 5n);
+    expect(seen()).toEqual(Array(4).fill('leaving'));
+    const removal = { kind: 'delete', key: 'instances/sales-1' } as const;
+    await fleet.store.transact({ expected: [], writes: [removal] });
+    await fleet.pass(SETTLE);
+    expect(seen()).toEqual(Array(4).fill(undefined));
+    await list('live', 5n);
+    expect(seen()).toEqual(Array(4).fill('leaving'));
+    await list('live', 6n);
+    expect(seen()).toEqual(Array(4).fill('live'));
+  });
+
+  it('is not pulled again because other keys changed, but is when an entry was missed', async () => {
+    // Symptom: every minute each daemon pulls the whole list, although no runner came or went.
+    // Sequence: the configuration changes; a watcher's check reads the list at a newer store revision.
+    // Cause: taking the store's revision of a read for the list's own. The removal is the counter-case: a
+    // watcher that missed it has to tell the others, although no entry shows it.
+    const fleet = new FollowingFleet({ places: places(1, 2, 4), timing: QUICK_CHECKS });
+    const records = ['sales-1', 'sales-2'].map((runnerId) => runnerRecord({ runnerId }));
+    await fleet.store.transact({ expected: [], writes: records.map(instanceWrite) });
+    await fleet.pass(SETTLE);
+    const pulled = (): number =>
+      [...fleet.daemons.values()]
+        .flatMap(({ steps }) => steps.flatMap(({ actions }) => actions))
+        .filter((action) => action.kind === 'pull' && action.document === 'runners').length;
+    const before = pulled();
+    await change(fleet, 0, 'one');
+    await fleet.pass(30 * SECOND);
+    expect(pulled()).toEqual(before);
+    fleet.store.faults.set({ muteWatches: true });
+    const removal = { kind: 'delete', key: 'instances/sales-2' } as const;
+    await fleet.store.transact({ expected: [], writes: [removal] });
+    await fleet.pass(30 * SECOND);
+    const left = [...fleet.daemons.values()].map(
+      ({ decisions }) => decisions.runners.list().runners.length,
+    );
+    expect(left).toEqual(Array(8).fill(1));
+  });
+
+  it('leaves out an unreadable entry and keeps the others', async () => {
+    const store = new MemoryPlatformStore();
+    const good = instanceWrite(runnerRecord({ runnerId: 'sales-1' }));
+    const value = new TextEncoder().encode('{"state":');
+    const bad = { kind: 'put', key: 'instances/sales-2', value } as const;
+    await store.transact({ expected: [], writes: [good, bad] });
+    const fleet = new FollowingFleet({ places: places(1, 1, 1), store });
+    await fleet.pass(SETTLE);
+    const { runners } = fleet.daemon(0).decisions.runners.list();
+    expect(runners.map(({ runnerId }) => runnerId)).toEqual(['sales-1']);
+  });
+});
