--- a/src/explanations/RequestStory.ts
+++ b/src/explanations/RequestStory.ts
@@ -56,13 +56,12 @@
   const runners = new Set(own.map(({ fields }) => fields.runner));
   const latest = new Map<string, LogLine>();
   for (const line of all) {
-    const key = beliefKey(line);
-    const isNewLife = line.number === routerLogEvents.started.number;
-    if (isNewLife && line.time <= (endOf.get(line.daemon) ?? '')) forget(latest, line.daemon);
     const end = endOf.get(line.daemon);
-    const isBefore = end !== undefined && line.time <= end;
+    if (end === undefined || line.time > end) continue;
+    if (line.number === routerLogEvents.started.number) forget(latest, line.daemon);
+    const key = beliefKey(line);
     const concerns = !RUNNER_BELIEFS.has(line.number) || runners.has(line.fields.runner);
-    if (key !== undefined && isBefore && concerns) latest.set(key, line);
+    if (key !== undefined && concerns) latest.set(key, line);
   }
   return byTime([...latest.values()]);
 }
