--- a/src/forwarding/HeldAnswers.ts
+++ b/src/forwarding/HeldAnswers.ts
@@ -8,8 +8,8 @@
 import type { RunnerAttempt } from './RunnerAttempt.js';
 
 /**
- * Answers up to this size are held, in bytes: a thousand requests in progress hold 256 MB at worst, and the
- * answers of ordinary calls are a hundredth of it.
+ * Answers up to this size are held, in bytes. Plain calls answer with about 1 kB; a hundred answers of this size
+ * at once take 26 MB of the 160 that a daemon may use.
  */
 const MAXIMUM_HELD_BYTES = 262_144;
 
