Give this daemon once in the directory's answer, also where it is among the registered ones

Ruled out: a fault that callers could see, since the one caller passes the others only. The decision is as it was; its spec is unchanged and green.

--- a/src/directory/DirectoryDecisions.ts
+++ b/src/directory/DirectoryDecisions.ts
@@ -5,7 +5,7 @@
 
 /** What the answer depends on. */
 export interface DirectoryQuestion {
-  /** The other daemons that are registered. */
+  /** Daemons that are registered, with this one or without. */
   readonly daemons: readonly DaemonEntry[];
   /** This daemon, as long as it takes requests. */
   readonly own: DaemonEntry | undefined;
@@ -24,7 +24,8 @@
  * @returns Addresses for callers; empty when there is none.
  */
 export function addressesFor({ daemons, own, dataCentre }: DirectoryQuestion): string[] {
-  const all = own ? [own, ...daemons] : daemons;
+  const others = daemons.filter(({ name }) => name !== own?.name);
+  const all = own ? [own, ...others] : others;
   const near = all.filter((daemon) => daemon.dataCentre === dataCentre);
   const far = all.filter((daemon) => daemon.dataCentre !== dataCentre);
   const addresses = [...near, ...far].map(({ callerAddress }) => callerAddress);
