--- a/src/explanations/RequestStory.spec.ts
+++ b/src/explanations/RequestStory.spec.ts
@@ -85,6 +85,25 @@
     ]);
   });
 
+  it('names the slow runner of a request that went to a second one, and how full it was', () => {
+    const end = {
+      request: 'r1',
+      runner: 'i-2',
+      status: 200,
+      outcome: 'answered',
+      milliseconds: 90,
+    };
+    const story = storyOf('r1', [
+      lineOf({ number: 2604, time: at(4), fields: { request: 'r1', runner: 'i-1' } }),
+      lineOf({ number: 2600, fields: { ...end, load: 9, meanLoad: 3 } }),
+    ]);
+    expect(story?.conclusions).toEqual([
+      'The caller got a runner’s answer, status 200 after 90 ms.',
+      'A second runner was asked beside i-1, which was slow.',
+      'Runner i-2 had 9 requests then, the mean was 3.',
+    ]);
+  });
+
   it('names the runner that kept a request until its deadline', () => {
     const fields = { request: 'r1', runner: 'i-4', status: 504, outcome: 'deadline', tried: 1 };
     expect(storyOf('r1', [lineOf({ number: 2601, fields })])?.conclusions).toEqual([
--- a/src/explanations/causeOf.ts
+++ b/src/explanations/causeOf.ts
@@ -7,7 +7,7 @@
 import { syncLogEvents } from '../sync/syncFeature.js';
 import type { LogLine } from './logLine.js';
 
-/** A load this many times the mean is worth a word. */
+/** A load from this many times the mean on, and from this many requests on, explains a slow answer. */
 const BUSY_TIMES_MEAN = 2;
 
 const { answered, notServed, callerLeft, attemptFailed, hedged, rejected } = forwardingLogEvents;
@@ -58,7 +58,7 @@
     return `${attempt} after ${String(attemptMilliseconds)} ms; decided: ${String(verdict)}.`;
   });
   const second = linesOf(own, hedged).map(
-    ({ fields }) => `A second runner, ${String(fields.runner)}, was asked beside a slow one.`,
+    ({ fields }) => `A second runner was asked beside ${String(fields.runner)}, which was slow.`,
   );
   return [...failed, ...second];
 }
