Take a runner that starts again under its id for a new one, and no entry of another writer for a runner

Cause: an entry with the same state and address was taken as no change, so that warm places, health, counts and connections of the former life stayed in force; fields of entries were read without a look at what they hold, and the former entry of a runner stayed in use when another writer had gone over it. Change: a runner has a life beside its id; what is believed of its past is kept under the life, also in what daemons tell each other and keep in the store.

--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -203,7 +203,7 @@
     }
     const { runner } = chosen;
     if (this.tried.size > 0) metrics.retries.increment();
-    this.tried.add(runner.entry.id);
+    this.tried.add(runner.entry.life);
     this.report.chosen(chosen);
     const { id, hasOwnId, method, target } = this.request;
     const attempt = new RunnerAttempt({
--- a/src/forwarding/RunnerConnections.ts
+++ b/src/forwarding/RunnerConnections.ts
@@ -14,18 +14,18 @@
    * @returns Its connections.
    */
   agentOf({ entry }: Runner): RunnerAgent {
-    const known = this.agents.get(entry.id);
+    const known = this.agents.get(entry.life);
     if (known) return known;
     const agent = new RunnerAgent();
-    this.agents.set(entry.id, agent);
+    this.agents.set(entry.life, agent);
     return agent;
   }
 
   /**
-   * @param runnerId - a runner that takes no more work from here; requests in progress go on.
+   * @param life - of a runner that takes no more work from here; requests in progress go on.
    */
-  release(runnerId: string): void {
-    this.agents.get(runnerId)?.closeIdle();
-    this.agents.delete(runnerId);
+  release(life: string): void {
+    this.agents.get(life)?.closeIdle();
+    this.agents.delete(life);
   }
 }
--- a/src/forwarding/testAttempt.ts
+++ b/src/forwarding/testAttempt.ts
@@ -68,7 +68,7 @@
   requestId = 'r-1',
   agent = new RunnerAgent(),
 }: AttemptAtOptions): Promise<AttemptResult> {
-  const entry = { id: 'runner-1', service: 'plain', dataCentre: 'here' } as const;
+  const entry = { id: 'runner-1', life: 'runner-1', service: 'plain', dataCentre: 'here' } as const;
   const runner = new Runner({ ...entry, host: '127.0.0.1', port, state: 'ready' });
   return new Promise((done) => {
     new RunnerAttempt({
--- a/src/news/ForeignLoads.ts
+++ b/src/news/ForeignLoads.ts
@@ -37,11 +37,11 @@
   }
 
   /**
-   * @param runnerId - a runner.
+   * @param runnerLife - one start of a runner.
    * @returns Requests that other daemons have there.
    */
-  of(runnerId: string): number {
-    return this.totals.get(runnerId) ?? 0;
+  of(runnerLife: string): number {
+    return this.totals.get(runnerLife) ?? 0;
   }
 
   /**
--- a/src/news/NewsTask.ts
+++ b/src/news/NewsTask.ts
@@ -114,10 +114,10 @@
 
   /**
    * @param key - a shared part of prompts.
-   * @param runnerId - where it was sent for the first time.
+   * @param life - of the runner where it was sent for the first time.
    */
-  tellWarm(key: string, runnerId: string): void {
-    this.waiting.push({ key, runner: runnerId });
+  tellWarm(key: string, life: string): void {
+    this.waiting.push({ key, runner: life });
     if (this.waiting.length > MAXIMUM_WAITING) this.waiting.shift();
   }
 
@@ -155,7 +155,7 @@
     this.options.loads.expire(now);
     if (key === undefined) return;
     const busy = runners.list().filter(({ inFlight }) => inFlight > 0);
-    const loads = busy.map(({ entry, inFlight }) => ({ runner: entry.id, requests: inFlight }));
+    const loads = busy.map(({ entry, inFlight }) => ({ runner: entry.life, requests: inFlight }));
     const told = JSON.stringify([loads, changedAtRevision()]);
     const isDue = now - this.lastSentAt >= REPEAT_MILLISECONDS;
     if (told === this.lastTold && this.waiting.length === 0 && !isDue) return;
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -22,7 +22,7 @@
 import { NewsTask } from '../news/NewsTask.js';
 import type { RoutingConfiguration } from '../routes/routeTypes.js';
 import { RunnerChoice } from '../runners/RunnerChoice.js';
-import type { RunnerEntry } from '../runners/Runner.js';
+import type { RunnerEntry, RunnerState } from '../runners/Runner.js';
 import { WarmPlaces } from '../runners/WarmPlaces.js';
 import type { WarmPlace } from '../runners/WarmPlaces.js';
 import { DaemonRegistration } from '../sync/DaemonRegistration.js';
@@ -230,8 +230,8 @@
         runners: knowledge.runners,
         dataCentre: settings.dataCentre,
         warmPlaces: this.warmPlaces,
-        foreignLoad: (id) => this.foreignLoads.of(id),
-        onWarmPlace: (key, id) => this.news.tellWarm(key, id),
+        foreignLoad: (life) => this.foreignLoads.of(life),
+        onWarmPlace: (key, life) => this.news.tellWarm(key, life),
       }),
       budget: new SharedRetryBudget({
         ratio,
@@ -275,15 +275,11 @@
         const fields = { version, routes: routes.length, revision };
         this.log.write(syncLogEvents.configurationInForce, fields);
       },
-      runnerChanged: (id: string, entry: RunnerEntry | undefined) => {
-        if (entry?.state !== 'ready') this.connections.release(id);
+      runnerChanged: (entry: RunnerEntry, state: RunnerState | 'gone') => {
+        if (state !== 'ready') this.connections.release(entry.life);
         const { revision } = this.knowledge;
-        const fields = {
-          runner: id,
-          state: entry?.state ?? 'gone',
-          service: entry?.service,
-          revision,
-        };
+        const { id: runner, life, service } = entry;
+        const fields = { runner, life, state, service, revision };
         this.log.write(syncLogEvents.runnerChanged, fields);
       },
       warmPlacesKept: (places: readonly WarmPlace[]) => this.warmPlaces.import(places),
--- a/src/runners/Runner.ts
+++ b/src/runners/Runner.ts
@@ -3,13 +3,21 @@
  */
 import { RunnerHealth } from './RunnerHealth.js';
 
-/** Whether a runner may get new work. */
-export type RunnerState = 'ready' | 'draining';
+/**
+ * Whether a runner may get new work. `unreadable`: its entry in the platform's list cannot be understood, so that
+ * nothing says where it is or whether it takes work; what is known of it is kept until the entry is right again.
+ */
+export type RunnerState = 'ready' | 'draining' | 'unreadable';
 
 /** What the platform's list tells of a runner. */
 export interface RunnerEntry {
-  /** New at each start of the runner. */
+  /** Names the runner in the platform's list and to itself; a runner may start again under it. */
   readonly id: string;
+  /**
+   * Another one at each start of the runner. All that is believed of a runner's past (cached prompts, health,
+   * requests that daemons have there) is kept under it: a runner that has started again holds none of it.
+   */
+  readonly life: string;
   readonly service: string;
   readonly host: string;
   readonly port: number;
--- a/src/runners/RunnerChoice.spec.ts
+++ b/src/runners/RunnerChoice.spec.ts
@@ -14,7 +14,8 @@
   const table = new RunnerTable();
   for (let index = 0; index < count; index += 1) {
     const place = { host: '127.0.0.1', port: 9_000 + index, dataCentre };
-    table.put({ id: `runner-${index}`, service: 'chat', state: 'ready', ...place });
+    const id = `runner-${index}`;
+    table.put({ id, life: id, service: 'chat', state: 'ready', ...place });
   }
   return table;
 }
@@ -121,7 +122,13 @@
     const placeOf = (part: string) => choice.choose(questionOf([part]))?.runner.entry.id;
     const before = parts.map(placeOf);
     const place = { host: '127.0.0.1', port: 9_100, dataCentre: 'here' };
-    runners.put({ id: 'runner-new', service: 'chat', state: 'ready', ...place });
+    runners.put({
+      id: 'runner-new',
+      life: 'runner-new',
+      service: 'chat',
+      state: 'ready',
+      ...place,
+    });
     expect(parts.map(placeOf)).toEqual(before);
   });
 
@@ -141,7 +148,13 @@
   it('takes a runner of its own data centre where no prompt is cached', () => {
     const runners = tableOf(3, 'far');
     const place = { host: '127.0.0.1', port: 9_100, dataCentre: 'here' };
-    runners.put({ id: 'runner-near', service: 'chat', state: 'ready', ...place });
+    runners.put({
+      id: 'runner-near',
+      life: 'runner-near',
+      service: 'chat',
+      state: 'ready',
+      ...place,
+    });
     const choice = new RunnerChoice({ runners, dataCentre: 'here', warmPlaces: new WarmPlaces() });
     expect(choice.choose(questionOf([]))?.runner.entry.id).toEqual('runner-near');
   });
--- a/src/runners/RunnerChoice.ts
+++ b/src/runners/RunnerChoice.ts
@@ -14,7 +14,7 @@
   readonly service: string;
   /** Ids of the parts of its prompt that other requests share, the outermost first. */
   readonly sharedParts: readonly string[];
-  /** Runners that had this request already. */
+  /** Lives of runners that had this request already. */
   readonly tried: ReadonlySet<string>;
   /** Requests that this daemon may have at one runner. */
   readonly connectionLimit: number;
@@ -40,9 +40,9 @@
   dataCentre: string;
   warmPlaces: WarmPlaces;
   /** Requests that other daemons have at a runner, as far as they have told. */
-  foreignLoad?: (runnerId: string) => number;
+  foreignLoad?: (life: string) => number;
   /** Hears of each new warm place. */
-  onWarmPlace?: (key: string, runnerId: string) => void;
+  onWarmPlace?: (key: string, life: string) => void;
   /** Gives numbers from 0 up to 1. */
   random?: () => number;
 }
@@ -96,7 +96,7 @@
   choose(question: ChoiceQuestion): Choice | undefined {
     const untried = this.options.runners
       .readyOf(question.service)
-      .filter(({ entry }) => !question.tried.has(entry.id));
+      .filter(({ entry }) => !question.tried.has(entry.life));
     const free = untried.filter(({ inFlight }) => inFlight < question.connectionLimit);
     const usable = free.filter(({ health }) => health.isUsable(question.now));
     const candidates = usable.length > 0 ? usable : free;
@@ -117,7 +117,7 @@
     const key = sharedParts.join();
     const chosen = this.warmOrHashed(pool, key);
     const cacheSource = this.cacheSourceFor(pool, chosen.runner);
-    this.rememberAll(sharedParts, chosen.runner.entry.id);
+    this.rememberAll(sharedParts, chosen.runner.entry.life);
     return { ...chosen, cacheSource };
   }
 
@@ -125,10 +125,10 @@
     const { candidates, meanLoad } = pool;
     const hasRoom = (runner: Runner) => this.loadOf(runner) <= meanLoad * BOUND + SLACK_REQUESTS;
     const { warmPlaces, runners } = this.options;
-    warmPlaces.prune(key, (id) => runners.get(id) !== undefined);
+    warmPlaces.prune(key, (life) => runners.ofLife(life) !== undefined);
     const warm = warmPlaces
       .of(key)
-      .map((id) => candidates.find(({ entry }) => entry.id === id))
+      .map((life) => candidates.find(({ entry }) => entry.life === life))
       .filter((runner) => runner !== undefined);
     const roomy = warm.find(hasRoom);
     if (roomy) return { runner: roomy, reason: 'warm' };
@@ -147,19 +147,19 @@
     const { warmPlaces, runners } = this.options;
     for (const key of prefixKeys(question.sharedParts).reverse()) {
       const places = warmPlaces.of(key);
-      if (places.includes(chosen.entry.id)) return undefined;
+      if (places.includes(chosen.entry.life)) return undefined;
       const source = places
-        .map((id) => runners.get(id))
+        .map((life) => runners.ofLife(life))
         .find((runner) => runner?.health.isUsable(question.now));
       if (source) return source;
     }
     return undefined;
   }
 
-  private rememberAll(sharedParts: readonly string[], id: string): void {
+  private rememberAll(sharedParts: readonly string[], life: string): void {
     const { warmPlaces, onWarmPlace } = this.options;
     for (const key of prefixKeys(sharedParts)) {
-      if (warmPlaces.remember(key, id)) onWarmPlace(key, id);
+      if (warmPlaces.remember(key, life)) onWarmPlace(key, life);
     }
   }
 
@@ -173,6 +173,6 @@
   }
 
   private loadOf({ entry, inFlight }: Runner): number {
-    return inFlight + this.options.foreignLoad(entry.id);
+    return inFlight + this.options.foreignLoad(entry.life);
   }
 }
--- a/src/runners/RunnerTable.ts
+++ b/src/runners/RunnerTable.ts
@@ -8,6 +8,8 @@
 export class RunnerTable {
   private readonly byId = new Map<string, Runner>();
 
+  private readonly byLife = new Map<string, Runner>();
+
   private readonly ready = new Map<string, readonly Runner[]>();
 
   /** @returns The number of runners, draining ones too. */
@@ -28,13 +30,21 @@
     return this.byId.get(id);
   }
 
+  /**
+   * @param life - one start of a runner.
+   * @returns The runner, or `undefined` when it is not listed or has started again since.
+   */
+  ofLife(life: string): Runner | undefined {
+    return this.byLife.get(life);
+  }
+
   /**
    * @param entry - a runner that is new or has changed.
    */
   put(entry: RunnerEntry): void {
-    const known = this.byId.get(entry.id);
+    const known = this.byLife.get(entry.life);
     if (known) known.entry = entry;
-    else this.byId.set(entry.id, new Runner(entry));
+    else this.add(new Runner(entry));
     this.ready.clear();
   }
 
@@ -42,7 +52,11 @@
    * @param id - a runner that is gone.
    */
   remove(id: string): void {
-    if (this.byId.delete(id)) this.ready.clear();
+    const known = this.byId.get(id);
+    if (!known) return;
+    this.byId.delete(id);
+    this.byLife.delete(known.entry.life);
+    this.ready.clear();
   }
 
   /**
@@ -58,4 +72,11 @@
     this.ready.set(service, found);
     return found;
   }
+
+  private add(runner: Runner): void {
+    const { id, life } = runner.entry;
+    this.remove(id);
+    this.byId.set(id, runner);
+    this.byLife.set(life, runner);
+  }
 }
--- a/src/runners/WarmPlaces.ts
+++ b/src/runners/WarmPlaces.ts
@@ -16,8 +16,8 @@
 /** A key with its places. */
 export interface WarmPlace {
   readonly key: string;
-  /** The first place first. */
-  readonly runnerIds: readonly string[];
+  /** Lives of runners, the first place first. */
+  readonly lives: readonly string[];
 }
 
 /** Least recently used keys go first. */
@@ -26,7 +26,7 @@
 
   /**
    * @param key - the shared parts of a prompt.
-   * @returns Ids of runners, the first place first.
+   * @returns Lives of runners, the first place first.
    */
   of(key: string): readonly string[] {
     return this.places.get(key) ?? [];
@@ -34,14 +34,14 @@
 
   /**
    * @param key - the shared parts of a prompt.
-   * @param runnerId - where a request with them was sent.
+   * @param life - where a request with them was sent.
    * @returns Whether that place was not known before.
    */
-  remember(key: string, runnerId: string): boolean {
+  remember(key: string, life: string): boolean {
     const known = this.places.get(key) ?? [];
-    const isNew = !known.includes(runnerId) && known.length < MAXIMUM_PLACES;
+    const isNew = !known.includes(life) && known.length < MAXIMUM_PLACES;
     this.places.delete(key);
-    this.places.set(key, isNew ? [...known, runnerId] : known);
+    this.places.set(key, isNew ? [...known, life] : known);
     if (this.places.size > MAXIMUM_KEYS) {
       const [oldest] = this.places.keys();
       if (oldest !== undefined) this.places.delete(oldest);
@@ -53,17 +53,17 @@
    * Takes what another daemon tells; what this daemon found itself stays first.
    *
    * @param key - the shared parts of a prompt.
-   * @param runnerId - where another daemon sent a request with them.
+   * @param life - where another daemon sent a request with them.
    */
-  learn(key: string, runnerId: string): void {
-    this.remember(key, runnerId);
+  learn(key: string, life: string): void {
+    this.remember(key, life);
   }
 
   /**
    * @param key - the shared parts of a prompt.
    * @param isListed - whether a runner is still there.
    */
-  prune(key: string, isListed: (runnerId: string) => boolean): void {
+  prune(key: string, isListed: (life: string) => boolean): void {
     const known = this.places.get(key);
     if (!known || known.every(isListed)) return;
     this.places.set(key, known.filter(isListed));
@@ -75,7 +75,7 @@
    */
   export(maximumKeys: number): WarmPlace[] {
     const all = [...this.places].slice(-maximumKeys);
-    return all.map(([key, runnerIds]) => ({ key, runnerIds }));
+    return all.map(([key, lives]) => ({ key, lives }));
   }
 
   /**
@@ -84,8 +84,8 @@
    * @param stored - from {@link export}, of any daemon.
    */
   import(stored: readonly WarmPlace[]): void {
-    for (const { key, runnerIds } of stored) {
-      if (!this.places.has(key)) for (const id of runnerIds) this.learn(key, id);
+    for (const { key, lives } of stored) {
+      if (!this.places.has(key)) for (const id of lives) this.learn(key, id);
     }
   }
 }
--- a/src/sync/FleetKnowledge.search.spec.ts
+++ b/src/sync/FleetKnowledge.search.spec.ts
@@ -24,7 +24,8 @@
 
 function entryOf({ id, state }: Change): RunnerEntry {
   const place = { host: '10.0.0.1', port: 80, dataCentre: 'here' };
-  return { id, service: 'plain', state: state === 'draining' ? 'draining' : 'ready', ...place };
+  const known = state === 'draining' ? 'draining' : 'ready';
+  return { id, life: id, service: 'plain', state: known, ...place };
 }
 
 function factOf(change: Change): StoreFact {
--- a/src/sync/FleetKnowledge.spec.ts
+++ b/src/sync/FleetKnowledge.spec.ts
@@ -18,9 +18,9 @@
   return { version, routes: [], services: [], limits: LIMITS };
 }
 
-function runnerOf(id: string): RunnerEntry {
+function runnerOf(id: string, life = id): RunnerEntry {
   const place = { host: '10.0.0.1', port: 80, dataCentre: 'here' };
-  return { id, service: 'plain', state: 'ready', ...place };
+  return { id, life, service: 'plain', state: 'ready', ...place };
 }
 
 function factOf(id: string): StoreFact {
@@ -90,6 +90,59 @@
     expect(gone).toEqual([]);
   });
 
+  it('takes a runner that has started again under its id for another one', () => {
+    // Symptom: requests are sent for prompts that the runner no longer holds, and it looks busy with requests that
+    // it has lost. Sequence: a runner crashes and starts again under its id and address before its entry lapses.
+    // Cause: an entry with the same state and address was taken for no change.
+    const { knowledge, gone } = createKnowledge();
+    const before = knowledge.runners.get('a');
+    if (before) before.inFlight = 3;
+    const runner = runnerOf('a', 'a@2');
+    knowledge.applyChanges({ revision: 11, facts: [{ kind: 'runner', runner }] }, 0);
+    expect(gone).toEqual(['a']);
+    expect(knowledge.runners.get('a')?.inFlight).toEqual(0);
+    expect(knowledge.runners.ofLife('a')).toEqual(undefined);
+    expect(knowledge.runners.ofLife('a@2')?.entry).toEqual(runner);
+  });
+
+  it('learns of a new start from another daemon, and where the entry had gone unseen', () => {
+    const { knowledge } = createKnowledge();
+    knowledge.applyPeer(
+      { revision: 12, runners: [runnerOf('a', 'a@2'), runnerOf('b')], daemons: [] },
+      0,
+    );
+    expect(knowledge.runners.get('a')?.entry.life).toEqual('a@2');
+    knowledge.applyChanges({ revision: 13, facts: [{ kind: 'runner_gone', id: 'a' }] }, 0);
+    const runner = runnerOf('a', 'a@3');
+    knowledge.applyAll({ revision: 14, facts: [{ kind: 'runner', runner }, factOf('b')] }, 0);
+    expect(knowledge.runners.readyOf('plain').map(({ entry }) => entry.life)).toEqual(['a@3', 'b']);
+  });
+
+  it('sends nothing to a runner whose entry another writer has spoilt, until it is right again', () => {
+    // Symptom: requests reach an address that nothing vouches for. Sequence: another writer puts bytes under a
+    // runner's id; the runner's next heartbeat puts the entry right. Cause: the former entry stayed in use.
+    const { knowledge, gone, unreadable } = createKnowledge();
+    const known = knowledge.runners.get('a');
+    const spoilt = { kind: 'runner_unreadable', id: 'a', message: 'no JSON' } as const;
+    knowledge.applyChanges({ revision: 11, facts: [spoilt] }, 0);
+    knowledge.applyChanges({ revision: 12, facts: [spoilt] }, 0);
+    expect(knowledge.runners.readyOf('plain').map(({ entry }) => entry.id)).toEqual(['b']);
+    expect(unreadable).toEqual(['a']);
+    knowledge.applyAll({ revision: 13, facts: [spoilt, factOf('b')] }, 0);
+    expect(gone).toEqual([]);
+    knowledge.applyChanges({ revision: 14, facts: [factOf('a')] }, 0);
+    expect(knowledge.runners.readyOf('plain').map(({ entry }) => entry.id)).toEqual(['a', 'b']);
+    expect(knowledge.runners.get('a') === known).toEqual(true);
+  });
+
+  it('knows no runner from an entry that was never right', () => {
+    const { knowledge, unreadable } = createKnowledge();
+    const odd = { kind: 'runner_unreadable', id: 'odd', message: 'no JSON' } as const;
+    knowledge.applyChanges({ revision: 11, facts: [odd] }, 0);
+    expect(knowledge.runners.get('odd')).toEqual(undefined);
+    expect(unreadable).toEqual(['odd']);
+  });
+
   it('keeps what it knew of an entry that cannot be read, and reports it', () => {
     const { knowledge, unreadable } = createKnowledge();
     const fact = { kind: 'unreadable', key: 'servers/a', message: 'no JSON' } as const;
--- a/src/sync/FleetKnowledge.ts
+++ b/src/sync/FleetKnowledge.ts
@@ -4,7 +4,7 @@
  */
 import { RouteTable } from '../routes/RouteTable.js';
 import type { RoutingConfiguration } from '../routes/routeTypes.js';
-import type { RunnerEntry } from '../runners/Runner.js';
+import type { RunnerEntry, RunnerState } from '../runners/Runner.js';
 import { RunnerTable } from '../runners/RunnerTable.js';
 import type { WarmPlace } from '../runners/WarmPlaces.js';
 import type { DaemonEntry, StoreFact, StoreRead } from './FleetStore.js';
@@ -21,8 +21,8 @@
 export interface KnowledgeListener {
   /** A newer configuration is in force. */
   configurationChanged(configuration: RoutingConfiguration): void;
-  /** A runner was added, changed its state, or is gone (`undefined`). */
-  runnerChanged(id: string, entry: RunnerEntry | undefined): void;
+  /** A runner was added, changed its state, or is gone. */
+  runnerChanged(entry: RunnerEntry, state: RunnerState | 'gone'): void;
   /** Another daemon has kept where shared prompts are cached. */
   warmPlacesKept(places: readonly WarmPlace[]): void;
   /** All of a read has been taken. */
@@ -42,13 +42,24 @@
  */
 const LAPSE_GRACE_MILLISECONDS = 2_300;
 
+const LISTINGS: ReadonlySet<StoreFact['kind']> = new Set<StoreFact['kind']>([
+  'runner',
+  'runner_gone',
+  'runner_unreadable',
+  'daemon',
+  'daemon_gone',
+]);
+
+/** Entries that were reported as unreadable and are not reported again as long as they stay so. */
+const MAXIMUM_REPORTED = 500;
+
 /**
  * Whether a fact says who is there. Such a fact of an older revision than what is known would bring back a
  * runner that has left: one would see requests at a runner that this daemon knew to be draining. It comes when
  * a slow answer of the store arrives behind another daemon's newer knowledge.
  */
 function isListing({ kind }: StoreFact): boolean {
-  return ['runner', 'runner_gone', 'daemon', 'daemon_gone'].includes(kind);
+  return LISTINGS.has(kind);
 }
 
 /** Holds beliefs; the follower and the peers feed it. */
@@ -78,6 +89,8 @@
 
   private graceUntil = Number.NEGATIVE_INFINITY;
 
+  private readonly reported = new Set<string>();
+
   /** Whether another daemon has learnt from the store what it did not tell this one. */
   private wasServedElsewhere = false;
 
@@ -137,6 +150,7 @@
     const daemons = new Set<string>();
     for (const fact of read.facts) {
       if (fact.kind === 'runner') runners.add(fact.runner.id);
+      if (fact.kind === 'runner_unreadable') runners.add(fact.id);
       if (fact.kind === 'daemon') daemons.add(fact.daemon.name);
     }
     for (const { entry } of this.runners.list()) {
@@ -209,6 +223,9 @@
       case 'runner_gone':
         this.runnerGone(fact.id, now);
         break;
+      case 'runner_unreadable':
+        this.runnerUnreadable(fact.id, fact.message);
+        break;
       case 'daemon':
         this.daemons.set(fact.daemon.name, fact.daemon);
         break;
@@ -222,7 +239,7 @@
         this.daemons.delete(fact.name);
         break;
       default:
-        this.listener.unreadable(fact.key, fact.message);
+        this.reportUnreadable(fact.key, fact.message);
     }
   }
 
@@ -234,17 +251,50 @@
   }
 
   private putRunner(entry: RunnerEntry): void {
-    this.lapsed.delete(entry.id);
-    const before = this.runners.get(entry.id)?.entry;
-    if (before?.state === entry.state && before.port === entry.port && before.host === entry.host) {
+    const { id, life, state, host, port, service } = entry;
+    this.lapsed.delete(id);
+    this.reported.delete(id);
+    const before = this.runners.get(id)?.entry;
+    if (before && before.life !== life) this.dropRunner(id);
+    else if (
+      before?.state === state &&
+      before.host === host &&
+      before.port === port &&
+      before.service === service
+    ) {
       return;
     }
     this.changes += 1;
     this.runners.put(entry);
-    this.listener.runnerChanged(entry.id, entry);
+    this.listener.runnerChanged(entry, state);
+  }
+
+  /**
+   * What goes wrong otherwise: another writer puts something in place of a runner's entry, and requests go on to an
+   * address that nothing vouches for any more. The runner's own next heartbeat puts it right, so that its health
+   * and its cached prompts are kept until then.
+   */
+  private runnerUnreadable(id: string, message: string): void {
+    this.lapsed.delete(id);
+    this.reportUnreadable(id, message);
+    const known = this.runners.get(id)?.entry;
+    if (!known || known.state === 'unreadable') return;
+    this.changes += 1;
+    const entry: RunnerEntry = { ...known, state: 'unreadable' };
+    this.runners.put(entry);
+    this.listener.runnerChanged(entry, 'unreadable');
+  }
+
+  /** An entry that another writer renews each second would otherwise fill the log. */
+  private reportUnreadable(key: string, message: string): void {
+    if (this.reported.has(key)) return;
+    if (this.reported.size >= MAXIMUM_REPORTED) this.reported.clear();
+    this.reported.add(key);
+    this.listener.unreadable(key, message);
   }
 
   private runnerGone(id: string, now: number): void {
+    this.reported.delete(id);
     if (!this.runners.get(id)) return;
     if (now >= this.graceUntil) this.dropRunner(id);
     else if (!this.lapsed.has(id)) this.lapsed.set(id, this.graceUntil);
@@ -252,9 +302,10 @@
 
   private dropRunner(id: string): void {
     this.lapsed.delete(id);
-    if (!this.runners.get(id)) return;
+    const known = this.runners.get(id);
+    if (!known) return;
     this.changes += 1;
     this.runners.remove(id);
-    this.listener.runnerChanged(id, undefined);
+    this.listener.runnerChanged(known.entry, 'gone');
   }
 }
--- a/src/sync/FleetStore.ts
+++ b/src/sync/FleetStore.ts
@@ -23,6 +23,8 @@
   | { readonly kind: 'configuration'; readonly configuration: RoutingConfiguration }
   | { readonly kind: 'runner'; readonly runner: RunnerEntry }
   | { readonly kind: 'runner_gone'; readonly id: string }
+  /** Something is registered under a runner's id that is no entry of a runner. */
+  | { readonly kind: 'runner_unreadable'; readonly id: string; readonly message: string }
   | { readonly kind: 'daemon'; readonly daemon: DaemonEntry }
   | { readonly kind: 'daemon_gone'; readonly name: string }
   /** The secret by which daemons know each other's messages. */
--- a/src/sync/WarmPlacesKeeper.ts
+++ b/src/sync/WarmPlacesKeeper.ts
@@ -67,7 +67,7 @@
     const places = warmPlaces.export(MAXIMUM_KEYS);
     // The order of last use changes with every request and is no reason to write.
     const text = places
-      .map(({ key, runnerIds }) => `${key}=${runnerIds.join()}`)
+      .map(({ key, lives }) => `${key}=${lives.join()}`)
       .sort()
       .join(';');
     if (text === this.lastText) return;
--- a/src/sync/testKnowledge.ts
+++ b/src/sync/testKnowledge.ts
@@ -10,8 +10,8 @@
   const knowledge = new FleetKnowledge({
     listener: {
       configurationChanged: () => undefined,
-      runnerChanged: (id, entry) => {
-        if (!entry) gone.push(id);
+      runnerChanged: ({ id }, state) => {
+        if (state === 'gone') gone.push(id);
       },
       warmPlacesKept: () => undefined,
       updated: () => undefined,
--- a/standIns/site/SiteRunner.ts
+++ b/standIns/site/SiteRunner.ts
@@ -67,6 +67,11 @@
 
   private address = '';
 
+  /** Of its start, Unix ms. */
+  private born = Date.now();
+
+  private sequence = 0;
+
   /**
    * @param options - who it is, and how fast.
    */
@@ -91,6 +96,14 @@
     this.address = `${address}:${port}`;
   }
 
+  /** Starts again under its id and at its address, knowing nothing; its listing has to be written anew. */
+  restart(): void {
+    this.server.closeAllConnections();
+    this.born += 1;
+    this.sequence = 0;
+    this.ran.length = 0;
+  }
+
   /** Ends it, with its connections. */
   stop(): void {
     this.server.close();
@@ -103,7 +116,18 @@
    */
   entry(state = 'ready'): object {
     const { service, dataCentre } = this.options;
-    return { service, address: this.address, zone: dataCentre, version: 'v1', slots: 8, state };
+    this.sequence += 1;
+    return {
+      service,
+      address: this.address,
+      zone: dataCentre,
+      version: 'v1',
+      slots: 8,
+      state,
+      cold_remaining_ms: 0,
+      sequence: this.sequence,
+      born: this.born,
+    };
   }
 
   private async take(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/tests/sitePath.spec.ts
+++ b/tests/sitePath.spec.ts
@@ -237,6 +237,26 @@
     expect(engine.ran.length).toEqual(before);
   });
 
+  it('sends chats to a runner that has started again under its id, as to a new one', async () => {
+    // Symptom: a chat waits on connections and counts of a runner that is no more. Sequence: a runner crashes and
+    // starts again under its id and address, and its entry never lapses. Cause: the entry looked unchanged.
+    const { knowledge } = site.daemons[0]?.daemon ?? {};
+    await callSite({ address, path: '/chat/', headers: CHAT });
+    const before = knowledge?.runners.get('engine-1');
+    engine.restart();
+    site.store.write('servers/engine-1', engine.entry());
+    await site.until(() => knowledge?.runners.get('engine-1') !== before);
+    const answer = await callSite({ address, path: '/chat/', headers: CHAT });
+    expect(answer.body).toEqual(wholeStream(5));
+    expect(engine.ran.length).toEqual(1);
+    const spoilt = site.store.write('servers/engine-1', { service: 'engine' });
+    await site.until(() => (knowledge?.revision ?? 0) >= spoilt);
+    expect((await callSite({ address, path: '/chat/', headers: CHAT })).status).toEqual(503);
+    site.store.write('servers/engine-1', engine.entry());
+    await site.until(() => knowledge?.runners.get('engine-1')?.entry.state === 'ready');
+    expect((await callSite({ address, path: '/chat/', headers: CHAT })).status).toEqual(200);
+  });
+
   it('never goes back to an older configuration', async () => {
     const { knowledge } = site.daemons[0]?.daemon ?? {};
     const version = () => knowledge?.routes?.configuration.version;
