--- /dev/null
+++ b/src/coordination/StoreRelay.spec.ts
@@ -0,0 +1,152 @@
+import { afterEach, beforeEach, describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import { MessageKind } from '../generated/baobabdock/v1/news_pb.js';
+import { SilentLog } from '../logging/Log.js';
+import { FleetSocket } from '../news/FleetSocket.js';
+import type { RunnerEntry } from '../runners/Runner.js';
+import { createTestKnowledge } from '../sync/testKnowledge.js';
+import { ManualClock } from '../time/ManualClock.js';
+import { StoreRelay } from './StoreRelay.js';
+
+const FRESH_MILLISECONDS = 1_500;
+const FACTS = 12;
+
+function runnerOf(index: number): RunnerEntry {
+  const id = `runner-${index}`;
+  const place = { host: '10.0.0.1', port: 8_000 + index, dataCentre: 'here' };
+  return { id, life: id, service: 'chat', state: 'ready', ...place };
+}
+
+/** Hands messages over without a network. */
+class HandedSocket extends FleetSocket {
+  readonly sent: Uint8Array[] = [];
+
+  constructor() {
+    super({ log: new SilentLog(), secret: () => 'secret' });
+  }
+
+  override send(_kind: MessageKind, message: Uint8Array): void {
+    this.sent.push(message);
+  }
+}
+
+/** One daemon's beliefs with its relay. */
+function createDaemon(name: string, clock: ManualClock, isCoordinator: boolean) {
+  const { knowledge } = createTestKnowledge();
+  const socket = new HandedSocket();
+  const reads: string[] = [];
+  let take: (message: Uint8Array) => void = () => undefined;
+  socket.handle = (_kind, handler) => {
+    take = handler;
+  };
+  const relay = new StoreRelay({
+    daemon: name,
+    socket,
+    knowledge,
+    store: { readConfiguration: () => Promise.resolve(undefined) },
+    clock,
+    log: new SilentLog(),
+    isCoordinator: () => isCoordinator,
+    others: () => [],
+    readStore: (what) => reads.push(what),
+    fetch: () => Promise.reject(new Error('nobody answers')),
+    freshMilliseconds: FRESH_MILLISECONDS,
+    configurationMilliseconds: 100,
+  });
+  return {
+    knowledge,
+    relay,
+    reads,
+    sent: socket.sent,
+    take: (message: Uint8Array) => take(message),
+  };
+}
+
+describe(StoreRelay.name, () => {
+  let clock: ManualClock;
+  let coordinator: ReturnType<typeof createDaemon>;
+  let follower: ReturnType<typeof createDaemon>;
+
+  beforeEach(() => {
+    clock = new ManualClock();
+    coordinator = createDaemon('daemon-1', clock, true);
+    follower = createDaemon('daemon-2', clock, false);
+    for (const { knowledge } of [coordinator, follower]) {
+      knowledge.applyAll({ revision: 5, facts: [{ kind: 'runner', runner: runnerOf(0) }] }, 0);
+      knowledge.changeLog.restart(5);
+    }
+  });
+
+  afterEach(() => {
+    coordinator.sent.length = 0;
+  });
+
+  function lives(): string[] {
+    return follower.knowledge.runners.list().map(({ entry }) => `${entry.life} ${entry.state}`);
+  }
+
+  function change(index: number, revision: number): void {
+    const fact = { kind: 'runner', runner: runnerOf(index), revision } as const;
+    coordinator.knowledge.applyChanges({ revision, facts: [fact] }, clock.monotonicMilliseconds());
+  }
+
+  it('tells changes, and that there are none, for as long as it reads', () => {
+    coordinator.relay.readDone();
+    coordinator.sent.forEach(follower.take);
+    expect(follower.relay.isFresh).toEqual(true);
+    change(1, 6);
+    coordinator.relay.readDone();
+    coordinator.sent.forEach(follower.take);
+    expect(lives()).toEqual(['runner-0 ready', 'runner-1 ready']);
+    clock.advance(FRESH_MILLISECONDS);
+    expect(follower.relay.isFresh).toEqual(false);
+    expect(follower.reads).toEqual([]);
+  });
+
+  it('tells more changes than a datagram holds in several', () => {
+    for (let index = 1; index <= FACTS; index += 1) change(index, 5 + index);
+    coordinator.relay.readDone();
+    expect(coordinator.sent.length).toEqual(3);
+    coordinator.sent.forEach(follower.take);
+    expect(lives().length).toEqual(FACTS + 1);
+    expect([follower.relay.isFresh, follower.reads]).toEqual([true, []]);
+  });
+
+  it('has the store read where a datagram was lost and its changes are told no more', () => {
+    // Symptom: a daemon sends requests to a runner that has left, seconds after all others stopped. Sequence: the
+    // datagram that told of it is lost, and later ones say only what came after. Cause: the gap was not looked for.
+    change(1, 6);
+    coordinator.relay.readDone();
+    coordinator.sent.length = 0;
+    clock.advance(3_000);
+    change(2, 7);
+    coordinator.relay.readDone();
+    coordinator.sent.forEach(follower.take);
+    expect(follower.reads).toEqual(['changes']);
+    expect(follower.relay.isFresh).toEqual(false);
+  });
+
+  it('reads everything anew where its list stays another one', () => {
+    // Symptom: one daemon keeps a runner that is gone for good. Sequence: a coordinator drops an entry that did not
+    // come back after an outage, at a revision that the daemon had reached. Cause: the change was too old to be taken.
+    coordinator.knowledge.applyChanges(
+      { revision: 5, facts: [{ kind: 'runner_gone', id: 'runner-0', revision: 5 }] },
+      0,
+    );
+    for (let count = 0; count < 3; count += 1) coordinator.relay.readDone();
+    coordinator.sent.forEach(follower.take);
+    expect(follower.reads).toEqual(['everything']);
+    expect(follower.relay.isFresh).toEqual(false);
+  });
+
+  it('takes nothing from a coordinator that knows less', () => {
+    coordinator.relay.readDone();
+    const [old] = coordinator.sent;
+    const gone = { kind: 'runner_gone', id: 'runner-0', revision: 6 } as const;
+    follower.knowledge.applyChanges({ revision: 6, facts: [gone] }, 0);
+    if (old) follower.take(old);
+    expect([lives(), follower.reads]).toEqual([[], []]);
+  });
+});
--- a/src/sync/ChangeLog.ts
+++ b/src/sync/ChangeLog.ts
@@ -23,8 +23,8 @@
  */
 const TOLD_MILLISECONDS = 2_500;
 
-/** Facts that fit into a datagram of 1,400 bytes beside the rest; a fact has about 200 bytes. */
-const MAXIMUM_TOLD = 5;
+/** Changes told at most; in more than that within a few seconds it is cheaper to read the store. */
+const MAXIMUM_TOLD = 40;
 
 interface Entry extends LoggedChange {
   readonly at: number;
@@ -57,7 +57,7 @@
 
   /**
    * @param now - monotonic milliseconds.
-   * @returns The latest changes, as many as one datagram takes.
+   * @returns The latest changes.
    */
   recent(now: number): RecentChanges {
     const fresh = this.entries.filter(({ at }) => now - at <= TOLD_MILLISECONDS);
