--- a/src/forwarding/CallerFront.ts
+++ b/src/forwarding/CallerFront.ts
@@ -85,9 +85,7 @@
 
   /** Requests can be served from now on; those that wait for it are. */
   configured(): void {
-    const waiting = [...this.starting];
-    this.starting.clear();
-    for (const serve of waiting) serve();
+    for (const serve of [...this.starting]) serve();
   }
 
   /** Takes no more connections and closes idle ones; requests in progress finish. */
@@ -105,12 +103,11 @@
 
   private holdBack(response: ServerResponse, serve: () => void): void {
     const once = () => {
-      this.starting.delete(once);
-      clearTimeout(timer);
-      if (!response.destroyed) serve();
+      const isWaiting = this.starting.delete(once);
+      if (isWaiting && !response.destroyed) serve();
     };
-    const timer = setTimeout(once, STARTING_MILLISECONDS);
     this.starting.add(once);
+    setTimeout(once, STARTING_MILLISECONDS);
   }
 
   private serve(request: IncomingMessage, response: ServerResponse, arrivedAt: number): void {
--- a/src/http/listen.ts
+++ b/src/http/listen.ts
@@ -3,6 +3,16 @@
  */
 import type { AddressInfo, ListenOptions, Server } from 'node:net';
 
+function listenOn(server: Server, where: ListenOptions | Server): Promise<AddressInfo> {
+  return new Promise((done, fail) => {
+    server.once('error', fail);
+    server.listen(where, () => {
+      server.off('error', fail);
+      done(server.address() as AddressInfo);
+    });
+  });
+}
+
 /**
  * @param server - that does not listen yet.
  * @param options - host, port, and what else the system takes.
@@ -21,13 +31,3 @@
 export function takeOver(server: Server, listener: Server): Promise<AddressInfo> {
   return listenOn(server, listener);
 }
-
-function listenOn(server: Server, where: ListenOptions | Server): Promise<AddressInfo> {
-  return new Promise((done, fail) => {
-    server.once('error', fail);
-    server.listen(where, () => {
-      server.off('error', fail);
-      done(server.address() as AddressInfo);
-    });
-  });
-}
