Give up on an answer for its silence, not for its size, and hand configurations on compressed

Cause: on links of 10 Mbit/s a configuration of a thousand routes takes longer than the 900 ms (300 ms between daemons) after which a read was given up. Change: time counts from the last bytes; a daemon asks who has told of a version, compressed, and the store only where that fails; coordinators are the instances with the widest links.

--- a/src/coordination/FleetCoordination.ts
+++ b/src/coordination/FleetCoordination.ts
@@ -9,7 +9,8 @@
 import type { Log } from '../logging/Log.js';
 import type { FleetSocket } from '../news/FleetSocket.js';
 import type { RunnerChoice } from '../runners/RunnerChoice.js';
-import type { FleetKnowledge, KnowledgeSnapshot } from '../sync/FleetKnowledge.js';
+import type { RoutingConfiguration } from '../routes/routeTypes.js';
+import type { FleetKnowledge } from '../sync/FleetKnowledge.js';
 import type { DaemonEntry, FleetStore } from '../sync/FleetStore.js';
 import type { Clock } from '../time/Clock.js';
 import { ChoiceServer } from './ChoiceServer.js';
@@ -32,8 +33,8 @@
   readMilliseconds: number;
   /** Reads the store once: what has changed since the last read, or everything. */
   readStore: (what: 'changes' | 'everything') => void;
-  /** Asks another daemon for everything that it knows. */
-  fetch: (peerAddress: string) => Promise<KnowledgeSnapshot>;
+  /** Asks another daemon for its configuration. */
+  fetchConfiguration: (peerAddress: string) => Promise<RoutingConfiguration>;
 }
 
 /**
@@ -74,7 +75,7 @@
    */
   constructor(options: FleetCoordinationOptions, socket: FleetSocket) {
     this.options = options;
-    const { daemon, knowledge, choice, grants, store, clock, log, fetch } = options;
+    const { daemon, knowledge, choice, grants, store, clock, log, fetchConfiguration } = options;
     const { readMilliseconds, readStore } = options;
     this.selector = new CoordinatedSelector({
       daemon,
@@ -97,7 +98,7 @@
       isCoordinator: () => this.isCoordinator,
       others: () => this.addressesOf(knowledge.daemons.values()),
       readStore,
-      fetch,
+      fetchConfiguration,
       freshMilliseconds: readMilliseconds * FRESH_READS,
       configurationMilliseconds: readMilliseconds * CONFIGURATION_SHARE,
     });
--- a/src/coordination/StoreRelay.spec.ts
+++ b/src/coordination/StoreRelay.spec.ts
@@ -51,7 +51,7 @@
     isCoordinator: () => isCoordinator,
     others: () => [],
     readStore: (what) => reads.push(what),
-    fetch: () => Promise.reject(new Error('nobody answers')),
+    fetchConfiguration: () => Promise.reject(new Error('nobody answers')),
     freshMilliseconds: FRESH_MILLISECONDS,
     configurationMilliseconds: 100,
   });
--- a/src/coordination/StoreRelay.ts
+++ b/src/coordination/StoreRelay.ts
@@ -14,7 +14,8 @@
 import type { Log } from '../logging/Log.js';
 import type { FleetSocket } from '../news/FleetSocket.js';
 import type { LoggedChange } from '../sync/ChangeLog.js';
-import type { FleetKnowledge, KnowledgeSnapshot } from '../sync/FleetKnowledge.js';
+import type { RoutingConfiguration } from '../routes/routeTypes.js';
+import type { FleetKnowledge } from '../sync/FleetKnowledge.js';
 import type { FleetStore, StoreFact } from '../sync/FleetStore.js';
 import { syncLogEvents } from '../sync/syncFeature.js';
 import type { Clock } from '../time/Clock.js';
@@ -35,8 +36,8 @@
   others: () => readonly HostAndPort[];
   /** Reads the store once: what has changed since the last read, or everything. */
   readStore: (what: 'changes' | 'everything') => void;
-  /** Asks another daemon for everything that it knows. */
-  fetch: (peerAddress: string) => Promise<KnowledgeSnapshot>;
+  /** Asks another daemon for its configuration. */
+  fetchConfiguration: (peerAddress: string) => Promise<RoutingConfiguration>;
   /** What is told is good for this long, in ms. */
   freshMilliseconds: number;
   /** Between two reads of the configuration, in ms: versions may follow each other faster than they matter. */
@@ -83,6 +84,8 @@
 
   private toldBy = '';
 
+  private isReadingConfiguration = false;
+
   private caughtUpAt = Number.NEGATIVE_INFINITY;
 
   private configurationReadAt = Number.NEGATIVE_INFINITY;
@@ -191,38 +194,46 @@
   }
 
   /**
-   * Reads a newer configuration from the store, or asks the one who told of it where the store does not answer.
+   * Asks who has told of a newer configuration for it, and the store where that fails.
    *
    * What goes wrong otherwise: a daemon has learnt from another that the store has reached a revision, and reads only
    * what came after it. A version that lay before would never be in force there; so it is read until it is known.
    */
   private followConfiguration(): void {
-    const { knowledge, clock, store, log, configurationMilliseconds } = this.options;
+    const { knowledge, clock, configurationMilliseconds } = this.options;
     const known = knowledge.routes?.configuration.version ?? 0;
     const now = clock.monotonicMilliseconds();
     const isDue = now - this.configurationReadAt >= configurationMilliseconds;
-    if (this.toldVersion <= known || !isDue) return;
+    if (this.toldVersion <= known || !isDue || this.isReadingConfiguration) return;
     this.configurationReadAt = now;
-    store
-      .readConfiguration()
-      .then((configuration) => {
-        if (configuration) knowledge.applyConfiguration(configuration);
-      })
-      .catch((error: Error) => {
-        log.write(syncLogEvents.storeLost, { error: error.message, during: 'configuration' });
-        return this.askForConfiguration(this.toldBy);
-      });
+    this.isReadingConfiguration = true;
+    void this.readConfiguration().finally(() => {
+      this.isReadingConfiguration = false;
+    });
   }
 
-  private async askForConfiguration(coordinator: string): Promise<void> {
-    const { knowledge, log, fetch } = this.options;
-    const address = knowledge.daemons.get(coordinator)?.peerAddress;
-    if (address === undefined) return;
+  private async readConfiguration(): Promise<void> {
+    const { knowledge, log, store, fetchConfiguration } = this.options;
+    const address = knowledge.daemons.get(this.toldBy)?.peerAddress;
     try {
-      const { configuration } = await fetch(address);
-      if (configuration) knowledge.applyConfiguration(configuration);
+      if (address === undefined) throw new Error('it is not listed');
+      knowledge.applyConfiguration(await fetchConfiguration(address));
     } catch (error) {
       log.write(syncLogEvents.peerFailed, { address, error: (error as Error).message });
+      await this.readConfigurationFromStore(store);
+    }
+  }
+
+  private async readConfigurationFromStore(
+    store: Pick<FleetStore, 'readConfiguration'>,
+  ): Promise<void> {
+    const { knowledge, log } = this.options;
+    try {
+      const configuration = await store.readConfiguration();
+      if (configuration) knowledge.applyConfiguration(configuration);
+    } catch (error) {
+      const fields = { error: (error as Error).message, during: 'configuration' };
+      log.write(syncLogEvents.storeLost, fields);
     }
   }
 }
--- a/src/coordination/coordinatorsOf.ts
+++ b/src/coordination/coordinatorsOf.ts
@@ -25,6 +25,11 @@
 /** All daemons order the others by the same name. */
 const ORDER_KEY = 'coordinators';
 
+/** A coordinator sends what it has read to everybody: those with the widest links go first, whatever else they do. */
+function linkOf({ linkMegabits = 0 }: DaemonEntry): number {
+  return linkMegabits;
+}
+
 /**
  * @param daemons - that are listed.
  * @returns The coordinators; none in a small fleet.
@@ -34,8 +39,9 @@
   const count = Math.max(FEWEST, Math.ceil(daemons.length / DAEMONS_A_COORDINATOR));
   const named = daemons.map((daemon) => ({ id: daemon.name, daemon }));
   return rendezvousOrder(ORDER_KEY, named)
-    .slice(0, count)
-    .map(({ daemon }) => daemon);
+    .map(({ daemon }) => daemon)
+    .sort((a, b) => linkOf(b) - linkOf(a))
+    .slice(0, count);
 }
 
 /**
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -141,6 +141,7 @@
       callerAddress: addresses.callers,
       peerAddress: addresses.peers,
       newsAddress: addresses.news,
+      linkMegabits: settings.linkMegabits,
     };
     this.news = this.createNews();
     const { knowledge, entry } = this;
@@ -281,7 +282,7 @@
     const options = { daemon: entry, knowledge, choice, grants, store, clock, log };
     const calls = {
       readStore: (what: 'changes' | 'everything') => this.follower.readOnce(what),
-      fetch: (address: string) => this.peers.fetch(address),
+      fetchConfiguration: (address: string) => this.peers.fetchConfiguration(address),
     };
     return new FleetCoordination(
       { ...options, ...calls, readMilliseconds: gatherMilliseconds },
--- a/src/router/routerFeature.ts
+++ b/src/router/routerFeature.ts
@@ -53,6 +53,11 @@
     })
     .prefault({})
     .describe('What all daemons together may send once more, for each service.'),
+  linkMegabits: z
+    .number()
+    .positive()
+    .default(1_000)
+    .describe('Of this instance, in Mbit/s; in a large fleet those with most of it coordinate.'),
   logLinesPerSecond: z
     .int()
     .min(1)
--- a/src/sync/FleetKnowledge.ts
+++ b/src/sync/FleetKnowledge.ts
@@ -16,6 +16,8 @@
 export interface KnowledgeSnapshot {
   readonly revision: number;
   readonly configuration?: RoutingConfiguration | undefined;
+  /** Of the configuration that the sender has, where it does not send it along. */
+  readonly configurationVersion?: number | undefined;
   readonly runners: readonly RunnerEntry[];
   readonly daemons: readonly DaemonEntry[];
 }
@@ -253,6 +255,7 @@
     return {
       revision: this.revision,
       configuration: (configuration?.version ?? 0) > knownVersion ? configuration : undefined,
+      configurationVersion: configuration?.version,
       runners: this.runners.list().map(({ entry }) => entry),
       daemons: [...this.daemons.values()],
     };
--- a/src/sync/FleetStore.ts
+++ b/src/sync/FleetStore.ts
@@ -16,6 +16,8 @@
   readonly peerAddress: string;
   /** IP number and UDP port for other daemons' news. */
   readonly newsAddress: string;
+  /** Of its instance, in Mbit/s. */
+  readonly linkMegabits?: number | undefined;
 }
 
 /** What one key of the store says. */
--- a/src/sync/PeerExchange.spec.ts
+++ b/src/sync/PeerExchange.spec.ts
@@ -1,4 +1,5 @@
 import { createServer } from 'node:http';
+import { gzipSync } from 'node:zlib';
 import { describe, it } from 'node:test';
 
 import { expect } from 'earl';
@@ -34,4 +35,49 @@
     server.closeAllConnections();
     expect(answers).toEqual([]);
   });
+
+  it('hands its configuration on, and reads one that arrives slowly to its end', async () => {
+    // Symptom: daemons know no configuration for ten seconds after a loss of power. Sequence: a configuration of a
+    // thousand routes takes longer to arrive than an answer may stay away, and is asked for again and again. Cause:
+    // the time was counted from the question, not from the last bytes.
+    const { knowledge } = createTestKnowledge();
+    const limits = {
+      maximumHeaderBytes: 1,
+      maximumBodyBytes: 1,
+      headerTimeoutMilliseconds: 1,
+      idleTimeoutMilliseconds: 1,
+    };
+    knowledge.applyConfiguration({ version: 7, routes: [], services: [], limits });
+    const common = { clock: new SystemClock(), log: new MemoryLog(), isStoreSilent: () => false };
+    const own = '127.0.0.1:1';
+    const teller = new PeerExchange({ ...common, knowledge, ownAddress: own, seeds: [own] });
+    const told = await teller.listen({ host: '127.0.0.1', port: 0 });
+    const asker = new PeerExchange({
+      ...common,
+      knowledge: createTestKnowledge().knowledge,
+      ownAddress: own,
+      seeds: [],
+    });
+    const configuration = await asker.fetchConfiguration(`127.0.0.1:${told.port}`);
+    expect(configuration.version).toEqual(7);
+    const bytes = gzipSync(JSON.stringify(configuration));
+    const pieces = 4;
+    const slow = createServer((_request, response) => {
+      let sent = 0;
+      const timer = setInterval(() => {
+        sent += 1;
+        const isLast = sent === pieces;
+        const size = Math.ceil(bytes.length / pieces);
+        response.write(bytes.subarray((sent - 1) * size, sent * size));
+        if (!isLast) return;
+        clearInterval(timer);
+        response.end();
+      }, 150);
+    });
+    const { port } = await listen(slow, { host: '127.0.0.1', port: 0 });
+    expect((await asker.fetchConfiguration(`127.0.0.1:${port}`)).version).toEqual(7);
+    slow.close();
+    slow.closeAllConnections();
+    teller.close();
+  });
 });
--- a/src/sync/PeerExchange.ts
+++ b/src/sync/PeerExchange.ts
@@ -1,10 +1,16 @@
 /**
  * What daemons tell each other when the store turns some of them away: everything that one knows, if it is
  * newer. Only daemons that are listed, or named in the settings, are answered.
+ *
+ * The configuration is asked for by itself and sent compressed, once a version: one of 1,400 routes has 500 kB, and
+ * half a second of a link of 10 Mbit/s for each version delayed every request of that daemon.
  */
+import { promisify } from 'node:util';
 import { Agent, createServer, request as sendRequest } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
 
+import type { RoutingConfiguration } from '../routes/routeTypes.js';
 import { listen } from '../http/listen.js';
 import { parseAddress } from '../http/parseAddress.js';
 import type { HostAndPort } from '../http/parseAddress.js';
@@ -30,9 +36,13 @@
 
 const OK = 200;
 const FORBIDDEN = 403;
+const NOT_FOUND = 404;
 
-/** Path of the one call. */
-const PATH = '/knowledge';
+/** Who is there, and which configuration is in force. */
+const KNOWLEDGE_PATH = '/knowledge';
+
+/** The configuration in force, compressed. */
+const CONFIGURATION_PATH = '/configuration';
 
 /** How often others are asked while the store is silent, in ms. */
 const POLL_MILLISECONDS = 400;
@@ -40,8 +50,11 @@
 /** Longer than the store turns a daemon away; in ms. */
 const REMEMBERED_MILLISECONDS = 300_000;
 
-/** An answer within a region takes a few ms; a dead daemon must not hold up the next question. */
-const TIMEOUT_MILLISECONDS = 300;
+/**
+ * An answer within a region begins after a few ms; a dead daemon must not hold up the next question. Counted from the
+ * last bytes, since a large configuration takes longer than this on a slow link.
+ */
+const SILENCE_MILLISECONDS = 300;
 
 /** A whole configuration with hundreds of routes is about 200 kB. */
 const MAXIMUM_ANSWER_BYTES = 4_194_304;
@@ -58,6 +71,12 @@
 
   private next = 0;
 
+  /** One answer at a time: two of them would take each other's bandwidth. */
+  private isAsking = false;
+
+  /** Of the latest version that was asked for. */
+  private compressed: { readonly version: number; readonly bytes: Promise<Buffer> } | undefined;
+
   /** When a host was last listed as a daemon's, monotonic ms. */
   private readonly listedAt = new Map<string, number>();
 
@@ -73,7 +92,7 @@
    * @param address - of this daemon for other daemons.
    * @returns Once questions are taken.
    */
-  listen(address: HostAndPort): Promise<unknown> {
+  listen(address: HostAndPort): Promise<AddressInfo> {
     const { pollMilliseconds = POLL_MILLISECONDS } = this.options;
     this.timer = setInterval(() => {
       void this.poll();
@@ -93,19 +112,51 @@
    * @returns What it knows.
    */
   async fetch(address: string): Promise<KnowledgeSnapshot> {
-    return JSON.parse(await this.ask(address)) as KnowledgeSnapshot;
+    const answer = await this.ask(address, KNOWLEDGE_PATH);
+    const snapshot = JSON.parse(answer.toString()) as KnowledgeSnapshot;
+    const known = this.options.knowledge.routes?.configuration.version ?? 0;
+    if ((snapshot.configurationVersion ?? 0) <= known) return snapshot;
+    return { ...snapshot, configuration: await this.fetchConfiguration(address) };
+  }
+
+  /**
+   * @param address - of a daemon for other daemons' questions.
+   * @returns The configuration that is in force there.
+   */
+  async fetchConfiguration(address: string): Promise<RoutingConfiguration> {
+    const { gunzip } = await import('node:zlib');
+    const text = await promisify(gunzip)(await this.ask(address, CONFIGURATION_PATH));
+    return JSON.parse(text.toString()) as RoutingConfiguration;
   }
 
   private answer(request: IncomingMessage, response: ServerResponse): void {
-    const version = Number(new URL(request.url ?? '/', 'http://peer').searchParams.get('version'));
     if (!this.mayAsk(request.socket.remoteAddress ?? '')) {
       response.writeHead(FORBIDDEN, { 'Content-Length': 0 }).end();
       return;
     }
-    const text = JSON.stringify(this.options.knowledge.snapshot(version || 0));
+    if (request.url === CONFIGURATION_PATH) {
+      void this.answerConfiguration(response);
+      return;
+    }
+    const text = JSON.stringify(this.options.knowledge.snapshot(Number.POSITIVE_INFINITY));
     response.writeHead(OK, { 'Content-Type': 'application/json' }).end(text);
   }
 
+  private async answerConfiguration(response: ServerResponse): Promise<void> {
+    const configuration = this.options.knowledge.routes?.configuration;
+    if (!configuration) {
+      response.writeHead(NOT_FOUND, { 'Content-Length': 0 }).end();
+      return;
+    }
+    const { version } = configuration;
+    if (this.compressed?.version !== version) {
+      const { gzip } = await import('node:zlib');
+      const bytes = promisify(gzip)(JSON.stringify(configuration));
+      this.compressed = { version, bytes };
+    }
+    response.writeHead(OK, { 'Content-Type': 'application/gzip' }).end(await this.compressed.bytes);
+  }
+
   /**
    * A daemon that the store turns away loses its entry after some seconds, just when it needs the others most;
    * so whoever was listed lately may ask.
@@ -135,40 +186,43 @@
     if (!isStoreSilent()) return;
     const known = [...knowledge.daemons.values()].map(({ peerAddress }) => peerAddress);
     const others = [...new Set([...known, ...seeds])].filter((address) => address !== ownAddress);
-    if (others.length === 0) return;
+    if (others.length === 0 || this.isAsking) return;
     const address = others[this.next % others.length] as string;
     this.next += 1;
+    this.isAsking = true;
     try {
       const snapshot = await this.fetch(address);
       if (!knowledge.applyPeer(snapshot, clock.monotonicMilliseconds())) return;
       log.write(syncLogEvents.learntFromPeer, { address, revision: snapshot.revision });
     } catch (error) {
       log.write(syncLogEvents.peerFailed, { address, error: (error as Error).message });
+    } finally {
+      this.isAsking = false;
     }
   }
 
-  private ask(address: string): Promise<string> {
+  private ask(address: string, path: string): Promise<Buffer> {
     const { host, port } = parseAddress(address);
-    const version = this.options.knowledge.routes?.configuration.version ?? 0;
-    const path = `${PATH}?version=${version}`;
     return new Promise((done, fail) => {
+      let timer: NodeJS.Timeout | undefined;
       const question = sendRequest({ host, port, path, agent: this.agent }, (answer) => {
         const chunks: Buffer[] = [];
         let bytes = 0;
         answer.on('data', (chunk: Buffer) => {
           chunks.push(chunk);
+          timer?.refresh();
           bytes += chunk.length;
           if (bytes > MAXIMUM_ANSWER_BYTES) question.destroy(new Error('the answer is too large'));
         });
         answer.once('error', fail);
         answer.once('end', () => {
-          if (answer.statusCode === OK) done(Buffer.concat(chunks).toString());
+          if (answer.statusCode === OK) done(Buffer.concat(chunks));
           else fail(new Error(`status ${answer.statusCode}`));
         });
       });
-      const timer = setTimeout(
+      timer = setTimeout(
         () => question.destroy(new Error('no answer in time')),
-        TIMEOUT_MILLISECONDS,
+        SILENCE_MILLISECONDS,
       );
       question.once('close', () => clearTimeout(timer));
       question.once('error', fail);
