--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -1,8 +1,6 @@
 /**
  * A daemon that forwards directly to runners: puts the parts together, from its start to its planned stop.
  */
-import { randomBytes } from 'node:crypto';
-import { createServer } from 'node:http';
 import type { Server } from 'node:http';
 import type { Server as PortServer } from 'node:net';
 
@@ -15,12 +13,11 @@
 import { RunnerConnections } from '../forwarding/RunnerConnections.js';
 import type { RunnerProtocol } from '../forwarding/RunnerProtocol.js';
 import { SharedRetryBudget } from '../forwarding/SharedRetryBudget.js';
-import { listen } from '../http/listen.js';
 import { parseAddress } from '../http/parseAddress.js';
 import type { HostAndPort } from '../http/parseAddress.js';
 import type { Log } from '../logging/Log.js';
 import { MetricRegistry } from '../metrics/MetricRegistry.js';
-import { formatScrapePage, SCRAPE_CONTENT_TYPE } from '../metrics/scrapePage.js';
+import { serveMetrics } from '../metrics/serveMetrics.js';
 import { ForeignLoads } from '../news/ForeignLoads.js';
 import { NewsTask } from '../news/NewsTask.js';
 import type { RoutingConfiguration } from '../routes/routeTypes.js';
@@ -30,6 +27,7 @@
 import type { WarmPlace } from '../runners/WarmPlaces.js';
 import { DaemonRegistration } from '../sync/DaemonRegistration.js';
 import { FleetKnowledge } from '../sync/FleetKnowledge.js';
+import { FleetSecret } from '../sync/FleetSecret.js';
 import type { DaemonEntry, FleetStore } from '../sync/FleetStore.js';
 import { PeerExchange } from '../sync/PeerExchange.js';
 import { StoreFollower } from '../sync/StoreFollower.js';
@@ -41,18 +39,12 @@
 import { routerLogEvents } from './routerFeature.js';
 import type { RouterSettings } from './routerFeature.js';
 
-/** As hard to guess as the seal of a message. */
-const SECRET_BYTES = 24;
-
 /**
  * Changes are gathered for this share of the time in which they have to be in force. Two such waits, a lost
  * message and a slow read fit into it; every call to the store has its price.
  */
 const GATHER_SHARE = 0.4;
 
-/** Between proposals while the store does not take one, in ms. */
-const PROPOSAL_MILLISECONDS = 2_000;
-
 /** How exactly the end of a runner's grace is kept, in ms. */
 const EXPIRY_MILLISECONDS = 100;
 
@@ -119,7 +111,7 @@
 
   private wasReady = false;
 
-  private proposedAt = Number.NEGATIVE_INFINITY;
+  private readonly secret: FleetSecret;
 
   /**
    * @param options - settings, and what speaks to the outside.
@@ -132,6 +124,7 @@
     this.log = log;
     this.clock = clock;
     this.registry = new MetricRegistry({ clock });
+    this.secret = new FleetSecret({ store, clock, log });
     this.knowledge = new FleetKnowledge({ listener: this.createListener() });
     const { name, dataCentre, addresses, seeds } = settings;
     const gatherMilliseconds = GATHER_SHARE * Math.min(...settings.changeBoundsMilliseconds);
@@ -204,12 +197,13 @@
   /** Listens, follows the store and registers. */
   async start(): Promise<void> {
     const { addresses } = this.settings;
-    await Promise.all([
+    const [, , , metricsServer] = await Promise.all([
       this.front.listen(listenAddress(addresses.callers), this.callerListener),
       this.peers.listen(listenAddress(addresses.peers)),
       this.news.listen(listenAddress(addresses.news)),
-      this.serveMetrics(),
+      serveMetrics(this.registry, listenAddress(addresses.metrics)),
     ]);
+    this.metricsServer = metricsServer;
     void this.follower.run();
     this.warmPlacesKeeper.start();
     this.expiryTimer = setInterval(
@@ -328,6 +322,7 @@
       },
       runnerChanged: (entry: RunnerEntry, state: RunnerState | 'gone') => {
         if (state !== 'ready') this.connections.release(entry.life);
+        if (state === 'gone') this.warmPlaces.forgetRunner(entry.life);
         const { revision } = this.knowledge;
         const { id: runner, life, service } = entry;
         const fields = { runner, life, state, service, revision };
@@ -337,7 +332,7 @@
       updated: () => {
         this.news.tellChange();
         this.becomeReady();
-        this.ensureSecret();
+        this.secret.ensure(this.knowledge.secret);
       },
       unreadable: (key: string, message: string) => {
         this.log.write(syncLogEvents.factUnreadable, { key, message });
@@ -356,26 +351,4 @@
     });
     void this.registration.start();
   }
-
-  /** The store keeps the first proposal; what it kept comes with the next changes. */
-  private ensureSecret(): void {
-    const now = this.clock.monotonicMilliseconds();
-    const isKnown = this.knowledge.secret !== undefined;
-    if (isKnown || now - this.proposedAt < PROPOSAL_MILLISECONDS) return;
-    this.proposedAt = now;
-    const secret = randomBytes(SECRET_BYTES).toString('base64');
-    this.store.proposeSecret(secret).catch((error: Error) => {
-      const fields = { during: 'secret', error: error.message };
-      this.log.write(syncLogEvents.registrationFailed, fields);
-    });
-  }
-
-  private serveMetrics(): Promise<unknown> {
-    const server = createServer((_request, response) => {
-      const page = formatScrapePage(this.registry.snapshot());
-      response.writeHead(200, { 'Content-Type': SCRAPE_CONTENT_TYPE }).end(page);
-    });
-    this.metricsServer = server;
-    return listen(server, listenAddress(this.settings.addresses.metrics));
-  }
 }
--- a/src/runners/RunnerChoice.spec.ts
+++ b/src/runners/RunnerChoice.spec.ts
@@ -132,6 +132,19 @@
     expect(parts.map(placeOf)).toEqual(before);
   });
 
+  it('takes nothing for cached at a runner that was gone and is back', () => {
+    // Symptom: chats go to a runner that reads all of their prompts again, although another one has them. Sequence: a
+    // runner crashes, its entry goes, and it comes back under its id before the prompt is asked for. Cause: its places
+    // were dropped only with the next request for the prompt.
+    const warmPlaces = new WarmPlaces();
+    warmPlaces.remember('part', 'runner-1');
+    warmPlaces.remember('part', 'runner-2');
+    warmPlaces.forgetRunner('runner-1');
+    const choice = new RunnerChoice({ runners: tableOf(8), dataCentre: 'here', warmPlaces });
+    const chosen = choice.choose(questionOf(['part']));
+    expect([chosen?.runner.entry.id, chosen?.reason]).toEqual(['runner-2', 'warm']);
+  });
+
   it('begins with the same place in every daemon', () => {
     const places = [1, 2, 3].map((seed) => {
       const options = { runners: tableOf(8), warmPlaces: new WarmPlaces() };
--- a/src/runners/WarmPlaces.ts
+++ b/src/runners/WarmPlaces.ts
@@ -87,6 +87,23 @@
     this.places.set(key, known.filter(isListed));
   }
 
+  /**
+   * Forgets what a runner has cached. An entry that comes back under the same id may be of a runner that has started
+   * again; on platforms that do not tell its start, chats would go on to a runner that holds nothing of them.
+   *
+   * @param life - of a runner that is gone.
+   */
+  forgetRunner(life: string): void {
+    for (const [key, lives] of this.places) {
+      if (lives.includes(life)) {
+        this.places.set(
+          key,
+          lives.filter((one) => one !== life),
+        );
+      }
+    }
+  }
+
   /**
    * @param maximumKeys - the most recently used ones are given.
    * @returns Keys with their places, as they can be stored.
