--- a/tools/buildPlatform.ts
+++ b/tools/buildPlatform.ts
@@ -13,7 +13,7 @@
 const OUTPUT = process.argv[2] ?? 'target';
 
 /** Compiled code is good only for the options with which the runtime was started; see deploy/system.toml. */
-const RUNTIME_OPTIONS = ['--max-old-space-size=160', '--max-semi-space-size=1', '--v8-pool-size=0', '--lite-mode'];
+const RUNTIME_OPTIONS = ['--max-old-space-size=160', '--max-semi-space-size=1', '--v8-pool-size=0'];
 
 /** Loopback ports that a warm-up listens on; 0 takes any. */
 const WARM_UP_SETTINGS = `
