--- /dev/null
+++ b/src/coordination/CoordinatedSelector.spec.ts
@@ -0,0 +1,128 @@
+import { beforeEach, describe, it } from 'node:test';
+
+import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
+import { expect } from 'earl';
+
+import { MemoryLog } from '../callers/testFakes.js';
+import { RunnerAnswerSchema, RunnerQuestionSchema } from '../generated/baobabdock/v1/news_pb.js';
+import type { RunnerQuestion, MessageKind } from '../generated/baobabdock/v1/news_pb.js';
+import { FleetSocket } from '../news/FleetSocket.js';
+import type { MessageHandler } from '../news/FleetSocket.js';
+import type { Choice, ChoiceQuestion } from '../runners/RunnerChoice.js';
+import { RunnerChoice } from '../runners/RunnerChoice.js';
+import { RunnerTable } from '../runners/RunnerTable.js';
+import { WarmPlaces } from '../runners/WarmPlaces.js';
+import type { DaemonEntry } from '../sync/FleetStore.js';
+import { ManualClock } from '../time/ManualClock.js';
+import { CoordinatedSelector } from './CoordinatedSelector.js';
+import { coordinationLogEvents } from './coordinationFeature.js';
+
+function daemonOf(name: string): DaemonEntry {
+  const address = '127.0.0.1:7000';
+  const addresses = { callerAddress: address, peerAddress: address, newsAddress: address };
+  return { name, dataCentre: 'here', ...addresses };
+}
+
+/** Keeps questions, and hands answers over. */
+class ScriptedSocket extends FleetSocket {
+  readonly questions: RunnerQuestion[] = [];
+
+  private handler: MessageHandler = () => undefined;
+
+  override handle(_kind: MessageKind, handler: MessageHandler): void {
+    this.handler = handler;
+  }
+
+  override send(_kind: MessageKind, message: Uint8Array): void {
+    this.questions.push(fromBinary(RunnerQuestionSchema, message));
+  }
+
+  answer(number: number, life: string, grant = 1): void {
+    const fields = { number, life, grant, reason: 'warm', coordinator: 'coordinator' };
+    this.handler(toBinary(RunnerAnswerSchema, create(RunnerAnswerSchema, fields)));
+  }
+}
+
+describe(CoordinatedSelector.name, () => {
+  let socket: ScriptedSocket;
+  let runners: RunnerTable;
+  let log: MemoryLog;
+  let selector: CoordinatedSelector;
+  let coordinators: DaemonEntry[];
+
+  beforeEach(() => {
+    log = new MemoryLog();
+    socket = new ScriptedSocket({ log, secret: () => 'secret' });
+    runners = new RunnerTable();
+    for (const id of ['runner-1', 'runner-2']) {
+      const place = { host: '127.0.0.1', port: 80, dataCentre: 'here' };
+      runners.put({ id, life: id, service: 'chat', state: 'ready', ...place });
+    }
+    coordinators = [daemonOf('coordinator')];
+    selector = new CoordinatedSelector({
+      daemon: daemonOf('asker'),
+      socket,
+      choice: new RunnerChoice({ runners, dataCentre: 'here', warmPlaces: new WarmPlaces() }),
+      runners,
+      clock: new ManualClock(),
+      log,
+      coordinators: () => coordinators,
+    });
+  });
+
+  function questionOf(tried: readonly string[] = []): ChoiceQuestion {
+    const parts = { service: 'chat', sharedParts: ['part'], tried: new Set(tried) };
+    return { ...parts, connectionLimit: 10, now: 0 };
+  }
+
+  function select(question = questionOf()): Promise<Choice | undefined> {
+    return new Promise((done) => {
+      selector.select(question, done);
+    });
+  }
+
+  it('sends a request to the runner that the coordinator names, and says so in its counts', async () => {
+    const chosen = select();
+    socket.answer(1, 'runner-2', 7);
+    expect((await chosen)?.runner.entry.id).toEqual('runner-2');
+    expect(selector.countedGrants()).toEqual([{ coordinator: 'coordinator', grant: 7 }]);
+  });
+
+  it('chooses by itself where no answer comes, and leaves the coordinator alone after two of them', async () => {
+    // Symptom: requests hang while a coordinator is frozen. Sequence: it is asked and says nothing. Cause: a daemon
+    // that can choose by itself waited for one that could not answer.
+    expect((await select())?.runner === undefined).toEqual(false);
+    expect((await select())?.runner === undefined).toEqual(false);
+    expect(log.of(coordinationLogEvents.coordinatorSilent).length).toEqual(1);
+    await select();
+    expect(socket.questions.length).toEqual(2);
+  });
+
+  it('takes no runner that it had tried, that drains, or that it does not know', async () => {
+    // Symptom: a request goes back to the runner that failed it, or to one that has announced its end. Sequence: the
+    // coordinator has not heard of it yet. Cause: its answer was taken without a look at what is known here.
+    const again = select(questionOf(['runner-2']));
+    socket.answer(1, 'runner-2');
+    expect((await again)?.runner.entry.id).toEqual('runner-1');
+    const unknown = select();
+    socket.answer(2, 'runner-9');
+    expect((await unknown)?.runner === undefined).toEqual(false);
+    const entry = runners.get('runner-2')?.entry;
+    if (entry) runners.put({ ...entry, state: 'draining' });
+    const draining = select();
+    socket.answer(3, 'runner-2');
+    expect((await draining)?.runner.entry.id).toEqual('runner-1');
+  });
+
+  it('tells a coordinator what must not be chosen: runners that had the request or fail here', () => {
+    runners.get('runner-1')?.health.record(0, 'unreachable');
+    void select(questionOf(['runner-2']));
+    expect(socket.questions[0]?.excludedLives).toEqual(['runner-2', 'runner-1']);
+  });
+
+  it('asks nobody in a small fleet', async () => {
+    coordinators = [];
+    expect((await select())?.reason).toEqual('first_place');
+    expect(socket.questions).toEqual([]);
+  });
+});
--- /dev/null
+++ b/src/coordination/testLoad.ts
@@ -0,0 +1,164 @@
+/**
+ * Plays the load of a fleet in virtual time: daemons choose runners for prompts, some of them popular, by what they
+ * have told each other or by asking coordinators.
+ */
+import { create } from '@bufbuild/protobuf';
+
+import { DaemonNewsSchema } from '../generated/baobabdock/v1/news_pb.js';
+import { ForeignLoads } from '../news/ForeignLoads.js';
+import { seededRandom } from '../random/seededRandom.js';
+import { RunnerChoice } from '../runners/RunnerChoice.js';
+import { RunnerTable } from '../runners/RunnerTable.js';
+import { WarmPlaces } from '../runners/WarmPlaces.js';
+import type { DaemonEntry } from '../sync/FleetStore.js';
+import { askedInOrder, coordinatorsOf } from './coordinatorsOf.js';
+import { GrantLedger } from './GrantLedger.js';
+
+/** Options of {@link playLoad}. */
+export interface LoadOptions {
+  seed: number;
+  daemons: number;
+  runners: number;
+  /** Of the whole fleet. */
+  requestsPerSecond: number;
+  /** Whether coordinators choose; otherwise each daemon does, by counts that all tell all. */
+  isCoordinated: boolean;
+  /** Between two messages of a daemon, in ms. */
+  newsMilliseconds: number;
+  /** From this time on no coordinator answers, in ms. */
+  coordinatorsSilentAt?: number;
+}
+
+/** What came of it. */
+export interface LoadResult {
+  /** Share of requests that went to a runner with over twice the mean and three. */
+  readonly overLimit: number;
+  /** Requests at the busiest runner over the mean, the largest of any moment. */
+  readonly worstRatio: number;
+  /** Requests that went to a runner for the first time of their prompt, as a share. */
+  readonly cold: number;
+}
+
+const SECONDS = 12;
+const WARM_UP_MILLISECONDS = 4_000;
+const REQUEST_MILLISECONDS = 600;
+const PROMPTS = 400;
+const POPULAR_SHARE = 0.15;
+const LIMIT_FACTOR = 2;
+const LIMIT_SLACK = 3;
+
+interface Daemon {
+  readonly entry: DaemonEntry;
+  readonly table: RunnerTable;
+  readonly choice: RunnerChoice;
+  readonly loads: ForeignLoads;
+  readonly grants: GrantLedger;
+  /** By coordinator, the latest grant. */
+  readonly counted: Map<string, number>;
+}
+
+function daemonOf(index: number, { runners, seed }: LoadOptions): Daemon {
+  const address = `10.0.${Math.floor(index / 250)}.${1 + (index % 250)}:7000`;
+  const addresses = { callerAddress: address, peerAddress: address, newsAddress: address };
+  const entry = { name: `daemon-${index}`, dataCentre: 'here', ...addresses };
+  const table = new RunnerTable();
+  for (let runner = 0; runner < runners; runner += 1) {
+    const id = `runner-${runner}`;
+    const place = { host: '10.1.0.1', port: 1 + runner, dataCentre: 'here' };
+    table.put({ id, life: id, service: 'chat', state: 'ready', ...place });
+  }
+  const loads = new ForeignLoads();
+  const grants = new GrantLedger();
+  const choice = new RunnerChoice({
+    runners: table,
+    dataCentre: 'here',
+    warmPlaces: new WarmPlaces(),
+    foreignLoad: (life) => loads.of(life) + grants.of(life),
+    random: seededRandom(seed + index),
+  });
+  return { entry, table, choice, loads, grants, counted: new Map() };
+}
+
+function tell(daemon: Daemon, recipients: readonly Daemon[], now: number): void {
+  const busy = daemon.table.list().filter(({ inFlight }) => inFlight > 0);
+  const news = create(DaemonNewsSchema, {
+    daemon: daemon.entry.name,
+    life: 1,
+    number: now + 1,
+    loads: busy.map(({ entry, inFlight }) => ({ runner: entry.life, requests: inFlight })),
+    grants: [...daemon.counted].map(([coordinator, grant]) => ({ coordinator, grant })),
+  });
+  for (const recipient of recipients) {
+    if (recipient === daemon) continue;
+    recipient.loads.take(news, now);
+    const own = news.grants.find(({ coordinator }) => coordinator === recipient.entry.name);
+    if (own) recipient.grants.counted(daemon.entry.name, own.grant);
+  }
+}
+
+/**
+ * @param options - the fleet and how it chooses.
+ * @returns What runners and callers got after the first seconds.
+ */
+export function playLoad(options: LoadOptions): LoadResult {
+  const { seed, requestsPerSecond, isCoordinated, newsMilliseconds } = options;
+  const random = seededRandom(seed);
+  const daemons = Array.from({ length: options.daemons }, (_, index) => daemonOf(index, options));
+  const byName = new Map(daemons.map((daemon) => [daemon.entry.name, daemon]));
+  const coordinators = isCoordinated ? coordinatorsOf(daemons.map(({ entry }) => entry)) : [];
+  const told = isCoordinated ? coordinators.map(({ name }) => byName.get(name) as Daemon) : daemons;
+  const running = new Map<string, number>();
+  const ends: (readonly [daemon: Daemon, life: string])[][] = [];
+  const known = new Set<string>();
+  const counts = { requests: 0, over: 0, cold: 0, worst: 0 };
+
+  const choose = (daemon: Daemon, prompt: string, now: number): string => {
+    const silent = now >= (options.coordinatorsSilentAt ?? Number.POSITIVE_INFINITY);
+    const [asked] = silent ? [] : askedInOrder(coordinators, prompt);
+    const chooser = (asked && byName.get(asked.name)) ?? daemon;
+    const question = { service: 'chat', sharedParts: [prompt], tried: new Set<string>(), now };
+    const chosen = chooser.choice.choose({ ...question, connectionLimit: 1_000 });
+    const life = chosen?.runner.entry.life ?? '';
+    if (chooser !== daemon) {
+      daemon.counted.set(chooser.entry.name, chooser.grants.grant(daemon.entry.name, life, now));
+      daemon.choice.adopt([prompt], life);
+    }
+    return life;
+  };
+
+  const send = (now: number): void => {
+    const daemon = daemons[Math.floor(random() * daemons.length)] as Daemon;
+    const isPopular = random() < POPULAR_SHARE;
+    const prompt = `prompt-${isPopular ? 0 : Math.floor(random() * PROMPTS)}`;
+    const life = choose(daemon, prompt, now);
+    const runner = daemon.table.ofLife(life);
+    if (runner) runner.inFlight += 1;
+    const mean = [...running.values()].reduce((sum, count) => sum + count, 0) / options.runners;
+    const load = running.get(life) ?? 0;
+    running.set(life, load + 1);
+    (ends[Math.floor(now + REQUEST_MILLISECONDS * (0.5 + random()))] ??= []).push([daemon, life]);
+    const isKnown = known.has(`${prompt} ${life}`);
+    known.add(`${prompt} ${life}`);
+    if (now < WARM_UP_MILLISECONDS) return;
+    counts.requests += 1;
+    if (load > LIMIT_FACTOR * mean + LIMIT_SLACK) counts.over += 1;
+    if (!isKnown) counts.cold += 1;
+    counts.worst = Math.max(counts.worst, (load + 1) / Math.max(1, mean));
+  };
+
+  let due = 0;
+  for (let now = 0; now < SECONDS * 1_000; now += 1) {
+    for (const [daemon, life] of ends[now] ?? []) {
+      running.set(life, (running.get(life) ?? 0) - 1);
+      const runner = daemon.table.ofLife(life);
+      if (runner) runner.inFlight -= 1;
+    }
+    for (const [index, daemon] of daemons.entries()) {
+      if ((now + index * 7) % newsMilliseconds === 0) tell(daemon, told, now);
+    }
+    due += requestsPerSecond / 1_000;
+    for (; due >= 1; due -= 1) send(now);
+  }
+  const { requests, over, cold, worst } = counts;
+  return { overLimit: over / requests, worstRatio: worst, cold: cold / requests };
+}
--- a/src/features/routerFeatures.ts
+++ b/src/features/routerFeatures.ts
@@ -4,6 +4,7 @@
 import { z } from 'zod';
 
 import { forwardingLogEvents } from '../forwarding/forwardingFeature.js';
+import { coordinationLogEvents } from '../coordination/coordinationFeature.js';
 import { newsLogEvents } from '../news/newsFeature.js';
 import { routerFeature } from '../router/routerFeature.js';
 import { syncLogEvents } from '../sync/syncFeature.js';
@@ -18,4 +19,9 @@
   defineFeature({ name: 'forwarding', settings: WITHOUT_SETTINGS, logEvents: forwardingLogEvents }),
   defineFeature({ name: 'sync', settings: WITHOUT_SETTINGS, logEvents: syncLogEvents }),
   defineFeature({ name: 'news', settings: WITHOUT_SETTINGS, logEvents: newsLogEvents }),
+  defineFeature({
+    name: 'coordination',
+    settings: WITHOUT_SETTINGS,
+    logEvents: coordinationLogEvents,
+  }),
 ] as const;
