--- a/src/sync/FleetKnowledge.ts
+++ b/src/sync/FleetKnowledge.ts
@@ -6,35 +6,13 @@
 
 import { RouteTable } from '../routes/RouteTable.js';
 import type { RoutingConfiguration } from '../routes/routeTypes.js';
-import type { RunnerEntry, RunnerState } from '../runners/Runner.js';
+import type { RunnerEntry } from '../runners/Runner.js';
 import { RunnerTable } from '../runners/RunnerTable.js';
-import type { WarmPlace } from '../runners/WarmPlaces.js';
 import { ChangeLog } from './ChangeLog.js';
 import type { DaemonEntry, StoreFact, StoreRead } from './FleetStore.js';
-
-/** Everything in a form that can be sent to another daemon. */
-export interface KnowledgeSnapshot {
-  readonly revision: number;
-  readonly configuration?: RoutingConfiguration | undefined;
-  /** Of the configuration that the sender has, where it does not send it along. */
-  readonly configurationVersion?: number | undefined;
-  readonly runners: readonly RunnerEntry[];
-  readonly daemons: readonly DaemonEntry[];
-}
-
-/** Hears of what has changed. */
-export interface KnowledgeListener {
-  /** A newer configuration is in force. */
-  configurationChanged(configuration: RoutingConfiguration): void;
-  /** A runner was added, changed its state, or is gone. */
-  runnerChanged(entry: RunnerEntry, state: RunnerState | 'gone'): void;
-  /** Another daemon has kept where shared prompts are cached. */
-  warmPlacesKept(places: readonly WarmPlace[]): void;
-  /** All of a read has been taken. */
-  updated(): void;
-  /** A fact could not be decoded. */
-  unreadable(key: string, message: string): void;
-}
+import { isListing } from './listings.js';
+import type { KnowledgeListener, KnowledgeSnapshot } from './knowledgeTypes.js';
+import { UnreadableEntries } from './UnreadableEntries.js';
 
 /** Options of a {@link FleetKnowledge}. */
 export interface FleetKnowledgeOptions {
@@ -47,26 +25,6 @@
  */
 const LAPSE_GRACE_MILLISECONDS = 2_300;
 
-const LISTINGS: ReadonlySet<StoreFact['kind']> = new Set<StoreFact['kind']>([
-  'runner',
-  'runner_gone',
-  'runner_unreadable',
-  'daemon',
-  'daemon_gone',
-]);
-
-/** Entries that were reported as unreadable and are not reported again as long as they stay so. */
-const MAXIMUM_REPORTED = 500;
-
-/**
- * Whether a fact says who is there. Such a fact of an older revision than what is known would bring back a
- * runner that has left: one would see requests at a runner that this daemon knew to be draining. It comes when
- * a slow answer of the store arrives behind another daemon's newer knowledge.
- */
-function isListing({ kind }: StoreFact): boolean {
-  return LISTINGS.has(kind);
-}
-
 /** Holds beliefs; the follower and the peers feed it. */
 export class FleetKnowledge {
   readonly runners = new RunnerTable();
@@ -102,7 +60,7 @@
 
   private graceUntil = Number.NEGATIVE_INFINITY;
 
-  private readonly reported = new Set<string>();
+  private readonly unreadable: UnreadableEntries;
 
   /** Whether another daemon has learnt from the store what it did not tell this one. */
   private wasServedElsewhere = false;
@@ -112,6 +70,7 @@
    */
   constructor({ listener }: FleetKnowledgeOptions) {
     this.listener = listener;
+    this.unreadable = new UnreadableEntries((key, message) => listener.unreadable(key, message));
   }
 
   /** @returns The configuration in force, or `undefined` before the first one. */
@@ -322,7 +281,7 @@
         this.dropDaemon(fact.name, now);
         break;
       default:
-        this.reportUnreadable(fact.key, fact.message);
+        this.unreadable.report(fact.key, fact.message);
     }
   }
 
@@ -336,7 +295,7 @@
   private putRunner(entry: RunnerEntry, now: number): void {
     const { id, life, state, host, port, service } = entry;
     this.lapsed.delete(id);
-    this.reported.delete(id);
+    this.unreadable.clear(id);
     const before = this.runners.get(id)?.entry;
     if (before && before.life !== life) this.dropRunner(id, now);
     else if (
@@ -360,7 +319,7 @@
    */
   private runnerUnreadable(id: string, message: string, now: number): void {
     this.lapsed.delete(id);
-    this.reportUnreadable(id, message);
+    this.unreadable.report(id, message);
     const known = this.runners.get(id)?.entry;
     if (!known || known.state === 'unreadable') return;
     this.changes += 1;
@@ -370,16 +329,8 @@
     this.listener.runnerChanged(entry, 'unreadable');
   }
 
-  /** An entry that another writer renews each second would otherwise fill the log. */
-  private reportUnreadable(key: string, message: string): void {
-    if (this.reported.has(key)) return;
-    if (this.reported.size >= MAXIMUM_REPORTED) this.reported.clear();
-    this.reported.add(key);
-    this.listener.unreadable(key, message);
-  }
-
   private runnerGone(id: string, now: number): void {
-    this.reported.delete(id);
+    this.unreadable.clear(id);
     if (!this.runners.get(id)) return;
     if (now >= this.graceUntil) this.dropRunner(id, now);
     else if (!this.lapsed.has(id)) this.lapsed.set(id, this.graceUntil);
--- a/src/sync/PeerExchange.ts
+++ b/src/sync/PeerExchange.ts
@@ -16,7 +16,8 @@
 import type { HostAndPort } from '../http/parseAddress.js';
 import type { Log } from '../logging/Log.js';
 import type { Clock } from '../time/Clock.js';
-import type { FleetKnowledge, KnowledgeSnapshot } from './FleetKnowledge.js';
+import type { FleetKnowledge } from './FleetKnowledge.js';
+import type { KnowledgeSnapshot } from './knowledgeTypes.js';
 import { syncLogEvents } from './syncFeature.js';
 
 /** Options of a {@link PeerExchange}. */
