Build dynamic imports as calls that the bundled daemon can make

Cause: the daemon's bundle runs as a script with kept compiled code, in which the runtime refuses import(). Specs run from sources and did not see it. Ruled out: the order of answers, the grace after an outage (both as before). Test: the built daemon learns everything from another one while the store turns it away; without the change it never does.

--- a/tests/siteProcesses.spec.ts
+++ b/tests/siteProcesses.spec.ts
@@ -123,6 +123,27 @@
     expect((await callSite({ address, path: '/read/a' })).status).toEqual(200);
   });
 
+  it('learns everything from another daemon while the store turns it away', async () => {
+    // Symptom: a daemon that the store turns away sends requests to a runner that left two seconds before (DRAIN).
+    // Sequence: it asks the others, and each answer fails in the built daemon, although it does not from sources. Cause:
+    // the configuration is decompressed by a module that is loaded when it is needed, and a bundle that is run as a
+    // script refuses such loading.
+    site.store.write('op/config', siteConfiguration(2, { routes: [LATER_ROUTE] }));
+    const isInForce = async (one: SiteProcess) => {
+      const address = one.settings.addresses.callers;
+      const answer = await callSite({ address, path: '/later/a' }).catch(() => undefined);
+      return answer?.status === 200;
+    };
+    for (const one of processes) await site.until(() => isInForce(one));
+    site.store.faultFor({ fault: 'busy' });
+    const seeds = processes.map(({ settings }) => settings.addresses.peers);
+    const settings = await site.settingsOf('daemon-late', seeds);
+    const late = new SiteProcess({ settings, folder, program });
+    processes.push(late);
+    late.start();
+    await site.until(() => isInForce(late));
+  });
+
   it('answers what waited through a pause of the process, once', async () => {
     // Symptom: a request runs twice, or its caller gets nothing. Sequence: a process stands still while a
     // request waits in its connection, and goes on. Cause: timers that are due go before what has arrived.
--- a/tools/buildPlatform.ts
+++ b/tools/buildPlatform.ts
@@ -79,6 +79,8 @@
   mainFields: ['module', 'main'],
   legalComments: 'none',
   logLevel: 'warning',
+  // The bundle runs as a script with kept compiled code, in which the runtime refuses import(): it becomes require().
+  supported: { 'dynamic-import': false },
 };
 
 const cache = join(OUTPUT, 'daemon.cache');
