--- a/src/coordination/FleetCoordination.ts
+++ b/src/coordination/FleetCoordination.ts
@@ -47,13 +47,17 @@
 /** Versions of the configuration are read at most this often, as a share of the time between reads. */
 const CONFIGURATION_SHARE = 0.5;
 
-/** How long the coordinators are taken from the last look at the list, in ms. */
+/** How long the coordinators of the last look at the list are used, in ms: ordering 80 names takes some 50 µs. */
 const KEPT_MILLISECONDS = 100;
 
-/** Only one daemon in a large fleet goes on asking a store that is away this often, in ms. */
-const LARGE_FLEET_PAUSE_MILLISECONDS = 2_000;
+/**
+ * Longest pause of a daemon that coordinators read for, in ms: they notice the store's return and tell it, and seventy
+ * daemons that ask twice a second make more calls in an outage than in the minute around it.
+ */
+const FOLLOWER_PAUSE_MILLISECONDS = 2_000;
 
-const SMALL_FLEET_PAUSE_MILLISECONDS = 500;
+/** Longest pause of all others, in ms: the store's return is noticed within this time. */
+const READER_PAUSE_MILLISECONDS = 500;
 
 /** See the module's comment. */
 export class FleetCoordination {
@@ -136,7 +140,7 @@
   /** @returns Longest pause between calls to a store that is away, in ms. */
   get longestPauseMilliseconds(): number {
     const isFollower = this.coordinators.length > 0 && !this.isCoordinator;
-    return isFollower ? LARGE_FLEET_PAUSE_MILLISECONDS : SMALL_FLEET_PAUSE_MILLISECONDS;
+    return isFollower ? FOLLOWER_PAUSE_MILLISECONDS : READER_PAUSE_MILLISECONDS;
   }
 
   /**
--- a/src/coordination/StoreRelay.ts
+++ b/src/coordination/StoreRelay.ts
@@ -53,7 +53,7 @@
  */
 const DIFFERENCES = 3;
 
-/** Between two reads of the store for something that was missed, in ms. */
+/** Between two reads of the store for something that was missed, in ms: the first one has to come back before. */
 const CATCH_UP_MILLISECONDS = 400;
 
 function chunksOf(changes: readonly LoggedChange[]): LoggedChange[][] {
