--- a/src/logging/logCatalogue.ts
+++ b/src/logging/logCatalogue.ts
@@ -28,6 +28,7 @@
   forwarding: 2600,
   sync: 2700,
   news: 2800,
+  coordination: 2900,
 };
 
 /** The daemon's range holds the settings' events too, from 1100. */
