Sum what callers lost, and why, from the daemons' logs

Cause: `explain` tells the story of one request, if one knows its id. Which requests were lost, when, at which runner and for which reason had to be counted by hand before one could pick any.

Weighed: keeping all lines and joining them, as for a story, is the least code, but needs the memory of the whole log. Lines are taken one by one instead; only attempts of requests without an end are kept, by daemon and process, and for 15 minutes at most.

--- a/src/commands/createProgram.ts
+++ b/src/commands/createProgram.ts
@@ -6,6 +6,7 @@
 
 import { CheckCommand } from './CheckCommand.js';
 import { ExplainCommand } from './ExplainCommand.js';
+import { ExplainLossesCommand } from './ExplainLossesCommand.js';
 import { operatorCommands } from './operator/operatorCommands.js';
 import { PROGRAM_VERSION } from './programVersion.js';
 import { ReplayCommand } from './ReplayCommand.js';
@@ -20,6 +21,7 @@
   CheckCommand,
   ReplayCommand,
   ExplainCommand,
+  ExplainLossesCommand,
   VersionCommand,
   Builtins.HelpCommand,
   ...operatorCommands,
--- a/src/explanations/logLine.ts
+++ b/src/explanations/logLine.ts
@@ -26,6 +26,23 @@
   }
 }
 
+/**
+ * @param raw - one line of a file.
+ * @returns Whether it holds nothing.
+ */
+export function isBlank(raw: string): boolean {
+  return raw.trim() === '';
+}
+
+/**
+ * @param raw - one line of a file; what collects logs may have put a time and a name before it.
+ * @returns What the daemon wrote, or `undefined` where it is no line of a daemon's log.
+ */
+export function parseLogLine(raw: string): LogLine | undefined {
+  const json = raw.slice(Math.max(0, raw.indexOf('{')));
+  return lineSchema.safeParse(parseJson(json)).data;
+}
+
 /**
  * @param text - of a whole file.
  * @param file - its name, for findings.
@@ -35,11 +52,9 @@
 export function parseLogLines(text: string, file: string, findings: Findings): LogLine[] {
   const lines: LogLine[] = [];
   text.split('\n').forEach((raw, index) => {
-    // What collects logs may put a time and a name before each line.
-    const json = raw.slice(Math.max(0, raw.indexOf('{')));
-    if (json.trim() === '') return;
-    const parsed = lineSchema.safeParse(parseJson(json));
-    if (parsed.success) lines.push(parsed.data);
+    if (isBlank(raw)) return;
+    const line = parseLogLine(raw);
+    if (line) lines.push(line);
     else findings.add({ file, line: index + 1 }, 'is not a line of a daemon’s log');
   });
   return lines;
