Tell a full link of the daemon's own from runners that are dark

Cause: a runner that said nothing, or did not accept a connection within 90 ms, was taken for dark by itself. While a download fills the daemon's link that holds for every runner: sound runners were given up, their streams asked for elsewhere, and cut after six attempts of 90 ms although most of the caller's time was left. A verdict was also carried out when the runner had been heard from meanwhile.

Change: a runner counts as dark only if one of three others, those heard from last, accepts a connection where it does not; what came since the question goes before its answer; a connection that was not accepted in time counts against its runner under the same condition. A stream that may have run, and can therefore not be refused, goes on asking while it has time, each time with twice the patience. Two new log events say when the link is suspected and when it is sound again; failures tell a connection that was refused from one that waited.

Ruled out: longer patience alone (a dark runner would cost each request more), and judging by the daemon's own pauses (the timers run in time while the link is full).

--- a/src/explanations/lossDecisions.ts
+++ b/src/explanations/lossDecisions.ts
@@ -95,7 +95,7 @@
     .with('silent', () => afterFailure('runner silent'))
     .with('stray_answer', () => afterFailure('stray answer'))
     .with('refused', () => afterFailure('runner refused'))
-    .with('not_connected', () => afterFailure('not connected'))
+    .with('not_connected', 'connect_timeout', () => afterFailure('not connected'))
     .with('no_runner', () => ({
       cause: 'no runner',
       detail: last ? `none left after ${last.failure.replaceAll('_', ' ')}` : 'none to try',
--- a/src/forwarding/ForwardedRequest.spec.ts
+++ b/src/forwarding/ForwardedRequest.spec.ts
@@ -20,6 +20,7 @@
 import { forwardingLogEvents } from './forwardingFeature.js';
 import { createForwardingMetrics } from './ForwardingMetrics.js';
 import type { ForwardingContext } from './forwardingTypes.js';
+import { LinkCheck } from './LinkCheck.js';
 import { RunnerAgent } from './RunnerAgent.js';
 import { RunnerConnections } from './RunnerConnections.js';
 import { SharedRetryBudget } from './SharedRetryBudget.js';
@@ -106,17 +107,29 @@
     });
   }
 
+  /** A runner that accepts connections; a test answers on them. */
+  function listenForRequests(taken: Socket[]): Promise<number> {
+    return listen(
+      createPort((socket) => {
+        socket.on('error', () => undefined);
+        socket.once('data', () => taken.push(socket));
+      }),
+    );
+  }
+
   function addRunner(id: string, port: number): void {
     const entry = { id, life: id, service: 'chat', dataCentre: 'here', state: 'ready' } as const;
     runners.put({ ...entry, host: '127.0.0.1', port });
   }
 
   function contextOf(openPort: number): ForwardingContext {
+    const metrics = createForwardingMetrics(new MetricRegistry({ clock }));
     return {
       clock,
       log,
       protocol: new TestProtocol(),
-      metrics: createForwardingMetrics(new MetricRegistry({ clock })),
+      metrics,
+      link: new LinkCheck({ runners: () => runners.list(), clock, log, metrics }),
       selector: new LocalSelector(
         new RunnerChoice({ runners, dataCentre: 'here', warmPlaces: new WarmPlaces() }),
       ),
@@ -174,19 +187,14 @@
 
   /** Starts the request at the only runner that is listed so far, and waits until it is there. */
   async function begin(): Promise<void> {
-    const openPort = await listen(
-      createPort((socket) => {
-        socket.on('error', () => undefined);
-        socket.once('data', () => {
-          answering = socket;
-        });
-      }),
-    );
+    const taken: Socket[] = [];
+    const openPort = await listenForRequests(taken);
     addRunner('runner-1', hanging.port);
     const context = contextOf(openPort);
     const front = createServer((_request, response) => forward(response, context));
     caller = call(await listen(front));
-    await until(() => answering !== undefined);
+    await until(() => taken.length > 0);
+    [answering] = taken;
   }
 
   async function pass(milliseconds: number): Promise<void> {
@@ -218,24 +226,14 @@
     // Symptom: a prompt is read by a second runner although the first one answers. Sequence: a stream is quiet for
     // 300 ms, the daemon tries a new connection to its runner; the next event arrives; the new connection is still not
     // accepted after 90 ms. Cause: the verdict was carried out without a look at what had come meanwhile.
-    let asked = 0;
+    const asked: Socket[] = [];
     await begin();
-    addRunner(
-      'runner-2',
-      await listen(
-        createPort((socket) => {
-          socket.on('error', () => undefined);
-          socket.once('data', () => {
-            asked += 1;
-          });
-        }),
-      ),
-    );
+    addRunner('runner-2', await listenForRequests(asked));
     answering?.write(HEAD + eventOf(1));
     await pass(340);
     answering?.write(eventOf(2));
     await pass(120);
-    expect(asked).toEqual(0);
+    expect(asked).toEqual([]);
     answering?.end(eventOf(3));
     expect(eventsIn(await caller)).toEqual(['token 1', 'token 2', 'token 3']);
   });
@@ -246,7 +244,7 @@
     // and left alone for 0.8 s and longer.
     await begin();
     for (let index = 2; index <= 9; index += 1) addRunner(`runner-${index}`, hanging.port);
-    answering?.destroy();
+    answering?.resetAndDestroy();
     await pass(700);
     const usable = runners
       .list()
@@ -254,20 +252,30 @@
     expect(usable.length).toBeGreaterThanOrEqual(8);
   });
 
+  it('goes on as soon as a runner accepts a connection, however many did not', async () => {
+    // Symptom: a caller's stream is cut half a second after its runner died, though most of its time is left. Sequence:
+    // the runner breaks off while the daemon's link is full; no other one accepts a connection for a second. Cause: each
+    // was asked once and waited for 90 ms, and after the last one, or six, the request was ended.
+    await begin();
+    for (const id of ['runner-2', 'runner-3']) addRunner(id, hanging.port);
+    answering?.write(HEAD + eventOf(1));
+    await pass(50);
+    answering?.resetAndDestroy();
+    await pass(1_200);
+    const asked: Socket[] = [];
+    addRunner('runner-9', await listenForRequests(asked));
+    await pass(3_000);
+    expect(asked.length).toEqual(1);
+    asked[0]?.end(HEAD + eventOf(2));
+    expect(eventsIn(await caller)).toEqual(['token 1', 'token 2']);
+  });
+
   it('goes on elsewhere when its runner alone accepts no connection', async () => {
     // Symptom: a caller waits for a stream that nobody works on. Sequence: a runner's instance is gone without a reset;
     // other runners accept at once. Cause: nothing but a new connection shows it.
     await begin();
     const asked: Socket[] = [];
-    addRunner(
-      'runner-2',
-      await listen(
-        createPort((socket) => {
-          socket.on('error', () => undefined);
-          socket.once('data', () => asked.push(socket));
-        }),
-      ),
-    );
+    addRunner('runner-2', await listenForRequests(asked));
     answering?.write(HEAD + eventOf(1));
     await pass(600);
     expect(asked.length).toEqual(1);
--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -15,6 +15,7 @@
 import { AttemptObserver, RunnerAttempt } from './RunnerAttempt.js';
 import { RequestReport } from './RequestReport.js';
 import { isEventStream, StreamedAnswer } from './StreamedAnswer.js';
+import { TriedRunners } from './TriedRunners.js';
 import type { EndEvent } from './RequestReport.js';
 import { attemptHeaders } from './attemptHeaders.js';
 import { nextCheck, quietAttempt, shouldHedge } from './patience.js';
@@ -26,7 +27,8 @@
 /** Runners free a place within about this time, in seconds. */
 const REFUSED_RETRY_SECONDS = 0.25;
 
-const OUTCOMES: Readonly<Record<AttemptFailure, RunnerOutcome>> = {
+/** A connection that was not accepted in time says something about its runner only if the daemon's link is sound. */
+const OUTCOMES: Readonly<Record<Exclude<AttemptFailure, 'connect_timeout'>, RunnerOutcome>> = {
   not_connected: 'unreachable',
   silent: 'unreachable',
   broken: 'failed',
@@ -54,7 +56,7 @@
 
   private readonly active = new Set<RunnerAttempt>();
 
-  private readonly tried = new Set<string>();
+  private readonly tried = new TriedRunners();
 
   private readonly held: HeldAnswers;
 
@@ -66,10 +68,6 @@
   /** Whether the runner of the next attempt is being chosen. */
   private isSelecting = false;
 
-  private mayHaveRun = 0;
-
-  private notRun = 0;
-
   /** When anything last came for this request, or was sent; monotonic ms. */
   private lastProgressAt = 0;
 
@@ -162,9 +160,8 @@
     this.active.delete(attempt);
     this.held.drop(attempt);
     if (this.relay.isDone) return;
-    this.recordOutcome(attempt.runner, OUTCOMES[failure]);
-    if (failure === 'not_connected' || failure === 'refused') this.notRun += 1;
-    else this.mayHaveRun += 1;
+    this.judgeRunner(attempt, failure);
+    this.tried.failedAt(attempt.runner.entry.life, failure);
     if (this.stream.isFrom(attempt)) this.stream.breakOff();
     const verdict = this.verdictOn(attempt, failure);
     this.report.attemptFailed(attempt, failure, { verdict, lastEventId: this.stream.lastEventId });
@@ -186,9 +183,10 @@
       kind: route.kind,
       resumable: route.resumable,
       failure,
-      mayHaveRun: this.mayHaveRun,
-      notRun: this.notRun,
+      mayHaveRun: this.tried.mayHaveRun,
+      notRun: this.tried.notRun,
       maximumAttempts: route.maximumAttempts,
+      hasFallback: this.fallback !== undefined,
       remainingMilliseconds: deadlineAt - this.now(),
       takeBudget: () => this.context.budget.take(service, this.now()),
     });
@@ -196,7 +194,7 @@
 
   private sendNext(): void {
     const { service, sharedParts, connectionLimit } = this.request;
-    const { tried } = this;
+    const tried = this.tried.excluded;
     this.isSelecting = true;
     this.context.selector.select(
       { service, sharedParts, tried, connectionLimit, now: this.now() },
@@ -208,15 +206,15 @@
   private sendTo(chosen: Choice | undefined): void {
     this.isSelecting = false;
     if (this.relay.isDone) return;
-    const { connections, protocol, clock, metrics } = this.context;
+    const { connections, protocol, clock, metrics, link } = this.context;
     const now = this.now();
     if (!chosen) {
-      if (this.active.size === 0) this.giveUp(this.mayHaveRun > 0 ? 'fail' : 'refuse', 'no_runner');
+      if (this.active.size === 0) this.noRunner();
       return;
     }
     const { runner } = chosen;
-    if (this.tried.size > 0) metrics.retries.increment();
-    this.tried.add(runner.entry.life);
+    if (this.tried.count > 0) metrics.retries.increment();
+    this.tried.sentTo(runner.entry.life);
     this.report.chosen(chosen);
     const { id, hasOwnId, method, target } = this.request;
     const attempt = new RunnerAttempt({
@@ -224,6 +222,8 @@
       agent: connections.agentOf(runner),
       protocol,
       clock,
+      link,
+      connectMilliseconds: this.tried.connectMilliseconds,
       observer: this,
       method,
       target,
@@ -237,6 +237,11 @@
     this.arm();
   }
 
+  private noRunner(): void {
+    if (this.tried.forgiveUnreached()) this.sendNext();
+    else this.giveUp(this.tried.mayHaveRun > 0 ? 'fail' : 'refuse', 'no_runner');
+  }
+
   private headersFor({ runner, cacheSource }: Choice): string[] {
     const { request, body } = this;
     const hasBody = body !== undefined || request.method === 'POST' || request.method === 'PUT';
@@ -265,12 +270,12 @@
    */
   private retryError(held: HeldAnswer): boolean {
     const { route, service, deadlineAt } = this.request;
-    this.mayHaveRun += 1;
+    this.tried.mayHaveRun += 1;
     this.fallback = held;
     if (this.active.size > 0 || this.isSelecting) return true;
     const may =
       isRepeatable(route.kind, route.resumable) &&
-      this.mayHaveRun < route.maximumAttempts &&
+      this.tried.mayHaveRun < route.maximumAttempts &&
       deadlineAt > this.now() &&
       this.context.budget.take(service, this.now());
     // Where no other runner is left, this answer has been given by now.
@@ -313,7 +318,7 @@
       request: this.request,
       now: this.now(),
       attempts: this.active,
-      mayHaveRun: this.mayHaveRun,
+      mayHaveRun: this.tried.mayHaveRun,
       lastProgressAt: this.lastProgressAt,
       hasEvents: this.relay.hasHead,
       hasBudget: () => this.context.budget.hasRoom(this.request.service, this.now()),
@@ -329,11 +334,8 @@
     }
     const view = this.patienceView();
     const quiet = quietAttempt(view);
-    if (quiet?.action === 'give_up') {
-      quiet.attempt.giveUpSilent();
-      if (this.relay.isDone) return;
-    } else if (quiet) {
-      quiet.attempt.probe();
+    if (quiet) {
+      quiet.attempt.probe(quiet.ifAccepted);
     } else if (shouldHedge(view) && this.context.budget.take(this.request.service, view.now)) {
       this.report.hedged();
       this.sendNext();
@@ -342,13 +344,24 @@
     this.arm();
   }
 
+  private judgeRunner({ runner, startedAt }: RunnerAttempt, failure: AttemptFailure): void {
+    if (failure !== 'connect_timeout') {
+      this.recordOutcome(runner, OUTCOMES[failure]);
+      return;
+    }
+    runner.health.abandoned();
+    this.context.link.ask(runner, (isSound) => {
+      if (isSound && runner.lastHeardAt < startedAt) this.recordOutcome(runner, 'unreachable');
+    });
+  }
+
   private recordOutcome(runner: Runner, outcome: RunnerOutcome): void {
     if (runner.health.record(this.now(), outcome)) this.report.runnerPaused(runner, outcome);
   }
 
   private end(event: EndEvent, outcome: string): void {
     const { firstAnswerAt, tried, relay } = this;
-    this.report.ended({ event, outcome, status: relay.status, firstAnswerAt, tried: tried.size });
+    this.report.ended({ event, outcome, status: relay.status, firstAnswerAt, tried: tried.count });
   }
 
   private now(): number {
--- a/src/forwarding/ForwardingMetrics.ts
+++ b/src/forwarding/ForwardingMetrics.ts
@@ -26,6 +26,11 @@
       labels: ['kind'] as const,
     }),
     retries: registry.counter({ name: 'retries', help: 'Requests sent to one more runner.' }),
+    linkChecks: registry.counter({
+      name: 'link_checks',
+      help: 'Checks of this daemon’s own link, made because a runner accepted no connection.',
+      labels: ['result'] as const,
+    }),
     latency: registry.histogram({
       name: 'answer_latency',
       help: 'Until the first event of a stream, or the whole of another answer.',
--- a/src/forwarding/RunnerAttempt.ts
+++ b/src/forwarding/RunnerAttempt.ts
@@ -7,15 +7,19 @@
 
 import type { Runner } from '../runners/Runner.js';
 import type { Clock } from '../time/Clock.js';
-import { CONNECT_TIMEOUT_MILLISECONDS, probeRunner } from './probeRunner.js';
+import type { LinkCheck } from './LinkCheck.js';
+import { probeRunner } from './probeRunner.js';
+import type { ProbeResult } from './probeRunner.js';
 import type { RunnerAgent } from './RunnerAgent.js';
 import type { RunnerProtocol } from './RunnerProtocol.js';
 
 /**
- * How an attempt failed: `not_connected` and `refused` did not run; after `broken`, `silent` and
- * `stray_answer` (another request's answer, or one without a signature) the runner may have run it.
+ * How an attempt failed. It did not run after `not_connected` (the runner's instance refused the connection),
+ * `connect_timeout` (it was not accepted in time) and `refused`; after `broken`, `silent` and `stray_answer` (another
+ * request's answer, or one without a signature) the runner may have run it.
  */
-export type AttemptFailure = 'not_connected' | 'refused' | 'broken' | 'silent' | 'stray_answer';
+export type AttemptFailure =
+  'not_connected' | 'connect_timeout' | 'refused' | 'broken' | 'silent' | 'stray_answer';
 
 /** Hears what comes of an attempt; after `ended` or `failed` nothing more. */
 export abstract class AttemptObserver {
@@ -38,6 +42,10 @@
   agent: RunnerAgent;
   protocol: RunnerProtocol;
   clock: Clock;
+  /** Tells a dark runner from a full link of this daemon's own. */
+  link: Pick<LinkCheck, 'ask'>;
+  /** How long a new connection may take, in ms. */
+  connectMilliseconds: number;
   observer: AttemptObserver;
   method: string;
   /** Path with the query. */
@@ -74,6 +82,9 @@
 
   private probing = false;
 
+  /** When anything last came for this request, monotonic ms. */
+  private heardAt = Number.NEGATIVE_INFINITY;
+
   /**
    * @param options - what is sent where, and who hears of it.
    */
@@ -112,27 +123,42 @@
     this.request?.destroy();
   }
 
-  /** Breaks the request off because the runner says nothing. */
-  giveUpSilent(): void {
-    this.fail('silent');
+  /**
+   * Gives the attempt up if its runner, which says nothing, accepts no connection although others do.
+   *
+   * @param ifAccepted - what to do where the runner accepts one: wait for it, or give it up as too slow.
+   */
+  probe(ifAccepted: 'wait' | 'give_up'): void {
+    // Before there is a connection its own timeout decides, and the request has not run.
+    if (this.probing || !this.connected) return;
+    this.probing = true;
+    const startedAt = this.options.clock.monotonicMilliseconds();
+    probeRunner(this.runner, (result) => this.judge(result, startedAt, ifAccepted));
   }
 
-  /** Gives the attempt up if its runner, which says nothing, does not accept connections either. */
-  probe(): void {
-    if (this.probing) return;
-    this.probing = true;
-    probeRunner(this.runner, (isThere) => {
-      this.probing = false;
-      if (!isThere) this.fail('silent');
-      else this.runner.lastHeardAt = this.options.clock.monotonicMilliseconds();
-    });
+  private judge(result: ProbeResult, startedAt: number, ifAccepted: 'wait' | 'give_up'): void {
+    if (result === 'timed_out') {
+      this.options.link.ask(this.runner, (isSound) => this.judgeDark(isSound, startedAt));
+      return;
+    }
+    this.probing = false;
+    const isOver = result === 'refused' || ifAccepted === 'give_up';
+    // What came for this request meanwhile goes before the verdict.
+    if (isOver && this.heardAt < startedAt) this.fail('silent');
+    else this.runner.lastHeardAt = this.options.clock.monotonicMilliseconds();
+  }
+
+  private judgeDark(isLinkSound: boolean, startedAt: number): void {
+    this.probing = false;
+    if (isLinkSound && this.runner.lastHeardAt < startedAt) this.fail('silent');
   }
 
   private watchSocket(socket: Socket): void {
     if (!socket.connecting) {
       this.connected = true;
     } else {
-      this.connectTimer = setTimeout(() => this.giveUpConnecting(), CONNECT_TIMEOUT_MILLISECONDS);
+      const { connectMilliseconds } = this.options;
+      this.connectTimer = setTimeout(() => this.giveUpConnecting(), connectMilliseconds);
       socket.once('connect', () => this.onConnect());
     }
     this.watchReset(socket);
@@ -169,14 +195,14 @@
   /** After a pause of the whole process the timer comes first although the connection has been accepted. */
   private giveUpConnecting(): void {
     setImmediate(() => {
-      if (!this.connected) this.fail('not_connected');
+      if (!this.connected) this.fail('connect_timeout');
     });
   }
 
   private takeAnswer(answer: IncomingMessage): void {
     if (this.settled) return;
-    const { protocol, observer, clock } = this.options;
-    this.runner.lastHeardAt = clock.monotonicMilliseconds();
+    const { protocol, observer } = this.options;
+    this.hear();
     const status = answer.statusCode ?? 0;
     if (this.isStray(answer, status)) {
       this.fail('stray_answer');
@@ -205,10 +231,15 @@
 
   private takeChunk(chunk: Buffer): void {
     if (this.settled) return;
-    this.runner.lastHeardAt = this.options.clock.monotonicMilliseconds();
+    this.hear();
     this.options.observer.received(this, chunk);
   }
 
+  private hear(): void {
+    this.heardAt = this.options.clock.monotonicMilliseconds();
+    this.runner.lastHeardAt = this.heardAt;
+  }
+
   private end(answer: IncomingMessage): void {
     if (this.settled) return;
     if (!answer.complete || this.wasReset) {
--- a/src/forwarding/decisions.spec.ts
+++ b/src/forwarding/decisions.spec.ts
@@ -43,6 +43,21 @@
       { failure: 'not_connected', mayHaveRun: 0, notRun: 1, takeBudget: () => false },
       'retry',
     ],
+    [
+      'one that may have run, behind a full link: it can be neither refused nor answered',
+      { failure: 'connect_timeout', mayHaveRun: 1, notRun: 6, takeBudget: () => false },
+      'retry',
+    ],
+    [
+      'the same, where a runner’s own error can be given',
+      { failure: 'connect_timeout', mayHaveRun: 1, notRun: 6, hasFallback: true },
+      'fail',
+    ],
+    [
+      'one that has not run, behind a full link',
+      { failure: 'connect_timeout', mayHaveRun: 0, notRun: 6 },
+      'refuse',
+    ],
     ['one that no runner takes', { failure: 'refused', mayHaveRun: 0, notRun: 6 }, 'refuse'],
     [
       'one refused after a run: "not run" would be a lie',
--- a/src/forwarding/forwardingFeature.ts
+++ b/src/forwarding/forwardingFeature.ts
@@ -55,4 +55,19 @@
     text: 'A request was refused before any runner was chosen: no route, no valid key, too large, or not ready.',
     operatorAction: 'Many with one reason: look at callers, or at why the daemon is not ready.',
   }),
+  linkSuspected: defineLogEvent({
+    number: 2607,
+    name: 'forwarding.link_suspected',
+    level: 'warn',
+    text: 'Neither a quiet runner nor another one accepts a connection: the daemon’s own link may be full or cut, so that no runner is given up for its silence.',
+    operatorAction:
+      'Look at the link of this instance; a large configuration fills a slow one for a second.',
+  }),
+  linkSound: defineLogEvent({
+    number: 2608,
+    name: 'forwarding.link_sound',
+    level: 'info',
+    text: 'A runner accepted a connection again after the daemon’s own link had been suspected.',
+    operatorAction: 'None.',
+  }),
 };
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -7,6 +7,7 @@
 import type { RunnerSelector } from '../runners/RunnerSelector.js';
 import type { Clock } from '../time/Clock.js';
 import type { ForwardingMetrics } from './ForwardingMetrics.js';
+import type { LinkCheck } from './LinkCheck.js';
 import type { RunnerConnections } from './RunnerConnections.js';
 import type { RunnerProtocol } from './RunnerProtocol.js';
 import type { SharedRetryBudget } from './SharedRetryBudget.js';
@@ -20,6 +21,7 @@
   readonly selector: RunnerSelector;
   readonly connections: RunnerConnections;
   readonly budget: SharedRetryBudget;
+  readonly link: LinkCheck;
   /** The configuration in force, or `undefined` before the first one is known. */
   readonly routes: () => RouteTable | undefined;
   /** Daemons that share the runners' connections, this one too. */
--- a/src/forwarding/patience.spec.ts
+++ b/src/forwarding/patience.spec.ts
@@ -36,15 +36,15 @@
 }
 
 function actionAt(quiet: number, changes: ViewChanges = {}): string | undefined {
-  return quietAttempt(viewOf({ now: LAST + quiet, ...changes }))?.action;
+  return quietAttempt(viewOf({ now: LAST + quiet, ...changes }))?.ifAccepted;
 }
 
 describe('patience with a quiet stream', () => {
   it('asks after the runner once it says nothing to anybody, and gives it up after four times as long', () => {
     expect([299, 300, 1_199, 1_200].map((quiet) => actionAt(quiet))).toEqual([
       undefined,
-      'probe',
-      'probe',
+      'wait',
+      'wait',
       'give_up',
     ]);
   });
@@ -55,9 +55,9 @@
 
   it('waits for the first event by the target of the route', () => {
     const before = { hasEvents: false };
-    expect([349, 350].map((quiet) => actionAt(quiet, before))).toEqual([undefined, 'probe']);
+    expect([349, 350].map((quiet) => actionAt(quiet, before))).toEqual([undefined, 'wait']);
     const short = { hasEvents: false, route: { targetLatencyMilliseconds: 100 } };
-    expect([249, 250].map((quiet) => actionAt(quiet, short))).toEqual([undefined, 'probe']);
+    expect([249, 250].map((quiet) => actionAt(quiet, short))).toEqual([undefined, 'wait']);
   });
 
   it('never ends an attempt for silence where no other runner may go on', () => {
--- a/src/forwarding/patience.ts
+++ b/src/forwarding/patience.ts
@@ -88,8 +88,11 @@
 /** What to do about a stream that has become quiet. */
 export interface Quiet {
   readonly attempt: RunnerAttempt;
-  /** `probe`: find out whether the runner is there; `give_up`: it is, but has kept the request too long. */
-  readonly action: 'probe' | 'give_up';
+  /**
+   * What to do where the runner still accepts connections: `wait` for it, or `give_up` because it has kept the request
+   * too long. One that accepts none while others do is given up either way.
+   */
+  readonly ifAccepted: 'wait' | 'give_up';
 }
 
 /**
@@ -108,7 +111,7 @@
   const quiet = view.now - view.lastProgressAt;
   const limit = silenceLimit(view);
   if (quiet < limit || !canGoOnElsewhere(view)) return undefined;
-  if (quiet >= limit * BUSY_FACTOR) return { attempt, action: 'give_up' };
+  if (quiet >= limit * BUSY_FACTOR) return { attempt, ifAccepted: 'give_up' };
   const heard = view.now - attempt.runner.lastHeardAt < limit;
-  return heard ? undefined : { attempt, action: 'probe' };
+  return heard ? undefined : { attempt, ifAccepted: 'wait' };
 }
--- a/src/forwarding/probeRunner.ts
+++ b/src/forwarding/probeRunner.ts
@@ -1,6 +1,6 @@
 /**
- * Finds out whether a silent runner is there at all: a dark one does not accept a connection, a busy one does.
- * Giving up a busy one would have another runner read the same prompt: on a calm day with cold caches
+ * Opens a connection to a runner only to see whether it is accepted: a dark runner does not accept one, a busy one
+ * does. Giving up a busy one would have another runner read the same prompt: on a calm day with cold caches
  * 1,160 k tokens of shared prompts were read again without this question, 670 k with it.
  */
 import { connect } from 'node:net';
@@ -11,24 +11,30 @@
 export const CONNECT_TIMEOUT_MILLISECONDS = 90;
 
 /**
- * @param runner - that says nothing.
- * @param done - told once whether the runner accepted a connection.
+ * `accepted`; `refused`: its instance says that nobody listens; `timed_out`: nothing came, which may be the runner's
+ * silence or a full link of this daemon's own.
  */
-export function probeRunner({ entry }: Runner, done: (isThere: boolean) => void): void {
+export type ProbeResult = 'accepted' | 'refused' | 'timed_out';
+
+/**
+ * @param runner - that is asked.
+ * @param done - told once what came of it.
+ */
+export function probeRunner({ entry }: Runner, done: (result: ProbeResult) => void): void {
   const { host, port } = entry;
   const socket = connect({ host, port });
   let timer: NodeJS.Timeout | undefined;
   let isOpen = true;
-  const finish = (isThere: boolean) => {
+  const finish = (result: ProbeResult) => {
     if (!isOpen) return;
     isOpen = false;
     clearTimeout(timer);
     socket.destroy();
-    done(isThere);
+    done(result);
   };
   // After a pause of the whole process the timer comes first although the connection has been accepted.
-  const giveUp = () => setImmediate(() => finish(!socket.connecting));
+  const giveUp = () => setImmediate(() => finish(socket.connecting ? 'timed_out' : 'accepted'));
   timer = setTimeout(giveUp, CONNECT_TIMEOUT_MILLISECONDS);
-  socket.once('connect', () => finish(true));
-  socket.once('error', () => finish(false));
+  socket.once('connect', () => finish('accepted'));
+  socket.once('error', () => finish('refused'));
 }
--- a/src/forwarding/testAttempt.ts
+++ b/src/forwarding/testAttempt.ts
@@ -5,6 +5,7 @@
 
 import { Runner } from '../runners/Runner.js';
 import { SystemClock } from '../time/SystemClock.js';
+import { CONNECT_TIMEOUT_MILLISECONDS } from './probeRunner.js';
 import { RunnerAgent } from './RunnerAgent.js';
 import type { AttemptFailure } from './RunnerAttempt.js';
 import { AttemptObserver, RunnerAttempt } from './RunnerAttempt.js';
@@ -76,6 +77,8 @@
       agent,
       protocol: new TestProtocol(),
       clock: new SystemClock(),
+      link: { ask: (_suspect, listener) => listener(true) },
+      connectMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
       observer: new CollectingObserver(done),
       method: 'GET',
       target,
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -10,6 +10,7 @@
 import { CallerFront } from '../forwarding/CallerFront.js';
 import { createForwardingMetrics } from '../forwarding/ForwardingMetrics.js';
 import type { ForwardingContext, StopPhase } from '../forwarding/forwardingTypes.js';
+import { LinkCheck } from '../forwarding/LinkCheck.js';
 import { RunnerConnections } from '../forwarding/RunnerConnections.js';
 import type { RunnerProtocol } from '../forwarding/RunnerProtocol.js';
 import { SharedRetryBudget } from '../forwarding/SharedRetryBudget.js';
@@ -244,13 +245,16 @@
     const { clock, log, knowledge, connections, settings } = this;
     const daemons = () => Math.max(1, knowledge.daemons.size);
     const { ratio, allowance, windowSeconds } = settings.retryBudget;
+    const metrics = createForwardingMetrics(this.registry);
+    const runners = () => knowledge.runners.list();
     return {
       clock,
       log,
       protocol,
       connections,
       daemons,
-      metrics: createForwardingMetrics(this.registry),
+      metrics,
+      link: new LinkCheck({ runners, clock, log, metrics }),
       selector: this.coordination.selector,
       budget: new SharedRetryBudget({
         ratio,
