Judge darkness by a second question, and end each request in time; say why no other runner was asked

Older faults of the same kind: a call without a second runner was not ended at its deadline; streams were cut when the retry budget went between question and verdict; after a pause of the process a whole answer was thrown away for a deadline that it met.

Change: runners that have missed a connection since they were heard from are asked as witnesses last, and the suspect is asked again once a witness is there. How a request stands is asked anew with each verdict. Connections are waited for longer only while the link is suspected, up to 720 ms. Timers let waiting bytes be read first. Errors of this instance count neither as a runner's refusal nor as a witness's word. Failures say why no other runner was asked; lines that the log's reader was too slow for are counted (2508).

--- a/src/explanations/LossAccount.spec.ts
+++ b/src/explanations/LossAccount.spec.ts
@@ -159,7 +159,8 @@
     const { extent } = accountOf([
       { second: 1, number: 2507, fields: { lines: 40 } },
       { second: 3, number: 2507, fields: { lines: 2 }, daemon: 'daemon-2' },
-      { second: 4, number: 1010, fields: { lines: 5 } },
+      { second: 4, number: 1010, fields: { lines: 2 } },
+      { second: 4, number: 2508, fields: { lines: 3 } },
       { second: 5, number: 2507, fields: { lines: 'many' } },
     ]);
     expect(extent).toEqual({
--- a/src/explanations/LossAccount.ts
+++ b/src/explanations/LossAccount.ts
@@ -17,7 +17,7 @@
 
 const { answered, notServed, callerLeft, attemptFailed, hedged, rejected } = forwardingLogEvents;
 
-const { started, stopped, linesLeftOut } = routerLogEvents;
+const { started, stopped, linesLeftOut, linesDropped } = routerLogEvents;
 
 const { logLinesDropped } = daemonLogEvents;
 
@@ -78,6 +78,7 @@
       [stopped.number, ({ fields }, log) => log.stoppedWith(numberOf(fields.cut) ?? 0)],
       [linesLeftOut.number, (line) => this.takeLeftOut(line)],
       [logLinesDropped.number, (line) => this.takeDropped(line)],
+      [linesDropped.number, (line) => this.takeDropped(line)],
     ]);
   }
 
--- a/src/explanations/RequestStory.ts
+++ b/src/explanations/RequestStory.ts
@@ -29,6 +29,7 @@
     routerLogEvents.ready,
     routerLogEvents.stopping,
     routerLogEvents.linesLeftOut,
+    routerLogEvents.linesDropped,
   ].map(({ number }) => number),
 );
 
--- a/src/explanations/causeOf.ts
+++ b/src/explanations/causeOf.ts
@@ -22,7 +22,8 @@
     .with('stopping', () => 'the daemon was in a planned stop')
     .with('no_runner', () => 'no runner of the service was listed and took requests')
     .with('refused', () => 'runners said that they had not run it')
-    .with('not_connected', 'connect_timeout', () => 'no runner accepted a connection')
+    .with('connect_timeout', () => 'no runner accepted a connection in time')
+    .with('not_connected', () => 'no runner accepted a connection')
     .with('deadline', () => 'its deadline, or the timeout of its route, passed')
     .with('not_resumed', () => 'its stream was cut, and the second runner gave no stream')
     .with(P.union('broken', 'silent', 'stray_answer'), (failure) =>
--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -4,16 +4,16 @@
  */
 import type { IncomingMessage } from 'node:http';
 
-import type { Runner } from '../runners/Runner.js';
 import type { Choice } from '../runners/RunnerChoice.js';
-import type { RunnerOutcome } from '../runners/RunnerHealth.js';
 import type { AnswerRelay, HeldAnswer, OwnAnswer } from './AnswerRelay.js';
 import type { AdmittedRequest, ForwardingContext } from './forwardingTypes.js';
 import { HeldAnswers } from './HeldAnswers.js';
 import { decideRetry, isRepeatable } from './retryDecision.js';
+import type { NoRetryReason, RetryDecision, RetryVerdict } from './retryDecision.js';
 import type { AttemptFailure } from './RunnerAttempt.js';
 import { AttemptObserver, RunnerAttempt } from './RunnerAttempt.js';
 import { RequestReport } from './RequestReport.js';
+import { RunnerJudge } from './RunnerJudge.js';
 import { isEventStream, StreamedAnswer } from './StreamedAnswer.js';
 import { TriedRunners } from './TriedRunners.js';
 import type { EndEvent } from './RequestReport.js';
@@ -27,14 +27,11 @@
 /** Runners free a place within about this time, in seconds. */
 const REFUSED_RETRY_SECONDS = 0.25;
 
-/** A connection that was not accepted in time says something about its runner only if the daemon's link is sound. */
-const OUTCOMES: Readonly<Record<Exclude<AttemptFailure, 'connect_timeout'>, RunnerOutcome>> = {
-  not_connected: 'unreachable',
-  silent: 'unreachable',
-  broken: 'failed',
-  stray_answer: 'failed',
-  refused: 'failed',
-};
+/** `wait`: another attempt is under way; `cut`: part of this answer is with the caller already. */
+interface AttemptVerdict {
+  readonly verdict: RetryVerdict | 'wait' | 'cut';
+  readonly reason?: NoRetryReason;
+}
 
 /** Options of a {@link ForwardedRequest}. */
 export interface ForwardedRequestOptions {
@@ -75,6 +72,8 @@
 
   private readonly report: RequestReport;
 
+  private readonly judge: RunnerJudge;
+
   private timer: NodeJS.Timeout | undefined;
 
   /**
@@ -89,6 +88,7 @@
     this.held = new HeldAnswers(relay);
     this.stream = new StreamedAnswer(relay);
     this.report = new RequestReport({ request, context });
+    this.judge = new RunnerJudge({ context, report: this.report });
   }
 
   /** Sends the first attempt. */
@@ -134,7 +134,7 @@
     if (!held || this.relay.isDone) return;
     const failed = (held.answer.statusCode ?? SERVER_ERROR) >= SERVER_ERROR;
     const expired = held.answer.statusCode === GATEWAY_TIMEOUT;
-    this.recordOutcome(attempt.runner, failed && !expired ? 'failed' : 'answered');
+    this.judge.record(attempt.runner, failed && !expired ? 'failed' : 'answered');
     if (this.stream.isFrom(attempt)) {
       this.stopAttempts();
       this.stream.end();
@@ -160,24 +160,26 @@
     this.active.delete(attempt);
     this.held.drop(attempt);
     if (this.relay.isDone) return;
-    this.judgeRunner(attempt, failure);
+    this.judge.failed(attempt, failure);
     this.tried.failedAt(attempt.runner.entry.life, failure);
     if (this.stream.isFrom(attempt)) this.stream.breakOff();
-    const verdict = this.verdictOn(attempt, failure);
-    this.report.attemptFailed(attempt, failure, { verdict, lastEventId: this.stream.lastEventId });
+    const { verdict, reason } = this.verdictOn(attempt, failure);
+    const { lastEventId } = this.stream;
+    this.report.attemptFailed(attempt, failure, { verdict, reason, lastEventId });
     if (verdict === 'wait') return;
     if (verdict === 'retry') this.sendNext();
     else if (verdict === 'cut') this.endWith({ status: 502, reason: failure });
     else this.giveUp(verdict, failure);
   }
 
-  private verdictOn(attempt: RunnerAttempt, failure: AttemptFailure) {
+  private verdictOn(attempt: RunnerAttempt, failure: AttemptFailure): AttemptVerdict {
     // Its beginning is with the caller; no other runner's answer fits behind it.
-    if (this.held.isPassing(attempt)) return 'cut';
-    return this.active.size > 0 || this.isSelecting ? 'wait' : this.decide(failure);
+    if (this.held.isPassing(attempt)) return { verdict: 'cut' };
+    if (this.active.size > 0 || this.isSelecting) return { verdict: 'wait' };
+    return this.decide(failure);
   }
 
-  private decide(failure: AttemptFailure) {
+  private decide(failure: AttemptFailure): RetryDecision {
     const { route, service, deadlineAt } = this.request;
     return decideRetry({
       kind: route.kind,
@@ -210,6 +212,7 @@
     const now = this.now();
     if (!chosen) {
       if (this.active.size === 0) this.noRunner();
+      else this.armForDeadline();
       return;
     }
     const { runner } = chosen;
@@ -223,7 +226,7 @@
       protocol,
       clock,
       link,
-      connectMilliseconds: this.tried.connectMilliseconds,
+      connectMilliseconds: this.tried.connectMilliseconds(link.isSuspect),
       observer: this,
       method,
       target,
@@ -238,7 +241,7 @@
   }
 
   private noRunner(): void {
-    if (this.tried.forgiveUnreached()) this.sendNext();
+    if (!this.fallback && this.tried.forgiveUnreached()) this.sendNext();
     else this.giveUp(this.tried.mayHaveRun > 0 ? 'fail' : 'refuse', 'no_runner');
   }
 
@@ -308,9 +311,22 @@
   }
 
   private arm(): void {
+    this.armAt(nextCheck(this.patienceView()));
+  }
+
+  /** No second runner could be asked: only the deadline is left to wait for. */
+  private armForDeadline(): void {
+    this.armAt(this.request.deadlineAt);
+  }
+
+  /**
+   * After a pause of the whole process timers come before the bytes that wait in its sockets: a whole answer would be
+   * thrown away for a deadline that it met. So the bytes are read first.
+   */
+  private armAt(time: number): void {
     clearTimeout(this.timer);
-    const wait = nextCheck(this.patienceView()) - this.now();
-    this.timer = setTimeout(() => this.check(), Math.max(1, Math.ceil(wait)));
+    const wait = Math.max(1, Math.ceil(time - this.now()));
+    this.timer = setTimeout(() => setImmediate(() => this.check()), wait);
   }
 
   private patienceView() {
@@ -335,7 +351,7 @@
     const view = this.patienceView();
     const quiet = quietAttempt(view);
     if (quiet) {
-      quiet.attempt.probe(quiet.ifAccepted);
+      quiet.attempt.probe(() => quietAttempt(this.patienceView())?.ifAccepted ?? 'not_silent');
     } else if (shouldHedge(view) && this.context.budget.take(this.request.service, view.now)) {
       this.report.hedged();
       this.sendNext();
@@ -344,21 +360,6 @@
     this.arm();
   }
 
-  private judgeRunner({ runner, startedAt }: RunnerAttempt, failure: AttemptFailure): void {
-    if (failure !== 'connect_timeout') {
-      this.recordOutcome(runner, OUTCOMES[failure]);
-      return;
-    }
-    runner.health.abandoned();
-    this.context.link.ask(runner, (isSound) => {
-      if (isSound && runner.lastHeardAt < startedAt) this.recordOutcome(runner, 'unreachable');
-    });
-  }
-
-  private recordOutcome(runner: Runner, outcome: RunnerOutcome): void {
-    if (runner.health.record(this.now(), outcome)) this.report.runnerPaused(runner, outcome);
-  }
-
   private end(event: EndEvent, outcome: string): void {
     const { firstAnswerAt, tried, relay } = this;
     this.report.ended({ event, outcome, status: relay.status, firstAnswerAt, tried: tried.count });
--- a/src/forwarding/LinkCheck.spec.ts
+++ b/src/forwarding/LinkCheck.spec.ts
@@ -30,7 +30,7 @@
     openPort = (server.address() as AddressInfo).port;
     log = new MemoryLog();
     runners = [];
-    const clock = new ManualClock();
+    const clock = new ManualClock({ monotonicMilliseconds: 100 });
     const metrics = createForwardingMetrics(new MetricRegistry({ clock }));
     link = new LinkCheck({ runners: () => runners, clock, log, metrics });
   });
@@ -76,6 +76,24 @@
     expect(log.of(forwardingLogEvents.linkSound)).toEqual([{ witness: 'there', milliseconds: 0 }]);
   });
 
+  it('finds a far runner in the end, where those that were heard from last are all dark', async () => {
+    // Symptom: all new requests of a daemon are refused, seconds long, though a data centre away runners are sound.
+    // Sequence: a rack is gone; the runners heard from last are its own. Cause: they were asked about each other again
+    // and again, so that none of them was ever found dark, and the far ones were never heard from.
+    const suspect = addRunner('suspect', hanging.port, 9);
+    for (const id of ['near-1', 'near-2', 'near-3']) addRunner(id, hanging.port, 8);
+    addRunner('far', openPort, 1);
+    expect([await check(suspect), await check(suspect)]).toEqual([false, true]);
+  });
+
+  it('asks a runner again before it is taken for dark', async () => {
+    // Symptom: sound runners are given up just when a full link is free again. Sequence: a runner is asked while the
+    // link is full, the witness afterwards. Cause: the two were compared although the link was another one by then.
+    const suspect = addRunner('suspect', openPort);
+    addRunner('there', openPort);
+    expect(await check(suspect)).toEqual(false);
+  });
+
   it('does not let a runner that accepts bear witness against itself', async () => {
     // Symptom: a runner that accepts connections is taken for dark. Sequence: its new connection waits 90 ms; a check
     // that began for another runner asks it too, and it accepts. Cause: its own word counted as that of another one.
--- a/src/forwarding/RequestReport.ts
+++ b/src/forwarding/RequestReport.ts
@@ -67,19 +67,22 @@
   /**
    * @param attempt - that failed.
    * @param failure - how.
-   * @param decided - what was decided, and the stream's last event.
+   * @param decided - what was decided, why no other runner is asked, and the stream's last event.
    */
   attemptFailed(
     attempt: RunnerAttempt,
     failure: AttemptFailure,
-    decided: { verdict: string; lastEventId: string | undefined },
+    decided: { verdict: string; reason: string | undefined; lastEventId: string | undefined },
   ): void {
     const now = this.context.clock.monotonicMilliseconds();
+    const { lastHeardAt: heardAt } = attempt.runner;
     this.context.metrics.failures.increment({ kind: failure });
     this.write(forwardingLogEvents.attemptFailed, {
       runner: attempt.runner.entry.id,
       failure,
       attemptMilliseconds: Math.round(now - attempt.startedAt),
+      // Since the runner said anything to anybody: a runner that others hear is not dark.
+      heardMilliseconds: Number.isFinite(heardAt) ? Math.round(now - heardAt) : undefined,
       ...decided,
     });
   }
--- a/src/forwarding/RunnerAttempt.ts
+++ b/src/forwarding/RunnerAttempt.ts
@@ -21,6 +21,12 @@
 export type AttemptFailure =
   'not_connected' | 'connect_timeout' | 'refused' | 'broken' | 'silent' | 'stray_answer';
 
+/**
+ * How a request that its runner says nothing for stands now. `not_silent`: something has come since, or there is no
+ * other runner that may go on; `give_up`: the runner has kept it too long, even if it accepts connections.
+ */
+export type SilenceQuestion = () => 'not_silent' | 'wait' | 'give_up';
+
 /** Hears what comes of an attempt; after `ended` or `failed` nothing more. */
 export abstract class AttemptObserver {
   /** The answer's head is there. */
@@ -43,7 +49,7 @@
   protocol: RunnerProtocol;
   clock: Clock;
   /** Tells a dark runner from a full link of this daemon's own. */
-  link: Pick<LinkCheck, 'ask'>;
+  link: Pick<LinkCheck, 'ask' | 'accepted'>;
   /** How long a new connection may take, in ms. */
   connectMilliseconds: number;
   observer: AttemptObserver;
@@ -82,9 +88,6 @@
 
   private probing = false;
 
-  /** When anything last came for this request, monotonic ms. */
-  private heardAt = Number.NEGATIVE_INFINITY;
-
   /**
    * @param options - what is sent where, and who hears of it.
    */
@@ -126,31 +129,30 @@
   /**
    * Gives the attempt up if its runner, which says nothing, accepts no connection although others do.
    *
-   * @param ifAccepted - what to do where the runner accepts one: wait for it, or give it up as too slow.
+   * @param silence - asks again how the request stands, each time something is known.
    */
-  probe(ifAccepted: 'wait' | 'give_up'): void {
+  probe(silence: SilenceQuestion): void {
     // Before there is a connection its own timeout decides, and the request has not run.
     if (this.probing || !this.connected) return;
     this.probing = true;
-    const startedAt = this.options.clock.monotonicMilliseconds();
-    probeRunner(this.runner, (result) => this.judge(result, startedAt, ifAccepted));
+    probeRunner(this.runner, (result) => this.judge(result, silence));
   }
 
-  private judge(result: ProbeResult, startedAt: number, ifAccepted: 'wait' | 'give_up'): void {
-    if (result === 'timed_out') {
-      this.options.link.ask(this.runner, (isSound) => this.judgeDark(isSound, startedAt));
+  private judge(result: ProbeResult, silence: SilenceQuestion): void {
+    const { link, clock } = this.options;
+    if (result === 'no_answer') {
+      link.ask(this.runner, (isDark) => this.judgeDark(isDark, silence));
       return;
     }
     this.probing = false;
-    const isOver = result === 'refused' || ifAccepted === 'give_up';
-    // What came for this request meanwhile goes before the verdict.
-    if (isOver && this.heardAt < startedAt) this.fail('silent');
-    else this.runner.lastHeardAt = this.options.clock.monotonicMilliseconds();
+    const isOver = result === 'refused' || silence() === 'give_up';
+    if (isOver && silence() !== 'not_silent') this.fail('silent');
+    else this.runner.lastHeardAt = clock.monotonicMilliseconds();
   }
 
-  private judgeDark(isLinkSound: boolean, startedAt: number): void {
+  private judgeDark(isDark: boolean, silence: SilenceQuestion): void {
     this.probing = false;
-    if (isLinkSound && this.runner.lastHeardAt < startedAt) this.fail('silent');
+    if (isDark && silence() !== 'not_silent') this.fail('silent');
   }
 
   private watchSocket(socket: Socket): void {
@@ -190,6 +192,7 @@
   private onConnect(): void {
     clearTimeout(this.connectTimer);
     this.connected = true;
+    this.options.link.accepted(this.runner);
   }
 
   /** After a pause of the whole process the timer comes first although the connection has been accepted. */
@@ -202,7 +205,7 @@
   private takeAnswer(answer: IncomingMessage): void {
     if (this.settled) return;
     const { protocol, observer } = this.options;
-    this.hear();
+    this.runner.lastHeardAt = this.options.clock.monotonicMilliseconds();
     const status = answer.statusCode ?? 0;
     if (this.isStray(answer, status)) {
       this.fail('stray_answer');
@@ -231,15 +234,10 @@
 
   private takeChunk(chunk: Buffer): void {
     if (this.settled) return;
-    this.hear();
+    this.runner.lastHeardAt = this.options.clock.monotonicMilliseconds();
     this.options.observer.received(this, chunk);
   }
 
-  private hear(): void {
-    this.heardAt = this.options.clock.monotonicMilliseconds();
-    this.runner.lastHeardAt = this.heardAt;
-  }
-
   private end(answer: IncomingMessage): void {
     if (this.settled) return;
     if (!answer.complete || this.wasReset) {
--- a/src/forwarding/TriedRunners.ts
+++ b/src/forwarding/TriedRunners.ts
@@ -11,6 +11,9 @@
   'refused',
 ]);
 
+/** Longest wait for one connection, in ms: a link that is free again is noticed within this time. */
+const LONGEST_CONNECT_MILLISECONDS = 720;
+
 /** Kept by one request. */
 export class TriedRunners {
   /** Attempts that have failed and may have run. */
@@ -28,7 +31,8 @@
   /** Lives that did not accept a connection in time; asked again where nobody else is left. */
   private readonly unreached = new Set<string>();
 
-  private connectTimeouts = 0;
+  /** Connections that were not accepted in time since it may have run. */
+  private timeoutsAfterRun = 0;
 
   /** @returns Lives of runners that the next attempt should not go to. */
   get excluded(): ReadonlySet<string> {
@@ -37,14 +41,16 @@
 
   /**
    * A request that may have run cannot be refused any more, and it has to get through however long connections take:
-   * each one is waited for twice as long as the one before. With 90 ms for each of them six attempts were over after
-   * half a second, while a link was full for one to two.
+   * while the daemon's link is suspected each one is waited for twice as long as the one before. With 90 ms for each,
+   * six attempts were over after half a second, while links were full for one to two.
    *
+   * @param isLinkSuspect - whether several runners accepted no connection.
    * @returns How long the next connection is waited for, in ms.
    */
-  get connectMilliseconds(): number {
-    if (this.mayHaveRun === 0) return CONNECT_TIMEOUT_MILLISECONDS;
-    return CONNECT_TIMEOUT_MILLISECONDS * 2 ** this.connectTimeouts;
+  connectMilliseconds(isLinkSuspect: boolean): number {
+    if (!isLinkSuspect) return CONNECT_TIMEOUT_MILLISECONDS;
+    const patience = CONNECT_TIMEOUT_MILLISECONDS * 2 ** this.timeoutsAfterRun;
+    return Math.min(LONGEST_CONNECT_MILLISECONDS, patience);
   }
 
   /**
@@ -63,7 +69,7 @@
     if (NOT_RUN.has(failure)) this.notRun += 1;
     else this.mayHaveRun += 1;
     if (failure !== 'connect_timeout') return;
-    this.connectTimeouts += 1;
+    if (this.mayHaveRun > 0) this.timeoutsAfterRun += 1;
     this.asked.delete(life);
     this.unreached.add(life);
   }
--- a/src/forwarding/decisions.spec.ts
+++ b/src/forwarding/decisions.spec.ts
@@ -4,7 +4,7 @@
 
 import { EventStreamCut } from './EventStreamCut.js';
 import { passingHeaders } from './forwardedHeaders.js';
-import type { RetryQuestion } from './retryDecision.js';
+import type { NoRetryReason, RetryQuestion, RetryVerdict } from './retryDecision.js';
 import { decideRetry } from './retryDecision.js';
 import { SharedRetryBudget } from './SharedRetryBudget.js';
 
@@ -20,13 +20,13 @@
     takeBudget: () => true,
   };
 
-  const cases: readonly [string, Partial<RetryQuestion>, ReturnType<typeof decideRetry>][] = [
+  const cases: readonly [string, Partial<RetryQuestion>, RetryVerdict, NoRetryReason?][] = [
     ['an idempotent request whose answer broke', {}, 'retry'],
-    ['one that may run no more', { mayHaveRun: 2 }, 'fail'],
-    ['one without budget', { takeBudget: () => false }, 'fail'],
-    ['one whose deadline is near', { remainingMilliseconds: 5 }, 'fail'],
-    ['one that may run once and may have run', { kind: 'at_most_once' }, 'fail'],
-    ['a stream that may not be resumed', { kind: 'stream' }, 'fail'],
+    ['one that may run no more', { mayHaveRun: 2 }, 'fail', 'attempts_used_up'],
+    ['one without budget', { takeBudget: () => false }, 'fail', 'budget_empty'],
+    ['one whose deadline is near', { remainingMilliseconds: 5 }, 'fail', 'no_time'],
+    ['one that may run once and may have run', { kind: 'at_most_once' }, 'fail', 'not_repeatable'],
+    ['a stream that may not be resumed', { kind: 'stream' }, 'fail', 'not_repeatable'],
     ['a stream that may', { kind: 'stream', resumable: true }, 'retry'],
     [
       'one that may run once, refused by a runner',
@@ -37,6 +37,7 @@
       'one refused without budget',
       { failure: 'refused', mayHaveRun: 0, notRun: 1, takeBudget: () => false },
       'refuse',
+      'budget_empty',
     ],
     [
       'one that reached no runner, without budget',
@@ -52,23 +53,32 @@
       'the same, where a runner’s own error can be given',
       { failure: 'connect_timeout', mayHaveRun: 1, notRun: 6, hasFallback: true },
       'fail',
+      'too_many_not_run',
     ],
     [
       'one that has not run, behind a full link',
       { failure: 'connect_timeout', mayHaveRun: 0, notRun: 6 },
       'refuse',
+      'too_many_not_run',
+    ],
+    [
+      'one that no runner takes',
+      { failure: 'refused', mayHaveRun: 0, notRun: 6 },
+      'refuse',
+      'too_many_not_run',
     ],
-    ['one that no runner takes', { failure: 'refused', mayHaveRun: 0, notRun: 6 }, 'refuse'],
     [
       'one refused after a run: "not run" would be a lie',
       { failure: 'refused', mayHaveRun: 1, notRun: 6 },
       'fail',
+      'too_many_not_run',
     ],
   ];
 
-  for (const [name, changes, verdict] of cases) {
+  for (const [name, changes, verdict, reason] of cases) {
     it(`${verdict}: ${name}`, () => {
-      expect(decideRetry({ ...base, ...changes })).toEqual(verdict);
+      const expected = reason === undefined ? { verdict } : { verdict, reason };
+      expect(decideRetry({ ...base, ...changes })).toEqual(expected);
     });
   }
 });
--- a/src/forwarding/forwardingFeature.ts
+++ b/src/forwarding/forwardingFeature.ts
@@ -59,7 +59,7 @@
     number: 2607,
     name: 'forwarding.link_suspected',
     level: 'warn',
-    text: 'Neither a quiet runner nor another one accepts a connection: the daemon’s own link may be full or cut, so that no runner is given up for its silence.',
+    text: 'Several runners accept no connection at the same time: the daemon’s own link may be full or cut, so that no runner is given up for its silence.',
     operatorAction:
       'Look at the link of this instance; a large configuration fills a slow one for a second.',
   }),
--- a/src/forwarding/probeRunner.ts
+++ b/src/forwarding/probeRunner.ts
@@ -11,10 +11,16 @@
 export const CONNECT_TIMEOUT_MILLISECONDS = 90;
 
 /**
- * `accepted`; `refused`: its instance says that nobody listens; `timed_out`: nothing came, which may be the runner's
- * silence or a full link of this daemon's own.
+ * `accepted`, also where the runner ends the connection at once; `refused`: its instance says that nobody listens;
+ * `no_answer`: nothing came, for which the runner's silence, a full link or an error of this instance may be the cause.
  */
-export type ProbeResult = 'accepted' | 'refused' | 'timed_out';
+export type ProbeResult = 'accepted' | 'refused' | 'no_answer';
+
+/** What the runner's instance says, by the system's error code; all other errors are this instance's own. */
+const RESULTS: Readonly<Record<string, ProbeResult>> = {
+  ECONNREFUSED: 'refused',
+  ECONNRESET: 'accepted',
+};
 
 /**
  * @param runner - that is asked.
@@ -33,8 +39,10 @@
     done(result);
   };
   // After a pause of the whole process the timer comes first although the connection has been accepted.
-  const giveUp = () => setImmediate(() => finish(socket.connecting ? 'timed_out' : 'accepted'));
+  const giveUp = () => setImmediate(() => finish(socket.connecting ? 'no_answer' : 'accepted'));
   timer = setTimeout(giveUp, CONNECT_TIMEOUT_MILLISECONDS);
   socket.once('connect', () => finish('accepted'));
-  socket.once('error', () => finish('refused'));
+  socket.on('error', ({ code }: NodeJS.ErrnoException) => {
+    finish(RESULTS[code ?? ''] ?? 'no_answer');
+  });
 }
--- a/src/forwarding/retryDecision.ts
+++ b/src/forwarding/retryDecision.ts
@@ -7,6 +7,16 @@
 /** Retry at another runner, refuse with "not run", or fail with an outcome that is not known. */
 export type RetryVerdict = 'retry' | 'refuse' | 'fail';
 
+/** Why a request is not sent once more. */
+export type NoRetryReason =
+  'no_time' | 'too_many_not_run' | 'not_repeatable' | 'attempts_used_up' | 'budget_empty';
+
+/** The verdict, and why not `retry` where it is another one. */
+export interface RetryDecision {
+  readonly verdict: RetryVerdict;
+  readonly reason?: NoRetryReason;
+}
+
 /** What the verdict depends on. */
 export interface RetryQuestion {
   readonly kind: CallKind;
@@ -51,17 +61,24 @@
   return kind === 'idempotent' || (kind === 'stream' && resumable);
 }
 
+function reasonAgainst(question: RetryQuestion): NoRetryReason | undefined {
+  const { kind, resumable, failure, mayHaveRun, maximumAttempts } = question;
+  if (question.remainingMilliseconds < MINIMUM_REMAINING_MILLISECONDS) return 'no_time';
+  if (hasTriedEnough(question)) return 'too_many_not_run';
+  if (failure === 'not_connected' || failure === 'connect_timeout') return undefined;
+  if (failure !== 'refused') {
+    if (!isRepeatable(kind, resumable)) return 'not_repeatable';
+    if (mayHaveRun >= maximumAttempts) return 'attempts_used_up';
+  }
+  return question.takeBudget() ? undefined : 'budget_empty';
+}
+
 /**
  * @param question - the request and its failure.
  * @returns What to do now.
  */
-export function decideRetry(question: RetryQuestion): RetryVerdict {
-  const { kind, resumable, failure, mayHaveRun, maximumAttempts } = question;
-  const otherwise = mayHaveRun > 0 ? 'fail' : 'refuse';
-  if (question.remainingMilliseconds < MINIMUM_REMAINING_MILLISECONDS) return otherwise;
-  if (hasTriedEnough(question)) return otherwise;
-  if (failure === 'not_connected' || failure === 'connect_timeout') return 'retry';
-  if (failure === 'refused') return question.takeBudget() ? 'retry' : otherwise;
-  if (!isRepeatable(kind, resumable) || mayHaveRun >= maximumAttempts) return otherwise;
-  return question.takeBudget() ? 'retry' : otherwise;
+export function decideRetry(question: RetryQuestion): RetryDecision {
+  const reason = reasonAgainst(question);
+  if (reason === undefined) return { verdict: 'retry' };
+  return { verdict: question.mayHaveRun > 0 ? 'fail' : 'refuse', reason };
 }
--- a/src/forwarding/testAttempt.ts
+++ b/src/forwarding/testAttempt.ts
@@ -77,7 +77,7 @@
       agent,
       protocol: new TestProtocol(),
       clock: new SystemClock(),
-      link: { ask: (_suspect, listener) => listener(true) },
+      link: { ask: (_suspect, listener) => listener(true), accepted: () => undefined },
       connectMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
       observer: new CollectingObserver(done),
       method: 'GET',
--- /dev/null
+++ b/src/forwarding/testRequest.ts
@@ -0,0 +1,295 @@
+/**
+ * One caller's request with the runners that a test plays, in virtual time. The first runner is reached over a connection
+ * that was open before; new connections to it and to others are accepted or wait, as the test says.
+ */
+import { createServer } from 'node:http';
+import type { ServerResponse } from 'node:http';
+import { connect, createServer as createPort } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
+import { mock } from 'node:test';
+import { setImmediate as nextTurn } from 'node:timers/promises';
+
+import { MemoryLog } from '../callers/testFakes.js';
+import { MetricRegistry } from '../metrics/MetricRegistry.js';
+import type { Route } from '../routes/routeTypes.js';
+import { RunnerChoice } from '../runners/RunnerChoice.js';
+import { LocalSelector } from '../runners/RunnerSelector.js';
+import { RunnerTable } from '../runners/RunnerTable.js';
+import { WarmPlaces } from '../runners/WarmPlaces.js';
+import { ManualClock } from '../time/ManualClock.js';
+import { AnswerRelay } from './AnswerRelay.js';
+import { ForwardedRequest } from './ForwardedRequest.js';
+import { createForwardingMetrics } from './ForwardingMetrics.js';
+import type { ForwardingContext } from './forwardingTypes.js';
+import { LinkCheck } from './LinkCheck.js';
+import { RunnerAgent } from './RunnerAgent.js';
+import { RunnerConnections } from './RunnerConnections.js';
+import { SharedRetryBudget } from './SharedRetryBudget.js';
+import { HangingPort } from './testHangingPort.js';
+import { TestProtocol } from './testProtocol.js';
+
+const HEAD = 'HTTP/1.1 200 OK\r\nSignature: s\r\nRequest-Id: r-1\r\nConnection: close\r\n';
+
+/** A resumable stream's route. */
+const ROUTE = {
+  name: 'chat',
+  kind: 'stream',
+  resumable: true,
+  targetLatencyMilliseconds: 1_000,
+  maximumAttempts: 2,
+} as Route;
+
+/** Until the caller's deadline, in ms of the virtual clock. */
+export const DEADLINE_MILLISECONDS = 6_000;
+
+const STEP_MILLISECONDS = 10;
+
+/** Turns of the event loop in which what is on its way over loopback arrives. */
+const TURNS = 12;
+
+/** Of the runner that the request goes to first. */
+export const FIRST_RUNNER = 'runner-1';
+
+/** Sends requests for the first runner over the connection that is open to it. */
+class OpenConnections extends RunnerConnections {
+  private readonly port: number;
+
+  constructor(port: number) {
+    super();
+    this.port = port;
+  }
+
+  override agentOf(...[runner]: Parameters<RunnerConnections['agentOf']>): RunnerAgent {
+    if (runner.entry.id !== FIRST_RUNNER) return super.agentOf(runner);
+    const agent = new RunnerAgent();
+    const { port } = this;
+    agent.createConnection = () => connect({ host: '127.0.0.1', port });
+    return agent;
+  }
+}
+
+/**
+ * @param id - of the event.
+ * @returns One event of a stream.
+ */
+export function eventOf(id: number): string {
+  return `id: ${id}\ndata: token ${id}\n\n`;
+}
+
+/**
+ * @param events - that come at once.
+ * @returns The beginning of a stream's answer.
+ */
+export function streamOf(...events: number[]): string {
+  return `${HEAD}Content-Type: text/event-stream\r\n\r\n${events.map(eventOf).join('')}`;
+}
+
+/**
+ * @param status - as in the first line.
+ * @returns A whole answer that is no stream.
+ */
+export function plainAnswer(status: string): string {
+  return `${HEAD.replace('200 OK', status)}Content-Length: 2\r\n\r\nok`;
+}
+
+/**
+ * @param answer - what the caller got.
+ * @returns The data of its events.
+ */
+export function eventsIn(answer: string): string[] {
+  return answer.match(/token \d+/gu) ?? [];
+}
+
+/** Options of a {@link RequestUnderTest}. */
+export interface RequestUnderTestOptions {
+  /** What differs from a resumable stream. */
+  route?: Partial<Route>;
+  /** Retries that the budget allows besides one for each request. */
+  allowance?: number;
+}
+
+/** Owns sockets, clock and timers of one test. */
+export class RequestUnderTest {
+  readonly clock = new ManualClock();
+
+  readonly log = new MemoryLog();
+
+  readonly runners = new RunnerTable();
+
+  /** Where new connections wait. */
+  readonly hanging: HangingPort;
+
+  readonly context: ForwardingContext;
+
+  private readonly route: Route;
+
+  private readonly servers: Server[] = [];
+
+  private readonly sockets: Socket[] = [];
+
+  private openPort = 0;
+
+  private constructor(
+    hanging: HangingPort,
+    { route = {}, allowance = 100 }: RequestUnderTestOptions,
+  ) {
+    this.hanging = hanging;
+    this.route = { ...ROUTE, ...route };
+    const { clock, log, runners } = this;
+    const metrics = createForwardingMetrics(new MetricRegistry({ clock }));
+    const choice = new RunnerChoice({ runners, dataCentre: 'here', warmPlaces: new WarmPlaces() });
+    const budget = { ratio: 0, windowMilliseconds: 10_000, daemons: () => 1 };
+    this.context = {
+      clock,
+      log,
+      protocol: new TestProtocol(),
+      metrics,
+      link: new LinkCheck({ runners: () => runners.list(), clock, log, metrics }),
+      selector: new LocalSelector(choice),
+      connections: { agentOf: (runner) => this.agentOf(runner) } as RunnerConnections,
+      budget: new SharedRetryBudget({ ...budget, allowance }),
+      routes: () => undefined,
+      daemons: () => 1,
+      isStoreSilent: () => false,
+      stopPhase: () => 'serving',
+    };
+    mock.timers.enable({ apis: ['setTimeout'] });
+  }
+
+  /**
+   * @param options - of the route and the budget.
+   * @returns With no runner listed yet.
+   */
+  static async open(options: RequestUnderTestOptions = {}): Promise<RequestUnderTest> {
+    return new RequestUnderTest(await HangingPort.open(), options);
+  }
+
+  /** Ends what the test has left. */
+  async close(): Promise<void> {
+    mock.timers.reset();
+    for (const socket of this.sockets) socket.destroy();
+    for (const server of this.servers) server.close();
+    await this.hanging.close();
+  }
+
+  /**
+   * @param id - of a runner that accepts no new connections.
+   */
+  addHangingRunner(id: string): void {
+    this.addRunner(id, this.hanging.port);
+  }
+
+  /**
+   * @param id - of a runner that accepts connections.
+   * @returns The connections on which it has got a request; a test answers on them.
+   */
+  async addOpenRunner(id: string): Promise<Socket[]> {
+    const asked: Socket[] = [];
+    this.addRunner(id, await this.listenForRequests(asked));
+    return asked;
+  }
+
+  /**
+   * Sends the request while only the first runner is listed.
+   *
+   * @returns Where that runner answers, and what the caller gets in the end.
+   */
+  async begin(): Promise<{ runner: Socket; caller: Promise<string> }> {
+    const asked: Socket[] = [];
+    this.openPort = await this.listenForRequests(asked);
+    this.addHangingRunner(FIRST_RUNNER);
+    const front = createServer((_request, response) => this.forward(response));
+    const caller = this.call(await this.listen(front));
+    while (asked.length === 0) await nextTurn();
+    return { runner: asked[0]!, caller };
+  }
+
+  /**
+   * @param milliseconds - of virtual time.
+   */
+  async pass(milliseconds: number): Promise<void> {
+    for (let passed = 0; passed < milliseconds; passed += STEP_MILLISECONDS) {
+      this.jump(STEP_MILLISECONDS);
+      for (let turn = 0; turn < TURNS; turn += 1) await nextTurn();
+    }
+  }
+
+  /**
+   * Moves time without letting bytes arrive, like a pause of the whole process.
+   *
+   * @param milliseconds - of virtual time.
+   */
+  jump(milliseconds: number): void {
+    this.clock.advance(milliseconds);
+    mock.timers.tick(milliseconds);
+  }
+
+  /**
+   * @param id - of a runner.
+   * @returns Whether it may get requests.
+   */
+  isUsable(id: string): boolean | undefined {
+    return this.runners.get(id)?.health.isUsable(this.clock.monotonicMilliseconds());
+  }
+
+  private agentOf(runner: Parameters<RunnerConnections['agentOf']>[0]): RunnerAgent {
+    return new OpenConnections(this.openPort).agentOf(runner);
+  }
+
+  private addRunner(id: string, port: number): void {
+    const entry = { id, life: id, service: 'chat', dataCentre: 'here', state: 'ready' } as const;
+    this.runners.put({ ...entry, host: '127.0.0.1', port });
+  }
+
+  private listen(server: Server): Promise<number> {
+    this.servers.push(server);
+    server.on('connection', (socket: Socket) => this.sockets.push(socket));
+    return new Promise((done) => {
+      server.listen(0, '127.0.0.1', () => done((server.address() as AddressInfo).port));
+    });
+  }
+
+  private listenForRequests(asked: Socket[]): Promise<number> {
+    return this.listen(
+      createPort((socket) => {
+        socket.on('error', () => undefined);
+        socket.once('data', () => asked.push(socket));
+      }),
+    );
+  }
+
+  private forward(response: ServerResponse): void {
+    const relay = new AnswerRelay(response, () => true);
+    const arrivedAt = this.clock.monotonicMilliseconds();
+    const request = {
+      id: 'r-1',
+      hasOwnId: true,
+      route: this.route,
+      service: 'chat',
+      clientAccount: undefined,
+      configurationVersion: 1,
+      method: 'GET',
+      target: '/chat/',
+      headers: ['Host', 'chat.example', 'Request-Id', 'r-1'],
+      sharedParts: [],
+      arrivedAt,
+      deadlineAt: arrivedAt + DEADLINE_MILLISECONDS,
+      connectionLimit: 10,
+    };
+    new ForwardedRequest({ request, body: undefined, relay, context: this.context }).start();
+  }
+
+  private call(port: number): Promise<string> {
+    return new Promise((done) => {
+      const socket = connect({ host: '127.0.0.1', port });
+      this.sockets.push(socket);
+      let text = '';
+      socket.on('error', () => undefined);
+      socket.on('data', (chunk) => {
+        text += String(chunk);
+      });
+      socket.once('close', () => done(text));
+      socket.write('GET /chat/ HTTP/1.1\r\nHost: chat.example\r\n\r\n');
+    });
+  }
+}
--- a/src/router/routerFeature.ts
+++ b/src/router/routerFeature.ts
@@ -126,6 +126,13 @@
     text: 'There were more log lines than the settings allow; the fields count those left out.',
     operatorAction: 'None, or raise router.logLinesPerSecond.',
   }),
+  linesDropped: defineLogEvent({
+    number: 2508,
+    name: 'router.lines_dropped',
+    level: 'warn',
+    text: 'Whoever reads the log did not keep up; the fields count the lines that were dropped.',
+    operatorAction: 'Look at what reads standard output on this instance.',
+  }),
 };
 
 /** The feature of a daemon that forwards directly. */
