--- a/src/explanations/RequestStory.ts
+++ b/src/explanations/RequestStory.ts
@@ -30,6 +30,8 @@
     routerLogEvents.stopping,
     routerLogEvents.linesLeftOut,
     routerLogEvents.linesDropped,
+    forwardingLogEvents.linkSuspected,
+    forwardingLogEvents.linkSound,
   ].map(({ number }) => number),
 );
 
