Send a request that broke once more over a new connection

All connections of a daemon to runners are reset at once; a stream that may go on does so at another runner, but on a kept connection whose reset has not been read yet, breaks again, and has no attempt left. Change: after a break the next attempt opens a connection of its own. Ruled out: waiting a turn of the event loop (resets of runners in other data centres arrive later than that).

--- a/src/forwarding/ForwardedRequest.spec.ts
+++ b/src/forwarding/ForwardedRequest.spec.ts
@@ -163,6 +163,26 @@
     expect(eventsIn(await caller)).toEqual(['token 1', 'token 2']);
   });
 
+  it('goes on over a new connection where kept ones may be broken too', async () => {
+    // Symptom: streams are cut in the middle though every runner is sound. Sequence: all connections of a daemon to
+    // runners are reset at once; a stream goes on at another runner, on a kept connection whose reset has not been
+    // read yet. Cause: a kept connection that is as old as the broken one was trusted.
+    const { runner, caller } = await begin();
+    const asked = await test.addOpenRunner('runner-2');
+    const kept = test.context.connections.agentOf(test.runners.get('runner-2')!);
+    test.context.connections.agentOf = () => kept;
+    kept.createConnection = () => {
+      throw new Error('only kept connections are made here');
+    };
+    runner.write(streamOf(1));
+    await test.pass(50);
+    runner.resetAndDestroy();
+    await test.pass(50);
+    expect(asked.length).toEqual(1);
+    asked[0]?.end(streamOf(2));
+    expect(eventsIn(await caller)).toEqual(['token 1', 'token 2']);
+  });
+
   it('gives a runner’s own error at once where no other runner accepts a connection', async () => {
     // Symptom: a caller waits seconds for an error that was there after 20 ms. Sequence: a runner fails a call that
     // may be repeated; the only other one is dark. Cause: it was asked again and again while there was time.
--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -222,7 +222,7 @@
     const { id, hasOwnId, method, target } = this.request;
     const attempt = new RunnerAttempt({
       runner,
-      agent: connections.agentOf(runner),
+      agent: this.tried.needsNewConnection ? false : connections.agentOf(runner),
       protocol,
       clock,
       link,
--- a/src/forwarding/RunnerAttempt.ts
+++ b/src/forwarding/RunnerAttempt.ts
@@ -45,7 +45,8 @@
 /** Options of a {@link RunnerAttempt}. */
 export interface RunnerAttemptOptions {
   runner: Runner;
-  agent: RunnerAgent;
+  /** Kept connections; `false` for a new one that is not kept. */
+  agent: RunnerAgent | false;
   protocol: RunnerProtocol;
   clock: Clock;
   /** Tells a dark runner from a full link of this daemon's own. */
--- a/src/forwarding/TriedRunners.ts
+++ b/src/forwarding/TriedRunners.ts
@@ -22,6 +22,15 @@
   /** Attempts that reached no runner or were refused. */
   notRun = 0;
 
+  /**
+   * Whether the next attempt should not use a kept connection.
+   *
+   * What goes wrong otherwise: all connections of this daemon are reset at the same moment; the request is sent once
+   * more on a kept one of which the reset has not been read yet, breaks again, and has no attempt left. One would see
+   * streams cut in the middle though every runner is sound. A new connection costs a round trip.
+   */
+  needsNewConnection = false;
+
   /** Runners that were tried, each as often as it was. */
   count = 0;
 
@@ -66,6 +75,7 @@
    * @param failure - how.
    */
   failedAt(life: string, failure: AttemptFailure): void {
+    if (failure === 'broken') this.needsNewConnection = true;
     if (NOT_RUN.has(failure)) this.notRun += 1;
     else this.mayHaveRun += 1;
     if (failure !== 'connect_timeout') return;
