--- a/eslint.config.js
+++ b/eslint.config.js
@@ -45,7 +45,7 @@
   },
   {
     // These print for people; the program itself logs through its one log.
-    files: ['tools/**', 'demo/**', 'measure/**', 'standIns/**'],
+    files: ['tools/**', 'demo/**', 'measure/**', 'standIns/**', 'soak/**'],
     rules: { 'no-console': 'off' },
   },
 ];
--- /dev/null
+++ b/soak/SoakCallers.ts
@@ -0,0 +1,203 @@
+/**
+ * Callers of the soak: requests of all kinds at a steady rate, on connections that they keep.
+ */
+import { Agent } from 'node:http';
+
+import { callSite } from '../standIns/site/callSite.js';
+import type { SiteAnswer } from '../standIns/site/callSite.js';
+import { fetchText } from '../standIns/site/SiteProcess.js';
+import type { SoakDaemon } from './SoakDaemon.js';
+
+/** What a request is for; `look` finds out which configuration is in force. */
+export type CallKind = 'read' | 'write' | 'chat' | 'draft' | 'look';
+
+/** One request with what its caller got. */
+export interface Call {
+  readonly id: string;
+  readonly kind: CallKind;
+  readonly daemon: number;
+  readonly path: string;
+  readonly body: string;
+  /** Monotonic ms. */
+  readonly sentAt: number;
+  readonly endedAt: number;
+  /** What the caller got, also where it broke off. */
+  readonly answer: SiteAnswer | undefined;
+  /** The error's code where no answer began. */
+  readonly failure: string | undefined;
+}
+
+/** Options of {@link SoakCallers}. */
+export interface SoakCallersOptions {
+  daemons: readonly SoakDaemon[];
+  random: () => number;
+  /** Requests a second. */
+  rate: number;
+  /** Told of each request that is over. */
+  onEnd: (call: Call) => void;
+}
+
+/** Callers hear nothing for longer than any daemon may take, in ms. */
+const GIVE_UP_MILLISECONDS = 20_000;
+
+const RESOLVE_MILLISECONDS = 300;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** These callers keep to a daemon until its process is gone, whatever the directory says. */
+const LOYAL_SHARE = 0.25;
+
+/** Shares of the kinds, summed up. */
+const KINDS: readonly (readonly [CallKind, number])[] = [
+  ['chat', 0.45],
+  ['write', 0.7],
+  ['draft', 0.8],
+  ['read', 1],
+];
+
+const PROMPTS = 20;
+
+const OK = 200;
+
+/** The error of a caller who heard nothing. */
+export const NOTHING_HEARD = 'nothing_heard';
+
+/** Sends requests, and tells of each when it is over. */
+export class SoakCallers {
+  readonly pending = new Set<Promise<Call>>();
+
+  private readonly options: SoakCallersOptions;
+
+  private readonly agents = new Map<number, Agent>();
+
+  private directory: ReadonlySet<string> = new Set();
+
+  private sent = 0;
+
+  private timers: NodeJS.Timeout[] = [];
+
+  /**
+   * @param options - whom they call, and how often.
+   */
+  constructor(options: SoakCallersOptions) {
+    this.options = options;
+  }
+
+  /** Sends requests from now on. */
+  async start(): Promise<void> {
+    await this.resolve();
+    const resolve = () => {
+      void this.resolve();
+    };
+    const send = () => {
+      void this.call(this.choose(), this.chooseKind());
+    };
+    this.timers = [
+      setInterval(resolve, RESOLVE_MILLISECONDS),
+      setInterval(send, MILLISECONDS_PER_SECOND / this.options.rate),
+    ];
+  }
+
+  /** @returns Once all requests are over. */
+  async stop(): Promise<void> {
+    for (const timer of this.timers) clearInterval(timer);
+    while (this.pending.size > 0) await Promise.all(this.pending);
+    for (const agent of this.agents.values()) agent.destroy();
+  }
+
+  /**
+   * @param daemon - that gets the request.
+   * @param kind - of request.
+   * @param path - of a request that looks for a configuration.
+   * @param onData - called when the answer begins.
+   * @returns The request, once it is over.
+   */
+  async call(
+    daemon: SoakDaemon,
+    kind: CallKind,
+    path = `/${kind}/x`,
+    onData: () => void = () => undefined,
+  ): Promise<Call> {
+    const call = this.send(daemon, kind, path, onData);
+    this.pending.add(call);
+    const ended = await call;
+    this.pending.delete(call);
+    this.options.onEnd(ended);
+    return ended;
+  }
+
+  private async send(
+    { index, callersAddress: address }: SoakDaemon,
+    kind: CallKind,
+    path: string,
+    onData: () => void,
+  ): Promise<Call> {
+    this.sent += 1;
+    const id = `call-${this.sent}`;
+    const body = `body of ${id}`;
+    const call = { id, kind, daemon: index, path, body, sentAt: performance.now() };
+    const prompt = `a${this.sent % PROMPTS}:2000,b${this.sent}:50`;
+    const isStream = kind === 'chat' || kind === 'draft';
+    const headers = { 'Attempt-Id': id, ...(isStream && { 'Prompt-Prefix': prompt, Model: 'm' }) };
+    const agent = this.agentOf(index);
+    const result = await Promise.race([
+      SoakCallers.giveUp(),
+      callSite({ address, path, body, headers, agent, onData }).then(
+        (answer) => ({ answer, failure: undefined }),
+        (error: NodeJS.ErrnoException) => ({ answer: undefined, failure: error.code ?? 'error' }),
+      ),
+    ]);
+    return { ...call, ...result, endedAt: performance.now() };
+  }
+
+  private static giveUp(): Promise<Pick<Call, 'answer' | 'failure'>> {
+    return new Promise((done) => {
+      const heard = () => done({ answer: undefined, failure: NOTHING_HEARD });
+      setTimeout(heard, GIVE_UP_MILLISECONDS).unref();
+    });
+  }
+
+  private agentOf(daemon: number): Agent {
+    const known = this.agents.get(daemon);
+    if (known) return known;
+    const agent = new Agent({ keepAlive: true });
+    this.agents.set(daemon, agent);
+    return agent;
+  }
+
+  private chooseKind(): CallKind {
+    const draw = this.options.random();
+    return KINDS.find(([, share]) => draw < share)?.[0] ?? 'read';
+  }
+
+  private choose(): SoakDaemon {
+    const { daemons, random } = this.options;
+    const isLoyal = random() < LOYAL_SHARE;
+    const listed = daemons.filter(({ process }) =>
+      this.directory.has(process.settings.addresses.callers),
+    );
+    const running = daemons.filter(({ isUp }) => isUp);
+    const choices = isLoyal || listed.length === 0 ? running : listed;
+    const among = choices.length > 0 ? choices : daemons;
+    return among[Math.floor(random() * among.length)] as SoakDaemon;
+  }
+
+  /** Asks the daemons where to connect, until one says so. */
+  private async resolve(): Promise<void> {
+    for (const { isUp, process } of this.options.daemons) {
+      if (!isUp) continue;
+      const { directory } = process.settings.addresses;
+      const path = '/v1/resolve?name=site.example&zone=here';
+      const question = fetchText(directory, path);
+      const { status, text } = await Promise.race([question, SoakCallers.noDirectory()]);
+      if (status !== OK) continue;
+      this.directory = new Set((JSON.parse(text) as { addresses: string[] }).addresses);
+      return;
+    }
+  }
+
+  private static noDirectory(): Promise<{ status: number; text: string }> {
+    return new Promise((done) => {
+      setTimeout(() => done({ status: 0, text: '' }), RESOLVE_MILLISECONDS);
+    });
+  }
+}
--- /dev/null
+++ b/soak/SoakSite.ts
@@ -0,0 +1,213 @@
+/**
+ * The site of one soak: a store, runners, and daemons as processes, each behind a link of its own.
+ */
+import type { IncomingMessage } from 'node:http';
+
+import type { RouterSettings } from '../src/router/routerFeature.js';
+import { SiteProcess } from '../standIns/site/SiteProcess.js';
+import { SiteRunner } from '../standIns/site/SiteRunner.js';
+import { siteConfiguration, StandInSite } from '../standIns/site/StandInSite.js';
+import type { StoreItem } from '../standIns/site/StoreStandIn.js';
+import { FaultHistory } from './FaultHistory.js';
+import { DaemonLink } from './link/DaemonLink.js';
+import { RunBook } from './RunBook.js';
+import { SoakDaemon } from './SoakDaemon.js';
+import { CHANGE_BOUND_MILLISECONDS, EVENTS, STOP_SECONDS } from './soakBounds.js';
+
+/** Services of the stand-in's configuration. */
+export type SoakService = 'plain' | 'engine';
+
+const EVENT_MILLISECONDS = 40;
+const WORK_MILLISECONDS = 15;
+
+/** Of the large configurations. */
+const LARGE_ROUTES = 1_400;
+
+/** Fewer runners of a service would leave a broken stream nowhere to go on. */
+const FEWEST_RUNNERS = 3;
+
+/**
+ * What retries are allowed is not what the soak is about: a link that resets breaks more streams in a second than
+ * the fleet may send once more by its default.
+ */
+const RETRY_BUDGET = { ratio: 1, allowance: 2_000, windowSeconds: 10 };
+
+/** Options of a {@link SoakSite}. */
+export interface SoakSiteOptions {
+  daemons: number;
+  runnersOfService: number;
+  /** Where settings files are written. */
+  folder: string;
+  /** Arguments of the runtime. */
+  program: readonly string[];
+}
+
+/** A configuration that the store has acknowledged. */
+export interface AcknowledgedVersion {
+  readonly version: number;
+  /** Monotonic ms. */
+  readonly at: number;
+}
+
+/** Starts, changes and ends the parts. */
+export class SoakSite {
+  readonly stand = new StandInSite({ changeBoundMilliseconds: CHANGE_BOUND_MILLISECONDS });
+
+  readonly history = new FaultHistory();
+
+  readonly runs = new RunBook();
+
+  readonly daemons: SoakDaemon[] = [];
+
+  /** In the order of their acknowledgement. */
+  readonly versions: AcknowledgedVersion[] = [];
+
+  /** Runners that neither crashed nor left, by id. */
+  readonly runners = new Map<string, SiteRunner>();
+
+  /** Where each link takes connections for a runner: by IP number of the link and id of the runner. */
+  private readonly paths = new Map<string, string>();
+
+  private readonly options: SoakSiteOptions;
+
+  private nextRunner = 0;
+
+  /**
+   * @param options - sizes and program.
+   */
+  constructor(options: SoakSiteOptions) {
+    this.options = options;
+  }
+
+  /** Starts everything. */
+  async start(): Promise<void> {
+    const { daemons, runnersOfService } = this.options;
+    this.stand.store.seenAs = (item, request) => this.seenAs(item, request);
+    await this.stand.start();
+    this.changeConfiguration(false);
+    for (let index = 0; index < daemons; index += 1) await this.addDaemon(index);
+    for (let index = 0; index < runnersOfService; index += 1) {
+      await this.addRunner('plain');
+      await this.addRunner('engine');
+    }
+    await Promise.all(this.daemons.map((daemon) => daemon.start()));
+  }
+
+  /** Ends everything. */
+  async stop(): Promise<void> {
+    await Promise.all(this.daemons.map((daemon) => daemon.stop()));
+    for (const runner of this.runners.values()) runner.stop();
+    await this.stand.stop();
+  }
+
+  /**
+   * Each version keeps a route for each version so far, and has one that no other has.
+   *
+   * @param isLarge - whether it has many routes besides.
+   */
+  changeConfiguration(isLarge: boolean): void {
+    const version = this.versions.length + 2;
+    const kept = Array.from({ length: version }, (_, index) => `since-${index + 1}`);
+    const filler = Array.from({ length: isLarge ? LARGE_ROUTES : 0 }, (_, at) => `filler-${at}`);
+    const routes = [...kept, `only-${version}`, ...filler].map((name) => ({
+      name,
+      path_prefix: `/${name}/`,
+      kind: 'idempotent',
+      service: 'plain',
+      max_attempts: 2,
+    }));
+    this.stand.store.write('op/config', siteConfiguration(version, { routes }));
+    this.versions.push({ version, at: performance.now() });
+    const text = `configuration ${version} is acknowledged, ${routes.length} routes`;
+    this.history.begin({ kind: 'configuration', text })();
+  }
+
+  /**
+   * @param service - that it serves.
+   * @returns A runner that is listed, at each daemon by an address of its link.
+   */
+  async addRunner(service: SoakService): Promise<SiteRunner> {
+    this.nextRunner += 1;
+    const id = `${service}-${this.nextRunner}`;
+    const runner = new SiteRunner({
+      id,
+      service,
+      echoes: true,
+      events: EVENTS,
+      eventMilliseconds: EVENT_MILLISECONDS,
+      workMilliseconds: WORK_MILLISECONDS,
+      onRan: (request, from) => this.runs.note(request, id, from),
+    });
+    await runner.start();
+    for (const { link } of this.daemons) {
+      this.paths.set(`${link.ownHost} ${id}`, await link.open('runners', runner.ownAddress));
+    }
+    this.runners.set(id, runner);
+    this.list(runner);
+    return runner;
+  }
+
+  /**
+   * @param runner - that writes its entry.
+   * @param state - what it says of itself.
+   */
+  list(runner: SiteRunner, state: 'ready' | 'draining' = 'ready'): void {
+    this.stand.store.write(`servers/${runner.id}`, runner.entry(state));
+  }
+
+  /**
+   * @param runner - whose entry is removed.
+   */
+  unlist(runner: SiteRunner): void {
+    this.stand.store.write(`servers/${runner.id}`, undefined);
+  }
+
+  /**
+   * @param runner - that ends at once, and refuses connections.
+   */
+  endRunner(runner: SiteRunner): void {
+    this.runners.delete(runner.id);
+    runner.stop();
+    for (const { link } of this.daemons) {
+      link.close(this.paths.get(`${link.ownHost} ${runner.id}`) ?? '');
+    }
+  }
+
+  /**
+   * @param service - of the runner.
+   * @param choice - from 0 up to 1.
+   * @returns A runner that may be taken away, if enough of them are there.
+   */
+  spareRunner(service: SoakService, choice: number): SiteRunner | undefined {
+    const those = [...this.runners.values()].filter(({ id }) => id.startsWith(service));
+    if (those.length <= FEWEST_RUNNERS) return undefined;
+    return those[Math.floor(choice * those.length)];
+  }
+
+  private async addDaemon(index: number): Promise<void> {
+    const { folder, program } = this.options;
+    const seeds = this.daemons.map(({ process }) => process.settings.addresses.peers);
+    const own = await this.stand.settingsOf(`daemon-${index}`, seeds.slice(0, 3));
+    const link = new DaemonLink(index);
+    const settings: RouterSettings = {
+      ...own,
+      store: await link.open('store', own.store),
+      stopSeconds: STOP_SECONDS,
+      retryBudget: RETRY_BUDGET,
+    };
+    const process = new SiteProcess({ settings, folder, program });
+    const callersAddress = await link.open('callers', settings.addresses.callers);
+    const { history } = this;
+    this.daemons.push(new SoakDaemon({ index, process, link, callersAddress, history }));
+  }
+
+  /** A daemon sees each runner at the address of its own link, so that a fault can touch one daemon only. */
+  private seenAs(item: StoreItem, { socket }: IncomingMessage): StoreItem {
+    const [, id] = /^servers\/(.+)$/u.exec(item.key) ?? [];
+    const address = this.paths.get(`${socket.remoteAddress} ${id}`);
+    if (address === undefined) return item;
+    const entry = JSON.parse(Buffer.from(item.value, 'base64').toString()) as object;
+    const value = Buffer.from(JSON.stringify({ ...entry, address })).toString('base64');
+    return { ...item, value };
+  }
+}
--- /dev/null
+++ b/soak/checks/AnswerChecks.ts
@@ -0,0 +1,138 @@
+/**
+ * What callers are promised of each answer, and runners of each run.
+ */
+import { MAXIMUM_ATTEMPTS, EVENTS } from '../soakBounds.js';
+import type { RunBook } from '../RunBook.js';
+import type { Call, CallKind } from '../SoakCallers.js';
+import type { Excuses } from './Excuses.js';
+import type { Violations } from './Violations.js';
+
+const OK = 200;
+const NOT_FOUND = 404;
+const SERVER_ERROR = 500;
+
+/** These say "not run". */
+const NOT_RUN: readonly number[] = [503, 429, 408, 421];
+
+/** What a daemon may answer by itself to a request that is in order. */
+const OWN_FAILURES: readonly number[] = [...NOT_RUN, 502, 504];
+
+const ACCOUNT = 'account-1';
+
+const RUNS_ALLOWED: Readonly<Record<CallKind, number>> = {
+  read: MAXIMUM_ATTEMPTS,
+  look: MAXIMUM_ATTEMPTS,
+  chat: MAXIMUM_ATTEMPTS,
+  write: 1,
+  draft: 1,
+};
+
+function wholeStream(id: string): string {
+  return Array.from(
+    { length: EVENTS },
+    (_, index) => `id: ${index + 1}\ndata: token ${index + 1} for ${id}\n\n`,
+  ).join('');
+}
+
+function isStream({ kind }: Call): boolean {
+  return kind === 'chat' || kind === 'draft';
+}
+
+function shortOf(call: Call): string {
+  const { answer, failure, daemon, kind, sentAt, endedAt } = call;
+  const got = answer
+    ? `status ${answer.status}, ${answer.body.length} bytes, ${answer.isComplete ? 'whole' : 'cut'}`
+    : failure;
+  return `${kind} at daemon-${daemon}: ${got} after ${Math.round(endedAt - sentAt)} ms`;
+}
+
+/** Options of {@link AnswerChecks}. */
+export interface AnswerChecksOptions {
+  runs: RunBook;
+  excuses: Excuses;
+  violations: Violations;
+}
+
+/** Looks at each request when it is over, and at all runs in the end. */
+export class AnswerChecks {
+  readonly calls = new Map<string, Call>();
+
+  private readonly options: AnswerChecksOptions;
+
+  /**
+   * @param options - what is known besides.
+   */
+  constructor(options: AnswerChecksOptions) {
+    this.options = options;
+  }
+
+  /**
+   * @param call - that is over.
+   */
+  look(call: Call): void {
+    this.calls.set(call.id, call);
+    const { answer } = call;
+    const { excuses } = this.options;
+    const isWhole = answer?.isComplete === true;
+    const mayLack = () => (answer ? excuses.ofCutAnswer(call) : excuses.ofNoAnswer(call));
+    this.check('an answer or a refusal', isWhole || mayLack(), call);
+    if (!answer) return;
+    if (isWhole) {
+      const took = call.endedAt - call.sentAt;
+      this.check('an answer in time', took <= excuses.limitOf(call), call);
+    }
+    if (answer.status === OK) this.lookAtSuccess(call);
+    else this.lookAtFailure(call);
+  }
+
+  /** Looks at all runs; no request may be under way. */
+  lookAtRuns(): void {
+    const { runs, violations } = this.options;
+    for (const { id, target, body, account, runner } of runs.all) {
+      const call = this.calls.get(id);
+      const isAsked = call?.path === target && call.body === body && account === ACCOUNT;
+      violations.check('runs are asked for', isAsked, () => `${runner} ran ${target} ${body}`, id);
+    }
+    for (const call of this.calls.values()) this.lookAtRunsOf(call);
+  }
+
+  private lookAtRunsOf(call: Call): void {
+    const { runs, violations } = this.options;
+    const runners = runs.of(call.id).map(({ runner }) => runner);
+    const told = () => `${shortOf(call)}; ran at ${runners.join(', ')}`;
+    const isAllowed = runners.length <= RUNS_ALLOWED[call.kind];
+    violations.check('runs are not too many', isAllowed, told, call.id);
+    if (!NOT_RUN.includes(call.answer?.status ?? 0)) return;
+    violations.check('"not run" is true', runners.length === 0, told, call.id);
+  }
+
+  private lookAtSuccess(call: Call): void {
+    const { id, answer } = call;
+    if (!answer) return;
+    const { headers, body, isComplete } = answer;
+    const runner = /^seal-(.+)$/u.exec(String(headers['response-seal']))?.[1];
+    const isSigned = runner !== undefined && this.ranAt(id, runner);
+    this.check('success is a runner’s own', isSigned && headers['attempt-id'] === id, call);
+    const whole = isStream(call) ? wholeStream(id) : `answer of ${runner} for ${id}`;
+    const isExact = isComplete ? body === whole : whole.startsWith(body);
+    this.check('bodies are exact', isExact, call);
+  }
+
+  private lookAtFailure(call: Call): void {
+    const { answer, kind } = call;
+    if (!answer) return;
+    const { status, headers } = answer;
+    const isSigned = headers['response-seal'] !== undefined;
+    const isKnown = isSigned ? status === SERVER_ERROR : OWN_FAILURES.includes(status);
+    const isLook = kind === 'look' && status === NOT_FOUND;
+    this.check('failures are in order', isKnown || isLook, call);
+  }
+
+  private ranAt(id: string, runner: string): boolean {
+    return this.options.runs.of(id).some((run) => run.runner === runner);
+  }
+
+  private check(promise: string, holds: boolean, call: Call): void {
+    this.options.violations.check(promise, holds, () => shortOf(call), call.id);
+  }
+}
--- /dev/null
+++ b/soak/checks/ConfigurationChecks.ts
@@ -0,0 +1,110 @@
+/**
+ * What is promised of configurations: in force within the bound at daemons in touch, and never an older one again.
+ *
+ * Each version keeps a route `since-N` of each version so far, and has a route `only-N` that no other version has.
+ */
+import type { Call, SoakCallers } from '../SoakCallers.js';
+import type { SoakDaemon } from '../SoakDaemon.js';
+import type { SoakSite } from '../SoakSite.js';
+import { CHANGE_BOUND_MILLISECONDS, LATENESS_MILLISECONDS } from '../soakBounds.js';
+import type { Contact } from './Contact.js';
+import type { Violations } from './Violations.js';
+
+const OK = 200;
+const NOT_FOUND = 404;
+
+/** Between two looks at a daemon, in ms. */
+const LOOK_MILLISECONDS = 250;
+
+/** Requests on several connections may overtake each other by as much, in ms. */
+const OVERTAKING_MILLISECONDS = 250;
+
+const IN_FORCE = 'configurations are in force in time';
+
+/** Options of {@link ConfigurationChecks}. */
+export interface ConfigurationChecksOptions {
+  site: SoakSite;
+  contact: Contact;
+  violations: Violations;
+}
+
+interface Seen {
+  readonly version: number;
+  /** Monotonic ms. */
+  readonly at: number;
+}
+
+/** Sends requests that tell versions apart, and looks at the answers. */
+export class ConfigurationChecks {
+  private readonly options: ConfigurationChecksOptions;
+
+  /** The newest version whose effect was seen, by the life of a daemon. */
+  private readonly newest = new WeakMap<object, Seen>();
+
+  private timer: NodeJS.Timeout | undefined;
+
+  /**
+   * @param options - where to look.
+   */
+  constructor(options: ConfigurationChecksOptions) {
+    this.options = options;
+  }
+
+  /**
+   * @param callers - that send the requests.
+   */
+  start(callers: SoakCallers): void {
+    const lookAtAll = () => {
+      for (const daemon of this.options.site.daemons) if (daemon.isUp) this.lookAt(daemon, callers);
+    };
+    this.timer = setInterval(lookAtAll, LOOK_MILLISECONDS);
+  }
+
+  /** Looks no more. */
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  private lookAt(daemon: SoakDaemon, callers: SoakCallers): void {
+    const { version = 1 } = this.options.site.versions.at(-1) ?? {};
+    const { life } = daemon;
+    const take = (isOfThis: boolean, looked: number) => (call: Call) => {
+      if (life !== daemon.life || life?.isEnding) return;
+      this.lookAtBound(call, isOfThis, looked);
+      if (isOfThis && life) this.lookAtOrder(call, life, looked);
+    };
+    void callers.call(daemon, 'look', `/since-${version}/`).then(take(true, version));
+    void callers.call(daemon, 'look', `/only-${version - 1}/`).then(take(false, version - 1));
+  }
+
+  /** A route of the newest version has to be there, and the one of the version before must not. */
+  private lookAtBound(
+    { id, daemon, answer, sentAt, endedAt }: Call,
+    isOfNew: boolean,
+    version: number,
+  ) {
+    const { site, contact, violations } = this.options;
+    const bounding = site.versions.find((one) => one.version === (isOfNew ? version : version + 1));
+    if (!bounding || !answer || ![OK, NOT_FOUND].includes(answer.status)) return;
+    const dueAt = bounding.at + CHANGE_BOUND_MILLISECONDS + LATENESS_MILLISECONDS;
+    if (sentAt < dueAt || !contact.holds(daemon, sentAt, endedAt)) return;
+    const isThere = answer.status === OK;
+    const told = () =>
+      `daemon-${daemon} ${isThere ? 'serves' : 'does not know'} the route of version ${version}, ` +
+      `${Math.round(sentAt - bounding.at)} ms after version ${bounding.version}`;
+    violations.check(IN_FORCE, isThere === isOfNew, told, id);
+  }
+
+  private lookAtOrder({ id, daemon, answer, sentAt }: Call, life: object, version: number): void {
+    const newest = this.newest.get(life);
+    if (answer?.status === OK && version > (newest?.version ?? 0)) {
+      this.newest.set(life, { version, at: performance.now() });
+      return;
+    }
+    const isLater = newest !== undefined && sentAt > newest.at + OVERTAKING_MILLISECONDS;
+    if (!answer || !isLater || version > newest.version) return;
+    const told = () => `daemon-${daemon} goes back behind version ${newest.version}`;
+    const holds = answer.status !== NOT_FOUND;
+    this.options.violations.check('versions never go back', holds, told, id);
+  }
+}
--- /dev/null
+++ b/soak/checks/Excuses.ts
@@ -0,0 +1,141 @@
+/**
+ * Which faults excuse a request without a whole answer. Nothing else does, and delays never do.
+ */
+import type { FaultHistory, FaultKind } from '../FaultHistory.js';
+import type { LinkSide } from '../link/linkTypes.js';
+import type { RunBook } from '../RunBook.js';
+import type { Call } from '../SoakCallers.js';
+import type { SoakDaemon } from '../SoakDaemon.js';
+import {
+  CLOSING_SHARE,
+  CUTTING_SHARE,
+  LATENESS_MILLISECONDS,
+  MAXIMUM_ATTEMPTS,
+  STOP_SECONDS,
+  TIMEOUT_MILLISECONDS,
+} from '../soakBounds.js';
+
+/** Faults in which a link loses what it carries. */
+const LOSSES: readonly FaultKind[] = ['break', 'silence', 'cut'];
+
+/** Faults that delay a daemon or its link. */
+const DELAYS: readonly FaultKind[] = ['stall', 'pause', 'cut'];
+
+const STOP_MILLISECONDS = STOP_SECONDS * 1_000;
+
+/** Timers may be early by a rounding. */
+const ROUNDING_MILLISECONDS = 5;
+
+/** Options of {@link Excuses}. */
+export interface ExcusesOptions {
+  history: FaultHistory;
+  runs: RunBook;
+  daemons: readonly SoakDaemon[];
+}
+
+/** Looks at what was on while a request was under way. */
+export class Excuses {
+  private readonly options: ExcusesOptions;
+
+  /**
+   * @param options - faults, runs and daemons.
+   */
+  constructor(options: ExcusesOptions) {
+    this.options = options;
+  }
+
+  /**
+   * @param call - whose connection ended, or stayed silent, before an answer began.
+   * @returns Whether its daemon or its caller's connection was lost, or the daemon had stopped reading.
+   */
+  ofNoAnswer(call: Call): boolean {
+    return this.wasKilled(call) || this.touched(call, LOSSES, 'callers') || this.wasUnread(call);
+  }
+
+  /**
+   * @param call - whose answer broke off.
+   * @returns Whether that may be.
+   */
+  ofCutAnswer(call: Call): boolean {
+    if (this.wasKilled(call) || this.touched(call, LOSSES, 'callers')) return true;
+    if (this.isPastDeadline(call) || this.isPastStop(call)) return true;
+    return this.breaksOf(call) >= (call.kind === 'chat' ? MAXIMUM_ATTEMPTS : 1);
+  }
+
+  /**
+   * @param call - any.
+   * @returns Within which an answer is due after it was sent, in ms.
+   */
+  limitOf(call: Call): number {
+    const delays = this.during(call, DELAYS).filter((fault) => this.concerns(call, fault.daemon));
+    const sum = delays.reduce((total, { from, to }) => {
+      const within = Math.min(to, call.endedAt) - Math.max(from, call.sentAt);
+      return total + Math.max(0, within);
+    }, 0);
+    // What a slow link has gathered comes out after the fault.
+    return TIMEOUT_MILLISECONDS + LATENESS_MILLISECONDS + 2 * sum;
+  }
+
+  private during({ sentAt, endedAt }: Call, kinds: readonly FaultKind[]) {
+    return this.options.history.during(kinds, sentAt, endedAt);
+  }
+
+  private concerns(call: Call, daemon: number | undefined): boolean {
+    return daemon === undefined || this.linksOf(call).has(daemon);
+  }
+
+  /**
+   * Daemons that learn of a runner from each other, while the store turns them away, use an address of the other's
+   * link.
+   */
+  private linksOf({ daemon, id }: Call): ReadonlySet<number> {
+    const { runs, daemons } = this.options;
+    const sources = runs.of(id).map(({ from }) => from);
+    const borrowed = daemons.filter(({ link }) => sources.includes(link.ownHost));
+    return new Set([daemon, ...borrowed.map(({ index }) => index)]);
+  }
+
+  private touched(call: Call, kinds: readonly FaultKind[], side: LinkSide): boolean {
+    return this.during(call, kinds).some(
+      ({ daemon, sides = [] }) => daemon === call.daemon && sides.includes(side),
+    );
+  }
+
+  private wasKilled(call: Call): boolean {
+    const daemon = this.options.daemons[call.daemon];
+    const isKilled = this.during(call, ['kill']).some((fault) => fault.daemon === call.daemon);
+    // Not yet ready, a process does not listen: what is sent then reaches nobody.
+    return isKilled && !daemon?.wasUp(call.sentAt, call.endedAt);
+  }
+
+  /** A stopping daemon closes its port, and what is sent then is not read: nothing may have run. */
+  private wasUnread(call: Call): boolean {
+    if (call.failure === undefined || this.options.runs.of(call.id).length > 0) return false;
+    const closingAfter = STOP_MILLISECONDS * CLOSING_SHARE;
+    return this.during(call, ['stop']).some(
+      ({ daemon, from }) => daemon === call.daemon && call.endedAt >= from + closingAfter,
+    );
+  }
+
+  private isPastStop(call: Call): boolean {
+    const cutAfter = STOP_MILLISECONDS * CUTTING_SHARE;
+    return this.during(call, ['stop']).some(
+      ({ daemon, from }) => daemon === call.daemon && call.endedAt >= from + cutAfter,
+    );
+  }
+
+  private isPastDeadline({ sentAt, endedAt }: Call): boolean {
+    return endedAt - sentAt >= TIMEOUT_MILLISECONDS - ROUNDING_MILLISECONDS;
+  }
+
+  /** How often a runner, or the way to it, broke a request off; a cut lasts, and leaves nowhere to go on. */
+  private breaksOf(call: Call): number {
+    const runners = new Set(this.options.runs.of(call.id).map(({ runner }) => runner));
+    const broken = this.during(call, ['runner']).filter(({ runner = '' }) => runners.has(runner));
+    const links = this.during(call, LOSSES).filter(
+      ({ daemon, sides = [] }) => this.concerns(call, daemon) && sides.includes('runners'),
+    );
+    const cuts = links.filter(({ kind }) => kind === 'cut').length;
+    return broken.length + links.length + cuts * MAXIMUM_ATTEMPTS;
+  }
+}
--- /dev/null
+++ b/soak/checks/recovery.ts
@@ -0,0 +1,60 @@
+/**
+ * What is promised of the time after all faults: the fleet serves again.
+ */
+import type { SoakCallers } from '../SoakCallers.js';
+import type { SoakDaemon } from '../SoakDaemon.js';
+import { RECOVERY_MILLISECONDS } from '../soakBounds.js';
+import type { Violations } from './Violations.js';
+
+const OK = 200;
+
+/** Of each kind at each daemon, once it has served one. */
+const REQUESTS = 4;
+
+const POLL_MILLISECONDS = 250;
+
+const KINDS = ['read', 'write', 'chat', 'draft'] as const;
+
+const PROMISE = 'the fleet serves again';
+
+async function servesAll(daemon: SoakDaemon, callers: SoakCallers): Promise<boolean> {
+  const calls = await Promise.all(KINDS.map((kind) => callers.call(daemon, kind)));
+  return calls.every(({ answer }) => answer?.status === OK && answer.isComplete);
+}
+
+async function servesAllBefore(
+  daemon: SoakDaemon,
+  callers: SoakCallers,
+  limit: number,
+): Promise<boolean> {
+  while (!(await servesAll(daemon, callers))) {
+    if (performance.now() > limit) return false;
+    await new Promise((done) => {
+      setTimeout(done, POLL_MILLISECONDS);
+    });
+  }
+  return true;
+}
+
+/**
+ * @param daemons - that nothing troubles any more.
+ * @param callers - that send the requests.
+ * @param violations - told of daemons that do not serve, and of single requests that are not served later.
+ */
+export async function checkRecovery(
+  daemons: readonly SoakDaemon[],
+  callers: SoakCallers,
+  violations: Violations,
+): Promise<void> {
+  const limit = performance.now() + RECOVERY_MILLISECONDS;
+  const lookAt = async (daemon: SoakDaemon) => {
+    const { index } = daemon;
+    const isBack = await servesAllBefore(daemon, callers, limit);
+    violations.check(PROMISE, isBack, () => `daemon-${index} does not serve after all faults`);
+    if (!isBack) return;
+    const all = Array.from({ length: REQUESTS }, () => servesAll(daemon, callers));
+    const served = (await Promise.all(all)).filter(Boolean).length;
+    violations.check(PROMISE, served === REQUESTS, () => `daemon-${index} serves ${served} times`);
+  };
+  await Promise.all(daemons.map(lookAt));
+}
--- /dev/null
+++ b/soak/faults/ConfigurationSeries.ts
@@ -0,0 +1,24 @@
+/**
+ * Changes of the configuration, one soon after the other.
+ */
+import { setTimeout as wait } from 'node:timers/promises';
+
+import type { FaultGround } from './Fault.js';
+import { Fault } from './Fault.js';
+
+/** Large ones take a while to send and to read. */
+export class ConfigurationSeries extends Fault {
+  private readonly areLarge: readonly boolean[] = Array.from(
+    { length: this.draw.between(1, 3) },
+    () => this.draw.random() < 0.5,
+  );
+
+  private readonly pauseMilliseconds = this.draw.between(50, 1_500);
+
+  override async play({ site }: FaultGround): Promise<void> {
+    for (const isLarge of this.areLarge) {
+      site.changeConfiguration(isLarge);
+      await wait(this.pauseMilliseconds);
+    }
+  }
+}
--- /dev/null
+++ b/soak/faults/faultPlan.ts
@@ -0,0 +1,75 @@
+/**
+ * Which faults come when, from a seed.
+ */
+import { ConfigurationSeries } from './ConfigurationSeries.js';
+import type { Draw, Fault } from './Fault.js';
+import { FilledLink, LinkReset, OneWayCut, SilencedLink, SlowLink } from './linkFaults.js';
+import { Kill, Pause, Reload, RollingRestart } from './processFaults.js';
+import { FailingRunner, RunnerCrash, RunnerLeaves, RunnerRestart } from './runnerFaults.js';
+import { DroppedHistory, FailingStore } from './storeFaults.js';
+
+/** A fault and when it begins, in ms after the start. */
+export interface PlannedFault {
+  readonly at: number;
+  readonly fault: Fault;
+}
+
+type FaultClass = new (draw: Draw) => Fault;
+
+/** A class that stands twice comes twice as often. */
+const CLASSES: readonly FaultClass[] = [
+  FilledLink,
+  SlowLink,
+  SlowLink,
+  LinkReset,
+  SilencedLink,
+  OneWayCut,
+  RollingRestart,
+  RollingRestart,
+  Kill,
+  Pause,
+  Pause,
+  Reload,
+  FailingStore,
+  FailingStore,
+  DroppedHistory,
+  FailingRunner,
+  RunnerCrash,
+  RunnerRestart,
+  RunnerLeaves,
+  ConfigurationSeries,
+  ConfigurationSeries,
+  ConfigurationSeries,
+];
+
+/** A quiet beginning, in which every caller is served; in ms. */
+const FIRST_MILLISECONDS = 1_000;
+
+/** The first filled link is over by then; others come on top of each other, in ms. */
+const SERIES_MILLISECONDS = 5_000;
+
+/** Time from one series to the next, in ms. */
+const PAUSES: readonly [number, number] = [500, 4_000];
+
+/** Time from one fault of a series to the next, in ms. */
+const STEPS: readonly [number, number] = [0, 700];
+
+const LONGEST_SERIES = 4;
+
+/**
+ * @param draw - gives everything.
+ * @param seconds - in which faults begin.
+ * @returns A filled link that nothing else troubles, then faults in series.
+ */
+export function planFaults(draw: Draw, seconds: number): PlannedFault[] {
+  const plan: PlannedFault[] = [{ at: FIRST_MILLISECONDS, fault: new FilledLink(draw) }];
+  let at = SERIES_MILLISECONDS;
+  while (at < seconds * 1_000) {
+    for (let left = draw.between(1, LONGEST_SERIES); left > 0; left -= 1) {
+      plan.push({ at, fault: new (draw.one(CLASSES))(draw) });
+      at += draw.between(...STEPS);
+    }
+    at += draw.between(...PAUSES);
+  }
+  return plan;
+}
--- /dev/null
+++ b/soak/faults/linkFaults.ts
@@ -0,0 +1,136 @@
+/**
+ * Troubles of one daemon's link.
+ */
+import { LINK_SIDES } from '../link/linkTypes.js';
+import type { LinkDirection, LinkPace, LinkSide } from '../link/linkTypes.js';
+import type { FaultGround } from './Fault.js';
+import { Fault } from './Fault.js';
+
+const SIDE_CHOICES: readonly (readonly LinkSide[])[] = [
+  LINK_SIDES,
+  ['runners'],
+  ['callers'],
+  ['store'],
+];
+
+const BYTES_PER_MEGABIT = 125_000;
+
+/** Kept connections that are silent are used until somebody's patience ends; in ms. */
+const SILENCE_NOTICED_MILLISECONDS = 6_000;
+
+/**
+ * A link that is filled: what runners send and new connections arrive late, though the runners are sound. Streams
+ * through it must come whole.
+ */
+export class FilledLink extends Fault {
+  private readonly index = this.draw.daemon();
+
+  private readonly milliseconds = this.draw.between(600, 1_300);
+
+  private readonly streams = this.draw.between(4, 8);
+
+  override async play(ground: FaultGround): Promise<void> {
+    const { index, milliseconds, streams } = this;
+    const daemon = this.daemonOf(ground, index);
+    if (!daemon.isUp) return;
+    const calls: Promise<unknown>[] = [];
+    const begun = Array.from({ length: streams }, () => this.beginStream(ground, calls));
+    await Promise.all(begun);
+    const text = `the link of daemon-${index} is filled for ${milliseconds} ms, with ${streams} streams more`;
+    const record = { kind: 'stall', daemon: index, sides: LINK_SIDES, text } as const;
+    await this.last(ground, record, milliseconds, {
+      begin: () => daemon.link.hold(milliseconds),
+    });
+    await Promise.all(calls);
+  }
+
+  /** Resolves when the stream's first bytes are there, or it is over without any. */
+  private beginStream(ground: FaultGround, calls: Promise<unknown>[]): Promise<void> {
+    const daemon = this.daemonOf(ground, this.index);
+    return new Promise((done) => {
+      const call = ground.callers.call(daemon, 'chat', '/chat/x', done);
+      calls.push(call);
+      void call.then(() => done());
+    });
+  }
+}
+
+/** A link with little bandwidth, or a long delay; a large configuration fills it. */
+export class SlowLink extends Fault {
+  private readonly index = this.draw.daemon();
+
+  private readonly milliseconds = this.draw.between(500, 3_000);
+
+  private readonly pace: LinkPace = {
+    bytesPerSecond: this.draw.between(2, 12) * BYTES_PER_MEGABIT,
+    delayMilliseconds: this.draw.one([0, 5, 40, 150]),
+  };
+
+  override async play(ground: FaultGround): Promise<void> {
+    const { index, milliseconds, pace } = this;
+    const { link } = this.daemonOf(ground, index);
+    const text = `the link of daemon-${index} is slow, ${JSON.stringify(pace)}`;
+    const record = { kind: 'stall', daemon: index, sides: LINK_SIDES, text } as const;
+    const act = { begin: () => link.setPace(pace), end: () => link.setPace() };
+    await this.last(ground, record, milliseconds, act);
+  }
+}
+
+/** Open connections are reset, some times in a row. */
+export class LinkReset extends Fault {
+  private readonly index = this.draw.daemon();
+
+  private readonly sides: readonly LinkSide[] = this.draw.one(SIDE_CHOICES);
+
+  private readonly times = this.draw.between(1, 3);
+
+  private readonly pauseMilliseconds = this.draw.between(100, 800);
+
+  override async play(ground: FaultGround): Promise<void> {
+    const { index, sides, times, pauseMilliseconds } = this;
+    const { link } = this.daemonOf(ground, index);
+    const text = `connections of daemon-${index} are reset: ${sides.join(', ')}`;
+    for (let time = 0; time < times; time += 1) {
+      const record = { kind: 'break', daemon: index, sides, text } as const;
+      // Both ends hear of it once the link's thread has come to it.
+      await this.last(ground, record, pauseMilliseconds, { begin: () => link.reset(sides) });
+    }
+  }
+}
+
+/** Open connections go dead without a sign; new ones work. */
+export class SilencedLink extends Fault {
+  private readonly index = this.draw.daemon();
+
+  private readonly sides: readonly LinkSide[] = this.draw.one(SIDE_CHOICES);
+
+  override async play(ground: FaultGround): Promise<void> {
+    const { index, sides } = this;
+    const { link } = this.daemonOf(ground, index);
+    const text = `open connections of daemon-${index} go silent: ${sides.join(', ')}`;
+    const record = { kind: 'silence', daemon: index, sides, text } as const;
+    await this.last(ground, record, SILENCE_NOTICED_MILLISECONDS, {
+      begin: () => link.silence(sides),
+    });
+  }
+}
+
+/** Nothing passes in one direction for a while; it comes afterwards. */
+export class OneWayCut extends Fault {
+  private readonly index = this.draw.daemon();
+
+  private readonly sides: readonly LinkSide[] = this.draw.one(SIDE_CHOICES);
+
+  private readonly direction: LinkDirection = this.draw.one(['in', 'out']);
+
+  private readonly milliseconds = this.draw.between(300, 3_000);
+
+  override async play(ground: FaultGround): Promise<void> {
+    const { index, sides, direction, milliseconds } = this;
+    const { link } = this.daemonOf(ground, index);
+    const text = `the link of daemon-${index} is cut, ${direction}: ${sides.join(', ')}`;
+    const record = { kind: 'cut', daemon: index, sides, text } as const;
+    const act = { begin: () => link.cut(sides, direction), end: () => link.mend() };
+    await this.last(ground, record, milliseconds, act);
+  }
+}
--- /dev/null
+++ b/soak/link/Link.ts
@@ -0,0 +1,167 @@
+/**
+ * A loopback proxy that carries all connections of one daemon, and does to them what it is told.
+ */
+import { connect, createServer } from 'node:net';
+import type { Server, Socket } from 'node:net';
+
+import { match } from 'ts-pattern';
+
+import { listen } from '../../src/http/listen.js';
+import { Flow, LinkQueue } from './Flow.js';
+import type { LinkCommand, LinkData, LinkDirection, LinkOpened, LinkSide } from './linkTypes.js';
+
+/** Connections that the system accepts for a listener whose owner does not; more than come at once here. */
+const BACKLOG = 16;
+
+/** The system accepts one more than the backlog; one more waits. */
+const FILLERS = BACKLOG + 2;
+
+interface Pipe {
+  readonly side: LinkSide;
+  readonly ends: readonly [Socket, Socket];
+  readonly flows: readonly [Flow, Flow];
+}
+
+interface Listener {
+  readonly server: Server;
+  readonly port: number;
+}
+
+function parse(address: string): { host: string; port: number } {
+  const [host = '', port = ''] = address.split(':');
+  return { host, port: Number(port) };
+}
+
+/** Owns the listeners and connections; runs in a thread of its own, which a hold stops. */
+export class Link {
+  private readonly data: LinkData;
+
+  private readonly tell: (opened: LinkOpened) => void;
+
+  private readonly queues: Record<LinkDirection, LinkQueue> = {
+    in: new LinkQueue(),
+    out: new LinkQueue(),
+  };
+
+  private readonly cuts = new Set<string>();
+
+  private readonly pipes = new Set<Pipe>();
+
+  private readonly listeners = new Map<number, Listener>();
+
+  /**
+   * @param data - IP numbers.
+   * @param tell - hears of listeners.
+   */
+  constructor(data: LinkData, tell: (opened: LinkOpened) => void) {
+    this.data = data;
+    this.tell = tell;
+  }
+
+  /**
+   * @param command - what to do.
+   */
+  take(command: LinkCommand): void {
+    match(command)
+      .with({ kind: 'open' }, (open) => {
+        void this.open(open);
+      })
+      .with({ kind: 'close' }, ({ port }) => {
+        this.listeners.get(port)?.server.close();
+        this.listeners.delete(port);
+      })
+      .with({ kind: 'pace' }, ({ pace }) => {
+        for (const queue of Object.values(this.queues)) queue.pace = pace;
+      })
+      .with({ kind: 'reset' }, ({ side }) => this.each(side, (pipe) => this.reset(pipe)))
+      .with({ kind: 'silence' }, ({ side }) => this.each(side, (pipe) => Link.silence(pipe)))
+      .with({ kind: 'cut' }, ({ side, direction }) => {
+        this.cuts.add(`${side} ${direction}`);
+      })
+      .with({ kind: 'mend' }, ({ side, direction }) => this.mend(side, direction))
+      .with({ kind: 'hold' }, ({ milliseconds }) => this.hold(milliseconds))
+      .exhaustive();
+  }
+
+  private async open({ id, side, target }: LinkCommand & { kind: 'open' }): Promise<void> {
+    const server = createServer({ allowHalfOpen: true, noDelay: true }, (near) =>
+      this.accept(near, side, target),
+    );
+    const { port } = await listen(server, { host: '127.0.0.1', port: 0, backlog: BACKLOG });
+    this.listeners.set(port, { server, port });
+    this.tell({ id, port });
+  }
+
+  private accept(near: Socket, side: LinkSide, target: string): void {
+    if (near.remoteAddress === this.data.fillerHost) {
+      near.destroy();
+      return;
+    }
+    const { ownHost: localAddress } = this.data;
+    const far = connect({ ...parse(target), localAddress, allowHalfOpen: true, noDelay: true });
+    const [there, back]: [LinkDirection, LinkDirection] =
+      side === 'callers' ? ['in', 'out'] : ['out', 'in'];
+    const flows = [this.flow(near, far, side, there), this.flow(far, near, side, back)] as const;
+    const pipe: Pipe = { side, ends: [near, far], flows };
+    this.pipes.add(pipe);
+    for (const end of pipe.ends) {
+      end.once('error', () => this.reset(pipe));
+      end.once('close', () => this.forget(pipe));
+    }
+  }
+
+  private flow(source: Socket, sink: Socket, side: LinkSide, direction: LinkDirection): Flow {
+    const isHeld = () => this.cuts.has(`${side} ${direction}`);
+    return new Flow({ source, sink, queue: this.queues[direction], isHeld });
+  }
+
+  /** An end that breaks off breaks the other one, unless the connection is to be silent. */
+  private reset({ ends, flows }: Pipe): void {
+    if (flows[0].isSilenced) return;
+    for (const flow of flows) flow.stop();
+    for (const end of ends) end.resetAndDestroy();
+  }
+
+  private forget(pipe: Pipe): void {
+    if (pipe.ends.some((end) => !end.destroyed)) return;
+    this.pipes.delete(pipe);
+  }
+
+  private static silence({ flows }: Pipe): void {
+    for (const flow of flows) {
+      flow.isSilenced = true;
+      flow.stop();
+    }
+  }
+
+  private mend(side: LinkSide, direction: LinkDirection): void {
+    this.cuts.delete(`${side} ${direction}`);
+    this.each(side, ({ flows }) => flows.forEach((flow) => flow.pump()));
+  }
+
+  private each(side: LinkSide, act: (pipe: Pipe) => void): void {
+    for (const pipe of [...this.pipes]) if (pipe.side === side) act(pipe);
+  }
+
+  /**
+   * The system accepts connections for a program that does not, up to a queue's length, so the queues are filled
+   * first. What comes then is accepted at the system's next try, a second later, or not at all.
+   */
+  private hold(milliseconds: number): void {
+    for (const { port } of this.listeners.values()) this.fill(port);
+    // Connections are begun at the end of this turn; the thread stops right after that.
+    process.nextTick(() => {
+      const nobodyWakes = new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT));
+      Atomics.wait(nobodyWakes, 0, 0, milliseconds);
+    });
+  }
+
+  private fill(port: number): void {
+    for (let count = 0; count < FILLERS; count += 1) {
+      const filler = connect({ host: '127.0.0.1', port, localAddress: this.data.fillerHost });
+      filler.once('error', () => filler.destroy());
+      filler.once('end', () => filler.destroy());
+      filler.resume();
+    }
+  }
+}
--- /dev/null
+++ b/soak/link/linkThread.ts
@@ -0,0 +1,13 @@
+/**
+ * The thread of one daemon's link.
+ */
+import { parentPort, workerData } from 'node:worker_threads';
+
+import { Link } from './Link.js';
+import type { LinkCommand, LinkData, LinkOpened } from './linkTypes.js';
+
+const link = new Link(workerData as LinkData, (opened: LinkOpened) => {
+  parentPort?.postMessage(opened);
+});
+
+parentPort?.on('message', (command: LinkCommand) => link.take(command));
--- /dev/null
+++ b/soak/report.ts
@@ -0,0 +1,74 @@
+/**
+ * What a soak tells: a verdict, and for each broken promise what led to it.
+ */
+import { mkdirSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+
+import { parseLogLines } from '../src/explanations/logLine.js';
+import type { LogLine } from '../src/explanations/logLine.js';
+import { storyOf } from '../src/explanations/RequestStory.js';
+import { Findings } from '../src/findings/Findings.js';
+import type { Violation } from './checks/Violations.js';
+import type { SoakResult } from './runSoak.js';
+
+/** Later ones mostly follow from the first. */
+const TOLD = 3;
+
+function logLinesOf({ site }: SoakResult): LogLine[] {
+  const findings = new Findings();
+  return site.daemons.flatMap(({ process, index }) =>
+    parseLogLines(process.log, `daemon-${index}`, findings),
+  );
+}
+
+function storyLines({ site }: SoakResult, lines: readonly LogLine[], id: string): string[] {
+  const story = storyOf(id, lines);
+  const toText = ({ time, daemon, event, fields }: LogLine) =>
+    `    ${time} ${daemon} ${event} ${JSON.stringify(fields)}`;
+  const runs = site.runs.of(id);
+  return [
+    ...(story ? [...story.own, ...story.beliefs].map(toText) : ['    no log line names it']),
+    ...(story?.conclusions ?? []).map((line) => `    ${line}`),
+    ...runs.map(
+      ({ runner, at, from }) => `    ${runner} ran it at ${site.history.at(at)}, via ${from}`,
+    ),
+  ];
+}
+
+function violationLines(result: SoakResult, lines: readonly LogLine[], one: Violation): string[] {
+  const { promise, text, request, at } = one;
+  const head = `  BROKEN at ${result.site.history.at(at)}: ${promise}: ${request ?? ''} ${text}`;
+  return [head, ...(request === undefined ? [] : storyLines(result, lines, request))];
+}
+
+/**
+ * @param result - of a soak.
+ * @param folder - where the log of each daemon is written.
+ */
+export function writeLogs({ site }: SoakResult, folder: string): void {
+  mkdirSync(folder, { recursive: true });
+  for (const { process, index } of site.daemons) {
+    writeFileSync(join(folder, `daemon-${index}.log`), process.log);
+  }
+}
+
+/**
+ * @param seed - that was played.
+ * @param result - what came of it.
+ * @returns Lines for a person.
+ */
+export function reportLines(seed: number, result: SoakResult): string[] {
+  const { violations, site } = result;
+  const looked = [...violations.looked].map(([promise, times]) => `${promise} (${times})`);
+  const verdict = violations.all.length === 0 ? 'kept' : `${violations.all.length} broken`;
+  const summary = `seed ${seed}: ${verdict}, ${site.history.played.length} faults; looked at ${looked.join(', ')}`;
+  if (violations.all.length === 0) return [summary];
+  const lines = logLinesOf(result);
+  const told = violations.all.slice(0, TOLD);
+  return [
+    summary,
+    ...told.flatMap((one) => violationLines(result, lines, one)),
+    '  faults:',
+    ...site.history.lines().map((line) => `  ${line}`),
+  ];
+}
--- /dev/null
+++ b/soak/runSoak.ts
@@ -0,0 +1,97 @@
+/**
+ * One soak: a fleet of processes under load, faults from a seed, and what became of the promises.
+ */
+import { mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as wait } from 'node:timers/promises';
+
+import { seededRandom } from '../src/random/seededRandom.js';
+import { AnswerChecks } from './checks/AnswerChecks.js';
+import { ConfigurationChecks } from './checks/ConfigurationChecks.js';
+import { Contact } from './checks/Contact.js';
+import { DrainChecks } from './checks/DrainChecks.js';
+import { Excuses } from './checks/Excuses.js';
+import { checkRecovery } from './checks/recovery.js';
+import { Violations } from './checks/Violations.js';
+import { Draw } from './faults/Fault.js';
+import { planFaults } from './faults/faultPlan.js';
+import type { PlannedFault } from './faults/faultPlan.js';
+import { SoakCallers } from './SoakCallers.js';
+import { SoakSite } from './SoakSite.js';
+
+/** Options of {@link runSoak}. */
+export interface SoakOptions {
+  seed: number;
+  /** In which faults begin. */
+  seconds: number;
+  /** Arguments of the runtime: its options and the built daemon. */
+  program: readonly string[];
+  daemons?: number;
+  runnersOfService?: number;
+  /** Requests a second. */
+  rate?: number;
+}
+
+/** What came of it. */
+export interface SoakResult {
+  readonly site: SoakSite;
+  readonly violations: Violations;
+}
+
+function createChecks(site: SoakSite) {
+  const { history, runs, daemons } = site;
+  const violations = new Violations();
+  const excuses = new Excuses({ history, runs, daemons });
+  const contact = new Contact(history, daemons);
+  const answers = new AnswerChecks({ runs, excuses, violations });
+  const drains = new DrainChecks({ runs, contact, violations, calls: answers.calls });
+  const configurations = new ConfigurationChecks({ site, contact, violations });
+  return { violations, answers, drains, configurations };
+}
+
+async function play(plan: readonly PlannedFault[], start: (one: PlannedFault) => Promise<void>) {
+  const startOne = async (one: PlannedFault) => {
+    await wait(one.at);
+    await start(one);
+  };
+  await Promise.all(plan.map(startOne));
+}
+
+async function soak(site: SoakSite, options: SoakOptions): Promise<Violations> {
+  const { seed, seconds, rate = 40 } = options;
+  const { daemons } = site;
+  const { violations, answers, drains, configurations } = createChecks(site);
+  const plan = planFaults(new Draw(seededRandom(seed), daemons.length), seconds);
+  const random = seededRandom(seed + 1);
+  const callers = new SoakCallers({ daemons, random, rate, onEnd: (call) => answers.look(call) });
+  await callers.start();
+  configurations.start(callers);
+  await play(plan, ({ fault }) => fault.play({ site, callers, drains }));
+  await checkRecovery(daemons, callers, violations);
+  configurations.stop();
+  await callers.stop();
+  answers.lookAtRuns();
+  drains.look();
+  for (const complaint of daemons.flatMap(({ complaints }) => complaints)) {
+    violations.check('processes go on', false, () => complaint);
+  }
+  return violations;
+}
+
+/**
+ * @param options - seed, time and sizes.
+ * @returns What was seen, once all that was started has ended.
+ */
+export async function runSoak(options: SoakOptions): Promise<SoakResult> {
+  const { program, daemons = 4, runnersOfService = 4 } = options;
+  const folder = mkdtempSync(join(tmpdir(), 'baobabdock-'));
+  const site = new SoakSite({ daemons, runnersOfService, folder, program });
+  try {
+    await site.start();
+    return { site, violations: await soak(site, options) };
+  } finally {
+    await site.stop();
+    rmSync(folder, { recursive: true });
+  }
+}
--- /dev/null
+++ b/soak/soakBounds.ts
@@ -0,0 +1,33 @@
+/**
+ * The times and sizes that the soak's checks rest on.
+ */
+
+/** In force within this time after the store's acknowledgement, as on the users' platform; in ms. */
+export const CHANGE_BOUND_MILLISECONDS = 2_000;
+
+/** Processes and timers of a busy machine are late by some hundred ms. */
+export const LATENESS_MILLISECONDS = 1_000;
+
+/** A daemon that nothing has touched for this long has no excuse of having been out of touch; in ms. */
+export const CONTACT_MILLISECONDS = 3_000;
+
+/** Time that a planned stop may take. */
+export const STOP_SECONDS = 5;
+
+/** From then on a stopping daemon refuses, and closes what is idle; see `plannedStop`. */
+export const CLOSING_SHARE = 0.35;
+
+/** From then on it cuts what is not complete; see `plannedStop`. */
+export const CUTTING_SHARE = 0.93;
+
+/** Of each route of the stand-in's configuration, in ms. */
+export const TIMEOUT_MILLISECONDS = 5_000;
+
+/** The fleet serves again this long after the last fault, as on the users' platform; in ms. */
+export const RECOVERY_MILLISECONDS = 12_000;
+
+/** Events of each stream; with 40 ms between them it lasts 1.6 s. */
+export const EVENTS = 40;
+
+/** Runners that may run one request; see `siteConfiguration`. */
+export const MAXIMUM_ATTEMPTS = 2;
--- a/standIns/site/SiteRunner.ts
+++ b/standIns/site/SiteRunner.ts
@@ -47,6 +47,10 @@
   workMilliseconds?: number;
   /** Body of a plain answer. */
   plainBody?: string;
+  /** Whether answers and events name the request that they belong to. */
+  echoes?: boolean;
+  /** Told of each request that begins to run, with the IP number that it came from. */
+  onRan?: (request: ReceivedRequest, from: string) => void;
 }
 
 const EVENTS_BEFORE_CUT = 2;
@@ -82,6 +86,8 @@
       eventMilliseconds: 2,
       workMilliseconds: 1,
       plainBody: `answer of ${options.id}`,
+      echoes: false,
+      onRan: () => undefined,
       ...options,
     };
     this.id = options.id;
@@ -90,6 +96,11 @@
     });
   }
 
+  /** @returns IP number and port, once it listens. */
+  get ownAddress(): string {
+    return this.address;
+  }
+
   /** @returns Once it listens. */
   async start(): Promise<void> {
     const { address, port } = await listen(this.server, { host: '127.0.0.1', port: 0 });
@@ -145,7 +156,9 @@
       return;
     }
     const { method = 'GET', url: target = '/', headers } = request;
-    this.ran.push({ id, method, target, headers, body: Buffer.concat(chunks).toString() });
+    const received = { id, method, target, headers, body: Buffer.concat(chunks).toString() };
+    this.ran.push(received);
+    this.options.onRan(received, request.socket.remoteAddress ?? '');
     if (this.behaviour === 'mute') return;
     if (this.behaviour === 'loses_answer') request.socket.resetAndDestroy();
     else if (headers['prompt-prefix'] !== undefined) await this.stream(request, response);
@@ -156,9 +169,13 @@
     return { 'Response-Seal': `seal-${this.id}`, ...(id && { 'Attempt-Id': id }) };
   }
 
+  private echoOf(id: string | undefined): string {
+    return this.options.echoes ? ` for ${id}` : '';
+  }
+
   private async answerPlain(id: string | undefined, response: ServerResponse): Promise<void> {
     await this.pause(this.options.workMilliseconds);
-    const { plainBody } = this.options;
+    const plainBody = `${this.options.plainBody}${this.echoOf(id)}`;
     const status = this.behaviour === 'fails' ? 500 : 200;
     const headers = { ...this.headersFor(id), 'Content-Length': plainBody.length };
     response.writeHead(status, headers);
@@ -182,7 +199,7 @@
         request.socket.resetAndDestroy();
         return;
       }
-      response.write(`id: ${event}\ndata: token ${event}\n\n`);
+      response.write(`id: ${event}\ndata: token ${event}${this.echoOf(id)}\n\n`);
       await this.pause(this.options.eventMilliseconds);
     }
     response.end();
--- a/standIns/site/StoreStandIn.ts
+++ b/standIns/site/StoreStandIn.ts
@@ -3,10 +3,12 @@
  */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { setTimeout as wait } from 'node:timers/promises';
 
 import { listen } from '../../src/http/listen.js';
 
-interface Item {
+/** A key with its value. */
+export interface StoreItem {
   readonly key: string;
   /** Base64. */
   readonly value: string;
@@ -38,8 +40,11 @@
   readonly timer: NodeJS.Timeout;
 }
 
-/** How calls are answered: `busy` refuses with 503, `silent` never answers, `reset` resets connections. */
-export type StoreFault = 'none' | 'busy' | 'silent' | 'reset';
+/**
+ * How calls are answered: `busy` refuses with 503, `silent` never answers, `reset` resets connections, `slow` takes
+ * its time, `loses_answers` does what it is asked and resets the connection instead of saying so.
+ */
+export type StoreFault = 'none' | 'busy' | 'silent' | 'reset' | 'slow' | 'loses_answers';
 
 /** Options of {@link StoreStandIn.faultFor}. */
 export interface FaultFor {
@@ -50,14 +55,19 @@
 
 const PAGE_ITEMS = 500;
 
+const SLOW_MILLISECONDS = 400;
+
 /** Serves the store's calls on a loopback port. */
 export class StoreStandIn {
   /** Calls by method and path without parameters. */
   readonly calls = new Map<string, number>();
 
-  private readonly items = new Map<string, Item>();
+  /** Gives an item as one caller is to see it, for example with an address on that caller's own path. */
+  seenAs: (item: StoreItem, request: IncomingMessage) => StoreItem = (item) => item;
+
+  private readonly items = new Map<string, StoreItem>();
 
-  private history: (Item | Removal)[] = [];
+  private history: (StoreItem | Removal)[] = [];
 
   private historyStart = 0;
 
@@ -71,6 +81,9 @@
 
   private fault: FaultFor = { fault: 'none' };
 
+  /** Calls that are done and whose answers are lost. */
+  private readonly lost = new WeakSet<ServerResponse>();
+
   private readonly server: Server;
 
   constructor() {
@@ -136,7 +149,7 @@
     const { pathname, searchParams } = new URL(request.url ?? '/', 'http://store');
     const name = `${request.method} ${pathname.replace(/\/\d+$/u, '')}`;
     this.calls.set(name, (this.calls.get(name) ?? 0) + 1);
-    if (this.isFaulty(request, response)) return;
+    if (await this.isFaulty(request, response)) return;
     const chunks: Buffer[] = [];
     for await (const chunk of request) chunks.push(chunk as Buffer);
     const text = Buffer.concat(chunks).toString();
@@ -149,41 +162,51 @@
     else if (name === 'POST /v1/kv-lease') this.grant(body as { ttl_ms: number }, response);
     else if (name === 'POST /v1/kv-keep') this.keep(lease, response);
     else if (name === 'DELETE /v1/kv-lease-end') this.end(lease, response);
-    else StoreStandIn.answer(response, 404, {});
+    else this.answer(response, 404, {});
   }
 
-  private isFaulty(request: IncomingMessage, response: ServerResponse): boolean {
+  private async isFaulty(request: IncomingMessage, response: ServerResponse): Promise<boolean> {
     const { fault, concerns = () => true } = this.fault;
     if (fault === 'none' || !concerns(request)) return false;
+    if (fault === 'slow') await wait(SLOW_MILLISECONDS);
+    if (fault === 'loses_answers') this.lost.add(response);
+    if (fault === 'slow' || fault === 'loses_answers') return false;
     if (fault === 'reset') request.socket.resetAndDestroy();
-    if (fault === 'busy') StoreStandIn.answer(response, 503, {});
+    if (fault === 'busy') this.answer(response, 503, {});
     return true;
   }
 
-  private static answer(response: ServerResponse, status: number, body: unknown): void {
+  private answer(response: ServerResponse, status: number, body: unknown): void {
+    if (this.lost.has(response)) {
+      response.req.socket.resetAndDestroy();
+      return;
+    }
     response.writeHead(status, { 'Content-Type': 'application/json' });
     response.end(JSON.stringify(body));
   }
 
   private readKey(query: URLSearchParams, response: ServerResponse): void {
     const item = this.items.get(query.get('key') ?? '');
-    StoreStandIn.answer(response, item ? 200 : 404, item ?? {});
+    this.answer(response, item ? 200 : 404, item ? this.seenAs(item, response.req) : {});
   }
 
   private range(query: URLSearchParams, response: ServerResponse): void {
     const prefix = query.get('path_prefix') ?? '';
     const after = query.get('after') ?? '';
     const keys = this.keys(prefix).filter((key) => key > after);
-    const items = keys.slice(0, PAGE_ITEMS).map((key) => this.items.get(key));
+    const items = keys
+      .slice(0, PAGE_ITEMS)
+      .flatMap((key) => this.items.get(key) ?? [])
+      .map((item) => this.seenAs(item, response.req));
     const truncated = keys.length > PAGE_ITEMS;
-    StoreStandIn.answer(response, 200, { items, truncated, as_of: this.revision });
+    this.answer(response, 200, { items, truncated, as_of: this.revision });
   }
 
   private watch(query: URLSearchParams, response: ServerResponse): void {
     const prefix = query.get('path_prefix') ?? '';
     const after = Number(query.get('after'));
     if (after < this.historyStart) {
-      StoreStandIn.answer(response, 410, {});
+      this.answer(response, 410, {});
       return;
     }
     const endWait = () => {
@@ -195,10 +218,14 @@
     this.wake();
   }
 
-  private finish(waiter: Waiter, events: readonly (Item | Removal)[]): void {
+  private finish(waiter: Waiter, events: readonly (StoreItem | Removal)[]): void {
+    const { response } = waiter;
     clearTimeout(waiter.timer);
     this.waiters.delete(waiter);
-    StoreStandIn.answer(waiter.response, 200, { events, as_of: this.revision });
+    const seen = events.map((event) =>
+      'removed' in event ? event : this.seenAs(event, response.req),
+    );
+    this.answer(response, 200, { events: seen, as_of: this.revision });
   }
 
   private cut(waiter: Waiter): void {
@@ -223,23 +250,23 @@
     );
     if (failed.length > 0) {
       const items = expected.map(({ key }) => this.items.get(key) ?? { key, revision: 0 });
-      StoreStandIn.answer(response, 412, { items });
+      this.answer(response, 412, { items });
       return;
     }
     if (puts.some(({ lease = 0 }) => lease !== 0 && !this.leases.has(lease))) {
-      StoreStandIn.answer(response, 404, {});
+      this.answer(response, 404, {});
       return;
     }
     for (const { key, value, lease = 0 } of puts) this.put(key, value, lease);
     for (const key of deletes) this.remove(key);
-    StoreStandIn.answer(response, 200, { revision: this.revision });
+    this.answer(response, 200, { revision: this.revision });
     this.wake();
   }
 
   private put(key: string, value: string, lease: number): void {
     this.revision += 1;
     const created = this.items.get(key)?.create_rev ?? this.revision;
-    const item: Item = { key, value, revision: this.revision, create_rev: created, lease };
+    const item: StoreItem = { key, value, revision: this.revision, create_rev: created, lease };
     this.items.set(key, item);
     this.history.push(item);
   }
@@ -254,7 +281,7 @@
     const lease = this.nextLease;
     this.nextLease += 1;
     this.leases.set(lease, { milliseconds, timer: this.expiry(lease, milliseconds) });
-    StoreStandIn.answer(response, 200, { lease, ttl_ms: milliseconds });
+    this.answer(response, 200, { lease, ttl_ms: milliseconds });
   }
 
   private expiry(lease: number, milliseconds: number): NodeJS.Timeout {
@@ -276,12 +303,12 @@
       clearTimeout(known.timer);
       known.timer = this.expiry(lease, known.milliseconds);
     }
-    StoreStandIn.answer(response, known ? 200 : 404, { ttl_ms: known?.milliseconds });
+    this.answer(response, known ? 200 : 404, { ttl_ms: known?.milliseconds });
   }
 
   private end(lease: number, response: ServerResponse): void {
     const isKnown = this.leases.has(lease);
     this.lapse(lease);
-    StoreStandIn.answer(response, isKnown ? 200 : 404, {});
+    this.answer(response, isKnown ? 200 : 404, {});
   }
 }
--- a/tools/runTests.ts
+++ b/tools/runTests.ts
@@ -13,7 +13,7 @@
 import { compareWithKnownRed, readKnownRed } from './knownRed.js';
 import type { FailedTest } from './knownRed.js';
 
-const FOLDERS = ['src', 'platform', 'standIns', 'measure', 'tools', 'demo', 'tests'];
+const FOLDERS = ['src', 'platform', 'standIns', 'measure', 'tools', 'demo', 'tests', 'soak'];
 
 /** Leaves room on a shared machine; several specs start real sockets. */
 const CONCURRENCY = 4;
