--- a/soak/FaultHistory.ts
+++ b/soak/FaultHistory.ts
@@ -57,6 +57,20 @@
     };
   }
 
+  /**
+   * The soak's own threads stand still where the machine is busy: what they carry is late then, as through a fault.
+   *
+   * @param milliseconds - that a thread was late, until now.
+   * @param daemon - whose link it carries; all of them where it is the thread of the stand-ins.
+   */
+  noteLateness(milliseconds: number, daemon?: number): void {
+    const to = performance.now();
+    const whose = daemon === undefined ? 'of the stand-ins' : `of the link of daemon-${daemon}`;
+    const text = `the thread ${whose} was late by ${Math.round(milliseconds)} ms`;
+    const from = to - milliseconds;
+    this.played.push({ kind: 'stall', text, from, to, ...(daemon !== undefined && { daemon }) });
+  }
+
   /**
    * @param kinds - of faults.
    * @param from - monotonic ms.
--- a/soak/SoakSite.ts
+++ b/soak/SoakSite.ts
@@ -10,6 +10,7 @@
 import type { StoreItem } from '../standIns/site/StoreStandIn.js';
 import { FaultHistory } from './FaultHistory.js';
 import { DaemonLink } from './link/DaemonLink.js';
+import { watchLateness } from './link/watchLateness.js';
 import { RunBook } from './RunBook.js';
 import { SoakDaemon } from './SoakDaemon.js';
 import { CHANGE_BOUND_MILLISECONDS, EVENTS, STOP_SECONDS } from './soakBounds.js';
@@ -72,6 +73,8 @@
 
   private nextRunner = 0;
 
+  private endWatch: () => void = () => undefined;
+
   /**
    * @param options - sizes and program.
    */
@@ -82,6 +85,7 @@
   /** Starts everything. */
   async start(): Promise<void> {
     const { daemons, runnersOfService } = this.options;
+    this.endWatch = watchLateness((late) => this.history.noteLateness(late));
     this.stand.store.seenAs = (item, request) => this.seenAs(item, request);
     await this.stand.start();
     this.changeConfiguration(false);
@@ -95,6 +99,7 @@
 
   /** Ends everything. */
   async stop(): Promise<void> {
+    this.endWatch();
     await Promise.all(this.daemons.map((daemon) => daemon.stop()));
     for (const runner of this.runners.values()) runner.stop();
     await this.stand.stop();
@@ -188,7 +193,7 @@
     const { folder, program } = this.options;
     const seeds = this.daemons.map(({ process }) => process.settings.addresses.peers);
     const own = await this.stand.settingsOf(`daemon-${index}`, seeds.slice(0, 3));
-    const link = new DaemonLink(index);
+    const link = new DaemonLink(index, (late) => this.history.noteLateness(late, index));
     const settings: RouterSettings = {
       ...own,
       store: await link.open('store', own.store),
--- a/soak/checks/Violations.ts
+++ b/soak/checks/Violations.ts
@@ -20,6 +20,9 @@
 
   readonly looked = new Map<string, number>();
 
+  /** Requests that a fault excused from a promise. */
+  excused = 0;
+
   /**
    * @param promise - that was looked at.
    * @param holds - whether it is kept.
--- a/soak/link/DaemonLink.ts
+++ b/soak/link/DaemonLink.ts
@@ -9,6 +9,7 @@
   LinkCommand,
   LinkData,
   LinkDirection,
+  LinkLate,
   LinkOpened,
   LinkPace,
   LinkSide,
@@ -35,14 +36,19 @@
 
   /**
    * @param index - of the daemon; each link has IP numbers of its own.
+   * @param onLate - told where its thread was held up, in ms; by a hold as well.
    */
-  constructor(index: number) {
+  constructor(index: number, onLate: (milliseconds: number) => void = () => undefined) {
     this.ownHost = `127.0.1.${index + 1}`;
     const workerData: LinkData = { ownHost: this.ownHost, fillerHost: `127.0.2.${index + 1}` };
     this.worker = new Worker(START, { eval: true, workerData });
-    this.worker.on('message', ({ id, port }: LinkOpened) => {
-      this.waiting.get(id)?.(port);
-      this.waiting.delete(id);
+    this.worker.on('message', (message: LinkOpened | LinkLate) => {
+      if ('lateMilliseconds' in message) {
+        onLate(message.lateMilliseconds);
+        return;
+      }
+      this.waiting.get(message.id)?.(message.port);
+      this.waiting.delete(message.id);
     });
   }
 
--- a/soak/link/linkTypes.ts
+++ b/soak/link/linkTypes.ts
@@ -45,6 +45,11 @@
   readonly port: number;
 }
 
+/** Tells that the thread itself was held up. */
+export interface LinkLate {
+  readonly lateMilliseconds: number;
+}
+
 /** Data of the link's thread. */
 export interface LinkData {
   /** IP number from which the link connects; stores and runners know the daemon's link by it. */
--- a/soak/report.ts
+++ b/soak/report.ts
@@ -61,7 +61,7 @@
   const { violations, site } = result;
   const looked = [...violations.looked].map(([promise, times]) => `${promise} (${times})`);
   const verdict = violations.all.length === 0 ? 'kept' : `${violations.all.length} broken`;
-  const summary = `seed ${seed}: ${verdict}, ${site.history.played.length} faults; looked at ${looked.join(', ')}`;
+  const summary = `seed ${seed}: ${verdict}, ${site.history.played.length} faults, ${violations.excused} requests excused; looked at ${looked.join(', ')}`;
   if (violations.all.length === 0) return [summary];
   const lines = logLinesOf(result);
   const told = violations.all.slice(0, TOLD);
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -31,6 +31,8 @@
   runnersOfService?: number;
   /** Requests a second. */
   rate?: number;
+  /** What is played; a plan from the seed where missing. */
+  plan?: (draw: Draw, seconds: number) => PlannedFault[];
 }
 
 /** What came of it. */
@@ -59,15 +61,15 @@
 }
 
 async function soak(site: SoakSite, options: SoakOptions): Promise<Violations> {
-  const { seed, seconds, rate = 40 } = options;
+  const { seed, seconds, rate = 40, plan = planFaults } = options;
   const { daemons } = site;
   const { violations, answers, drains, configurations } = createChecks(site);
-  const plan = planFaults(new Draw(seededRandom(seed), daemons.length), seconds);
+  const planned = plan(new Draw(seededRandom(seed), daemons.length), seconds);
   const random = seededRandom(seed + 1);
   const callers = new SoakCallers({ daemons, random, rate, onEnd: (call) => answers.look(call) });
   await callers.start();
   configurations.start(callers);
-  await play(plan, ({ fault }) => fault.play({ site, callers, drains }));
+  await play(planned, ({ fault }) => fault.play({ site, callers, drains }));
   await checkRecovery(daemons, callers, violations);
   configurations.stop();
   await callers.stop();
