--- a/soak/SoakCallers.ts
+++ b/soak/SoakCallers.ts
@@ -9,7 +9,7 @@
 import type { SoakDaemon } from './SoakDaemon.js';
 
 /** What a request is for; `look` finds out which configuration is in force. */
-export type CallKind = 'read' | 'write' | 'chat' | 'draft' | 'look';
+export type CallKind = 'read' | 'order' | 'chat' | 'story' | 'look';
 
 /** One request with what its caller got. */
 export interface Call {
@@ -49,8 +49,8 @@
 /** Shares of the kinds, summed up. */
 const KINDS: readonly (readonly [CallKind, number])[] = [
   ['chat', 0.45],
-  ['write', 0.7],
-  ['draft', 0.8],
+  ['order', 0.7],
+  ['story', 0.8],
   ['read', 1],
 ];
 
@@ -136,7 +136,7 @@
     const body = `body of ${id}`;
     const call = { id, kind, daemon: index, path, body, sentAt: performance.now() };
     const prompt = `a${this.sent % PROMPTS}:2000,b${this.sent}:50`;
-    const isStream = kind === 'chat' || kind === 'draft';
+    const isStream = kind === 'chat' || kind === 'story';
     const headers = { 'Attempt-Id': id, ...(isStream && { 'Prompt-Prefix': prompt, Model: 'm' }) };
     const agent = this.agentOf(index);
     const result = await Promise.race([
--- a/soak/SoakSite.ts
+++ b/soak/SoakSite.ts
@@ -13,13 +13,14 @@
 import { watchLateness } from './link/watchLateness.js';
 import { RunBook } from './RunBook.js';
 import { SoakDaemon } from './SoakDaemon.js';
-import { CHANGE_BOUND_MILLISECONDS, EVENTS, STOP_SECONDS } from './soakBounds.js';
+import { CHANGE_BOUND_MILLISECONDS, EVENTS, MAXIMUM_ATTEMPTS, STOP_SECONDS } from './soakBounds.js';
 
 /** Services of the stand-in's configuration. */
 export type SoakService = 'plain' | 'engine';
 
 const EVENT_MILLISECONDS = 40;
-const WORK_MILLISECONDS = 15;
+/** Long enough that faults meet plain requests under way as well. */
+const WORK_MILLISECONDS = 80;
 
 /** Of the large configurations. */
 const LARGE_ROUTES = 1_400;
@@ -33,6 +34,21 @@
  */
 const RETRY_BUDGET = { ratio: 1, allowance: 2_000, windowSeconds: 10 };
 
+/**
+ * Requests of these may run once, whatever number of attempts their routes allow: with one attempt no retry would
+ * show that they must not be repeated.
+ */
+const ONCE_ROUTES = [
+  { name: 'order', kind: 'non_idempotent', service: 'plain', max_attempts: MAXIMUM_ATTEMPTS },
+  {
+    name: 'story',
+    kind: 'streaming',
+    service: 'engine',
+    max_attempts: MAXIMUM_ATTEMPTS,
+    sticky: true,
+  },
+];
+
 /** Options of a {@link SoakSite}. */
 export interface SoakSiteOptions {
   daemons: number;
@@ -114,12 +130,11 @@
     const version = this.versions.length + 2;
     const kept = Array.from({ length: version }, (_, index) => `since-${index + 1}`);
     const filler = Array.from({ length: isLarge ? LARGE_ROUTES : 0 }, (_, at) => `filler-${at}`);
-    const routes = [...kept, `only-${version}`, ...filler].map((name) => ({
-      name,
-      path_prefix: `/${name}/`,
-      kind: 'idempotent',
-      service: 'plain',
-      max_attempts: 2,
+    const plain = { kind: 'idempotent', service: 'plain', max_attempts: MAXIMUM_ATTEMPTS };
+    const repeatable = [...kept, `only-${version}`, ...filler].map((name) => ({ ...plain, name }));
+    const routes = [...repeatable, ...ONCE_ROUTES].map((route) => ({
+      ...route,
+      path_prefix: `/${route.name}/`,
     }));
     this.stand.store.write('op/config', siteConfiguration(version, { routes }));
     this.versions.push({ version, at: performance.now() });
--- a/soak/checks/AnswerChecks.spec.ts
+++ b/soak/checks/AnswerChecks.spec.ts
@@ -103,7 +103,7 @@
     expect(brokenBy(callOf({ answer: refused }))).toEqual(['"not run" is true']);
     violations.all.length = 0;
     runAt('engine-2');
-    expect(brokenBy(callOf({ kind: 'draft' }))).toEqual(['runs are not too many']);
+    expect(brokenBy(callOf({ kind: 'story' }))).toEqual(['runs are not too many']);
   });
 
   it('finds runs that nobody asked for, or with another body', () => {
@@ -162,7 +162,7 @@
     },
     {
       what: 'one reset of what may not be resumed',
-      call: { ...CUT, kind: 'draft', path: '/chat/x' },
+      call: { ...CUT, kind: 'story', path: '/chat/x' },
       isExcused: true,
       faults: [['break', ...during, runners]],
     },
--- a/soak/checks/AnswerChecks.ts
+++ b/soak/checks/AnswerChecks.ts
@@ -23,8 +23,8 @@
   read: MAXIMUM_ATTEMPTS,
   look: MAXIMUM_ATTEMPTS,
   chat: MAXIMUM_ATTEMPTS,
-  write: 1,
-  draft: 1,
+  order: 1,
+  story: 1,
 };
 
 function wholeStream(id: string): string {
@@ -35,7 +35,7 @@
 }
 
 function isStream({ kind }: Call): boolean {
-  return kind === 'chat' || kind === 'draft';
+  return kind === 'chat' || kind === 'story';
 }
 
 function shortOf(call: Call): string {
--- a/soak/checks/recovery.ts
+++ b/soak/checks/recovery.ts
@@ -13,7 +13,7 @@
 
 const POLL_MILLISECONDS = 250;
 
-const KINDS = ['read', 'write', 'chat', 'draft'] as const;
+const KINDS = ['read', 'order', 'chat', 'story'] as const;
 
 const PROMISE = 'the fleet serves again';
 
--- a/soak/faults/faultPlan.ts
+++ b/soak/faults/faultPlan.ts
@@ -5,7 +5,13 @@
 import type { Draw, Fault } from './Fault.js';
 import { FilledLink, LinkReset, OneWayCut, SilencedLink, SlowLink } from './linkFaults.js';
 import { Kill, Pause, Reload, RollingRestart } from './processFaults.js';
-import { FailingRunner, RunnerCrash, RunnerLeaves, RunnerRestart } from './runnerFaults.js';
+import {
+  FailingRunner,
+  LostAnswers,
+  RunnerCrash,
+  RunnerLeaves,
+  RunnerRestart,
+} from './runnerFaults.js';
 import { DroppedHistory, FailingStore } from './storeFaults.js';
 
 /** A fault and when it begins, in ms after the start. */
@@ -34,6 +40,8 @@
   FailingStore,
   DroppedHistory,
   FailingRunner,
+  FailingRunner,
+  LostAnswers,
   RunnerCrash,
   RunnerRestart,
   RunnerLeaves,
@@ -45,8 +53,11 @@
 /** A quiet beginning, in which every caller is served; in ms. */
 const FIRST_MILLISECONDS = 1_000;
 
+/** The streams of the filled link are whole by then; in ms. */
+const LOST_ANSWERS_MILLISECONDS = 5_000;
+
 /** The first filled link is over by then; others come on top of each other, in ms. */
-const SERIES_MILLISECONDS = 5_000;
+const SERIES_MILLISECONDS = 6_000;
 
 /** Time from one series to the next, in ms. */
 const PAUSES: readonly [number, number] = [500, 4_000];
@@ -59,10 +70,13 @@
 /**
  * @param draw - gives everything.
  * @param seconds - in which faults begin.
- * @returns A filled link that nothing else troubles, then faults in series.
+ * @returns A filled link that nothing else troubles, lost answers, then faults in series.
  */
 export function planFaults(draw: Draw, seconds: number): PlannedFault[] {
-  const plan: PlannedFault[] = [{ at: FIRST_MILLISECONDS, fault: new FilledLink(draw) }];
+  const plan: PlannedFault[] = [
+    { at: FIRST_MILLISECONDS, fault: new FilledLink(draw) },
+    { at: LOST_ANSWERS_MILLISECONDS, fault: new LostAnswers(draw) },
+  ];
   let at = SERIES_MILLISECONDS;
   while (at < seconds * 1_000) {
     for (let left = draw.between(1, LONGEST_SERIES); left > 0; left -= 1) {
--- a/soak/faults/runnerFaults.ts
+++ b/soak/faults/runnerFaults.ts
@@ -3,7 +3,7 @@
  */
 import { setTimeout as wait } from 'node:timers/promises';
 
-import type { RunnerBehaviour } from '../../standIns/site/SiteRunner.js';
+import type { RunnerBehaviour, SiteRunner } from '../../standIns/site/SiteRunner.js';
 import type { SoakService } from '../SoakSite.js';
 import { CHANGE_BOUND_MILLISECONDS, TIMEOUT_MILLISECONDS } from '../soakBounds.js';
 import type { FaultGround } from './Fault.js';
@@ -14,38 +14,53 @@
 /** A runner's entry is found to be wrong this much later, in ms. */
 const UNLISTED_AFTER_MILLISECONDS = 3_000;
 
+/** What runners of a service do wrong. */
+const BEHAVIOURS: Readonly<Record<SoakService, readonly RunnerBehaviour[]>> = {
+  plain: ['loses_answer', 'cuts_plain', 'refuses', 'fails'],
+  engine: ['cuts_stream', 'loses_answer', 'refuses'],
+};
+
+async function misbehave(
+  { site }: FaultGround,
+  runner: SiteRunner,
+  behaviour: RunnerBehaviour,
+  milliseconds: number,
+): Promise<void> {
+  const text = `${runner.id} ${behaviour} for ${milliseconds} ms`;
+  const over = site.history.begin({ kind: 'runner', runner: runner.id, text });
+  Object.assign(runner, { behaviour });
+  await wait(milliseconds);
+  Object.assign(runner, { behaviour: 'answers' });
+  // A stream that began meanwhile is cut later.
+  await wait(TIMEOUT_MILLISECONDS);
+  over();
+}
+
 /** A runner that misbehaves for a while. */
 export class FailingRunner extends Fault {
-  private readonly service: SoakService = this.draw.one(SERVICES);
+  private readonly service = this.draw.one(SERVICES);
 
   private readonly choice = this.draw.random();
 
-  private readonly behaviour: RunnerBehaviour = this.draw.one([
-    'refuses',
-    'loses_answer',
-    'cuts_stream',
-    'cuts_plain',
-    'fails',
-  ]);
+  private readonly behaviour = this.draw.one(BEHAVIOURS[this.service]);
 
   private readonly milliseconds = this.draw.between(300, 2_000);
 
   override async play(ground: FaultGround): Promise<void> {
-    const { behaviour, milliseconds } = this;
     const runner = ground.site.spareRunner(this.service, this.choice);
-    if (!runner) return;
-    const record = {
-      kind: 'runner',
-      runner: runner.id,
-      text: `${runner.id} ${behaviour}`,
-    } as const;
-    const over = ground.site.history.begin(record);
-    runner.behaviour = behaviour;
-    await wait(milliseconds);
-    runner.behaviour = 'answers';
-    // A stream that began meanwhile is cut later.
-    await wait(TIMEOUT_MILLISECONDS);
-    over();
+    if (runner) await misbehave(ground, runner, this.behaviour, this.milliseconds);
+  }
+}
+
+/** All runners run what they get and lose the answers, for a moment: what may run once must not run again. */
+export class LostAnswers extends Fault {
+  private readonly milliseconds = this.draw.between(300, 600);
+
+  override async play(ground: FaultGround): Promise<void> {
+    const runners = [...ground.site.runners.values()];
+    const lose = (runner: SiteRunner) =>
+      misbehave(ground, runner, 'loses_answer', this.milliseconds);
+    await Promise.all(runners.map(lose));
   }
 }
 
