Make the test's connections once, without a cast

The fake made a set of connections for each question, through a method and a cast; one set that reads the port when it is asked does the same. Test support only.

--- a/src/forwarding/testRequest.ts
+++ b/src/forwarding/testRequest.ts
@@ -52,18 +52,17 @@
 
 /** Sends requests for the first runner over the connection that is open to it. */
 class OpenConnections extends RunnerConnections {
-  private readonly port: number;
+  private readonly openPort: () => number;
 
-  constructor(port: number) {
+  constructor(openPort: () => number) {
     super();
-    this.port = port;
+    this.openPort = openPort;
   }
 
   override agentOf(...[runner]: Parameters<RunnerConnections['agentOf']>): RunnerAgent {
     if (runner.entry.id !== FIRST_RUNNER) return super.agentOf(runner);
     const agent = new RunnerAgent();
-    const { port } = this;
-    agent.createConnection = () => connect({ host: '127.0.0.1', port });
+    agent.createConnection = () => connect({ host: '127.0.0.1', port: this.openPort() });
     return agent;
   }
 }
@@ -146,7 +145,7 @@
       metrics,
       link: new LinkCheck({ runners: () => runners.list(), clock, log, metrics }),
       selector: new LocalSelector(choice),
-      connections: { agentOf: (runner) => this.agentOf(runner) } as RunnerConnections,
+      connections: new OpenConnections(() => this.openPort),
       budget: new SharedRetryBudget({ ...budget, allowance }),
       routes: () => undefined,
       daemons: () => 1,
@@ -242,10 +241,6 @@
     return this.runners.get(id)?.health.isUsable(this.clock.monotonicMilliseconds());
   }
 
-  private agentOf(runner: Parameters<RunnerConnections['agentOf']>[0]): RunnerAgent {
-    return new OpenConnections(this.openPort).agentOf(runner);
-  }
-
   private addRunner(id: string, port: number): void {
     const entry = { id, life: id, service: 'chat', dataCentre: 'here', state: 'ready' } as const;
     this.runners.put({ ...entry, host: '127.0.0.1', port });
