Do not read conditions of the own instance as failures of others: four places

- A call that may be repeated is not sent to a second runner while this daemon's link is taken for full: that runner lies behind the same link, and the shared budget would be spent.
While a second runner cannot be asked, the request looks again each 150 ms; before, its time had passed and it looked at every turn of the event loop until its deadline.
- Questions of one moment count as one miss of a coordinator: a pause of the process made it leave all of them alone.
- Streams of one runner share the question whether it is there: 20 of them opened 20 connections, now one.
- An error of this instance (no descriptors, no route) is no refusal by the runner's instance; other runners are asked first.

Ruled out by reading: that the link check asks too many by itself (one check at a time).

--- a/src/coordination/CoordinatedSelector.ts
+++ b/src/coordination/CoordinatedSelector.ts
@@ -157,7 +157,7 @@
     const { clock, log, choice } = this.options;
     const { coordinator, question } = waiting;
     const now = clock.monotonicMilliseconds();
-    if (this.health.missed(coordinator, now)) {
+    if (this.health.missed(coordinator, question.now, now)) {
       log.write(coordinationLogEvents.coordinatorSilent, { coordinator });
     }
     this.finish(number, waiting, choice.choose({ ...question, now }));
--- a/src/coordination/CoordinatorHealth.ts
+++ b/src/coordination/CoordinatorHealth.ts
@@ -17,6 +17,8 @@
 
 interface Silence {
   readonly misses: number;
+  /** When the last miss was noticed, monotonic ms. */
+  readonly missedAt: number;
   readonly until: number;
 }
 
@@ -41,16 +43,22 @@
   }
 
   /**
+   * Questions of the same moment count as one: a pause of this process, or a link that is full for a moment, holds up the
+   * answers to all of them, and would have it leave every coordinator alone one after the other.
+   *
    * @param name - of a coordinator that has not answered in time.
+   * @param askedAt - when it was asked, monotonic ms.
    * @param now - monotonic milliseconds.
    * @returns Whether it is left alone from now on.
    */
-  missed(name: string, now: number): boolean {
-    const misses = (this.silences.get(name)?.misses ?? 0) + 1;
+  missed(name: string, askedAt: number, now: number): boolean {
+    const before = this.silences.get(name);
+    if (before && askedAt < before.missedAt) return false;
+    const misses = (before?.misses ?? 0) + 1;
     const pause = FIRST_PAUSE_MILLISECONDS * 2 ** (misses - MISSES);
     const isSilent = misses >= MISSES;
     const until = isSilent ? now + Math.min(LONGEST_PAUSE_MILLISECONDS, pause) : 0;
-    this.silences.set(name, { misses, until });
+    this.silences.set(name, { misses, missedAt: now, until });
     return isSilent;
   }
 }
--- a/src/coordination/coordination.spec.ts
+++ b/src/coordination/coordination.spec.ts
@@ -103,13 +103,24 @@
     // Symptom: a quarter of all first answers is late for nine seconds. Sequence: a coordinator loses power, and its
     // lease still runs. Cause: every request waited for it in vain.
     const health = new CoordinatorHealth();
-    expect(health.missed('c', 0)).toEqual(false);
+    expect(health.missed('c', 0, 0)).toEqual(false);
     expect(health.isUsable('c', 1)).toEqual(true);
-    expect(health.missed('c', 10)).toEqual(true);
+    expect(health.missed('c', 10, 10)).toEqual(true);
     expect([health.isUsable('c', 509), health.isUsable('c', 510)]).toEqual([false, true]);
-    health.missed('c', 510);
+    health.missed('c', 510, 510);
     expect([health.isUsable('c', 1_509), health.isUsable('c', 1_510)]).toEqual([false, true]);
     health.answered('c');
-    expect(health.missed('c', 1_600)).toEqual(false);
+    expect(health.missed('c', 1_600, 1_600)).toEqual(false);
+  });
+
+  it('takes questions of the same moment for one', () => {
+    // Symptom: a daemon leaves all coordinators alone, one after the other, and chooses alone. Sequence: its process
+    // stands still, or its link is full, for a moment in which it has asked for several runners. Cause: each question
+    // counted as a miss of its own, so that one moment was enough.
+    const health = new CoordinatorHealth();
+    const results = [0, 5, 29].map((askedAt) => health.missed('c', askedAt, askedAt + 30));
+    expect(results).toEqual([false, false, false]);
+    expect(health.isUsable('c', 60)).toEqual(true);
+    expect(health.missed('c', 60, 90)).toEqual(true);
   });
 });
--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -338,6 +338,7 @@
       lastProgressAt: this.lastProgressAt,
       hasEvents: this.relay.hasHead,
       hasBudget: () => this.context.budget.hasRoom(this.request.service, this.now()),
+      isLinkSuspect: this.context.link.isSuspect,
     };
   }
 
--- a/src/forwarding/RunnerAttempt.spec.ts
+++ b/src/forwarding/RunnerAttempt.spec.ts
@@ -1,5 +1,5 @@
-import { createServer } from 'node:net';
-import type { AddressInfo, Server, Socket } from 'node:net';
+import { createServer, Socket } from 'node:net';
+import type { AddressInfo, Server } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
 import { Worker } from 'node:worker_threads';
 
@@ -104,6 +104,21 @@
     expect((await attemptAt({ port })).outcome).toEqual('not_connected');
   });
 
+  it('does not blame the runner for an error of its own instance', async () => {
+    // Symptom: a daemon leaves sound runners alone, one after the other. Sequence: its instance has no descriptor or no
+    // route left for a moment, so that each new connection fails at once. Cause: such an error was taken for the
+    // refusal of the runner's instance.
+    const agent = new RunnerAgent();
+    agent.createConnection = () => {
+      const socket = new Socket();
+      Object.defineProperty(socket, 'connecting', { value: true });
+      const error = Object.assign(new Error('too many open files'), { code: 'EMFILE' });
+      setImmediate(() => socket.emit('error', error));
+      return socket;
+    };
+    expect((await attemptAt({ port: 1, agent })).outcome).toEqual('connect_timeout');
+  });
+
   it('closes an idle connection on which something arrives', async () => {
     // Symptom: answers belong to other requests. Sequence: a runner sends bytes after a complete answer,
     // while the connection is idle; the next request is sent on it. Cause: the bytes wait where the next
--- a/src/forwarding/RunnerAttempt.ts
+++ b/src/forwarding/RunnerAttempt.ts
@@ -8,14 +8,14 @@
 import type { Runner } from '../runners/Runner.js';
 import type { Clock } from '../time/Clock.js';
 import type { LinkCheck } from './LinkCheck.js';
-import { probeRunner } from './probeRunner.js';
+import { isRunnersError, probeRunner } from './probeRunner.js';
 import type { ProbeResult } from './probeRunner.js';
 import type { RunnerAgent } from './RunnerAgent.js';
 import type { RunnerProtocol } from './RunnerProtocol.js';
 
 /**
  * How an attempt failed. It did not run after `not_connected` (the runner's instance refused the connection),
- * `connect_timeout` (it was not accepted in time) and `refused`; after `broken`, `silent` and `stray_answer` (another
+ * `connect_timeout` (it was not accepted in time, or this instance could open none) and `refused`; after `broken`, `silent` and `stray_answer` (another
  * request's answer, or one without a signature) the runner may have run it.
  */
 export type AttemptFailure =
@@ -115,7 +115,7 @@
     this.request = request;
     request.once('socket', (socket) => this.watchSocket(socket));
     request.once('response', (answer) => this.takeAnswer(answer));
-    request.on('error', () => this.fail(this.connected ? 'broken' : 'not_connected'));
+    request.on('error', (error: NodeJS.ErrnoException) => this.fail(this.failureOf(error)));
     request.end(body);
   }
 
@@ -190,6 +190,12 @@
     });
   }
 
+  /** An error of this instance's own must not count against the runner, or each runner looks dark in turn. */
+  private failureOf({ code }: NodeJS.ErrnoException): AttemptFailure {
+    if (this.connected) return 'broken';
+    return isRunnersError(code) ? 'not_connected' : 'connect_timeout';
+  }
+
   private onConnect(): void {
     clearTimeout(this.connectTimer);
     this.connected = true;
--- a/src/forwarding/patience.spec.ts
+++ b/src/forwarding/patience.spec.ts
@@ -31,6 +31,7 @@
     lastProgressAt: LAST,
     hasEvents: true,
     hasBudget: () => true,
+    isLinkSuspect: false,
     ...changes,
   };
 }
@@ -82,6 +83,20 @@
     expect(nextCheck(viewOf({ route }))).toEqual(LAST + 500);
   });
 
+  it('asks nobody else while no runner can be reached from here', () => {
+    // What goes wrong: a large configuration fills the daemon's link; each call that waits behind it is sent to a
+    // second runner over the same link, and the budget is gone when a runner really fails.
+    expect(shouldHedge(viewOf({ route, now: LAST + 500, isLinkSuspect: true }))).toEqual(false);
+  });
+
+  it('looks again a while later where a second runner could not be asked', () => {
+    // Symptom: a daemon's processor is busy while its runners fail. Sequence: the budget is spent; calls that wait
+    // for their only runner come to the time at which they would ask a second one. Cause: the time to look again had
+    // passed, so that each of them looked again at every turn of the event loop, until its deadline.
+    const now = LAST + 700;
+    expect(nextCheck(viewOf({ route, now, hasBudget: () => false }))).toEqual(now + 150);
+  });
+
   it('looks again at the deadline only, where nothing may be repeated', () => {
     const once = { kind: 'non_idempotent', resumable: false };
     expect(nextCheck(viewOf({ route: once }))).toEqual(60_000);
--- a/src/forwarding/patience.ts
+++ b/src/forwarding/patience.ts
@@ -19,6 +19,8 @@
   readonly hasEvents: boolean;
   /** Whether the retry budget has room for one more attempt. */
   readonly hasBudget: () => boolean;
+  /** Whether the daemon's own link is taken for full or cut: a second runner lies behind it too. */
+  readonly isLinkSuspect: boolean;
 }
 
 /** A second runner is asked at this share of the target latency, which leaves as much for its answer. */
@@ -39,7 +41,11 @@
  */
 const BUSY_FACTOR = 4;
 
-/** How often a quiet stream looks again whether its runner is heard from, in ms. */
+/**
+ * How often a request looks again where there was nothing to do at its time, in ms: whether a quiet stream's runner is
+ * heard from, or whether the budget has room for a second runner. Looking at every turn of the event loop would use up
+ * the processor of a daemon whose budget is spent, just when its runners fail.
+ */
 const RECHECK_MILLISECONDS = 150;
 
 function hedges({ request, attempts, mayHaveRun }: PatienceView): boolean {
@@ -65,13 +71,17 @@
   return Math.max(MINIMUM_FIRST_EVENT_MILLISECONDS, share);
 }
 
+function laterThanNow(time: number, { now }: PatienceView): number {
+  return time > now ? time : now + RECHECK_MILLISECONDS;
+}
+
 /**
  * @param view - the request.
  * @returns When to look again, monotonic ms.
  */
 export function nextCheck(view: PatienceView): number {
   const { deadlineAt } = view.request;
-  if (hedges(view)) return Math.min(deadlineAt, hedgeAt(view));
+  if (hedges(view)) return Math.min(deadlineAt, laterThanNow(hedgeAt(view), view));
   if (!watchesSilence(view)) return deadlineAt;
   const limitAt = view.lastProgressAt + silenceLimit(view);
   return Math.min(deadlineAt, Math.max(limitAt, view.now + RECHECK_MILLISECONDS));
@@ -82,7 +92,7 @@
  * @returns Whether a second runner should get the request beside the first.
  */
 export function shouldHedge(view: PatienceView): boolean {
-  return hedges(view) && view.now >= hedgeAt(view);
+  return hedges(view) && !view.isLinkSuspect && view.now >= hedgeAt(view);
 }
 
 /** What to do about a stream that has become quiet. */
--- a/src/forwarding/probeRunner.ts
+++ b/src/forwarding/probeRunner.ts
@@ -16,17 +16,29 @@
  */
 export type ProbeResult = 'accepted' | 'refused' | 'no_answer';
 
-/** What the runner's instance says, by the system's error code; all other errors are this instance's own. */
+/**
+ * What the runner's instance says, by the system's error code. All other errors are this instance's own, for example
+ * that it has no descriptor or no route left, and say nothing of the runner.
+ */
 const RESULTS: Readonly<Record<string, ProbeResult>> = {
   ECONNREFUSED: 'refused',
   ECONNRESET: 'accepted',
 };
 
 /**
- * @param runner - that is asked.
- * @param done - told once what came of it.
+ * @param code - of an error of a connection to a runner.
+ * @returns Whether the runner's instance has sent it.
  */
-export function probeRunner({ entry }: Runner, done: (result: ProbeResult) => void): void {
+export function isRunnersError(code: string | undefined): boolean {
+  return code !== undefined && code in RESULTS;
+}
+
+type ProbeListener = (result: ProbeResult) => void;
+
+/** Those who wait for the probe of a runner that is under way. */
+const underWay = new WeakMap<Runner, ProbeListener[]>();
+
+function openConnection({ entry }: Runner, done: ProbeListener): void {
   const { host, port } = entry;
   const socket = connect({ host, port });
   let timer: NodeJS.Timeout | undefined;
@@ -46,3 +58,24 @@
     finish(RESULTS[code ?? ''] ?? 'no_answer');
   });
 }
+
+/**
+ * Those who ask while a probe is under way share it: each quiet stream asks after its runner by itself, and twenty
+ * streams of one runner made some 160 connections in the two seconds in which a daemon's link was full.
+ *
+ * @param runner - that is asked.
+ * @param done - told once, later, what came of it.
+ */
+export function probeRunner(runner: Runner, done: ProbeListener): void {
+  const listeners = underWay.get(runner);
+  if (listeners) {
+    listeners.push(done);
+    return;
+  }
+  const waiting = [done];
+  underWay.set(runner, waiting);
+  openConnection(runner, (result) => {
+    underWay.delete(runner);
+    for (const listener of waiting) listener(result);
+  });
+}
