--- a/src/coordination/StoreRelay.spec.ts
+++ b/src/coordination/StoreRelay.spec.ts
@@ -148,7 +148,9 @@
     // Symptom: a daemon keeps a runner that all others have dropped. Sequence: a coordinator reads everything anew, and
     // learns of changes with revisions that lie before others. Cause: a datagram with older changes that comes behind
     // a newer one is taken for old news.
-    const facts = [30, 29, 28, 27, 26, 25, 24, 23, 22, 21, 20, 19].map((revision) => ({ kind: 'runner', runner: runnerOf(revision), revision } as const));
+    const facts = [30, 29, 28, 27, 26, 25, 24, 23, 22, 21, 20, 19].map(
+      (revision) => ({ kind: 'runner', runner: runnerOf(revision), revision }) as const,
+    );
     coordinator.knowledge.applyChanges({ revision: 30, facts }, 0);
     coordinator.relay.readDone();
     coordinator.sent.forEach(follower.take);
