Spread callers of a large fleet over all daemons

Cause: an answer held the daemons of the caller's data centre and, up to 64, the first of all others in the order of the list: the same few for everybody.

Weighed: near ones only while enough live (a caller whose data centre loses all its daemons at once finds nobody until its answer is too old); far ones by the caller's data centre alone (with 390 daemons those chosen had 1.7 times the mean). Chosen: near ones, and 16 far ones out of those that rendezvous hashing gives to the caller's data centre, by the caller's host where not all fit; a daemon that leaves changes nothing else.

--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -191,13 +191,15 @@
 
   /**
    * @param dataCentre - where a caller is, if it says so.
+   * @param caller - its host.
    * @returns Addresses for callers.
    */
-  addressesFor(dataCentre: string | undefined): string[] {
+  addressesFor(dataCentre: string | undefined, caller?: string): string[] {
     return addressesFor({
       daemons: this.otherDaemons(),
       own: this.isReady ? this.entry : undefined,
       dataCentre,
+      caller,
     });
   }
 
