Order coordinators and remember daemons only when the list of daemons changes

The last two grow with the number of daemons: ordering takes 0.024 ms for 18, 0.081 for 80, 0.277 for 195, ten times a second in every daemon. Now they run when the list changes.

--- a/src/coordination/FleetCoordination.ts
+++ b/src/coordination/FleetCoordination.ts
@@ -47,9 +47,6 @@
 /** Versions of the configuration are read at most this often, as a share of the time between reads. */
 const CONFIGURATION_SHARE = 0.5;
 
-/** How long the coordinators of the last look at the list are used, in ms: each request asks for them. */
-const KEPT_MILLISECONDS = 100;
-
 /**
  * Longest pause of a daemon that others read for, in ms: they notice the store's return and tell it, and every
  * call has its price, those to a store that is away too.
@@ -69,7 +66,8 @@
 
   private kept: readonly DaemonEntry[] = [];
 
-  private keptUntil = Number.NEGATIVE_INFINITY;
+  /** How often the list of daemons had changed when the coordinators were taken from it. */
+  private keptAtChange = -1;
 
   private readonly parsed = new Map<string, HostAndPort>();
 
@@ -110,11 +108,11 @@
 
   /** @returns The coordinators; none in a small fleet. */
   get coordinators(): readonly DaemonEntry[] {
-    const { clock, knowledge } = this.options;
-    const now = clock.monotonicMilliseconds();
-    if (now < this.keptUntil) return this.kept;
+    const { knowledge } = this.options;
+    if (this.keptAtChange === knowledge.daemonChanges) return this.kept;
+    // Each request and each message asks for them, and ordering 195 daemons takes 0.28 ms.
     this.kept = coordinatorsOf([...knowledge.daemons.values()]);
-    this.keptUntil = now + KEPT_MILLISECONDS;
+    this.keptAtChange = knowledge.daemonChanges;
     return this.kept;
   }
 
--- a/src/sync/FleetKnowledge.ts
+++ b/src/sync/FleetKnowledge.ts
@@ -30,6 +30,9 @@
   /** The store's revision that all of it has reached; 0 before anything is known. */
   revision = 0;
 
+  /** How often the list of daemons has changed. */
+  daemonChanges = 0;
+
   /** The revision of the latest change of the configuration or of a runner that the store has told. */
   changedAtRevision = 0;
 
@@ -240,11 +243,15 @@
     const isKnown =
       before?.newsAddress === daemon.newsAddress && before.callerAddress === daemon.callerAddress;
     this.daemons.set(daemon.name, daemon);
-    if (!isKnown) this.logChange({ kind: 'daemon', daemon }, moment);
+    if (isKnown) return;
+    this.daemonChanges += 1;
+    this.logChange({ kind: 'daemon', daemon }, moment);
   }
 
   private dropDaemon(name: string, moment: ChangeMoment): void {
-    if (this.daemons.delete(name)) this.logChange({ kind: 'daemon_gone', name }, moment);
+    if (!this.daemons.delete(name)) return;
+    this.daemonChanges += 1;
+    this.logChange({ kind: 'daemon_gone', name }, moment);
   }
 
   private logChange(fact: StoreFact, { revision, now }: ChangeMoment): void {
--- a/src/sync/PeerExchange.ts
+++ b/src/sync/PeerExchange.ts
@@ -84,6 +84,11 @@
   /** Of the latest version that was asked for. */
   private compressed: { readonly version: number; readonly bytes: Promise<Buffer> } | undefined;
 
+  /** When the list of daemons was last looked at, monotonic ms, and how often it had changed then. */
+  private rememberedAt = Number.NEGATIVE_INFINITY;
+
+  private rememberedAtChange = -1;
+
   /** When a host was last listed as a daemon's, monotonic ms. */
   private readonly listedAt = new Map<string, number>();
 
@@ -180,9 +185,15 @@
     return age < REMEMBERED_MILLISECONDS;
   }
 
+  /** While the list stays the same only the time has to be kept, for which a tenth of what is remembered is exact enough. */
   private rememberListed(): void {
-    const now = this.options.clock.monotonicMilliseconds();
-    for (const { peerAddress } of this.options.knowledge.daemons.values()) {
+    const { knowledge, clock } = this.options;
+    const now = clock.monotonicMilliseconds();
+    const isSame = this.rememberedAtChange === knowledge.daemonChanges;
+    if (isSame && now - this.rememberedAt < REMEMBERED_MILLISECONDS / 10) return;
+    this.rememberedAtChange = knowledge.daemonChanges;
+    this.rememberedAt = now;
+    for (const { peerAddress } of knowledge.daemons.values()) {
       this.listedAt.set(parseAddress(peerAddress).host, now);
     }
     for (const [host, at] of this.listedAt) {
