--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -8,11 +8,13 @@
 import type { AnswerRelay, HeldAnswer, OwnAnswer } from './AnswerRelay.js';
 import type { AdmittedRequest, ForwardingContext } from './forwardingTypes.js';
 import { HeldAnswers } from './HeldAnswers.js';
+import { ownAnswerFor } from './ownAnswerFor.js';
 import { decideRetry, isRepeatable } from './retryDecision.js';
 import type { NoRetryReason, RetryDecision, RetryVerdict } from './retryDecision.js';
 import type { AttemptFailure } from './RunnerAttempt.js';
 import { AttemptObserver, RunnerAttempt } from './RunnerAttempt.js';
 import { RequestReport } from './RequestReport.js';
+import { RequestTimer } from './RequestTimer.js';
 import { RunnerJudge } from './RunnerJudge.js';
 import { isEventStream, StreamedAnswer } from './StreamedAnswer.js';
 import { TriedRunners } from './TriedRunners.js';
@@ -21,12 +23,10 @@
 import { nextCheck, quietAttempt, shouldHedge } from './patience.js';
 
 const SERVER_ERROR = 500;
+
 /** A runner's answer to a deadline that has passed; it says nothing against the runner. */
 const GATEWAY_TIMEOUT = 504;
 
-/** Runners free a place within about this time, in seconds. */
-const REFUSED_RETRY_SECONDS = 0.25;
-
 /** `wait`: another attempt is under way; `cut`: part of this answer is with the caller already. */
 interface AttemptVerdict {
   readonly verdict: RetryVerdict | 'wait' | 'cut';
@@ -74,7 +74,7 @@
 
   private readonly judge: RunnerJudge;
 
-  private timer: NodeJS.Timeout | undefined;
+  private readonly timer: RequestTimer;
 
   /**
    * @param options - the request, and where its answer goes.
@@ -87,6 +87,7 @@
     this.context = context;
     this.held = new HeldAnswers(relay);
     this.stream = new StreamedAnswer(relay);
+    this.timer = new RequestTimer({ clock: context.clock, onTime: () => this.check() });
     this.report = new RequestReport({ request, context });
     this.judge = new RunnerJudge({ context, report: this.report });
   }
@@ -197,24 +198,23 @@
   private sendNext(): void {
     const { service, sharedParts, connectionLimit } = this.request;
     const tried = this.tried.excluded;
+    const question = { service, sharedParts, tried, connectionLimit, now: this.now() };
     this.isSelecting = true;
-    this.context.selector.select(
-      { service, sharedParts, tried, connectionLimit, now: this.now() },
-      (chosen) => this.sendTo(chosen),
-    );
+    this.context.selector.select(question, (chosen) => this.sendTo(chosen));
   }
 
   /** The caller may have left, or another attempt may have answered, while the runner was chosen. */
   private sendTo(chosen: Choice | undefined): void {
     this.isSelecting = false;
     if (this.relay.isDone) return;
+    if (chosen) this.send(chosen);
+    else if (this.active.size === 0) this.noRunner();
+    // No second runner could be asked: only the deadline is left to wait for.
+    else this.timer.set(this.request.deadlineAt);
+  }
+
+  private send(chosen: Choice): void {
     const { connections, protocol, clock, metrics, link } = this.context;
-    const now = this.now();
-    if (!chosen) {
-      if (this.active.size === 0) this.noRunner();
-      else this.armForDeadline();
-      return;
-    }
     const { runner } = chosen;
     if (this.tried.count > 0) metrics.retries.increment();
     this.tried.sentTo(runner.entry.life);
@@ -235,9 +235,9 @@
       requestId: hasOwnId ? id : undefined,
     });
     this.active.add(attempt);
-    this.lastProgressAt = now;
+    this.lastProgressAt = this.now();
     attempt.start();
-    this.arm();
+    this.lookAgain();
   }
 
   private noRunner(): void {
@@ -246,15 +246,13 @@
   }
 
   private headersFor({ runner, cacheSource }: Choice): string[] {
-    const { request, body } = this;
-    const hasBody = body !== undefined || request.method === 'POST' || request.method === 'PUT';
     return attemptHeaders({
-      request,
+      request: this.request,
+      body: this.body,
       names: this.context.protocol.names,
       runnerId: runner.entry.id,
-      cacheSource: cacheSource && `${cacheSource.entry.host}:${cacheSource.entry.port}`,
-      remainingMilliseconds: request.deadlineAt - this.now(),
-      bodyBytes: hasBody ? (body?.length ?? 0) : undefined,
+      cacheSource,
+      remainingMilliseconds: this.request.deadlineAt - this.now(),
       resumesAfter: this.stream.lastEventId,
     });
   }
@@ -291,11 +289,8 @@
       this.answerHeld(this.fallback);
       return;
     }
-    if (verdict === 'refuse') {
-      this.endWith({ status: 503, reason, retryAfterSeconds: REFUSED_RETRY_SECONDS });
-      return;
-    }
-    this.endWith({ status: this.now() >= this.request.deadlineAt ? 504 : 502, reason });
+    const isLate = this.now() >= this.request.deadlineAt;
+    this.endWith(ownAnswerFor({ verdict, reason, isLate }));
   }
 
   private endWith(own: OwnAnswer): void {
@@ -305,28 +300,13 @@
   }
 
   private stopAttempts(): void {
-    clearTimeout(this.timer);
+    this.timer.clear();
     for (const attempt of this.active) attempt.cancel();
     this.active.clear();
   }
 
-  private arm(): void {
-    this.armAt(nextCheck(this.patienceView()));
-  }
-
-  /** No second runner could be asked: only the deadline is left to wait for. */
-  private armForDeadline(): void {
-    this.armAt(this.request.deadlineAt);
-  }
-
-  /**
-   * After a pause of the whole process timers come before the bytes that wait in its sockets: a whole answer would be
-   * thrown away for a deadline that it met. So the bytes are read first.
-   */
-  private armAt(time: number): void {
-    clearTimeout(this.timer);
-    const wait = Math.max(1, Math.ceil(time - this.now()));
-    this.timer = setTimeout(() => setImmediate(() => this.check()), wait);
+  private lookAgain(): void {
+    this.timer.set(nextCheck(this.patienceView()));
   }
 
   private patienceView() {
@@ -358,7 +338,7 @@
       this.sendNext();
       return;
     }
-    this.arm();
+    this.lookAgain();
   }
 
   private end(event: EndEvent, outcome: string): void {
--- /dev/null
+++ b/src/router/KnowledgeReactions.ts
@@ -0,0 +1,77 @@
+/**
+ * What a daemon does about changes of its beliefs: a log line for each, and what other parts keep of a runner or a
+ * configuration follows.
+ */
+import type { RunnerConnections } from '../forwarding/RunnerConnections.js';
+import type { Log } from '../logging/Log.js';
+import type { CallerLimits, RoutingConfiguration } from '../routes/routeTypes.js';
+import type { RunnerEntry, RunnerState } from '../runners/Runner.js';
+import type { WarmPlace, WarmPlaces } from '../runners/WarmPlaces.js';
+import type { KnowledgeListener } from '../sync/knowledgeTypes.js';
+import { syncLogEvents } from '../sync/syncFeature.js';
+
+/** Options of a {@link KnowledgeReactions}. */
+export interface KnowledgeReactionsOptions {
+  connections: RunnerConnections;
+  warmPlaces: WarmPlaces;
+  log: Log;
+  /** The store's revision that the daemon's beliefs have reached. */
+  revision: () => number;
+  /** Takes the limits for callers of a configuration that has come into force. */
+  applyLimits: (limits: CallerLimits) => void;
+  /** Called once all of a read has been taken. */
+  onUpdate: () => void;
+}
+
+/** See the module's comment. */
+export class KnowledgeReactions implements KnowledgeListener {
+  private readonly options: KnowledgeReactionsOptions;
+
+  /**
+   * @param options - the parts that follow.
+   */
+  constructor(options: KnowledgeReactionsOptions) {
+    this.options = options;
+  }
+
+  /** @param configuration - that is in force from now on. */
+  configurationChanged({ version, routes, limits }: RoutingConfiguration): void {
+    const { applyLimits, log, revision } = this.options;
+    applyLimits(limits);
+    const fields = { version, routes: routes.length, revision: revision() };
+    log.write(syncLogEvents.configurationInForce, fields);
+  }
+
+  /**
+   * A runner that may be back keeps its connections, and what it has cached counts.
+   *
+   * @param entry - of the runner.
+   * @param state - from now on.
+   */
+  runnerChanged(entry: RunnerEntry, state: RunnerState | 'lapsed' | 'gone'): void {
+    const { connections, warmPlaces, log, revision } = this.options;
+    const { id: runner, life, service } = entry;
+    if (state !== 'ready' && state !== 'lapsed') connections.release(life);
+    if (state === 'gone') warmPlaces.forgetRunner(life);
+    const fields = { runner, life, state, service, revision: revision() };
+    log.write(syncLogEvents.runnerChanged, fields);
+  }
+
+  /** @param places - where another daemon knows shared prompts to be cached. */
+  warmPlacesKept(places: readonly WarmPlace[]): void {
+    this.options.warmPlaces.import(places);
+  }
+
+  /** All of a read has been taken. */
+  updated(): void {
+    this.options.onUpdate();
+  }
+
+  /**
+   * @param key - of an entry that cannot be read.
+   * @param message - what is wrong with it.
+   */
+  unreadable(key: string, message: string): void {
+    this.options.log.write(syncLogEvents.factUnreadable, { key, message });
+  }
+}
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -21,11 +21,8 @@
 import { serveMetrics } from '../metrics/serveMetrics.js';
 import { ForeignLoads } from '../news/ForeignLoads.js';
 import { NewsTask } from '../news/NewsTask.js';
-import type { RoutingConfiguration } from '../routes/routeTypes.js';
 import { RunnerChoice } from '../runners/RunnerChoice.js';
-import type { RunnerEntry, RunnerState } from '../runners/Runner.js';
 import { WarmPlaces } from '../runners/WarmPlaces.js';
-import type { WarmPlace } from '../runners/WarmPlaces.js';
 import { DaemonRegistration } from '../sync/DaemonRegistration.js';
 import { FleetKnowledge } from '../sync/FleetKnowledge.js';
 import { FleetSecret } from '../sync/FleetSecret.js';
@@ -33,9 +30,9 @@
 import { PeerExchange } from '../sync/PeerExchange.js';
 import { StoreFollower } from '../sync/StoreFollower.js';
 import { WarmPlacesKeeper } from '../sync/WarmPlacesKeeper.js';
-import { syncLogEvents } from '../sync/syncFeature.js';
 import type { Clock } from '../time/Clock.js';
 import { SystemClock } from '../time/SystemClock.js';
+import { KnowledgeReactions } from './KnowledgeReactions.js';
 import { plannedStop } from './plannedStop.js';
 import { routerLogEvents } from './routerFeature.js';
 import type { RouterSettings } from './routerFeature.js';
@@ -126,7 +123,7 @@
     this.clock = clock;
     this.registry = new MetricRegistry({ clock });
     this.secret = new FleetSecret({ store, clock, log });
-    this.knowledge = new FleetKnowledge({ listener: this.createListener() });
+    this.knowledge = new FleetKnowledge({ listener: this.createReactions() });
     const { name, dataCentre, addresses, seeds } = settings;
     const gatherMilliseconds = GATHER_SHARE * Math.min(...settings.changeBoundsMilliseconds);
     this.entry = {
@@ -178,12 +175,6 @@
     return this.phase === 'serving' && routes !== undefined && runners.size > 0;
   }
 
-  /** @returns Whether this daemon comes first by name among those that are listed. */
-  private get isFirstListed(): boolean {
-    const names = [...this.knowledge.daemons.keys()];
-    return names.includes(this.entry.name) && names.every((name) => this.entry.name <= name);
-  }
-
   /** @returns Whether other daemons read the store for this one. */
   get isRelayed(): boolean {
     return this.coordination.relay.isFresh;
@@ -323,33 +314,26 @@
     });
   }
 
-  private createListener() {
-    return {
-      configurationChanged: (configuration: RoutingConfiguration) => {
-        const { version, routes, limits } = configuration;
-        this.front.applyLimits(limits);
-        const { revision } = this.knowledge;
-        const fields = { version, routes: routes.length, revision };
-        this.log.write(syncLogEvents.configurationInForce, fields);
-      },
-      runnerChanged: (entry: RunnerEntry, state: RunnerState | 'lapsed' | 'gone') => {
-        if (state !== 'ready' && state !== 'lapsed') this.connections.release(entry.life);
-        if (state === 'gone') this.warmPlaces.forgetRunner(entry.life);
-        const { revision } = this.knowledge;
-        const { id: runner, life, service } = entry;
-        const fields = { runner, life, state, service, revision };
-        this.log.write(syncLogEvents.runnerChanged, fields);
-      },
-      warmPlacesKept: (places: readonly WarmPlace[]) => this.warmPlaces.import(places),
-      updated: () => {
+  private createReactions(): KnowledgeReactions {
+    const { connections, warmPlaces, log } = this;
+    return new KnowledgeReactions({
+      connections,
+      warmPlaces,
+      log,
+      revision: () => this.knowledge.revision,
+      applyLimits: (limits) => this.front.applyLimits(limits),
+      onUpdate: () => {
         this.news.tellChange();
         this.becomeReady();
-        this.secret.ensure(this.knowledge.secret, this.isFirstListed);
-      },
-      unreadable: (key: string, message: string) => {
-        this.log.write(syncLogEvents.factUnreadable, { key, message });
+        this.secret.ensure(this.knowledge.secret, () => this.isFirstListed());
       },
-    };
+    });
+  }
+
+  /** @returns Whether this daemon comes first by name among those that are listed. */
+  private isFirstListed(): boolean {
+    const [first] = [...this.knowledge.daemons.keys()].sort();
+    return first === this.entry.name;
   }
 
   /** Registers once requests can be served: callers are not sent to a daemon that knows nothing. */
--- a/src/sync/FleetSecret.ts
+++ b/src/sync/FleetSecret.ts
@@ -47,18 +47,14 @@
    * @param known - the secret, once the store has told it.
    * @param isFirst - whether this daemon is the first of those that are listed.
    */
-  ensure(known: string | undefined, isFirst: boolean): void {
+  ensure(known: string | undefined, isFirst: () => boolean): void {
     if (known !== undefined) return;
-    const now = this.options.clock.monotonicMilliseconds();
+    const { store, clock, log } = this.options;
+    const now = clock.monotonicMilliseconds();
     this.missingSince ??= now;
     const isOverdue = now - this.missingSince >= PATIENCE_MILLISECONDS;
-    if ((!isFirst && !isOverdue) || now - this.proposedAt < PROPOSAL_MILLISECONDS) return;
+    if ((!isOverdue && !isFirst()) || now - this.proposedAt < PROPOSAL_MILLISECONDS) return;
     this.proposedAt = now;
-    this.propose();
-  }
-
-  private propose(): void {
-    const { store, log } = this.options;
     const secret = randomBytes(SECRET_BYTES).toString('base64');
     store.proposeSecret(secret).catch((error: Error) => {
       const fields = { during: 'secret', error: error.message };
