--- a/src/coordination/StoreRelay.ts
+++ b/src/coordination/StoreRelay.ts
@@ -3,8 +3,8 @@
  *
  * What goes wrong without it: runners' heartbeats end every watch at once, so that each daemon reads the store once
  * a second whether anything has changed or not. With 80 daemons these calls cost more than everything else, and one
- * would see the store refuse calls when it is needed. A coordinator sends what it has read to all others; a daemon
- * that hears of no coordinator for a while reads the store itself.
+ * would see the store refuse calls when it is needed. Readers, a few of the coordinators, send what they have read to
+ * all others; a daemon that hears of none for a while reads the store itself.
  */
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 
@@ -180,7 +180,7 @@
     this.toldBy = message.daemon;
     this.followConfiguration();
     const now = clock.monotonicMilliseconds();
-    // A coordinator tells right after a read of its own.
+    // A reader tells right after a read of its own.
     knowledge.storeServed(now);
     const revision = Number(message.revision);
     if (revision < knowledge.revision) {
@@ -198,10 +198,10 @@
   }
 
   /**
-   * What a coordinator lists at an older revision says nothing against this daemon's list, but may confirm it.
+   * What a reader lists at an older revision says nothing against this daemon's list, but may confirm it.
    *
    * What goes wrong otherwise: daemons that started at once read at the same moments. Each knows a revision that is a
-   * few heartbeats newer than the one that its coordinators have read just before, takes none of their messages, and
+   * few heartbeats newer than the one that the readers have read just before, takes none of their messages, and
    * reads the store itself: 185 of 195 daemons, five times each, in the first ten seconds.
    */
   private compareOlder(digest: number | undefined, now: number): void {
--- a/src/forwarding/RunnerAttempt.ts
+++ b/src/forwarding/RunnerAttempt.ts
@@ -15,8 +15,8 @@
 
 /**
  * How an attempt failed. It did not run after `not_connected` (the runner's instance refused the connection),
- * `connect_timeout` (it was not accepted in time, or this instance could open none) and `refused`; after `broken`, `silent` and `stray_answer` (another
- * request's answer, or one without a signature) the runner may have run it.
+ * `connect_timeout` (it was not accepted in time, or this instance could open none) and `refused`; after `broken`,
+ * `silent` and `stray_answer` (another request's answer, or one without a signature) the runner may have run it.
  */
 export type AttemptFailure =
   'not_connected' | 'connect_timeout' | 'refused' | 'broken' | 'silent' | 'stray_answer';
