Leaving runners and lapsed entries in a fleet in virtual time; runners are given up only after a read

The test plays 40 to 390 daemons with the real relays and beliefs: three in ten are cut off for 8 s, twelve of 84 runners leave while they return, 2 in 100 datagrams are lost. A second one plays an outage of the store in which all entries lapse: every daemon keeps two thirds of its runners at any moment.

That one failed by one runner at first: entries are back within 2 s, a daemon reads each 1.6 s, and gave up at 2.3 s by the clock, with what it knew of the runner's cached prompts. Now lapsed runners are given up with the next read or word of one. The timer for it goes.

--- /dev/null
+++ b/src/coordination/testFleet.ts
@@ -0,0 +1,295 @@
+/**
+ * A large fleet in virtual time, for tests: real beliefs and relays, with a store, a network and cuts that are played.
+ */
+import type { MessageKind } from '../generated/baobabdock/v1/news_pb.js';
+import { SilentLog } from '../logging/Log.js';
+import { FleetSocket } from '../news/FleetSocket.js';
+import { seededRandom } from '../random/seededRandom.js';
+import type { RunnerEntry, RunnerState } from '../runners/Runner.js';
+import type { DaemonEntry, StoreFact } from '../sync/FleetStore.js';
+import { createTestKnowledge } from '../sync/testKnowledge.js';
+import { ManualClock } from '../time/ManualClock.js';
+import { coordinatorsOf, readersOf } from './coordinatorsOf.js';
+import { StoreRelay } from './StoreRelay.js';
+
+/** Options of a {@link TestFleet}. */
+export interface TestFleetOptions {
+  daemons: number;
+  runners: number;
+  seed: number;
+  /** In which changes have to be in force, in ms. */
+  boundMilliseconds: number;
+}
+
+/** The service of all runners. */
+export const TEST_SERVICE = 'chat';
+
+const STEP_MILLISECONDS = 50;
+
+/** Each runner renews its entry this often, in ms: each renewal is a revision of the store. */
+const HEARTBEAT_MILLISECONDS = 1_200;
+
+/** As in `RouterDaemon`: changes are gathered for this share of the bound; what is told is good for 1.5 times that. */
+const GATHER_SHARE = 0.4;
+const FRESH_READS = 1.5;
+
+/** Readers wait up to this much less, as a share. */
+const JITTER_SHARE = 0.4;
+
+/** Between calls to a store that does not answer, in ms. */
+const PAUSE_MILLISECONDS = 500;
+
+/** Share of datagrams that are lost on any day. */
+const LOSS_SHARE = 0.02;
+
+/** What the store answers at a moment. */
+interface TestStoreView {
+  readonly isAway: boolean;
+  readonly revision: number;
+  readonly present: () => StoreFact[];
+  readonly changesAfter: (revision: number) => StoreFact[];
+}
+
+class CapturingSocket extends FleetSocket {
+  readonly sent: Uint8Array[] = [];
+
+  handler: (message: Uint8Array) => void = () => undefined;
+
+  constructor() {
+    super({ log: new SilentLog(), secret: () => 'secret' });
+  }
+
+  override handle(_kind: MessageKind, handler: (message: Uint8Array) => void): void {
+    this.handler = handler;
+  }
+
+  override send(_kind: MessageKind, message: Uint8Array): void {
+    this.sent.push(message);
+  }
+}
+
+/** Options of a {@link TestDaemon}. */
+interface TestDaemonOptions {
+  name: string;
+  isReader: boolean;
+  boundMilliseconds: number;
+  clock: ManualClock;
+  random: () => number;
+  later: (call: () => void, milliseconds: number) => void;
+}
+
+/** One daemon of a {@link TestFleet}: its beliefs, and when it reads the store. */
+export class TestDaemon {
+  readonly name: string;
+
+  readonly knowledge = createTestKnowledge().knowledge;
+
+  readonly socket = new CapturingSocket();
+
+  /** Until when it reaches neither the store nor others, monotonic ms. */
+  cutUntil = Number.NEGATIVE_INFINITY;
+
+  private readonly relay: StoreRelay;
+
+  private readonly options: TestDaemonOptions;
+
+  private nextReadAt = 0;
+
+  /** What it reads although others read for it. */
+  private mustRead: 'changes' | 'everything' | undefined = 'everything';
+
+  constructor(options: TestDaemonOptions) {
+    const { name, isReader, clock, later } = options;
+    const gather = GATHER_SHARE * options.boundMilliseconds;
+    this.options = options;
+    this.name = name;
+    this.relay = new StoreRelay({
+      daemon: name,
+      socket: this.socket,
+      knowledge: this.knowledge,
+      store: { readConfiguration: () => Promise.resolve(undefined) },
+      clock,
+      log: new SilentLog(),
+      isReader: () => isReader,
+      others: () => [],
+      readStore: (what) => {
+        this.mustRead = what;
+      },
+      fetchConfiguration: () => Promise.reject(new Error('no configuration is told')),
+      freshMilliseconds: gather * FRESH_READS,
+      configurationMilliseconds: gather,
+      later,
+    });
+  }
+
+  /**
+   * Reads the store where it is time to.
+   *
+   * @param store - that answers unless the daemon is cut off.
+   */
+  follow(store: TestStoreView): void {
+    const now = this.options.clock.monotonicMilliseconds();
+    const isDue = this.mustRead !== undefined || (now >= this.nextReadAt && !this.relay.isFresh);
+    if (!isDue) return;
+    if (this.cutUntil > now || store.isAway) {
+      this.knowledge.storeFailed();
+      this.mustRead = undefined;
+      this.nextReadAt = now + PAUSE_MILLISECONDS;
+      return;
+    }
+    this.read(store, now);
+    const { boundMilliseconds, isReader, random } = this.options;
+    const jitter = isReader ? JITTER_SHARE * random() : 0;
+    this.nextReadAt = now + GATHER_SHARE * boundMilliseconds * (1 - jitter);
+  }
+
+  private read({ revision, present, changesAfter }: TestStoreView, now: number): void {
+    const { knowledge, relay } = this;
+    knowledge.storeServed(now);
+    if (this.mustRead === 'everything') knowledge.applyAll({ revision, facts: present() }, now);
+    else knowledge.applyChanges({ revision, facts: changesAfter(knowledge.revision) }, now);
+    this.mustRead = undefined;
+    relay.readDone();
+  }
+}
+
+function runnerOf(index: number, state: RunnerState = 'ready'): RunnerEntry {
+  const id = `runner-${index}`;
+  const place = { host: '10.0.0.1', port: 8_000 + index, dataCentre: 'here' };
+  return { id, life: id, service: TEST_SERVICE, state, ...place };
+}
+
+/** Plays the store and the network. */
+export class TestFleet {
+  readonly daemons: TestDaemon[];
+
+  private readonly random: () => number;
+
+  private readonly clock = new ManualClock();
+
+  private readonly options: TestFleetOptions;
+
+  private readonly changes: (StoreFact & { readonly revision: number })[] = [];
+
+  private readonly present = new Map<string, RunnerEntry>();
+
+  private revision = 1;
+
+  private renewals = 0;
+
+  private awayUntil = Number.NEGATIVE_INFINITY;
+
+  private later: { readonly at: number; readonly call: () => void }[] = [];
+
+  /**
+   * @param options - its size, and the seed of all chance.
+   */
+  constructor(options: TestFleetOptions) {
+    this.options = options;
+    this.random = seededRandom(options.seed);
+    for (let index = 0; index < options.runners; index += 1) {
+      this.write({ kind: 'runner', runner: runnerOf(index) });
+    }
+    const entries: DaemonEntry[] = Array.from({ length: options.daemons }, (_, index) => {
+      const address = `10.1.${Math.floor(index / 250)}.${1 + (index % 250)}:7000`;
+      const addresses = { callerAddress: address, peerAddress: address, newsAddress: address };
+      return { name: `daemon-${index}`, dataCentre: 'here', ...addresses };
+    });
+    const readers = new Set(readersOf(coordinatorsOf(entries)).map(({ name }) => name));
+    const { clock, random } = this;
+    const { boundMilliseconds } = options;
+    const later = (call: () => void, milliseconds: number) =>
+      this.later.push({ at: this.now + milliseconds, call });
+    this.daemons = entries.map(({ name }) => {
+      const isReader = readers.has(name);
+      return new TestDaemon({ name, isReader, boundMilliseconds, clock, random, later });
+    });
+  }
+
+  /** @returns Monotonic milliseconds. */
+  get now(): number {
+    return this.clock.monotonicMilliseconds();
+  }
+
+  /**
+   * @param index - of a runner that says that it leaves.
+   */
+  drain(index: number): void {
+    this.write({ kind: 'runner', runner: runnerOf(index, 'draining') });
+  }
+
+  /**
+   * @param index - of a runner whose entry goes.
+   */
+  remove(index: number): void {
+    this.write({ kind: 'runner_gone', id: `runner-${index}` });
+  }
+
+  /**
+   * @param index - of a runner whose entry is back.
+   */
+  restore(index: number): void {
+    this.write({ kind: 'runner', runner: runnerOf(index) });
+  }
+
+  /** @param until - when the store answers again; monotonic ms. */
+  loseStore(until: number): void {
+    this.awayUntil = until;
+  }
+
+  /**
+   * Cuts daemons off from the store and from each other, from now on.
+   *
+   * @param share - of all daemons.
+   * @param until - monotonic ms.
+   */
+  cut(share: number, until: number): void {
+    for (const daemon of this.daemons) if (this.random() < share) daemon.cutUntil = until;
+  }
+
+  /** Plays one step. */
+  step(): void {
+    this.clock.advance(STEP_MILLISECONDS);
+    this.renew();
+    this.deliver();
+    const calls = this.later.filter(({ at }) => at <= this.now);
+    this.later = this.later.filter(({ at }) => at > this.now);
+    for (const { call } of calls) call();
+    for (const daemon of this.daemons) daemon.follow(this.view());
+  }
+
+  /** Runners renew their entries; one that cannot reach the store does not do it later. */
+  private renew(): void {
+    const renewals = Math.floor((this.now / HEARTBEAT_MILLISECONDS) * this.options.runners);
+    if (this.awayUntil <= this.now) this.revision += renewals - this.renewals;
+    this.renewals = renewals;
+  }
+
+  private write(fact: StoreFact): void {
+    this.revision += 1;
+    this.changes.push({ ...fact, revision: this.revision });
+    if (fact.kind === 'runner') this.present.set(fact.runner.id, fact.runner);
+    if (fact.kind === 'runner_gone') this.present.delete(fact.id);
+  }
+
+  private deliver(): void {
+    for (const sender of this.daemons) {
+      const messages = sender.socket.sent.splice(0);
+      if (messages.length === 0 || sender.cutUntil > this.now) continue;
+      for (const daemon of this.daemons) {
+        if (daemon === sender || daemon.cutUntil > this.now) continue;
+        const arrived = messages.filter(() => this.random() >= LOSS_SHARE);
+        for (const message of arrived) daemon.socket.handler(message);
+      }
+    }
+  }
+
+  private view(): TestStoreView {
+    return {
+      isAway: this.awayUntil > this.now,
+      revision: this.revision,
+      present: () => [...this.present.values()].map((runner) => ({ kind: 'runner', runner })),
+      changesAfter: (after) => this.changes.filter(({ revision }) => revision > after),
+    };
+  }
+}
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -43,9 +43,6 @@
  */
 const GATHER_SHARE = 0.4;
 
-/** How exactly the end of a runner's grace is kept, in ms. */
-const EXPIRY_MILLISECONDS = 100;
-
 /** Options of a {@link RouterDaemon}. */
 export interface RouterDaemonOptions {
   settings: RouterSettings;
@@ -103,8 +100,6 @@
 
   private metricsServer: Server | undefined;
 
-  private expiryTimer: NodeJS.Timeout | undefined;
-
   private phase: StopPhase = 'serving';
 
   private wasReady = false;
@@ -206,10 +201,6 @@
     this.metricsServer = metricsServer;
     void this.follower.run();
     this.warmPlacesKeeper.start();
-    this.expiryTimer = setInterval(
-      () => this.knowledge.expire(this.clock.monotonicMilliseconds()),
-      EXPIRY_MILLISECONDS,
-    );
     this.log.write(routerLogEvents.started, {
       ...addresses,
       store: this.settings.store,
@@ -232,7 +223,6 @@
     this.peers.close();
     this.news.close();
     this.warmPlacesKeeper.stop();
-    clearInterval(this.expiryTimer);
     this.metricsServer?.close();
     const cut = this.front.inFlight;
     const milliseconds = Math.round(this.clock.monotonicMilliseconds() - startedAt);
--- a/src/sync/FleetKnowledge.ts
+++ b/src/sync/FleetKnowledge.ts
@@ -120,7 +120,7 @@
       this.apply(fact, { revision: fact.revision ?? revision, now });
     }
     this.revision = Math.max(this.revision, revision);
-    this.expire(now);
+    this.listing.expire(now);
     this.listener.updated();
   }
 
@@ -229,15 +229,6 @@
     };
   }
 
-  /**
-   * Drops runners whose entries have not come back.
-   *
-   * @param now - monotonic milliseconds.
-   */
-  expire(now: number): void {
-    this.listing.expire(now);
-  }
-
   private putDaemon(daemon: DaemonEntry, moment: ChangeMoment): void {
     const before = this.daemons.get(daemon.name);
     const isKnown =
--- a/src/sync/RunnerListing.ts
+++ b/src/sync/RunnerListing.ts
@@ -134,8 +134,9 @@
   }
 
   /**
-   * Drops runners whose entries have not come back. Others have reached later revisions; they take the removal as one
-   * of the time at which the entry went.
+   * Drops runners whose entries have not come back, after a read or word of it. Between two reads an entry may be back
+   * unseen: dropping its runner then would forget which prompts it has cached. Others have reached later revisions; they
+   * take the removal as one of the time at which the entry went.
    *
    * @param now - monotonic milliseconds.
    */
