--- a/src/coordination/leavingRunners.spec.ts
+++ b/src/coordination/leavingRunners.spec.ts
@@ -110,23 +110,23 @@
 }
 
 describe('runners whose entries lapse with the store', () => {
-  for (const daemons of [9, 40, 200]) {
-    it(`get requests again at once, all but a third of them at most, ${daemons} daemons`, () => {
-      // What goes wrong otherwise: each daemon has no runner at all for the two seconds until the entries are back.
+  it('get requests again at once, all but a third of them at most', () => {
+    // What goes wrong otherwise: each daemon has no runner at all for the two seconds until the entries are back.
+    for (const daemons of [9, 40, 200]) {
       const fewest = [1, 2, 3].map((seed) => fewestReady(daemons, seed));
       expect(fewest.filter((ready) => ready < (2 / 3) * RUNNERS)).toEqual([]);
-    });
-  }
+    }
+  });
 });
 
 describe('runners that leave while daemons return from a cut', () => {
-  for (const daemons of [40, 80, 200, 390]) {
-    it(`get no new work from daemons in touch after the bound, ${daemons} daemons`, () => {
-      // Symptom: requests reach runners up to 4.1 s after they left, on three sites. Sequence: daemons that read the store
-      // for all return from a cut, and wait for entries that went meanwhile; they tell how far they have read. Cause:
-      // what they waited for was not told, so that everybody else took its removal for old news.
+  it('get no new work from daemons in touch after the bound', () => {
+    // Symptom: requests reach runners up to 4.1 s after they left, on three sites. Sequence: daemons that read the store
+    // for all return from a cut, and wait for entries that went meanwhile; they tell how far they have read. Cause:
+    // what they waited for was not told, so that everybody else took its removal for old news.
+    for (const daemons of [40, 80, 200, 390]) {
       const seeds = daemons > 100 ? [1, 2, 3] : [1, 2, 3, 4, 5, 6, 7, 8];
       expect(seeds.flatMap((seed) => play(daemons, seed))).toEqual([]);
-    });
-  }
+    }
+  });
 });
