--- a/src/router/KnowledgeReactions.ts
+++ b/src/router/KnowledgeReactions.ts
@@ -23,10 +23,16 @@
   onUpdate: () => void;
 }
 
+/** Names in one line of the log: all daemons of a large fleet may come or go at once. */
+const MAXIMUM_NAMES = 12;
+
 /** See the module's comment. */
 export class KnowledgeReactions implements KnowledgeListener {
   private readonly options: KnowledgeReactionsOptions;
 
+  /** Daemons that have come and gone since the last line about them. */
+  private changedDaemons: Record<'listed' | 'gone', string[]> = { listed: [], gone: [] };
+
   /**
    * @param options - the parts that follow.
    */
@@ -57,6 +63,14 @@
     log.write(syncLogEvents.runnerChanged, fields);
   }
 
+  /**
+   * @param name - of a daemon.
+   * @param state - from now on.
+   */
+  daemonChanged(name: string, state: 'listed' | 'gone'): void {
+    this.changedDaemons[state].push(name);
+  }
+
   /** @param places - where another daemon knows shared prompts to be cached. */
   warmPlacesKept(places: readonly WarmPlace[]): void {
     this.options.warmPlaces.import(places);
@@ -64,6 +78,7 @@
 
   /** All of a read has been taken. */
   updated(): void {
+    this.logDaemons();
     this.options.onUpdate();
   }
 
@@ -74,4 +89,17 @@
   unreadable(key: string, message: string): void {
     this.options.log.write(syncLogEvents.factUnreadable, { key, message });
   }
+
+  private logDaemons(): void {
+    const { listed, gone } = this.changedDaemons;
+    if (listed.length + gone.length === 0) return;
+    this.changedDaemons = { listed: [], gone: [] };
+    this.options.log.write(syncLogEvents.daemonsChanged, {
+      listed: listed.slice(0, MAXIMUM_NAMES),
+      listedCount: listed.length,
+      gone: gone.slice(0, MAXIMUM_NAMES),
+      goneCount: gone.length,
+      revision: this.options.revision(),
+    });
+  }
 }
--- a/src/sync/FleetKnowledge.ts
+++ b/src/sync/FleetKnowledge.ts
@@ -236,12 +236,14 @@
     this.daemons.set(daemon.name, daemon);
     if (isKnown) return;
     this.daemonChanges += 1;
+    this.listener.daemonChanged(daemon.name, 'listed');
     this.logChange({ kind: 'daemon', daemon }, moment);
   }
 
   private dropDaemon(name: string, moment: ChangeMoment): void {
     if (!this.daemons.delete(name)) return;
     this.daemonChanges += 1;
+    this.listener.daemonChanged(name, 'gone');
     this.logChange({ kind: 'daemon_gone', name }, moment);
   }
 
--- a/src/sync/knowledgeTypes.ts
+++ b/src/sync/knowledgeTypes.ts
@@ -26,6 +26,8 @@
   configurationChanged(configuration: RoutingConfiguration): void;
   /** A runner was added or is back, changed its state, has no entry any more and may be back, or is gone. */
   runnerChanged(entry: RunnerEntry, state: RunnerState | 'lapsed' | 'gone'): void;
+  /** A daemon was listed, or is listed no more. */
+  daemonChanged(name: string, state: 'listed' | 'gone'): void;
   /** Another daemon has kept where shared prompts are cached. */
   warmPlacesKept(places: readonly WarmPlace[]): void;
   /** All of a read has been taken. */
--- a/src/sync/syncFeature.ts
+++ b/src/sync/syncFeature.ts
@@ -75,4 +75,11 @@
     text: 'A write to the store failed, or this daemon’s registration has lapsed; it tries again.',
     operatorAction: 'Look at the store if it goes on.',
   }),
+  daemonsChanged: defineLogEvent({
+    number: 2710,
+    name: 'sync.daemons_changed',
+    level: 'info',
+    text: 'Daemons were listed, or are listed no more; callers are sent to those that are listed.',
+    operatorAction: 'None; a daemon that is gone without a planned stop has died or has lost the store.',
+  }),
 };
--- a/src/sync/testKnowledge.ts
+++ b/src/sync/testKnowledge.ts
@@ -13,6 +13,7 @@
       runnerChanged: ({ id }, state) => {
         if (state === 'gone') gone.push(id);
       },
+      daemonChanged: () => undefined,
       warmPlacesKept: () => undefined,
       updated: () => undefined,
       unreadable: (key) => unreadable.push(key),
