Failing test: the directory names a dead daemon for as long as the store does

Five built daemons as processes; one is killed.

The daemon is built in one place for the soak and both tests.

--- a/soak/soak.spec.ts
+++ b/soak/soak.spec.ts
@@ -8,7 +8,7 @@
 
 import { expect } from 'earl';
 
-import { buildDaemon } from './buildDaemon.js';
+import { buildDaemon } from '../standIns/site/buildDaemon.js';
 import type { Draw, FaultGround } from './faults/Fault.js';
 import { Fault } from './faults/Fault.js';
 import { reportLines } from './report.js';
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -7,7 +7,7 @@
 import { join } from 'node:path';
 import { parseArgs } from 'node:util';
 
-import { buildDaemon } from './buildDaemon.js';
+import { buildDaemon } from '../standIns/site/buildDaemon.js';
 import { reportLines, writeLogs } from './report.js';
 import { runSoak } from './runSoak.js';
 
--- /dev/null
+++ b/tests/deadDaemons.spec.ts
@@ -0,0 +1,91 @@
+/**
+ * Where callers are sent after a daemon has died. Daemons are built and run as processes.
+ */
+import { mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { after, afterEach, before, beforeEach, describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import { buildDaemon } from '../standIns/site/buildDaemon.js';
+import { fetchText, SiteProcess } from '../standIns/site/SiteProcess.js';
+import { StandInSite } from '../standIns/site/StandInSite.js';
+
+const DAEMONS = 5;
+
+const DIRECTORY_PATH = '/v1/resolve?name=site.example&zone=here';
+
+/** The test gives up after this time: longer than a lease and what follows it, in ms. */
+const PATIENCE_MILLISECONDS = 15_000;
+
+describe('the directory after a daemon has died', () => {
+  // Symptom: callers are sent to a daemon that has been off for more than 6 s; their connections hang until they give
+  // up. Sequence: a daemon loses power; the others serve on, hear no more from it, and name it in each answer until the
+  // store drops its entry.
+  let folder: string;
+  let program: string[];
+  let site: StandInSite;
+  let processes: SiteProcess[];
+
+  async function namedBy(asked: SiteProcess): Promise<string[]> {
+    const { status, text } = await fetchText(asked.settings.addresses.directory, DIRECTORY_PATH);
+    return status === 200 ? (JSON.parse(text) as { addresses: string[] }).addresses : [];
+  }
+
+  /** Whether the answers of the first ones name just the second ones. */
+  async function allName(asked: SiteProcess[], named: SiteProcess[]): Promise<boolean> {
+    const expected = named.map(({ settings }) => settings.addresses.callers).sort();
+    const answers = await Promise.all(asked.map(namedBy));
+    return answers.every((answer) => answer.sort().join() === expected.join());
+  }
+
+  async function comesTrue(condition: () => Promise<boolean>): Promise<boolean> {
+    const givenUpAt = performance.now() + PATIENCE_MILLISECONDS;
+    let holds = false;
+    await site.until(async () => {
+      holds = await condition();
+      return holds || performance.now() > givenUpAt;
+    });
+    return holds;
+  }
+
+  before(() => {
+    folder = mkdtempSync(join(tmpdir(), 'baobabdock-'));
+    program = buildDaemon(folder);
+  });
+
+  after(() => rmSync(folder, { recursive: true }));
+
+  beforeEach(async () => {
+    site = new StandInSite({ pollMilliseconds: 50, changeBoundMilliseconds: 2_000 });
+    await site.start();
+    await site.addRunner({ id: 'plain-1', service: 'plain' });
+    processes = [];
+    for (let index = 0; index < DAEMONS; index += 1) {
+      const settings = await site.settingsOf(`daemon-${index}`);
+      processes.push(new SiteProcess({ settings, folder, program }));
+    }
+    for (const one of processes) one.start();
+    await site.until(() => allName(processes, processes));
+  });
+
+  afterEach(async () => {
+    await Promise.all(processes.map((one) => one.kill()));
+    await site.stop();
+  });
+
+  it('does not name it although the store still does', async () => {
+    const [dead, ...living] = processes;
+    await dead?.kill();
+    expect(await comesTrue(() => allName(living, living))).toEqual(true);
+    expect(site.store.keys('daemons/').length).toEqual(DAEMONS);
+  });
+
+  it('does not name it while the store refuses everybody', async () => {
+    const [dead, ...living] = processes;
+    site.store.faultFor({ fault: 'busy' });
+    await dead?.kill();
+    expect(await comesTrue(() => allName(living, living))).toEqual(true);
+  });
+});
--- a/tests/siteProcesses.spec.ts
+++ b/tests/siteProcesses.spec.ts
@@ -1,14 +1,14 @@
 /**
  * Daemons as the platform runs them, built and as processes: what callers see around starts, stops and losses.
  */
-import { execFileSync } from 'node:child_process';
-import { mkdtempSync, readFileSync, rmSync } from 'node:fs';
+import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { after, afterEach, before, beforeEach, describe, it } from 'node:test';
 
 import { expect } from 'earl';
 
+import { buildDaemon } from '../standIns/site/buildDaemon.js';
 import { callSite } from '../standIns/site/callSite.js';
 import { SiteProcess } from '../standIns/site/SiteProcess.js';
 import type { SiteRunner } from '../standIns/site/SiteRunner.js';
@@ -39,13 +39,7 @@
 
   before(() => {
     folder = mkdtempSync(join(tmpdir(), 'baobabdock-'));
-    execFileSync(process.execPath, ['--import', 'tsx', 'tools/buildPlatform.ts', folder]);
-    const deployed = readFileSync('deploy/system.toml', 'utf8');
-    const [, options] =
-      /^run = "node (.*) target\/router\.cjs --callers=\{\{listen\.front\}\}"$/m.exec(deployed) ??
-      [];
-    expect(options).not.toEqual(undefined);
-    program = [...(options ?? '').split(' '), join(folder, 'router.cjs')];
+    program = buildDaemon(folder);
   });
 
   after(() => rmSync(folder, { recursive: true }));
