Every other use of the list of daemons looks at who is alive

The cause of the directory's dead daemons, looked for in each place that reads the list: - Coordinators, readers, those that watch: the next one takes a dead one's place after some 2 s (before: when its lease ended). How many there are still follows from the list.

A gauge shows how many listed daemons are out of use.

--- a/src/coordination/CoordinatorHealth.ts
+++ b/src/coordination/CoordinatorHealth.ts
@@ -12,8 +12,8 @@
 /** First time that it is left alone, in ms; doubled with each further miss. */
 const FIRST_PAUSE_MILLISECONDS = 500;
 
-/** Longest time, in ms: the store's list drops a dead daemon within about this time. */
-const LONGEST_PAUSE_MILLISECONDS = 8_000;
+/** Longest time, in ms: a dead one is no coordinator any more by then, and one that is back is asked soon. */
+const LONGEST_PAUSE_MILLISECONDS = 3_000;
 
 interface Silence {
   readonly misses: number;
--- /dev/null
+++ b/src/coordination/FleetCoordination.spec.ts
@@ -0,0 +1,139 @@
+import { afterEach, beforeEach, describe, it, mock } from 'node:test';
+
+import { expect } from 'earl';
+
+import { MemoryLog } from '../callers/testFakes.js';
+import { LivenessPeers } from '../liveness/LivenessPeers.js';
+import { livenessLogEvents } from '../liveness/livenessFeature.js';
+import type { LivenessOpinions, ProbeOutcome } from '../liveness/livenessTypes.js';
+import { FleetSocket } from '../news/FleetSocket.js';
+import { RunnerChoice } from '../runners/RunnerChoice.js';
+import { WarmPlaces } from '../runners/WarmPlaces.js';
+import type { DaemonEntry, FleetStore } from '../sync/FleetStore.js';
+import { createTestKnowledge } from '../sync/testKnowledge.js';
+import { ManualClock } from '../time/ManualClock.js';
+import { coordinatorsOf } from './coordinatorsOf.js';
+import { FleetCoordination } from './FleetCoordination.js';
+import { GrantLedger } from './GrantLedger.js';
+
+const STEP_MILLISECONDS = 100;
+
+/** Within which a dead daemon has to be found out, in ms. */
+const AIM_MILLISECONDS = 3_000;
+
+const LONGEST_PAUSE_MILLISECONDS = 1_000;
+
+/** Others at their addresses: the dead ones refuse, the others answer and hear the dead ones no more. */
+class ScriptedPeers extends LivenessPeers {
+  readonly dead = new Set<string>();
+
+  override probe(name: string): Promise<ProbeOutcome> {
+    return Promise.resolve(this.dead.has(name) ? 'refused' : 'answered');
+  }
+
+  override ask(_address: string, names: readonly string[]): Promise<LivenessOpinions> {
+    const opinionOn = (name: string) => (this.dead.has(name) ? ('silent' as const) : 0);
+    return Promise.resolve(Object.fromEntries(names.map((name) => [name, opinionOn(name)])));
+  }
+}
+
+function daemonOf(index: number): DaemonEntry {
+  const address = `10.0.0.${index + 1}:7000`;
+  const addresses = { callerAddress: address, peerAddress: address, newsAddress: address };
+  return { name: `daemon-${String(index).padStart(2, '0')}`, dataCentre: 'here', ...addresses };
+}
+
+describe(FleetCoordination.name, () => {
+  // Symptom: after a daemon has died, what the first daemon of the list does for all is done by nobody, requests wait
+  // for a coordinator that is not there, and a daemon in an outage asks dead ones. Cause: the store's list was taken for
+  // the list of those that live, as in the directory.
+  let clock: ManualClock;
+  let log: MemoryLog;
+  let peers: ScriptedPeers;
+
+  beforeEach(() => {
+    mock.timers.enable({ apis: ['setInterval'] });
+    clock = new ManualClock();
+    log = new MemoryLog();
+    const never = () => ({});
+    peers = new ScriptedPeers({ daemon: 'daemon-02', isLeaving: () => false, opinionsOn: never });
+  });
+
+  afterEach(() => mock.timers.reset());
+
+  function start(size: number): FleetCoordination {
+    const { knowledge } = createTestKnowledge();
+    const daemons = Array.from({ length: size }, (_, index) => daemonOf(index));
+    const facts = daemons.map((daemon) => ({ kind: 'daemon', daemon }) as const);
+    knowledge.applyAll({ revision: 1, facts }, 0);
+    const { runners } = knowledge;
+    const options = {
+      daemon: daemonOf(2),
+      knowledge,
+      choice: new RunnerChoice({ runners, dataCentre: 'here', warmPlaces: new WarmPlaces() }),
+      grants: new GrantLedger(),
+      store: {} as FleetStore,
+      clock,
+      log,
+      readMilliseconds: 800,
+      readStore: () => undefined,
+      fetchConfiguration: () => Promise.reject(new Error('nobody has one')),
+      livenessPeers: () => peers,
+      longestPauseMilliseconds: () => LONGEST_PAUSE_MILLISECONDS,
+    };
+    const coordination = new FleetCoordination(
+      options,
+      new FleetSocket({ log, secret: () => undefined }),
+    );
+    coordination.liveness.start();
+    return coordination;
+  }
+
+  async function pass(milliseconds: number): Promise<void> {
+    for (let passed = 0; passed < milliseconds; passed += STEP_MILLISECONDS) {
+      clock.advance(STEP_MILLISECONDS);
+      mock.timers.tick(STEP_MILLISECONDS);
+      // Answers of the scripted peers arrive within the step.
+      for (let turn = 0; turn < 5; turn += 1) await Promise.resolve();
+    }
+  }
+
+  it('lets the next daemon act for all where the first one has died', async () => {
+    const coordination = start(5);
+    peers.dead.add('daemon-00').add('daemon-01');
+    expect(coordination.isFirst).toEqual(false);
+    await pass(AIM_MILLISECONDS);
+    expect(coordination.isFirst).toEqual(true);
+    expect(coordination.namesOfInformed()).toEqual(['daemon-02', 'daemon-03', 'daemon-04']);
+    expect(log.of(livenessLogEvents.daemonsOut).flatMap(({ daemons }) => daemons)).toEqual([
+      'daemon-00',
+      'daemon-01',
+    ]);
+  });
+
+  it('asks only those that live, and tells also those that it does not hear', async () => {
+    const coordination = start(5);
+    peers.dead.add('daemon-04');
+    await pass(AIM_MILLISECONDS);
+    const names = ['daemon-00', 'daemon-01', 'daemon-03'];
+    expect(coordination.livingOthers().map(({ name }) => name)).toEqual(names);
+    expect(coordination.newsRecipients().length).toEqual(4);
+  });
+
+  it('has the next daemon in order coordinate where a coordinator has died, and the same when it is back', async () => {
+    const coordination = start(20);
+    const before = coordination.coordinators.map(({ name }) => name);
+    const [first] = before.filter((name) => name !== 'daemon-02');
+    peers.dead.add(first ?? '');
+    await pass(AIM_MILLISECONDS);
+    const isDead = (name: string) => peers.dead.has(name);
+    const daemons = Array.from({ length: 20 }, (_, index) => daemonOf(index));
+    const expected = coordinatorsOf(daemons, isDead).map(({ name }) => name);
+    expect(coordination.coordinators.map(({ name }) => name)).toEqual(expected);
+    expect(expected.length).toEqual(before.length);
+    peers.dead.clear();
+    await pass(AIM_MILLISECONDS);
+    expect(coordination.coordinators.map(({ name }) => name)).toEqual(before);
+    expect(log.of(livenessLogEvents.daemonsBack).length).toEqual(1);
+  });
+});
--- a/src/coordination/FleetCoordination.ts
+++ b/src/coordination/FleetCoordination.ts
@@ -172,7 +172,16 @@
   namesOfInformed(): string[] {
     const { coordinators } = this;
     if (coordinators.length > 0) return coordinators.map(({ name }) => name);
-    return this.livingOthers().map(({ name }) => name);
+    const { daemon, knowledge } = this.options;
+    const living = [...knowledge.daemons.keys()].filter((name) => !this.liveness.isOut(name));
+    return living.length > 0 ? living : [daemon.name];
+  }
+
+  /** @returns Whether this daemon is listed and comes first by name among those that live: it acts for all. */
+  get isFirst(): boolean {
+    const { daemon, knowledge } = this.options;
+    if (!knowledge.daemons.has(daemon.name)) return false;
+    return this.livingOthers().every(({ name }) => daemon.name < name);
   }
 
   /** @returns All listed daemons but this one. */
--- a/src/coordination/coordination.spec.ts
+++ b/src/coordination/coordination.spec.ts
@@ -120,6 +120,21 @@
     expect(health.missed('c', 1_600, 1_600)).toEqual(false);
   });
 
+  it('asks one that was away for long soon after it is back', () => {
+    // Symptom: a frozen coordinator wakes and is asked nothing for up to eight seconds, while the others do its work.
+    // Sequence: it misses one question after the other, each doubles the pause. Cause: the longest pause was as long as
+    // the store's list names a dead daemon; the failure detector drops one within three seconds.
+    const health = new CoordinatorHealth();
+    let now = 0;
+    while (now < 20_000) {
+      if (health.isUsable('c', now)) health.missed('c', now, now + 30);
+      now += 10;
+    }
+    const wokenAt = now;
+    while (!health.isUsable('c', now)) now += 10;
+    expect(now - wokenAt <= 3_000).toEqual(true);
+  });
+
   it('takes questions of the same moment for one', () => {
     // Symptom: a daemon leaves all coordinators alone, one after the other, and chooses alone. Sequence: its process
     // stands still, or its link is full, for a moment in which it has asked for several runners. Cause: each question
--- a/src/liveness/LivenessTask.ts
+++ b/src/liveness/LivenessTask.ts
@@ -71,6 +71,11 @@
     return this.decisions.changes;
   }
 
+  /** @returns How many listed daemons are out of use. */
+  get outCount(): number {
+    return this.decisions.outNames.size;
+  }
+
   private get now(): number {
     return this.options.clock.monotonicMilliseconds();
   }
@@ -176,7 +181,7 @@
   private logChange(event: keyof typeof livenessLogEvents, names: readonly string[]): void {
     if (names.length === 0) return;
     const daemons = names.slice(0, MAXIMUM_NAMES);
-    const out = this.decisions.outNames.size;
+    const out = this.outCount;
     this.options.log.write(livenessLogEvents[event], { daemons, count: names.length, out });
   }
 }
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -247,9 +247,14 @@
 
   private createContext(protocol: RunnerProtocol): ForwardingContext {
     const { clock, log, knowledge, connections, settings } = this;
+    // All that are listed share limits of the whole fleet, alive or not: two parts of a fleet that do not hear each
+    // other would else both spend the whole of them.
     const daemons = () => Math.max(1, knowledge.daemons.size);
     const { ratio, allowance, windowSeconds } = settings.retryBudget;
     const metrics = createForwardingMetrics(this.registry);
+    this.registry
+      .gauge({ name: 'daemons_out', help: 'Listed daemons that are dead or stop.' })
+      .follow(() => this.coordination.liveness.outCount);
     const runners = () => knowledge.runners.list();
     return {
       clock,
@@ -328,17 +333,11 @@
       onUpdate: () => {
         this.news.tellChange();
         this.becomeReady();
-        this.secret.ensure(this.knowledge.secret, () => this.isFirstListed());
+        this.secret.ensure(this.knowledge.secret, () => this.coordination.isFirst);
       },
     });
   }
 
-  /** @returns Whether this daemon comes first by name among those that are listed. */
-  private isFirstListed(): boolean {
-    const [first] = [...this.knowledge.daemons.keys()].sort();
-    return first === this.entry.name;
-  }
-
   /** Registers once requests can be served: callers are not sent to a daemon that knows nothing. */
   private becomeReady(): void {
     if (this.wasReady || !this.isReady) return;
--- a/src/sync/PeerExchange.spec.ts
+++ b/src/sync/PeerExchange.spec.ts
@@ -65,6 +65,39 @@
     expect(answers).toEqual([]);
   });
 
+  it('asks only daemons that live where it is told which these are', async () => {
+    // Symptom: a daemon that the store turns away knows a new configuration seconds late. Sequence: a third of the fleet
+    // has lost power; it asks one daemon after the other, each dead one costs it a question. Cause: it asked all that
+    // the store's list named.
+    const answers = createServer((_request, response) => response.end('{}'));
+    const { address, port } = await listen(answers, { host: '127.0.0.1', port: 0 });
+    const { knowledge } = createTestKnowledge();
+    const daemons = ['dead', 'living'].map((name) => {
+      const own = name === 'living' ? `${address}:${port}` : '127.0.0.1:1';
+      return { name, dataCentre: 'a', callerAddress: own, peerAddress: own, newsAddress: own };
+    });
+    const facts = daemons.map((daemon) => ({ kind: 'daemon', daemon }) as const);
+    knowledge.applyAll({ revision: 1, facts }, 0);
+    const log = new MemoryLog();
+    const peers = new PeerExchange({
+      knowledge,
+      clock: new SystemClock(),
+      log,
+      ownAddress: '127.0.0.1:2',
+      seeds: [],
+      living: () => daemons.slice(1),
+      isStoreSilent: () => true,
+      pollMilliseconds: 1,
+    });
+    await peers.listen({ host: '127.0.0.1', port: 0 });
+    while (log.of(syncLogEvents.peerFailed).length < 5) await new Promise(setImmediate);
+    peers.close();
+    answers.close();
+    answers.closeAllConnections();
+    const asked = new Set(log.of(syncLogEvents.peerFailed).map((fields) => fields.address));
+    expect([...asked]).toEqual([`${address}:${port}`]);
+  });
+
   it('hands its configuration on, and reads one that arrives slowly to its end', async () => {
     // Symptom: daemons know no configuration for ten seconds after a loss of power. Sequence: a configuration of a
     // thousand routes takes longer to arrive than an answer may stay away, and is asked for again and again. Cause:
