Wait for daemons whose entries lapsed while the store was away, as for runners

Leases end while the store is away; after its return daemons register anew within a second, and until then the directory of each named hardly anybody, so that callers dropped their connections to the others. A dead one among them is known by the failure detector.

Who has an entry is still told at the revision at which it was so, and the digest counts these only, so that daemons with different waits agree. The list of daemons has a module of its own. A timer that is a little early no longer puts off a message by an interval.

--- a/src/news/NewsTask.ts
+++ b/src/news/NewsTask.ts
@@ -60,6 +60,9 @@
 /** Unchanged counts are told again after this time, so that they do not lapse; in ms. */
 const REPEAT_MILLISECONDS = 1_000;
 
+/** A timer may be this much early, in ms: the message would be sent an interval later, as if it had been lost. */
+const TIMER_SLACK_MILLISECONDS = 20;
+
 /** New warm places in one message: it has to fit into a datagram of 1,400 bytes. */
 const MAXIMUM_WARM = 8;
 
@@ -179,7 +182,7 @@
     const grants = this.options.countedGrants();
     const isLeaving = this.options.isLeaving();
     const told = JSON.stringify([loads, changedAtRevision(), grants, isLeaving]);
-    const isDue = now - this.lastSentAt >= REPEAT_MILLISECONDS;
+    const isDue = now - this.lastSentAt >= REPEAT_MILLISECONDS - TIMER_SLACK_MILLISECONDS;
     if (told === this.lastTold && this.waiting.length === 0 && !isDue) return;
     this.lastTold = told;
     this.lastSentAt = now;
--- a/src/sync/FleetKnowledge.spec.ts
+++ b/src/sync/FleetKnowledge.spec.ts
@@ -27,6 +27,12 @@
   return { kind: 'runner', runner: runnerOf(id) };
 }
 
+function daemonFactOf(name: string): StoreFact {
+  const address = `${name}:1`;
+  const addresses = { callerAddress: address, peerAddress: address, newsAddress: address };
+  return { kind: 'daemon', daemon: { name, dataCentre: 'here', ...addresses } };
+}
+
 function createKnowledge() {
   const { knowledge, gone, unreadable } = createTestKnowledge();
   knowledge.storeServed(0);
@@ -57,6 +63,29 @@
     expect(gone).toEqual(['b']);
   });
 
+  it('keeps daemons whose entries lapsed while the store was away, until they are back or late', () => {
+    // Symptom: for a second after each outage the directory of a daemon names hardly anybody, and callers drop their
+    // connections to all others. Sequence: leases run out while the store is away; the first read after its return holds
+    // the daemons that have registered anew so far. Cause: an entry that was missing was taken for a daemon that was gone.
+    const { knowledge } = createKnowledge();
+    const names = () => [...knowledge.daemons.keys()];
+    const facts = [daemonFactOf('x'), daemonFactOf('y')];
+    knowledge.applyChanges({ revision: 11, facts }, 100);
+    knowledge.storeFailed();
+    knowledge.storeServed(5_000);
+    const before = knowledge.listingDigest;
+    knowledge.applyAll({ revision: 12, facts: [] }, 5_000);
+    expect(names()).toEqual(['x', 'y']);
+    // Who has an entry is the same for all daemons, however long each waits.
+    expect(knowledge.listingDigest === before).toEqual(false);
+    expect(knowledge.snapshot(0, 5_000).daemons).toEqual([]);
+    knowledge.applyChanges({ revision: 13, facts: [daemonFactOf('x')] }, 6_000);
+    knowledge.applyChanges({ revision: 14, facts: [] }, 7_300);
+    expect(names()).toEqual(['x']);
+    knowledge.applyChanges({ revision: 15, facts: [{ kind: 'daemon_gone', name: 'x' }] }, 7_400);
+    expect(names()).toEqual([]);
+  });
+
   it('drops no runner between two reads, whose entry may be back unseen', () => {
     // Symptom: prompts are read again after each outage, though their runners were there all the while. Sequence: an entry
     // is back after two seconds; the daemon reads the store each 1.6 s, and gives the runner up at 2.3 s. Cause: it was given
--- a/src/sync/FleetKnowledge.ts
+++ b/src/sync/FleetKnowledge.ts
@@ -6,6 +6,7 @@
 import type { RoutingConfiguration } from '../routes/routeTypes.js';
 import type { RunnerTable } from '../runners/RunnerTable.js';
 import { ChangeLog } from './ChangeLog.js';
+import { DaemonListing } from './DaemonListing.js';
 import type { DaemonEntry, StoreFact, StoreRead } from './FleetStore.js';
 import { digestOf, isListing } from './listings.js';
 import type { KnowledgeListener, KnowledgeSnapshot } from './knowledgeTypes.js';
@@ -22,7 +23,8 @@
 export class FleetKnowledge {
   readonly runners: RunnerTable;
 
-  readonly daemons = new Map<string, DaemonEntry>();
+  /** All listed daemons by name, whether they live or not. */
+  readonly daemons: ReadonlyMap<string, DaemonEntry>;
 
   /** The secret by which daemons know each other's messages, once the store has told it. */
   secret: string | undefined;
@@ -30,9 +32,6 @@
   /** The store's revision that all of it has reached; 0 before anything is known. */
   revision = 0;
 
-  /** How often the list of daemons has changed. */
-  daemonChanges = 0;
-
   /** The revision of the latest change of the configuration or of a runner that the store has told. */
   changedAtRevision = 0;
 
@@ -50,6 +49,8 @@
 
   private readonly listing: RunnerListing;
 
+  private readonly daemonListing: DaemonListing;
+
   private readonly unreadable: UnreadableEntries;
 
   /**
@@ -67,6 +68,17 @@
       },
     });
     this.runners = this.listing.table;
+    this.daemonListing = new DaemonListing({
+      listener,
+      graceFor: (now) => this.listing.outages.graceFor(now),
+      onChange: (fact, moment) => this.logChange(fact, moment),
+    });
+    this.daemons = this.daemonListing.daemons;
+  }
+
+  /** @returns How often the list of daemons has changed. */
+  get daemonChanges(): number {
+    return this.daemonListing.changes;
   }
 
   /** @returns The configuration in force, or `undefined` before the first one. */
@@ -78,7 +90,7 @@
   get listingDigest(): number {
     this.keptDigest ??= digestOf(
       this.runners.list().filter(({ isLapsed }) => !isLapsed),
-      [...this.daemons.values()],
+      this.daemonListing.registered,
     );
     return this.keptDigest;
   }
@@ -121,6 +133,7 @@
     }
     this.revision = Math.max(this.revision, revision);
     this.listing.expire(now);
+    this.daemonListing.expire(now);
     this.listener.updated();
   }
 
@@ -147,7 +160,7 @@
       if (!runners.has(entry.id)) this.listing.remove(entry.id, moment);
     }
     for (const name of [...this.daemons.keys()])
-      if (!daemons.has(name)) this.dropDaemon(name, moment);
+      if (!daemons.has(name)) this.daemonListing.remove(name, moment);
     this.applyChanges(read, now);
   }
 
@@ -225,28 +238,10 @@
       runners: this.runners.list().map(({ entry }) => entry),
       lapsed: this.listing.lapsedIds,
       storeSilentMilliseconds: Math.round(this.listing.outages.silentMilliseconds(now)),
-      daemons: [...this.daemons.values()],
+      daemons: this.daemonListing.registered,
     };
   }
 
-  private putDaemon(daemon: DaemonEntry, moment: ChangeMoment): void {
-    const before = this.daemons.get(daemon.name);
-    const isKnown =
-      before?.newsAddress === daemon.newsAddress && before.callerAddress === daemon.callerAddress;
-    this.daemons.set(daemon.name, daemon);
-    if (isKnown) return;
-    this.daemonChanges += 1;
-    this.listener.daemonChanged(daemon.name, 'listed');
-    this.logChange({ kind: 'daemon', daemon }, moment);
-  }
-
-  private dropDaemon(name: string, moment: ChangeMoment): void {
-    if (!this.daemons.delete(name)) return;
-    this.daemonChanges += 1;
-    this.listener.daemonChanged(name, 'gone');
-    this.logChange({ kind: 'daemon_gone', name }, moment);
-  }
-
   private logChange(fact: StoreFact, { revision, now }: ChangeMoment): void {
     this.keptDigest = undefined;
     this.changeLog.append(fact, revision, now);
@@ -280,7 +275,7 @@
         listing.putUnreadable(fact.id, fact.message, moment);
         break;
       case 'daemon':
-        this.putDaemon(fact.daemon, moment);
+        this.daemonListing.put(fact.daemon, moment);
         break;
       case 'secret':
         this.secret = fact.secret;
@@ -289,7 +284,7 @@
         this.listener.warmPlacesKept(fact.places);
         break;
       case 'daemon_gone':
-        this.dropDaemon(fact.name, moment);
+        this.daemonListing.remove(fact.name, moment);
         break;
       default:
         this.unreadable.report(fact.key, fact.message);
