--- a/src/liveness/LivenessDecisions.ts
+++ b/src/liveness/LivenessDecisions.ts
@@ -10,7 +10,8 @@
  * own host refuses them. Where nobody else is left to be asked, the store must have answered meanwhile as
  * quickly as a daemon would. Who can be sure of nothing takes everybody for alive.
  */
-import { livenessHash, ToldSilences } from './ToldSilences.js';
+import { OutOfUse } from './OutOfUse.js';
+import { livenessHash } from './ToldSilences.js';
 import type {
   LivenessAction,
   LivenessDuties,
@@ -61,24 +62,16 @@
 
 /** The decisions of one daemon. */
 export class LivenessDecisions {
-  /** How often the set of daemons that are out of use has changed. */
-  changes = 0;
-
   private readonly options: LivenessDecisionsOptions;
 
   private readonly watched = new Map<string, WatchedDaemon>();
 
-  private readonly told = new ToldSilences();
+  private readonly outOfUse = new OutOfUse();
 
   private duties: LivenessDuties = { listed: [], watched: [], witnesses: [], isTelling: false };
 
-  private out: ReadonlySet<string> = new Set();
-
   private tickedAt = Number.NEGATIVE_INFINITY;
 
-  /** Whether something has happened that may change who is out of use. */
-  private isStale = false;
-
   private toldAt = Number.NEGATIVE_INFINITY;
 
   /** When the latest call to the store was made that was answered quickly, monotonic ms. */
@@ -91,17 +84,22 @@
     this.options = options;
   }
 
+  /** @returns How often the set of daemons that are out of use has changed. */
+  get changes(): number {
+    return this.outOfUse.changes;
+  }
+
   /**
    * @param name - of a listed daemon.
    * @returns Whether callers and other daemons should do without it.
    */
   isOut(name: string): boolean {
-    return this.out.has(name);
+    return this.outOfUse.all.has(name);
   }
 
   /** @returns Names of the listed daemons that are out of use. */
   get outNames(): ReadonlySet<string> {
-    return this.out;
+    return this.outOfUse.all;
   }
 
   /**
@@ -110,7 +108,7 @@
    */
   assign(duties: LivenessDuties, now: number): void {
     this.duties = duties;
-    this.isStale = true;
+    this.outOfUse.touch();
     const names = new Set(duties.watched);
     names.delete(this.options.daemon);
     const listed = new Set(duties.listed);
@@ -138,9 +136,9 @@
     const staysLeaving = daemon.phase === 'leaving' && isLeaving === undefined;
     const phase = isLeaving || staysLeaving ? 'leaving' : 'heard';
     if (daemon.phase === phase) return;
-    this.isStale = true;
+    this.outOfUse.touch();
     daemon.enter(phase, now);
-    if (phase === 'leaving') daemon.nextProbeAt = now + RECHECK_MILLISECONDS;
+    if (phase === 'leaving') daemon.probeAt(now + RECHECK_MILLISECONDS);
   }
 
   /**
@@ -150,7 +148,7 @@
    */
   takeTold(teller: string, silent: readonly number[], now: number): void {
     this.heard(teller, now);
-    if (this.told.take(teller, silent, now)) this.isStale = true;
+    this.outOfUse.takeTold(teller, silent, now);
   }
 
   /**
@@ -166,7 +164,7 @@
    * @param now - monotonic milliseconds.
    */
   toldOtherwise(now: number): void {
-    if (this.out.size === 0) this.toldAt = now;
+    if (this.outOfUse.all.size === 0) this.toldAt = now;
   }
 
   /**
@@ -206,7 +204,7 @@
       return;
     }
     const daemon = this.watched.get(name);
-    if (daemon?.isOut) daemon.nextProbeAt = now + RECHECK_MILLISECONDS;
+    if (daemon?.isOut) daemon.probeAt(now + RECHECK_MILLISECONDS);
     if (daemon?.phase === 'probed') this.judge(daemon, outcome === 'refused', now);
   }
 
@@ -216,9 +214,8 @@
    */
   tick(now: number): readonly LivenessAction[] {
     this.forgivePause(now);
-    if (this.told.expire(now)) this.isStale = true;
     const doubted = this.doubtQuiet(now);
-    const changed = this.isStale ? this.update(now) : [];
+    const changed = this.update(now);
     return [...this.ask(doubted, now), ...this.probesDue(now), ...changed, ...this.tell(now)];
   }
 
@@ -228,7 +225,7 @@
     if (pause < PAUSE_MILLISECONDS || !Number.isFinite(pause)) return;
     for (const daemon of this.watched.values()) {
       daemon.forgive(pause);
-      if (daemon.isOut) daemon.nextProbeAt = now;
+      if (daemon.isOut) daemon.probeAt(now);
       else daemon.enter('heard', now);
     }
   }
@@ -256,14 +253,14 @@
 
   private callNow(daemon: WatchedDaemon, now: number): void {
     daemon.enter('probed', now);
-    Object.assign(daemon, { nextProbeAt: now });
+    daemon.probeAt(now);
   }
 
   /** @returns Some of those that watch the same daemons and that this one does not doubt. */
   private helpers(): string[] {
     const { daemon: own, random } = this.options;
     const isCandidate = (name: string) => {
-      if (name === own || this.out.has(name)) return false;
+      if (name === own || this.isOut(name)) return false;
       return (this.watched.get(name)?.phase ?? 'heard') === 'heard';
     };
     const candidates = this.duties.witnesses.filter(isCandidate);
@@ -282,7 +279,7 @@
       return;
     }
     if (opinion !== 'silent') return;
-    Object.assign(daemon, { isConfirmed: true });
+    daemon.confirm();
     if (daemon.phase === 'doubted') this.callNow(daemon, now);
   }
 
@@ -294,13 +291,13 @@
       daemon.enter('doubted', now);
       return;
     }
-    this.isStale = true;
+    this.outOfUse.touch();
     daemon.enter('silent', now);
-    Object.assign(daemon, { nextProbeAt: now + RECHECK_MILLISECONDS });
+    daemon.probeAt(now + RECHECK_MILLISECONDS);
   }
 
   private probesDue(now: number): Actions {
-    const due = [...this.watched.values()].filter(({ nextProbeAt }) => nextProbeAt <= now);
+    const due = [...this.watched.values()].filter((daemon) => daemon.isProbeDue(now));
     const isUrgent = ({ phase, isConfirmed }: WatchedDaemon) => phase === 'probed' && isConfirmed;
     const others = due.filter((daemon) => !isUrgent(daemon)).slice(0, CALLS_A_TICK);
     return [...due.filter(isUrgent), ...others].map((daemon) => {
@@ -309,26 +306,14 @@
     });
   }
 
-  /** Compares who is out of use with what it was, and says what has changed. */
   private update(now: number): Actions {
-    this.isStale = false;
     const { listed } = this.duties;
-    const quiet = this.options.quietMilliseconds();
-    const isOut = (name: string) => {
-      const daemon = this.watched.get(name);
-      if (daemon?.isOut) return true;
-      // What this daemon hears itself goes before what others tell.
-      return !daemon?.isHeard(now, quiet) && this.told.has(name);
-    };
-    const before = this.out;
-    const names = listed.filter((name) => name !== this.options.daemon && isOut(name));
-    this.out = new Set(names);
-    const silent = names.filter((name) => !before.has(name));
-    const back = [...before].filter((name) => !this.out.has(name));
-    if (silent.length + back.length === 0) return [];
-    this.changes += 1;
-    this.toldAt = Number.NEGATIVE_INFINITY;
-    return [{ kind: 'changed', silent, back }];
+    const others = listed.filter((name) => name !== this.options.daemon);
+    const quietMilliseconds = this.options.quietMilliseconds();
+    const { watched } = this;
+    const changed = this.outOfUse.update({ listed: others, watched, quietMilliseconds }, now);
+    if (changed.length > 0) this.toldAt = Number.NEGATIVE_INFINITY;
+    return changed;
   }
 
   /** What others have told is not told again: two daemons would keep each other's word alive for good. */
--- a/src/liveness/WatchedDaemon.ts
+++ b/src/liveness/WatchedDaemon.ts
@@ -22,12 +22,12 @@
   /** When it was doubted first since it was heard, monotonic ms. */
   doubtedSince = Number.POSITIVE_INFINITY;
 
-  /** When the next probe is due, monotonic ms; infinite while one is under way. */
-  nextProbeAt = Number.POSITIVE_INFINITY;
-
   /** Whether another daemon has said that it does not hear this one either. */
   isConfirmed = false;
 
+  /** When the next probe is due, monotonic ms; infinite while one is under way. */
+  private nextProbeAt = Number.POSITIVE_INFINITY;
+
   private heardAt = Number.NEGATIVE_INFINITY;
 
   /** Silence counts from here on: before, this daemon was not listening. */
@@ -95,6 +95,24 @@
     this.countedFrom = Math.max(this.heardAt, this.countedFrom) + milliseconds;
   }
 
+  /** Another daemon does not hear it either. */
+  confirm(): void {
+    this.isConfirmed = true;
+  }
+
+  /** @param at - when it is to be called next, monotonic ms. */
+  probeAt(at: number): void {
+    this.nextProbeAt = at;
+  }
+
+  /**
+   * @param now - monotonic milliseconds.
+   * @returns Whether it is to be called.
+   */
+  isProbeDue(now: number): boolean {
+    return now >= this.nextProbeAt;
+  }
+
   /** A probe is under way: none is due until it has ended. */
   startProbe(): void {
     this.nextProbeAt = Number.POSITIVE_INFINITY;
