--- a/standIns/site/StandInSite.ts
+++ b/standIns/site/StandInSite.ts
@@ -154,7 +154,7 @@
    */
   async settingsOf(name: string, seeds: readonly string[] = []): Promise<RouterSettings> {
     const roles = ['callers', 'readiness', 'directory', 'peers', 'news', 'metrics'];
-    const ports = await Promise.all(roles.map(freePort));
+    const ports = await Promise.all(roles.map(() => freePort()));
     const addresses = Object.fromEntries(
       roles.map((role, index) => [role, `127.0.0.1:${ports[index]}`]),
     );
