One way to start a daemon; the demo of the site asks the directory, and takes its options checked

Seen: npm run demo:site ended at once with 'ended with 0'. Cause: the module that it started had only exported its start since the callers' port is opened before the program is loaded; the default of the stand-in's process still ran it, and no test ran the demo. Now demo, soak, measures and tests build and start the program as deployed, and there is no default.

--- a/measure/site/measureSite.ts
+++ b/measure/site/measureSite.ts
@@ -1,13 +1,13 @@
 /**
  * What a daemon that forwards directly costs, as built for the platform, before stand-ins on loopback.
  */
-import { execFileSync } from 'node:child_process';
 import { mkdtempSync, rmSync } from 'node:fs';
 import { Agent } from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { setTimeout as wait } from 'node:timers/promises';
 
+import { buildDaemon } from '../../standIns/site/buildDaemon.js';
 import { callSite } from '../../standIns/site/callSite.js';
 import { SiteProcess } from '../../standIns/site/SiteProcess.js';
 import { StandInSite } from '../../standIns/site/StandInSite.js';
@@ -60,9 +60,13 @@
   private process: SiteProcess | undefined;
 
   /**
-   * @param folder - with the built program.
+   * @param folder - for its settings.
+   * @param program - as built.
    */
-  constructor(private readonly folder: string) {}
+  constructor(
+    private readonly folder: string,
+    private readonly program: readonly string[],
+  ) {}
 
   async start(events: number): Promise<void> {
     await this.site.start();
@@ -71,8 +75,8 @@
       await this.site.addRunner({ id: `engine-${index}`, service: 'engine', events });
     }
     const settings = await this.site.settingsOf('daemon-1');
-    const program = [join(this.folder, 'router.cjs')];
-    const daemon = new SiteProcess({ settings, folder: this.folder, program });
+    const { folder, program } = this;
+    const daemon = new SiteProcess({ settings, folder, program });
     this.process = daemon;
     daemon.start();
     await this.site.until(() => daemon.isReady());
@@ -107,8 +111,7 @@
   }
 }
 
-async function measurePhase(folder: string, phase: Phase, options: SiteMeasurementOptions) {
-  const daemon = new MeasuredDaemon(folder);
+async function measurePhase(daemon: MeasuredDaemon, phase: Phase, options: SiteMeasurementOptions) {
   try {
     await daemon.start(phase.events);
     // The first requests run code that is not compiled yet; a daemon runs for weeks.
@@ -132,10 +135,12 @@
 export async function measureSite(options: SiteMeasurementOptions): Promise<SiteFigures> {
   const folder = mkdtempSync(join(tmpdir(), 'baobabdock-'));
   try {
-    execFileSync(process.execPath, ['--import', 'tsx', 'tools/buildPlatform.ts', folder]);
-    const call = await measurePhase(folder, CALL, options);
-    const short = await measurePhase(folder, SHORT_STREAM, options);
-    const long = await measurePhase(folder, LONG_STREAM, options);
+    const program = buildDaemon(folder);
+    const measure = (phase: Phase) =>
+      measurePhase(new MeasuredDaemon(folder, program), phase, options);
+    const call = await measure(CALL);
+    const short = await measure(SHORT_STREAM);
+    const long = await measure(LONG_STREAM);
     const events = LONG_EVENTS - SHORT_EVENTS;
     const perEvent = (long.milliseconds - short.milliseconds) / events;
     return {
--- a/src/commands/ExplainLossesCommand.ts
+++ b/src/commands/ExplainLossesCommand.ts
@@ -9,6 +9,7 @@
 import { formatLosses } from './formatLosses.js';
 import type { UnreadableLines } from './formatLosses.js';
 import { EXIT_FAILURE, EXIT_SUCCESS, ProgramCommand } from './ProgramCommand.js';
+import { wholeNumber } from './wholeNumber.js';
 
 /** Fits a screen. */
 const DEFAULT_ROWS = '20';
@@ -46,8 +47,8 @@
 
   override async execute(): Promise<number> {
     const findings = new Findings();
-    const momentSeconds = this.positive('--moment', this.moment, findings);
-    const maximumRows = this.positive('--rows', this.rows, findings);
+    const momentSeconds = wholeNumber({ field: '--moment', text: this.moment }, findings);
+    const maximumRows = wholeNumber({ field: '--rows', text: this.rows }, findings);
     const account = new LossAccount({ momentSeconds });
     const unreadable = findings.any ? undefined : await this.readAll(account, findings);
     this.complainOf(findings.list());
@@ -58,13 +59,6 @@
     return EXIT_SUCCESS;
   }
 
-  private positive(field: string, text: string, findings: Findings): number {
-    const value = Number(text);
-    if (Number.isInteger(value) && value > 0) return value;
-    findings.add({ field }, `has to be a whole number above 0, and is ${text}`);
-    return 1;
-  }
-
   private async readAll(account: LossAccount, findings: Findings): Promise<UnreadableLines> {
     const places: string[] = [];
     let lines = 0;
--- a/src/commands/createProgram.ts
+++ b/src/commands/createProgram.ts
@@ -34,12 +34,8 @@
 class Program extends Cli {
   private readonly errors: NodeJS.WritableStream;
 
-  constructor(errors: NodeJS.WritableStream) {
-    super({
-      binaryLabel: PROGRAM_NAME,
-      binaryName: PROGRAM_NAME,
-      binaryVersion: PROGRAM_VERSION,
-    });
+  constructor(name: string, errors: NodeJS.WritableStream) {
+    super({ binaryLabel: name, binaryName: name, binaryVersion: PROGRAM_VERSION });
     this.errors = errors;
   }
 
@@ -49,12 +45,23 @@
   }
 }
 
+/** A program and its commands. */
+export interface ProgramOptions {
+  /** As it is called. */
+  name?: string;
+  commands?: readonly CommandClass[];
+}
+
 /**
  * @param context - the streams of the process.
+ * @param options - the product's own program by default.
  * @returns The program with all its commands.
  */
-export function createProgram({ stderr }: Pick<BaseContext, 'stderr'>): Cli {
-  const program = new Program(stderr);
-  for (const command of COMMANDS) program.register(command);
+export function createProgram(
+  { stderr }: Pick<BaseContext, 'stderr'>,
+  { name = PROGRAM_NAME, commands = COMMANDS }: ProgramOptions = {},
+): Cli {
+  const program = new Program(name, stderr);
+  for (const command of commands) program.register(command);
   return program;
 }
--- a/standIns/site/SiteProcess.ts
+++ b/standIns/site/SiteProcess.ts
@@ -15,8 +15,8 @@
   settings: RouterSettings;
   /** Where its settings file is written. */
   folder: string;
-  /** Arguments of the runtime: its options and the program; the sources where missing. */
-  program?: readonly string[];
+  /** Arguments of the runtime: its options and the built program, see `buildDaemon`. */
+  program: readonly string[];
 }
 
 /** What a short question got. */
@@ -26,8 +26,6 @@
   readonly text: string;
 }
 
-const SOURCES: readonly string[] = ['--import', 'tsx', 'platform/main.ts'];
-
 const OK = 200;
 
 /**
@@ -69,7 +67,7 @@
   /**
    * @param options - settings and program.
    */
-  constructor({ settings, folder, program = SOURCES }: SiteProcessOptions) {
+  constructor({ settings, folder, program }: SiteProcessOptions) {
     this.settings = settings;
     this.program = program;
     this.file = join(folder, `${settings.name}.yaml`);
--- a/tests/deadDaemons.spec.ts
+++ b/tests/deadDaemons.spec.ts
@@ -8,14 +8,13 @@
 
 import { expect } from 'earl';
 
+import { askDirectory } from '../standIns/site/askDirectory.js';
 import { buildDaemon } from '../standIns/site/buildDaemon.js';
-import { fetchText, SiteProcess } from '../standIns/site/SiteProcess.js';
+import { SiteProcess } from '../standIns/site/SiteProcess.js';
 import { StandInSite } from '../standIns/site/StandInSite.js';
 
 const DAEMONS = 5;
 
-const DIRECTORY_PATH = '/v1/resolve?name=site.example&zone=here';
-
 /** The test gives up after this time: longer than a lease and what follows it, in ms. */
 const PATIENCE_MILLISECONDS = 15_000;
 
@@ -30,16 +29,11 @@
   let site: StandInSite;
   let processes: SiteProcess[];
 
-  async function namedBy(asked: SiteProcess): Promise<string[]> {
-    const { status, text } = await fetchText(asked.settings.addresses.directory, DIRECTORY_PATH);
-    return status === 200 ? (JSON.parse(text) as { addresses: string[] }).addresses : [];
-  }
-
   /** Whether the answers of the first ones name just the second ones. */
   async function allName(asked: SiteProcess[], named: SiteProcess[]): Promise<boolean> {
     const expected = named.map(({ settings }) => settings.addresses.callers).sort();
-    const answers = await Promise.all(asked.map(namedBy));
-    return answers.every((answer) => answer.sort().join() === expected.join());
+    const answers = await Promise.all(asked.map(({ settings }) => askDirectory(settings)));
+    return answers.every((answer) => [...answer].sort().join() === expected.join());
   }
 
   async function comesTrue(condition: () => Promise<boolean>): Promise<boolean> {
--- a/tools/buildPlatform.ts
+++ b/tools/buildPlatform.ts
@@ -89,7 +89,7 @@
   ...COMMON,
   ...MODULE_WRAPPER,
   plugins: [leaveOut],
-  entryPoints: ['platform/main.ts'],
+  entryPoints: ['platform/runDaemon.ts'],
   outfile: join(OUTPUT, 'daemon.cjs'),
 });
 await build({
