--- a/src/coordination/FleetCoordination.spec.ts
+++ b/src/coordination/FleetCoordination.spec.ts
@@ -84,7 +84,8 @@
       readMilliseconds: 800,
       readStore: () => undefined,
       fetchConfiguration: () => Promise.reject(new Error('nobody has one')),
-      livenessPeers: () => peers,
+      isLeaving: () => false,
+      livenessPeers: peers,
       longestPauseMilliseconds: () => LONGEST_PAUSE_MILLISECONDS,
     };
     const coordination = new FleetCoordination(
--- a/src/coordination/FleetCoordination.ts
+++ b/src/coordination/FleetCoordination.ts
@@ -8,7 +8,7 @@
 import { parseAddress } from '../http/parseAddress.js';
 import type { Log } from '../logging/Log.js';
 import type { FleetSocket } from '../news/FleetSocket.js';
-import type { LivenessPeers } from '../liveness/LivenessPeers.js';
+import { LivenessPeers } from '../liveness/LivenessPeers.js';
 import { LivenessTask } from '../liveness/LivenessTask.js';
 import type { RunnerChoice } from '../runners/RunnerChoice.js';
 import type { RoutingConfiguration } from '../routes/routeTypes.js';
@@ -40,8 +40,10 @@
   readStore: (what: 'changes' | 'everything') => void;
   /** Asks another daemon for its configuration. */
   fetchConfiguration: (peerAddress: string) => Promise<RoutingConfiguration>;
-  /** Calls other daemons about who is alive. */
-  livenessPeers: () => LivenessPeers;
+  /** Whether this daemon is in a planned stop. */
+  isLeaving: () => boolean;
+  /** Calls other daemons about who is alive; replaced by tests. */
+  livenessPeers?: LivenessPeers;
   /** Longest pause between two messages of a daemon with its news, in ms. */
   longestPauseMilliseconds: () => number;
 }
@@ -68,6 +70,9 @@
 
   readonly relay: StoreRelay;
 
+  /** Answers other daemons' questions about who is alive. */
+  readonly livenessPeers: LivenessPeers;
+
   /** Which of the listed daemons are alive. */
   readonly liveness: LivenessTask;
 
@@ -89,15 +94,23 @@
   constructor(options: FleetCoordinationOptions, socket: FleetSocket) {
     this.options = options;
     const { daemon, knowledge, choice, grants, store, clock, log, fetchConfiguration } = options;
-    const { readMilliseconds, readStore, livenessPeers, longestPauseMilliseconds } = options;
+    const { readMilliseconds, readStore, isLeaving, longestPauseMilliseconds } = options;
     const others = () => this.addressesOf(knowledge.daemons.values());
+    this.livenessPeers =
+      options.livenessPeers ??
+      new LivenessPeers({
+        daemon: daemon.name,
+        isLeaving,
+        opinionsOn: (names) => this.liveness.opinionsOn(names),
+        toldSilences: () => this.liveness.toldSilences,
+      });
     this.liveness = new LivenessTask({
       daemon: daemon.name,
       knowledge,
       socket,
       clock,
       log,
-      peers: livenessPeers,
+      peers: this.livenessPeers,
       duties: () =>
         livenessDuties({
           daemon: daemon.name,
--- a/src/liveness/LivenessDecisions.ts
+++ b/src/liveness/LivenessDecisions.ts
@@ -19,7 +19,8 @@
   LivenessOpinions,
   ProbeOutcome,
 } from './livenessTypes.js';
-import { WatchedDaemon } from './WatchedDaemon.js';
+import type { WatchedDaemon } from './WatchedDaemon.js';
+import { WatchList } from './WatchList.js';
 
 /**
  * How often {@link LivenessDecisions.tick} has to be called, in ms. All actions come from there: where many daemons die
@@ -33,15 +34,9 @@
 /** Daemons that are asked about one that is not heard: one of them may be dead or cut off too. */
 const HELPERS = 3;
 
-/** Without a useful answer others are asked after this time, in ms. */
-const ASK_AGAIN_MILLISECONDS = 400;
-
 /** Between calls to a silent daemon, which is heard by itself once it is back unless its messages get lost; in ms. */
 const RECHECK_MILLISECONDS = 2_000;
 
-/** Calls in one tick that are not urgent: a daemon that is cut off would call the whole fleet again and again. */
-const CALLS_A_TICK = 8;
-
 /** A daemon that tells is heard at least this often; in ms. */
 const TELL_MILLISECONDS = 1_000;
 
@@ -72,7 +67,7 @@
 export class LivenessDecisions {
   private readonly options: LivenessDecisionsOptions;
 
-  private readonly watched = new Map<string, WatchedDaemon>();
+  private readonly watchList = new WatchList();
 
   private readonly outOfUse = new OutOfUse();
 
@@ -127,17 +122,9 @@
   assign(duties: LivenessDuties, now: number): void {
     this.duties = duties;
     this.outOfUse.touch();
-    const names = new Set(duties.watched);
-    names.delete(this.options.daemon);
-    const listed = new Set(duties.listed);
-    for (const { name, isOut } of [...this.watched.values()]) {
-      // A silent daemon loses its place to the next one, and would come back to it if its silence were forgotten.
-      const isKept = names.has(name) || (isOut && listed.has(name));
-      if (!isKept) this.watched.delete(name);
-    }
-    for (const name of names) {
-      if (!this.watched.has(name)) this.watched.set(name, new WatchedDaemon(name, now));
-    }
+    const { daemon: own } = this.options;
+    const watched = duties.watched.filter((name) => name !== own);
+    this.watchList.assign({ listed: duties.listed, watched }, now);
   }
 
   /**
@@ -148,7 +135,7 @@
    * @param isLeaving - whether it has said that it stops; `undefined` where it has said nothing about that.
    */
   heard(name: string, now: number, isLeaving?: boolean): void {
-    const daemon = this.watched.get(name);
+    const daemon = this.watchList.byName.get(name);
     if (!daemon) return;
     daemon.hearAt(now);
     const staysLeaving = daemon.phase === 'leaving' && isLeaving === undefined;
@@ -193,7 +180,7 @@
   opinionsOn(names: readonly string[], now: number): LivenessOpinions {
     const quiet = this.options.quietMilliseconds();
     const opinions = names.map((name) => {
-      const opinion = this.watched.get(name)?.opinion(now, quiet) ?? 'unknown';
+      const opinion = this.watchList.byName.get(name)?.opinion(now, quiet) ?? 'unknown';
       return [name, opinion] as const;
     });
     return Object.fromEntries(opinions);
@@ -210,7 +197,7 @@
    */
   takeOpinions(opinions: LivenessOpinions, now: number): void {
     for (const [name, opinion] of Object.entries(opinions)) {
-      const daemon = this.watched.get(name);
+      const daemon = this.watchList.byName.get(name);
       const isOpen = daemon?.phase === 'doubted' || daemon?.phase === 'probed';
       if (daemon && isOpen) this.takeOpinion(daemon, opinion, now);
     }
@@ -226,7 +213,7 @@
       this.heard(name, now, outcome === 'leaving');
       return;
     }
-    const daemon = this.watched.get(name);
+    const daemon = this.watchList.byName.get(name);
     if (daemon?.isOut) daemon.probeAt(now + RECHECK_MILLISECONDS);
     if (daemon?.phase === 'probed') this.judge(daemon, outcome === 'refused', now);
   }
@@ -238,7 +225,9 @@
   tick(now: number): readonly LivenessAction[] {
     this.forgivePause(now);
     const isDeaf = this.duties.tellers.length > 0 && !this.options.canHear();
-    const calls = isDeaf ? this.pull(now) : this.ask(this.doubtQuiet(now), now);
+    const calls = isDeaf
+      ? this.pull(now)
+      : this.askAbout(this.watchList.doubt(now, this.options.quietMilliseconds()), now);
     const changed = this.update(now);
     return [...calls, ...this.probesDue(now), ...changed, ...this.tell(now)];
   }
@@ -254,26 +243,12 @@
   private forgivePause(now: number): void {
     const pause = now - this.tickedAt;
     this.tickedAt = now;
-    if (pause < PAUSE_MILLISECONDS || !Number.isFinite(pause)) return;
-    for (const daemon of this.watched.values()) {
-      daemon.forgive(pause);
-      if (daemon.isOut) daemon.probeAt(now);
-      else daemon.enter('heard', now);
-    }
-  }
-
-  private doubtQuiet(now: number): WatchedDaemon[] {
-    const quiet = this.options.quietMilliseconds();
-    const due = [...this.watched.values()].filter((daemon) => {
-      if (daemon.phase === 'heard') return daemon.silence(now) >= quiet;
-      return daemon.phase === 'doubted' && now - daemon.phaseSince >= ASK_AGAIN_MILLISECONDS;
-    });
-    for (const daemon of due) daemon.enter('doubted', now);
-    return due;
+    const isPause = pause >= PAUSE_MILLISECONDS && Number.isFinite(pause);
+    if (isPause) this.watchList.forgive(pause, now);
   }
 
   /** One question names all of them: whoever loses power takes a whole data centre along. */
-  private ask(doubted: readonly WatchedDaemon[], now: number): Actions {
+  private askAbout(doubted: readonly WatchedDaemon[], now: number): Actions {
     if (doubted.length === 0) return [];
     const daemons = doubted.map(({ name }) => name);
     const helpers = this.helpers();
@@ -293,7 +268,7 @@
     const { daemon: own, random } = this.options;
     const isCandidate = (name: string) => {
       if (name === own || this.isOut(name)) return false;
-      return (this.watched.get(name)?.phase ?? 'heard') === 'heard';
+      return (this.watchList.byName.get(name)?.phase ?? 'heard') === 'heard';
     };
     const candidates = this.duties.witnesses.filter(isCandidate);
     const chosen: string[] = [];
@@ -329,20 +304,15 @@
   }
 
   private probesDue(now: number): Actions {
-    const due = [...this.watched.values()].filter((daemon) => daemon.isProbeDue(now));
-    const isUrgent = ({ phase, isConfirmed }: WatchedDaemon) => phase === 'probed' && isConfirmed;
-    const others = due.filter((daemon) => !isUrgent(daemon)).slice(0, CALLS_A_TICK);
-    return [...due.filter(isUrgent), ...others].map((daemon) => {
-      daemon.startProbe();
-      return { kind: 'probe', daemon: daemon.name };
-    });
+    const due = this.watchList.takeProbesDue(now);
+    return due.map(({ name }) => ({ kind: 'probe', daemon: name }));
   }
 
   private update(now: number): Actions {
     const { listed } = this.duties;
     const others = listed.filter((name) => name !== this.options.daemon);
     const quietMilliseconds = this.options.quietMilliseconds();
-    const { watched } = this;
+    const watched = this.watchList.byName;
     const changed = this.outOfUse.update({ listed: others, watched, quietMilliseconds }, now);
     if (changed.length > 0) this.toldAt = Number.NEGATIVE_INFINITY;
     return changed;
@@ -356,7 +326,7 @@
 
   /** What others have told is not told again: two daemons would keep each other's word alive for good. */
   private ownSilences(): readonly number[] {
-    const own = [...this.watched.values()].filter(({ isOut }) => isOut);
+    const own = this.watchList.all.filter(({ isOut }) => isOut);
     return own.slice(0, MAXIMUM_TOLD).map(({ name }) => livenessHash(name));
   }
 }
--- a/src/liveness/LivenessTask.ts
+++ b/src/liveness/LivenessTask.ts
@@ -29,7 +29,7 @@
   clock: Clock;
   log: Log;
   /** Calls other daemons. */
-  peers: () => LivenessPeers;
+  peers: LivenessPeers;
   /** Whom this daemon watches, as things are now. */
   duties: () => LivenessDuties;
   /** All other daemons. */
@@ -169,7 +169,7 @@
       this.decisions.probeEnded(name, 'timeout', this.now);
       return;
     }
-    const { outcome, silent } = await peers().probe(name, address);
+    const { outcome, silent } = await peers.probe(name, address);
     this.decisions.probeEnded(name, outcome, this.now);
     if (silent) this.decisions.takeTold(name, silent, this.now);
   }
@@ -178,7 +178,7 @@
     const { knowledge, peers } = this.options;
     const address = knowledge.daemons.get(helper)?.peerAddress;
     if (address === undefined) return;
-    const opinions = await peers().ask(address, names);
+    const opinions = await peers.ask(address, names);
     if (opinions) this.decisions.takeOpinions(opinions, this.now);
   }
 
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -20,7 +20,7 @@
 import { MetricRegistry } from '../metrics/MetricRegistry.js';
 import { serveMetrics } from '../metrics/serveMetrics.js';
 import { ForeignLoads } from '../news/ForeignLoads.js';
-import { LIVENESS_PATH, LivenessPeers } from '../liveness/LivenessPeers.js';
+import { LIVENESS_PATH } from '../liveness/LivenessPeers.js';
 import { NewsTask } from '../news/NewsTask.js';
 import { RunnerChoice } from '../runners/RunnerChoice.js';
 import { WarmPlaces } from '../runners/WarmPlaces.js';
@@ -99,8 +99,6 @@
 
   private readonly peers: PeerExchange;
 
-  private readonly livenessPeers: LivenessPeers;
-
   private metricsServer: Server | undefined;
 
   private phase: StopPhase = 'serving';
@@ -136,12 +134,6 @@
     const { knowledge, entry } = this;
     this.coordination = this.createCoordination(gatherMilliseconds);
     const { coordination } = this;
-    this.livenessPeers = new LivenessPeers({
-      daemon: name,
-      isLeaving: () => this.phase !== 'serving',
-      opinionsOn: (names) => coordination.liveness.opinionsOn(names),
-      toldSilences: () => coordination.liveness.toldSilences,
-    });
     this.follower = new StoreFollower({
       store,
       knowledge,
@@ -164,7 +156,10 @@
       seeds,
       living: () => coordination.livingOthers(),
       handlers: new Map([
-        [LIVENESS_PATH, (request, response) => this.livenessPeers.answer(request, response)],
+        [
+          LIVENESS_PATH,
+          (request, response) => coordination.livenessPeers.answer(request, response),
+        ],
       ]),
       isStoreSilent: () => this.follower.isStoreSilent,
     });
@@ -291,7 +286,7 @@
     const calls = {
       readStore: (what: 'changes' | 'everything') => this.follower.readOnce(what),
       fetchConfiguration: (address: string) => this.peers.fetchConfiguration(address),
-      livenessPeers: () => this.livenessPeers,
+      isLeaving: () => this.phase !== 'serving',
       longestPauseMilliseconds: () => this.news.longestPauseMilliseconds,
     };
     return new FleetCoordination(
