--- a/src/liveness/ToldSilences.ts
+++ b/src/liveness/ToldSilences.ts
@@ -16,7 +16,7 @@
 
 /**
  * @param name - of a daemon.
- * @returns Stands for it in messages: all daemons of the largest fleet fit into a datagram.
+ * @returns Stands for it in messages: three hundred daemons fit into one datagram.
  */
 export function livenessHash(name: string): number {
   return murmurhash.v3(name);
