Log a digest of each request that was not served, so that its arrivals can be told from others

The digest is of method, path with query, client account and body; neither the body nor a key is told.

--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -19,6 +19,7 @@
 import { isEventStream, StreamedAnswer } from './StreamedAnswer.js';
 import { TriedRunners } from './TriedRunners.js';
 import type { EndEvent } from './RequestReport.js';
+import { requestDigest } from '../quarantine/requestDigest.js';
 import { attemptHeaders } from './attemptHeaders.js';
 import { nextCheck, quietAttempt, shouldHedge } from './patience.js';
 
@@ -70,6 +71,9 @@
 
   private firstAnswerAt: number | undefined;
 
+  /** The same for each arrival of the request. */
+  private readonly digest: string;
+
   private readonly report: RequestReport;
 
   private readonly judge: RunnerJudge;
@@ -88,7 +92,8 @@
     this.held = new HeldAnswers(relay);
     this.stream = new StreamedAnswer(relay);
     this.timer = new RequestTimer({ clock: context.clock, onTime: () => this.check() });
-    this.report = new RequestReport({ request, context });
+    this.digest = requestDigest({ ...request, body });
+    this.report = new RequestReport({ request, context, digest: this.digest });
     this.judge = new RunnerJudge({ context, report: this.report });
   }
 
--- a/src/forwarding/RequestReport.ts
+++ b/src/forwarding/RequestReport.ts
@@ -34,6 +34,8 @@
 export interface RequestReportOptions {
   request: AdmittedRequest;
   context: ForwardingContext;
+  /** Of the request: the same for each of its arrivals. */
+  digest: string;
 }
 
 /** One request's lines. */
@@ -42,14 +44,17 @@
 
   private readonly context: ForwardingContext;
 
+  private readonly digest: string;
+
   private choice: Choice | undefined;
 
   /**
    * @param options - the request.
    */
-  constructor({ request, context }: RequestReportOptions) {
+  constructor({ request, context, digest }: RequestReportOptions) {
     this.request = request;
     this.context = context;
+    this.digest = digest;
   }
 
   /**
@@ -79,6 +84,7 @@
     this.context.metrics.failures.increment({ kind: failure });
     this.write(forwardingLogEvents.attemptFailed, {
       runner: attempt.runner.entry.id,
+      digest: this.digest,
       failure,
       attemptMilliseconds: Math.round(now - attempt.startedAt),
       // Since the runner said anything to anybody: a runner that others hear is not dark.
@@ -113,6 +119,7 @@
       route: route.name,
       clientAccount,
       configurationVersion,
+      digest: event === 'answered' ? undefined : this.digest,
       runner: this.choice?.runner.entry.id,
       choice: this.choice?.reason,
       parts: this.request.sharedParts.join() || undefined,
