--- a/standIns/site/SiteRunner.ts
+++ b/standIns/site/SiteRunner.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 
 import { listen } from '../../src/http/listen.js';
+import { parseAddress } from '../../src/http/parseAddress.js';
 
 /** What a runner does with a request. */
 export type RunnerBehaviour =
@@ -51,6 +52,12 @@
   echoes?: boolean;
   /** Told of each request that begins to run, with the IP number that it came from. */
   onRan?: (request: ReceivedRequest, from: string) => void;
+  /** Whether a request crashes the runner. */
+  isFatal?: (request: ReceivedRequest) => boolean;
+  /** From a crash to the next start, in ms. */
+  downMilliseconds?: number;
+  /** Told of each start after a crash: the listing has to be written anew. */
+  onRestarted?: () => void;
 }
 
 const EVENTS_BEFORE_CUT = 2;
@@ -65,12 +72,17 @@
 
   behaviour: RunnerBehaviour = 'answers';
 
+  /** How often it has crashed. */
+  crashes = 0;
+
   private readonly options: Required<SiteRunnerOptions>;
 
-  private readonly server: Server;
+  private server: Server;
 
   private address = '';
 
+  private restartTimer: NodeJS.Timeout | undefined;
+
   /** Of its start, Unix ms. */
   private born = Date.now();
 
@@ -88,12 +100,13 @@
       plainBody: `answer of ${options.id}`,
       echoes: false,
       onRan: () => undefined,
+      isFatal: () => false,
+      downMilliseconds: 300,
+      onRestarted: () => undefined,
       ...options,
     };
     this.id = options.id;
-    this.server = createServer((request, response) => {
-      void this.take(request, response);
-    });
+    this.server = this.createServer();
   }
 
   /** @returns IP number and port, once it listens. */
@@ -115,10 +128,20 @@
     this.ran.length = 0;
   }
 
+  /** Ends without a word and refuses connections; starts again later at the same address, with another birth. */
+  crash(): void {
+    if (!this.server.listening) return;
+    this.crashes += 1;
+    this.close();
+    this.restartTimer = setTimeout(() => {
+      void this.startAgain();
+    }, this.options.downMilliseconds);
+  }
+
   /** Ends it, with its connections. */
   stop(): void {
-    this.server.close();
-    this.server.closeAllConnections();
+    clearTimeout(this.restartTimer);
+    this.close();
   }
 
   /**
@@ -141,6 +164,25 @@
     };
   }
 
+  private createServer(): Server {
+    return createServer((request, response) => {
+      void this.take(request, response);
+    });
+  }
+
+  private close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private async startAgain(): Promise<void> {
+    this.server = this.createServer();
+    await listen(this.server, parseAddress(this.address));
+    this.born += 1;
+    this.sequence = 0;
+    this.options.onRestarted();
+  }
+
   private async take(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const chunks: Buffer[] = [];
     for await (const chunk of request) chunks.push(chunk as Buffer);
@@ -159,6 +201,11 @@
     const received = { id, method, target, headers, body: Buffer.concat(chunks).toString() };
     this.ran.push(received);
     this.options.onRan(received, request.socket.remoteAddress ?? '');
+    if (this.options.isFatal(received)) {
+      await this.pause(this.options.workMilliseconds);
+      this.crash();
+      return;
+    }
     if (this.behaviour === 'mute') return;
     if (this.behaviour === 'loses_answer') request.socket.resetAndDestroy();
     else if (headers['prompt-prefix'] !== undefined) await this.stream(request, response);
--- a/standIns/site/StandInSite.ts
+++ b/standIns/site/StandInSite.ts
@@ -140,10 +140,11 @@
    * @returns A runner that is listed.
    */
   async addRunner(options: SiteRunnerOptions): Promise<SiteRunner> {
-    const runner = new SiteRunner(options);
+    const list = (runner: SiteRunner) => this.store.write(`servers/${runner.id}`, runner.entry());
+    const runner: SiteRunner = new SiteRunner({ onRestarted: () => list(runner), ...options });
     await runner.start();
     this.runners.push(runner);
-    this.store.write(`servers/${runner.id}`, runner.entry());
+    list(runner);
     return runner;
   }
 
