Keep a request from runners once three of them have crashed under it

Callers saw: one request came again each second at another daemon; twelve runners of eight ended in twelve seconds, and every other request that ran beside it broke with them.

Cause: nothing related a request to the runners that ended under it. A daemon left the runner alone for a while and forgot the request; each arrival was a new one to each daemon. Ruled out: attempts of the daemon's own (each arrival that crashed a runner had one broken attempt, verdict not_repeatable), and counts at single daemons (three crashes came by way of front-mladost-2 alone).

Change: requests are compared by a digest of method, target, client account and body. A runner at which requests broke off has crashed if it refuses connections or is born anew; one that leaves has not. A crash speaks against all that ran there; an answer by any runner clears a request. After three distinct crashes it is refused with 503, whatever is under way is broken off, and the caller is told when to come back. Daemons report crashes in datagrams to those that hear all, the first of which tell everybody (the way of deaths); they compare each second; the list is kept in the store. Suspects run one at a time at a daemon, after two crashes at the runner that has least, without second attempts. Operators see and release requests at /quarantine of the metrics address.

ForwardedRequest gave its retry decisions, the making of attempts and these questions to parts of its own; RouterDaemon the forwarding context.

--- a/src/coordination/FleetCoordination.ts
+++ b/src/coordination/FleetCoordination.ts
@@ -19,7 +19,7 @@
 import type { Clock } from '../time/Clock.js';
 import { ChoiceServer } from './ChoiceServer.js';
 import { CoordinatedSelector } from './CoordinatedSelector.js';
-import { coordinatorsOf, readersOf, watchersOf } from './coordinatorsOf.js';
+import { coordinatorsOf, readersOf, tellersOf, watchersOf } from './coordinatorsOf.js';
 import type { GrantLedger } from './GrantLedger.js';
 import { livenessDuties } from './livenessDuties.js';
 import { StoreRelay } from './StoreRelay.js';
@@ -177,6 +177,12 @@
     return this.addressesOf(watchers.length > 0 ? watchers : knowledge.daemons.values());
   }
 
+  /** @returns Whom this daemon tells what others have reported to it; nobody in a small fleet, where all hear all. */
+  tellRecipients(): HostAndPort[] {
+    const isTeller = tellersOf(this.watchers).some(({ name }) => name === this.options.daemon.name);
+    return isTeller ? this.addressesOf(this.options.knowledge.daemons.values()) : [];
+  }
+
   /**
    * The first of them acts for all, so that a dead one must not be among them.
    *
--- a/src/features/routerFeatures.ts
+++ b/src/features/routerFeatures.ts
@@ -7,6 +7,7 @@
 import { coordinationLogEvents } from '../coordination/coordinationFeature.js';
 import { livenessLogEvents } from '../liveness/livenessFeature.js';
 import { newsLogEvents } from '../news/newsFeature.js';
+import { quarantineLogEvents } from '../quarantine/quarantineFeature.js';
 import { routerFeature } from '../router/routerFeature.js';
 import { syncLogEvents } from '../sync/syncFeature.js';
 import { defineFeature } from './Feature.js';
@@ -26,4 +27,9 @@
     logEvents: coordinationLogEvents,
   }),
   defineFeature({ name: 'liveness', settings: WITHOUT_SETTINGS, logEvents: livenessLogEvents }),
+  defineFeature({
+    name: 'quarantine',
+    settings: WITHOUT_SETTINGS,
+    logEvents: quarantineLogEvents,
+  }),
 ] as const;
--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -9,10 +9,11 @@
 import type { AdmittedRequest, ForwardingContext } from './forwardingTypes.js';
 import { HeldAnswers } from './HeldAnswers.js';
 import { ownAnswerFor } from './ownAnswerFor.js';
-import { decideRetry, isRepeatable } from './retryDecision.js';
-import type { NoRetryReason, RetryDecision, RetryVerdict } from './retryDecision.js';
-import type { AttemptFailure } from './RunnerAttempt.js';
-import { AttemptObserver, RunnerAttempt } from './RunnerAttempt.js';
+import { RequestRetries } from './RequestRetries.js';
+import type { NoRetryReason, RetryVerdict } from './retryDecision.js';
+import type { AttemptFailure, RunnerAttempt } from './RunnerAttempt.js';
+import { AttemptObserver } from './RunnerAttempt.js';
+import { QuarantineGuard } from './QuarantineGuard.js';
 import { RequestReport } from './RequestReport.js';
 import { RequestTimer } from './RequestTimer.js';
 import { RunnerJudge } from './RunnerJudge.js';
@@ -20,7 +21,7 @@
 import { TriedRunners } from './TriedRunners.js';
 import type { EndEvent } from './RequestReport.js';
 import { requestDigest } from '../quarantine/requestDigest.js';
-import { attemptHeaders } from './attemptHeaders.js';
+import { createAttempt } from './createAttempt.js';
 import { nextCheck, quietAttempt, shouldHedge } from './patience.js';
 
 const SERVER_ERROR = 500;
@@ -71,8 +72,9 @@
 
   private firstAnswerAt: number | undefined;
 
-  /** The same for each arrival of the request. */
-  private readonly digest: string;
+  private readonly guard: QuarantineGuard;
+
+  private readonly retries: RequestRetries;
 
   private readonly report: RequestReport;
 
@@ -92,8 +94,15 @@
     this.held = new HeldAnswers(relay);
     this.stream = new StreamedAnswer(relay);
     this.timer = new RequestTimer({ clock: context.clock, onTime: () => this.check() });
-    this.digest = requestDigest({ ...request, body });
-    this.report = new RequestReport({ request, context, digest: this.digest });
+    const digest = requestDigest({ ...request, body });
+    this.report = new RequestReport({ request, context, digest });
+    this.guard = new QuarantineGuard({
+      quarantine: context.quarantine,
+      digest,
+      onQuarantined: () => this.quarantined(),
+    });
+    const { tried, guard } = this;
+    this.retries = new RequestRetries({ request, context, tried, guard });
     this.judge = new RunnerJudge({ context, report: this.report });
   }
 
@@ -105,6 +114,11 @@
       this.endWith({ status: 504, reason: 'deadline' });
       return;
     }
+    const refusal = this.guard.begin();
+    if (refusal) {
+      this.endWith(refusal);
+      return;
+    }
     this.sendNext();
   }
 
@@ -140,6 +154,7 @@
     if (!held || this.relay.isDone) return;
     const failed = (held.answer.statusCode ?? SERVER_ERROR) >= SERVER_ERROR;
     const expired = held.answer.statusCode === GATEWAY_TIMEOUT;
+    this.guard.answered(held.answer.statusCode ?? SERVER_ERROR);
     this.judge.record(attempt.runner, failed && !expired ? 'failed' : 'answered');
     if (this.stream.isFrom(attempt)) {
       this.stopAttempts();
@@ -167,6 +182,7 @@
     this.held.drop(attempt);
     if (this.relay.isDone) return;
     this.judge.failed(attempt, failure);
+    this.guard.failed(attempt, failure);
     this.tried.failedAt(attempt.runner.entry.life, failure);
     if (this.stream.isFrom(attempt)) this.stream.breakOff();
     const { verdict, reason } = this.verdictOn(attempt, failure);
@@ -182,26 +198,13 @@
     // Its beginning is with the caller; no other runner's answer fits behind it.
     if (this.held.isPassing(attempt)) return { verdict: 'cut' };
     if (this.active.size > 0 || this.isSelecting) return { verdict: 'wait' };
-    return this.decide(failure);
-  }
-
-  private decide(failure: AttemptFailure): RetryDecision {
-    const { route, service, deadlineAt } = this.request;
-    return decideRetry({
-      kind: route.kind,
-      resumable: route.resumable,
-      failure,
-      mayHaveRun: this.tried.mayHaveRun,
-      notRun: this.tried.notRun,
-      maximumAttempts: route.maximumAttempts,
-      hasFallback: this.fallback !== undefined,
-      remainingMilliseconds: deadlineAt - this.now(),
-      takeBudget: () => this.context.budget.take(service, this.now()),
-    });
+    return this.retries.afterFailure(failure, this.fallback !== undefined);
   }
 
   private sendNext(): void {
-    const { service, sharedParts, connectionLimit } = this.request;
+    const { service, connectionLimit } = this.request;
+    // A crash breaks all that run beside it: a suspect goes to the runner that has the least, warm or not.
+    const sharedParts = this.guard.isRepeatedSuspect ? [] : this.request.sharedParts;
     const tried = this.tried.excluded;
     const question = { service, sharedParts, tried, connectionLimit, now: this.now() };
     this.isSelecting = true;
@@ -219,26 +222,13 @@
   }
 
   private send(chosen: Choice): void {
-    const { connections, protocol, clock, metrics, link } = this.context;
-    const { runner } = chosen;
-    if (this.tried.count > 0) metrics.retries.increment();
-    this.tried.sentTo(runner.entry.life);
+    const { request, body, context, tried } = this;
+    if (tried.count > 0) context.metrics.retries.increment();
+    tried.sentTo(chosen.runner.entry.life);
     this.report.chosen(chosen);
-    const { id, hasOwnId, method, target } = this.request;
-    const attempt = new RunnerAttempt({
-      runner,
-      agent: this.tried.needsNewConnection ? false : connections.agentOf(runner),
-      protocol,
-      clock,
-      link,
-      connectMilliseconds: this.tried.connectMilliseconds(link.isSuspect),
-      observer: this,
-      method,
-      target,
-      headers: this.headersFor(chosen),
-      body: this.body,
-      requestId: hasOwnId ? id : undefined,
-    });
+    const resumesAfter = this.stream.lastEventId;
+    const options = { chosen, request, body, context, tried, observer: this, resumesAfter };
+    const attempt = createAttempt(options);
     this.active.add(attempt);
     this.lastProgressAt = this.now();
     attempt.start();
@@ -250,18 +240,6 @@
     else this.giveUp(this.tried.mayHaveRun > 0 ? 'fail' : 'refuse', 'no_runner');
   }
 
-  private headersFor({ runner, cacheSource }: Choice): string[] {
-    return attemptHeaders({
-      request: this.request,
-      body: this.body,
-      names: this.context.protocol.names,
-      runnerId: runner.entry.id,
-      cacheSource,
-      remainingMilliseconds: this.request.deadlineAt - this.now(),
-      resumesAfter: this.stream.lastEventId,
-    });
-  }
-
   private answerHeld(held: HeldAnswer): void {
     this.stopAttempts();
     this.firstAnswerAt ??= this.now();
@@ -275,15 +253,10 @@
    * @returns Whether the request is taken care of.
    */
   private retryError(held: HeldAnswer): boolean {
-    const { route, service, deadlineAt } = this.request;
     this.tried.mayHaveRun += 1;
     this.fallback = held;
     if (this.active.size > 0 || this.isSelecting) return true;
-    const may =
-      isRepeatable(route.kind, route.resumable) &&
-      this.tried.mayHaveRun < route.maximumAttempts &&
-      deadlineAt > this.now() &&
-      this.context.budget.take(service, this.now());
+    const may = this.retries.afterError();
     // Where no other runner is left, this answer has been given by now.
     if (may) this.sendNext();
     return may;
@@ -338,7 +311,11 @@
     const quiet = quietAttempt(view);
     if (quiet) {
       quiet.attempt.probe(() => quietAttempt(this.patienceView())?.ifAccepted ?? 'not_silent');
-    } else if (shouldHedge(view) && this.context.budget.take(this.request.service, view.now)) {
+    } else if (
+      shouldHedge(view) &&
+      this.guard.mayHedge &&
+      this.context.budget.take(this.request.service, view.now)
+    ) {
       this.report.hedged();
       this.sendNext();
       return;
@@ -346,7 +323,16 @@
     this.lookAgain();
   }
 
+  /** Breaking it off may save the runner that has it. */
+  private quarantined(): void {
+    if (this.relay.isDone) return;
+    const mayHaveRun = this.active.size > 0 || this.tried.mayHaveRun > 0;
+    if (mayHaveRun) this.endWith({ status: 502, reason: 'quarantined' });
+    else this.endWith(this.guard.refusal);
+  }
+
   private end(event: EndEvent, outcome: string): void {
+    this.guard.end();
     const { firstAnswerAt, tried, relay } = this;
     this.report.ended({ event, outcome, status: relay.status, firstAnswerAt, tried: tried.count });
   }
--- /dev/null
+++ b/src/forwarding/createAttempt.ts
@@ -0,0 +1,54 @@
+/**
+ * Makes the next attempt of a request from what was chosen for it.
+ */
+import type { Choice } from '../runners/RunnerChoice.js';
+import { attemptHeaders } from './attemptHeaders.js';
+import type { AdmittedRequest, ForwardingContext } from './forwardingTypes.js';
+import type { AttemptObserver } from './RunnerAttempt.js';
+import { RunnerAttempt } from './RunnerAttempt.js';
+import type { TriedRunners } from './TriedRunners.js';
+
+/** Options of {@link createAttempt}. */
+export interface CreateAttemptOptions {
+  chosen: Choice;
+  request: AdmittedRequest;
+  body: Buffer | undefined;
+  context: ForwardingContext;
+  tried: TriedRunners;
+  observer: AttemptObserver;
+  /** The last event that the caller has of a stream that goes on, or `undefined`. */
+  resumesAfter: string | undefined;
+}
+
+/**
+ * @param options - the request and its runner.
+ * @returns The attempt, not yet sent.
+ */
+export function createAttempt(options: CreateAttemptOptions): RunnerAttempt {
+  const { chosen, request, body, context, tried, observer, resumesAfter } = options;
+  const { connections, protocol, clock, link } = context;
+  const { runner, cacheSource } = chosen;
+  const { id, hasOwnId, method, target } = request;
+  return new RunnerAttempt({
+    runner,
+    agent: tried.needsNewConnection ? false : connections.agentOf(runner),
+    protocol,
+    clock,
+    link,
+    connectMilliseconds: tried.connectMilliseconds(link.isSuspect),
+    observer,
+    method,
+    target,
+    headers: attemptHeaders({
+      request,
+      body,
+      names: protocol.names,
+      runnerId: runner.entry.id,
+      cacheSource,
+      remainingMilliseconds: request.deadlineAt - clock.monotonicMilliseconds(),
+      resumesAfter,
+    }),
+    body,
+    requestId: hasOwnId ? id : undefined,
+  });
+}
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -2,6 +2,7 @@
  * What the parts of the forwarding path share.
  */
 import type { Log } from '../logging/Log.js';
+import type { RequestQuarantine } from '../quarantine/RequestQuarantine.js';
 import type { RouteTable } from '../routes/RouteTable.js';
 import type { Route } from '../routes/routeTypes.js';
 import type { RunnerSelector } from '../runners/RunnerSelector.js';
@@ -22,6 +23,7 @@
   readonly connections: RunnerConnections;
   readonly budget: SharedRetryBudget;
   readonly link: LinkCheck;
+  readonly quarantine: RequestQuarantine;
   /** The configuration in force, or `undefined` before the first one is known. */
   readonly routes: () => RouteTable | undefined;
   /** Daemons that share the runners' connections, this one too. */
--- a/src/forwarding/retryDecision.ts
+++ b/src/forwarding/retryDecision.ts
@@ -9,7 +9,12 @@
 
 /** Why a request is not sent once more. */
 export type NoRetryReason =
-  'no_time' | 'too_many_not_run' | 'not_repeatable' | 'attempts_used_up' | 'budget_empty';
+  | 'no_time'
+  | 'too_many_not_run'
+  | 'not_repeatable'
+  | 'suspect'
+  | 'attempts_used_up'
+  | 'budget_empty';
 
 /** The verdict, and why not `retry` where it is another one. */
 export interface RetryDecision {
@@ -30,6 +35,8 @@
   readonly maximumAttempts: number;
   /** Whether the caller can be given a runner's own error instead. */
   readonly hasFallback?: boolean;
+  /** Whether runners have crashed under the request before. */
+  readonly isSuspect?: boolean;
   /** Until the caller's deadline, in ms. */
   readonly remainingMilliseconds: number;
   /** Whether the fleet's retry budget has room; asked only where it matters. */
@@ -68,6 +75,7 @@
   if (failure === 'not_connected' || failure === 'connect_timeout') return undefined;
   if (failure !== 'refused') {
     if (!isRepeatable(kind, resumable)) return 'not_repeatable';
+    if (question.isSuspect) return 'suspect';
     if (mayHaveRun >= maximumAttempts) return 'attempts_used_up';
   }
   return question.takeBudget() ? undefined : 'budget_empty';
--- a/src/forwarding/testRequest.ts
+++ b/src/forwarding/testRequest.ts
@@ -11,6 +11,7 @@
 
 import { MemoryLog } from '../callers/testFakes.js';
 import { MetricRegistry } from '../metrics/MetricRegistry.js';
+import { RequestQuarantine } from '../quarantine/RequestQuarantine.js';
 import type { Route } from '../routes/routeTypes.js';
 import { RunnerChoice } from '../runners/RunnerChoice.js';
 import { LocalSelector } from '../runners/RunnerSelector.js';
@@ -145,6 +146,12 @@
       metrics,
       link: new LinkCheck({ runners: () => runners.list(), clock, log, metrics }),
       selector: new LocalSelector(choice),
+      quarantine: new RequestQuarantine({
+        runners,
+        clock,
+        log,
+        crashes: { increment: () => undefined },
+      }),
       connections: new OpenConnections(() => this.openPort),
       budget: new SharedRetryBudget({ ...budget, allowance }),
       routes: () => undefined,
--- a/src/logging/logCatalogue.ts
+++ b/src/logging/logCatalogue.ts
@@ -30,6 +30,7 @@
   news: 2800,
   coordination: 2900,
   liveness: 3000,
+  quarantine: 3100,
 };
 
 /** The daemon's range holds the settings' events too, from 1100. */
--- a/src/metrics/serveMetrics.ts
+++ b/src/metrics/serveMetrics.ts
@@ -2,7 +2,7 @@
  * Serves a daemon's metrics as text.
  */
 import { createServer } from 'node:http';
-import type { Server } from 'node:http';
+import type { RequestListener, Server } from 'node:http';
 
 import { listen } from '../http/listen.js';
 import type { HostAndPort } from '../http/parseAddress.js';
@@ -14,13 +14,21 @@
 /**
  * @param registry - of the daemon.
  * @param address - where the page is.
+ * @param handlers - who answers below further paths.
  * @returns The server, once it listens.
  */
 export async function serveMetrics(
   registry: MetricRegistry,
   address: HostAndPort,
+  handlers: ReadonlyMap<string, RequestListener> = new Map(),
 ): Promise<Server> {
-  const server = createServer((_request, response) => {
+  const server = createServer((request, response) => {
+    const [, folder = ''] = (request.url ?? '').split('/');
+    const handler = handlers.get(`/${folder}`);
+    if (handler) {
+      handler(request, response);
+      return;
+    }
     const page = formatScrapePage(registry.snapshot());
     response.writeHead(OK, { 'Content-Type': SCRAPE_CONTENT_TYPE }).end(page);
   });
--- /dev/null
+++ b/src/quarantine/CrashWatch.ts
@@ -0,0 +1,166 @@
+/**
+ * Finds out whether a runner has crashed, from requests that broke off there: one that lives accepts connections after
+ * it has reset some, one behind a cut says nothing, and one that has crashed refuses them or is born anew.
+ */
+import murmurhash from 'murmurhash';
+
+import { probeRunner } from '../forwarding/probeRunner.js';
+import type { ProbeResult } from '../forwarding/probeRunner.js';
+import type { Runner } from '../runners/Runner.js';
+import type { RunnerTable } from '../runners/RunnerTable.js';
+import type { Clock } from '../time/Clock.js';
+import type { RunnerCrash } from './quarantineTypes.js';
+
+/** Told of a runner's crash with the digests of the requests that broke off, the one that began last first. */
+export type CrashListener = (
+  runner: Runner,
+  crash: RunnerCrash,
+  digests: readonly string[],
+) => void;
+
+/** Options of a {@link CrashWatch}. */
+export interface CrashWatchOptions {
+  runners: Pick<RunnerTable, 'get' | 'ofLife' | 'takesNewWork'>;
+  clock: Clock;
+  onCrash: CrashListener;
+  /** Asks whether a runner accepts connections; replaced by tests. */
+  probe?: (runner: Runner, done: (result: ProbeResult) => void) => void;
+  /** Calls later; replaced by tests. */
+  later?: (call: () => void, milliseconds: number) => unknown;
+}
+
+/** A request that broke off. */
+export interface BrokenRequest {
+  readonly digest: string;
+  /** When it was sent to the runner, monotonic ms. */
+  readonly startedAt: number;
+}
+
+/** A runner that accepts connections is asked once more after this time: its process may have been ending; in ms. */
+const SECOND_LOOK_MILLISECONDS = 250;
+
+/** What breaks off and what a runner says after this time belongs to another cause, in ms. */
+const CASE_MILLISECONDS = 2_000;
+
+/** A runner at which requests have broken off. */
+class CrashCase {
+  readonly runner: Runner;
+
+  /** When the first request broke off, monotonic ms. */
+  readonly at: number;
+
+  isCrash = false;
+
+  private requests: BrokenRequest[] = [];
+
+  constructor(runner: Runner, at: number) {
+    this.runner = runner;
+    this.at = at;
+  }
+
+  add(request: BrokenRequest): void {
+    this.requests.push(request);
+  }
+
+  /** @returns Whether this is news. */
+  confirm(): boolean {
+    const isNews = !this.isCrash;
+    this.isCrash = true;
+    return isNews;
+  }
+
+  /** @returns Digests that have not been taken yet, of the request that began last first. */
+  takeDigests(): string[] {
+    const latestFirst = this.requests.sort((one, other) => other.startedAt - one.startedAt);
+    this.requests = [];
+    return latestFirst.map(({ digest }) => digest);
+  }
+}
+
+/** Holds the open cases. */
+export class CrashWatch {
+  private readonly options: Required<CrashWatchOptions>;
+
+  private readonly cases = new Map<string, CrashCase>();
+
+  /**
+   * @param options - the runners, and who is told.
+   */
+  constructor(options: CrashWatchOptions) {
+    this.options = { probe: probeRunner, later: setTimeout, ...options };
+  }
+
+  /**
+   * @param runner - at which a request broke off.
+   * @param request - that did.
+   */
+  broke(runner: Runner, request: BrokenRequest): void {
+    const known = this.caseOf(runner);
+    if (known) {
+      known.add(request);
+      if (known.isCrash) this.report(known);
+      return;
+    }
+    if (!this.shouldLive(runner)) return;
+    const opened = new CrashCase(runner, this.options.clock.monotonicMilliseconds());
+    opened.add(request);
+    this.cases.set(runner.entry.life, opened);
+    this.look(opened, () => {
+      this.options.later(
+        () => this.look(opened, () => this.closeLater(opened)),
+        SECOND_LOOK_MILLISECONDS,
+      );
+    });
+  }
+
+  /**
+   * @param runner - whose host has refused a connection.
+   */
+  refused(runner: Runner): void {
+    const known = this.caseOf(runner);
+    if (known) this.confirm(known);
+  }
+
+  private caseOf({ entry }: Runner): CrashCase | undefined {
+    const known = this.cases.get(entry.life);
+    if (!known) return undefined;
+    if (this.options.clock.monotonicMilliseconds() - known.at < CASE_MILLISECONDS) return known;
+    this.cases.delete(entry.life);
+    return undefined;
+  }
+
+  /** One that leaves ends by itself, and breaks off what it still has. */
+  private shouldLive(runner: Runner): boolean {
+    const { runners } = this.options;
+    return runners.ofLife(runner.entry.life) === runner && runners.takesNewWork(runner);
+  }
+
+  private look(examined: CrashCase, onAlive: () => void): void {
+    const { probe, runners } = this.options;
+    const { id, life } = examined.runner.entry;
+    probe(examined.runner, (result) => {
+      const isBornAnew = (runners.get(id)?.entry.life ?? life) !== life;
+      if (result === 'refused' || isBornAnew) this.confirm(examined);
+      else onAlive();
+    });
+  }
+
+  private confirm(confirmed: CrashCase): void {
+    if (!confirmed.confirm()) return;
+    this.report(confirmed);
+    this.closeLater(confirmed);
+  }
+
+  private closeLater(ended: CrashCase): void {
+    const { life } = ended.runner.entry;
+    this.options.later(() => {
+      if (this.cases.get(life) === ended) this.cases.delete(life);
+    }, CASE_MILLISECONDS);
+  }
+
+  private report(confirmed: CrashCase): void {
+    const { runner, at } = confirmed;
+    const crash = { life: murmurhash.v3(runner.entry.life), at };
+    this.options.onCrash(runner, crash, confirmed.takeDigests());
+  }
+}
--- /dev/null
+++ b/src/quarantine/QuarantinePage.ts
@@ -0,0 +1,89 @@
+/**
+ * The quarantined requests over HTTP: other daemons read them, and operators release them.
+ */
+import { Agent } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import { askPeer } from '../sync/askPeer.js';
+import type { Clock } from '../time/Clock.js';
+import { fromPage, toPage } from './crashNewsCodec.js';
+import type { CrashNews } from './quarantineTypes.js';
+import type { RequestQuarantine } from './RequestQuarantine.js';
+
+/** The list; with a digest behind it one request. */
+export const QUARANTINE_PATH = '/quarantine';
+
+/** A daemon within a region answers in a few ms, a busy one in some tens; in ms. */
+const SILENCE_MILLISECONDS = 300;
+
+const OK = 200;
+const NO_CONTENT = 204;
+const NOT_FOUND = 404;
+const METHOD_NOT_ALLOWED = 405;
+
+/** Options of a {@link QuarantinePage}. */
+export interface QuarantinePageOptions {
+  quarantine: RequestQuarantine;
+  clock: Clock;
+}
+
+/** Answers, and asks. */
+export class QuarantinePage {
+  private readonly options: QuarantinePageOptions;
+
+  private readonly agent = new Agent({ keepAlive: false });
+
+  /**
+   * @param options - what is shown.
+   */
+  constructor(options: QuarantinePageOptions) {
+    this.options = options;
+  }
+
+  /**
+   * Shows the list.
+   *
+   * @param _request - of another daemon or an operator.
+   * @param response - to it.
+   */
+  answer(_request: IncomingMessage, response: ServerResponse): void {
+    const { quarantine, clock } = this.options;
+    const now = clock.monotonicMilliseconds();
+    const page = toPage(quarantine.decisions.notable(), (at) => Math.max(0, Math.round(now - at)));
+    response.writeHead(OK, { 'Content-Type': 'application/json' }).end(page);
+  }
+
+  /**
+   * Shows the list, or releases one request of it.
+   *
+   * @param request - of an operator.
+   * @param response - to it.
+   */
+  answerOperator(request: IncomingMessage, response: ServerResponse): void {
+    const { method, url = '' } = request;
+    if (method === 'GET' && url === QUARANTINE_PATH) {
+      this.answer(request, response);
+      return;
+    }
+    response.writeHead(this.statusOf(method, url), { 'Content-Length': 0 }).end();
+  }
+
+  /**
+   * @param address - of another daemon for such questions.
+   * @returns What it keeps from runners.
+   * @throws When it does not answer.
+   */
+  async fetch(address: string): Promise<readonly CrashNews[]> {
+    const { agent } = this;
+    const silenceMilliseconds = SILENCE_MILLISECONDS;
+    const answer = await askPeer({ address, path: QUARANTINE_PATH, silenceMilliseconds, agent });
+    const now = this.options.clock.monotonicMilliseconds();
+    return fromPage(answer.toString(), (age) => now - age);
+  }
+
+  private statusOf(method: string | undefined, url: string): number {
+    if (method !== 'DELETE') return METHOD_NOT_ALLOWED;
+    const digest = url.slice(QUARANTINE_PATH.length + 1);
+    return this.options.quarantine.release(digest) ? NO_CONTENT : NOT_FOUND;
+  }
+}
--- a/src/router/KnowledgeReactions.ts
+++ b/src/router/KnowledgeReactions.ts
@@ -17,6 +17,8 @@
   log: Log;
   /** The store's revision that the daemon's beliefs have reached. */
   revision: () => number;
+  /** Takes the list of quarantined requests, as the store holds it. */
+  takeQuarantine: (page: string) => void;
   /** Takes the limits for callers of a configuration that has come into force. */
   applyLimits: (limits: CallerLimits) => void;
   /** Called once all of a read has been taken. */
@@ -76,6 +78,11 @@
     this.options.warmPlaces.import(places);
   }
 
+  /** @param page - of quarantined requests, as another daemon has written it. */
+  quarantineKept(page: string): void {
+    this.options.takeQuarantine(page);
+  }
+
   /** All of a read has been taken. */
   updated(): void {
     this.logDaemons();
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -8,12 +8,9 @@
 import { GrantLedger } from '../coordination/GrantLedger.js';
 import { addressesFor } from '../directory/DirectoryDecisions.js';
 import { CallerFront } from '../forwarding/CallerFront.js';
-import { createForwardingMetrics } from '../forwarding/ForwardingMetrics.js';
-import type { ForwardingContext, StopPhase } from '../forwarding/forwardingTypes.js';
-import { LinkCheck } from '../forwarding/LinkCheck.js';
+import type { StopPhase } from '../forwarding/forwardingTypes.js';
 import { RunnerConnections } from '../forwarding/RunnerConnections.js';
 import type { RunnerProtocol } from '../forwarding/RunnerProtocol.js';
-import { SharedRetryBudget } from '../forwarding/SharedRetryBudget.js';
 import { parseAddress } from '../http/parseAddress.js';
 import type { HostAndPort } from '../http/parseAddress.js';
 import type { Log } from '../logging/Log.js';
@@ -22,6 +19,8 @@
 import { ForeignLoads } from '../news/ForeignLoads.js';
 import { LIVENESS_PATH } from '../liveness/LivenessPeers.js';
 import { NewsTask } from '../news/NewsTask.js';
+import { QUARANTINE_PATH } from '../quarantine/QuarantinePage.js';
+import { QuarantineTask } from '../quarantine/QuarantineTask.js';
 import { RunnerChoice } from '../runners/RunnerChoice.js';
 import { WarmPlaces } from '../runners/WarmPlaces.js';
 import { DaemonRegistration } from '../sync/DaemonRegistration.js';
@@ -33,6 +32,7 @@
 import { WarmPlacesKeeper } from '../sync/WarmPlacesKeeper.js';
 import type { Clock } from '../time/Clock.js';
 import { SystemClock } from '../time/SystemClock.js';
+import { createForwardingContext } from './createForwardingContext.js';
 import { KnowledgeReactions } from './KnowledgeReactions.js';
 import { plannedStop } from './plannedStop.js';
 import { routerLogEvents } from './routerFeature.js';
@@ -89,6 +89,8 @@
 
   private readonly coordination: FleetCoordination;
 
+  private readonly quarantineTask: QuarantineTask;
+
   private readonly warmPlacesKeeper: WarmPlacesKeeper;
 
   private readonly front: CallerFront;
@@ -131,9 +133,19 @@
       linkMegabits: settings.linkMegabits,
     };
     this.news = this.createNews();
-    const { knowledge, entry } = this;
+    const { knowledge, entry, registry } = this;
     this.coordination = this.createCoordination(gatherMilliseconds);
     const { coordination } = this;
+    this.quarantineTask = new QuarantineTask({
+      ...{ daemon: entry, store, clock, log, registry },
+      socket: this.news.socket,
+      runners: knowledge.runners,
+      reportTo: () => coordination.newsRecipients(),
+      tellTo: () => coordination.tellRecipients(),
+      canTalk: () => knowledge.secret !== undefined,
+      peers: () => this.peers.addresses(),
+      isFirst: () => coordination.isFirst,
+    });
     this.follower = new StoreFollower({
       store,
       knowledge,
@@ -160,6 +172,7 @@
           LIVENESS_PATH,
           (request, response) => coordination.livenessPeers.answer(request, response),
         ],
+        [QUARANTINE_PATH, this.quarantineTask.peerHandler],
       ]),
       isStoreSilent: () => this.follower.isStoreSilent,
     });
@@ -170,7 +183,15 @@
       name,
       daemons: () => coordination.namesOfInformed(),
     });
-    this.front = new CallerFront(this.createContext(protocol));
+    this.front = new CallerFront(
+      createForwardingContext({
+        ...{ settings, protocol, clock, log, knowledge, registry, coordination },
+        connections: this.connections,
+        quarantine: this.quarantineTask.quarantine,
+        stopPhase: () => this.phase,
+        isStoreSilent: () => this.follower.isStoreSilent,
+      }),
+    );
   }
 
   /** @returns Whether callers should be sent here. */
@@ -205,12 +226,17 @@
       this.front.listen(listenAddress(addresses.callers), this.callerListener),
       this.peers.listen(listenAddress(addresses.peers)),
       this.news.listen(listenAddress(addresses.news)),
-      serveMetrics(this.registry, listenAddress(addresses.metrics)),
+      serveMetrics(
+        this.registry,
+        listenAddress(addresses.metrics),
+        new Map([[QUARANTINE_PATH, this.quarantineTask.operatorHandler]]),
+      ),
     ]);
     this.metricsServer = metricsServer;
     void this.follower.run();
     this.coordination.liveness.start();
     this.warmPlacesKeeper.start();
+    this.quarantineTask.start();
     this.log.write(routerLogEvents.started, {
       ...addresses,
       store: this.settings.store,
@@ -234,6 +260,7 @@
     this.peers.close();
     this.news.close();
     this.warmPlacesKeeper.stop();
+    this.quarantineTask.stop();
     this.metricsServer?.close();
     const cut = this.front.inFlight;
     const milliseconds = Math.round(this.clock.monotonicMilliseconds() - startedAt);
@@ -241,38 +268,6 @@
     return cut;
   }
 
-  private createContext(protocol: RunnerProtocol): ForwardingContext {
-    const { clock, log, knowledge, connections, settings } = this;
-    // All that are listed share limits of the whole fleet, alive or not: two parts of a fleet that do not hear each
-    // other would else both spend the whole of them.
-    const daemons = () => Math.max(1, knowledge.daemons.size);
-    const { ratio, allowance, windowSeconds } = settings.retryBudget;
-    const metrics = createForwardingMetrics(this.registry);
-    this.registry
-      .gauge({ name: 'daemons_out', help: 'Listed daemons that are dead or stop.' })
-      .follow(() => this.coordination.liveness.outCount);
-    const runners = () => knowledge.runners.list();
-    return {
-      clock,
-      log,
-      protocol,
-      connections,
-      daemons,
-      metrics,
-      link: new LinkCheck({ runners, clock, log, metrics }),
-      selector: this.coordination.selector,
-      budget: new SharedRetryBudget({
-        ratio,
-        allowance,
-        windowMilliseconds: windowSeconds * 1_000,
-        daemons,
-      }),
-      routes: () => knowledge.routes,
-      stopPhase: () => this.phase,
-      isStoreSilent: () => this.follower.isStoreSilent,
-    };
-  }
-
   private createCoordination(gatherMilliseconds: number): FleetCoordination {
     const { knowledge, store, clock, log, entry, grants, settings } = this;
     const choice = new RunnerChoice({
@@ -326,6 +321,7 @@
       log,
       revision: () => this.knowledge.revision,
       applyLimits: (limits) => this.front.applyLimits(limits),
+      takeQuarantine: (page) => this.quarantineTask.takeKept(page),
       onUpdate: () => {
         this.news.tellChange();
         this.becomeReady();
--- /dev/null
+++ b/src/router/createForwardingContext.ts
@@ -0,0 +1,59 @@
+/**
+ * Puts together what every request of a daemon works with.
+ */
+import type { FleetCoordination } from '../coordination/FleetCoordination.js';
+import { createForwardingMetrics } from '../forwarding/ForwardingMetrics.js';
+import type { ForwardingContext } from '../forwarding/forwardingTypes.js';
+import { LinkCheck } from '../forwarding/LinkCheck.js';
+import { SharedRetryBudget } from '../forwarding/SharedRetryBudget.js';
+import type { MetricRegistry } from '../metrics/MetricRegistry.js';
+import type { FleetKnowledge } from '../sync/FleetKnowledge.js';
+import type { RouterSettings } from './routerFeature.js';
+
+/** Options of {@link createForwardingContext}. */
+export interface ForwardingContextOptions extends Pick<
+  ForwardingContext,
+  'clock' | 'log' | 'protocol' | 'connections' | 'quarantine' | 'stopPhase' | 'isStoreSilent'
+> {
+  settings: RouterSettings;
+  knowledge: FleetKnowledge;
+  coordination: FleetCoordination;
+  registry: MetricRegistry;
+}
+
+/**
+ * @param options - the parts of a daemon.
+ * @returns What its requests work with.
+ */
+export function createForwardingContext({
+  settings,
+  knowledge,
+  coordination,
+  registry,
+  ...parts
+}: ForwardingContextOptions): ForwardingContext {
+  const { clock, log } = parts;
+  // All that are listed share limits of the whole fleet, alive or not: two parts of a fleet that do not hear each
+  // other would else both spend the whole of them.
+  const daemons = () => Math.max(1, knowledge.daemons.size);
+  const { ratio, allowance, windowSeconds } = settings.retryBudget;
+  const metrics = createForwardingMetrics(registry);
+  registry
+    .gauge({ name: 'daemons_out', help: 'Listed daemons that are dead or stop.' })
+    .follow(() => coordination.liveness.outCount);
+  const runners = () => knowledge.runners.list();
+  return {
+    ...parts,
+    daemons,
+    metrics,
+    link: new LinkCheck({ runners, clock, log, metrics }),
+    selector: coordination.selector,
+    budget: new SharedRetryBudget({
+      ratio,
+      allowance,
+      windowMilliseconds: windowSeconds * 1_000,
+      daemons,
+    }),
+    routes: () => knowledge.routes,
+  };
+}
--- a/src/sync/FleetKnowledge.ts
+++ b/src/sync/FleetKnowledge.ts
@@ -283,6 +283,9 @@
       case 'warm_places':
         this.listener.warmPlacesKept(fact.places);
         break;
+      case 'quarantine':
+        this.listener.quarantineKept(fact.page);
+        break;
       case 'daemon_gone':
         this.daemonListing.remove(fact.name, moment);
         break;
--- a/src/sync/FleetStore.ts
+++ b/src/sync/FleetStore.ts
@@ -40,6 +40,8 @@
   | { readonly kind: 'secret'; readonly secret: string }
   /** Where shared prompts are cached, as one of the daemons has kept it. */
   | { readonly kind: 'warm_places'; readonly places: readonly WarmPlace[] }
+  /** Requests that are kept from runners, as one of the daemons has written them. */
+  | { readonly kind: 'quarantine'; readonly page: string }
   /** Decoded without success; it changes nothing and is reported. */
   | { readonly kind: 'unreadable'; readonly key: string; readonly message: string };
 
@@ -111,6 +113,13 @@
    */
   abstract saveWarmPlaces(places: readonly WarmPlace[]): Promise<void>;
 
+  /**
+   * Keeps which requests are kept from runners, for daemons that start later.
+   *
+   * @param page - in the daemons' own format; the last write wins.
+   */
+  abstract saveQuarantine(page: string): Promise<void>;
+
   /**
    * @param registration - from {@link register}; the daemon is gone for everybody else at once.
    */
--- a/src/sync/PeerExchange.ts
+++ b/src/sync/PeerExchange.ts
@@ -122,6 +122,14 @@
     this.server.closeAllConnections();
   }
 
+  /** @returns Addresses of daemons that may be asked. */
+  addresses(): string[] {
+    const { knowledge, ownAddress, seeds } = this.options;
+    const { living = () => [...knowledge.daemons.values()] } = this.options;
+    const addresses = new Set([...living().map(({ peerAddress }) => peerAddress), ...seeds]);
+    return [...addresses].filter((address) => address !== ownAddress);
+  }
+
   /**
    * @param address - of a daemon for other daemons' questions.
    * @returns What it knows.
@@ -211,12 +219,10 @@
 
   /** Asks one daemon after the other. */
   private async poll(): Promise<void> {
-    const { knowledge, clock, log, ownAddress, seeds, isStoreSilent } = this.options;
-    const { living = () => [...knowledge.daemons.values()] } = this.options;
+    const { knowledge, clock, log, isStoreSilent } = this.options;
     this.rememberListed();
     if (!isStoreSilent()) return;
-    const addresses = new Set([...living().map(({ peerAddress }) => peerAddress), ...seeds]);
-    const others = [...addresses].filter((address) => address !== ownAddress);
+    const others = this.addresses();
     if (others.length === 0 || this.isAsking) return;
     const address = others[this.next % others.length] as string;
     this.next += 1;
--- a/src/sync/knowledgeTypes.ts
+++ b/src/sync/knowledgeTypes.ts
@@ -30,6 +30,8 @@
   daemonChanged(name: string, state: 'listed' | 'gone'): void;
   /** Another daemon has kept where shared prompts are cached. */
   warmPlacesKept(places: readonly WarmPlace[]): void;
+  /** Another daemon has kept which requests reach no runners. */
+  quarantineKept(page: string): void;
   /** All of a read has been taken. */
   updated(): void;
   /** A fact could not be decoded. */
--- a/src/sync/testStore.ts
+++ b/src/sync/testStore.ts
@@ -44,6 +44,10 @@
     return Promise.resolve();
   }
 
+  override saveQuarantine(): Promise<void> {
+    return Promise.resolve();
+  }
+
   override withdraw(): Promise<void> {
     return Promise.resolve();
   }
