--- /dev/null
+++ b/src/quarantine/CrashWatch.spec.ts
@@ -0,0 +1,100 @@
+import { beforeEach, describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import type { ProbeResult } from '../forwarding/probeRunner.js';
+import type { RunnerEntry } from '../runners/Runner.js';
+import { RunnerTable } from '../runners/RunnerTable.js';
+import { ManualClock } from '../time/ManualClock.js';
+import { CrashWatch } from './CrashWatch.js';
+
+const ENTRY: RunnerEntry = {
+  id: 'runner-1',
+  life: 'runner-1@1',
+  service: 'chat',
+  host: '10.0.0.1',
+  port: 8_000,
+  dataCentre: 'here',
+  state: 'ready',
+};
+
+describe(CrashWatch.name, () => {
+  let clock: ManualClock;
+  let runners: RunnerTable;
+  let watch: CrashWatch;
+  let probes: ((result: ProbeResult) => void)[];
+  let later: (() => void)[];
+  let crashes: string[];
+
+  beforeEach(() => {
+    clock = new ManualClock({ monotonicMilliseconds: 10_000 });
+    runners = new RunnerTable();
+    runners.put(ENTRY);
+    probes = [];
+    later = [];
+    crashes = [];
+    watch = new CrashWatch({
+      runners,
+      clock,
+      onCrash: ({ entry }, { at }, digests) => crashes.push(`${entry.id} ${at} ${digests.join()}`),
+      probe: (_runner, done) => probes.push(done),
+      later: (call) => later.push(call),
+    });
+  });
+
+  function breakOff(digest: string, startedAt = 0): void {
+    const runner = runners.get(ENTRY.id);
+    if (runner) watch.broke(runner, { digest, startedAt });
+  }
+
+  it('takes one that refuses connections for crashed, with all that broke off, the latest first', () => {
+    breakOff('a', 5);
+    breakOff('b', 7);
+    probes[0]?.('refused');
+    breakOff('c', 1);
+    expect(crashes).toEqual(['runner-1 10000 b,a', 'runner-1 10000 c']);
+    expect(probes.length).toEqual(1);
+  });
+
+  it('does not take one that resets connections, or is behind a cut, for crashed', () => {
+    for (const result of ['accepted', 'no_answer'] as const) {
+      breakOff('a');
+      probes.shift()?.(result);
+      later.shift()?.();
+      probes.shift()?.(result);
+      later.shift()?.();
+    }
+    expect([crashes, probes.length, later.length]).toEqual([[], 0, 0]);
+  });
+
+  it('takes one that is born anew for crashed', () => {
+    breakOff('a');
+    probes[0]?.('accepted');
+    runners.put({ ...ENTRY, life: 'runner-1@2' });
+    later[0]?.();
+    probes[1]?.('accepted');
+    expect(crashes).toEqual(['runner-1 10000 a']);
+  });
+
+  it('takes one that refuses another request soon after for crashed', () => {
+    breakOff('a');
+    probes[0]?.('no_answer');
+    const runner = runners.get(ENTRY.id);
+    if (runner) watch.refused(runner);
+    expect(crashes).toEqual(['runner-1 10000 a']);
+  });
+
+  it('does not take one that leaves for crashed', () => {
+    runners.put({ ...ENTRY, state: 'draining' });
+    breakOff('a');
+    expect(probes.length).toEqual(0);
+  });
+
+  it('does not put what broke off later to the account of an earlier crash', () => {
+    breakOff('a');
+    probes[0]?.('refused');
+    clock.advance(2_000);
+    breakOff('b');
+    expect(crashes).toEqual(['runner-1 10000 a']);
+  });
+});
--- /dev/null
+++ b/src/quarantine/QuarantineDecisions.spec.ts
@@ -0,0 +1,89 @@
+import { beforeEach, describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import { QuarantineDecisions } from './QuarantineDecisions.js';
+
+const DIGEST = 'f'.repeat(32);
+const DAY_MILLISECONDS = 86_400_000;
+
+describe(QuarantineDecisions.name, () => {
+  let decisions: QuarantineDecisions;
+
+  beforeEach(() => {
+    decisions = new QuarantineDecisions();
+  });
+
+  function crash(life: number, at: number, digests = [DIGEST]): void {
+    decisions.crashed(digests, { life, at }, at);
+  }
+
+  function crashThree(): void {
+    for (const life of [1, 2, 3]) crash(life, life * 100);
+  }
+
+  it('quarantines a request under which three lives have ended', () => {
+    crash(1, 100);
+    crash(2, 200);
+    expect(decisions.standingOf(DIGEST)).toEqual('suspect');
+    crash(3, 300);
+    expect(decisions.standingOf(DIGEST)).toEqual('quarantined');
+  });
+
+  it('counts one crash once that several daemons have seen, and a second one under the same life', () => {
+    crash(1, 100);
+    decisions.merge(
+      [{ digest: DIGEST, crashes: [{ life: 1, at: 140 }], clearedAt: undefined }],
+      150,
+    );
+    expect(decisions.crashesOf(DIGEST)).toEqual(1);
+    crash(1, 5_000);
+    expect(decisions.crashesOf(DIGEST)).toEqual(2);
+  });
+
+  it('clears a request that a runner answers, at this daemon or another one', () => {
+    crashThree();
+    decisions.answered(DIGEST, 400);
+    expect(decisions.standingOf(DIGEST)).toEqual('sound');
+    crash(4, 10_000);
+    decisions.merge([{ digest: DIGEST, crashes: [], clearedAt: 10_100 }], 10_100);
+    expect(decisions.standingOf(DIGEST)).toEqual('sound');
+  });
+
+  it('trusts a request that was answered just before, and tells those that do not know of it', () => {
+    decisions.answered(DIGEST, 50);
+    decisions.merge(
+      [{ digest: DIGEST, crashes: [{ life: 1, at: 100 }], clearedAt: undefined }],
+      110,
+    );
+    expect(decisions.standingOf(DIGEST)).toEqual('sound');
+    expect([...decisions.takeChanged()]).toEqual([[DIGEST, 'seen']]);
+  });
+
+  it('quarantines a request that crashes runners although it was answered long ago', () => {
+    decisions.answered(DIGEST, 0);
+    for (const life of [1, 2, 3]) crash(life, 10_000 + life);
+    expect(decisions.standingOf(DIGEST)).toEqual('quarantined');
+  });
+
+  it('keeps it for a day, and then lets it try again', () => {
+    crashThree();
+    expect(decisions.remainingMilliseconds(DIGEST, 1_300)).toEqual(DAY_MILLISECONDS - 1_000);
+    decisions.expire(300 + DAY_MILLISECONDS - 1);
+    expect(decisions.standingOf(DIGEST)).toEqual('quarantined');
+    decisions.expire(300 + DAY_MILLISECONDS);
+    expect(decisions.standingOf(DIGEST)).toEqual('sound');
+  });
+
+  it('keeps those with the most crashes where it cannot keep all', () => {
+    crashThree();
+    for (let life = 10; life < 210; life += 1) {
+      const neighbours = Array.from({ length: 50 }, (_, index) =>
+        (life * 100 + index).toString(16).padStart(32, '0'),
+      );
+      crash(life, 1_000 + life, neighbours);
+    }
+    expect(decisions.standingOf(DIGEST)).toEqual('quarantined');
+    expect(decisions.quarantinedCount).toEqual(1);
+  });
+});
--- /dev/null
+++ b/src/quarantine/QuarantineKeeper.spec.ts
@@ -0,0 +1,64 @@
+import { describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import { MemoryLog } from '../callers/testFakes.js';
+import { RunnerTable } from '../runners/RunnerTable.js';
+import { ManualClock } from '../time/ManualClock.js';
+import { QuarantineKeeper } from './QuarantineKeeper.js';
+import { RequestQuarantine } from './RequestQuarantine.js';
+
+const DIGEST = 'f'.repeat(32);
+const BOOT_MILLISECONDS = 1_700_000_000_000;
+
+function createKept(clock: ManualClock, pages: string[] = []) {
+  const log = new MemoryLog();
+  const crashes = { increment: () => undefined };
+  const quarantine = new RequestQuarantine({ runners: new RunnerTable(), clock, log, crashes });
+  const saveQuarantine = (page: string) => {
+    pages.push(page);
+    return Promise.resolve();
+  };
+  const store = { saveQuarantine };
+  const keeper = new QuarantineKeeper({ store, quarantine, clock, log, isFirst: () => true });
+  return { quarantine, keeper };
+}
+
+describe(QuarantineKeeper.name, () => {
+  it('gives a daemon that starts when no other lives what was quarantined', async () => {
+    const pages: string[] = [];
+    const before = createKept(
+      new ManualClock({ monotonicMilliseconds: 9_000, wallMilliseconds: BOOT_MILLISECONDS }),
+      pages,
+    );
+    for (const life of [1, 2, 3])
+      before.quarantine.decisions.crashed([DIGEST], { life, at: life }, 9_000);
+    await before.keeper.keep();
+    await before.keeper.keep();
+    expect(pages.length).toEqual(1);
+    const clock = new ManualClock({ wallMilliseconds: BOOT_MILLISECONDS + 60_000 });
+    const after = createKept(clock);
+    after.keeper.take(pages[0] ?? '');
+    expect(after.quarantine.standingOf(DIGEST)).toEqual('quarantined');
+    expect(after.quarantine.retryAfterSeconds(DIGEST)).toEqual(86_400 - 68);
+  });
+
+  it('writes a page without requests that were released', async () => {
+    const pages: string[] = [];
+    const { quarantine, keeper } = createKept(
+      new ManualClock({ monotonicMilliseconds: 50 }),
+      pages,
+    );
+    for (const life of [1, 2, 3]) quarantine.decisions.crashed([DIGEST], { life, at: life }, 50);
+    await keeper.keep();
+    quarantine.release(DIGEST);
+    await keeper.keep();
+    expect(pages.length).toEqual(2);
+    expect(pages[1]).toEqual('{"requests":[]}');
+  });
+
+  it('refuses a page of another form', () => {
+    const { keeper } = createKept(new ManualClock());
+    expect(() => keeper.take('{"requests":[{"digest":"x"}]}')).toThrow();
+  });
+});
--- a/src/quarantine/QuarantineKeeper.ts
+++ b/src/quarantine/QuarantineKeeper.ts
@@ -66,13 +66,8 @@
     this.keptHash = hashOfRequests(news);
   }
 
-  /** Times in the store are of the wall clock: monotonic ones mean nothing to another process. */
-  private get wallOffset(): number {
-    const { clock } = this.options;
-    return clock.wallMilliseconds() - clock.monotonicMilliseconds();
-  }
-
-  private async keep(): Promise<void> {
+  /** Writes the list if it has changed and this daemon writes for all. */
+  async keep(): Promise<void> {
     const { store, quarantine, log, isFirst } = this.options;
     const { decisions } = quarantine;
     const hash = decisions.quarantinedHash;
@@ -88,4 +83,10 @@
       this.isWriting = false;
     }
   }
+
+  /** Times in the store are of the wall clock: monotonic ones mean nothing to another process. */
+  private get wallOffset(): number {
+    const { clock } = this.options;
+    return clock.wallMilliseconds() - clock.monotonicMilliseconds();
+  }
 }
--- /dev/null
+++ b/src/quarantine/testCrashFleet.ts
@@ -0,0 +1,317 @@
+/**
+ * A fleet whose runners crash, in virtual time: the real quarantines of all daemons and what they tell each other, with
+ * a network that loses messages.
+ */
+import { watchersOf, tellersOf } from '../coordination/coordinatorsOf.js';
+import type { MessageKind } from '../generated/baobabdock/v1/news_pb.js';
+import { parseAddress } from '../http/parseAddress.js';
+import type { HostAndPort } from '../http/parseAddress.js';
+import { SilentLog } from '../logging/Log.js';
+import { seededRandom } from '../random/seededRandom.js';
+import type { Runner } from '../runners/Runner.js';
+import { RunnerTable } from '../runners/RunnerTable.js';
+import type { DaemonEntry } from '../sync/FleetStore.js';
+import { ManualClock } from '../time/ManualClock.js';
+import { CrashRelay } from './CrashRelay.js';
+import type { RequestStanding } from './quarantineTypes.js';
+import { RequestQuarantine } from './RequestQuarantine.js';
+
+/** Options of a {@link TestCrashFleet}. */
+export interface TestCrashFleetOptions {
+  daemons: number;
+  runners: number;
+  seed: number;
+  /** Share of datagrams that get lost. */
+  loss?: number;
+}
+
+/** How a request ended: refused by its daemon, answered by a runner, or broken off by a runner's crash. */
+export type TestEnd = 'refused' | 'answered' | 'broken';
+
+/** A request to the fleet. */
+export interface TestRequest {
+  readonly digest: string;
+  /** From its arrival at a runner to its answer, or to the crash that it causes, in ms. */
+  readonly milliseconds: number;
+  readonly isFatal: boolean;
+}
+
+const SERVICE = 'chat';
+const LONGEST_DELAY_MILLISECONDS = 6;
+const ROUND_TRIP_MILLISECONDS = 2;
+const DOWN_MILLISECONDS = 2_000;
+
+interface RunningRequest {
+  readonly digest: string;
+  /** Of its daemon. */
+  readonly quarantine: RequestQuarantine;
+  readonly startedAt: number;
+  readonly end: (end: TestEnd) => void;
+  /** Ends it where its daemon breaks it off. */
+  readonly stop: () => void;
+}
+
+interface TestRunner {
+  readonly id: string;
+  birth: number;
+  isUp: boolean;
+  running: Set<RunningRequest>;
+}
+
+type Handler = (message: Uint8Array) => void;
+
+/** One daemon of the fleet. */
+export class TestCrashDaemon {
+  readonly entry: DaemonEntry;
+
+  quarantine!: RequestQuarantine;
+
+  relay!: CrashRelay;
+
+  handler: Handler = () => undefined;
+
+  /** Whether it reaches other daemons. */
+  isCut = false;
+
+  constructor(entry: DaemonEntry) {
+    this.entry = entry;
+  }
+}
+
+/** Plays daemons, runners and what is between them. */
+export class TestCrashFleet {
+  readonly daemons: TestCrashDaemon[] = [];
+
+  readonly clock = new ManualClock();
+
+  /** Requests that reached a runner, by digest, with the times. */
+  readonly arrivals = new Map<string, number[]>();
+
+  /** When each runner crashed, monotonic ms. */
+  readonly crashes: number[] = [];
+
+  readonly random: () => number;
+
+  private readonly table = new RunnerTable();
+
+  private readonly runners: TestRunner[] = [];
+
+  private readonly loss: number;
+
+  private readonly calls = new Map<number, (() => void)[]>();
+
+  private readonly addresses = new Map<string, TestCrashDaemon>();
+
+  /**
+   * @param options - its size, and the seed of all chance.
+   */
+  constructor({ daemons, runners, seed, loss = 0.02 }: TestCrashFleetOptions) {
+    this.random = seededRandom(seed);
+    this.loss = loss;
+    for (let index = 0; index < runners; index += 1) {
+      const runner = { id: `runner-${index}`, birth: 1, isUp: true, running: new Set<never>() };
+      this.runners.push(runner);
+      this.list(runner);
+    }
+    for (let index = 0; index < daemons; index += 1) {
+      const address = `10.1.${Math.floor(index / 250)}.${1 + (index % 250)}:7000`;
+      const addresses = { callerAddress: address, peerAddress: address, newsAddress: address };
+      const entry = { name: `daemon-${index}`, dataCentre: 'here', ...addresses };
+      this.daemons.push(new TestCrashDaemon(entry));
+    }
+    for (const daemon of this.daemons) this.boot(daemon);
+  }
+
+  /** @returns Monotonic milliseconds. */
+  get now(): number {
+    return this.clock.monotonicMilliseconds();
+  }
+
+  /**
+   * @param daemon - that starts knowing nothing.
+   */
+  boot(daemon: TestCrashDaemon): void {
+    const { clock, table } = this;
+    const others = (entries: readonly DaemonEntry[]) =>
+      entries
+        .filter(({ name }) => name !== daemon.entry.name)
+        .map(({ newsAddress }) => parseAddress(newsAddress));
+    const listed = this.daemons.map(({ entry }) => entry);
+    const watchers = watchersOf(listed);
+    const reportTo = others(watchers.length > 0 ? watchers : listed);
+    const isTeller = tellersOf(watchers).some(({ name }) => name === daemon.entry.name);
+    const tellTo = isTeller ? others(listed) : [];
+    const later = (call: () => void, milliseconds: number) => this.after(milliseconds, call);
+    daemon.relay?.stop();
+    const quarantine = new RequestQuarantine({
+      runners: table,
+      clock,
+      log: new SilentLog(),
+      crashes: { increment: () => undefined },
+      probe: (runner, done) =>
+        this.after(ROUND_TRIP_MILLISECONDS, () =>
+          done(this.accepts(runner) ? 'accepted' : 'refused'),
+        ),
+      later,
+      onChange: () => daemon.relay.tellChanges(),
+    });
+    const relay = new CrashRelay({
+      daemon: daemon.entry.name,
+      ownAddress: daemon.entry.newsAddress,
+      socket: {
+        handle: (_kind: MessageKind, handler: Handler) => {
+          Object.assign(daemon, { handler });
+        },
+        send: (_kind, message, recipients) => this.deliver(daemon, message, recipients),
+      },
+      decisions: quarantine.decisions,
+      learn: (news, teller) => quarantine.learn(news, teller),
+      clock,
+      reportTo: () => reportTo,
+      tellTo: () => tellTo,
+      canTalk: () => true,
+      pull: () => undefined,
+      later,
+      random: this.random,
+    });
+    Object.assign(daemon, { quarantine, relay });
+    relay.start();
+  }
+
+  /**
+   * @param request - sent to a daemon.
+   * @param daemon - by default a random one.
+   * @param end - told how it ended.
+   */
+  send(
+    request: TestRequest,
+    daemon: TestCrashDaemon = this.anyOf(this.daemons),
+    end: (end: TestEnd) => void = () => undefined,
+  ): void {
+    const { quarantine } = daemon;
+    const { digest } = request;
+    const standing: RequestStanding = quarantine.standingOf(digest);
+    const up = this.runners.filter(({ isUp }) => isUp);
+    const isBusy = standing === 'suspect' && quarantine.isUnderWay(digest);
+    if (standing === 'quarantined' || isBusy || up.length === 0) {
+      end('refused');
+      return;
+    }
+    this.run(request, daemon, this.anyOf(up), end);
+  }
+
+  /**
+   * @param share - of all runners that crash at once, whatever runs there.
+   */
+  crashRunners(share: number): void {
+    for (const runner of this.runners) if (runner.isUp && this.random() < share) this.crash(runner);
+  }
+
+  /**
+   * @param milliseconds - for which everything goes on.
+   */
+  play(milliseconds: number): void {
+    const end = this.now + milliseconds;
+    while (this.now < end) {
+      this.clock.advance(1);
+      const calls = this.calls.get(this.now) ?? [];
+      this.calls.delete(this.now);
+      for (const call of calls) call();
+    }
+  }
+
+  /**
+   * @param milliseconds - from now, at least one.
+   * @param call - made then.
+   */
+  after(milliseconds: number, call: () => void): void {
+    const at = this.now + Math.max(1, Math.round(milliseconds));
+    const calls = this.calls.get(at) ?? [];
+    calls.push(call);
+    this.calls.set(at, calls);
+  }
+
+  private run(
+    request: TestRequest,
+    daemon: TestCrashDaemon,
+    runner: TestRunner,
+    end: (end: TestEnd) => void,
+  ): void {
+    const { digest, milliseconds, isFatal } = request;
+    const { quarantine } = daemon;
+    const running = { digest, quarantine, startedAt: this.now, end, stop: () => undefined as void };
+    const { running: all } = runner;
+    running.stop = () => {
+      if (!all.delete(running)) return;
+      quarantine.end(digest, running.stop);
+      end('refused');
+    };
+    const { stop } = running;
+    quarantine.begin(digest, stop);
+    runner.running.add(running);
+    this.arrivals.set(digest, [...(this.arrivals.get(digest) ?? []), this.now]);
+    this.after(milliseconds, () => {
+      if (!runner.running.has(running)) return;
+      if (isFatal) {
+        this.crash(runner);
+        return;
+      }
+      runner.running.delete(running);
+      quarantine.end(digest, stop);
+      quarantine.answered(digest);
+      end('answered');
+    });
+  }
+
+  private crash(runner: TestRunner): void {
+    const broken = [...runner.running];
+    const listed = this.table.get(runner.id);
+    Object.assign(runner, { isUp: false, running: new Set() });
+    this.crashes.push(this.now);
+    for (const { digest, quarantine, startedAt, end, stop } of broken) {
+      this.after(ROUND_TRIP_MILLISECONDS, () => {
+        quarantine.end(digest, stop);
+        if (listed) quarantine.broke(listed, { digest, startedAt });
+        end('broken');
+      });
+    }
+    this.after(DOWN_MILLISECONDS, () => {
+      Object.assign(runner, { isUp: true, birth: runner.birth + 1 });
+      this.list(runner);
+    });
+  }
+
+  private list({ id, birth }: TestRunner): void {
+    const place = { host: '10.0.0.1', port: 8_000, dataCentre: 'here' };
+    this.table.put({ id, life: `${id}@${birth}`, service: SERVICE, state: 'ready', ...place });
+  }
+
+  private accepts({ entry }: Runner): boolean {
+    return this.runners.some(({ id, isUp }) => id === entry.id && isUp);
+  }
+
+  private deliver(
+    sender: TestCrashDaemon,
+    message: Uint8Array,
+    recipients: readonly HostAndPort[],
+  ): void {
+    for (const { host, port } of recipients) {
+      const address = `${host}:${port}`;
+      const recipient = this.byAddress(address);
+      const isLost = sender.isCut || recipient.isCut || this.random() < this.loss;
+      const delay = this.random() * LONGEST_DELAY_MILLISECONDS;
+      if (!isLost) this.after(delay, () => recipient.handler(message));
+    }
+  }
+
+  private byAddress(address: string): TestCrashDaemon {
+    if (this.addresses.size === 0) {
+      for (const daemon of this.daemons) this.addresses.set(daemon.entry.newsAddress, daemon);
+    }
+    return this.addresses.get(address) as TestCrashDaemon;
+  }
+
+  private anyOf<Item>(items: readonly Item[]): Item {
+    return items[Math.floor(this.random() * items.length)] as Item;
+  }
+}
--- a/tests/fatalRequests.spec.ts
+++ b/tests/fatalRequests.spec.ts
@@ -86,6 +86,56 @@
     return fatalRuns() - before;
   }
 
+  async function quarantine(): Promise<void> {
+    await site.until(async () => (await send(FATAL, '/draft/1')).body.includes('quarantined'));
+  }
+
+  it('is refused at once by a daemon that starts while the store is away', async () => {
+    await quarantine();
+    const seeds = site.daemons.map(({ settings }) => settings.addresses.peers);
+    site.store.faultFor({ fault: 'busy' });
+    const { daemon, settings } = await site.addDaemon('daemon-late', seeds);
+    await site.until(() => daemon.isReady);
+    const before = fatalRuns();
+    await site.until(async () => {
+      const address = settings.addresses.callers;
+      const headers = { 'Prompt-Prefix': 'aa:10,bb:5' };
+      const answer = await callSite({ address, path: '/draft/1', body: FATAL, headers });
+      return answer.body.includes('quarantined');
+    });
+    expect(fatalRuns() - before <= LATE_ARRIVALS).toEqual(true);
+  });
+
+  it('is still refused after all daemons have ended and started again', async () => {
+    await quarantine();
+    await site.until(() => site.store.keys('fleet/quarantine').length > 0);
+    for (const { daemon, closeRoles } of site.daemons.splice(0)) {
+      closeRoles();
+      await daemon.stop();
+    }
+    const { daemon } = await site.addDaemon('daemon-0');
+    await site.until(() => daemon.isReady);
+    sent = 0;
+    const answer = await send(FATAL, '/draft/1');
+    expect([answer.status, Number(answer.headers['retry-after']) > 0]).toEqual([503, true]);
+  });
+
+  it('runs again once an operator has released it', async () => {
+    await quarantine();
+    const metrics = `http://${site.daemons[0]?.settings.addresses.metrics}/quarantine`;
+    const page = (await (await fetch(metrics)).json()) as { requests: { digest: string }[] };
+    const [listed] = page.requests;
+    const released = await fetch(`${metrics}/${listed?.digest}`, { method: 'DELETE' });
+    expect(released.status).toEqual(204);
+    const before = fatalRuns();
+    await site.until(async () => {
+      await send(FATAL, '/draft/1');
+      return fatalRuns() > before;
+    });
+    const unknown = await fetch(`${metrics}/unknown`, { method: 'DELETE' });
+    expect(unknown.status).toEqual(404);
+  });
+
   for (const path of ['/draft/1', '/chat/1']) {
     it(`reaches no runner any more soon after it has crashed three: ${path}`, async () => {
       const arrivals = await arrivalsAfterThreeCrashes(path);
