--- a/standIns/site/SiteRunner.ts
+++ b/standIns/site/SiteRunner.ts
@@ -72,6 +72,15 @@
 
   behaviour: RunnerBehaviour = 'answers';
 
+  /** Whether its answers say that it leaves, whatever its listing says. */
+  saysLeaving = false;
+
+  /** What it asks for in `Retry-After` where it refuses. */
+  retryAfter: string | undefined;
+
+  /** When each request arrived, also those that it refused; monotonic ms. */
+  readonly arrivals: number[] = [];
+
   /** How often it has crashed. */
   crashes = 0;
 
@@ -187,6 +196,8 @@
     const chunks: Buffer[] = [];
     for await (const chunk of request) chunks.push(chunk as Buffer);
     const expected = request.headers['expect-instance'];
+    this.arrivals.push(performance.now());
+    if (this.saysLeaving) response.setHeader('Server-Leaving', '1');
     if (this.behaviour === 'misdirected' || (expected !== undefined && expected !== this.id)) {
       response.writeHead(421, { 'Instance-Id': 'another' }).end();
       return;
@@ -194,6 +205,7 @@
     const id = request.headers['attempt-id'] as string | undefined;
     if (this.behaviour === 'refuses') {
       const headers = { 'Not-Executed': '1', ...(id && { 'Attempt-Id': id }) };
+      if (this.retryAfter !== undefined) response.setHeader('Retry-After', this.retryAfter);
       response.writeHead(503, headers).end();
       return;
     }
