Believe a runner that says in its answers that it leaves

Callers saw nothing at first: requests went to a runner that was about to exit, 2.5 and 3.6 s after it had said so, and would have broken off with it. The store, which would have told that it drains, was away for 12 s.

Cause: what a runner says of itself on the path of requests was passed on to the caller and not taken in; the store's list was the only teacher. Ruled out: an older entry that set the runner back (no change of it in any log), attempts under way (both requests came later).

Change: the head of each answer is read, before its body ends, streams, refusals and errors included; only the runner's own word counts, so that a 421 of another runner or an answer without a signature says nothing. A life that leaves gets no new work from any way to a runner (first choice, retry, hedge, resumption, a coordinator's grant), whatever the store lists, until there is a new life. Its idle connections are closed, and kept ones are not kept any more. Others are told in datagrams by the way of crashes, and with what daemons ask of each other while the store is away.

--- a/src/coordination/CoordinatedSelector.spec.ts
+++ b/src/coordination/CoordinatedSelector.spec.ts
@@ -114,6 +114,13 @@
     expect((await draining)?.runner.entry.id).toEqual('runner-1');
   });
 
+  it('takes no runner that has said that it leaves since the question was sent', async () => {
+    const chosen = select();
+    runners.markLeaving('runner-2');
+    socket.answer(1, 'runner-2');
+    expect((await chosen)?.runner.entry.id).toEqual('runner-1');
+  });
+
   it('tells a coordinator what must not be chosen: runners that had the request or fail here', () => {
     runners.get('runner-1')?.health.record(0, 'unreachable');
     void select(questionOf(['runner-2']));
--- a/src/coordination/FleetCoordination.spec.ts
+++ b/src/coordination/FleetCoordination.spec.ts
@@ -86,6 +86,7 @@
       fetchConfiguration: () => Promise.reject(new Error('nobody has one')),
       isLeaving: () => false,
       livenessPeers: peers,
+      connections: { release: () => undefined },
       longestPauseMilliseconds: () => LONGEST_PAUSE_MILLISECONDS,
     };
     const coordination = new FleetCoordination(
--- a/src/coordination/FleetCoordination.ts
+++ b/src/coordination/FleetCoordination.ts
@@ -2,6 +2,7 @@
  * Puts the parts of coordination together: who coordinates now, what this daemon does for the others, and what they
  * do for it.
  */
+import type { RunnerConnections } from '../forwarding/RunnerConnections.js';
 import { MessageKind } from '../generated/baobabdock/v1/news_pb.js';
 import type { DaemonNews } from '../generated/baobabdock/v1/news_pb.js';
 import type { HostAndPort } from '../http/parseAddress.js';
@@ -21,6 +22,7 @@
 import { CoordinatedSelector } from './CoordinatedSelector.js';
 import { coordinatorsOf, readersOf, tellersOf, watchersOf } from './coordinatorsOf.js';
 import type { GrantLedger } from './GrantLedger.js';
+import { LeavingRunners } from './LeavingRunners.js';
 import { livenessDuties } from './livenessDuties.js';
 import { StoreRelay } from './StoreRelay.js';
 
@@ -40,6 +42,8 @@
   readStore: (what: 'changes' | 'everything') => void;
   /** Asks another daemon for its configuration. */
   fetchConfiguration: (peerAddress: string) => Promise<RoutingConfiguration>;
+  /** Kept to runners. */
+  connections: Pick<RunnerConnections, 'release'>;
   /** Whether this daemon is in a planned stop. */
   isLeaving: () => boolean;
   /** Calls other daemons about who is alive; replaced by tests. */
@@ -70,6 +74,9 @@
 
   readonly relay: StoreRelay;
 
+  /** Which runners have said that they leave. */
+  readonly leavingRunners: LeavingRunners;
+
   /** Answers other daemons' questions about who is alive. */
   readonly livenessPeers: LivenessPeers;
 
@@ -129,6 +136,15 @@
       log,
       coordinators: () => this.coordinators,
     });
+    this.leavingRunners = new LeavingRunners({
+      daemon: daemon.name,
+      runners: knowledge.runners,
+      connections: options.connections,
+      socket,
+      log,
+      reportTo: () => this.newsRecipients(),
+      tellTo: () => this.tellRecipients(),
+    });
     const server = new ChoiceServer({ daemon: daemon.name, socket, choice, grants, clock });
     socket.handle(MessageKind.RUNNER_QUESTION, (message) => server.take(message));
     this.relay = new StoreRelay({
--- a/src/coordination/coordinationFeature.ts
+++ b/src/coordination/coordinationFeature.ts
@@ -5,6 +5,13 @@
 
 /** Changes of who is asked, and of how this daemon learns of the store. */
 export const coordinationLogEvents = {
+  runnerLeaves: defineLogEvent({
+    number: 2904,
+    name: 'coordination.runner_leaves',
+    level: 'info',
+    text: 'A runner has said in an answer that it leaves, to this daemon or to another one: it gets no more requests.',
+    operatorAction: 'None; the store should list it as draining soon.',
+  }),
   coordinatorSilent: defineLogEvent({
     number: 2900,
     name: 'coordination.coordinator_silent',
--- a/src/forwarding/RunnerAgent.ts
+++ b/src/forwarding/RunnerAgent.ts
@@ -45,6 +45,8 @@
 export class RunnerAgent extends Agent {
   private readonly guards = new WeakMap<Socket, IdleGuard>();
 
+  private isReleased = false;
+
   constructor() {
     super({ keepAlive: true, scheduling: 'lifo', maxFreeSockets: MAXIMUM_IDLE_CONNECTIONS });
   }
@@ -56,6 +58,7 @@
    * @returns Whether to keep it.
    */
   override keepSocketAlive(socket: IdleSocket): boolean {
+    if (this.isReleased) return false;
     const idle = idleMilliseconds(socket._httpMessage?.res?.headers['keep-alive']);
     if (idle <= 0) return false;
     const onData = () => socket.destroy();
@@ -81,8 +84,9 @@
     super.reuseSocket(socket, request);
   }
 
-  /** Closes what is idle; requests in progress go on. */
-  closeIdle(): void {
+  /** Closes what is idle, and keeps no more connections; requests in progress go on. */
+  release(): void {
+    this.isReleased = true;
     for (const sockets of Object.values(this.freeSockets)) {
       for (const socket of sockets ?? []) socket.destroy();
     }
--- a/src/forwarding/RunnerAttempt.ts
+++ b/src/forwarding/RunnerAttempt.ts
@@ -12,6 +12,7 @@
 import type { ProbeResult } from './probeRunner.js';
 import type { RunnerAgent } from './RunnerAgent.js';
 import type { RunnerProtocol } from './RunnerProtocol.js';
+import type { RunnerStatements } from './RunnerStatements.js';
 
 /**
  * How an attempt failed. It did not run after `not_connected` (the runner's instance refused the connection),
@@ -49,6 +50,8 @@
   agent: RunnerAgent | false;
   protocol: RunnerProtocol;
   clock: Clock;
+  /** Hears what the runner says of itself. */
+  statements: Pick<RunnerStatements, 'take'>;
   /** Tells a dark runner from a full link of this daemon's own. */
   link: Pick<LinkCheck, 'ask' | 'accepted'>;
   /** How long a new connection may take, in ms. */
@@ -211,13 +214,14 @@
 
   private takeAnswer(answer: IncomingMessage): void {
     if (this.settled) return;
-    const { protocol, observer } = this.options;
+    const { protocol, observer, statements } = this.options;
     this.runner.lastHeardAt = this.options.clock.monotonicMilliseconds();
     const status = answer.statusCode ?? 0;
     if (this.isStray(answer, status)) {
       this.fail('stray_answer');
       return;
     }
+    statements.take(this.runner, answer);
     if (status === MISDIRECTED || protocol.didNotRun(status, answer.headers)) {
       // The refusal is whole: its connection can carry the next request.
       answer.resume();
--- a/src/forwarding/RunnerConnections.ts
+++ b/src/forwarding/RunnerConnections.ts
@@ -25,7 +25,7 @@
    * @param life - of a runner that takes no more work from here; requests in progress go on.
    */
   release(life: string): void {
-    this.agents.get(life)?.closeIdle();
+    this.agents.get(life)?.release();
     this.agents.delete(life);
   }
 }
--- a/src/forwarding/RunnerProtocol.ts
+++ b/src/forwarding/RunnerProtocol.ts
@@ -20,6 +20,8 @@
   readonly urgency: string;
   /** Address of a runner from which the cached part of the prompt is to be copied. */
   readonly cacheSource: string;
+  /** Id of the runner that answers, where it says so. */
+  readonly speaker: string;
   /** A runner's proof that an answer is its own; every success has it. */
   readonly signature: string;
   /** The last event that a caller has of its stream. */
@@ -39,6 +41,12 @@
    */
   abstract didNotRun(status: number, headers: IncomingHttpHeaders): boolean;
 
+  /**
+   * @param headers - of a runner's answer.
+   * @returns Whether the runner says that it leaves.
+   */
+  abstract isLeaving(headers: IncomingHttpHeaders): boolean;
+
   /**
    * @param headers - of a caller's request.
    * @returns Ids of the parts of its prompt that other requests share, the outermost first.
--- /dev/null
+++ b/src/forwarding/RunnerStatements.spec.ts
@@ -0,0 +1,51 @@
+import { describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import { Runner } from '../runners/Runner.js';
+import { RunnerStatements } from './RunnerStatements.js';
+import { TestProtocol } from './testProtocol.js';
+
+const RUNNER = new Runner({
+  id: 'runner-1',
+  life: 'runner-1@1',
+  service: 'chat',
+  host: '10.0.0.1',
+  port: 8_000,
+  dataCentre: 'here',
+  state: 'ready',
+});
+
+const LEAVING = { leaving: '1' };
+const SIGNED = { signature: 's' };
+
+function isBelieved(statusCode: number, headers: Record<string, string>): boolean {
+  let leaves = false;
+  const statements = new RunnerStatements({
+    protocol: new TestProtocol(),
+    onLeaving: () => {
+      leaves = true;
+    },
+  });
+  statements.take(RUNNER, { statusCode, headers });
+  return leaves;
+}
+
+describe(RunnerStatements.name, () => {
+  it('believes a runner that leaves in an answer of any status that is its own', () => {
+    for (const status of [200, 206, 400, 404, 429, 500, 503, 504]) {
+      expect(isBelieved(status, { ...LEAVING, ...SIGNED })).toEqual(true);
+      expect(isBelieved(status, SIGNED)).toEqual(false);
+    }
+    expect(isBelieved(503, { ...LEAVING, 'not-run': '1' })).toEqual(true);
+    expect(isBelieved(421, { ...LEAVING, speaker: 'runner-1' })).toEqual(true);
+  });
+
+  it('does not take the word of another runner, or of nobody, for it', () => {
+    expect(isBelieved(200, LEAVING)).toEqual(false);
+    expect(isBelieved(503, LEAVING)).toEqual(false);
+    expect(isBelieved(421, { ...LEAVING, ...SIGNED })).toEqual(false);
+    expect(isBelieved(421, { ...LEAVING, speaker: 'runner-2' })).toEqual(false);
+    expect(isBelieved(200, { ...LEAVING, ...SIGNED, speaker: 'runner-2' })).toEqual(false);
+  });
+});
--- a/src/forwarding/createAttempt.ts
+++ b/src/forwarding/createAttempt.ts
@@ -26,7 +26,7 @@
  */
 export function createAttempt(options: CreateAttemptOptions): RunnerAttempt {
   const { chosen, request, body, context, tried, observer, resumesAfter } = options;
-  const { connections, protocol, clock, link } = context;
+  const { connections, protocol, clock, link, statements } = context;
   const { runner, cacheSource } = chosen;
   const { id, hasOwnId, method, target } = request;
   return new RunnerAttempt({
@@ -35,6 +35,7 @@
     protocol,
     clock,
     link,
+    statements,
     connectMilliseconds: tried.connectMilliseconds(link.isSuspect),
     observer,
     method,
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -11,6 +11,7 @@
 import type { LinkCheck } from './LinkCheck.js';
 import type { RunnerConnections } from './RunnerConnections.js';
 import type { RunnerProtocol } from './RunnerProtocol.js';
+import type { RunnerStatements } from './RunnerStatements.js';
 import type { SharedRetryBudget } from './SharedRetryBudget.js';
 
 /** What every request of a daemon works with. */
@@ -24,6 +25,7 @@
   readonly budget: SharedRetryBudget;
   readonly link: LinkCheck;
   readonly quarantine: RequestQuarantine;
+  readonly statements: RunnerStatements;
   /** The configuration in force, or `undefined` before the first one is known. */
   readonly routes: () => RouteTable | undefined;
   /** Daemons that share the runners' connections, this one too. */
--- a/src/forwarding/testAttempt.ts
+++ b/src/forwarding/testAttempt.ts
@@ -75,6 +75,7 @@
     new RunnerAttempt({
       runner,
       agent,
+      statements: { take: () => undefined },
       protocol: new TestProtocol(),
       clock: new SystemClock(),
       link: { ask: (_suspect, listener) => listener(true), accepted: () => undefined },
--- a/src/forwarding/testProtocol.ts
+++ b/src/forwarding/testProtocol.ts
@@ -15,6 +15,7 @@
     expectedRunner: 'runner',
     urgency: 'urgency',
     cacheSource: 'cache-source',
+    speaker: 'speaker',
     signature: 'signature',
     lastEventId: 'last-event-id',
     systemOnly: ['reserved'],
@@ -24,6 +25,10 @@
     return headers['not-run'] !== undefined;
   }
 
+  override isLeaving(headers: IncomingHttpHeaders): boolean {
+    return headers.leaving !== undefined;
+  }
+
   override sharedPartsOf(headers: IncomingHttpHeaders): readonly string[] {
     return String(headers.parts ?? '')
       .split(',')
--- a/src/forwarding/testRequest.ts
+++ b/src/forwarding/testRequest.ts
@@ -25,6 +25,7 @@
 import { LinkCheck } from './LinkCheck.js';
 import { RunnerAgent } from './RunnerAgent.js';
 import { RunnerConnections } from './RunnerConnections.js';
+import { RunnerStatements } from './RunnerStatements.js';
 import { SharedRetryBudget } from './SharedRetryBudget.js';
 import { HangingPort } from './testHangingPort.js';
 import { TestProtocol } from './testProtocol.js';
@@ -146,6 +147,10 @@
       metrics,
       link: new LinkCheck({ runners: () => runners.list(), clock, log, metrics }),
       selector: new LocalSelector(choice),
+      statements: new RunnerStatements({
+        protocol: new TestProtocol(),
+        onLeaving: ({ entry }) => runners.markLeaving(entry.life),
+      }),
       quarantine: new RequestQuarantine({
         runners,
         clock,
--- a/src/quarantine/CrashRelay.ts
+++ b/src/quarantine/CrashRelay.ts
@@ -12,6 +12,8 @@
 import { parseAddress } from '../http/parseAddress.js';
 import type { HostAndPort } from '../http/parseAddress.js';
 import type { FleetSocket } from '../news/FleetSocket.js';
+import { RepeatedNews } from '../news/RepeatedNews.js';
+import type { Later, WaitingNews } from '../news/RepeatedNews.js';
 import type { Clock } from '../time/Clock.js';
 import { fromMessage, toMessage } from './crashNewsCodec.js';
 import type { QuarantineDecisions } from './QuarantineDecisions.js';
@@ -38,20 +40,11 @@
   /** Asks another daemon over a connection, while this one cannot read messages. */
   pull: () => void;
   /** Calls later; replaced by tests. */
-  later?: (call: () => void, milliseconds: number) => unknown;
+  later?: Later;
   /** Gives numbers from 0 up to 1. */
   random?: () => number;
 }
 
-/** Each change is sent so often. */
-const SENDS = 3;
-
-/** Between two of these, in ms. */
-const RESEND_MILLISECONDS = 150;
-
-/** Crashes that are seen in the same moment go into one message; in ms. */
-const GATHER_MILLISECONDS = 5;
-
 /** Records of four crashes in a datagram of 1,400 bytes. */
 const RECORDS_IN_DATAGRAM = 16;
 
@@ -61,20 +54,11 @@
 /** Between comparisons with another daemon, in ms. */
 const EXCHANGE_MILLISECONDS = 1_000;
 
-interface Waiting {
-  left: number;
-  /** Whether this daemon has seen the cause. */
-  isSeen: boolean;
-}
-
 /** Owns the timers. */
 export class CrashRelay {
   private readonly options: Required<CrashRelayOptions>;
 
-  /** By digest, what is still to be sent. */
-  private readonly waiting = new Map<string, Waiting>();
-
-  private isScheduled = false;
+  private readonly news: RepeatedNews;
 
   private isStopped = false;
 
@@ -83,6 +67,10 @@
    */
   constructor(options: CrashRelayOptions) {
     this.options = { later: setTimeout, random: Math.random, ...options };
+    this.news = new RepeatedNews({
+      send: (news) => this.sendNews(news),
+      later: this.options.later,
+    });
     options.socket.handle(MessageKind.CRASH_REPORT, (message) =>
       this.take(fromBinary(CrashReportSchema, message)),
     );
@@ -100,41 +88,25 @@
   /** Tells and compares no more. */
   stop(): void {
     this.isStopped = true;
+    this.news.stop();
   }
 
   /** Tells others what has changed. */
   tellChanges(): void {
     for (const [digest, source] of this.options.decisions.takeChanged()) {
-      const isSeen = source === 'seen' || (this.waiting.get(digest)?.isSeen ?? false);
-      this.waiting.set(digest, { left: SENDS, isSeen });
+      this.news.add({ key: digest, isSeen: source === 'seen' });
     }
-    if (this.waiting.size > 0) this.schedule(GATHER_MILLISECONDS);
   }
 
-  private schedule(milliseconds: number): void {
-    if (this.isScheduled) return;
-    this.isScheduled = true;
-    this.options.later(() => {
-      this.isScheduled = false;
-      if (!this.isStopped) this.sendWaiting();
-    }, milliseconds);
-  }
-
-  private sendWaiting(): void {
+  private sendNews(waiting: readonly WaitingNews[]): void {
     const { decisions, reportTo, tellTo } = this.options;
-    const entries = [...this.waiting].map(([digest, entry]) => ({
-      ...entry,
-      news: decisions.newsOf(digest),
-    }));
-    const seen = entries.filter(({ isSeen }) => isSeen).map(({ news }) => news);
-    const notable = entries.map(({ news }) => news).filter((news) => news && isNotable(news));
+    const seen = waiting.filter(({ isSeen }) => isSeen).map(({ key }) => decisions.newsOf(key));
+    const known = waiting.map(({ key }) => decisions.newsOf(key));
     this.send(seen, reportTo());
-    this.send(notable, tellTo());
-    for (const [digest, entry] of this.waiting) {
-      entry.left -= 1;
-      if (entry.left <= 0) this.waiting.delete(digest);
-    }
-    if (this.waiting.size > 0) this.schedule(RESEND_MILLISECONDS);
+    this.send(
+      known.filter((news) => news && isNotable(news)),
+      tellTo(),
+    );
   }
 
   private send(
--- a/src/router/KnowledgeReactions.ts
+++ b/src/router/KnowledgeReactions.ts
@@ -17,6 +17,8 @@
   log: Log;
   /** The store's revision that the daemon's beliefs have reached. */
   revision: () => number;
+  /** Takes lives of runners that have told another daemon that they leave. */
+  takeLeaving: (lives: readonly string[]) => void;
   /** Takes the list of quarantined requests, as the store holds it. */
   takeQuarantine: (page: string) => void;
   /** Takes the limits for callers of a configuration that has come into force. */
@@ -78,6 +80,11 @@
     this.options.warmPlaces.import(places);
   }
 
+  /** @param lives - of runners that have told another daemon that they leave. */
+  runnersLeaving(lives: readonly string[]): void {
+    this.options.takeLeaving(lives);
+  }
+
   /** @param page - of quarantined requests, as another daemon has written it. */
   quarantineKept(page: string): void {
     this.options.takeQuarantine(page);
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -257,6 +257,7 @@
     await withdrawn;
     this.follower.stop();
     this.coordination.liveness.stop();
+    this.coordination.leavingRunners.stop();
     this.peers.close();
     this.news.close();
     this.warmPlacesKeeper.stop();
@@ -281,6 +282,7 @@
     const calls = {
       readStore: (what: 'changes' | 'everything') => this.follower.readOnce(what),
       fetchConfiguration: (address: string) => this.peers.fetchConfiguration(address),
+      connections: this.connections,
       isLeaving: () => this.phase !== 'serving',
       longestPauseMilliseconds: () => this.news.longestPauseMilliseconds,
     };
@@ -321,6 +323,7 @@
       log,
       revision: () => this.knowledge.revision,
       applyLimits: (limits) => this.front.applyLimits(limits),
+      takeLeaving: (lives) => this.coordination.leavingRunners.learn(lives, 'peer'),
       takeQuarantine: (page) => this.quarantineTask.takeKept(page),
       onUpdate: () => {
         this.news.tellChange();
--- a/src/router/createForwardingContext.ts
+++ b/src/router/createForwardingContext.ts
@@ -5,6 +5,7 @@
 import { createForwardingMetrics } from '../forwarding/ForwardingMetrics.js';
 import type { ForwardingContext } from '../forwarding/forwardingTypes.js';
 import { LinkCheck } from '../forwarding/LinkCheck.js';
+import { RunnerStatements } from '../forwarding/RunnerStatements.js';
 import { SharedRetryBudget } from '../forwarding/SharedRetryBudget.js';
 import type { MetricRegistry } from '../metrics/MetricRegistry.js';
 import type { FleetKnowledge } from '../sync/FleetKnowledge.js';
@@ -32,7 +33,7 @@
   registry,
   ...parts
 }: ForwardingContextOptions): ForwardingContext {
-  const { clock, log } = parts;
+  const { clock, log, protocol } = parts;
   // All that are listed share limits of the whole fleet, alive or not: two parts of a fleet that do not hear each
   // other would else both spend the whole of them.
   const daemons = () => Math.max(1, knowledge.daemons.size);
@@ -48,6 +49,10 @@
     metrics,
     link: new LinkCheck({ runners, clock, log, metrics }),
     selector: coordination.selector,
+    statements: new RunnerStatements({
+      protocol,
+      onLeaving: ({ entry }) => coordination.leavingRunners.heard(entry.life),
+    }),
     budget: new SharedRetryBudget({
       ratio,
       allowance,
--- /dev/null
+++ b/src/runners/RunnerTable.spec.ts
@@ -0,0 +1,55 @@
+import { beforeEach, describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import type { RunnerEntry } from './Runner.js';
+import { RunnerTable } from './RunnerTable.js';
+
+const SERVICE = 'chat';
+
+function entryOf(id: string, life = `${id}@1`): RunnerEntry {
+  const place = { host: '10.0.0.1', port: 8_000, dataCentre: 'here' };
+  return { id, life, service: SERVICE, state: 'ready', ...place };
+}
+
+describe(RunnerTable.name, () => {
+  let table: RunnerTable;
+
+  function ready(): string[] {
+    return table.readyOf(SERVICE).map(({ entry }) => entry.life);
+  }
+
+  beforeEach(() => {
+    table = new RunnerTable();
+    for (const id of ['a', 'b']) table.put(entryOf(id));
+  });
+
+  it('gives a runner that has said that it leaves no new work, whatever its listing says later', () => {
+    expect([table.markLeaving('a@1'), table.markLeaving('a@1')]).toEqual([true, false]);
+    table.put(entryOf('a'));
+    expect(ready()).toEqual(['b@1']);
+    table.setLapsed('a');
+    table.remove('a');
+    table.put(entryOf('a'));
+    expect(ready()).toEqual(['b@1']);
+  });
+
+  it('gives its next life work again', () => {
+    table.markLeaving('a@1');
+    table.put(entryOf('a', 'a@2'));
+    expect(ready()).toEqual(['a@2', 'b@1']);
+    expect(table.leavingLives).toEqual([]);
+  });
+
+  it('knows of a runner that leaves before it is listed', () => {
+    table.markLeaving('c@1');
+    table.put(entryOf('c'));
+    expect(ready()).toEqual(['a@1', 'b@1']);
+  });
+
+  it('still names one that leaves as a source of cached prompts', () => {
+    table.markLeaving('a@1');
+    expect(table.ofLife('a@1')?.entry.id).toEqual('a');
+    expect(table.leavingLives).toEqual(['a@1']);
+  });
+});
--- a/src/runners/RunnerTable.ts
+++ b/src/runners/RunnerTable.ts
@@ -11,6 +11,9 @@
  */
 const LARGEST_SHARE_LEFT_OUT = 1 / 3;
 
+/** Runners of a large fleet that are replaced within minutes. */
+const MAXIMUM_LEAVING = 4_096;
+
 /** Keeps what is known of a runner over changes of its entry. */
 export class RunnerTable {
   private readonly byId = new Map<string, Runner>();
@@ -20,6 +23,9 @@
   /** Outcomes of all runners by service. */
   private readonly outcomes = new Map<string, FailureShare>();
 
+  /** Lives that have said that they leave, the oldest first; kept while their entries come and go. */
+  private readonly leaving = new Set<string>();
+
   private readonly ready = new Map<string, readonly Runner[]>();
 
   /** @returns The number of runners, draining ones too. */
@@ -80,6 +86,24 @@
     this.ready.clear();
   }
 
+  /**
+   * @param life - of a runner that has said that it leaves; its listing may be older.
+   * @returns Whether that is news.
+   */
+  markLeaving(life: string): boolean {
+    if (this.leaving.has(life)) return false;
+    this.leaving.add(life);
+    const [oldest] = this.leaving;
+    if (this.leaving.size > MAXIMUM_LEAVING && oldest !== undefined) this.leaving.delete(oldest);
+    this.ready.clear();
+    return true;
+  }
+
+  /** @returns Lives of listed runners that have said that they leave. */
+  get leavingLives(): string[] {
+    return [...this.leaving].filter((life) => this.byLife.has(life));
+  }
+
   /**
    * @param service - name of a service.
    * @returns Its runners that take new work, in the order of their ids.
@@ -89,6 +113,7 @@
     if (known) return known;
     const ready = this.list()
       .filter(({ entry }) => entry.service === service && entry.state === 'ready')
+      .filter(({ entry }) => !this.leaving.has(entry.life))
       .sort((a, b) => (a.entry.id < b.entry.id ? -1 : 1));
     const present = ready.filter(({ isLapsed }) => !isLapsed);
     const mayLeaveOut = present.length >= ready.length * (1 - LARGEST_SHARE_LEFT_OUT);
--- a/src/sync/FleetKnowledge.ts
+++ b/src/sync/FleetKnowledge.ts
@@ -175,6 +175,7 @@
     const { revision, configuration, storeSilentMilliseconds } = snapshot;
     this.storeServed(now - (storeSilentMilliseconds ?? Number.POSITIVE_INFINITY));
     const newVersion = (configuration?.version ?? 0) > (this.table?.configuration.version ?? 0);
+    this.listener.runnersLeaving(snapshot.leaving ?? []);
     if (configuration && newVersion) this.putConfiguration(configuration);
     if (revision <= this.revision) return newVersion;
     this.applyListing(snapshot, now);
@@ -237,6 +238,7 @@
       configurationVersion: configuration?.version,
       runners: this.runners.list().map(({ entry }) => entry),
       lapsed: this.listing.lapsedIds,
+      leaving: this.runners.leavingLives,
       storeSilentMilliseconds: Math.round(this.listing.outages.silentMilliseconds(now)),
       daemons: this.daemonListing.registered,
     };
--- a/src/sync/knowledgeTypes.ts
+++ b/src/sync/knowledgeTypes.ts
@@ -15,6 +15,8 @@
   readonly runners: readonly RunnerEntry[];
   /** Ids of those whose entries are missing, and may be back. */
   readonly lapsed?: readonly string[];
+  /** Lives of those that have said that they leave, whatever their entries say. */
+  readonly leaving?: readonly string[];
   /** For how long the sender knows of nobody whom the store has answered, in ms. */
   readonly storeSilentMilliseconds?: number;
   readonly daemons: readonly DaemonEntry[];
@@ -30,6 +32,8 @@
   daemonChanged(name: string, state: 'listed' | 'gone'): void;
   /** Another daemon has kept where shared prompts are cached. */
   warmPlacesKept(places: readonly WarmPlace[]): void;
+  /** Runners have told another daemon that they leave. */
+  runnersLeaving(lives: readonly string[]): void;
   /** Another daemon has kept which requests reach no runners. */
   quarantineKept(page: string): void;
   /** All of a read has been taken. */
--- a/src/sync/testKnowledge.ts
+++ b/src/sync/testKnowledge.ts
@@ -15,6 +15,7 @@
       },
       daemonChanged: () => undefined,
       warmPlacesKept: () => undefined,
+      runnersLeaving: () => undefined,
       quarantineKept: () => undefined,
       updated: () => undefined,
       unreadable: (key) => unreadable.push(key),
--- a/tests/leavingRunners.spec.ts
+++ b/tests/leavingRunners.spec.ts
@@ -69,6 +69,26 @@
     expect(leaving.arrivals.length).toEqual(0);
   });
 
+  it('is believed at the head of a stream, while the rest is on its way', async () => {
+    const events = { events: 1_000, eventMilliseconds: 1 };
+    const engine = await site.addRunner({ id: 'engine-1', service: 'engine', ...events });
+    const [first] = site.daemons;
+    const runnersOfFirst = first?.daemon.knowledge.runners;
+    await site.until(() => runnersOfFirst?.get(engine.id) !== undefined);
+    engine.saysLeaving = true;
+    let leavingLives: readonly string[] = [];
+    const answer = await callSite({
+      address: first?.settings.addresses.callers ?? '',
+      path: '/chat/1',
+      headers: { 'Prompt-Prefix': 'aa:10,bb:5' },
+      onData: () => {
+        leavingLives = runnersOfFirst?.leavingLives ?? [];
+      },
+    });
+    expect(leavingLives.length).toEqual(1);
+    expect([answer.status, answer.isComplete]).toEqual([200, true]);
+  });
+
   it('gets no more requests from the others', async () => {
     await hearItLeave(0);
     await sendMany(1);
