--- a/src/coordination/FleetCoordination.ts
+++ b/src/coordination/FleetCoordination.ts
@@ -22,7 +22,7 @@
 import { CoordinatedSelector } from './CoordinatedSelector.js';
 import { coordinatorsOf, readersOf, tellersOf, watchersOf } from './coordinatorsOf.js';
 import type { GrantLedger } from './GrantLedger.js';
-import { LeavingRunners } from './LeavingRunners.js';
+import { LeaveNotices } from './LeaveNotices.js';
 import { livenessDuties } from './livenessDuties.js';
 import { StoreRelay } from './StoreRelay.js';
 
@@ -75,7 +75,7 @@
   readonly relay: StoreRelay;
 
   /** Which runners have said that they leave. */
-  readonly leavingRunners: LeavingRunners;
+  readonly leaveNotices: LeaveNotices;
 
   /** Answers other daemons' questions about who is alive. */
   readonly livenessPeers: LivenessPeers;
@@ -136,7 +136,7 @@
       log,
       coordinators: () => this.coordinators,
     });
-    this.leavingRunners = new LeavingRunners({
+    this.leaveNotices = new LeaveNotices({
       daemon: daemon.name,
       runners: knowledge.runners,
       connections: options.connections,
--- a/src/coordination/LeavingRunners.spec.ts
+++ b/src/coordination/LeaveNotices.spec.ts
@@ -10,7 +10,7 @@
 import { RunnerTable } from '../runners/RunnerTable.js';
 import type { DaemonEntry } from '../sync/FleetStore.js';
 import { tellersOf, watchersOf } from './coordinatorsOf.js';
-import { LeavingRunners } from './LeavingRunners.js';
+import { LeaveNotices } from './LeaveNotices.js';
 
 const LIFE = 'runner-1@1';
 
@@ -43,7 +43,7 @@
         .map((entry) => parseAddress(entry.newsAddress));
     const isTeller = tellersOf(watchers).some((teller) => teller.name === name);
     const runners = new RunnerTable();
-    const leaving = new LeavingRunners({
+    const leaving = new LeaveNotices({
       daemon: name,
       runners,
       connections: { release: () => undefined },
@@ -67,7 +67,7 @@
   return daemons.filter(({ runners }) => !runners.markLeaving(LIFE)).length;
 }
 
-describe(LeavingRunners.name, () => {
+describe(LeaveNotices.name, () => {
   for (const count of [2, 9, 20, 66, 195, 390]) {
     it(`tells all daemons what one has heard, though messages get lost: ${count} daemons`, () => {
       expect(knowing(count, 0.05)).toEqual(count);
--- a/src/coordination/LeavingRunners.ts
+++ b/src/coordination/LeaveNotices.ts
@@ -14,8 +14,8 @@
 import type { RunnerTable } from '../runners/RunnerTable.js';
 import { coordinationLogEvents } from './coordinationFeature.js';
 
-/** Options of a {@link LeavingRunners}. */
-export interface LeavingRunnersOptions {
+/** Options of a {@link LeaveNotices}. */
+export interface LeaveNoticesOptions {
   /** This daemon's name. */
   daemon: string;
   runners: RunnerTable;
@@ -34,15 +34,15 @@
 const LIVES_IN_DATAGRAM = 24;
 
 /** Takes the word of runners and of other daemons, and passes it on. */
-export class LeavingRunners {
-  private readonly options: LeavingRunnersOptions;
+export class LeaveNotices {
+  private readonly options: LeaveNoticesOptions;
 
   private readonly news: RepeatedNews;
 
   /**
    * @param options - runners, and who is told.
    */
-  constructor(options: LeavingRunnersOptions) {
+  constructor(options: LeaveNoticesOptions) {
     const { daemon, socket, later } = options;
     this.options = options;
     this.news = new RepeatedNews({ send: (news) => this.send(news), later });
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -257,7 +257,7 @@
     await withdrawn;
     this.follower.stop();
     this.coordination.liveness.stop();
-    this.coordination.leavingRunners.stop();
+    this.coordination.leaveNotices.stop();
     this.peers.close();
     this.news.close();
     this.warmPlacesKeeper.stop();
@@ -323,7 +323,7 @@
       log,
       revision: () => this.knowledge.revision,
       applyLimits: (limits) => this.front.applyLimits(limits),
-      takeLeaving: (lives) => this.coordination.leavingRunners.learn(lives, 'peer'),
+      takeLeaving: (lives) => this.coordination.leaveNotices.learn(lives, 'peer'),
       takeQuarantine: (page) => this.quarantineTask.takeKept(page),
       onUpdate: () => {
         this.news.tellChange();
--- a/src/router/createForwardingContext.ts
+++ b/src/router/createForwardingContext.ts
@@ -51,7 +51,7 @@
     selector: coordination.selector,
     statements: new RunnerStatements({
       protocol,
-      onLeaving: ({ entry }) => coordination.leavingRunners.heard(entry.life),
+      onLeaving: ({ entry }) => coordination.leaveNotices.heard(entry.life),
     }),
     budget: new SharedRetryBudget({
       ratio,
