Leave a runner alone for the time that it asks for

Callers saw refusals that a runner had announced: it answered 503 with Retry-After, and was asked again after 0.8 s.

Cause: the same as for runners that leave, what a runner says in its answers was passed on and not taken in. A refusal counted as a failure like any other, and the pause of a failing runner has nothing to do with what it asked for. Two arrivals in 4 s kept the limit by luck.

Change: a 503 with Retry-After keeps this daemon away from that runner until then: not chosen, not as a last resort either, and not by a coordinator's grant. Whole and fractional seconds; what is no such number asks for 1 s, more than 60 s for 60, each with a line of the log. Where all runners of a service ask for time, callers are refused at once with the shortest of them.

--- a/src/coordination/CoordinatedSelector.ts
+++ b/src/coordination/CoordinatedSelector.ts
@@ -121,7 +121,7 @@
   private excluded({ tried, service, now }: ChoiceQuestion): string[] {
     const unusable = this.options.runners
       .readyOf(service)
-      .filter(({ health }) => !health.isUsable(now))
+      .filter(({ health, pausedUntil }) => !health.isUsable(now) || pausedUntil > now)
       .map(({ entry }) => entry.life);
     return [...new Set([...tried, ...unusable])].slice(0, MAXIMUM_EXCLUDED);
   }
@@ -143,6 +143,7 @@
     const isFit =
       runner !== undefined &&
       runners.takesNewWork(runner) &&
+      runner.pausedUntil <= question.now &&
       !question.tried.has(answer.life) &&
       runner.inFlight < question.connectionLimit;
     if (!isFit || !isChoiceReason(answer.reason)) return choice.choose(question);
--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -268,7 +268,8 @@
       return;
     }
     const isLate = this.now() >= this.request.deadlineAt;
-    this.endWith(ownAnswerFor({ verdict, reason, isLate }));
+    const pauseMilliseconds = this.context.pauseOf(this.request.service, this.now());
+    this.endWith(ownAnswerFor({ verdict, reason, isLate, pauseMilliseconds }));
   }
 
   private endWith(own: OwnAnswer): void {
--- a/src/forwarding/RunnerStatements.spec.ts
+++ b/src/forwarding/RunnerStatements.spec.ts
@@ -2,7 +2,9 @@
 
 import { expect } from 'earl';
 
+import { SilentLog } from '../logging/Log.js';
 import { Runner } from '../runners/Runner.js';
+import { ManualClock } from '../time/ManualClock.js';
 import { RunnerStatements } from './RunnerStatements.js';
 import { TestProtocol } from './testProtocol.js';
 
@@ -23,6 +25,8 @@
   let leaves = false;
   const statements = new RunnerStatements({
     protocol: new TestProtocol(),
+    clock: new ManualClock(),
+    log: new SilentLog(),
     onLeaving: () => {
       leaves = true;
     },
@@ -41,6 +45,23 @@
     expect(isBelieved(421, { ...LEAVING, speaker: 'runner-1' })).toEqual(true);
   });
 
+  it('pauses a runner that asks for time where it refuses, not where it answers', () => {
+    const clock = new ManualClock();
+    const pausedUntil = (statusCode: number, headers: Record<string, string>) => {
+      const runner = new Runner(RUNNER.entry);
+      const protocol = new TestProtocol();
+      const log = new SilentLog();
+      const statements = new RunnerStatements({ protocol, clock, log, onLeaving: () => undefined });
+      statements.take(runner, { statusCode, headers });
+      return runner.pausedUntil;
+    };
+    const asks = { 'retry-after': '1.5' };
+    expect(pausedUntil(503, { ...asks, 'not-run': '1' })).toEqual(1_500);
+    expect(pausedUntil(503, asks)).toEqual(1_500);
+    expect(pausedUntil(503, { ...asks, speaker: 'runner-2' })).toEqual(-Infinity);
+    expect(pausedUntil(500, { ...asks, ...SIGNED })).toEqual(-Infinity);
+  });
+
   it('does not take the word of another runner, or of nobody, for it', () => {
     expect(isBelieved(200, LEAVING)).toEqual(false);
     expect(isBelieved(503, LEAVING)).toEqual(false);
--- /dev/null
+++ b/src/forwarding/askedPause.spec.ts
@@ -0,0 +1,30 @@
+import { describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import { askedPause } from './askedPause.js';
+
+describe(askedPause.name, () => {
+  it('takes whole and fractional seconds', () => {
+    const texts = ['0', '4', ' 2 ', '0.25', '60'];
+    const pauses = texts.map((text) => askedPause(text));
+    expect(pauses.map(({ milliseconds }) => milliseconds)).toEqual([0, 4_000, 2_000, 250, 60_000]);
+    expect(pauses.some(({ isCorrected }) => isCorrected)).toEqual(false);
+  });
+
+  it('bounds what no runner can mean, and says so', () => {
+    const unreadable = [
+      '-4',
+      'soon',
+      '',
+      'NaN',
+      '1e9',
+      'Infinity',
+      'Wed, 21 Oct 2026 07:28:00 GMT',
+    ];
+    for (const text of unreadable) {
+      expect(askedPause(text)).toEqual({ milliseconds: 1_000, isCorrected: true });
+    }
+    expect(askedPause('86400')).toEqual({ milliseconds: 60_000, isCorrected: true });
+  });
+});
--- a/src/forwarding/forwardingFeature.ts
+++ b/src/forwarding/forwardingFeature.ts
@@ -63,6 +63,20 @@
     operatorAction:
       'Look at the link of this instance; a large configuration fills a slow one for a second.',
   }),
+  pauseAsked: defineLogEvent({
+    number: 2609,
+    name: 'forwarding.pause_asked',
+    level: 'info',
+    text: 'A runner has refused a request and wants none from this daemon for a while.',
+    operatorAction: 'Many with one runner: it is overloaded or starts slowly.',
+  }),
+  askedPauseCorrected: defineLogEvent({
+    number: 2610,
+    name: 'forwarding.asked_pause_corrected',
+    level: 'warn',
+    text: 'A runner has asked for a pause that cannot be read or is too long; a shorter one is kept.',
+    operatorAction: 'Look at what the runner sends as Retry-After.',
+  }),
   linkSound: defineLogEvent({
     number: 2608,
     name: 'forwarding.link_sound',
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -26,6 +26,8 @@
   readonly link: LinkCheck;
   readonly quarantine: RequestQuarantine;
   readonly statements: RunnerStatements;
+  /** Until a runner of a service takes requests again, in ms, where all have asked for time. */
+  readonly pauseOf: (service: string, now: number) => number | undefined;
   /** The configuration in force, or `undefined` before the first one is known. */
   readonly routes: () => RouteTable | undefined;
   /** Daemons that share the runners' connections, this one too. */
--- a/src/forwarding/ownAnswerFor.ts
+++ b/src/forwarding/ownAnswerFor.ts
@@ -6,6 +6,10 @@
 /** Runners free a place within about this time, in seconds. */
 const REFUSED_RETRY_SECONDS = 0.25;
 
+/** Callers are told tenths of a second. */
+const STEP_MILLISECONDS = 100;
+const STEPS_PER_SECOND = 10;
+
 /** What the answer depends on. */
 export interface OwnAnswerQuestion {
   /** `refuse`: no runner has run the request, and none will; `fail`: one may have. */
@@ -13,15 +17,20 @@
   readonly reason: string;
   /** Whether the caller's deadline has passed. */
   readonly isLate: boolean;
+  /** Until a runner takes requests again, in ms, where all have asked for time. */
+  readonly pauseMilliseconds?: number | undefined;
 }
 
 /**
  * @param question - how the request stands.
  * @returns What the caller gets.
  */
-export function ownAnswerFor({ verdict, reason, isLate }: OwnAnswerQuestion): OwnAnswer {
+export function ownAnswerFor(question: OwnAnswerQuestion): OwnAnswer {
+  const { verdict, reason, isLate, pauseMilliseconds = 0 } = question;
   if (verdict === 'refuse') {
-    return { status: 503, reason, retryAfterSeconds: REFUSED_RETRY_SECONDS };
+    const pauseSeconds = Math.ceil(pauseMilliseconds / STEP_MILLISECONDS) / STEPS_PER_SECOND;
+    const retryAfterSeconds = Math.max(REFUSED_RETRY_SECONDS, pauseSeconds);
+    return { status: 503, reason, retryAfterSeconds };
   }
   return { status: isLate ? 504 : 502, reason };
 }
--- a/src/forwarding/testRequest.ts
+++ b/src/forwarding/testRequest.ts
@@ -149,6 +149,8 @@
       selector: new LocalSelector(choice),
       statements: new RunnerStatements({
         protocol: new TestProtocol(),
+        clock,
+        log,
         onLeaving: ({ entry }) => runners.markLeaving(entry.life),
       }),
       quarantine: new RequestQuarantine({
@@ -159,6 +161,7 @@
       }),
       connections: new OpenConnections(() => this.openPort),
       budget: new SharedRetryBudget({ ...budget, allowance }),
+      pauseOf: (service, now) => runners.pauseOf(service, now),
       routes: () => undefined,
       daemons: () => 1,
       isStoreSilent: () => false,
--- a/src/router/createForwardingContext.ts
+++ b/src/router/createForwardingContext.ts
@@ -51,6 +51,8 @@
     selector: coordination.selector,
     statements: new RunnerStatements({
       protocol,
+      clock,
+      log,
       onLeaving: ({ entry }) => coordination.leaveNotices.heard(entry.life),
     }),
     budget: new SharedRetryBudget({
@@ -59,6 +61,7 @@
       windowMilliseconds: windowSeconds * 1_000,
       daemons,
     }),
+    pauseOf: (service, now) => knowledge.runners.pauseOf(service, now),
     routes: () => knowledge.routes,
   };
 }
--- a/src/runners/Runner.ts
+++ b/src/runners/Runner.ts
@@ -35,6 +35,9 @@
   /** Whether its entry is missing from the platform's list, which may have been away: it is gone, or will be back. */
   isLapsed = false;
 
+  /** Until when it has asked this daemon for no requests, monotonic ms. */
+  pausedUntil = Number.NEGATIVE_INFINITY;
+
   /** Requests of this daemon that the runner has. */
   inFlight = 0;
 
@@ -49,4 +52,11 @@
     this.entry = entry;
     this.health = new RunnerHealth(service);
   }
+
+  /**
+   * @param at - until when it wants no requests from this daemon, monotonic ms; a longer pause holds.
+   */
+  pauseUntil(at: number): void {
+    this.pausedUntil = Math.max(this.pausedUntil, at);
+  }
 }
--- a/src/runners/RunnerChoice.ts
+++ b/src/runners/RunnerChoice.ts
@@ -121,7 +121,8 @@
   choose(question: ChoiceQuestion): Choice | undefined {
     const untried = this.options.runners
       .readyOf(question.service)
-      .filter(({ entry }) => !question.tried.has(entry.life));
+      .filter(({ entry }) => !question.tried.has(entry.life))
+      .filter(({ pausedUntil }) => pausedUntil <= question.now);
     const free = untried.filter(({ inFlight }) => inFlight < question.connectionLimit);
     const usable = free.filter(({ health }) => health.isUsable(question.now));
     const candidates = usable.length > 0 ? usable : free;
--- a/src/runners/RunnerTable.ts
+++ b/src/runners/RunnerTable.ts
@@ -122,6 +122,18 @@
     return found;
   }
 
+  /**
+   * @param service - name of a service.
+   * @param now - monotonic ms.
+   * @returns Until the first of its runners takes work from here again, in ms, where all have asked for time; `undefined`
+   *   where one has not, or there is none.
+   */
+  pauseOf(service: string, now: number): number | undefined {
+    const pauses = this.readyOf(service).map(({ pausedUntil }) => pausedUntil - now);
+    const shortest = Math.min(...pauses);
+    return pauses.length > 0 && shortest > 0 ? shortest : undefined;
+  }
+
   /**
    * @param runner - that is listed.
    * @returns Whether it takes new work.
