Count a crash against requests whose callers had left just before

A caller that gives up sooner than its request crashes the runner left no trace: the daemon broke the attempt off and heard nothing of the crash. Requests that were given up at a runner in the 2 s before are counted where its host then refuses a connection, as those that broke off there are.

--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -280,7 +280,10 @@
 
   private stopAttempts(): void {
     this.timer.clear();
-    for (const attempt of this.active) attempt.cancel();
+    for (const attempt of this.active) {
+      attempt.cancel();
+      this.guard.abandoned(attempt);
+    }
     this.active.clear();
   }
 
--- a/src/forwarding/QuarantineGuard.ts
+++ b/src/forwarding/QuarantineGuard.ts
@@ -83,6 +83,13 @@
     if (status !== GATEWAY_TIMEOUT) this.quarantine.answered(this.digest);
   }
 
+  /**
+   * @param attempt - that is broken off here.
+   */
+  abandoned({ runner, startedAt }: RunnerAttempt): void {
+    this.quarantine.abandoned(runner, { digest: this.digest, startedAt });
+  }
+
   /**
    * @param attempt - that got no answer.
    * @param failure - how it failed.
--- a/src/quarantine/CrashWatch.spec.ts
+++ b/src/quarantine/CrashWatch.spec.ts
@@ -84,6 +84,18 @@
     expect(crashes).toEqual(['runner-1 10000 a']);
   });
 
+  it('puts a crash to the account of a request whose caller has left just before', () => {
+    const runner = runners.get(ENTRY.id);
+    if (!runner) return;
+    watch.abandoned(runner, { digest: 'a', startedAt: 1 });
+    watch.refused(runner);
+    clock.advance(2_000);
+    watch.abandoned(runner, { digest: 'b', startedAt: 2 });
+    clock.advance(2_000);
+    watch.refused(runner);
+    expect(crashes).toEqual(['runner-1 10000 a']);
+  });
+
   it('does not take one that leaves for crashed', () => {
     runners.put({ ...ENTRY, state: 'draining' });
     breakOff('a');
--- a/src/quarantine/CrashWatch.ts
+++ b/src/quarantine/CrashWatch.ts
@@ -42,6 +42,9 @@
 /** What breaks off and what a runner says after this time belongs to another cause, in ms. */
 const CASE_MILLISECONDS = 2_000;
 
+/** Runners at which requests were given up lately. */
+const MAXIMUM_ABANDONED = 256;
+
 /** A runner at which requests have broken off. */
 class CrashCase {
   readonly runner: Runner;
@@ -69,11 +72,11 @@
     return isNews;
   }
 
-  /** @returns Digests that have not been taken yet, of the request that began last first. */
-  takeDigests(): string[] {
+  /** @returns Those that have not been taken yet, the one that began last first. */
+  takeRequests(): BrokenRequest[] {
     const latestFirst = this.requests.sort((one, other) => other.startedAt - one.startedAt);
     this.requests = [];
-    return latestFirst.map(({ digest }) => digest);
+    return latestFirst;
   }
 }
 
@@ -83,6 +86,9 @@
 
   private readonly cases = new Map<string, CrashCase>();
 
+  /** By life, requests that their daemon gave up there lately: what they began may still crash the runner. */
+  private readonly abandonedRequests = new Map<string, CrashCase>();
+
   /**
    * @param options - the runners, and who is told.
    */
@@ -102,9 +108,8 @@
       return;
     }
     if (!this.shouldLive(runner)) return;
-    const opened = new CrashCase(runner, this.options.clock.monotonicMilliseconds());
+    const opened = this.open(runner);
     opened.add(request);
-    this.cases.set(runner.entry.life, opened);
     this.look(opened, () => {
       this.options.later(
         () => this.look(opened, () => this.closeLater(opened)),
@@ -119,13 +124,51 @@
   refused(runner: Runner): void {
     const known = this.caseOf(runner);
     if (known) this.confirm(known);
+    else if (this.recentOf(this.abandonedRequests, runner) && this.shouldLive(runner)) {
+      this.confirm(this.open(runner));
+    }
+  }
+
+  /**
+   * @param runner - at which a request was broken off because its caller has left or its time is over.
+   * @param request - that was.
+   */
+  abandoned(runner: Runner, request: BrokenRequest): void {
+    const known = this.caseOf(runner);
+    if (known) {
+      known.add(request);
+      if (known.isCrash) this.report(known);
+      return;
+    }
+    const { life } = runner.entry;
+    const kept =
+      this.recentOf(this.abandonedRequests, runner) ??
+      new CrashCase(runner, this.options.clock.monotonicMilliseconds());
+    kept.add(request);
+    this.abandonedRequests.delete(life);
+    this.abandonedRequests.set(life, kept);
+    const [oldest = life] = this.abandonedRequests.keys();
+    if (this.abandonedRequests.size > MAXIMUM_ABANDONED) this.abandonedRequests.delete(oldest);
+  }
+
+  private open(runner: Runner): CrashCase {
+    const opened = new CrashCase(runner, this.options.clock.monotonicMilliseconds());
+    const given = this.recentOf(this.abandonedRequests, runner)?.takeRequests() ?? [];
+    for (const request of given) opened.add(request);
+    this.abandonedRequests.delete(runner.entry.life);
+    this.cases.set(runner.entry.life, opened);
+    return opened;
+  }
+
+  private caseOf(runner: Runner): CrashCase | undefined {
+    return this.recentOf(this.cases, runner);
   }
 
-  private caseOf({ entry }: Runner): CrashCase | undefined {
-    const known = this.cases.get(entry.life);
+  private recentOf(cases: Map<string, CrashCase>, { entry }: Runner): CrashCase | undefined {
+    const known = cases.get(entry.life);
     if (!known) return undefined;
     if (this.options.clock.monotonicMilliseconds() - known.at < CASE_MILLISECONDS) return known;
-    this.cases.delete(entry.life);
+    cases.delete(entry.life);
     return undefined;
   }
 
@@ -161,6 +204,10 @@
   private report(confirmed: CrashCase): void {
     const { runner, at } = confirmed;
     const crash = { life: murmurhash.v3(runner.entry.life), at };
-    this.options.onCrash(runner, crash, confirmed.takeDigests());
+    this.options.onCrash(
+      runner,
+      crash,
+      confirmed.takeRequests().map(({ digest }) => digest),
+    );
   }
 }
--- a/src/quarantine/RequestQuarantine.ts
+++ b/src/quarantine/RequestQuarantine.ts
@@ -141,6 +141,14 @@
     this.watch.broke(runner, request);
   }
 
+  /**
+   * @param runner - at which a request was given up.
+   * @param request - that was there.
+   */
+  abandoned(runner: Runner, request: BrokenRequest): void {
+    this.watch.abandoned(runner, request);
+  }
+
   /**
    * @param runner - whose host has refused a connection.
    */
