--- a/soak/SoakCallers.ts
+++ b/soak/SoakCallers.ts
@@ -109,6 +109,7 @@
    * @param kind - of request.
    * @param path - of a request that looks for a configuration.
    * @param onData - called when the answer begins.
+   * @param body - of a request that comes again.
    * @returns The request, once it is over.
    */
   async call(
@@ -116,8 +117,9 @@
     kind: CallKind,
     path = `/${kind}/x`,
     onData: () => void = () => undefined,
+    body?: string,
   ): Promise<Call> {
-    const call = this.send(daemon, kind, path, onData);
+    const call = this.send(daemon, kind, path, onData, body);
     this.pending.add(call);
     const ended = await call;
     this.pending.delete(call);
@@ -130,10 +132,11 @@
     kind: CallKind,
     path: string,
     onData: () => void,
+    repeated: string | undefined,
   ): Promise<Call> {
     this.sent += 1;
     const id = `call-${this.sent}`;
-    const body = `body of ${id}`;
+    const body = repeated ?? `body of ${id}`;
     const call = { id, kind, daemon: index, path, body, sentAt: performance.now() };
     const prompt = `a${this.sent % PROMPTS}:2000,b${this.sent}:50`;
     const isStream = kind === 'chat' || kind === 'story';
--- a/soak/SoakSite.ts
+++ b/soak/SoakSite.ts
@@ -13,14 +13,20 @@
 import { watchLateness } from './link/watchLateness.js';
 import { RunBook } from './RunBook.js';
 import { SoakDaemon } from './SoakDaemon.js';
-import { CHANGE_BOUND_MILLISECONDS, EVENTS, MAXIMUM_ATTEMPTS, STOP_SECONDS } from './soakBounds.js';
+import {
+  CHANGE_BOUND_MILLISECONDS,
+  EVENTS,
+  FATAL_BODY,
+  MAXIMUM_ATTEMPTS,
+  STOP_SECONDS,
+  TIMEOUT_MILLISECONDS,
+  WORK_MILLISECONDS,
+} from './soakBounds.js';
 
 /** Services of the stand-in's configuration. */
 export type SoakService = 'plain' | 'engine';
 
 const EVENT_MILLISECONDS = 40;
-/** Long enough that faults meet plain requests under way as well. */
-const WORK_MILLISECONDS = 80;
 
 /** Of the large configurations. */
 const LARGE_ROUTES = 1_400;
@@ -157,16 +163,42 @@
       eventMilliseconds: EVENT_MILLISECONDS,
       workMilliseconds: WORK_MILLISECONDS,
       onRan: (request, from) => this.runs.note(request, id, from),
+      isFatal: ({ body }) => body.startsWith(FATAL_BODY),
+      onCrashed: () => this.crashed(runner),
+      onRestarted: () => {
+        void this.listAnew(runner);
+      },
     });
     await runner.start();
-    for (const { link } of this.daemons) {
-      this.paths.set(`${link.ownHost} ${id}`, await link.open('runners', runner.ownAddress));
-    }
+    await this.openPaths(runner);
     this.runners.set(id, runner);
     this.list(runner);
     return runner;
   }
 
+  /** Its host refuses connections from now on; what it had is cut within the longest time of a request. */
+  private crashed(runner: SiteRunner): void {
+    const text = `${runner.id} crashes at a request`;
+    const over = this.history.begin({ kind: 'runner', runner: runner.id, text });
+    this.closePaths(runner);
+    setTimeout(over, TIMEOUT_MILLISECONDS);
+  }
+
+  private async listAnew(runner: SiteRunner): Promise<void> {
+    await this.openPaths(runner);
+    if (this.runners.has(runner.id)) this.list(runner);
+  }
+
+  private async openPaths({ id, ownAddress }: SiteRunner): Promise<void> {
+    for (const { link } of this.daemons) {
+      this.paths.set(`${link.ownHost} ${id}`, await link.open('runners', ownAddress));
+    }
+  }
+
+  private closePaths({ id }: SiteRunner): void {
+    for (const { link } of this.daemons) link.close(this.paths.get(`${link.ownHost} ${id}`) ?? '');
+  }
+
   /**
    * @param runner - that writes its entry.
    * @param state - what it says of itself.
@@ -188,9 +220,7 @@
   endRunner(runner: SiteRunner): void {
     this.runners.delete(runner.id);
     runner.stop();
-    for (const { link } of this.daemons) {
-      link.close(this.paths.get(`${link.ownHost} ${runner.id}`) ?? '');
-    }
+    this.closePaths(runner);
   }
 
   /**
--- /dev/null
+++ b/soak/checks/StatementChecks.ts
@@ -0,0 +1,95 @@
+/**
+ * What is promised of requests that crash runners, and of runners whose answers say that they leave.
+ */
+import type { FaultHistory, FaultKind } from '../FaultHistory.js';
+import type { RunBook, SoakRun } from '../RunBook.js';
+import type { Call } from '../SoakCallers.js';
+import {
+  CHANGE_BOUND_MILLISECONDS,
+  CONTACT_MILLISECONDS,
+  FATAL_BODY,
+  FATAL_CRASHES,
+  LATENESS_MILLISECONDS,
+  LATE_FATAL_RUNS,
+  WORK_MILLISECONDS,
+} from '../soakBounds.js';
+import type { Contact } from './Contact.js';
+import type { Violations } from './Violations.js';
+
+/** A daemon that has started again, or stood still, need not know what it has passed on before. */
+const FORGETTING: readonly FaultKind[] = ['kill', 'stop', 'pause'];
+
+/** Options of {@link StatementChecks}. */
+export interface StatementChecksOptions {
+  runs: RunBook;
+  history: FaultHistory;
+  contact: Contact;
+  violations: Violations;
+  /** By id. */
+  calls: ReadonlyMap<string, Call>;
+}
+
+/** Looks at all runs in the end. */
+export class StatementChecks {
+  private readonly options: StatementChecksOptions;
+
+  /**
+   * @param options - runs and callers' requests.
+   */
+  constructor(options: StatementChecksOptions) {
+    this.options = options;
+  }
+
+  /** No request may be under way. */
+  look(): void {
+    const { runs } = this.options;
+    const fatal = runs.all.filter(({ body }) => body.startsWith(FATAL_BODY));
+    for (const body of new Set(fatal.map((run) => run.body))) {
+      this.lookAtFatal(fatal.filter((run) => run.body === body));
+    }
+    this.lookAtLeaving();
+  }
+
+  private lookAtFatal(runs: readonly SoakRun[]): void {
+    const { calls, contact, violations } = this.options;
+    const third = runs[FATAL_CRASHES - 1];
+    if (!third) return;
+    const known = third.at + WORK_MILLISECONDS + CONTACT_MILLISECONDS + LATENESS_MILLISECONDS;
+    const late = runs.filter(({ id, at }) => {
+      const call = calls.get(id);
+      return at > known && call !== undefined && contact.holds(call.daemon, at, at);
+    });
+    const told = () => `${third.body} ran ${runs.length} times, ${late.length} of them late`;
+    const isKept = late.length <= LATE_FATAL_RUNS;
+    violations.check('a request that crashes runners is kept from them', isKept, told, third.id);
+  }
+
+  private lookAtLeaving(): void {
+    const { runs, history, violations, calls } = this.options;
+    const toldAt = this.toldLeaving();
+    for (const { id, runner, at } of runs.all) {
+      const call = calls.get(id);
+      const since = toldAt.get(`${call?.daemon} ${runner}`);
+      if (!call || since === undefined) continue;
+      const forgotten = history
+        .during(FORGETTING, since, at)
+        .some(({ daemon }) => daemon === undefined || daemon === call.daemon);
+      const late = call.sentAt - since - CHANGE_BOUND_MILLISECONDS - LATENESS_MILLISECONDS;
+      const told = () => `${runner} got a request ${Math.round(at - since)} ms after it said so`;
+      const isKept = late <= 0 || forgotten;
+      violations.check('runners that say that they leave get nothing new', isKept, told, id);
+    }
+  }
+
+  /** When a daemon first passed on that a runner leaves, monotonic ms, by both. */
+  private toldLeaving(): Map<string, number> {
+    const toldAt = new Map<string, number>();
+    for (const { daemon, answer, endedAt } of this.options.calls.values()) {
+      const runner = /^seal-(.+)$/u.exec(String(answer?.headers['response-seal']))?.[1];
+      if (answer?.headers['server-leaving'] === undefined || runner === undefined) continue;
+      const key = `${daemon} ${runner}`;
+      toldAt.set(key, Math.min(endedAt, toldAt.get(key) ?? Number.POSITIVE_INFINITY));
+    }
+    return toldAt;
+  }
+}
--- a/soak/faults/faultPlan.ts
+++ b/soak/faults/faultPlan.ts
@@ -8,9 +8,11 @@
 import {
   FailingRunner,
   LostAnswers,
+  FatalRequest,
   RunnerCrash,
   RunnerLeaves,
   RunnerRestart,
+  RunnerSaysItLeaves,
 } from './runnerFaults.js';
 import { DroppedHistory, FailingStore } from './storeFaults.js';
 
@@ -67,6 +69,20 @@
 
 const LONGEST_SERIES = 4;
 
+/** Time from one of these faults to the next, in ms: each takes runners away for a while. */
+const STATEMENT_PAUSES: readonly [number, number] = [3_000, 9_000];
+
+/** Drawn after all others, which stay as they are for a seed. */
+function planStatements(draw: Draw, seconds: number): PlannedFault[] {
+  const plan: PlannedFault[] = [];
+  let at = SERIES_MILLISECONDS;
+  while (at < seconds * 1_000) {
+    plan.push({ at, fault: new (draw.one([FatalRequest, RunnerSaysItLeaves]))(draw) });
+    at += draw.between(...STATEMENT_PAUSES);
+  }
+  return plan;
+}
+
 /**
  * @param draw - gives everything.
  * @param seconds - in which faults begin.
@@ -85,5 +101,5 @@
     }
     at += draw.between(...PAUSES);
   }
-  return plan;
+  return [...plan, ...planStatements(draw, seconds)];
 }
--- a/soak/faults/runnerFaults.ts
+++ b/soak/faults/runnerFaults.ts
@@ -5,7 +5,7 @@
 
 import type { RunnerBehaviour, SiteRunner } from '../../standIns/site/SiteRunner.js';
 import type { SoakService } from '../SoakSite.js';
-import { CHANGE_BOUND_MILLISECONDS, TIMEOUT_MILLISECONDS } from '../soakBounds.js';
+import { CHANGE_BOUND_MILLISECONDS, FATAL_BODY, TIMEOUT_MILLISECONDS } from '../soakBounds.js';
 import type { FaultGround } from './Fault.js';
 import { Fault } from './Fault.js';
 
@@ -103,6 +103,55 @@
   }
 }
 
+/** Beside all that a request may crash before it is kept from them, streams need runners to go on at. */
+const RUNNERS_BESIDE_FATAL = 4;
+
+/** A request that crashes each runner that runs it, and comes again at all daemons in turn. */
+export class FatalRequest extends Fault {
+  private readonly repeats = this.draw.between(8, 30);
+
+  private readonly pause = this.draw.between(50, 300);
+
+  private readonly body = `${FATAL_BODY} ${this.draw.random()}`;
+
+  override async play({ site, callers }: FaultGround): Promise<void> {
+    for (let added = 0; added < RUNNERS_BESIDE_FATAL; added += 1) await site.addRunner('engine');
+    await wait(CHANGE_BOUND_MILLISECONDS);
+    const calls: Promise<unknown>[] = [];
+    for (let sent = 0; sent < this.repeats; sent += 1) {
+      const running = site.daemons.filter(({ isUp }) => isUp);
+      const daemon = running[sent % running.length];
+      if (daemon) calls.push(callers.call(daemon, 'story', undefined, undefined, this.body));
+      await wait(this.pause);
+    }
+    await Promise.all(calls);
+  }
+}
+
+/** A runner says in its answers that it leaves, while the store lists it as before; it ends when it is idle. */
+export class RunnerSaysItLeaves extends Fault {
+  private readonly service: SoakService = this.draw.one(SERVICES);
+
+  private readonly choice = this.draw.random();
+
+  override async play(ground: FaultGround): Promise<void> {
+    const { site } = ground;
+    await site.addRunner(this.service);
+    const runner = site.spareRunner(this.service, this.choice);
+    if (!runner) return;
+    site.runners.delete(runner.id);
+    runner.saysLeaving = true;
+    await wait(CHANGE_BOUND_MILLISECONDS + TIMEOUT_MILLISECONDS);
+    const text = `${runner.id} has said that it leaves, and ends`;
+    await this.last(ground, { kind: 'runner', runner: runner.id, text }, 0, {
+      begin: () => {
+        site.unlist(runner);
+        site.endRunner(runner);
+      },
+    });
+  }
+}
+
 /** A runner drains, or is just unlisted, serves on for the bound, and ends when it is idle. */
 export class RunnerLeaves extends Fault {
   private readonly service: SoakService = this.draw.one(SERVICES);
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -13,6 +13,7 @@
 import { DrainChecks } from './checks/DrainChecks.js';
 import { Excuses } from './checks/Excuses.js';
 import { checkRecovery } from './checks/recovery.js';
+import { StatementChecks } from './checks/StatementChecks.js';
 import { Violations } from './checks/Violations.js';
 import { Draw } from './faults/Fault.js';
 import { planFaults } from './faults/faultPlan.js';
@@ -48,8 +49,10 @@
   const contact = new Contact(history, daemons);
   const answers = new AnswerChecks({ runs, excuses, violations });
   const drains = new DrainChecks({ runs, contact, violations, calls: answers.calls });
+  const { calls } = answers;
+  const statements = new StatementChecks({ runs, history, contact, violations, calls });
   const configurations = new ConfigurationChecks({ site, contact, violations });
-  return { violations, answers, drains, configurations };
+  return { violations, answers, drains, statements, configurations };
 }
 
 async function play(plan: readonly PlannedFault[], start: (one: PlannedFault) => Promise<void>) {
@@ -63,7 +66,7 @@
 async function soak(site: SoakSite, options: SoakOptions): Promise<Violations> {
   const { seed, seconds, rate = 40, plan = planFaults } = options;
   const { daemons } = site;
-  const { violations, answers, drains, configurations } = createChecks(site);
+  const { violations, answers, drains, statements, configurations } = createChecks(site);
   const planned = plan(new Draw(seededRandom(seed), daemons.length), seconds);
   const random = seededRandom(seed + 1);
   const callers = new SoakCallers({ daemons, random, rate, onEnd: (call) => answers.look(call) });
@@ -75,6 +78,7 @@
   await callers.stop();
   answers.lookAtRuns();
   drains.look();
+  statements.look();
   for (const complaint of daemons.flatMap(({ complaints }) => complaints)) {
     violations.check('processes go on', false, () => complaint);
   }
--- a/soak/soakBounds.ts
+++ b/soak/soakBounds.ts
@@ -31,3 +31,15 @@
 
 /** Runners that may run one request; see `siteConfiguration`. */
 export const MAXIMUM_ATTEMPTS = 2;
+
+/** Before a plain answer, and before a crash; long enough that faults meet plain requests under way; in ms. */
+export const WORK_MILLISECONDS = 80;
+
+/** A request with such a body crashes each runner that runs it. */
+export const FATAL_BODY = 'fatal';
+
+/** Crashes after which a request is not to run any more. */
+export const FATAL_CRASHES = 3;
+
+/** Runs that are allowed once all daemons had the time to know, in all. */
+export const LATE_FATAL_RUNS = 3;
--- a/standIns/site/SiteRunner.ts
+++ b/standIns/site/SiteRunner.ts
@@ -56,6 +56,8 @@
   isFatal?: (request: ReceivedRequest) => boolean;
   /** From a crash to the next start, in ms. */
   downMilliseconds?: number;
+  /** Told of each crash. */
+  onCrashed?: () => void;
   /** Told of each start after a crash: the listing has to be written anew. */
   onRestarted?: () => void;
 }
@@ -111,6 +113,7 @@
       onRan: () => undefined,
       isFatal: () => false,
       downMilliseconds: 300,
+      onCrashed: () => undefined,
       onRestarted: () => undefined,
       ...options,
     };
@@ -142,6 +145,7 @@
     if (!this.server.listening) return;
     this.crashes += 1;
     this.close();
+    this.options.onCrashed();
     this.restartTimer = setTimeout(() => {
       void this.startAgain();
     }, this.options.downMilliseconds);
