Count new crashes against a request that was cleared of many before; notice a late next life

A record kept eight crashes and took no more, so that a popular request that had been cleared eight times could never be quarantined. The oldest are forgotten now. A runner whose address goes on taking connections is taken for crashed when it is listed under a new life within 2 s; before only within 250 ms.

--- a/src/quarantine/CrashRecord.ts
+++ b/src/quarantine/CrashRecord.ts
@@ -9,7 +9,7 @@
 /** Daemons see one crash this far apart at most; a runner needs longer to start again under the same life; in ms. */
 const SAME_CRASH_MILLISECONDS = 1_000;
 
-/** Further crashes change nothing. */
+/** Of more than these the oldest are forgotten. */
 const MAXIMUM_CRASHES = 8;
 
 /** An answer just before a crash speaks for a request as one after it does; in ms. */
@@ -59,8 +59,10 @@
       if (crash.at < (this.crashes[known]?.at ?? 0)) this.crashes[known] = crash;
       return false;
     }
-    if (this.crashes.length >= MAXIMUM_CRASHES) return false;
+    if (crash.at <= this.clearedAt && this.crashes.length >= MAXIMUM_CRASHES) return false;
     this.crashes.push(crash);
+    this.crashes.sort((one, other) => one.at - other.at);
+    if (this.crashes.length > MAXIMUM_CRASHES) this.crashes.shift();
     return true;
   }
 
--- a/src/quarantine/CrashWatch.spec.ts
+++ b/src/quarantine/CrashWatch.spec.ts
@@ -76,6 +76,16 @@
     expect(crashes).toEqual(['runner-1 10000 a']);
   });
 
+  it('takes one that is born anew within two seconds for crashed, though its address took connections', () => {
+    breakOff('a');
+    probes[0]?.('accepted');
+    later[0]?.();
+    probes[1]?.('accepted');
+    runners.put({ ...ENTRY, life: 'runner-1@2' });
+    later[1]?.();
+    expect(crashes).toEqual(['runner-1 10000 a']);
+  });
+
   it('takes one that refuses another request soon after for crashed', () => {
     breakOff('a');
     probes[0]?.('no_answer');
--- a/src/quarantine/CrashWatch.ts
+++ b/src/quarantine/CrashWatch.ts
@@ -179,15 +179,17 @@
   }
 
   private look(examined: CrashCase, onAlive: () => void): void {
-    const { probe, runners } = this.options;
-    const { id, life } = examined.runner.entry;
-    probe(examined.runner, (result) => {
-      const isBornAnew = (runners.get(id)?.entry.life ?? life) !== life;
-      if (result === 'refused' || isBornAnew) this.confirm(examined);
+    this.options.probe(examined.runner, (result) => {
+      if (result === 'refused' || this.isBornAnew(examined)) this.confirm(examined);
       else onAlive();
     });
   }
 
+  private isBornAnew({ runner }: CrashCase): boolean {
+    const { id, life } = runner.entry;
+    return (this.options.runners.get(id)?.entry.life ?? life) !== life;
+  }
+
   private confirm(confirmed: CrashCase): void {
     if (!confirmed.confirm()) return;
     this.report(confirmed);
@@ -198,6 +200,7 @@
     const { life } = ended.runner.entry;
     this.options.later(() => {
       if (this.cases.get(life) === ended) this.cases.delete(life);
+      if (this.isBornAnew(ended) && ended.confirm()) this.report(ended);
     }, CASE_MILLISECONDS);
   }
 
--- a/src/quarantine/QuarantineDecisions.spec.ts
+++ b/src/quarantine/QuarantineDecisions.spec.ts
@@ -66,6 +66,15 @@
     expect(decisions.standingOf(DIGEST)).toEqual('quarantined');
   });
 
+  it('quarantines a request that was cleared of many crashes before', () => {
+    for (let life = 1; life <= 20; life += 1) {
+      crash(life, life * 10_000);
+      decisions.answered(DIGEST, life * 10_000 + 100);
+    }
+    for (const life of [31, 32, 33]) crash(life, 300_000 + life);
+    expect(decisions.standingOf(DIGEST)).toEqual('quarantined');
+  });
+
   it('keeps it for a day, and then lets it try again', () => {
     crashThree();
     expect(decisions.remainingMilliseconds(DIGEST, 1_300)).toEqual(DAY_MILLISECONDS - 1_000);
