--- a/src/quarantine/CrashWatch.spec.ts
+++ b/src/quarantine/CrashWatch.spec.ts
@@ -25,6 +25,7 @@
   let probes: ((result: ProbeResult) => void)[];
   let later: (() => void)[];
   let crashes: string[];
+  let counted: number;
 
   beforeEach(() => {
     clock = new ManualClock({ monotonicMilliseconds: 10_000 });
@@ -33,10 +34,14 @@
     probes = [];
     later = [];
     crashes = [];
+    counted = 0;
     watch = new CrashWatch({
       runners,
       clock,
-      onCrash: ({ entry }, { at }, digests) => crashes.push(`${entry.id} ${at} ${digests.join()}`),
+      onCrash: ({ runner, crash, digests, isFirst }) => {
+        if (isFirst) counted += 1;
+        crashes.push(`${runner.entry.id} ${crash.at} ${digests.join()}`);
+      },
       probe: (_runner, done) => probes.push(done),
       later: (call) => later.push(call),
     });
@@ -53,7 +58,7 @@
     probes[0]?.('refused');
     breakOff('c', 1);
     expect(crashes).toEqual(['runner-1 10000 b,a', 'runner-1 10000 c']);
-    expect(probes.length).toEqual(1);
+    expect([probes.length, counted]).toEqual([1, 1]);
   });
 
   it('does not take one that resets connections, or is behind a cut, for crashed', () => {
--- a/src/quarantine/CrashWatch.ts
+++ b/src/quarantine/CrashWatch.ts
@@ -11,12 +11,18 @@
 import type { Clock } from '../time/Clock.js';
 import type { RunnerCrash } from './quarantineTypes.js';
 
-/** Told of a runner's crash with the digests of the requests that broke off, the one that began last first. */
-export type CrashListener = (
-  runner: Runner,
-  crash: RunnerCrash,
-  digests: readonly string[],
-) => void;
+/** A runner's crash, or requests that broke off with it and were not known when it was told first. */
+export interface SeenCrash {
+  readonly runner: Runner;
+  readonly crash: RunnerCrash;
+  /** Of the requests, the one that began last first. */
+  readonly digests: readonly string[];
+  /** Whether this crash is told for the first time. */
+  readonly isFirst: boolean;
+}
+
+/** Told of crashes. */
+export type CrashListener = (seen: SeenCrash) => void;
 
 /** Options of a {@link CrashWatch}. */
 export interface CrashWatchOptions {
@@ -54,6 +60,8 @@
 
   isCrash = false;
 
+  private isTold = false;
+
   private requests: BrokenRequest[] = [];
 
   constructor(runner: Runner, at: number) {
@@ -72,6 +80,13 @@
     return isNews;
   }
 
+  /** @returns Whether it was not told before. */
+  markTold(): boolean {
+    const isFirst = !this.isTold;
+    this.isTold = true;
+    return isFirst;
+  }
+
   /** @returns Those that have not been taken yet, the one that began last first. */
   takeRequests(): BrokenRequest[] {
     const latestFirst = this.requests.sort((one, other) => other.startedAt - one.startedAt);
@@ -207,10 +222,7 @@
   private report(confirmed: CrashCase): void {
     const { runner, at } = confirmed;
     const crash = { life: murmurhash.v3(runner.entry.life), at };
-    this.options.onCrash(
-      runner,
-      crash,
-      confirmed.takeRequests().map(({ digest }) => digest),
-    );
+    const digests = confirmed.takeRequests().map(({ digest }) => digest);
+    this.options.onCrash({ runner, crash, digests, isFirst: confirmed.markTold() });
   }
 }
--- a/src/quarantine/RequestQuarantine.ts
+++ b/src/quarantine/RequestQuarantine.ts
@@ -64,9 +64,9 @@
       clock,
       ...(probe && { probe }),
       ...(later && { later }),
-      onCrash: (runner, crash, digests) => {
+      onCrash: ({ runner, crash, digests, isFirst }) => {
         const now = clock.monotonicMilliseconds();
-        options.crashes.increment();
+        if (isFirst) options.crashes.increment();
         options.log.write(quarantineLogEvents.runnerCrashed, {
           runner: runner.entry.id,
           life: crash.life,
