--- a/src/explanations/causeOf.ts
+++ b/src/explanations/causeOf.ts
@@ -32,6 +32,11 @@
         'may not repeat it or its attempts or the budget of retries were used up',
       ].join(' '),
     )
+    .with('quarantined', () => 'several runners have crashed under this request')
+    .with(
+      'suspect_under_way',
+      () => 'a runner has crashed under this request, and the same one was under way',
+    )
     .with('no_route', () => 'no route of the configuration in force has its host and path')
     .with('unknown_key', () => 'its key is in no client account of the configuration in force')
     .otherwise((other) => String(other));
--- a/src/explanations/lossDecisions.spec.ts
+++ b/src/explanations/lossDecisions.spec.ts
@@ -119,6 +119,16 @@
     failures: [failed('not_connected', 'refuse')],
     expected: `not connected | ${UNTOLD} | 503`,
   },
+  {
+    name: 'a request that crashes runners',
+    fields: { status: 503, outcome: 'quarantined', digest: 'f' },
+    expected: 'quarantined | runners crashed under it | 503',
+  },
+  {
+    name: 'a suspect whose like is under way',
+    fields: { status: 503, outcome: 'suspect_under_way', digest: 'f' },
+    expected: 'quarantined | the same request was under way | 503',
+  },
   {
     name: 'a service without runners',
     fields: { status: 503, outcome: 'no_runner' },
--- a/src/explanations/lossDecisions.ts
+++ b/src/explanations/lossDecisions.ts
@@ -104,6 +104,11 @@
       cause: 'not resumed',
       detail: 'no stream from the second runner',
     }))
+    .with('quarantined', () => ({ cause: 'quarantined', detail: 'runners crashed under it' }))
+    .with('suspect_under_way', () => ({
+      cause: 'quarantined',
+      detail: 'the same request was under way',
+    }))
     .otherwise((outcome) => ({ cause: 'other', detail: textOf(outcome) }));
 }
 
--- a/src/explanations/lossTypes.ts
+++ b/src/explanations/lossTypes.ts
@@ -22,6 +22,8 @@
   | 'no runner'
   /** A stream was cut, and the runner that was to go on with it gave no stream. */
   | 'not resumed'
+  /** Runners have crashed under the request before. */
+  | 'quarantined'
   /** Refused before any runner was chosen. */
   | 'refused at once'
   /** Still in progress when the time of a planned stop had run out. */
--- a/src/quarantine/quarantineFeature.ts
+++ b/src/quarantine/quarantineFeature.ts
@@ -32,8 +32,8 @@
     number: 3103,
     name: 'quarantine.keeping_failed',
     level: 'warn',
-    text: 'The list of quarantined requests could not be written to the store; it is tried again.',
-    operatorAction: 'Look at the store if it goes on.',
+    text: 'The list of quarantined requests could not be written to the store, or what is there could not be read.',
+    operatorAction: 'Look at the store, and at who writes there, if it goes on.',
   }),
   pullFailed: defineLogEvent({
     number: 3104,
