Let both ways into an open crash case share one step

broke and abandoned added a request to an open case in the same five lines. Behaviour is as before: the specs of the quarantine and tests/fatalRequests.spec.ts are green (38 of 38), format, lint of the folder and types too.

--- a/src/quarantine/CrashWatch.ts
+++ b/src/quarantine/CrashWatch.ts
@@ -116,12 +116,7 @@
    * @param request - that did.
    */
   broke(runner: Runner, request: BrokenRequest): void {
-    const known = this.caseOf(runner);
-    if (known) {
-      known.add(request);
-      if (known.isCrash) this.report(known);
-      return;
-    }
+    if (this.joinCase(runner, request)) return;
     if (!this.shouldLive(runner)) return;
     const opened = this.open(runner);
     opened.add(request);
@@ -149,12 +144,7 @@
    * @param request - that was.
    */
   abandoned(runner: Runner, request: BrokenRequest): void {
-    const known = this.caseOf(runner);
-    if (known) {
-      known.add(request);
-      if (known.isCrash) this.report(known);
-      return;
-    }
+    if (this.joinCase(runner, request)) return;
     const { life } = runner.entry;
     const kept =
       this.recentOf(this.abandonedRequests, runner) ??
@@ -166,6 +156,15 @@
     if (this.abandonedRequests.size > MAXIMUM_ABANDONED) this.abandonedRequests.delete(oldest);
   }
 
+  /** @returns Whether there is an open case of the runner, which has the request now. */
+  private joinCase(runner: Runner, request: BrokenRequest): boolean {
+    const known = this.caseOf(runner);
+    if (!known) return false;
+    known.add(request);
+    if (known.isCrash) this.report(known);
+    return true;
+  }
+
   private open(runner: Runner): CrashCase {
     const opened = new CrashCase(runner, this.options.clock.monotonicMilliseconds());
     const given = this.recentOf(this.abandonedRequests, runner)?.takeRequests() ?? [];
