Send nothing more to an evacuated data centre

Change: an order is a fact of the store like a runner's entry. Readers tell it with the changes of runners, it is part of the digest by which daemons notice what they have missed, and of what a daemon tells one that asks it. All ways to a runner ask `RunnerTable.readyOf`, which now leaves such runners out by the same typed obstacle as draining ones: first choice, second try, hedge, resumption, and a coordinator's answer. What they have goes on to its end. A service with no runner elsewhere is refused at once with a time to come back (`unavailabilityOf`). A crash of an evacuated runner still counts, since it goes on with what it has.

Ruled out: an order kept outside the list of runners, told by a message of its own; a lost message would need a second mechanism to be noticed.

--- a/src/coordination/testFleet.ts
+++ b/src/coordination/testFleet.ts
@@ -47,7 +47,8 @@
   readonly isAway: boolean;
   readonly revision: number;
   readonly present: () => StoreFact[];
-  readonly changesAfter: (revision: number) => StoreFact[];
+  /** `undefined` where the history does not reach back so far. */
+  readonly changesAfter: (revision: number) => StoreFact[] | undefined;
 }
 
 class CapturingSocket extends FleetSocket {
@@ -86,6 +87,9 @@
 
   readonly socket = new CapturingSocket();
 
+  /** When it started, monotonic ms. */
+  readonly startedAt: number;
+
   /** Until when it reaches neither the store nor others, monotonic ms. */
   cutUntil = Number.NEGATIVE_INFINITY;
 
@@ -103,6 +107,7 @@
     const gather = GATHER_SHARE * options.boundMilliseconds;
     this.options = options;
     this.name = name;
+    this.startedAt = clock.monotonicMilliseconds();
     this.relay = new StoreRelay({
       daemon: name,
       socket: this.socket,
@@ -146,16 +151,21 @@
   private read({ revision, present, changesAfter }: TestStoreView, now: number): void {
     const { knowledge, relay } = this;
     knowledge.storeServed(now);
-    if (this.mustRead === 'everything') knowledge.applyAll({ revision, facts: present() }, now);
-    else knowledge.applyChanges({ revision, facts: changesAfter(knowledge.revision) }, now);
+    const changes = this.mustRead === 'everything' ? undefined : changesAfter(knowledge.revision);
+    if (changes) knowledge.applyChanges({ revision, facts: changes }, now);
+    else knowledge.applyAll({ revision, facts: present() }, now);
     this.mustRead = undefined;
     relay.readDone();
   }
 }
 
+/** Runners lie in these in turn. */
+export const TEST_DATA_CENTRES = ['north', 'east', 'south', 'west'] as const;
+
 function runnerOf(index: number, state: RunnerState = 'ready'): RunnerEntry {
   const id = `runner-${index}`;
-  const place = { host: '10.0.0.1', port: 8_000 + index, dataCentre: 'here' };
+  const dataCentre = TEST_DATA_CENTRES[index % TEST_DATA_CENTRES.length] as string;
+  const place = { host: '10.0.0.1', port: 8_000 + index, dataCentre };
   return { id, life: id, service: TEST_SERVICE, state, ...place };
 }
 
@@ -163,6 +173,12 @@
 export class TestFleet {
   readonly daemons: TestDaemon[];
 
+  private readonly readers: ReadonlySet<string>;
+
+  private readonly evacuated = new Set<string>();
+
+  private historyStart = 0;
+
   private readonly random: () => number;
 
   private readonly clock = new ManualClock();
@@ -196,14 +212,8 @@
       return { name: `daemon-${index}`, dataCentre: 'here', ...addresses };
     });
     const readers = new Set(readersOf(coordinatorsOf(entries)).map(({ name }) => name));
-    const { clock, random } = this;
-    const { boundMilliseconds } = options;
-    const later = (call: () => void, milliseconds: number) =>
-      this.later.push({ at: this.now + milliseconds, call });
-    this.daemons = entries.map(({ name }) => {
-      const isReader = readers.has(name);
-      return new TestDaemon({ name, isReader, boundMilliseconds, clock, random, later });
-    });
+    this.readers = readers;
+    this.daemons = entries.map(({ name }) => this.createDaemon(name));
   }
 
   /** @returns Monotonic milliseconds. */
@@ -232,6 +242,36 @@
     this.write({ kind: 'runner', runner: runnerOf(index) });
   }
 
+  /**
+   * @param dataCentre - that the operators evacuate.
+   */
+  evacuate(dataCentre: string): void {
+    this.evacuated.add(dataCentre);
+    this.write({ kind: 'evacuation', dataCentre });
+  }
+
+  /**
+   * @param dataCentre - whose evacuation the operators take back.
+   */
+  takeBack(dataCentre: string): void {
+    this.evacuated.delete(dataCentre);
+    this.write({ kind: 'evacuation_over', dataCentre });
+  }
+
+  /** Daemons that ask for changes of before now have to read everything. */
+  forgetHistory(): void {
+    this.historyStart = this.revision;
+  }
+
+  /**
+   * Starts a daemon anew, with nothing known.
+   *
+   * @param index - of the daemon.
+   */
+  restart(index: number): void {
+    this.daemons[index] = this.createDaemon(this.daemons[index]?.name ?? '');
+  }
+
   /** @param until - when the store answers again; monotonic ms. */
   loseStore(until: number): void {
     this.awayUntil = until;
@@ -258,6 +298,15 @@
     for (const daemon of this.daemons) daemon.follow(this.view());
   }
 
+  private createDaemon(name: string): TestDaemon {
+    const { clock, random } = this;
+    const { boundMilliseconds } = this.options;
+    const isReader = this.readers.has(name);
+    const later = (call: () => void, milliseconds: number) =>
+      this.later.push({ at: this.now + milliseconds, call });
+    return new TestDaemon({ name, isReader, boundMilliseconds, clock, random, later });
+  }
+
   /** Runners renew their entries; one that cannot reach the store does not do it later. */
   private renew(): void {
     const renewals = Math.floor((this.now / HEARTBEAT_MILLISECONDS) * this.options.runners);
@@ -288,8 +337,14 @@
     return {
       isAway: this.awayUntil > this.now,
       revision: this.revision,
-      present: () => [...this.present.values()].map((runner) => ({ kind: 'runner', runner })),
-      changesAfter: (after) => this.changes.filter(({ revision }) => revision > after),
+      present: () => [
+        ...[...this.present.values()].map((runner) => ({ kind: 'runner', runner }) as const),
+        ...[...this.evacuated].map((dataCentre) => ({ kind: 'evacuation', dataCentre }) as const),
+      ],
+      changesAfter: (after) => {
+        if (after < this.historyStart) return undefined;
+        return this.changes.filter(({ revision }) => revision > after);
+      },
     };
   }
 }
--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -237,7 +237,7 @@
 
   private noRunner(): void {
     if (!this.fallback && this.tried.forgiveUnreached()) this.sendNext();
-    else this.giveUp(this.tried.mayHaveRun > 0 ? 'fail' : 'refuse', 'no_runner');
+    else this.giveUp(this.tried.mayHaveRun > 0 ? 'fail' : 'refuse');
   }
 
   private answerHeld(held: HeldAnswer): void {
@@ -262,14 +262,16 @@
     return may;
   }
 
-  private giveUp(verdict: 'refuse' | 'fail', reason: string): void {
+  /** Gives the reason why there is no runner, unless an attempt's own is known. */
+  private giveUp(verdict: 'refuse' | 'fail', failure?: AttemptFailure): void {
     if (this.fallback && !this.relay.hasHead) {
       this.answerHeld(this.fallback);
       return;
     }
-    const isLate = this.now() >= this.request.deadlineAt;
-    const pauseMilliseconds = this.context.pauseOf(this.request.service, this.now());
-    this.endWith(ownAnswerFor({ verdict, reason, isLate, pauseMilliseconds }));
+    const now = this.now();
+    const isLate = now >= this.request.deadlineAt;
+    const unavailability = this.context.unavailabilityOf(this.request.service, now);
+    this.endWith(ownAnswerFor({ verdict, failure, isLate, unavailability }));
   }
 
   private endWith(own: OwnAnswer): void {
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -6,6 +6,7 @@
 import type { RouteTable } from '../routes/RouteTable.js';
 import type { Route } from '../routes/routeTypes.js';
 import type { RunnerSelector } from '../runners/RunnerSelector.js';
+import type { Unavailability } from '../runners/unavailability.js';
 import type { Clock } from '../time/Clock.js';
 import type { ForwardingMetrics } from './ForwardingMetrics.js';
 import type { LinkCheck } from './LinkCheck.js';
@@ -26,8 +27,8 @@
   readonly link: LinkCheck;
   readonly quarantine: RequestQuarantine;
   readonly statements: RunnerStatements;
-  /** Until a runner of a service takes requests again, in ms, where all have asked for time. */
-  readonly pauseOf: (service: string, now: number) => number | undefined;
+  /** Why no runner of a service takes a request. */
+  readonly unavailabilityOf: (service: string, now: number) => Unavailability;
   /** The configuration in force, or `undefined` before the first one is known. */
   readonly routes: () => RouteTable | undefined;
   /** Daemons that share the runners' connections, this one too. */
--- a/src/forwarding/ownAnswerFor.ts
+++ b/src/forwarding/ownAnswerFor.ts
@@ -1,7 +1,9 @@
 /**
  * The daemon's own answer to a request that no runner has answered.
  */
+import type { Unavailability } from '../runners/unavailability.js';
 import type { OwnAnswer } from './AnswerRelay.js';
+import type { AttemptFailure } from './RunnerAttempt.js';
 
 /** Runners free a place within about this time, in seconds. */
 const REFUSED_RETRY_SECONDS = 0.25;
@@ -14,11 +16,12 @@
 export interface OwnAnswerQuestion {
   /** `refuse`: no runner has run the request, and none will; `fail`: one may have. */
   readonly verdict: 'refuse' | 'fail';
-  readonly reason: string;
+  /** Of the last attempt; `undefined` where no runner was left for another one. */
+  readonly failure?: AttemptFailure | undefined;
   /** Whether the caller's deadline has passed. */
   readonly isLate: boolean;
-  /** Until a runner takes requests again, in ms, where all have asked for time. */
-  readonly pauseMilliseconds?: number | undefined;
+  /** What keeps the service's runners from the request. */
+  readonly unavailability: Unavailability;
 }
 
 /**
@@ -26,7 +29,9 @@
  * @returns What the caller gets.
  */
 export function ownAnswerFor(question: OwnAnswerQuestion): OwnAnswer {
-  const { verdict, reason, isLate, pauseMilliseconds = 0 } = question;
+  const { verdict, failure, isLate, unavailability } = question;
+  const { reason: unavailable, pauseMilliseconds = 0 } = unavailability;
+  const reason = failure ?? unavailable;
   if (verdict === 'refuse') {
     const pauseSeconds = Math.ceil(pauseMilliseconds / STEP_MILLISECONDS) / STEPS_PER_SECOND;
     const retryAfterSeconds = Math.max(REFUSED_RETRY_SECONDS, pauseSeconds);
--- a/src/forwarding/testRequest.ts
+++ b/src/forwarding/testRequest.ts
@@ -16,6 +16,7 @@
 import { RunnerChoice } from '../runners/RunnerChoice.js';
 import { LocalSelector } from '../runners/RunnerSelector.js';
 import { RunnerTable } from '../runners/RunnerTable.js';
+import { unavailabilityOf } from '../runners/unavailability.js';
 import { WarmPlaces } from '../runners/WarmPlaces.js';
 import { ManualClock } from '../time/ManualClock.js';
 import { AnswerRelay } from './AnswerRelay.js';
@@ -161,7 +162,7 @@
       }),
       connections: new OpenConnections(() => this.openPort),
       budget: new SharedRetryBudget({ ...budget, allowance }),
-      pauseOf: (service, now) => runners.pauseOf(service, now),
+      unavailabilityOf: (service, now) => unavailabilityOf({ runners, service, now }),
       routes: () => undefined,
       daemons: () => 1,
       isStoreSilent: () => false,
--- a/src/quarantine/CrashWatch.spec.ts
+++ b/src/quarantine/CrashWatch.spec.ts
@@ -111,6 +111,13 @@
     expect(crashes).toEqual(['runner-1 10000 a']);
   });
 
+  it('takes one in an evacuated data centre for crashed: it goes on with what it has', () => {
+    runners.setEvacuated(new Set([ENTRY.dataCentre]));
+    breakOff('a');
+    probes[0]?.('refused');
+    expect(crashes).toEqual(['runner-1 10000 a']);
+  });
+
   it('does not take one that leaves for crashed', () => {
     runners.put({ ...ENTRY, state: 'draining' });
     breakOff('a');
--- a/src/quarantine/CrashWatch.ts
+++ b/src/quarantine/CrashWatch.ts
@@ -26,7 +26,7 @@
 
 /** Options of a {@link CrashWatch}. */
 export interface CrashWatchOptions {
-  runners: Pick<RunnerTable, 'get' | 'ofLife' | 'takesNewWork'>;
+  runners: Pick<RunnerTable, 'get' | 'ofLife' | 'obstacleOf' | 'takesNewWork'>;
   clock: Clock;
   onCrash: CrashListener;
   /** Asks whether a runner accepts connections; replaced by tests. */
@@ -189,7 +189,8 @@
   /** One that leaves ends by itself, and breaks off what it still has. */
   private shouldLive(runner: Runner): boolean {
     const { runners } = this.options;
-    return runners.ofLife(runner.entry.life) === runner && runners.takesNewWork(runner);
+    if (runners.ofLife(runner.entry.life) !== runner) return false;
+    return runners.takesNewWork(runner) || runners.obstacleOf(runner.entry) === 'evacuated';
   }
 
   private look(examined: CrashCase, onAlive: () => void): void {
--- a/src/quarantine/RequestQuarantine.ts
+++ b/src/quarantine/RequestQuarantine.ts
@@ -7,7 +7,6 @@
 import type { Log } from '../logging/Log.js';
 import type { Counter } from '../metrics/Counter.js';
 import type { Runner } from '../runners/Runner.js';
-import type { RunnerTable } from '../runners/RunnerTable.js';
 import type { Clock } from '../time/Clock.js';
 import type { BrokenRequest, CrashWatchOptions } from './CrashWatch.js';
 import { CrashWatch } from './CrashWatch.js';
@@ -25,7 +24,7 @@
 
 /** Options of a {@link RequestQuarantine}. */
 export interface RequestQuarantineOptions {
-  runners: Pick<RunnerTable, 'get' | 'ofLife' | 'takesNewWork'>;
+  runners: CrashWatchOptions['runners'];
   clock: Clock;
   log: Log;
   /** Counts crashes that this daemon has seen. */
--- a/src/router/KnowledgeReactions.ts
+++ b/src/router/KnowledgeReactions.ts
@@ -15,6 +15,8 @@
   connections: RunnerConnections;
   warmPlaces: WarmPlaces;
   log: Log;
+  /** Names of the data centres that this daemon's settings know. */
+  dataCentres: readonly string[];
   /** The store's revision that the daemon's beliefs have reached. */
   revision: () => number;
   /** Takes lives of runners that have told another daemon that they leave. */
@@ -75,6 +77,21 @@
     this.changedDaemons[state].push(name);
   }
 
+  /**
+   * Requests that its runners have go on to their end.
+   *
+   * @param dataCentre - that is evacuated, or not any more.
+   * @param state - from now on.
+   */
+  evacuationChanged(dataCentre: string, state: 'begun' | 'over'): void {
+    const { log, revision, dataCentres } = this.options;
+    if (!dataCentres.includes(dataCentre)) {
+      log.write(syncLogEvents.evacuationUnknown, { dataCentre, state, revision: revision() });
+      return;
+    }
+    log.write(syncLogEvents.evacuationChanged, { dataCentre, state, revision: revision() });
+  }
+
   /** @param places - where another daemon knows shared prompts to be cached. */
   warmPlacesKept(places: readonly WarmPlace[]): void {
     this.options.warmPlaces.import(places);
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -316,8 +316,10 @@
   }
 
   private createReactions(): KnowledgeReactions {
-    const { connections, warmPlaces, log } = this;
+    const { connections, warmPlaces, log, settings } = this;
+    const { dataCentre, dataCentreRegions } = settings;
     return new KnowledgeReactions({
+      dataCentres: [dataCentre, ...Object.keys(dataCentreRegions)],
       connections,
       warmPlaces,
       log,
--- a/src/router/createForwardingContext.ts
+++ b/src/router/createForwardingContext.ts
@@ -8,6 +8,7 @@
 import { RunnerStatements } from '../forwarding/RunnerStatements.js';
 import { SharedRetryBudget } from '../forwarding/SharedRetryBudget.js';
 import type { MetricRegistry } from '../metrics/MetricRegistry.js';
+import { unavailabilityOf } from '../runners/unavailability.js';
 import type { FleetKnowledge } from '../sync/FleetKnowledge.js';
 import type { RouterSettings } from './routerFeature.js';
 
@@ -42,6 +43,9 @@
   registry
     .gauge({ name: 'daemons_out', help: 'Listed daemons that are dead or stop.' })
     .follow(() => coordination.liveness.outCount);
+  registry
+    .gauge({ name: 'data_centres_evacuated', help: 'Evacuated data centres.' })
+    .follow(() => knowledge.evacuated.length);
   const runners = () => knowledge.runners.list();
   return {
     ...parts,
@@ -61,7 +65,8 @@
       windowMilliseconds: windowSeconds * 1_000,
       daemons,
     }),
-    pauseOf: (service, now) => knowledge.runners.pauseOf(service, now),
+    unavailabilityOf: (service, now) =>
+      unavailabilityOf({ runners: knowledge.runners, service, now }),
     routes: () => knowledge.routes,
   };
 }
--- a/src/router/routerFeature.ts
+++ b/src/router/routerFeature.ts
@@ -19,6 +19,10 @@
   name: z.string().min(1).describe('Name of this daemon, unique in the fleet.'),
   region: z.string().min(1).describe('The region.'),
   dataCentre: z.string().min(1).describe('The data centre.'),
+  dataCentreRegions: z
+    .record(z.string(), z.string().min(1).describe('Name of its region.'))
+    .default({})
+    .describe('Region of each data centre by its name, this one too.'),
   addresses: z
     .strictObject({
       callers: address('for callers'),
--- a/src/runners/RunnerTable.ts
+++ b/src/runners/RunnerTable.ts
@@ -3,7 +3,7 @@
  */
 import { FailureShare } from './FailureShare.js';
 import { Runner } from './Runner.js';
-import type { RunnerEntry } from './Runner.js';
+import type { RunnerEntry, RunnerState } from './Runner.js';
 
 /**
  * Of a service's runners, those without an entry get no new work up to this share: these have most likely left. With
@@ -14,6 +14,9 @@
 /** Runners of a large fleet that are replaced within minutes. */
 const MAXIMUM_LEAVING = 4_096;
 
+/** Why a listed runner gets no new work from any daemon. */
+export type WorkObstacle = Exclude<RunnerState, 'ready'> | 'leaving' | 'evacuated';
+
 /** Keeps what is known of a runner over changes of its entry. */
 export class RunnerTable {
   private readonly byId = new Map<string, Runner>();
@@ -26,6 +29,9 @@
   /** Lives that have said that they leave, the oldest first; kept while their entries come and go. */
   private readonly leaving = new Set<string>();
 
+  /** Names of data centres whose runners get nothing more. */
+  private evacuated: ReadonlySet<string> = new Set();
+
   private readonly ready = new Map<string, readonly Runner[]>();
 
   /** @returns The number of runners, draining ones too. */
@@ -99,6 +105,14 @@
     return true;
   }
 
+  /**
+   * @param dataCentres - whose runners get nothing more; all others do.
+   */
+  setEvacuated(dataCentres: ReadonlySet<string>): void {
+    this.evacuated = new Set(dataCentres);
+    this.ready.clear();
+  }
+
   /** @returns Lives of listed runners that have said that they leave. */
   get leavingLives(): string[] {
     return [...this.leaving].filter((life) => this.byLife.has(life));
@@ -112,8 +126,7 @@
     const known = this.ready.get(service);
     if (known) return known;
     const ready = this.list()
-      .filter(({ entry }) => entry.service === service && entry.state === 'ready')
-      .filter(({ entry }) => !this.leaving.has(entry.life))
+      .filter(({ entry }) => entry.service === service && this.obstacleOf(entry) === undefined)
       .sort((a, b) => (a.entry.id < b.entry.id ? -1 : 1));
     const present = ready.filter(({ isLapsed }) => !isLapsed);
     const mayLeaveOut = present.length >= ready.length * (1 - LARGEST_SHARE_LEFT_OUT);
@@ -122,18 +135,6 @@
     return found;
   }
 
-  /**
-   * @param service - name of a service.
-   * @param now - monotonic ms.
-   * @returns Until the first of its runners takes work from here again, in ms, where all have asked for time; `undefined`
-   *   where one has not, or there is none.
-   */
-  pauseOf(service: string, now: number): number | undefined {
-    const pauses = this.readyOf(service).map(({ pausedUntil }) => pausedUntil - now);
-    const shortest = Math.min(...pauses);
-    return pauses.length > 0 && shortest > 0 ? shortest : undefined;
-  }
-
   /**
    * @param runner - that is listed.
    * @returns Whether it takes new work.
@@ -142,6 +143,28 @@
     return this.readyOf(runner.entry.service).includes(runner);
   }
 
+  /**
+   * @param entry - of a runner.
+   * @returns Why no daemon sends new work there, if none does.
+   */
+  obstacleOf({ state, life, dataCentre }: RunnerEntry): WorkObstacle | undefined {
+    if (state !== 'ready') return state;
+    if (this.leaving.has(life)) return 'leaving';
+    return this.evacuated.has(dataCentre) ? 'evacuated' : undefined;
+  }
+
+  /**
+   * @param service - name of a service.
+   * @returns Why its runners get no new work, for each that gets none.
+   */
+  obstaclesOf(service: string): WorkObstacle[] {
+    const entries = this.list().map(({ entry }) => entry);
+    return entries
+      .filter((entry) => entry.service === service)
+      .map((entry) => this.obstacleOf(entry))
+      .filter((obstacle) => obstacle !== undefined);
+  }
+
   private outcomesOf(service: string): FailureShare {
     const known = this.outcomes.get(service) ?? new FailureShare();
     this.outcomes.set(service, known);
--- /dev/null
+++ b/src/runners/unavailability.spec.ts
@@ -0,0 +1,46 @@
+import { describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import type { RunnerState } from './Runner.js';
+import { RunnerTable } from './RunnerTable.js';
+import { unavailabilityOf } from './unavailability.js';
+
+const NOW = 1_000;
+
+function tableOf(...runners: readonly (readonly [place: string, state: RunnerState])[]) {
+  const table = new RunnerTable();
+  for (const [index, [dataCentre, state]] of runners.entries()) {
+    const id = `runner-${index}`;
+    table.put({ id, life: id, service: 'chat', host: '10.0.0.1', port: index, dataCentre, state });
+  }
+  return table;
+}
+
+function whyNone(runners: RunnerTable, service = 'chat') {
+  return unavailabilityOf({ runners, service, now: NOW });
+}
+
+describe('unavailabilityOf', () => {
+  it('tells an evacuation from a service that has no runner', () => {
+    const table = tableOf(['north', 'ready'], ['south', 'draining']);
+    table.setEvacuated(new Set(['north']));
+    expect(whyNone(table).reason).toEqual('evacuated');
+    expect(whyNone(table, 'other')).toEqual({ reason: 'no_runner' });
+  });
+
+  it('does not blame the evacuation of a data centre whose runners leave anyway', () => {
+    const table = tableOf(['north', 'draining']);
+    table.setEvacuated(new Set(['north']));
+    expect(whyNone(table)).toEqual({ reason: 'no_runner' });
+  });
+
+  it('tells the shortest time that runners have asked for, where all have', () => {
+    const table = tableOf(['north', 'ready'], ['south', 'ready']);
+    table.get('runner-0')?.pauseUntil(NOW + 900);
+    expect(whyNone(table)).toEqual({ reason: 'no_runner' });
+    table.get('runner-1')?.pauseUntil(NOW + 400);
+    const expected = { reason: 'asked_for_time', pauseMilliseconds: 400 } as const;
+    expect(whyNone(table)).toEqual(expected);
+  });
+});
--- /dev/null
+++ b/src/runners/unavailability.ts
@@ -0,0 +1,45 @@
+/**
+ * Why a service has no runner for a request, and when its caller should come back.
+ */
+import type { RunnerTable } from './RunnerTable.js';
+
+/** `no_runner`: what is listed has been tried, has no place, or there is none. */
+export type UnavailableReason = 'no_runner' | 'asked_for_time' | 'evacuated';
+
+/** What keeps a service's runners from a request. */
+export interface Unavailability {
+  readonly reason: UnavailableReason;
+  /** Until coming back makes sense, in ms, where that is known. */
+  readonly pauseMilliseconds?: number;
+}
+
+/** Operators take the order to evacuate a data centre back after seconds to hours; callers come back once or twice. */
+const EVACUATED_MILLISECONDS = 1_500;
+
+/** What is asked about a service that no runner was found for. */
+export interface UnavailabilityQuestion {
+  readonly runners: RunnerTable;
+  readonly service: string;
+  /** Monotonic milliseconds. */
+  readonly now: number;
+}
+
+/**
+ * @param question - a service that no runner was found for.
+ * @returns Why.
+ */
+export function unavailabilityOf({
+  runners,
+  service,
+  now,
+}: UnavailabilityQuestion): Unavailability {
+  const ready = runners.readyOf(service);
+  if (ready.length === 0) {
+    const isEvacuated = runners.obstaclesOf(service).includes('evacuated');
+    if (!isEvacuated) return { reason: 'no_runner' };
+    return { reason: 'evacuated', pauseMilliseconds: EVACUATED_MILLISECONDS };
+  }
+  const pauseMilliseconds = Math.min(...ready.map(({ pausedUntil }) => pausedUntil - now));
+  if (pauseMilliseconds > 0) return { reason: 'asked_for_time', pauseMilliseconds };
+  return { reason: 'no_runner' };
+}
--- a/src/sync/FleetKnowledge.ts
+++ b/src/sync/FleetKnowledge.ts
@@ -7,6 +7,7 @@
 import type { RunnerTable } from '../runners/RunnerTable.js';
 import { ChangeLog } from './ChangeLog.js';
 import { DaemonListing } from './DaemonListing.js';
+import { EvacuationListing } from './EvacuationListing.js';
 import type { DaemonEntry, StoreFact, StoreRead } from './FleetStore.js';
 import { digestOf, isListing } from './listings.js';
 import type { KnowledgeListener, KnowledgeSnapshot } from './knowledgeTypes.js';
@@ -51,6 +52,8 @@
 
   private readonly daemonListing: DaemonListing;
 
+  private readonly evacuations: EvacuationListing;
+
   private readonly unreadable: UnreadableEntries;
 
   /**
@@ -59,15 +62,21 @@
   constructor({ listener }: FleetKnowledgeOptions) {
     this.listener = listener;
     this.unreadable = new UnreadableEntries((key, message) => listener.unreadable(key, message));
+    const onWorkChange = (fact: StoreFact, moment: ChangeMoment) => {
+      this.changes += 1;
+      this.logChange(fact, moment);
+    };
     this.listing = new RunnerListing({
       listener,
       unreadable: this.unreadable,
-      onChange: (fact, moment) => {
-        this.changes += 1;
-        this.logChange(fact, moment);
-      },
+      onChange: onWorkChange,
     });
     this.runners = this.listing.table;
+    this.evacuations = new EvacuationListing({
+      runners: this.runners,
+      listener,
+      onChange: onWorkChange,
+    });
     this.daemonListing = new DaemonListing({
       listener,
       graceFor: (now) => this.listing.outages.graceFor(now),
@@ -88,13 +97,19 @@
 
   /** @returns Digest of all that have an entry: daemons differ in how long they wait for runners that have none. */
   get listingDigest(): number {
-    this.keptDigest ??= digestOf(
-      this.runners.list().filter(({ isLapsed }) => !isLapsed),
-      this.daemonListing.registered,
-    );
+    this.keptDigest ??= digestOf({
+      runners: this.runners.list().filter(({ isLapsed }) => !isLapsed),
+      daemons: this.daemonListing.registered,
+      evacuated: this.evacuations.names,
+    });
     return this.keptDigest;
   }
 
+  /** @returns Names of the data centres whose runners get nothing more. */
+  get evacuated(): readonly string[] {
+    return this.evacuations.names;
+  }
+
   /** A call of this daemon to the store failed. */
   storeFailed(): void {
     this.listing.outages.failed();
@@ -150,12 +165,15 @@
     }
     const runners = new Set<string>();
     const daemons = new Set<string>();
+    const evacuated = new Set<string>();
     const moment = { revision: read.revision, now };
     for (const fact of read.facts) {
       if (fact.kind === 'runner') runners.add(fact.runner.id);
       if (fact.kind === 'runner_unreadable') runners.add(fact.id);
       if (fact.kind === 'daemon') daemons.add(fact.daemon.name);
+      if (fact.kind === 'evacuation') evacuated.add(fact.dataCentre);
     }
+    this.evacuations.keepOnly(evacuated, moment);
     for (const { entry } of this.runners.list()) {
       if (!runners.has(entry.id)) this.listing.remove(entry.id, moment);
     }
@@ -216,11 +234,13 @@
    */
   applyListing(snapshot: KnowledgeSnapshot, now: number): void {
     const { revision, runners, lapsed = [], daemons } = snapshot;
+    const { evacuated = this.evacuations.names } = snapshot;
     if (revision < this.revision) return;
     const facts: StoreFact[] = [
       ...runners.map((runner) => ({ kind: 'runner', runner }) as const),
       ...lapsed.map((id) => ({ kind: 'runner_lapsed', id }) as const),
       ...daemons.map((daemon) => ({ kind: 'daemon', daemon }) as const),
+      ...evacuated.map((dataCentre) => ({ kind: 'evacuation', dataCentre }) as const),
     ];
     this.applyAll({ revision, facts }, now);
   }
@@ -241,6 +261,7 @@
       leaving: this.runners.leavingLives,
       storeSilentMilliseconds: Math.round(this.listing.outages.silentMilliseconds(now)),
       daemons: this.daemonListing.registered,
+      evacuated: this.evacuations.names,
     };
   }
 
@@ -279,6 +300,12 @@
       case 'daemon':
         this.daemonListing.put(fact.daemon, moment);
         break;
+      case 'evacuation':
+        this.evacuations.put(fact.dataCentre, moment);
+        break;
+      case 'evacuation_over':
+        this.evacuations.remove(fact.dataCentre, moment);
+        break;
       case 'secret':
         this.secret = fact.secret;
         break;
--- a/src/sync/FleetStore.ts
+++ b/src/sync/FleetStore.ts
@@ -36,6 +36,9 @@
   | { readonly kind: 'runner_unreadable'; readonly id: string; readonly message: string }
   | { readonly kind: 'daemon'; readonly daemon: DaemonEntry }
   | { readonly kind: 'daemon_gone'; readonly name: string }
+  /** Operators want the runners of a data centre to get nothing more, until they take the order back. */
+  | { readonly kind: 'evacuation'; readonly dataCentre: string }
+  | { readonly kind: 'evacuation_over'; readonly dataCentre: string }
   /** The secret by which daemons know each other's messages. */
   | { readonly kind: 'secret'; readonly secret: string }
   /** Where shared prompts are cached, as one of the daemons has kept it. */
--- a/src/sync/knowledgeTypes.ts
+++ b/src/sync/knowledgeTypes.ts
@@ -20,6 +20,8 @@
   /** For how long the sender knows of nobody whom the store has answered, in ms. */
   readonly storeSilentMilliseconds?: number;
   readonly daemons: readonly DaemonEntry[];
+  /** Names of evacuated data centres; missing where the sender does not know of evacuations. */
+  readonly evacuated?: readonly string[];
 }
 
 /** Hears of what has changed. */
@@ -30,6 +32,8 @@
   runnerChanged(entry: RunnerEntry, state: RunnerState | 'lapsed' | 'gone'): void;
   /** A daemon was listed, or is listed no more. */
   daemonChanged(name: string, state: 'listed' | 'gone'): void;
+  /** Operators have evacuated a data centre, or have taken that back. */
+  evacuationChanged(dataCentre: string, state: 'begun' | 'over'): void;
   /** Another daemon has kept where shared prompts are cached. */
   warmPlacesKept(places: readonly WarmPlace[]): void;
   /** Runners have told another daemon that they leave. */
--- a/src/sync/listings.ts
+++ b/src/sync/listings.ts
@@ -1,5 +1,5 @@
 /**
- * Which facts say who is there.
+ * Which facts say who is there and gets work.
  */
 import murmurhash from 'murmurhash';
 
@@ -13,6 +13,8 @@
   'runner_unreadable',
   'daemon',
   'daemon_gone',
+  'evacuation',
+  'evacuation_over',
 ]);
 
 /**
@@ -27,15 +29,23 @@
   return LISTINGS.has(kind);
 }
 
+/** What two daemons that know the same list. */
+export interface Listed {
+  readonly runners: readonly Runner[];
+  readonly daemons: readonly DaemonEntry[];
+  /** Names of evacuated data centres. */
+  readonly evacuated: readonly string[];
+}
+
 /**
- * @param runners - that are listed.
- * @param daemons - that are listed.
+ * @param listed - by a daemon.
  * @returns 32 bits, the same for two daemons that list the same.
  */
-export function digestOf(runners: readonly Runner[], daemons: readonly DaemonEntry[]): number {
+export function digestOf({ runners, daemons, evacuated }: Listed): number {
   const lines = [
     ...runners.map(({ entry }) => `${entry.life} ${entry.state} ${entry.service}`),
     ...daemons.map(({ name, newsAddress }) => `${name} ${newsAddress}`),
+    ...evacuated.map((name) => `evacuated ${name}`),
   ];
   return murmurhash.v3(lines.sort().join());
 }
--- a/src/sync/syncFeature.ts
+++ b/src/sync/syncFeature.ts
@@ -75,6 +75,20 @@
     text: 'A write to the store failed, or this daemon’s registration has lapsed; it tries again.',
     operatorAction: 'Look at the store if it goes on.',
   }),
+  evacuationChanged: defineLogEvent({
+    number: 2711,
+    name: 'sync.evacuation_changed',
+    level: 'info',
+    text: 'Operators have evacuated a data centre, or have taken that back: its runners get no more requests, or do again.',
+    operatorAction: 'None.',
+  }),
+  evacuationUnknown: defineLogEvent({
+    number: 2712,
+    name: 'sync.evacuation_unknown',
+    level: 'warn',
+    text: 'An order to evacuate names a data centre that the settings do not know.',
+    operatorAction: 'Check the name in the order.',
+  }),
   daemonsChanged: defineLogEvent({
     number: 2710,
     name: 'sync.daemons_changed',
--- a/src/sync/testKnowledge.ts
+++ b/src/sync/testKnowledge.ts
@@ -14,6 +14,7 @@
         if (state === 'gone') gone.push(id);
       },
       daemonChanged: () => undefined,
+      evacuationChanged: () => undefined,
       warmPlacesKept: () => undefined,
       runnersLeaving: () => undefined,
       quarantineKept: () => undefined,
