Give cold runners no more requests a second than they bear, of the whole fleet

Cause: a runner that has just started, or has become cold again, bears `cold_per_s` requests a second and crashes well above; the product knew neither the rate nor which runners are cold.

Change: four daemons decide about a cold runner, drawn by its life from those that choose for others (all in a small fleet), each with a quarter of the rate, evenly spaced. New owners wait a second, since those before may have sent as much. All others leave the runner alone; where nothing else is left they share half of the rate, from a random moment on. Coordinators say in their answers that they have counted a cold runner, so that a daemon that knows more than its coordinator chooses again. `RunnerAdmission` now asks in one place whether a runner may get this request. A cold runner is told of once, not with each heartbeat.

--- a/src/coordination/ChoiceServer.ts
+++ b/src/coordination/ChoiceServer.ts
@@ -65,6 +65,7 @@
       reason: chosen?.reason ?? '',
       load: chosen?.load ?? 0,
       meanLoad: chosen?.meanLoad ?? 0,
+      isCold: chosen?.isCold ?? false,
       coordinator: daemon,
       grant: life === '' ? 0 : grants.grant(question.daemon, life, now),
     });
--- a/src/coordination/CoordinatedSelector.spec.ts
+++ b/src/coordination/CoordinatedSelector.spec.ts
@@ -9,6 +9,8 @@
 import { FleetSocket } from '../news/FleetSocket.js';
 import type { MessageHandler } from '../news/FleetSocket.js';
 import type { Choice, ChoiceQuestion } from '../runners/RunnerChoice.js';
+import { ColdStarts } from '../runners/ColdStarts.js';
+import { RunnerAdmission } from '../runners/RunnerAdmission.js';
 import { RunnerChoice } from '../runners/RunnerChoice.js';
 import { RunnerTable } from '../runners/RunnerTable.js';
 import { WarmPlaces } from '../runners/WarmPlaces.js';
@@ -37,8 +39,8 @@
     this.questions.push(fromBinary(RunnerQuestionSchema, message));
   }
 
-  answer(number: number, life: string, grant = 1): void {
-    const fields = { number, life, grant, reason: 'warm', coordinator: 'coordinator' };
+  answer(number: number, life: string, grant = 1, isCold = false): void {
+    const fields = { number, life, grant, isCold, reason: 'warm', coordinator: 'coordinator' };
     this.handler(toBinary(RunnerAnswerSchema, create(RunnerAnswerSchema, fields)));
   }
 }
@@ -59,10 +61,18 @@
       runners.put({ id, life: id, service: 'chat', state: 'ready', ...place });
     }
     coordinators = [daemonOf('coordinator')];
+    const coldStarts = new ColdStarts({
+      rateOf: () => 10,
+      ownershipOf: () => ({ share: 0, settledMilliseconds: 0 }),
+      daemons: () => 10,
+    });
+    const admission = new RunnerAdmission({ coldStarts });
+    const warmPlaces = new WarmPlaces();
     selector = new CoordinatedSelector({
       daemon: daemonOf('asker'),
       socket,
-      choice: new RunnerChoice({ runners, dataCentre: 'here', warmPlaces: new WarmPlaces() }),
+      admission,
+      choice: new RunnerChoice({ runners, admission, dataCentre: 'here', warmPlaces }),
       runners,
       clock: new ManualClock(),
       log,
@@ -121,6 +131,17 @@
     expect((await chosen)?.runner.entry.id).toEqual('runner-1');
   });
 
+  it('takes a cold runner only from a coordinator that has counted the request against what it bears', async () => {
+    const entry = runners.get('runner-2')?.entry;
+    if (entry) runners.put({ ...entry, coldMilliseconds: 3_000 });
+    const uncounted = select();
+    socket.answer(1, 'runner-2');
+    expect((await uncounted)?.runner.entry.id).toEqual('runner-1');
+    const counted = select();
+    socket.answer(2, 'runner-2', 1, true);
+    expect((await counted)?.runner.entry.id).toEqual('runner-2');
+  });
+
   it('tells a coordinator what must not be chosen: runners that had the request or fail here', () => {
     runners.get('runner-1')?.health.record(0, 'unreachable');
     void select(questionOf(['runner-2']));
--- a/src/coordination/CoordinatedSelector.ts
+++ b/src/coordination/CoordinatedSelector.ts
@@ -16,6 +16,7 @@
 import { isChoiceReason } from '../runners/RunnerChoice.js';
 import type { ChoiceListener } from '../runners/RunnerSelector.js';
 import { RunnerSelector } from '../runners/RunnerSelector.js';
+import type { RunnerAdmission } from '../runners/RunnerAdmission.js';
 import type { RunnerTable } from '../runners/RunnerTable.js';
 import type { DaemonEntry } from '../sync/FleetStore.js';
 import type { Clock } from '../time/Clock.js';
@@ -29,6 +30,8 @@
   daemon: DaemonEntry;
   socket: FleetSocket;
   choice: RunnerChoice;
+  /** Which runners may get a request. */
+  admission: RunnerAdmission;
   runners: RunnerTable;
   clock: Clock;
   log: Log;
@@ -138,14 +141,14 @@
 
   /** A coordinator may know runners that this daemon does not know yet, or not know that one drains. */
   private choiceOf(answer: RunnerAnswer, question: ChoiceQuestion): Choice | undefined {
-    const { runners, choice } = this.options;
+    const { runners, choice, admission } = this.options;
     const runner = runners.ofLife(answer.life);
+    // A coordinator that does not know that the runner is cold has not counted this request against what it bears.
     const isFit =
       runner !== undefined &&
       runners.takesNewWork(runner) &&
-      runner.pausedUntil <= question.now &&
-      !question.tried.has(answer.life) &&
-      runner.inFlight < question.connectionLimit;
+      admission.obstacleTo(runner, question) === undefined &&
+      (answer.isCold || !admission.isCold(runner, question.now));
     if (!isFit || !isChoiceReason(answer.reason)) return choice.choose(question);
     choice.adopt(question.sharedParts, answer.life);
     const { reason, load, meanLoad } = answer;
--- a/src/coordination/FleetCoordination.spec.ts
+++ b/src/coordination/FleetCoordination.spec.ts
@@ -7,6 +7,7 @@
 import { livenessLogEvents } from '../liveness/livenessFeature.js';
 import type { LivenessOpinions, ProbeResult } from '../liveness/livenessTypes.js';
 import { FleetSocket } from '../news/FleetSocket.js';
+import { RunnerAdmission } from '../runners/RunnerAdmission.js';
 import { RunnerChoice } from '../runners/RunnerChoice.js';
 import { WarmPlaces } from '../runners/WarmPlaces.js';
 import type { DaemonEntry, FleetStore } from '../sync/FleetStore.js';
@@ -76,6 +77,7 @@
     const options = {
       daemon: daemonOf(2),
       knowledge,
+      admission: new RunnerAdmission(),
       choice: new RunnerChoice({ runners, dataCentre: 'here', warmPlaces: new WarmPlaces() }),
       grants: new GrantLedger(),
       store: {} as FleetStore,
--- a/src/coordination/FleetCoordination.ts
+++ b/src/coordination/FleetCoordination.ts
@@ -11,6 +11,7 @@
 import type { FleetSocket } from '../news/FleetSocket.js';
 import { LivenessPeers } from '../liveness/LivenessPeers.js';
 import { LivenessTask } from '../liveness/LivenessTask.js';
+import type { RunnerAdmission } from '../runners/RunnerAdmission.js';
 import type { RunnerChoice } from '../runners/RunnerChoice.js';
 import type { RoutingConfiguration } from '../routes/routeTypes.js';
 import type { FleetKnowledge } from '../sync/FleetKnowledge.js';
@@ -32,6 +33,7 @@
   daemon: DaemonEntry;
   knowledge: FleetKnowledge;
   choice: RunnerChoice;
+  admission: RunnerAdmission;
   grants: GrantLedger;
   store: FleetStore;
   clock: Clock;
@@ -74,6 +76,9 @@
 
   readonly relay: StoreRelay;
 
+  /** Which runners may get a request. */
+  readonly admission: RunnerAdmission;
+
   /** Which runners have said that they leave. */
   readonly leaveNotices: LeaveNotices;
 
@@ -100,7 +105,9 @@
    */
   constructor(options: FleetCoordinationOptions, socket: FleetSocket) {
     this.options = options;
-    const { daemon, knowledge, choice, grants, store, clock, log, fetchConfiguration } = options;
+    this.admission = options.admission;
+    const { daemon, knowledge, choice, admission, grants, store, clock, log } = options;
+    const { fetchConfiguration } = options;
     const { readMilliseconds, readStore, isLeaving, longestPauseMilliseconds } = options;
     const others = () => this.addressesOf(knowledge.daemons.values());
     this.livenessPeers =
@@ -131,6 +138,7 @@
       daemon,
       socket,
       choice,
+      admission,
       runners: knowledge.runners,
       clock,
       log,
--- a/src/forwarding/testRequest.ts
+++ b/src/forwarding/testRequest.ts
@@ -13,6 +13,7 @@
 import { MetricRegistry } from '../metrics/MetricRegistry.js';
 import { RequestQuarantine } from '../quarantine/RequestQuarantine.js';
 import type { Route } from '../routes/routeTypes.js';
+import { RunnerAdmission } from '../runners/RunnerAdmission.js';
 import { RunnerChoice } from '../runners/RunnerChoice.js';
 import { LocalSelector } from '../runners/RunnerSelector.js';
 import { RunnerTable } from '../runners/RunnerTable.js';
@@ -162,7 +163,8 @@
       }),
       connections: new OpenConnections(() => this.openPort),
       budget: new SharedRetryBudget({ ...budget, allowance }),
-      unavailabilityOf: (service, now) => unavailabilityOf({ runners, service, now }),
+      unavailabilityOf: (service, now) =>
+        unavailabilityOf({ runners, admission: new RunnerAdmission(), service, now }),
       routes: () => undefined,
       daemons: () => 1,
       isStoreSilent: () => false,
--- a/src/router/KnowledgeReactions.ts
+++ b/src/router/KnowledgeReactions.ts
@@ -65,7 +65,8 @@
     const { id: runner, life, service } = entry;
     if (state !== 'ready' && state !== 'lapsed') connections.release(life);
     if (state === 'gone') warmPlaces.forgetRunner(life);
-    const fields = { runner, life, state, service, revision: revision() };
+    const { coldMilliseconds } = entry;
+    const fields = { runner, life, state, service, coldMilliseconds, revision: revision() };
     log.write(syncLogEvents.runnerChanged, fields);
   }
 
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -21,7 +21,6 @@
 import { NewsTask } from '../news/NewsTask.js';
 import { QUARANTINE_PATH } from '../quarantine/QuarantinePage.js';
 import { QuarantineTask } from '../quarantine/QuarantineTask.js';
-import { RunnerChoice } from '../runners/RunnerChoice.js';
 import { WarmPlaces } from '../runners/WarmPlaces.js';
 import { DaemonRegistration } from '../sync/DaemonRegistration.js';
 import { FleetKnowledge } from '../sync/FleetKnowledge.js';
@@ -32,6 +31,7 @@
 import { WarmPlacesKeeper } from '../sync/WarmPlacesKeeper.js';
 import type { Clock } from '../time/Clock.js';
 import { SystemClock } from '../time/SystemClock.js';
+import { createChoice } from './createChoice.js';
 import { createForwardingContext } from './createForwardingContext.js';
 import { KnowledgeReactions } from './KnowledgeReactions.js';
 import { plannedStop } from './plannedStop.js';
@@ -271,14 +271,14 @@
 
   private createCoordination(gatherMilliseconds: number): FleetCoordination {
     const { knowledge, store, clock, log, entry, grants, settings } = this;
-    const choice = new RunnerChoice({
-      runners: knowledge.runners,
-      dataCentre: settings.dataCentre,
+    const { admission, choice } = createChoice({
+      ...{ settings, knowledge, clock },
       warmPlaces: this.warmPlaces,
       foreignLoad: (life) => this.foreignLoads.of(life) + grants.of(life),
       onWarmPlace: (key, life) => this.news.tellWarm(key, life),
+      deciders: () => this.coordination.namesOfInformed(),
     });
-    const options = { daemon: entry, knowledge, choice, grants, store, clock, log };
+    const options = { daemon: entry, knowledge, choice, admission, grants, store, clock, log };
     const calls = {
       readStore: (what: 'changes' | 'everything') => this.follower.readOnce(what),
       fetchConfiguration: (address: string) => this.peers.fetchConfiguration(address),
--- /dev/null
+++ b/src/router/createChoice.ts
@@ -0,0 +1,46 @@
+/**
+ * Puts together how a daemon chooses runners.
+ */
+import { ColdRunnerOwners } from '../coordination/ColdRunnerOwners.js';
+import { ColdStarts } from '../runners/ColdStarts.js';
+import { RunnerAdmission } from '../runners/RunnerAdmission.js';
+import { RunnerChoice } from '../runners/RunnerChoice.js';
+import type { RunnerChoiceOptions } from '../runners/RunnerChoice.js';
+import type { FleetKnowledge } from '../sync/FleetKnowledge.js';
+import type { Clock } from '../time/Clock.js';
+import type { RouterSettings } from './routerFeature.js';
+
+/** Options of {@link createChoice}. */
+export interface CreateChoiceOptions extends Pick<
+  RunnerChoiceOptions,
+  'warmPlaces' | 'foreignLoad' | 'onWarmPlace'
+> {
+  settings: RouterSettings;
+  knowledge: FleetKnowledge;
+  clock: Clock;
+  /** Names of the daemons that choose runners for others, or of all in a small fleet. */
+  deciders: () => readonly string[];
+}
+
+/**
+ * @param options - the parts of a daemon.
+ * @returns What decides where requests go.
+ */
+export function createChoice({
+  settings,
+  knowledge,
+  clock,
+  deciders,
+  ...parts
+}: CreateChoiceOptions): { admission: RunnerAdmission; choice: RunnerChoice } {
+  const { name: daemon, dataCentre } = settings;
+  const owners = new ColdRunnerOwners({ daemon, clock, deciders });
+  const coldStarts = new ColdStarts({
+    rateOf: (service) => knowledge.routes?.serviceOf(service)?.coldRequestsPerSecond,
+    ownershipOf: (life) => owners.ownershipOf(life),
+    daemons: () => Math.max(1, knowledge.daemons.size),
+  });
+  const admission = new RunnerAdmission({ coldStarts });
+  const { runners } = knowledge;
+  return { admission, choice: new RunnerChoice({ runners, admission, dataCentre, ...parts }) };
+}
--- a/src/router/createForwardingContext.ts
+++ b/src/router/createForwardingContext.ts
@@ -35,6 +35,7 @@
   ...parts
 }: ForwardingContextOptions): ForwardingContext {
   const { clock, log, protocol } = parts;
+  const { admission } = coordination;
   // All that are listed share limits of the whole fleet, alive or not: two parts of a fleet that do not hear each
   // other would else both spend the whole of them.
   const daemons = () => Math.max(1, knowledge.daemons.size);
@@ -47,6 +48,12 @@
     .gauge({ name: 'data_centres_evacuated', help: 'Evacuated data centres.' })
     .follow(() => knowledge.evacuated.length);
   const runners = () => knowledge.runners.list();
+  registry
+    .gauge({ name: 'runners_cold', help: 'Runners that bear a few requests a second only.' })
+    .follow(() => {
+      const now = clock.monotonicMilliseconds();
+      return runners().filter((runner) => admission.isCold(runner, now)).length;
+    });
   return {
     ...parts,
     daemons,
@@ -66,7 +73,7 @@
       daemons,
     }),
     unavailabilityOf: (service, now) =>
-      unavailabilityOf({ runners: knowledge.runners, service, now }),
+      unavailabilityOf({ runners: knowledge.runners, admission, service, now }),
     routes: () => knowledge.routes,
   };
 }
--- a/src/routes/routeTypes.ts
+++ b/src/routes/routeTypes.ts
@@ -42,6 +42,8 @@
   readonly name: string;
   /** Connections that one runner accepts from all daemons together. */
   readonly maximumConnections: number;
+  /** Requests a second that a runner bears for some seconds after its start; missing where its runners need no care. */
+  readonly coldRequestsPerSecond?: number;
 }
 
 /** A client account; its keys are known by their digests only. */
--- a/src/runners/Runner.ts
+++ b/src/runners/Runner.ts
@@ -24,6 +24,8 @@
   readonly port: number;
   readonly dataCentre: string;
   readonly state: RunnerState;
+  /** How much longer it bears a few requests a second only, as of when it was told; in ms. */
+  readonly coldMilliseconds?: number | undefined;
 }
 
 /** A runner with what this daemon has under way there. */
@@ -38,6 +40,9 @@
   /** Until when it has asked this daemon for no requests, monotonic ms. */
   pausedUntil = Number.NEGATIVE_INFINITY;
 
+  /** Until when it bears a few requests a second only, monotonic ms. */
+  coldUntil = Number.NEGATIVE_INFINITY;
+
   /** Requests of this daemon that the runner has. */
   inFlight = 0;
 
@@ -53,6 +58,17 @@
     this.health = new RunnerHealth(service);
   }
 
+  /**
+   * @param now - monotonic milliseconds.
+   * @returns Its entry as another daemon should take it now.
+   */
+  entryAt(now: number): RunnerEntry {
+    const coldMilliseconds = Math.round(this.coldUntil - now);
+    if (coldMilliseconds > 0) return { ...this.entry, coldMilliseconds };
+    if (this.entry.coldMilliseconds === undefined) return this.entry;
+    return { ...this.entry, coldMilliseconds: undefined };
+  }
+
   /**
    * @param at - until when it wants no requests from this daemon, monotonic ms; a longer pause holds.
    */
--- a/src/runners/RunnerChoice.ts
+++ b/src/runners/RunnerChoice.ts
@@ -3,6 +3,8 @@
  */
 import { rendezvousOrder } from '../routing/rendezvous.js';
 import type { Runner } from './Runner.js';
+import type { AdmissionQuestion } from './RunnerAdmission.js';
+import { RunnerAdmission } from './RunnerAdmission.js';
 import type { RunnerTable } from './RunnerTable.js';
 import type { WarmPlaces } from './WarmPlaces.js';
 
@@ -27,18 +29,12 @@
 }
 
 /** What has to be known of a request. */
-export interface ChoiceQuestion {
+export interface ChoiceQuestion extends AdmissionQuestion {
   readonly service: string;
   /** Ids of the parts of its prompt that other requests share, the outermost first. */
   readonly sharedParts: readonly string[];
-  /** Lives of runners that had this request already. */
-  readonly tried: ReadonlySet<string>;
-  /** Requests that this daemon may have at one runner. */
-  readonly connectionLimit: number;
   /** Where the daemon is that sends the request; this daemon's place where it is left out. */
   readonly dataCentre?: string;
-  /** Monotonic milliseconds. */
-  readonly now: number;
 }
 
 /** The choice with what decided it. */
@@ -47,6 +43,8 @@
   readonly reason: ChoiceReason;
   /** A runner that has cached more of the prompt than the chosen one, to copy from. */
   readonly cacheSource?: Runner | undefined;
+  /** Whether the runner is cold, and whoever chose has counted this request against what it bears. */
+  readonly isCold?: boolean;
   /** This daemon's requests at the runner, and their mean over the candidates. */
   readonly load: number;
   readonly meanLoad: number;
@@ -58,6 +56,8 @@
   /** Where this daemon is. */
   dataCentre: string;
   warmPlaces: WarmPlaces;
+  /** Which runners may get a request. */
+  admission?: RunnerAdmission;
   /** Requests that other daemons have at a runner, as far as they have told. */
   foreignLoad?: (life: string) => number;
   /** Runners on which a prompt in regular use is kept, so that it is not lost with one of them. */
@@ -106,6 +106,7 @@
    */
   constructor(options: RunnerChoiceOptions) {
     this.options = {
+      admission: new RunnerAdmission(),
       foreignLoad: () => 0,
       onWarmPlace: () => undefined,
       replicas: REPLICAS,
@@ -119,20 +120,19 @@
    * @returns The runner to send it to, or `undefined` when no runner may get it.
    */
   choose(question: ChoiceQuestion): Choice | undefined {
-    const untried = this.options.runners
-      .readyOf(question.service)
-      .filter(({ entry }) => !question.tried.has(entry.life))
-      .filter(({ pausedUntil }) => pausedUntil <= question.now);
-    const free = untried.filter(({ inFlight }) => inFlight < question.connectionLimit);
-    const usable = free.filter(({ health }) => health.isUsable(question.now));
-    const candidates = usable.length > 0 ? usable : free;
+    const { runners, admission } = this.options;
+    const admitted = admission.admitted(runners.readyOf(question.service), question);
+    const usable = admitted.filter(({ health }) => health.isUsable(question.now));
+    const candidates = usable.length > 0 ? usable : admitted;
     if (candidates.length === 0) return undefined;
     const total = candidates.reduce((sum, runner) => sum + this.loadOf(runner), 0);
     const meanLoad = total / candidates.length;
     const pool: Pool = { candidates, question, meanLoad };
     const chosen = this.chooseFrom(pool);
     const reason = usable.length > 0 ? chosen.reason : 'last_resort';
-    return { ...chosen, reason, load: this.loadOf(chosen.runner), meanLoad };
+    const isCold = admission.isCold(chosen.runner, question.now);
+    admission.sent(chosen.runner, question.now);
+    return { ...chosen, reason, isCold, load: this.loadOf(chosen.runner), meanLoad };
   }
 
   /**
--- a/src/runners/RunnerTable.ts
+++ b/src/runners/RunnerTable.ts
@@ -62,13 +62,13 @@
 
   /**
    * @param entry - a runner that is new or has changed.
+   * @param now - when it was so, monotonic ms.
    */
-  put(entry: RunnerEntry): void {
-    const known = this.byLife.get(entry.life);
-    if (known) {
-      known.entry = entry;
-      known.isLapsed = false;
-    } else this.add(new Runner(entry, this.outcomesOf(entry.service)));
+  put(entry: RunnerEntry, now = 0): void {
+    const runner = this.byLife.get(entry.life) ?? this.add(entry);
+    runner.entry = entry;
+    runner.isLapsed = false;
+    runner.coldUntil = now + (entry.coldMilliseconds ?? 0);
     this.ready.clear();
   }
 
@@ -171,10 +171,11 @@
     return known;
   }
 
-  private add(runner: Runner): void {
-    const { id, life } = runner.entry;
-    this.remove(id);
-    this.byId.set(id, runner);
-    this.byLife.set(life, runner);
+  private add(entry: RunnerEntry): Runner {
+    const runner = new Runner(entry, this.outcomesOf(entry.service));
+    this.remove(entry.id);
+    this.byId.set(entry.id, runner);
+    this.byLife.set(entry.life, runner);
+    return runner;
   }
 }
--- a/src/runners/unavailability.spec.ts
+++ b/src/runners/unavailability.spec.ts
@@ -17,8 +17,8 @@
   return table;
 }
 
-function whyNone(runners: RunnerTable, service = 'chat') {
-  return unavailabilityOf({ runners, service, now: NOW });
+function whyNone(runners: RunnerTable, service = 'chat', isCold = false) {
+  return unavailabilityOf({ runners, admission: { isCold: () => isCold }, service, now: NOW });
 }
 
 describe('unavailabilityOf', () => {
@@ -43,4 +43,9 @@
     const expected = { reason: 'asked_for_time', pauseMilliseconds: 400 } as const;
     expect(whyNone(table)).toEqual(expected);
   });
+
+  it('tells that all runners are cold', () => {
+    const table = tableOf(['north', 'ready'], ['south', 'ready']);
+    expect(whyNone(table, 'chat', true)).toEqual({ reason: 'cold' });
+  });
 });
--- a/src/runners/unavailability.ts
+++ b/src/runners/unavailability.ts
@@ -1,10 +1,11 @@
 /**
  * Why a service has no runner for a request, and when its caller should come back.
  */
+import type { RunnerAdmission } from './RunnerAdmission.js';
 import type { RunnerTable } from './RunnerTable.js';
 
 /** `no_runner`: what is listed has been tried, has no place, or there is none. */
-export type UnavailableReason = 'no_runner' | 'asked_for_time' | 'evacuated';
+export type UnavailableReason = 'no_runner' | 'asked_for_time' | 'evacuated' | 'cold';
 
 /** What keeps a service's runners from a request. */
 export interface Unavailability {
@@ -19,6 +20,7 @@
 /** What is asked about a service that no runner was found for. */
 export interface UnavailabilityQuestion {
   readonly runners: RunnerTable;
+  readonly admission: Pick<RunnerAdmission, 'isCold'>;
   readonly service: string;
   /** Monotonic milliseconds. */
   readonly now: number;
@@ -30,6 +32,7 @@
  */
 export function unavailabilityOf({
   runners,
+  admission,
   service,
   now,
 }: UnavailabilityQuestion): Unavailability {
@@ -41,5 +44,6 @@
   }
   const pauseMilliseconds = Math.min(...ready.map(({ pausedUntil }) => pausedUntil - now));
   if (pauseMilliseconds > 0) return { reason: 'asked_for_time', pauseMilliseconds };
-  return { reason: 'no_runner' };
+  const areCold = ready.every((runner) => admission.isCold(runner, now));
+  return { reason: areCold ? 'cold' : 'no_runner' };
 }
--- a/src/sync/FleetKnowledge.spec.ts
+++ b/src/sync/FleetKnowledge.spec.ts
@@ -230,3 +230,51 @@
     expect(unreadable).toEqual(['servers/a']);
   });
 });
+
+describe('a cold runner', () => {
+  const entry = {
+    ...{ id: 'r', life: 'r', service: 's', host: '10.0.0.1', port: 80, dataCentre: 'here' },
+    state: 'ready',
+  } as const;
+
+  function knowledgeOf(coldMilliseconds: number) {
+    const { knowledge } = createTestKnowledge();
+    const runner = { ...entry, coldMilliseconds };
+    knowledge.applyChanges(
+      { revision: 5, facts: [{ kind: 'runner', runner, revision: 5 }] },
+      1_000,
+    );
+    return knowledge;
+  }
+
+  it('is cold until the time that its entry tells, also as told to another daemon later', () => {
+    const knowledge = knowledgeOf(3_000);
+    expect(knowledge.runners.get('r')?.coldUntil).toEqual(4_000);
+    const { knowledge: other } = createTestKnowledge();
+    other.applyPeer(knowledge.snapshot(0, 2_500), 9_000);
+    expect(other.runners.get('r')?.coldUntil).toEqual(10_500);
+  });
+
+  it('is told of once, not with each heartbeat that tells the same', () => {
+    const knowledge = knowledgeOf(3_000);
+    const told = () => knowledge.changeLog.recent(1_000).changes.length;
+    const before = told();
+    const runner = { ...entry, coldMilliseconds: 1_800 };
+    knowledge.applyChanges(
+      { revision: 6, facts: [{ kind: 'runner', runner, revision: 6 }] },
+      2_300,
+    );
+    expect(told()).toEqual(before);
+  });
+
+  it('is warm as soon as an entry says so, and may become cold again', () => {
+    const knowledge = knowledgeOf(3_000);
+    const facts = [{ kind: 'runner', runner: entry, revision: 6 } as const];
+    knowledge.applyChanges({ revision: 6, facts }, 2_000);
+    expect(knowledge.runners.get('r')?.coldUntil).toEqual(2_000);
+    const cold = { ...entry, coldMilliseconds: 3_000 };
+    const again = [{ kind: 'runner', runner: cold, revision: 7 } as const];
+    knowledge.applyChanges({ revision: 7, facts: again }, 9_000);
+    expect(knowledge.runners.get('r')?.coldUntil).toEqual(12_000);
+  });
+});
--- a/src/sync/FleetKnowledge.ts
+++ b/src/sync/FleetKnowledge.ts
@@ -256,7 +256,7 @@
       revision: this.revision,
       configuration: (configuration?.version ?? 0) > knownVersion ? configuration : undefined,
       configurationVersion: configuration?.version,
-      runners: this.runners.list().map(({ entry }) => entry),
+      runners: this.runners.list().map((runner) => runner.entryAt(now)),
       lapsed: this.listing.lapsedIds,
       leaving: this.runners.leavingLives,
       storeSilentMilliseconds: Math.round(this.listing.outages.silentMilliseconds(now)),
--- a/src/sync/RunnerListing.ts
+++ b/src/sync/RunnerListing.ts
@@ -1,7 +1,7 @@
 /**
  * Which runners this daemon lists: those that have an entry in the store, and those that may have one again soon.
  */
-import type { RunnerEntry } from '../runners/Runner.js';
+import type { Runner, RunnerEntry } from '../runners/Runner.js';
 import { RunnerTable } from '../runners/RunnerTable.js';
 import type { StoreFact } from './FleetStore.js';
 import type { KnowledgeListener } from './knowledgeTypes.js';
@@ -25,6 +25,25 @@
   onChange: (fact: StoreFact, moment: ChangeMoment) => void;
 }
 
+/** An entry is as old as the runner's last heartbeat, and is read some time later; in ms. */
+const COLD_TOLERANCE_MILLISECONDS = 2_000;
+
+/** Each heartbeat of a cold runner tells anew how long it stays so; what only passes with time is no change. */
+function isSame({ entry: before, coldUntil }: Runner, entry: RunnerEntry, now: number): boolean {
+  const { coldMilliseconds = 0 } = entry;
+  const coldBefore = Math.max(0, coldUntil - now);
+  const isCold = coldMilliseconds > 0;
+  const difference = Math.abs(coldMilliseconds - coldBefore);
+  return (
+    before.state === entry.state &&
+    before.host === entry.host &&
+    before.port === entry.port &&
+    before.service === entry.service &&
+    isCold === coldBefore > 0 &&
+    difference < COLD_TOLERANCE_MILLISECONDS
+  );
+}
+
 /** Takes what the store and other daemons say of runners. */
 export class RunnerListing {
   readonly table = new RunnerTable();
@@ -53,20 +72,12 @@
    * @param moment - of its latest change.
    */
   put(entry: RunnerEntry, moment: ChangeMoment): void {
-    const { id, life, state, host, port, service } = entry;
+    const { id, life } = entry;
     const wasLapsed = this.lapsed.delete(id);
     this.options.unreadable.clear(id);
-    const before = this.table.get(id)?.entry;
-    if (before && before.life !== life) this.drop(id, moment);
-    else if (
-      !wasLapsed &&
-      before?.state === state &&
-      before.host === host &&
-      before.port === port &&
-      before.service === service
-    ) {
-      return;
-    }
+    const known = this.table.get(id);
+    if (known && known.entry.life !== life) this.drop(id, moment);
+    else if (known && !wasLapsed && isSame(known, entry, moment.now)) return;
     this.change(entry, moment);
   }
 
@@ -154,7 +165,7 @@
   }
 
   private change(entry: RunnerEntry, moment: ChangeMoment): void {
-    this.table.put(entry);
+    this.table.put(entry, moment.now);
     this.options.onChange({ kind: 'runner', runner: entry }, moment);
     this.options.listener.runnerChanged(entry, entry.state);
   }
