Keep requests that have homes within these regions

Cause: routes and client accounts may name the regions whose runners may run their requests; the product knew neither the regions nor that anything binds.

Change: a request's homes are what its route and its client account allow, both where both are given; none in common is refused at once with a time to come back. `RunnerAdmission` asks for the region of a runner's data centre, which the settings tell (`dataCentreRegions`); a data centre that nobody knows is no home. The same question binds a coordinator, which is told the homes, and copies of cached prompts. The directory names daemons within the homes of a host's routes and of the caller's region, and others only where none is left there. Bodies were never sent from daemon to daemon.

--- a/src/coordination/ChoiceServer.ts
+++ b/src/coordination/ChoiceServer.ts
@@ -53,6 +53,7 @@
       service: question.service,
       sharedParts: question.sharedParts,
       tried: new Set(question.excludedLives),
+      homeRegions: question.homeRegions.length > 0 ? question.homeRegions : undefined,
       connectionLimit: Number.POSITIVE_INFINITY,
       dataCentre: question.dataCentre,
       now,
--- a/src/coordination/CoordinatedSelector.ts
+++ b/src/coordination/CoordinatedSelector.ts
@@ -107,7 +107,7 @@
 
   private ask(number: number, question: ChoiceQuestion, coordinator: DaemonEntry): void {
     const { daemon, socket } = this.options;
-    const { service, sharedParts } = question;
+    const { service, sharedParts, homeRegions = [] } = question;
     const message = create(RunnerQuestionSchema, {
       daemon: daemon.name,
       address: daemon.newsAddress,
@@ -115,6 +115,7 @@
       number,
       service,
       sharedParts: [...sharedParts],
+      homeRegions: [...homeRegions],
       excludedLives: this.excluded(question),
     });
     const recipients = [parseAddress(coordinator.newsAddress)];
--- a/src/directory/DirectoryDecisions.spec.ts
+++ b/src/directory/DirectoryDecisions.spec.ts
@@ -91,3 +91,30 @@
     ]);
   });
 });
+
+describe('addresses for what has homes', () => {
+  const REGIONS: Readonly<Record<string, string>> = { a: 'north', b: 'south', c: 'west' };
+  const regionOf = (dataCentre: string) => REGIONS[dataCentre];
+  const daemons = Object.keys(REGIONS).flatMap((place) => [
+    daemonOf(`${place}1`, place),
+    daemonOf(`${place}2`, place),
+  ]);
+  const portOf = (place: string) => `10.0.0.1:${place.charCodeAt(0)}`;
+
+  function placesFor(homeRegions: readonly string[] | undefined, region: string): string[] {
+    const question = { daemons, own: undefined, dataCentre: undefined, regionOf };
+    const addresses = addressesFor({ ...question, homeRegions, region });
+    return Object.keys(REGIONS).filter((place) => addresses.includes(portOf(place)));
+  }
+
+  it('are of daemons in the homes and in the caller’s region', () => {
+    expect(placesFor(['north'], 'west')).toEqual(['a', 'c']);
+    expect(placesFor(['north'], 'north')).toEqual(['a']);
+    expect(placesFor(undefined, 'west')).toEqual(['a', 'b', 'c']);
+  });
+
+  it('are of others too where neither has a daemon', () => {
+    // Guards against a caller that is told nobody, and so cannot even learn that no home has a runner.
+    expect(placesFor(['elsewhere'], 'nowhere')).toEqual(['a', 'b', 'c']);
+  });
+});
--- a/src/directory/DirectoryDecisions.ts
+++ b/src/directory/DirectoryDecisions.ts
@@ -8,6 +8,7 @@
  * requests enter elsewhere (reckoned for 30 callers in each data centre).
  */
 import { rendezvousOrder, rendezvousPick } from '../routing/rendezvous.js';
+import type { HomeRegions } from '../routes/homes.js';
 import type { DaemonEntry } from '../sync/FleetStore.js';
 
 /** What the answer depends on. */
@@ -18,6 +19,12 @@
   readonly own: DaemonEntry | undefined;
   /** Where the caller is, if it says so. */
   readonly dataCentre: string | undefined;
+  /** The caller's region, if it says so. */
+  readonly region?: string | undefined;
+  /** Regions that are a home of what the caller asks for; `undefined` where all will do. */
+  readonly homeRegions?: HomeRegions;
+  /** Region of a data centre. */
+  readonly regionOf?: (dataCentre: string) => string | undefined;
   /** Tells callers apart where not all get the same addresses: the caller's host. */
   readonly caller?: string | undefined;
 }
@@ -55,6 +62,23 @@
   return [...spares, ...takeSome(others, FAR_ADDRESSES - spares.length, caller)];
 }
 
+/**
+ * A caller of what has homes connects within them or within its own region; where no daemon is left there, one elsewhere
+ * is better than none: it passes requests on to runners of the homes only.
+ */
+function takeAtHome(
+  daemons: readonly DaemonEntry[],
+  { homeRegions, region, regionOf = () => undefined }: DirectoryQuestion,
+): readonly DaemonEntry[] {
+  if (homeRegions === undefined) return daemons;
+  const allowed = new Set([...homeRegions, region]);
+  const atHome = daemons.filter(({ dataCentre }) => {
+    const place = regionOf(dataCentre);
+    return place !== undefined && allowed.has(place);
+  });
+  return atHome.length > 0 ? atHome : daemons;
+}
+
 /**
  * Gives the daemons of the caller's data centre and some others; all of them where they are few. Callers drop open
  * connections to addresses that a new answer lacks, so that the choice is the same each time, whichever daemon is asked.
@@ -65,7 +89,7 @@
 export function addressesFor(question: DirectoryQuestion): string[] {
   const { daemons, own, dataCentre = '', caller = '' } = question;
   const others = daemons.filter(({ name }) => name !== own?.name);
-  const all = own ? [own, ...others] : others;
+  const all = takeAtHome(own ? [own, ...others] : others, question);
   const near = all.filter((daemon) => daemon.dataCentre === dataCentre);
   const far = all.filter((daemon) => daemon.dataCentre !== dataCentre);
   const hasNear = near.length > 0;
--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -202,11 +202,12 @@
   }
 
   private sendNext(): void {
-    const { service, connectionLimit } = this.request;
+    const { service, homeRegions, connectionLimit } = this.request;
     // A crash breaks all that run beside it: a suspect goes to the runner that has the least, warm or not.
     const sharedParts = this.guard.isRepeatedSuspect ? [] : this.request.sharedParts;
     const tried = this.tried.excluded;
-    const question = { service, sharedParts, tried, connectionLimit, now: this.now() };
+    const now = this.now();
+    const question = { service, sharedParts, tried, homeRegions, connectionLimit, now };
     this.isSelecting = true;
     this.context.selector.select(question, (chosen) => this.sendTo(chosen));
   }
@@ -270,7 +271,7 @@
     }
     const now = this.now();
     const isLate = now >= this.request.deadlineAt;
-    const unavailability = this.context.unavailabilityOf(this.request.service, now);
+    const unavailability = this.context.unavailabilityOf(this.request, now);
     this.endWith(ownAnswerFor({ verdict, failure, isLate, unavailability }));
   }
 
--- a/src/forwarding/admitRequest.ts
+++ b/src/forwarding/admitRequest.ts
@@ -3,6 +3,7 @@
  */
 import type { IncomingMessage } from 'node:http';
 
+import { homesOf } from '../routes/homes.js';
 import { RouteTable } from '../routes/RouteTable.js';
 import type { ClientAccount, Route } from '../routes/routeTypes.js';
 import type { OwnAnswer } from './AnswerRelay.js';
@@ -35,6 +36,9 @@
 /** Another daemon can take the request at once. */
 const STOPPING_RETRY_SECONDS = 0.02;
 
+/** No region is a home of both the route and the client account, until operators change the configuration. */
+const HOMELESS_RETRY_SECONDS = 1.5;
+
 const HIGHEST_URGENCY_RANK = 9;
 
 let unnamedRequests = 0;
@@ -133,6 +137,8 @@
   if (!route) return rejected(404, 'no_route');
   const account = table.accountOf(headOf(headers[names.key]) ?? '');
   if (table.requiresKeys && !route.anonymous && !account) return rejected(401, 'unknown_key');
+  const homeRegions = homesOf(route, account);
+  if (homeRegions?.length === 0) return rejected(503, 'no_common_home', HOMELESS_RETRY_SECONDS);
   const deadline = Number.parseFloat(headOf(headers[names.deadline]) ?? '');
   const patience = deadline > 0 ? deadline : Number.POSITIVE_INFINITY;
   const ownId = headOf(headers[names.requestId]);
@@ -147,6 +153,7 @@
       route,
       service,
       clientAccount: account?.name,
+      homeRegions,
       configurationVersion: table.configuration.version,
       method,
       target: url,
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -3,6 +3,7 @@
  */
 import type { Log } from '../logging/Log.js';
 import type { RequestQuarantine } from '../quarantine/RequestQuarantine.js';
+import type { HomeRegions } from '../routes/homes.js';
 import type { RouteTable } from '../routes/RouteTable.js';
 import type { Route } from '../routes/routeTypes.js';
 import type { RunnerSelector } from '../runners/RunnerSelector.js';
@@ -27,8 +28,11 @@
   readonly link: LinkCheck;
   readonly quarantine: RequestQuarantine;
   readonly statements: RunnerStatements;
-  /** Why no runner of a service takes a request. */
-  readonly unavailabilityOf: (service: string, now: number) => Unavailability;
+  /** Why no runner takes a request. */
+  readonly unavailabilityOf: (
+    request: Pick<AdmittedRequest, 'service' | 'homeRegions'>,
+    now: number,
+  ) => Unavailability;
   /** The configuration in force, or `undefined` before the first one is known. */
   readonly routes: () => RouteTable | undefined;
   /** Daemons that share the runners' connections, this one too. */
@@ -51,6 +55,8 @@
   readonly route: Route;
   readonly service: string;
   readonly clientAccount: string | undefined;
+  /** Regions whose runners may run it; `undefined` where all may. */
+  readonly homeRegions: HomeRegions;
   readonly configurationVersion: number;
   readonly method: string;
   /** Path with the query, unchanged. */
--- a/src/forwarding/testRequest.ts
+++ b/src/forwarding/testRequest.ts
@@ -163,7 +163,7 @@
       }),
       connections: new OpenConnections(() => this.openPort),
       budget: new SharedRetryBudget({ ...budget, allowance }),
-      unavailabilityOf: (service, now) =>
+      unavailabilityOf: ({ service }, now) =>
         unavailabilityOf({ runners, admission: new RunnerAdmission(), service, now }),
       routes: () => undefined,
       daemons: () => 1,
@@ -290,6 +290,7 @@
       route: this.route,
       service: 'chat',
       clientAccount: undefined,
+      homeRegions: undefined,
       configurationVersion: 1,
       method: 'GET',
       target: '/chat/',
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -7,6 +7,7 @@
 import { FleetCoordination } from '../coordination/FleetCoordination.js';
 import { GrantLedger } from '../coordination/GrantLedger.js';
 import { addressesFor } from '../directory/DirectoryDecisions.js';
+import type { DirectoryQuestion } from '../directory/DirectoryDecisions.js';
 import { CallerFront } from '../forwarding/CallerFront.js';
 import type { StopPhase } from '../forwarding/forwardingTypes.js';
 import { RunnerConnections } from '../forwarding/RunnerConnections.js';
@@ -35,7 +36,7 @@
 import { createForwardingContext } from './createForwardingContext.js';
 import { KnowledgeReactions } from './KnowledgeReactions.js';
 import { plannedStop } from './plannedStop.js';
-import { routerLogEvents } from './routerFeature.js';
+import { regionOfDataCentre, routerLogEvents } from './routerFeature.js';
 import type { RouterSettings } from './routerFeature.js';
 
 /**
@@ -44,6 +45,12 @@
  */
 const GATHER_SHARE = 0.4;
 
+/** What a caller tells of itself when it asks where to connect. */
+export interface CallerPlace extends Pick<DirectoryQuestion, 'dataCentre' | 'region' | 'caller'> {
+  /** The host that its requests will name. */
+  readonly host?: string | undefined;
+}
+
 /** Options of a {@link RouterDaemon}. */
 export interface RouterDaemonOptions {
   settings: RouterSettings;
@@ -206,17 +213,18 @@
   }
 
   /**
-   * @param dataCentre - where a caller is, if it says so.
-   * @param caller - its host.
+   * @param place - where a caller is and what it asks for, as far as it says so.
    * @returns Addresses for callers.
    */
-  addressesFor(dataCentre: string | undefined, caller?: string): string[] {
-    const { coordination } = this;
+  addressesFor(place: CallerPlace): string[] {
+    const { coordination, settings } = this;
     const own = this.isReady ? this.entry : undefined;
     const living = coordination.livingOthers();
     // A caller with no address at all is lost; one with an address of a dead daemon tries the next.
     const daemons = own || living.length > 0 ? living : coordination.otherDaemons();
-    return addressesFor({ daemons, own, dataCentre, caller });
+    const homeRegions = this.knowledge.routes?.homesOfHost(place.host ?? '');
+    const regionOf = (dataCentre: string) => regionOfDataCentre(settings, dataCentre);
+    return addressesFor({ daemons, own, homeRegions, regionOf, ...place });
   }
 
   /** Listens, follows the store and registers. */
--- a/src/router/createChoice.ts
+++ b/src/router/createChoice.ts
@@ -8,6 +8,7 @@
 import type { RunnerChoiceOptions } from '../runners/RunnerChoice.js';
 import type { FleetKnowledge } from '../sync/FleetKnowledge.js';
 import type { Clock } from '../time/Clock.js';
+import { regionOfDataCentre } from './routerFeature.js';
 import type { RouterSettings } from './routerFeature.js';
 
 /** Options of {@link createChoice}. */
@@ -34,13 +35,14 @@
   ...parts
 }: CreateChoiceOptions): { admission: RunnerAdmission; choice: RunnerChoice } {
   const { name: daemon, dataCentre } = settings;
+  const regionOf = (place: string) => regionOfDataCentre(settings, place);
   const owners = new ColdRunnerOwners({ daemon, clock, deciders });
   const coldStarts = new ColdStarts({
     rateOf: (service) => knowledge.routes?.serviceOf(service)?.coldRequestsPerSecond,
     ownershipOf: (life) => owners.ownershipOf(life),
     daemons: () => Math.max(1, knowledge.daemons.size),
   });
-  const admission = new RunnerAdmission({ coldStarts });
+  const admission = new RunnerAdmission({ coldStarts, regionOf });
   const { runners } = knowledge;
   return { admission, choice: new RunnerChoice({ runners, admission, dataCentre, ...parts }) };
 }
--- a/src/router/createForwardingContext.ts
+++ b/src/router/createForwardingContext.ts
@@ -72,8 +72,8 @@
       windowMilliseconds: windowSeconds * 1_000,
       daemons,
     }),
-    unavailabilityOf: (service, now) =>
-      unavailabilityOf({ runners: knowledge.runners, admission, service, now }),
+    unavailabilityOf: ({ service, homeRegions }, now) =>
+      unavailabilityOf({ runners: knowledge.runners, admission, service, homeRegions, now }),
     routes: () => knowledge.routes,
   };
 }
--- a/src/router/routerFeature.ts
+++ b/src/router/routerFeature.ts
@@ -72,6 +72,18 @@
 /** Settings of a daemon that forwards directly, checked and with defaults. */
 export type RouterSettings = z.output<typeof routerSettings>;
 
+/**
+ * @param settings - of a daemon.
+ * @param dataCentre - any.
+ * @returns Its region, or `undefined` where the settings do not name it.
+ */
+export function regionOfDataCentre(
+  { dataCentre: own, region, dataCentreRegions }: RouterSettings,
+  dataCentre: string,
+): string | undefined {
+  return dataCentre === own ? region : dataCentreRegions[dataCentre];
+}
+
 /** Log events of its life. */
 export const routerLogEvents = {
   started: defineLogEvent({
--- a/src/routes/RouteTable.ts
+++ b/src/routes/RouteTable.ts
@@ -6,6 +6,8 @@
 
 import murmurhash from 'murmurhash';
 
+import { commonHomes } from './homes.js';
+import type { HomeRegions } from './homes.js';
 import type {
   ClientAccount,
   Route,
@@ -85,6 +87,20 @@
     return undefined;
   }
 
+  /**
+   * Callers learn addresses by host, before it is known which route a request takes.
+   *
+   * @param host - name of the host without a port.
+   * @returns Regions that are a home of all its routes that have homes.
+   */
+  homesOfHost(host: string): HomeRegions {
+    const routes = [...(this.routes.get(host.toLowerCase())?.values() ?? [])];
+    return routes.reduce<HomeRegions>(
+      (homes, route) => commonHomes(homes, route.homeRegions),
+      undefined,
+    );
+  }
+
   /**
    * @param key - what the caller sent.
    * @returns The account that holds the key.
--- /dev/null
+++ b/src/routes/homes.spec.ts
@@ -0,0 +1,50 @@
+import { describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import { homesOf } from './homes.js';
+import { RouteTable } from './RouteTable.js';
+import type { Route, RoutingConfiguration } from './routeTypes.js';
+
+function routeOf(pathPrefix: string, homeRegions?: readonly string[]): Route {
+  return {
+    ...{ name: pathPrefix, host: 'a.example', pathPrefix, kind: 'idempotent', resumable: false },
+    ...{ timeoutMilliseconds: 1, targetLatencyMilliseconds: 1, priority: 1, maximumAttempts: 1 },
+    ...{ anonymous: true, cachesPrompts: false, targets: [], homeRegions },
+  };
+}
+
+function tableOf(...routes: Route[]): RouteTable {
+  const limits = {} as RoutingConfiguration['limits'];
+  return new RouteTable({ configuration: { version: 1, routes, services: [], limits } });
+}
+
+describe('homes of a request', () => {
+  const account = { name: 'account', keyDigests: [] };
+
+  it('are all regions where neither route nor account has any', () => {
+    expect(homesOf(routeOf('/a/'), undefined)).toEqual(undefined);
+    expect(homesOf(routeOf('/a/'), account)).toEqual(undefined);
+  });
+
+  it('are those that both the route and the client account allow', () => {
+    const route = routeOf('/a/', ['north', 'south']);
+    expect(homesOf(route, account)).toEqual(['north', 'south']);
+    expect(homesOf(route, { ...account, homeRegions: ['south', 'west'] })).toEqual(['south']);
+    expect(homesOf(routeOf('/a/'), { ...account, homeRegions: ['west'] })).toEqual(['west']);
+    expect(homesOf(route, { ...account, homeRegions: ['west'] })).toEqual([]);
+  });
+});
+
+describe('homes of a host', () => {
+  it('are those of all its routes that have any', () => {
+    const table = tableOf(
+      routeOf('/a/', ['north', 'south']),
+      routeOf('/b/'),
+      routeOf('/c/', ['south', 'west']),
+    );
+    expect(table.homesOfHost('A.example')).toEqual(['south']);
+    expect(table.homesOfHost('b.example')).toEqual(undefined);
+    expect(tableOf(routeOf('/b/')).homesOfHost('a.example')).toEqual(undefined);
+  });
+});
--- a/src/routes/routeTypes.ts
+++ b/src/routes/routeTypes.ts
@@ -35,6 +35,8 @@
   /** Whether requests name the parts of a prompt that runners may have cached. */
   readonly cachesPrompts: boolean;
   readonly targets: readonly RouteTarget[];
+  /** Regions whose runners may run its requests; missing where all may. */
+  readonly homeRegions?: readonly string[] | undefined;
 }
 
 /** A pool of runners of one kind. */
@@ -53,6 +55,8 @@
   readonly keyDigests: readonly string[];
   /** Goes before the route's. */
   readonly priority?: number | undefined;
+  /** Regions whose runners may run its requests; binds beside the route's. */
+  readonly homeRegions?: readonly string[] | undefined;
 }
 
 /** What a caller may send, and how long it may take. */
--- a/src/runners/RunnerChoice.spec.ts
+++ b/src/runners/RunnerChoice.spec.ts
@@ -4,6 +4,7 @@
 
 import { seededRandom } from '../random/seededRandom.js';
 import type { ChoiceQuestion } from './RunnerChoice.js';
+import { RunnerAdmission } from './RunnerAdmission.js';
 import { RunnerChoice } from './RunnerChoice.js';
 import { RunnerTable } from './RunnerTable.js';
 import { WarmPlaces } from './WarmPlaces.js';
@@ -215,3 +216,47 @@
     expect(choice.choose(questionOf([], 1))?.reason).toEqual('last_resort');
   });
 });
+
+describe('the choice for a request that has homes', () => {
+  const regionOf = (dataCentre: string) => (dataCentre === 'unknown' ? undefined : dataCentre);
+
+  function choiceOf(...places: string[]): RunnerChoice {
+    const runners = new RunnerTable();
+    for (const [index, dataCentre] of places.entries()) {
+      const id = `runner-${index}`;
+      const place = { host: '127.0.0.1', port: 9_000 + index, dataCentre };
+      runners.put({ id, life: id, service: 'chat', state: 'ready', ...place });
+    }
+    const admission = new RunnerAdmission({ regionOf });
+    return new RunnerChoice({
+      runners,
+      admission,
+      dataCentre: 'north',
+      warmPlaces: new WarmPlaces(),
+    });
+  }
+
+  it('never leaves them, however full they are', () => {
+    const choice = choiceOf('north', 'south', 'west', 'unknown');
+    for (let sent = 0; sent < 40; sent += 1) {
+      const chosen = choice.choose({ ...questionOf(['part']), homeRegions: ['south', 'west'] });
+      expect(['south', 'west'].includes(chosen?.runner.entry.dataCentre ?? '')).toEqual(true);
+      if (chosen) chosen.runner.inFlight += 1;
+    }
+  });
+
+  it('is nobody where no home has a runner', () => {
+    const choice = choiceOf('north', 'unknown');
+    const question = { ...questionOf([]), homeRegions: ['south'] };
+    expect(choice.choose(question)).toEqual(undefined);
+  });
+
+  it('copies no cached prompt from outside', () => {
+    // Guards against a prompt that leaves its homes by way of a copy.
+    const choice = choiceOf('north', 'south');
+    const anywhere = { ...questionOf(['part']), tried: new Set(['runner-1']) };
+    expect(choice.choose(anywhere)?.runner.entry.dataCentre).toEqual('north');
+    const atHome = choice.choose({ ...questionOf(['part']), homeRegions: ['south'] });
+    expect([atHome?.runner.entry.dataCentre, atHome?.cacheSource]).toEqual(['south', undefined]);
+  });
+});
--- a/src/runners/RunnerChoice.ts
+++ b/src/runners/RunnerChoice.ts
@@ -184,13 +184,15 @@
    * tenth of the time, and the runner's batch is not held up. A draining runner still gives what it has.
    */
   private cacheSourceFor({ question }: Pool, chosen: Runner): Runner | undefined {
-    const { warmPlaces, runners } = this.options;
+    const { warmPlaces, runners, admission } = this.options;
     for (const key of prefixKeys(question.sharedParts).reverse()) {
       const places = warmPlaces.of(key);
       if (places.includes(chosen.entry.life)) return undefined;
       const source = places
         .map((life) => runners.ofLife(life))
-        .find((runner) => runner?.health.isReachable(question.now));
+        .filter((runner) => runner !== undefined)
+        .filter((runner) => admission.isAtHome(runner, question.homeRegions))
+        .find(({ health }) => health.isReachable(question.now));
       if (source) return source;
     }
     return undefined;
--- a/src/runners/unavailability.spec.ts
+++ b/src/runners/unavailability.spec.ts
@@ -3,6 +3,7 @@
 import { expect } from 'earl';
 
 import type { RunnerState } from './Runner.js';
+import { RunnerAdmission } from './RunnerAdmission.js';
 import { RunnerTable } from './RunnerTable.js';
 import { unavailabilityOf } from './unavailability.js';
 
@@ -18,7 +19,8 @@
 }
 
 function whyNone(runners: RunnerTable, service = 'chat', isCold = false) {
-  return unavailabilityOf({ runners, admission: { isCold: () => isCold }, service, now: NOW });
+  const admission = { isCold: () => isCold, isAtHome: () => true };
+  return unavailabilityOf({ runners, admission, service, now: NOW });
 }
 
 describe('unavailabilityOf', () => {
@@ -48,4 +50,11 @@
     const table = tableOf(['north', 'ready'], ['south', 'ready']);
     expect(whyNone(table, 'chat', true)).toEqual({ reason: 'cold' });
   });
+
+  it('tells that no home of the request has a runner', () => {
+    const runners = tableOf(['north', 'ready']);
+    const admission = new RunnerAdmission({ regionOf: () => 'other' });
+    const question = { runners, admission, service: 'chat', homeRegions: ['home'], now: NOW };
+    expect(unavailabilityOf(question)).toEqual({ reason: 'no_home' });
+  });
 });
--- a/src/runners/unavailability.ts
+++ b/src/runners/unavailability.ts
@@ -1,11 +1,12 @@
 /**
  * Why a service has no runner for a request, and when its caller should come back.
  */
+import type { HomeRegions } from '../routes/homes.js';
 import type { RunnerAdmission } from './RunnerAdmission.js';
 import type { RunnerTable } from './RunnerTable.js';
 
 /** `no_runner`: what is listed has been tried, has no place, or there is none. */
-export type UnavailableReason = 'no_runner' | 'asked_for_time' | 'evacuated' | 'cold';
+export type UnavailableReason = 'no_runner' | 'asked_for_time' | 'evacuated' | 'no_home' | 'cold';
 
 /** What keeps a service's runners from a request. */
 export interface Unavailability {
@@ -20,8 +21,10 @@
 /** What is asked about a service that no runner was found for. */
 export interface UnavailabilityQuestion {
   readonly runners: RunnerTable;
-  readonly admission: Pick<RunnerAdmission, 'isCold'>;
+  readonly admission: Pick<RunnerAdmission, 'isCold' | 'isAtHome'>;
   readonly service: string;
+  /** Regions whose runners may run the request. */
+  readonly homeRegions?: HomeRegions;
   /** Monotonic milliseconds. */
   readonly now: number;
 }
@@ -34,12 +37,14 @@
   runners,
   admission,
   service,
+  homeRegions,
   now,
 }: UnavailabilityQuestion): Unavailability {
-  const ready = runners.readyOf(service);
+  const all = runners.readyOf(service);
+  const ready = all.filter((runner) => admission.isAtHome(runner, homeRegions));
   if (ready.length === 0) {
     const isEvacuated = runners.obstaclesOf(service).includes('evacuated');
-    if (!isEvacuated) return { reason: 'no_runner' };
+    if (!isEvacuated) return { reason: all.length > 0 ? 'no_home' : 'no_runner' };
     return { reason: 'evacuated', pauseMilliseconds: EVACUATED_MILLISECONDS };
   }
   const pauseMilliseconds = Math.min(...ready.map(({ pausedUntil }) => pausedUntil - now));
--- a/standIns/site/StandInSite.ts
+++ b/standIns/site/StandInSite.ts
@@ -35,6 +35,8 @@
   pollMilliseconds?: number;
   /** Within which changes have to be in force, in ms. */
   changeBoundMilliseconds?: number;
+  /** Region of each data centre. */
+  dataCentreRegions?: Readonly<Record<string, string>>;
 }
 
 /**
@@ -114,6 +116,8 @@
 
   private readonly changeBoundMilliseconds: number;
 
+  private readonly dataCentreRegions: Readonly<Record<string, string>>;
+
   private storeAddress = '';
 
   /**
@@ -123,9 +127,11 @@
     log = new SilentLog(),
     pollMilliseconds = 5,
     changeBoundMilliseconds = 50,
+    dataCentreRegions = { here: 'region' },
   }: StandInSiteOptions = {}) {
     this.log = log;
     this.changeBoundMilliseconds = changeBoundMilliseconds;
+    this.dataCentreRegions = dataCentreRegions;
     this.pollMilliseconds = pollMilliseconds;
   }
 
@@ -151,9 +157,14 @@
   /**
    * @param name - of a daemon.
    * @param seeds - addresses of daemons that it may ask.
+   * @param dataCentre - where it is.
    * @returns Its settings, with ports of its own.
    */
-  async settingsOf(name: string, seeds: readonly string[] = []): Promise<RouterSettings> {
+  async settingsOf(
+    name: string,
+    seeds: readonly string[] = [],
+    dataCentre = 'here',
+  ): Promise<RouterSettings> {
     const roles = ['callers', 'readiness', 'directory', 'peers', 'news', 'metrics'];
     const ports = await Promise.all(roles.map(() => freePort()));
     const addresses = Object.fromEntries(
@@ -161,8 +172,9 @@
     );
     return routerSettings.parse({
       name,
-      region: 'region',
-      dataCentre: 'here',
+      region: this.dataCentreRegions[dataCentre] ?? 'region',
+      dataCentre,
+      dataCentreRegions: { ...this.dataCentreRegions },
       addresses,
       seeds: [...seeds],
       store: this.storeAddress,
@@ -174,10 +186,15 @@
   /**
    * @param name - of the daemon.
    * @param seeds - addresses of daemons that it may ask.
+   * @param dataCentre - where it is.
    * @returns The daemon, in this process, once it listens.
    */
-  async addDaemon(name: string, seeds: readonly string[] = []): Promise<SiteDaemon> {
-    const settings = await this.settingsOf(name, seeds);
+  async addDaemon(
+    name: string,
+    seeds: readonly string[] = [],
+    dataCentre = 'here',
+  ): Promise<SiteDaemon> {
+    const settings = await this.settingsOf(name, seeds, dataCentre);
     const store = new StoreClient({ address: () => settings.store });
     const protocol = new PlatformRunnerProtocol();
     const daemon = new RouterDaemon({ settings, store, protocol, log: this.log });
--- a/tests/sitePath.spec.ts
+++ b/tests/sitePath.spec.ts
@@ -325,7 +325,7 @@
     const answer = await callSite({ address, path: '/chat/', headers: CHAT, onData: stop });
     expect(answer.body).toEqual(wholeStream(5));
     expect(first.daemon.isReady).toEqual(false);
-    expect(first.daemon.addressesFor('here')).toEqual([]);
+    expect(first.daemon.addressesFor({ dataCentre: 'here' })).toEqual([]);
     await site.until(() => site.store.keys('daemons/').length === 0);
     const next = await callSite({ address, path: '/read/a' });
     expect(next.headers.connection).toEqual('close');
