Log runners that change together with one line beyond the first forty

Change: the first forty of a read have a line each, the others are counted by state in one line. Test: src/router/KnowledgeReactions.spec.ts.

--- /dev/null
+++ b/src/router/KnowledgeReactions.spec.ts
@@ -0,0 +1,59 @@
+import { beforeEach, describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import { MemoryLog } from '../callers/testFakes.js';
+import { RunnerConnections } from '../forwarding/RunnerConnections.js';
+import type { RunnerEntry } from '../runners/Runner.js';
+import { WarmPlaces } from '../runners/WarmPlaces.js';
+import { syncLogEvents } from '../sync/syncFeature.js';
+import { KnowledgeReactions } from './KnowledgeReactions.js';
+
+function runnerOf(index: number): RunnerEntry {
+  const id = `runner-${index}`;
+  const place = { host: '10.0.0.1', port: 8_000 + index, dataCentre: 'north' };
+  return { id, life: id, service: 'chat', state: 'ready', ...place };
+}
+
+describe(KnowledgeReactions.name, () => {
+  let log: MemoryLog;
+  let reactions: KnowledgeReactions;
+
+  beforeEach(() => {
+    log = new MemoryLog();
+    reactions = new KnowledgeReactions({
+      dataCentres: ['north'],
+      connections: new RunnerConnections(),
+      warmPlaces: new WarmPlaces(),
+      log,
+      revision: () => 7,
+      takeLeaving: () => undefined,
+      takeQuarantine: () => undefined,
+      applyLimits: () => undefined,
+      onUpdate: () => undefined,
+    });
+  });
+
+  it('logs each runner that changes, and counts those beyond what a log takes at once', () => {
+    // Guards against a start whose lines of thousands of runners leave no room for any other line.
+    for (let index = 0; index < 3_000; index += 1) {
+      reactions.runnerChanged(runnerOf(index), index % 3 === 0 ? 'draining' : 'ready');
+    }
+    reactions.updated();
+    expect(log.of(syncLogEvents.runnerChanged).length).toEqual(40);
+    const more = log.of(syncLogEvents.moreRunnersChanged);
+    expect(more).toEqual([{ ready: 1_974, draining: 986, revision: 7 }]);
+    reactions.runnerChanged(runnerOf(1), 'gone');
+    reactions.updated();
+    expect(log.of(syncLogEvents.runnerChanged).length).toEqual(41);
+    expect(log.of(syncLogEvents.moreRunnersChanged).length).toEqual(1);
+  });
+
+  it('logs evacuations, and names in orders that are no data centre', () => {
+    reactions.evacuationChanged('north', 'begun');
+    reactions.evacuationChanged('nroth', 'begun');
+    const begun = { state: 'begun', revision: 7 };
+    expect(log.of(syncLogEvents.evacuationChanged)).toEqual([{ dataCentre: 'north', ...begun }]);
+    expect(log.of(syncLogEvents.evacuationUnknown)).toEqual([{ dataCentre: 'nroth', ...begun }]);
+  });
+});
--- a/src/router/KnowledgeReactions.ts
+++ b/src/router/KnowledgeReactions.ts
@@ -32,6 +32,21 @@
 /** Names in one line of the log: all daemons of a large fleet may come or go at once. */
 const MAXIMUM_NAMES = 12;
 
+/** Runners of one read that get a line each; a start lists thousands, more than a log takes within a second. */
+const MAXIMUM_RUNNER_LINES = 40;
+
+/** What a line tells of a runner. */
+interface ChangedRunner {
+  readonly entry: RunnerEntry;
+  readonly state: RunnerState | 'lapsed' | 'gone';
+}
+
+function countStates(changed: readonly ChangedRunner[]): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const { state } of changed) counts[state] = (counts[state] ?? 0) + 1;
+  return counts;
+}
+
 /** See the module's comment. */
 export class KnowledgeReactions implements KnowledgeListener {
   private readonly options: KnowledgeReactionsOptions;
@@ -39,6 +54,9 @@
   /** Daemons that have come and gone since the last line about them. */
   private changedDaemons: Record<'listed' | 'gone', string[]> = { listed: [], gone: [] };
 
+  /** Runners that have changed since the last read. */
+  private changedRunners: ChangedRunner[] = [];
+
   /**
    * @param options - the parts that follow.
    */
@@ -61,13 +79,11 @@
    * @param state - from now on.
    */
   runnerChanged(entry: RunnerEntry, state: RunnerState | 'lapsed' | 'gone'): void {
-    const { connections, warmPlaces, log, revision } = this.options;
-    const { id: runner, life, service } = entry;
+    const { connections, warmPlaces } = this.options;
+    const { life } = entry;
     if (state !== 'ready' && state !== 'lapsed') connections.release(life);
     if (state === 'gone') warmPlaces.forgetRunner(life);
-    const { coldMilliseconds } = entry;
-    const fields = { runner, life, state, service, coldMilliseconds, revision: revision() };
-    log.write(syncLogEvents.runnerChanged, fields);
+    this.changedRunners.push({ entry, state });
   }
 
   /**
@@ -110,6 +126,7 @@
 
   /** All of a read has been taken. */
   updated(): void {
+    this.logRunners();
     this.logDaemons();
     this.options.onUpdate();
   }
@@ -122,6 +139,21 @@
     this.options.log.write(syncLogEvents.factUnreadable, { key, message });
   }
 
+  private logRunners(): void {
+    const changed = this.changedRunners;
+    this.changedRunners = [];
+    const { log } = this.options;
+    const revision = this.options.revision();
+    for (const { entry, state } of changed.slice(0, MAXIMUM_RUNNER_LINES)) {
+      const { id: runner, life, service, coldMilliseconds } = entry;
+      const fields = { runner, life, state, service, coldMilliseconds, revision };
+      log.write(syncLogEvents.runnerChanged, fields);
+    }
+    const rest = changed.slice(MAXIMUM_RUNNER_LINES);
+    if (rest.length === 0) return;
+    log.write(syncLogEvents.moreRunnersChanged, { ...countStates(rest), revision });
+  }
+
   private logDaemons(): void {
     const { listed, gone } = this.changedDaemons;
     if (listed.length + gone.length === 0) return;
--- a/src/sync/syncFeature.ts
+++ b/src/sync/syncFeature.ts
@@ -89,6 +89,13 @@
     text: 'An order to evacuate names a data centre that the settings do not know.',
     operatorAction: 'Check the name in the order.',
   }),
+  moreRunnersChanged: defineLogEvent({
+    number: 2713,
+    name: 'sync.more_runners_changed',
+    level: 'info',
+    text: 'More runners changed at once than have a line each; the fields count the others by their state.',
+    operatorAction: 'None.',
+  }),
   daemonsChanged: defineLogEvent({
     number: 2710,
     name: 'sync.daemons_changed',
