Let only a daemon that knows all warm places keep them for those that start

Whoever came before all coordinators by name took itself for the first of them without being one. Each write is up to 60 kB to the store and to all that watch it, and what is kept is the little that such a daemon has heard of, not what the coordinators know; it is what daemons begin with after a loss of all. Change: the first has to be one of those that know. The new test failed before ("is none that comes before them by name").

--- /dev/null
+++ b/src/sync/WarmPlacesKeeper.spec.ts
@@ -0,0 +1,50 @@
+import { afterEach, beforeEach, describe, it, mock } from 'node:test';
+
+import { expect } from 'earl';
+
+import { MemoryLog } from '../callers/testFakes.js';
+import { WarmPlaces } from '../runners/WarmPlaces.js';
+import { TestStore } from './testStore.js';
+import { WarmPlacesKeeper } from './WarmPlacesKeeper.js';
+
+const WRITES_MILLISECONDS = 3_000;
+
+class CountingStore extends TestStore {
+  writes = 0;
+
+  override saveWarmPlaces(): Promise<void> {
+    this.writes += 1;
+    return Promise.resolve();
+  }
+}
+
+describe(WarmPlacesKeeper.name, () => {
+  beforeEach(() => mock.timers.enable({ apis: ['setInterval'] }));
+
+  afterEach(() => mock.timers.reset());
+
+  function writesOf(name: string, informed: readonly string[]): number {
+    const store = new CountingStore();
+    const warmPlaces = new WarmPlaces();
+    warmPlaces.remember('prompt', 'runner-1');
+    const keeper = new WarmPlacesKeeper({
+      ...{ store, warmPlaces, name },
+      log: new MemoryLog(),
+      daemons: () => informed,
+    });
+    keeper.start();
+    mock.timers.tick(WRITES_MILLISECONDS);
+    keeper.stop();
+    return store.writes;
+  }
+
+  it('is the first of those that know all warm places', () => {
+    expect(writesOf('b', ['c', 'b', 'd'])).toEqual(1);
+    expect(writesOf('c', ['c', 'b', 'd'])).toEqual(0);
+  });
+
+  it('is none that comes before them by name and does not know all', () => {
+    // Guards against dozens of daemons of a large fleet that each overwrite the list with the little that they know.
+    expect(writesOf('a', ['c', 'b', 'd'])).toEqual(0);
+  });
+});
--- a/src/sync/WarmPlacesKeeper.ts
+++ b/src/sync/WarmPlacesKeeper.ts
@@ -18,7 +18,7 @@
   log: Log;
   /** This daemon's name. */
   name: string;
-  /** Names of the daemons that are listed. */
+  /** Names of the daemons that know all warm places. */
   daemons: () => Iterable<string>;
 }
 
@@ -58,7 +58,8 @@
   /** Two daemons that both take themselves for the first write the same; the last write wins. */
   private isFirst(): boolean {
     const { name, daemons } = this.options;
-    return [...daemons()].every((other) => name <= other);
+    const names = [...daemons()];
+    return names.includes(name) && names.every((other) => name <= other);
   }
 
   private async keep(): Promise<void> {
