Leave a daemon that has read the store itself to the readers for as long as after their word

Cause, from the trial that logged each call: each of 90 daemons made two reads of changes after its first read, the second one before any reader had told it anything. Test: StoreRelay.spec.ts.

--- a/src/coordination/FleetCoordination.ts
+++ b/src/coordination/FleetCoordination.ts
@@ -163,6 +163,7 @@
       clock,
       log,
       isReader: () => this.isReader,
+      hasReaders: () => this.coordinators.length > 0,
       others,
       onHeard: (name) => this.liveness.heard(name),
       onTold: () => this.liveness.toldOtherwise(),
--- a/src/coordination/StoreRelay.spec.ts
+++ b/src/coordination/StoreRelay.spec.ts
@@ -54,6 +54,7 @@
     clock,
     log: new SilentLog(),
     isReader: () => isReader,
+    hasReaders: () => true,
     others: () => [],
     readStore: (what) => reads.push(what),
     fetchConfiguration: () => Promise.reject(new Error('nobody answers')),
@@ -98,6 +99,14 @@
     coordinator.knowledge.applyChanges({ revision, facts: [fact] }, clock.monotonicMilliseconds());
   }
 
+  it('leaves a daemon that has read the store itself to the readers for as long as after their word', () => {
+    // Guards against a second read by each daemon that starts, before the readers had the time to tell.
+    follower.relay.readDone();
+    expect(follower.relay.isFresh).toEqual(true);
+    clock.advance(FRESH_MILLISECONDS);
+    expect(follower.relay.isFresh).toEqual(false);
+  });
+
   it('tells changes, and that there are none, for as long as it reads', () => {
     coordinator.relay.readDone();
     coordinator.sent.forEach(follower.take);
--- a/src/coordination/StoreRelay.ts
+++ b/src/coordination/StoreRelay.ts
@@ -32,6 +32,8 @@
   log: Log;
   /** Whether this daemon reads the store for others. */
   isReader: () => boolean;
+  /** Whether any daemon reads the store for others. */
+  hasReaders: () => boolean;
   /** All other daemons. */
   others: () => readonly HostAndPort[];
   /** Another daemon has told something. */
@@ -141,15 +143,17 @@
     return isFresh;
   }
 
-  /** This daemon lists what a coordinator does. */
+  /** What this daemon lists is as new as what a reader tells. */
   learntList(): void {
     this.agreedAt = this.options.clock.monotonicMilliseconds();
   }
 
   /** This daemon has read the store: its changes are told where it does so for others. */
   readDone(): void {
+    const { isReader, hasReaders } = this.options;
     this.followConfiguration();
-    if (this.options.isReader()) this.tell();
+    if (isReader()) this.tell();
+    else if (hasReaders()) this.learntList();
   }
 
   private tell(): void {
--- a/src/coordination/testFleet.ts
+++ b/src/coordination/testFleet.ts
@@ -73,6 +73,7 @@
 interface TestDaemonOptions {
   name: string;
   isReader: boolean;
+  hasReaders: boolean;
   boundMilliseconds: number;
   clock: ManualClock;
   random: () => number;
@@ -103,7 +104,7 @@
   private mustRead: 'changes' | 'everything' | undefined = 'everything';
 
   constructor(options: TestDaemonOptions) {
-    const { name, isReader, clock, later } = options;
+    const { name, isReader, hasReaders, clock, later } = options;
     const gather = GATHER_SHARE * options.boundMilliseconds;
     this.options = options;
     this.name = name;
@@ -116,6 +117,7 @@
       clock,
       log: new SilentLog(),
       isReader: () => isReader,
+      hasReaders: () => hasReaders,
       others: () => [],
       readStore: (what) => {
         this.mustRead = what;
@@ -304,7 +306,9 @@
     const isReader = this.readers.has(name);
     const later = (call: () => void, milliseconds: number) =>
       this.later.push({ at: this.now + milliseconds, call });
-    return new TestDaemon({ name, isReader, boundMilliseconds, clock, random, later });
+    const hasReaders = this.readers.size > 0;
+    const times = { boundMilliseconds, clock, random, later };
+    return new TestDaemon({ name, isReader, hasReaders, ...times });
   }
 
   /** Runners renew their entries; one that cannot reach the store does not do it later. */
