--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -10,7 +10,7 @@
 import { HeldAnswers } from './HeldAnswers.js';
 import { ownAnswerFor } from './ownAnswerFor.js';
 import { RequestRetries } from './RequestRetries.js';
-import type { NoRetryReason, RetryVerdict } from './retryDecision.js';
+import type { AttemptVerdict } from './retryDecision.js';
 import type { AttemptFailure, RunnerAttempt } from './RunnerAttempt.js';
 import { AttemptObserver } from './RunnerAttempt.js';
 import { QuarantineGuard } from './QuarantineGuard.js';
@@ -29,12 +29,6 @@
 /** A runner's answer to a deadline that has passed; it says nothing against the runner. */
 const GATEWAY_TIMEOUT = 504;
 
-/** `wait`: another attempt is under way; `cut`: part of this answer is with the caller already. */
-interface AttemptVerdict {
-  readonly verdict: RetryVerdict | 'wait' | 'cut';
-  readonly reason?: NoRetryReason;
-}
-
 /** Options of a {@link ForwardedRequest}. */
 export interface ForwardedRequestOptions {
   request: AdmittedRequest;
@@ -111,7 +105,7 @@
     const { service, deadlineAt } = this.request;
     this.context.budget.recordRequest(service, this.now());
     if (this.now() >= deadlineAt) {
-      this.endWith({ status: 504, reason: 'deadline' });
+      this.expire();
       return;
     }
     const refusal = this.guard.begin();
@@ -156,15 +150,11 @@
     const expired = held.answer.statusCode === GATEWAY_TIMEOUT;
     this.guard.answered(held.answer.statusCode ?? SERVER_ERROR);
     this.judge.record(attempt.runner, failed && !expired ? 'failed' : 'answered');
-    if (this.stream.isFrom(attempt)) {
-      this.stopAttempts();
-      this.stream.end();
-      this.end('answered', 'answered');
-      return;
-    }
-    if (this.held.isPassing(attempt)) {
+    const isStream = this.stream.isFrom(attempt);
+    if (isStream || this.held.isPassing(attempt)) {
       this.stopAttempts();
-      this.relay.finish();
+      if (isStream) this.stream.end();
+      else this.relay.finish();
       this.end('answered', 'answered');
       return;
     }
@@ -263,12 +253,20 @@
     return may;
   }
 
+  /** @returns Whether the caller gets a runner's own error for want of a better answer. */
+  private answerFallback(): boolean {
+    if (!this.fallback || this.relay.hasHead) return false;
+    this.answerHeld(this.fallback);
+    return true;
+  }
+
+  private expire(): void {
+    if (!this.answerFallback()) this.endWith({ status: 504, reason: 'deadline' });
+  }
+
   /** Gives the reason why there is no runner, unless an attempt's own is known. */
   private giveUp(verdict: 'refuse' | 'fail', failure?: AttemptFailure): void {
-    if (this.fallback && !this.relay.hasHead) {
-      this.answerHeld(this.fallback);
-      return;
-    }
+    if (this.answerFallback()) return;
     const now = this.now();
     const isLate = now >= this.request.deadlineAt;
     const unavailability = this.context.unavailabilityOf(this.request, now);
@@ -310,8 +308,7 @@
   private check(): void {
     if (this.relay.isDone) return;
     if (this.now() >= this.request.deadlineAt) {
-      if (this.fallback && !this.relay.hasHead) this.answerHeld(this.fallback);
-      else this.endWith({ status: 504, reason: 'deadline' });
+      this.expire();
       return;
     }
     const view = this.patienceView();
@@ -334,8 +331,7 @@
   private quarantined(): void {
     if (this.relay.isDone) return;
     const mayHaveRun = this.active.size > 0 || this.tried.mayHaveRun > 0;
-    if (mayHaveRun) this.endWith({ status: 502, reason: 'quarantined' });
-    else this.endWith(this.guard.refusal);
+    this.endWith(mayHaveRun ? { status: 502, reason: 'quarantined' } : this.guard.refusal);
   }
 
   private end(event: EndEvent, outcome: string): void {
--- a/src/forwarding/RunnerStatements.spec.ts
+++ b/src/forwarding/RunnerStatements.spec.ts
@@ -4,19 +4,12 @@
 
 import { SilentLog } from '../logging/Log.js';
 import { Runner } from '../runners/Runner.js';
+import { TEST_RUNNER } from '../runners/testRunner.js';
 import { ManualClock } from '../time/ManualClock.js';
 import { RunnerStatements } from './RunnerStatements.js';
 import { TestProtocol } from './testProtocol.js';
 
-const RUNNER = new Runner({
-  id: 'runner-1',
-  life: 'runner-1@1',
-  service: 'chat',
-  host: '10.0.0.1',
-  port: 8_000,
-  dataCentre: 'here',
-  state: 'ready',
-});
+const RUNNER = new Runner(TEST_RUNNER);
 
 const LEAVING = { leaving: '1' };
 const SIGNED = { signature: 's' };
--- a/src/forwarding/retryDecision.ts
+++ b/src/forwarding/retryDecision.ts
@@ -22,6 +22,12 @@
   readonly reason?: NoRetryReason;
 }
 
+/** `wait`: another attempt is under way; `cut`: part of this answer is with the caller already. */
+export interface AttemptVerdict {
+  readonly verdict: RetryVerdict | 'wait' | 'cut';
+  readonly reason?: NoRetryReason;
+}
+
 /** What the verdict depends on. */
 export interface RetryQuestion {
   readonly kind: CallKind;
--- a/src/quarantine/CrashWatch.spec.ts
+++ b/src/quarantine/CrashWatch.spec.ts
@@ -3,21 +3,11 @@
 import { expect } from 'earl';
 
 import type { ProbeResult } from '../forwarding/probeRunner.js';
-import type { RunnerEntry } from '../runners/Runner.js';
 import { RunnerTable } from '../runners/RunnerTable.js';
+import { TEST_RUNNER } from '../runners/testRunner.js';
 import { ManualClock } from '../time/ManualClock.js';
 import { CrashWatch } from './CrashWatch.js';
 
-const ENTRY: RunnerEntry = {
-  id: 'runner-1',
-  life: 'runner-1@1',
-  service: 'chat',
-  host: '10.0.0.1',
-  port: 8_000,
-  dataCentre: 'here',
-  state: 'ready',
-};
-
 describe(CrashWatch.name, () => {
   let clock: ManualClock;
   let runners: RunnerTable;
@@ -30,7 +20,7 @@
   beforeEach(() => {
     clock = new ManualClock({ monotonicMilliseconds: 10_000 });
     runners = new RunnerTable();
-    runners.put(ENTRY);
+    runners.put(TEST_RUNNER);
     probes = [];
     later = [];
     crashes = [];
@@ -48,7 +38,7 @@
   });
 
   function breakOff(digest: string, startedAt = 0): void {
-    const runner = runners.get(ENTRY.id);
+    const runner = runners.get(TEST_RUNNER.id);
     if (runner) watch.broke(runner, { digest, startedAt });
   }
 
@@ -75,7 +65,7 @@
   it('takes one that is born anew for crashed', () => {
     breakOff('a');
     probes[0]?.('accepted');
-    runners.put({ ...ENTRY, life: 'runner-1@2' });
+    runners.put({ ...TEST_RUNNER, life: 'runner-1@2' });
     later[0]?.();
     probes[1]?.('accepted');
     expect(crashes).toEqual(['runner-1 10000 a']);
@@ -86,7 +76,7 @@
     probes[0]?.('accepted');
     later[0]?.();
     probes[1]?.('accepted');
-    runners.put({ ...ENTRY, life: 'runner-1@2' });
+    runners.put({ ...TEST_RUNNER, life: 'runner-1@2' });
     later[1]?.();
     expect(crashes).toEqual(['runner-1 10000 a']);
   });
@@ -94,13 +84,13 @@
   it('takes one that refuses another request soon after for crashed', () => {
     breakOff('a');
     probes[0]?.('no_answer');
-    const runner = runners.get(ENTRY.id);
+    const runner = runners.get(TEST_RUNNER.id);
     if (runner) watch.refused(runner);
     expect(crashes).toEqual(['runner-1 10000 a']);
   });
 
   it('puts a crash to the account of a request whose caller has left just before', () => {
-    const runner = runners.get(ENTRY.id);
+    const runner = runners.get(TEST_RUNNER.id);
     if (!runner) return;
     watch.abandoned(runner, { digest: 'a', startedAt: 1 });
     watch.refused(runner);
@@ -112,14 +102,14 @@
   });
 
   it('takes one in an evacuated data centre for crashed: it goes on with what it has', () => {
-    runners.setEvacuated(new Set([ENTRY.dataCentre]));
+    runners.setEvacuated(new Set([TEST_RUNNER.dataCentre]));
     breakOff('a');
     probes[0]?.('refused');
     expect(crashes).toEqual(['runner-1 10000 a']);
   });
 
   it('does not take one that leaves for crashed', () => {
-    runners.put({ ...ENTRY, state: 'draining' });
+    runners.put({ ...TEST_RUNNER, state: 'draining' });
     breakOff('a');
     expect(probes.length).toEqual(0);
   });
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -38,7 +38,7 @@
 import { createForwardingContext } from './createForwardingContext.js';
 import { KnowledgeReactions } from './KnowledgeReactions.js';
 import { plannedStop } from './plannedStop.js';
-import { routerLogEvents } from './routerFeature.js';
+import { entryOf, routerLogEvents } from './routerFeature.js';
 import type { RouterSettings } from './routerFeature.js';
 
 /**
@@ -129,16 +129,9 @@
     this.registry = new MetricRegistry({ clock });
     this.secret = new FleetSecret({ store, clock, log });
     this.knowledge = new FleetKnowledge({ listener: this.createReactions() });
-    const { name, dataCentre, addresses, seeds } = settings;
+    const { name, addresses, seeds } = settings;
     const gatherMilliseconds = GATHER_SHARE * Math.min(...settings.changeBoundsMilliseconds);
-    this.entry = {
-      name,
-      dataCentre,
-      callerAddress: addresses.callers,
-      peerAddress: addresses.peers,
-      newsAddress: addresses.news,
-      linkMegabits: settings.linkMegabits,
-    };
+    this.entry = entryOf(settings);
     this.news = this.createNews();
     const { knowledge, entry, registry } = this;
     this.coordination = this.createCoordination(gatherMilliseconds);
--- a/src/router/routerFeature.ts
+++ b/src/router/routerFeature.ts
@@ -5,6 +5,7 @@
 
 import { defineFeature } from '../features/Feature.js';
 import { defineLogEvent } from '../logging/logEvent.js';
+import type { DaemonEntry } from '../sync/FleetStore.js';
 
 const ADDRESS = /^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/u;
 
@@ -84,6 +85,20 @@
   return dataCentre === own ? region : dataCentreRegions[dataCentre];
 }
 
+/**
+ * @param settings - of a daemon.
+ * @returns What other daemons need to know of it.
+ */
+export function entryOf({
+  name,
+  dataCentre,
+  addresses,
+  linkMegabits,
+}: RouterSettings): DaemonEntry {
+  const { callers: callerAddress, peers: peerAddress, news: newsAddress } = addresses;
+  return { name, dataCentre, callerAddress, peerAddress, newsAddress, linkMegabits };
+}
+
 /** Log events of its life. */
 export const routerLogEvents = {
   started: defineLogEvent({
--- a/src/runners/ColdStarts.spec.ts
+++ b/src/runners/ColdStarts.spec.ts
@@ -5,17 +5,7 @@
 import { ColdStarts } from './ColdStarts.js';
 import type { ColdOwnership } from './ColdStarts.js';
 import { Runner } from './Runner.js';
-import type { RunnerEntry } from './Runner.js';
-
-const ENTRY: RunnerEntry = {
-  id: 'runner-1',
-  life: 'runner-1@1',
-  service: 'chat',
-  host: '10.0.0.1',
-  port: 8_000,
-  dataCentre: 'here',
-  state: 'ready',
-};
+import { TEST_RUNNER } from './testRunner.js';
 
 const RATE = 10;
 
@@ -34,7 +24,7 @@
       daemons: () => 10,
       random: () => 0.5,
     });
-    runner = new Runner(ENTRY);
+    runner = new Runner(TEST_RUNNER);
     runner.coldUntil = 5_000;
   });
 
@@ -50,7 +40,7 @@
 
   it('leaves warm runners alone, and services without a rate', () => {
     expect(coldStarts.hasRoom(runner, 5_000)).toEqual(true);
-    const other = new Runner({ ...ENTRY, service: 'plain' });
+    const other = new Runner({ ...TEST_RUNNER, service: 'plain' });
     other.coldUntil = 5_000;
     expect(coldStarts.hasRoom(other, 0)).toEqual(true);
   });
--- a/src/sync/FleetKnowledge.ts
+++ b/src/sync/FleetKnowledge.ts
@@ -9,7 +9,7 @@
 import { DaemonListing } from './DaemonListing.js';
 import { EvacuationListing } from './EvacuationListing.js';
 import type { DaemonEntry, StoreFact, StoreRead } from './FleetStore.js';
-import { digestOf, isListing } from './listings.js';
+import { digestOf, factsOf, isListing } from './listings.js';
 import type { KnowledgeListener, KnowledgeSnapshot } from './knowledgeTypes.js';
 import type { ChangeMoment } from './RunnerListing.js';
 import { RunnerListing } from './RunnerListing.js';
@@ -233,16 +233,9 @@
    * @param now - monotonic milliseconds.
    */
   applyListing(snapshot: KnowledgeSnapshot, now: number): void {
-    const { revision, runners, lapsed = [], daemons } = snapshot;
-    const { evacuated = this.evacuations.names } = snapshot;
+    const { revision } = snapshot;
     if (revision < this.revision) return;
-    const facts: StoreFact[] = [
-      ...runners.map((runner) => ({ kind: 'runner', runner }) as const),
-      ...lapsed.map((id) => ({ kind: 'runner_lapsed', id }) as const),
-      ...daemons.map((daemon) => ({ kind: 'daemon', daemon }) as const),
-      ...evacuated.map((dataCentre) => ({ kind: 'evacuation', dataCentre }) as const),
-    ];
-    this.applyAll({ revision, facts }, now);
+    this.applyAll({ revision, facts: factsOf(snapshot, this.evacuations.names) }, now);
   }
 
   /**
--- a/src/sync/listings.ts
+++ b/src/sync/listings.ts
@@ -5,6 +5,7 @@
 
 import type { Runner } from '../runners/Runner.js';
 import type { DaemonEntry, StoreFact } from './FleetStore.js';
+import type { KnowledgeSnapshot } from './knowledgeTypes.js';
 
 const LISTINGS: ReadonlySet<StoreFact['kind']> = new Set<StoreFact['kind']>([
   'runner',
@@ -49,3 +50,22 @@
   ];
   return murmurhash.v3(lines.sort().join());
 }
+
+/**
+ * @param snapshot - of what another daemon lists.
+ * @param knownEvacuated - data centres that hold where the other daemon does not know of evacuations.
+ * @returns What it says of who is there and gets work.
+ */
+export function factsOf(
+  { runners, lapsed = [], daemons, evacuated }: KnowledgeSnapshot,
+  knownEvacuated: readonly string[],
+): StoreFact[] {
+  return [
+    ...runners.map((runner) => ({ kind: 'runner', runner }) as const),
+    ...lapsed.map((id) => ({ kind: 'runner_lapsed', id }) as const),
+    ...daemons.map((daemon) => ({ kind: 'daemon', daemon }) as const),
+    ...(evacuated ?? knownEvacuated).map(
+      (dataCentre) => ({ kind: 'evacuation', dataCentre }) as const,
+    ),
+  ];
+}
