Soak: data centres that are evacuated and taken back

Two runners of a data centre of their own are added, the operators evacuate it, and take it back after the bound and a while: runs there between are held to the check of leaving runners. Drawn after all other faults, so that what a seed gave stays as it is.

--- a/soak/SoakSite.ts
+++ b/soak/SoakSite.ts
@@ -150,14 +150,16 @@
 
   /**
    * @param service - that it serves.
+   * @param dataCentre - where it is.
    * @returns A runner that is listed, at each daemon by an address of its link.
    */
-  async addRunner(service: SoakService): Promise<SiteRunner> {
+  async addRunner(service: SoakService, dataCentre = 'here'): Promise<SiteRunner> {
     this.nextRunner += 1;
     const id = `${service}-${this.nextRunner}`;
     const runner = new SiteRunner({
       id,
       service,
+      dataCentre,
       echoes: true,
       events: EVENTS,
       eventMilliseconds: EVENT_MILLISECONDS,
--- a/soak/faults/faultPlan.ts
+++ b/soak/faults/faultPlan.ts
@@ -6,6 +6,7 @@
 import { FilledLink, LinkReset, OneWayCut, SilencedLink, SlowLink } from './linkFaults.js';
 import { Kill, Pause, Reload, RollingRestart } from './processFaults.js';
 import {
+  EvacuatedPlace,
   FailingRunner,
   LostAnswers,
   FatalRequest,
@@ -72,7 +73,21 @@
 /** Time from one of these faults to the next, in ms: each takes runners away for a while. */
 const STATEMENT_PAUSES: readonly [number, number] = [3_000, 9_000];
 
+/** Time from one evacuation to the next, in ms. */
+const EVACUATION_PAUSES: readonly [number, number] = [4_000, 12_000];
+
 /** Drawn after all others, which stay as they are for a seed. */
+function planEvacuations(draw: Draw, seconds: number): PlannedFault[] {
+  const plan: PlannedFault[] = [];
+  let at = SERIES_MILLISECONDS;
+  while (at < seconds * 1_000) {
+    plan.push({ at, fault: new EvacuatedPlace(draw) });
+    at += draw.between(...EVACUATION_PAUSES);
+  }
+  return plan;
+}
+
+/** Drawn after those of the series, which stay as they are for a seed. */
 function planStatements(draw: Draw, seconds: number): PlannedFault[] {
   const plan: PlannedFault[] = [];
   let at = SERIES_MILLISECONDS;
@@ -101,5 +116,5 @@
     }
     at += draw.between(...PAUSES);
   }
-  return [...plan, ...planStatements(draw, seconds)];
+  return [...plan, ...planStatements(draw, seconds), ...planEvacuations(draw, seconds)];
 }
--- a/soak/faults/runnerFaults.ts
+++ b/soak/faults/runnerFaults.ts
@@ -152,6 +152,35 @@
   }
 }
 
+/** Operators evacuate a data centre, wait until nothing new may come there, and take it back. */
+export class EvacuatedPlace extends Fault {
+  private readonly service: SoakService = this.draw.one(SERVICES);
+
+  private readonly milliseconds = this.draw.between(500, 4_000);
+
+  override async play(ground: FaultGround): Promise<void> {
+    const { site, drains } = ground;
+    const dataCentre = `annex-of-${this.service}-${this.milliseconds}`;
+    const runners = [
+      await site.addRunner(this.service, dataCentre),
+      await site.addRunner(this.service, dataCentre),
+    ];
+    const order = `op/evacuate/${dataCentre}`;
+    const text = `${dataCentre} is evacuated`;
+    const length = CHANGE_BOUND_MILLISECONDS + this.milliseconds;
+    await this.last(ground, { kind: 'runner', runner: '', text }, length, {
+      begin: () => {
+        site.stand.store.write(order, {});
+        for (const { id } of runners) drains.leaves(id);
+      },
+      end: () => {
+        for (const { id } of runners) drains.returns(id);
+        site.stand.store.write(order, undefined);
+      },
+    });
+  }
+}
+
 /** A runner drains, or is just unlisted, serves on for the bound, and ends when it is idle. */
 export class RunnerLeaves extends Fault {
   private readonly service: SoakService = this.draw.one(SERVICES);
