Take a runner for full by the mean of all runners that the limit counts, not of those that take work

The operators' mean is that of the service; the bound here was taken from the runners that take work, a third more. Change: evacuated runners, and cold ones that are left alone, count in the mean by which a runner is full; a runner that has no more than one request over the mean of those that are left is never full. Elsewhere: runners that leave do not count, as before.

--- a/src/coordination/loadLimit.spec.ts
+++ b/src/coordination/loadLimit.spec.ts
@@ -33,6 +33,15 @@
     }
   });
 
+  it('is within the limit while a quarter of the runners is evacuated: the mean is that of all', () => {
+    // Guards against a bound on the mean of those that take work, which is a third higher than the operators' mean.
+    for (const seed of [1, 2, 3]) {
+      const options = { ...FLEET, seed, newsMilliseconds: TELL_COORDINATORS_MILLISECONDS };
+      const { overLimit } = playLoad({ ...options, isCoordinated: true, evacuatedShare: 0.25 });
+      expect(overLimit < LIMIT).toEqual(true);
+    }
+  });
+
   it('goes on at once where no coordinator answers, at less than half of the load beyond the limit', () => {
     const options = { ...FLEET, seed: 1, newsMilliseconds: TELL_COORDINATORS_MILLISECONDS };
     const silent = playLoad({ ...options, isCoordinated: true, coordinatorsSilentAt: 6_000 });
--- a/src/coordination/testLoad.ts
+++ b/src/coordination/testLoad.ts
@@ -25,6 +25,8 @@
   isCoordinated: boolean;
   /** Between two messages of a daemon, in ms. */
   newsMilliseconds: number;
+  /** Part of the runners whose data centre is evacuated. */
+  evacuatedShare?: number;
   /** From this time on no coordinator answers, in ms. */
   coordinatorsSilentAt?: number;
 }
@@ -57,16 +59,20 @@
   readonly counted: Map<string, number>;
 }
 
-function daemonOf(index: number, { runners, seed }: LoadOptions): Daemon {
+const EVACUATED = 'evacuated';
+
+function daemonOf(index: number, { runners, seed, evacuatedShare = 0 }: LoadOptions): Daemon {
   const address = `10.0.${Math.floor(index / 250)}.${1 + (index % 250)}:7000`;
   const addresses = { callerAddress: address, peerAddress: address, newsAddress: address };
   const entry = { name: `daemon-${index}`, dataCentre: 'here', ...addresses };
   const table = new RunnerTable();
   for (let runner = 0; runner < runners; runner += 1) {
     const id = `runner-${runner}`;
-    const place = { host: '10.1.0.1', port: 1 + runner, dataCentre: 'here' };
+    const dataCentre = runner < runners * evacuatedShare ? EVACUATED : 'here';
+    const place = { host: '10.1.0.1', port: 1 + runner, dataCentre };
     table.put({ id, life: id, service: 'chat', state: 'ready', ...place });
   }
+  table.setEvacuated(new Set([EVACUATED]));
   const loads = new ForeignLoads();
   const grants = new GrantLedger();
   const choice = new RunnerChoice({
--- a/src/runners/RunnerChoice.spec.ts
+++ b/src/runners/RunnerChoice.spec.ts
@@ -4,6 +4,7 @@
 
 import { seededRandom } from '../random/seededRandom.js';
 import type { ChoiceQuestion } from './RunnerChoice.js';
+import { ColdStarts } from './ColdStarts.js';
 import { RunnerAdmission } from './RunnerAdmission.js';
 import { RunnerChoice } from './RunnerChoice.js';
 import { RunnerTable } from './RunnerTable.js';
@@ -260,3 +261,47 @@
     expect([atHome?.runner.entry.dataCentre, atHome?.cacheSource]).toEqual(['south', undefined]);
   });
 });
+
+describe('the choice while runners are left out', () => {
+  const LOADS = [6, 1, 0, 0];
+
+  /** One runner has the prompt and six requests, one has one, two are left out. */
+  function reasonOf(leaveOut: (runners: RunnerTable) => void): string | undefined {
+    const runners = new RunnerTable();
+    const warmPlaces = new WarmPlaces();
+    for (const [index, load] of LOADS.entries()) {
+      const id = `runner-${index}`;
+      const dataCentre = index < 2 ? 'here' : 'there';
+      const place = { host: '127.0.0.1', port: 9_000 + index, dataCentre };
+      runners.put({ id, life: id, service: 'chat', state: 'ready', ...place });
+      const runner = runners.get(id);
+      if (runner) runner.inFlight = load;
+    }
+    warmPlaces.remember('part', 'runner-0');
+    leaveOut(runners);
+    const coldStarts = new ColdStarts({
+      rateOf: () => 1,
+      ownershipOf: () => ({ share: 0, settledMilliseconds: 0 }),
+      daemons: () => 1_000,
+    });
+    const admission = new RunnerAdmission({ coldStarts });
+    const choice = new RunnerChoice({ runners, admission, dataCentre: 'here', warmPlaces });
+    return choice.choose(questionOf(['part']))?.reason;
+  }
+
+  it('takes a runner for full by the mean of all, evacuated and cold ones too', () => {
+    // Guards against requests at a runner with more than the operators' limit over the mean of its service.
+    expect(reasonOf((runners) => runners.setEvacuated(new Set(['there'])))).toEqual('spilled');
+    const becomeCold = (runners: RunnerTable) => {
+      for (const runner of runners.list().slice(2)) runner.coldUntil = 10_000;
+    };
+    expect(reasonOf(becomeCold)).toEqual('spilled');
+  });
+
+  it('goes on by the mean of those that it has where the others leave', () => {
+    const leave = (runners: RunnerTable) => {
+      for (const { entry } of runners.list().slice(2)) runners.put({ ...entry, state: 'draining' });
+    };
+    expect(reasonOf(leave)).toEqual('warm');
+  });
+});
--- a/src/runners/RunnerChoice.ts
+++ b/src/runners/RunnerChoice.ts
@@ -91,10 +91,14 @@
   return sharedParts.map((_, index) => sharedParts.slice(0, index + 1).join());
 }
 
+/** However many runners are left out, one that has a request more than the mean of those that are left is not full. */
+const LEAST_SLACK_REQUESTS = 1;
+
 interface Pool {
   readonly candidates: readonly Runner[];
   readonly question: ChoiceQuestion;
-  readonly meanLoad: number;
+  /** Requests above which a runner is full for a warm request. */
+  readonly fullLoad: number;
 }
 
 /** Holds the warm places that this daemon knows. */
@@ -125,9 +129,9 @@
     const usable = admitted.filter(({ health }) => health.isUsable(question.now));
     const candidates = usable.length > 0 ? usable : admitted;
     if (candidates.length === 0) return undefined;
-    const total = candidates.reduce((sum, runner) => sum + this.loadOf(runner), 0);
-    const meanLoad = total / candidates.length;
-    const pool: Pool = { candidates, question, meanLoad };
+    const meanLoad = this.totalOf(candidates) / candidates.length;
+    const fullLoad = this.fullLoad(candidates, meanLoad, question);
+    const pool: Pool = { candidates, question, fullLoad };
     const chosen = this.chooseFrom(pool);
     const reason = usable.length > 0 ? chosen.reason : 'last_resort';
     const isCold = admission.isCold(chosen.runner, question.now);
@@ -159,8 +163,8 @@
   }
 
   private warmOrHashed(pool: Pool, key: string): Pick<Choice, 'runner' | 'reason'> {
-    const { candidates, meanLoad } = pool;
-    const hasRoom = (runner: Runner) => this.loadOf(runner) <= meanLoad * BOUND + SLACK_REQUESTS;
+    const { candidates, fullLoad } = pool;
+    const hasRoom = (runner: Runner) => this.loadOf(runner) <= fullLoad;
     const { warmPlaces, runners } = this.options;
     warmPlaces.prune(key, (life) => runners.ofLife(life) !== undefined);
     const warm = warmPlaces
@@ -221,6 +225,26 @@
     return scored.reduce((best, one) => (one.cost < best.cost ? one : best)).runner;
   }
 
+  /** The operators' limit counts evacuated and cold runners too, which have little or nothing. */
+  private fullLoad(
+    candidates: readonly Runner[],
+    meanLoad: number,
+    { service, now }: ChoiceQuestion,
+  ): number {
+    const { runners, admission } = this.options;
+    const cold = runners.readyOf(service).filter((runner) => admission.isCold(runner, now));
+    const idle = cold.filter((runner) => !candidates.includes(runner));
+    const leftOut = [...runners.evacuatedOf(service), ...idle];
+    if (leftOut.length === 0) return meanLoad * BOUND + SLACK_REQUESTS;
+    const total = this.totalOf(candidates) + this.totalOf(leftOut);
+    const meanOfAll = total / (candidates.length + leftOut.length);
+    return Math.max(meanOfAll * BOUND + SLACK_REQUESTS, meanLoad + LEAST_SLACK_REQUESTS);
+  }
+
+  private totalOf(runners: readonly Runner[]): number {
+    return runners.reduce((sum, runner) => sum + this.loadOf(runner), 0);
+  }
+
   private loadOf({ entry, inFlight }: Runner): number {
     return inFlight + this.options.foreignLoad(entry.life);
   }
--- a/src/runners/RunnerTable.ts
+++ b/src/runners/RunnerTable.ts
@@ -153,6 +153,17 @@
     return this.evacuated.has(dataCentre) ? 'evacuated' : undefined;
   }
 
+  /**
+   * @param service - name of a service.
+   * @returns Its runners that would take new work, but for the evacuation of their data centre.
+   */
+  evacuatedOf(service: string): readonly Runner[] {
+    if (this.evacuated.size === 0) return [];
+    return this.list().filter(
+      ({ entry }) => entry.service === service && this.obstacleOf(entry) === 'evacuated',
+    );
+  }
+
   /**
    * @param service - name of a service.
    * @returns Why its runners get no new work, for each that gets none.
