Look up evacuated runners once a change, and ask for them in one way

Each choice while a data centre is evacuated went through all runners; the refusal had a way of its own to ask the same.

--- a/src/runners/RunnerTable.ts
+++ b/src/runners/RunnerTable.ts
@@ -34,6 +34,9 @@
 
   private readonly ready = new Map<string, readonly Runner[]>();
 
+  /** By service, those that evacuations keep from new work. */
+  private readonly keptBack = new Map<string, readonly Runner[]>();
+
   /** @returns The number of runners, draining ones too. */
   get size(): number {
     return this.byId.size;
@@ -69,7 +72,7 @@
     runner.entry = entry;
     runner.isLapsed = false;
     runner.coldUntil = now + (entry.coldMilliseconds ?? 0);
-    this.ready.clear();
+    this.changed();
   }
 
   /**
@@ -78,7 +81,7 @@
   setLapsed(id: string): void {
     const known = this.byId.get(id);
     if (known) known.isLapsed = true;
-    this.ready.clear();
+    this.changed();
   }
 
   /**
@@ -89,7 +92,7 @@
     if (!known) return;
     this.byId.delete(id);
     this.byLife.delete(known.entry.life);
-    this.ready.clear();
+    this.changed();
   }
 
   /**
@@ -101,7 +104,7 @@
     this.leaving.add(life);
     const [oldest] = this.leaving;
     if (this.leaving.size > MAXIMUM_LEAVING && oldest !== undefined) this.leaving.delete(oldest);
-    this.ready.clear();
+    this.changed();
     return true;
   }
 
@@ -110,7 +113,7 @@
    */
   setEvacuated(dataCentres: ReadonlySet<string>): void {
     this.evacuated = new Set(dataCentres);
-    this.ready.clear();
+    this.changed();
   }
 
   /** @returns Lives of listed runners that have said that they leave. */
@@ -159,21 +162,19 @@
    */
   evacuatedOf(service: string): readonly Runner[] {
     if (this.evacuated.size === 0) return [];
-    return this.list().filter(
+    const known = this.keptBack.get(service);
+    if (known) return known;
+    const found = this.list().filter(
       ({ entry }) => entry.service === service && this.obstacleOf(entry) === 'evacuated',
     );
+    this.keptBack.set(service, found);
+    return found;
   }
 
-  /**
-   * @param service - name of a service.
-   * @returns Why its runners get no new work, for each that gets none.
-   */
-  obstaclesOf(service: string): WorkObstacle[] {
-    const entries = this.list().map(({ entry }) => entry);
-    return entries
-      .filter((entry) => entry.service === service)
-      .map((entry) => this.obstacleOf(entry))
-      .filter((obstacle) => obstacle !== undefined);
+  /** Who takes new work is looked up anew. */
+  private changed(): void {
+    this.ready.clear();
+    this.keptBack.clear();
   }
 
   private outcomesOf(service: string): FailureShare {
--- a/src/runners/unavailability.ts
+++ b/src/runners/unavailability.ts
@@ -43,7 +43,7 @@
   const all = runners.readyOf(service);
   const ready = all.filter((runner) => admission.isAtHome(runner, homeRegions));
   if (ready.length === 0) {
-    const isEvacuated = runners.obstaclesOf(service).includes('evacuated');
+    const isEvacuated = runners.evacuatedOf(service).length > 0;
     if (!isEvacuated) return { reason: all.length > 0 ? 'no_home' : 'no_runner' };
     return { reason: 'evacuated', pauseMilliseconds: EVACUATED_MILLISECONDS };
   }
