Read the whole store at the start where its first page does not hold the configuration

Found by reading: with more daemons than a page holds (some 490), a daemon that starts would learn the runners from another one and never the secret and the configuration, which lie on a later page. Test: FleetBootstrap.spec.ts.

--- a/src/sync/FleetBootstrap.spec.ts
+++ b/src/sync/FleetBootstrap.spec.ts
@@ -6,6 +6,7 @@
 
 import { MemoryLog } from '../callers/testFakes.js';
 import { listen } from '../http/listen.js';
+import type { RoutingConfiguration } from '../routes/routeTypes.js';
 import { ManualClock } from '../time/ManualClock.js';
 import { FleetBootstrap } from './FleetBootstrap.js';
 import type { FleetBootstrapOptions } from './FleetBootstrap.js';
@@ -26,8 +27,17 @@
 
 const DAEMONS = ['a', 'b', 'c', 'd'].map(daemonOf);
 
+const CONFIGURATION: RoutingConfiguration = {
+  ...{ version: 7, routes: [], services: [] },
+  limits: {
+    ...{ maximumHeaderBytes: 1, maximumBodyBytes: 1 },
+    ...{ headerTimeoutMilliseconds: 1, idleTimeoutMilliseconds: 1 },
+  },
+};
+
 const FACTS: readonly StoreFact[] = [
   ...DAEMONS.map((daemon) => ({ kind: 'daemon', daemon, revision: 3 }) as const),
+  { kind: 'configuration', configuration: CONFIGURATION, revision: 4 },
   { kind: 'secret', secret: 'of the fleet', revision: 2 },
   { kind: 'runner', runner: { ...RUNNER, id: 'only-here', life: 'only-here' }, revision: 9 },
 ];
@@ -87,6 +97,14 @@
     expect([informant.asked, small.asked]).toEqual([[], []]);
   });
 
+  it('leaves a fleet of more daemons than a page holds to the store', async () => {
+    // Guards against a daemon that learns the runners and never the configuration, which is on a later page.
+    const { bootstrap, asked } = bootstrapOf();
+    const facts = FACTS.filter(({ kind }) => kind === 'daemon');
+    expect(await bootstrap.learn({ ...FIRST, facts })).toEqual(false);
+    expect(asked).toEqual([]);
+  });
+
   it('leaves a daemon that knows something already to the store', async () => {
     const { bootstrap, knowledge, asked } = bootstrapOf();
     knowledge.applyAll({ revision: 4, facts: [] }, 0);
--- a/src/sync/FleetBootstrap.ts
+++ b/src/sync/FleetBootstrap.ts
@@ -32,6 +32,11 @@
 /** A daemon that has heard of the store for longer than this has an old list; in ms. */
 const LONGEST_SILENCE_MILLISECONDS = 3_000;
 
+/** The configuration comes after daemons and the secret: with more daemons than a page holds it is on a later one. */
+function holdsAllButRunners({ facts }: StorePage): boolean {
+  return facts.some(({ kind }) => kind === 'configuration');
+}
+
 /** Used once, at the start. */
 export class FleetBootstrap {
   private readonly options: FleetBootstrapOptions;
@@ -49,7 +54,7 @@
    */
   async learn(first: StorePage): Promise<boolean> {
     const { knowledge, log } = this.options;
-    if (knowledge.revision > 0) return false;
+    if (knowledge.revision > 0 || !holdsAllButRunners(first)) return false;
     for (const { peerAddress: address } of this.informants(first)) {
       try {
         this.take(first, await this.fetchFresh(address));
--- a/src/sync/testReturn.ts
+++ b/src/sync/testReturn.ts
@@ -6,6 +6,7 @@
 
 import { coordinatorsOf } from '../coordination/coordinatorsOf.js';
 import { SilentLog } from '../logging/Log.js';
+import type { RoutingConfiguration } from '../routes/routeTypes.js';
 import { ManualClock } from '../time/ManualClock.js';
 import { FleetBootstrap } from './FleetBootstrap.js';
 import type { FleetKnowledge } from './FleetKnowledge.js';
@@ -112,7 +113,10 @@
     this.link = new Link(timeline, STORE_BYTES_PER_MILLISECOND);
     const place = { service: 'chat', host: '10.0.0.1', port: 80, dataCentre: 'here' };
     const runnerOf = (id: string) => ({ id, life: id, state: 'ready', ...place }) as const;
+    const limits = {} as RoutingConfiguration['limits'];
+    const configuration = { version: 1, routes: [], services: [], limits };
     this.facts = [
+      { kind: 'configuration', configuration, revision: 1 },
       ...daemons.map((daemon) => ({ kind: 'daemon', daemon, revision: 1 }) as const),
       ...Array.from(
         { length: runners },
