Keep a data centre evacuated where its order is replaced by something that is none

Found by reading: a read of everything that found such an entry took the order back, though it has to change nothing; a read of changes kept it. Change: what stands in place of an order is a fact of its own, like an entry of a runner that cannot be read. Daemons that know nothing of the data centre take it for not evacuated.

--- a/src/sync/FleetKnowledge.spec.ts
+++ b/src/sync/FleetKnowledge.spec.ts
@@ -278,3 +278,23 @@
     expect(knowledge.runners.get('r')?.coldUntil).toEqual(12_000);
   });
 });
+
+describe('an order to evacuate that cannot be read', () => {
+  const order = { kind: 'evacuation', dataCentre: 'north', revision: 5 } as const;
+  const kind = 'evacuation_unreadable';
+  const unreadable = { kind, dataCentre: 'north', message: 'no object', revision: 6 } as const;
+
+  it('changes nothing, in a read of changes and in one of everything', () => {
+    // Guards against a data centre that gets requests again because somebody has spoilt the order.
+    const { knowledge, unreadable: reported } = createTestKnowledge();
+    knowledge.applyAll({ revision: 5, facts: [order] }, 0);
+    knowledge.applyChanges({ revision: 6, facts: [unreadable] }, 0);
+    expect(knowledge.evacuated).toEqual(['north']);
+    knowledge.applyAll({ revision: 7, facts: [unreadable] }, 0);
+    expect(knowledge.evacuated).toEqual(['north']);
+    expect(reported).toEqual(['north']);
+    const { knowledge: fresh } = createTestKnowledge();
+    fresh.applyAll({ revision: 7, facts: [unreadable] }, 0);
+    expect(fresh.evacuated).toEqual([]);
+  });
+});
--- a/src/sync/FleetKnowledge.ts
+++ b/src/sync/FleetKnowledge.ts
@@ -171,7 +171,9 @@
       if (fact.kind === 'runner') runners.add(fact.runner.id);
       if (fact.kind === 'runner_unreadable') runners.add(fact.id);
       if (fact.kind === 'daemon') daemons.add(fact.daemon.name);
-      if (fact.kind === 'evacuation') evacuated.add(fact.dataCentre);
+      if (fact.kind === 'evacuation' || fact.kind === 'evacuation_unreadable') {
+        evacuated.add(fact.dataCentre);
+      }
     }
     this.evacuations.keepOnly(evacuated, moment);
     for (const { entry } of this.runners.list()) {
@@ -294,11 +296,15 @@
         this.daemonListing.put(fact.daemon, moment);
         break;
       case 'evacuation':
+        this.unreadable.clear(fact.dataCentre);
         this.evacuations.put(fact.dataCentre, moment);
         break;
       case 'evacuation_over':
         this.evacuations.remove(fact.dataCentre, moment);
         break;
+      case 'evacuation_unreadable':
+        this.unreadable.report(fact.dataCentre, fact.message);
+        break;
       case 'secret':
         this.secret = fact.secret;
         break;
--- a/src/sync/FleetStore.ts
+++ b/src/sync/FleetStore.ts
@@ -39,6 +39,12 @@
   /** Operators want the runners of a data centre to get nothing more, until they take the order back. */
   | { readonly kind: 'evacuation'; readonly dataCentre: string }
   | { readonly kind: 'evacuation_over'; readonly dataCentre: string }
+  /** Something stands in place of an order that is none; what was known of the data centre holds. */
+  | {
+      readonly kind: 'evacuation_unreadable';
+      readonly dataCentre: string;
+      readonly message: string;
+    }
   /** The secret by which daemons know each other's messages. */
   | { readonly kind: 'secret'; readonly secret: string }
   /** Where shared prompts are cached, as one of the daemons has kept it. */
--- a/src/sync/listings.ts
+++ b/src/sync/listings.ts
@@ -16,6 +16,7 @@
   'daemon_gone',
   'evacuation',
   'evacuation_over',
+  'evacuation_unreadable',
 ]);
 
 /**
