Do not say that a request has not run where its own crash puts it in quarantine

The quarantine ended the request at once, and nothing was under way any more. Change: the attempt is counted first; a request that the quarantine has ended is left alone. Test: ForwardedRequest.spec.ts, seen failing on the code before (503 where 502 is due). 100 of 100 tests of forwarding, quarantine and fatal requests.

--- a/src/forwarding/ForwardedRequest.spec.ts
+++ b/src/forwarding/ForwardedRequest.spec.ts
@@ -1,4 +1,4 @@
-import { afterEach, describe, it } from 'node:test';
+import { afterEach, describe, it, mock } from 'node:test';
 
 import { expect } from 'earl';
 
@@ -31,6 +31,19 @@
     for (let index = 2; index <= last; index += 1) test.addHangingRunner(`runner-${index}`);
   }
 
+  it('is not said not to have run where its own crash puts it in quarantine', async () => {
+    test = await RequestUnderTest.open({ route: { resumable: false } });
+    const { quarantine } = test.context;
+    let onQuarantined: () => void = () => undefined;
+    mock.method(quarantine, 'begin', (_digest: string, listener: () => void) => {
+      onQuarantined = listener;
+    });
+    mock.method(quarantine, 'broke', () => onQuarantined());
+    const { runner, caller } = await test.begin();
+    runner.destroy();
+    expect((await caller).startsWith('HTTP/1.1 502')).toEqual(true);
+  });
+
   describe('behind a full link of the daemon', () => {
     it('does not cut a stream while no runner at all accepts a connection', async () => {
       // Symptom: a caller's stream breaks off in the middle although its runner works on. Sequence: a large
--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -172,8 +172,10 @@
     this.held.drop(attempt);
     if (this.relay.isDone) return;
     this.judge.failed(attempt, failure);
-    this.guard.failed(attempt, failure);
     this.tried.failedAt(attempt.runner.entry.life, failure);
+    this.guard.failed(attempt, failure);
+    // The crash may have put the request in quarantine, which ends it.
+    if (this.relay.isDone) return;
     if (this.stream.isFrom(attempt)) this.stream.breakOff();
     const { verdict, reason } = this.verdictOn(attempt, failure);
     const { lastEventId } = this.stream;
