Say with each decision to send once more what the retry budget held

Cause: a retry after a runner's own error left no line, and no line or metric showed the budget, so that a forgotten account, a short list of daemons and unpaid arrivals could not be told apart. Change: line 2611 for a runner's own error with what was decided; 2603, 2604 and 2611 have the room left, what the window counts, its age, and how many daemons share the allowance; gauge retry_budget_room by service. The decision on a second opinion is a pure function like the other.

--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -95,8 +95,8 @@
       digest,
       onQuarantined: () => this.quarantined(),
     });
-    const { tried, guard } = this;
-    this.retries = new RequestRetries({ request, context, tried, guard });
+    const { tried, guard, report } = this;
+    this.retries = new RequestRetries({ request, context, tried, guard, report });
     this.judge = new RunnerJudge({ context, report: this.report });
   }
 
@@ -146,10 +146,11 @@
     this.active.delete(attempt);
     const held = this.held.of(attempt);
     if (!held || this.relay.isDone) return;
-    const failed = (held.answer.statusCode ?? SERVER_ERROR) >= SERVER_ERROR;
-    const expired = held.answer.statusCode === GATEWAY_TIMEOUT;
-    this.guard.answered(held.answer.statusCode ?? SERVER_ERROR);
-    this.judge.record(attempt.runner, failed && !expired ? 'failed' : 'answered');
+    const { statusCode: status = SERVER_ERROR } = held.answer;
+    const failed = status >= SERVER_ERROR;
+    this.guard.answered(status);
+    const isRunnersFault = failed && status !== GATEWAY_TIMEOUT;
+    this.judge.record(attempt.runner, isRunnersFault ? 'failed' : 'answered');
     const isStream = this.stream.isFrom(attempt);
     if (isStream || this.held.isPassing(attempt)) {
       this.stopAttempts();
@@ -163,7 +164,7 @@
       this.endWith({ status: 502, reason: 'not_resumed' });
       return;
     }
-    if (failed && this.retryError(held)) return;
+    if (failed && this.retryError(attempt, held)) return;
     this.answerHeld(held);
   }
 
@@ -245,11 +246,11 @@
    *
    * @returns Whether the request is taken care of.
    */
-  private retryError(held: HeldAnswer): boolean {
+  private retryError(attempt: RunnerAttempt, held: HeldAnswer): boolean {
     this.tried.mayHaveRun += 1;
     this.fallback = held;
     if (this.active.size > 0 || this.isSelecting) return true;
-    const may = this.retries.afterError();
+    const may = this.retries.afterError(attempt, held.answer.statusCode ?? SERVER_ERROR);
     // Where no other runner is left, this answer has been given by now.
     if (may) this.sendNext();
     return may;
--- a/src/forwarding/RequestReport.ts
+++ b/src/forwarding/RequestReport.ts
@@ -8,6 +8,7 @@
 import type { RunnerOutcome } from '../runners/RunnerHealth.js';
 import { forwardingLogEvents } from './forwardingFeature.js';
 import type { AdmittedRequest, ForwardingContext } from './forwardingTypes.js';
+import type { RetryDecision } from './retryDecision.js';
 import type { AttemptFailure, RunnerAttempt } from './RunnerAttempt.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -15,6 +16,9 @@
 /** Decimals of the mean load that a reader needs. */
 const LOAD_STEPS = 100;
 
+/** Decimals of the room in the retry budget that a reader needs. */
+const BUDGET_STEPS = 10;
+
 /** The events that end a request. */
 export type EndEvent = 'answered' | 'notServed' | 'callerLeft';
 
@@ -66,7 +70,24 @@
 
   /** A second runner is asked beside the first. */
   hedged(): void {
-    this.write(forwardingLogEvents.hedged, { runner: this.choice?.runner.entry.id });
+    const { choice } = this;
+    this.write(forwardingLogEvents.hedged, { runner: choice?.runner.entry.id, ...this.budget() });
+  }
+
+  /**
+   * A runner has answered with an error of its own.
+   *
+   * @param attempt - that has ended so.
+   * @param status - of the answer.
+   * @param decided - whether another runner is asked, and why not.
+   */
+  runnersError(attempt: RunnerAttempt, status: number, decided: RetryDecision): void {
+    this.write(forwardingLogEvents.runnersError, {
+      runner: attempt.runner.entry.id,
+      status,
+      ...decided,
+      ...this.budget(),
+    });
   }
 
   /**
@@ -90,6 +111,7 @@
       // Since the runner said anything to anybody: a runner that others hear is not dark.
       heardMilliseconds: Number.isFinite(heardAt) ? Math.round(now - heardAt) : undefined,
       ...decided,
+      ...this.budget(),
     });
   }
 
@@ -132,6 +154,19 @@
     });
   }
 
+  /** What decides whether a request may be sent once more. */
+  private budget(): Record<string, number> {
+    const { budget, clock } = this.context;
+    const view = budget.viewOf(this.request.service, clock.monotonicMilliseconds());
+    return {
+      budgetRoom: Math.round(view.room * BUDGET_STEPS) / BUDGET_STEPS,
+      budgetSpent: view.spent,
+      budgetRequests: view.requests,
+      budgetAgeMilliseconds: Math.round(view.ageMilliseconds),
+      budgetDaemons: view.daemons,
+    };
+  }
+
   private write(event: LogEvent, fields: Record<string, string | number | undefined>): void {
     this.context.log.write(event, { request: this.request.id, ...fields });
   }
--- a/src/forwarding/RequestRetries.ts
+++ b/src/forwarding/RequestRetries.ts
@@ -3,9 +3,10 @@
  */
 import type { AdmittedRequest, ForwardingContext } from './forwardingTypes.js';
 import type { QuarantineGuard } from './QuarantineGuard.js';
-import { decideRetry, isRepeatable } from './retryDecision.js';
+import { decideRetry, decideSecondOpinion } from './retryDecision.js';
 import type { RetryDecision } from './retryDecision.js';
-import type { AttemptFailure } from './RunnerAttempt.js';
+import type { RequestReport } from './RequestReport.js';
+import type { AttemptFailure, RunnerAttempt } from './RunnerAttempt.js';
 import type { TriedRunners } from './TriedRunners.js';
 
 /** Options of {@link RequestRetries}. */
@@ -14,6 +15,7 @@
   context: Pick<ForwardingContext, 'clock' | 'budget'>;
   tried: TriedRunners;
   guard: QuarantineGuard;
+  report: Pick<RequestReport, 'runnersError'>;
 }
 
 /** Kept by one request. */
@@ -49,16 +51,24 @@
     });
   }
 
-  /** @returns Whether a runner's own error gets a second opinion. */
-  afterError(): boolean {
-    const { request, tried } = this.options;
+  /**
+   * @param attempt - that its runner has answered with an error of its own.
+   * @param status - of that answer.
+   * @returns Whether another runner is asked for a second opinion.
+   */
+  afterError(attempt: RunnerAttempt, status: number): boolean {
+    const { request, tried, report } = this.options;
     const { route, deadlineAt } = request;
-    return (
-      isRepeatable(route.kind, route.resumable) &&
-      tried.mayHaveRun < route.maximumAttempts &&
-      deadlineAt > this.now &&
-      this.takeBudget()
-    );
+    const decided = decideSecondOpinion({
+      kind: route.kind,
+      resumable: route.resumable,
+      mayHaveRun: tried.mayHaveRun,
+      maximumAttempts: route.maximumAttempts,
+      remainingMilliseconds: deadlineAt - this.now,
+      takeBudget: () => this.takeBudget(),
+    });
+    report.runnersError(attempt, status, decided);
+    return decided.verdict === 'retry';
   }
 
   private get now(): number {
--- a/src/forwarding/SharedRetryBudget.ts
+++ b/src/forwarding/SharedRetryBudget.ts
@@ -17,6 +17,24 @@
   windowMilliseconds: number;
   /** How many daemons share the allowance, at this moment. */
   daemons: () => number;
+  /** When counting begins, monotonic ms. */
+  startedAt?: number;
+  /** Hears of each service before its first request is counted, and what reads its room. */
+  onService?: (service: string, roomAt: (now: number) => number) => void;
+}
+
+/** What the budget of one service holds, and what that is reckoned from. */
+export interface RetryBudgetView {
+  /** Retries within the window. */
+  readonly spent: number;
+  /** Requests within the window. */
+  readonly requests: number;
+  /** Retries that may follow now. */
+  readonly room: number;
+  /** How long retries have been counted, in ms. */
+  readonly ageMilliseconds: number;
+  /** Daemons that share the allowance. */
+  readonly daemons: number;
 }
 
 /** Part of the budget that is spent; what is on the way when a window ends has to fit too. */
@@ -70,18 +88,40 @@
    * @returns Whether it could; nothing is counted.
    */
   hasRoom(service: string, now: number): boolean {
-    const { ratio, allowance, daemons } = this.options;
+    return this.viewOf(service, now).room >= 1;
+  }
+
+  /**
+   * @param service - that requests go to.
+   * @param now - monotonic milliseconds.
+   * @returns What its budget holds.
+   */
+  viewOf(service: string, now: number): RetryBudgetView {
+    const { ratio, allowance, daemons, startedAt = 0 } = this.options;
     const { requests, retries } = this.countedOf(service, now);
-    const limit = ratio * requests.length + allowance / Math.max(1, daemons());
-    return retries.length + 1 <= limit * SPENT_SHARE;
+    const sharers = Math.max(1, daemons());
+    const limit = (ratio * requests.length + allowance / sharers) * SPENT_SHARE;
+    return {
+      spent: retries.length,
+      requests: requests.length,
+      room: limit - retries.length,
+      ageMilliseconds: now - startedAt,
+      daemons: sharers,
+    };
   }
 
   private countedOf(service: string, now: number): Counted {
-    const counted = this.services.get(service) ?? { requests: [], retries: [] };
-    this.services.set(service, counted);
+    const counted = this.services.get(service) ?? this.begin(service);
     const start = now - this.options.windowMilliseconds;
     dropBefore(counted.requests, start);
     dropBefore(counted.retries, start);
     return counted;
   }
+
+  private begin(service: string): Counted {
+    const counted: Counted = { requests: [], retries: [] };
+    this.services.set(service, counted);
+    this.options.onService?.(service, (now) => this.viewOf(service, now).room);
+    return counted;
+  }
 }
--- a/src/forwarding/forwardingFeature.ts
+++ b/src/forwarding/forwardingFeature.ts
@@ -41,6 +41,14 @@
     text: 'A request that may be repeated was sent to a second runner because the first is slow.',
     operatorAction: 'None; many with one runner mean that it is slow.',
   }),
+  runnersError: defineLogEvent({
+    number: 2611,
+    name: 'forwarding.runners_error',
+    level: 'info',
+    text: 'A runner answered a request with an error of its own; the fields say whether another one is asked.',
+    operatorAction:
+      'Many with one runner: look at that runner. Many with `budget_empty`: the service fails broadly.',
+  }),
   runnerPaused: defineLogEvent({
     number: 2605,
     name: 'forwarding.runner_paused',
--- a/src/forwarding/retryDecision.ts
+++ b/src/forwarding/retryDecision.ts
@@ -87,6 +87,28 @@
   return question.takeBudget() ? undefined : 'budget_empty';
 }
 
+/** What the verdict on a runner's own error depends on. */
+export type ErrorQuestion = Pick<
+  RetryQuestion,
+  'kind' | 'resumable' | 'mayHaveRun' | 'maximumAttempts' | 'remainingMilliseconds' | 'takeBudget'
+>;
+
+function reasonAgainstSecondOpinion(question: ErrorQuestion): NoRetryReason | undefined {
+  if (!isRepeatable(question.kind, question.resumable)) return 'not_repeatable';
+  if (question.mayHaveRun >= question.maximumAttempts) return 'attempts_used_up';
+  if (question.remainingMilliseconds <= 0) return 'no_time';
+  return question.takeBudget() ? undefined : 'budget_empty';
+}
+
+/**
+ * @param question - a request that a runner has answered with an error of its own.
+ * @returns Whether another runner is asked.
+ */
+export function decideSecondOpinion(question: ErrorQuestion): RetryDecision {
+  const reason = reasonAgainstSecondOpinion(question);
+  return reason === undefined ? { verdict: 'retry' } : { verdict: 'fail', reason };
+}
+
 /**
  * @param question - the request and its failure.
  * @returns What to do now.
--- a/src/router/createForwardingContext.ts
+++ b/src/router/createForwardingContext.ts
@@ -47,6 +47,20 @@
   registry
     .gauge({ name: 'data_centres_evacuated', help: 'Evacuated data centres.' })
     .follow(() => knowledge.evacuated.length);
+  const retryRoom = registry.gauge({
+    name: 'retry_budget_room',
+    help: 'Requests to a service that may be sent once more at this moment.',
+    labels: ['service'] as const,
+  });
+  const budget = new SharedRetryBudget({
+    ratio,
+    allowance,
+    windowMilliseconds: windowSeconds * 1_000,
+    daemons,
+    startedAt: clock.monotonicMilliseconds(),
+    onService: (service, roomAt) =>
+      retryRoom.follow(() => roomAt(clock.monotonicMilliseconds()), { service }),
+  });
   const runners = () => knowledge.runners.list();
   registry
     .gauge({ name: 'runners_cold', help: 'Runners that bear a few requests a second only.' })
@@ -66,12 +80,7 @@
       log,
       onLeaving: ({ entry }) => coordination.leaveNotices.heard(entry.life),
     }),
-    budget: new SharedRetryBudget({
-      ratio,
-      allowance,
-      windowMilliseconds: windowSeconds * 1_000,
-      daemons,
-    }),
+    budget,
     unavailabilityOf: ({ service, homeRegions }, now) =>
       unavailabilityOf({ runners: knowledge.runners, admission, service, homeRegions, now }),
     routes: () => knowledge.routes,
