--- /dev/null
+++ b/src/forwarding/testRetryFleet.ts
@@ -0,0 +1,292 @@
+/**
+ * Plays a fleet whose service fails in virtual time: daemons that are killed, rolled, paused or added, each with the
+ * retry budget of its process. Counts what the fleet sends once more in any window against the operators' limit.
+ */
+import { seededRandom } from '../random/seededRandom.js';
+import type { SharedRetryBudget, SharedRetryBudgetOptions } from './SharedRetryBudget.js';
+
+/** What a daemon asks of its budget. */
+export type RetryAccount = Pick<SharedRetryBudget, 'recordRequest' | 'take'>;
+
+/** What happens to daemons. */
+export type FleetTrouble =
+  | 'none'
+  /** All are killed at the same moment, several times. */
+  | 'killed_together'
+  /** One after the other is killed, again and again. */
+  | 'killed_in_turn'
+  /** A planned stop and start of all, a few at a time: each leaves the list while it is away. */
+  | 'rolled'
+  /** Lists become as short as one, while the store forgets entries, and long again. */
+  | 'lists_short'
+  /** A third are paused, and get their callers' requests at once when they go on. */
+  | 'paused'
+  /** As many again are added. */
+  | 'added'
+  /** Half of them are gone for good, and the others learn it. */
+  | 'gone';
+
+/** How requests fail: one in ten, nearly all, or all that were under way at one moment, again and again. */
+export type ServiceFailure = 'some' | 'most' | 'bursts';
+
+/** Options of {@link playRetries}. */
+export interface RetryFleetOptions {
+  daemons: number;
+  trouble: FleetTrouble;
+  failure: ServiceFailure;
+  createAccount: (options: SharedRetryBudgetOptions) => RetryAccount;
+  seed?: number;
+  /** Of one daemon. */
+  requestsPerSecond?: number;
+  ratio?: number;
+  /** Of the whole fleet. */
+  allowance?: number;
+}
+
+/** What came of it. */
+export interface RetryFleetResult {
+  /** By how much the worst window passes the limit of the fleet; negative where none does. */
+  readonly excess: number;
+  readonly wanted: number;
+  readonly granted: number;
+}
+
+/** Length of the operators' window, in ms. */
+export const RETRY_WINDOW_MILLISECONDS = 10_000;
+
+const SERVICE = 'engine';
+const STEP_MILLISECONDS = 50;
+const STEPS_PER_SECOND = 1_000 / STEP_MILLISECONDS;
+const WINDOW_STEPS = RETRY_WINDOW_MILLISECONDS / STEP_MILLISECONDS;
+const LENGTH_STEPS = 60 * STEPS_PER_SECOND;
+const FAILS_FROM_STEP = 15 * STEPS_PER_SECOND;
+const AWAY_STEPS = STEPS_PER_SECOND;
+
+/** A daemon that has started lists only itself for this long. */
+const LEARNS_STEPS = 6;
+
+/** Requests of a daemon that fail together, as seconds of its requests. */
+const BURST_SECONDS = 1.5;
+
+const BURST_EVERY_STEPS = 7 * STEPS_PER_SECOND;
+
+const SHARE: Readonly<Record<ServiceFailure, number>> = { some: 0.1, most: 0.9, bursts: 0 };
+
+interface FleetDaemon {
+  account: RetryAccount | undefined;
+  startedStep: number;
+  /** From then on it runs again. */
+  backAtStep: number;
+  isListed: boolean;
+  isPaused: boolean;
+  waiting: number;
+}
+
+/** Owns the daemons and what they have sent. */
+class RetryFleet {
+  private readonly options: Required<RetryFleetOptions>;
+
+  private readonly random: () => number;
+
+  private readonly daemons: FleetDaemon[];
+
+  private readonly requests: number[] = [];
+
+  private readonly retries: number[] = [];
+
+  private wanted = 0;
+
+  private step = 0;
+
+  private areListsShort = false;
+
+  constructor(options: Required<RetryFleetOptions>) {
+    this.options = options;
+    this.random = seededRandom(options.seed);
+    this.daemons = Array.from({ length: options.daemons }, () => this.createDaemon());
+    for (const daemon of this.daemons) this.start(daemon);
+  }
+
+  play(): RetryFleetResult {
+    for (; this.step < LENGTH_STEPS; this.step += 1) {
+      this.requests.push(0);
+      this.retries.push(0);
+      this.disturb();
+      this.serve();
+    }
+    const granted = this.retries.reduce((sum, count) => sum + count, 0);
+    return { excess: this.worstExcess(), wanted: this.wanted, granted };
+  }
+
+  private createDaemon(): FleetDaemon {
+    const times = { startedStep: 0, backAtStep: 0, waiting: 0 };
+    return { account: undefined, isListed: true, isPaused: false, ...times };
+  }
+
+  private get now(): number {
+    return this.step * STEP_MILLISECONDS;
+  }
+
+  private start(daemon: FleetDaemon): void {
+    const { ratio, allowance, createAccount } = this.options;
+    const account = createAccount({
+      ratio,
+      allowance,
+      windowMilliseconds: RETRY_WINDOW_MILLISECONDS,
+      daemons: () => this.listedBy(daemon),
+      startedAt: this.now,
+    });
+    Object.assign(daemon, { account, startedStep: this.step, isListed: true });
+  }
+
+  private listedBy(daemon: FleetDaemon): number {
+    const isNew = daemon.startedStep > 0 && this.step - daemon.startedStep < LEARNS_STEPS;
+    if (isNew || this.areListsShort) return 1;
+    return this.daemons.filter(({ isListed }) => isListed).length;
+  }
+
+  private end(daemon: FleetDaemon, awaySteps: number): void {
+    Object.assign(daemon, { account: undefined, backAtStep: this.step + awaySteps, waiting: 0 });
+  }
+
+  private disturb(): void {
+    for (const daemon of this.daemons) {
+      if (!daemon.account && this.step >= daemon.backAtStep) this.start(daemon);
+    }
+    const since = this.step - FAILS_FROM_STEP;
+    if (since < 0) return;
+    const second = since / STEPS_PER_SECOND;
+    switch (this.options.trouble) {
+      case 'killed_together':
+        if ([3, 6, 9, 21].includes(second))
+          this.daemons.forEach((one) => this.end(one, AWAY_STEPS));
+        break;
+      case 'killed_in_turn':
+        this.killInTurn();
+        break;
+      case 'rolled':
+        this.roll(since);
+        break;
+      case 'lists_short':
+        this.areListsShort = (second >= 2 && second < 5) || (second >= 12 && second < 14);
+        break;
+      case 'paused':
+        this.pause(second);
+        break;
+      case 'added':
+        if (second === 3) this.add();
+        break;
+      case 'gone':
+        this.lose(second);
+        break;
+      default:
+    }
+  }
+
+  private killInTurn(): void {
+    if (this.random() * STEPS_PER_SECOND >= this.daemons.length / 4) return;
+    const daemon = this.daemons[Math.floor(this.random() * this.daemons.length)];
+    if (daemon?.account) this.end(daemon, AWAY_STEPS);
+  }
+
+  /** Two, or a tenth, each 0.6 s; each is away for two seconds. */
+  private roll(since: number): void {
+    const everySteps = 0.6 * STEPS_PER_SECOND;
+    const atOnce = Math.max(2, Math.ceil(this.daemons.length / 10));
+    if (since % everySteps !== 0) return;
+    const first = (since / everySteps) * atOnce;
+    for (const daemon of this.daemons.slice(first, first + atOnce)) {
+      this.end(daemon, 2 * AWAY_STEPS);
+      daemon.isListed = false;
+    }
+  }
+
+  private pause(second: number): void {
+    this.daemons.forEach((daemon, index) => {
+      if (index % 3 === 0) Object.assign(daemon, { isPaused: second >= 3 && second < 7 });
+    });
+  }
+
+  private add(): void {
+    for (let count = this.options.daemons; count > 0; count -= 1) {
+      const daemon = this.createDaemon();
+      this.daemons.push(daemon);
+      this.start(daemon);
+    }
+  }
+
+  private lose(second: number): void {
+    const lost = this.daemons.slice(0, Math.floor(this.options.daemons / 2));
+    if (second === 3) for (const daemon of lost) this.end(daemon, LENGTH_STEPS);
+    if (second === 6) for (const daemon of lost) daemon.isListed = false;
+  }
+
+  private serve(): void {
+    const living = this.daemons.filter(({ account }) => account);
+    const rate = (this.options.requestsPerSecond * this.options.daemons) / STEPS_PER_SECOND;
+    for (const daemon of living) {
+      daemon.waiting += this.drawCount(rate / living.length);
+      this.requests[this.step] = (this.requests[this.step] ?? 0) + daemon.waiting;
+      if (daemon.isPaused) continue;
+      for (; daemon.waiting > 0; daemon.waiting -= 1) this.take(daemon);
+      if (this.isBurst) this.breakAll(daemon);
+    }
+  }
+
+  private drawCount(mean: number): number {
+    const whole = Math.floor(mean);
+    return whole + (this.random() < mean - whole ? 1 : 0);
+  }
+
+  private get isBurst(): boolean {
+    const since = this.step - FAILS_FROM_STEP;
+    return this.options.failure === 'bursts' && since >= 0 && since % BURST_EVERY_STEPS === 0;
+  }
+
+  private take(daemon: FleetDaemon): void {
+    daemon.account?.recordRequest(SERVICE, this.now);
+    const fails = this.step >= FAILS_FROM_STEP && this.random() < SHARE[this.options.failure];
+    if (fails) this.repeat(daemon);
+  }
+
+  private breakAll(daemon: FleetDaemon): void {
+    const underWay = Math.round(this.options.requestsPerSecond * BURST_SECONDS);
+    for (let count = underWay; count > 0; count -= 1) this.repeat(daemon);
+  }
+
+  private repeat(daemon: FleetDaemon): void {
+    this.wanted += 1;
+    if (!daemon.account?.take(SERVICE, this.now)) return;
+    this.retries[this.step] = (this.retries[this.step] ?? 0) + 1;
+  }
+
+  private static sum(counts: readonly number[], from: number): number {
+    const start = Math.max(0, from);
+    return counts.slice(start, Math.max(start, from + WINDOW_STEPS)).reduce((a, b) => a + b, 0);
+  }
+
+  /** Requests are counted in the window, the one before it or the one half a window before it, whichever has most. */
+  private worstExcess(): number {
+    const { ratio, allowance } = this.options;
+    const excesses = this.retries.map((_, from) => {
+      const starts = [from, from - WINDOW_STEPS / 2, from - WINDOW_STEPS];
+      const requests = Math.max(...starts.map((start) => RetryFleet.sum(this.requests, start)));
+      return RetryFleet.sum(this.retries, from) - ratio * requests - allowance;
+    });
+    return Math.max(...excesses);
+  }
+}
+
+/**
+ * @param options - the fleet, what befalls it, and the account of each process.
+ * @returns What was sent once more, against what may be.
+ */
+export function playRetries({
+  seed = 1,
+  requestsPerSecond = 9,
+  ratio = 0.2,
+  allowance = 58,
+  ...options
+}: RetryFleetOptions): RetryFleetResult {
+  return new RetryFleet({ seed, requestsPerSecond, ratio, allowance, ...options }).play();
+}
