Divide what the fleet as a whole may use by the longest list of daemons of the latest window

What callers saw: more repeats than the operators allow, without a daemon that was killed. Cause: limits of the whole fleet were divided by the daemons listed at this moment. What a daemon used before it left the list still counts in the operators' window. Change: FleetSize remembers how long the list was; the retry budget, the connections to a runner and cold runners' others all ask it. Period: the window of the retry budget. Ruled out: the least of the list and a fixed size of the deployment: no setting names it.

--- a/src/forwarding/testRetryFleet.ts
+++ b/src/forwarding/testRetryFleet.ts
@@ -2,11 +2,15 @@
  * Plays a fleet whose service fails in virtual time: daemons that are killed, rolled, paused or added, each with the
  * retry budget of its process. Counts what the fleet sends once more in any window against the operators' limit.
  */
+import { FleetSize } from '../sync/FleetSize.js';
 import { seededRandom } from '../random/seededRandom.js';
 import type { SharedRetryBudget, SharedRetryBudgetOptions } from './SharedRetryBudget.js';
 
 /** What a daemon asks of its budget. */
-export type RetryAccount = Pick<SharedRetryBudget, 'recordRequest' | 'take'>;
+export interface RetryAccount extends Pick<SharedRetryBudget, 'recordRequest' | 'take'> {
+  /** The process ends; what it knew is gone. */
+  end?(): void;
+}
 
 /** What happens to daemons. */
 export type FleetTrouble =
@@ -34,7 +38,8 @@
   daemons: number;
   trouble: FleetTrouble;
   failure: ServiceFailure;
-  createAccount: (options: SharedRetryBudgetOptions) => RetryAccount;
+  /** Of one life of a daemon; the second argument tells daemons apart. */
+  createAccount: (options: SharedRetryBudgetOptions, daemon: number) => RetryAccount;
   seed?: number;
   /** Of one daemon. */
   requestsPerSecond?: number;
@@ -73,7 +78,9 @@
 const SHARE: Readonly<Record<ServiceFailure, number>> = { some: 0.1, most: 0.9, bursts: 0 };
 
 interface FleetDaemon {
+  readonly index: number;
   account: RetryAccount | undefined;
+  size: FleetSize;
   startedStep: number;
   /** From then on it runs again. */
   backAtStep: number;
@@ -98,12 +105,14 @@
 
   private step = 0;
 
+  private listed = 0;
+
   private areListsShort = false;
 
   constructor(options: Required<RetryFleetOptions>) {
     this.options = options;
     this.random = seededRandom(options.seed);
-    this.daemons = Array.from({ length: options.daemons }, () => this.createDaemon());
+    this.daemons = Array.from({ length: options.daemons }, (_, index) => this.createDaemon(index));
     for (const daemon of this.daemons) this.start(daemon);
   }
 
@@ -112,15 +121,24 @@
       this.requests.push(0);
       this.retries.push(0);
       this.disturb();
+      this.listed = this.daemons.filter(({ isListed }) => isListed).length;
+      for (const daemon of this.daemons) daemon.size.changed(this.listedBy(daemon), this.now);
       this.serve();
     }
     const granted = this.retries.reduce((sum, count) => sum + count, 0);
     return { excess: this.worstExcess(), wanted: this.wanted, granted };
   }
 
-  private createDaemon(): FleetDaemon {
+  private createDaemon(index: number): FleetDaemon {
     const times = { startedStep: 0, backAtStep: 0, waiting: 0 };
-    return { account: undefined, isListed: true, isPaused: false, ...times };
+    return {
+      index,
+      account: undefined,
+      size: new FleetSize(),
+      isListed: true,
+      isPaused: false,
+      ...times,
+    };
   }
 
   private get now(): number {
@@ -129,23 +147,25 @@
 
   private start(daemon: FleetDaemon): void {
     const { ratio, allowance, createAccount } = this.options;
-    const account = createAccount({
+    const size = new FleetSize();
+    const budget = {
       ratio,
       allowance,
       windowMilliseconds: RETRY_WINDOW_MILLISECONDS,
-      daemons: () => this.listedBy(daemon),
+      daemons: () => size.mostWithin(RETRY_WINDOW_MILLISECONDS, this.now),
       startedAt: this.now,
-    });
-    Object.assign(daemon, { account, startedStep: this.step, isListed: true });
+    };
+    const account = createAccount(budget, daemon.index);
+    Object.assign(daemon, { account, size, startedStep: this.step, isListed: true });
   }
 
   private listedBy(daemon: FleetDaemon): number {
     const isNew = daemon.startedStep > 0 && this.step - daemon.startedStep < LEARNS_STEPS;
-    if (isNew || this.areListsShort) return 1;
-    return this.daemons.filter(({ isListed }) => isListed).length;
+    return isNew || this.areListsShort ? 1 : this.listed;
   }
 
   private end(daemon: FleetDaemon, awaySteps: number): void {
+    daemon.account?.end?.();
     Object.assign(daemon, { account: undefined, backAtStep: this.step + awaySteps, waiting: 0 });
   }
 
@@ -209,7 +229,7 @@
 
   private add(): void {
     for (let count = this.options.daemons; count > 0; count -= 1) {
-      const daemon = this.createDaemon();
+      const daemon = this.createDaemon(this.daemons.length);
       this.daemons.push(daemon);
       this.start(daemon);
     }
--- a/src/router/createChoice.ts
+++ b/src/router/createChoice.ts
@@ -35,12 +35,13 @@
   ...parts
 }: CreateChoiceOptions): { admission: RunnerAdmission; choice: RunnerChoice } {
   const { name: daemon, dataCentre } = settings;
+  const sharedMilliseconds = settings.retryBudget.windowSeconds * 1_000;
   const regionOf = (place: string) => regionOfDataCentre(settings, place);
   const owners = new ColdRunnerOwners({ daemon, clock, deciders });
   const coldStarts = new ColdStarts({
     rateOf: (service) => knowledge.routes?.serviceOf(service)?.coldRequestsPerSecond,
     ownershipOf: (life) => owners.ownershipOf(life),
-    daemons: () => Math.max(1, knowledge.daemons.size),
+    daemons: () => knowledge.sharers(sharedMilliseconds, clock.monotonicMilliseconds()),
   });
   const admission = new RunnerAdmission({ coldStarts, regionOf });
   const { runners } = knowledge;
--- a/src/router/createForwardingContext.ts
+++ b/src/router/createForwardingContext.ts
@@ -36,10 +36,11 @@
 }: ForwardingContextOptions): ForwardingContext {
   const { clock, log, protocol } = parts;
   const { admission } = coordination;
+  const { ratio, allowance, windowSeconds } = settings.retryBudget;
+  const windowMilliseconds = windowSeconds * 1_000;
   // All that are listed share limits of the whole fleet, alive or not: two parts of a fleet that do not hear each
   // other would else both spend the whole of them.
-  const daemons = () => Math.max(1, knowledge.daemons.size);
-  const { ratio, allowance, windowSeconds } = settings.retryBudget;
+  const daemons = () => knowledge.sharers(windowMilliseconds, clock.monotonicMilliseconds());
   const metrics = createForwardingMetrics(registry);
   registry
     .gauge({ name: 'daemons_out', help: 'Listed daemons that are dead or stop.' })
@@ -55,7 +56,7 @@
   const budget = new SharedRetryBudget({
     ratio,
     allowance,
-    windowMilliseconds: windowSeconds * 1_000,
+    windowMilliseconds,
     daemons,
     startedAt: clock.monotonicMilliseconds(),
     onService: (service, roomAt) =>
--- a/src/sync/DaemonListing.ts
+++ b/src/sync/DaemonListing.ts
@@ -5,6 +5,7 @@
  * within a second, one after the other. One would see the directory name hardly anybody meanwhile, and callers drop
  * their connections to all others. That one of them has died is none of this list's business.
  */
+import { FleetSize } from './FleetSize.js';
 import type { DaemonEntry, StoreFact } from './FleetStore.js';
 import type { KnowledgeListener } from './knowledgeTypes.js';
 import type { ChangeMoment } from './RunnerListing.js';
@@ -22,6 +23,9 @@
 export class DaemonListing {
   readonly daemons = new Map<string, DaemonEntry>();
 
+  /** How long the list has been lately. */
+  readonly size = new FleetSize();
+
   /** How often the list has changed. */
   changes = 0;
 
@@ -52,6 +56,7 @@
     const isSame = before?.newsAddress === newsAddress && before.callerAddress === callerAddress;
     const wasLapsed = this.lapsed.delete(name);
     this.daemons.set(name, daemon);
+    this.size.changed(this.daemons.size, moment.now);
     if (isSame && !wasLapsed) return;
     this.options.onChange({ kind: 'daemon', daemon }, moment);
     if (isSame) return;
@@ -69,7 +74,7 @@
     if (!this.daemons.has(name) || this.lapsed.has(name)) return;
     this.options.onChange({ kind: 'daemon_gone', name }, moment);
     const grace = this.options.graceFor(moment.now);
-    if (grace === undefined) this.drop(name);
+    if (grace === undefined) this.drop(name, moment.now);
     else this.lapsed.set(name, grace);
   }
 
@@ -79,12 +84,13 @@
    * @param now - monotonic milliseconds.
    */
   expire(now: number): void {
-    for (const [name, goneAt] of this.lapsed) if (now >= goneAt) this.drop(name);
+    for (const [name, goneAt] of this.lapsed) if (now >= goneAt) this.drop(name, now);
   }
 
-  private drop(name: string): void {
+  private drop(name: string, now: number): void {
     this.lapsed.delete(name);
     this.daemons.delete(name);
+    this.size.changed(this.daemons.size, now);
     this.changes += 1;
     this.options.listener.daemonChanged(name, 'gone');
   }
--- a/src/sync/FleetKnowledge.ts
+++ b/src/sync/FleetKnowledge.ts
@@ -90,6 +90,15 @@
     return this.daemonListing.changes;
   }
 
+  /**
+   * @param periodMilliseconds - how long what a daemon has used counts.
+   * @param now - monotonic milliseconds.
+   * @returns How many daemons divide what the fleet as a whole may use, this one too.
+   */
+  sharers(periodMilliseconds: number, now: number): number {
+    return this.daemonListing.size.mostWithin(periodMilliseconds, now);
+  }
+
   /** @returns The configuration in force, or `undefined` before the first one. */
   get routes(): RouteTable | undefined {
     return this.table;
