Let the retry budget of a process start empty and earn what it spends

What callers saw: a service that failed broadly got up to 1.4 times the repeats that operators allow whenever daemons were killed or rolled beside it. Cause: a process could spend at any moment what a whole window had earned, with its part of the fixed allowance, and the next one had forgotten it. The same budget without a kill keeps the limit. Change: a token bucket for each service that starts empty, earns .75 of the ratio with each request, and holds the daemon's part of the allowance and .2 of what the latest window's requests may have. Whatever the fleet sends in a window was earned in it or lay in buckets at its start.

--- a/measure/measure.ts
+++ b/measure/measure.ts
@@ -13,6 +13,7 @@
 import { DecisionCostMeasurement } from './decisionCost.js';
 import type { Measurement } from './Measurement.js';
 import { RequestMeasurement } from './requests.js';
+import { RetryBudgetMeasurement } from './retryBudget.js';
 import { RoutingMeasurement } from './routing.js';
 import { SiteMeasurement } from './site.js';
 
@@ -25,6 +26,7 @@
   ControlHomesMeasurement,
   FleetMeasurement,
   RequestMeasurement,
+  RetryBudgetMeasurement,
   SiteMeasurement,
 ];
 
--- /dev/null
+++ b/measure/retryBudget.ts
@@ -0,0 +1,121 @@
+/**
+ * The retry budget measurement: what ways to keep a fleet's limit allow, and whether they keep it.
+ */
+import { Command, Option } from 'clipanion';
+
+import { SharedRetryBudget } from '../src/forwarding/SharedRetryBudget.js';
+import type {
+  FleetTrouble,
+  RetryFleetOptions,
+  ServiceFailure,
+} from '../src/forwarding/testRetryFleet.js';
+import { playRetries } from '../src/forwarding/testRetryFleet.js';
+import {
+  CentralBudget,
+  OwingBudget,
+  ToldBudget,
+  ToldRetries,
+  WindowBudget,
+} from './retryBudget/WindowBudget.js';
+import { printRecords } from './routing/printRecords.js';
+
+const FLEETS = [
+  { daemons: 6, allowance: 52 },
+  { daemons: 9, allowance: 58 },
+  { daemons: 90, allowance: 220 },
+  { daemons: 195, allowance: 430 },
+  { daemons: 390, allowance: 430 },
+];
+
+const FAILURES: readonly ServiceFailure[] = ['some', 'most', 'bursts'];
+
+/** Troubles that keep daemons, and those that end them. */
+const TROUBLES: readonly FleetTrouble[] = [
+  'none',
+  'killed_together',
+  'killed_in_turn',
+  'rolled',
+  'lists_short',
+  'paused',
+  'added',
+  'gone',
+];
+
+type CreateAccount = RetryFleetOptions['createAccount'];
+
+function bucket(earnedShare: number, heldShare: number): (daemons: number) => CreateAccount {
+  return () => (options) => new SharedRetryBudget({ ...options, earnedShare, heldShare });
+}
+
+const WAYS: Readonly<Record<string, (daemons: number) => CreateAccount>> = {
+  window: () => (options) => new WindowBudget(options),
+  'window that owes': () => (options) => new OwingBudget(options),
+  'window that is told': (daemons) => {
+    const memory = new ToldRetries(daemons);
+    return (options, daemon) => new ToldBudget(options, memory, daemon);
+  },
+  'window of one owner': () => {
+    const owner = {};
+    return (options, daemon) => new CentralBudget(options, owner, daemon);
+  },
+  'bucket 1 + 0': bucket(1, 0),
+  'bucket .85 + .1': bucket(0.85, 0.1),
+  'bucket .75 + .2': bucket(0.75, 0.2),
+  'bucket .6 + .35': bucket(0.6, 0.35),
+};
+
+/** `npm run measure -- retry-budget`. */
+export class RetryBudgetMeasurement extends Command {
+  static override paths = [['retry-budget']];
+
+  static override usage = Command.Usage({
+    description: 'Ways to keep the retry budget of a fleet, in virtual time.',
+    details: `
+      For fleets of 6 to 390 daemons: by how much the worst window of any trouble passes the limit, for each daemon
+      (negative where none does), and which part of the retries that were wanted was sent.
+    `,
+    examples: [['All', 'npm run measure -- retry-budget']],
+  });
+
+  seed = Option.String('--seed', '1', { description: 'Seed of the requests.' });
+
+  json = Option.Boolean('--json', false, { description: 'One object a line.' });
+
+  override async execute(): Promise<number> {
+    const records = Object.keys(WAYS).flatMap((way) =>
+      FLEETS.map((fleet) => this.measure(way, fleet)),
+    );
+    printRecords(this.context.stdout, records, this.json);
+    return 0;
+  }
+
+  private measure(way: string, fleet: (typeof FLEETS)[number]): Record<string, string | number> {
+    const plays = FAILURES.flatMap((failure) =>
+      TROUBLES.map((trouble) => {
+        const createAccount = WAYS[way]!(fleet.daemons);
+        const play = { ...fleet, trouble, failure, createAccount, seed: Number(this.seed) };
+        return { trouble, failure, ...playRetries(play) };
+      }),
+    );
+    const sent = (failure: ServiceFailure, troubles: readonly FleetTrouble[]) => {
+      const chosen = plays.filter(
+        (play) => play.failure === failure && troubles.includes(play.trouble),
+      );
+      const sum = (key: 'granted' | 'wanted') =>
+        chosen.reduce((total, play) => total + play[key], 0);
+      return (sum('granted') / sum('wanted')).toFixed(2);
+    };
+    const ends: readonly FleetTrouble[] = ['killed_together', 'killed_in_turn', 'rolled'];
+    const worst = Math.max(...plays.map(({ excess }) => excess)) / fleet.daemons;
+    const shares = FAILURES.flatMap((failure) => [
+      [failure, sent(failure, ['none'])],
+      [`${failure}, daemons end`, sent(failure, ends)],
+    ]);
+    return {
+      way,
+      daemons: fleet.daemons,
+      'worst excess a daemon': worst.toFixed(1),
+      ...Object.fromEntries(shares),
+    };
+  }
+}
--- a/src/forwarding/SharedRetryBudget.spec.ts
+++ b/src/forwarding/SharedRetryBudget.spec.ts
@@ -16,6 +16,15 @@
   { daemons: 390, allowance: 430 },
 ];
 
+const WINDOW_MILLISECONDS = 10_000;
+
+const LIMITS = {
+  ratio: 0.2,
+  allowance: 10,
+  windowMilliseconds: WINDOW_MILLISECONDS,
+  daemons: () => 1,
+};
+
 const FAILURES: readonly ServiceFailure[] = ['some', 'most', 'bursts'];
 
 const CASES: readonly { name: string; troubles: readonly FleetTrouble[] }[] = [
@@ -47,4 +56,40 @@
       expect(broken).toEqual([]);
     });
   }
+
+  /** With requests of some windows, all answered; then the most that can be sent once more at one moment. */
+  function spendAfter(requests: number, idleMilliseconds: number): number {
+    const budget = createAccount(LIMITS);
+    for (let count = 0; count < requests; count += 1) budget.recordRequest('plain', count * 10);
+    const now = requests * 10 + idleMilliseconds;
+    let spent = 0;
+    while (spent < requests && budget.take('plain', now)) spent += 1;
+    return spent;
+  }
+
+  it('holds no more than the allowance and a part of what the latest requests may have', () => {
+    expect(spendAfter(0, 0)).toEqual(0);
+    expect(spendAfter(1_000, 0)).toEqual(50);
+    expect(spendAfter(4_000, 0)).toEqual(50);
+    expect(spendAfter(4_000, WINDOW_MILLISECONDS / 2)).toEqual(30);
+    expect(spendAfter(4_000, WINDOW_MILLISECONDS + 1)).toEqual(10);
+  });
+
+  it('earns again what it has spent, with the requests that come', () => {
+    const budget = createAccount(LIMITS);
+    const after: number[] = [];
+    for (let request = 1; request <= 40; request += 1) {
+      budget.recordRequest('plain', request);
+      if (budget.take('plain', request)) after.push(request);
+    }
+    expect(after).toEqual([7, 14, 20, 27, 34, 40]);
+  });
+
+  it('retries nearly all that fail where one in ten does, in a fleet of any size', () => {
+    const plays = FLEETS.map((fleet) =>
+      playRetries({ ...fleet, trouble: 'none', failure: 'some', createAccount }),
+    );
+    const shares = plays.map(({ granted, wanted }) => granted / wanted);
+    expect(Math.min(...shares) > 0.95).toEqual(true);
+  });
 });
--- a/src/forwarding/SharedRetryBudget.ts
+++ b/src/forwarding/SharedRetryBudget.ts
@@ -1,12 +1,14 @@
 /**
- * This daemon's share of a retry budget that all daemons draw on, kept without asking anybody.
+ * This daemon's part of a retry budget that all daemons draw on, kept without asking anybody.
  *
- * What goes wrong without it: when a service fails, every daemon sends each request several times just when
- * the service can serve none, and the operators' limit for the whole fleet is passed although each daemon
- * keeps it by itself. Each daemon may spend the operators' ratio of the requests that it took itself, and its
- * equal part of the fixed allowance; the sum then stays below the limit for any split of the traffic.
+ * What goes wrong without it: when a service fails, every daemon sends each request several times just when the service
+ * can serve none, and the operators' limit for the whole fleet is passed although each daemon keeps it by itself.
+ *
+ * One token bucket for each service. It starts empty, each request earns a part of a token, and it holds no more than
+ * this daemon's part of the allowance and a share of what the latest requests may have. Whatever the fleet sends once
+ * more in a window was earned within that window, or lay in buckets at its start: a process that starts again brings
+ * nothing along, so that the sum stays below the limit over any number of starts.
  */
-
 /** Options of a {@link SharedRetryBudget}. */
 export interface SharedRetryBudgetOptions {
   /** Retries for each request, 0 to 1. */
@@ -15,8 +17,15 @@
   allowance: number;
   /** Length of the sliding window, in ms. */
   windowMilliseconds: number;
-  /** How many daemons share the allowance, at this moment. */
+  /** How many daemons share the allowance: the most of the latest window. */
   daemons: () => number;
+  /** Part of the ratio that requests earn as they come; decides how much of a long failure is retried. */
+  earnedShare?: number;
+  /**
+   * Part of the ratio that a bucket may hold for the requests of the latest window; decides how many requests that fail
+   * at one moment are retried. Both together stay below 1: what was sent before a window may arrive in it.
+   */
+  heldShare?: number;
   /** When counting begins, monotonic ms. */
   startedAt?: number;
   /** Hears of each service before its first request is counted, and what reads its room. */
@@ -37,11 +46,11 @@
   readonly daemons: number;
 }
 
-/** Part of the budget that is spent; what is on the way when a window ends has to fit too. */
-const SPENT_SHARE = 0.85;
-
-interface Counted {
+interface Bucket {
+  tokens: number;
+  /** When the latest requests came, monotonic ms. */
   readonly requests: number[];
+  /** When the latest retries were sent, monotonic ms. */
   readonly retries: number[];
 }
 
@@ -50,17 +59,23 @@
   times.splice(0, keep === -1 ? times.length : keep);
 }
 
-/** Counts by service. */
+/** Buckets by service. */
 export class SharedRetryBudget {
-  private readonly options: SharedRetryBudgetOptions;
+  private readonly options: Required<SharedRetryBudgetOptions>;
 
-  private readonly services = new Map<string, Counted>();
+  private readonly services = new Map<string, Bucket>();
 
   /**
    * @param options - the operators' limits.
    */
-  constructor(options: SharedRetryBudgetOptions) {
-    this.options = options;
+  constructor({
+    earnedShare = 0.75,
+    heldShare = 0.2,
+    startedAt = 0,
+    onService = () => undefined,
+    ...options
+  }: SharedRetryBudgetOptions) {
+    this.options = { ...options, earnedShare, heldShare, startedAt, onService };
   }
 
   /**
@@ -68,7 +83,9 @@
    * @param now - monotonic milliseconds.
    */
   recordRequest(service: string, now: number): void {
-    this.countedOf(service, now).requests.push(now);
+    const bucket = this.bucketOf(service, now);
+    bucket.requests.push(now);
+    bucket.tokens += this.options.earnedShare * this.options.ratio;
   }
 
   /**
@@ -78,7 +95,9 @@
    */
   take(service: string, now: number): boolean {
     if (!this.hasRoom(service, now)) return false;
-    this.countedOf(service, now).retries.push(now);
+    const bucket = this.bucketOf(service, now);
+    bucket.tokens -= 1;
+    bucket.retries.push(now);
     return true;
   }
 
@@ -88,7 +107,7 @@
    * @returns Whether it could; nothing is counted.
    */
   hasRoom(service: string, now: number): boolean {
-    return this.viewOf(service, now).room >= 1;
+    return this.bucketOf(service, now).tokens >= 1;
   }
 
   /**
@@ -97,31 +116,34 @@
    * @returns What its budget holds.
    */
   viewOf(service: string, now: number): RetryBudgetView {
-    const { ratio, allowance, daemons, startedAt = 0 } = this.options;
-    const { requests, retries } = this.countedOf(service, now);
-    const sharers = Math.max(1, daemons());
-    const limit = (ratio * requests.length + allowance / sharers) * SPENT_SHARE;
+    const { tokens, requests, retries } = this.bucketOf(service, now);
     return {
       spent: retries.length,
       requests: requests.length,
-      room: limit - retries.length,
-      ageMilliseconds: now - startedAt,
-      daemons: sharers,
+      room: tokens,
+      ageMilliseconds: now - this.options.startedAt,
+      daemons: this.options.daemons(),
     };
   }
 
-  private countedOf(service: string, now: number): Counted {
-    const counted = this.services.get(service) ?? this.begin(service);
+  private bucketOf(service: string, now: number): Bucket {
+    const bucket = this.services.get(service) ?? this.begin(service);
     const start = now - this.options.windowMilliseconds;
-    dropBefore(counted.requests, start);
-    dropBefore(counted.retries, start);
-    return counted;
+    dropBefore(bucket.requests, start);
+    dropBefore(bucket.retries, start);
+    bucket.tokens = Math.min(bucket.tokens, this.capacityOf(bucket));
+    return bucket;
+  }
+
+  private capacityOf({ requests }: Bucket): number {
+    const { ratio, allowance, heldShare, daemons } = this.options;
+    return allowance / daemons() + heldShare * ratio * requests.length;
   }
 
-  private begin(service: string): Counted {
-    const counted: Counted = { requests: [], retries: [] };
-    this.services.set(service, counted);
-    this.options.onService?.(service, (now) => this.viewOf(service, now).room);
-    return counted;
+  private begin(service: string): Bucket {
+    const bucket: Bucket = { tokens: 0, requests: [], retries: [] };
+    this.services.set(service, bucket);
+    this.options.onService(service, (now) => this.viewOf(service, now).room);
+    return bucket;
   }
 }
--- a/src/forwarding/testRequest.ts
+++ b/src/forwarding/testRequest.ts
@@ -32,6 +32,8 @@
 import { HangingPort } from './testHangingPort.js';
 import { TestProtocol } from './testProtocol.js';
 
+const SERVICE = 'chat';
+
 const HEAD = 'HTTP/1.1 200 OK\r\nSignature: s\r\nRequest-Id: r-1\r\nConnection: close\r\n';
 
 /** A resumable stream's route. */
@@ -103,6 +105,14 @@
   return answer.match(/token \d+/gu) ?? [];
 }
 
+/** A budget that requests before have filled. */
+function earnedBudget(allowance: number, now: number): SharedRetryBudget {
+  const limits = { ratio: 0.05, windowMilliseconds: 10_000, daemons: () => 1 };
+  const budget = new SharedRetryBudget({ ...limits, allowance });
+  while (budget.viewOf(SERVICE, now).room < allowance) budget.recordRequest(SERVICE, now);
+  return budget;
+}
+
 /** Options of a {@link RequestUnderTest}. */
 export interface RequestUnderTestOptions {
   /** What differs from a resumable stream. */
@@ -141,7 +151,6 @@
     const { clock, log, runners } = this;
     const metrics = createForwardingMetrics(new MetricRegistry({ clock }));
     const choice = new RunnerChoice({ runners, dataCentre: 'here', warmPlaces: new WarmPlaces() });
-    const budget = { ratio: 0, windowMilliseconds: 10_000, daemons: () => 1 };
     this.context = {
       clock,
       log,
@@ -162,7 +171,7 @@
         crashes: { increment: () => undefined },
       }),
       connections: new OpenConnections(() => this.openPort),
-      budget: new SharedRetryBudget({ ...budget, allowance }),
+      budget: earnedBudget(allowance, clock.monotonicMilliseconds()),
       unavailabilityOf: ({ service }, now) =>
         unavailabilityOf({ runners, admission: new RunnerAdmission(), service, now }),
       routes: () => undefined,
@@ -260,7 +269,7 @@
   }
 
   private addRunner(id: string, port: number): void {
-    const entry = { id, life: id, service: 'chat', dataCentre: 'here', state: 'ready' } as const;
+    const entry = { id, life: id, service: SERVICE, dataCentre: 'here', state: 'ready' } as const;
     this.runners.put({ ...entry, host: '127.0.0.1', port });
   }
 
@@ -288,7 +297,7 @@
       id: 'r-1',
       hasOwnId: true,
       route: this.route,
-      service: 'chat',
+      service: SERVICE,
       clientAccount: undefined,
       homeRegions: undefined,
       configurationVersion: 1,
