Send nothing to a cold runner before this daemon knows its part of what it bears

Cause: daemons that do not decide about a cold runner send it a part of its rate divided by the daemons that are listed. One that has just started lists few, or only itself, and took the whole of it. The two new cases of coldRunners.spec.ts fail so without the change. Change: like owners, the others wait until the same daemons have decided for a second. Ruled out: a random moment within the first second, since a popular prompt sends all daemons to one runner.

--- a/src/coordination/coldRunners.spec.ts
+++ b/src/coordination/coldRunners.spec.ts
@@ -32,6 +32,11 @@
   'all runners are cold, as in a fleet that has just started': { coldShare: 1 },
   'a third of the daemons hears of no coordinator': { hotShare: 0.2, aloneShare: 0.35 },
   'no daemon hears of a coordinator, and all runners are cold': { coldShare: 1, aloneShare: 1 },
+  'all daemons end and start again': { coldShare: 1, hotShare: 0.2, restartMilliseconds: 1_100 },
+  'all daemons end and start again before any of them decides': {
+    coldShare: 1,
+    restartMilliseconds: 600,
+  },
   'daemons differ in who decides': { coldShare: 0.5, hotShare: 0.2, listsDiffer: true },
 };
 
--- a/src/coordination/testColdFleet.ts
+++ b/src/coordination/testColdFleet.ts
@@ -31,6 +31,8 @@
   aloneShare?: number;
   /** Whether some daemons have another list of who decides. */
   listsDiffer?: boolean;
+  /** How often all daemons end and start again while runners are cold, in ms; 0: never. */
+  restartMilliseconds?: number;
   policy?: ColdPolicy;
   /** How many decide about a runner, at most. */
   owners?: number;
@@ -60,6 +62,9 @@
 
 const PROMPTS = 300;
 
+/** A daemon that has started lists only itself for this long, in ms. */
+const ALONE_MILLISECONDS = 300;
+
 const LISTS_DIFFER_MILLISECONDS = 4_500;
 
 const SERVICE = 'chat';
@@ -86,7 +91,7 @@
 
 /** Owns the fleet of one play. */
 class ColdFleet {
-  readonly daemons: Daemon[];
+  daemons: readonly Daemon[];
 
   readonly clock = new ManualClock();
 
@@ -94,13 +99,23 @@
 
   private readonly random: () => number;
 
+  private readonly entries: readonly DaemonEntry[];
+
   private readonly coordinators: readonly DaemonEntry[];
 
+  private restartedAt = Number.NEGATIVE_INFINITY;
+
   constructor(private readonly options: ColdOptions) {
     this.random = seededRandom(options.seed);
-    const entries = Array.from({ length: options.daemons }, (_, index) => entryOf(index));
-    this.coordinators = coordinatorsOf(entries);
-    this.daemons = entries.map((entry, index) => this.createDaemon(entry.name, index, entries));
+    this.entries = Array.from({ length: options.daemons }, (_, index) => entryOf(index));
+    this.coordinators = coordinatorsOf(this.entries);
+    this.daemons = this.createDaemons();
+  }
+
+  /** All daemons end, and start with what the store says. */
+  restart(now: number): void {
+    this.restartedAt = now;
+    this.daemons = this.createDaemons().map((daemon) => ({ ...daemon, learnsAt: now }));
   }
 
   /** @returns The life of the runner that a request goes to, if there is one. */
@@ -113,6 +128,11 @@
     return chooser.choice.choose(question)?.runner.entry.life;
   }
 
+  private createDaemons(): Daemon[] {
+    const { entries } = this;
+    return entries.map((entry, index) => this.createDaemon(entry.name, index, entries));
+  }
+
   private createDaemon(name: string, index: number, entries: readonly DaemonEntry[]): Daemon {
     const { options, random } = this;
     const table = new RunnerTable();
@@ -148,7 +168,8 @@
     return new ColdStarts({
       rateOf: () => (policy === 'unlimited' ? undefined : COLD_RATE),
       ownershipOf: (life) => owners.ownershipOf(life),
-      daemons: () => daemons,
+      daemons: () =>
+        clock.monotonicMilliseconds() - this.restartedAt < ALONE_MILLISECONDS ? 1 : daemons,
       random,
     });
   }
@@ -178,6 +199,10 @@
   let due = 0;
   for (let now = 0; now < COLD_AT + COLD_MILLISECONDS; now += 1) {
     fleet.clock.advance(1);
+    const since = now - COLD_AT - LEARNT_MILLISECONDS;
+    if (since > 0 && since % (options.restartMilliseconds || Number.POSITIVE_INFINITY) === 0) {
+      fleet.restart(now);
+    }
     for (const life of ends.get(now) ?? []) fleet.loads.set(life, (fleet.loads.get(life) ?? 1) - 1);
     for (const { table, learnsAt } of fleet.daemons) {
       if (Math.ceil(learnsAt) !== now) continue;
--- a/src/runners/ColdStarts.ts
+++ b/src/runners/ColdStarts.ts
@@ -83,7 +83,11 @@
    * @returns Whether this daemon's part of what daemons that are no owners may send has room.
    */
   hasRoomForOthers(runner: Runner, now: number): boolean {
-    return !this.isCold(runner, now) || now >= this.spanOf(runner, now).otherAt;
+    if (!this.isCold(runner, now)) return true;
+    // A daemon that has just started lists too few others to know its part.
+    const { settledMilliseconds } = this.options.ownershipOf(runner.entry.life);
+    if (settledMilliseconds < HANDOVER_MILLISECONDS) return false;
+    return now >= this.spanOf(runner, now).otherAt;
   }
 
   /**
