--- a/src/explanations/RequestStory.spec.ts
+++ b/src/explanations/RequestStory.spec.ts
@@ -104,6 +104,24 @@
     ]);
   });
 
+  it('says why no other runner was asked after one’s own error', () => {
+    const error = { request: 'r1', runner: 'i-1', status: 500 };
+    const end = { request: 'r1', runner: 'i-2', status: 500, milliseconds: 9 };
+    const story = storyOf('r1', [
+      lineOf({ number: 2611, time: at(4), fields: { ...error, verdict: 'retry' } }),
+      lineOf({
+        number: 2611,
+        time: at(5),
+        fields: { ...error, runner: 'i-2', verdict: 'fail', reason: 'budget_empty' },
+      }),
+      lineOf({ number: 2600, fields: end }),
+    ]);
+    expect(story?.conclusions.slice(1)).toEqual([
+      'Runner i-1 answered with an error of its own (500); another one was asked.',
+      'Runner i-2 answered with an error of its own (500); no other one was asked (budget_empty).',
+    ]);
+  });
+
   it('names the runner that kept a request until its deadline', () => {
     const fields = { request: 'r1', runner: 'i-4', status: 504, outcome: 'deadline', tried: 1 };
     expect(storyOf('r1', [lineOf({ number: 2601, fields })])?.conclusions).toEqual([
--- a/src/explanations/causeOf.ts
+++ b/src/explanations/causeOf.ts
@@ -10,7 +10,8 @@
 /** A load from this many times the mean on, and from this many requests on, explains a slow answer. */
 const BUSY_TIMES_MEAN = 2;
 
-const { answered, notServed, callerLeft, attemptFailed, hedged, rejected } = forwardingLogEvents;
+const { answered, notServed, callerLeft, attemptFailed, runnersError, hedged, rejected } =
+  forwardingLogEvents;
 
 function linesOf(lines: readonly LogLine[], { number }: { number: number }): LogLine[] {
   return lines.filter((line) => line.number === number);
@@ -63,10 +64,16 @@
     const attempt = `Runner ${String(runner)} failed it (${String(failure)})`;
     return `${attempt} after ${String(attemptMilliseconds)} ms; decided: ${String(verdict)}.`;
   });
+  const errors = linesOf(own, runnersError).map(({ fields }) => {
+    const { runner, status, verdict, reason } = fields;
+    const answer = `Runner ${String(runner)} answered with an error of its own (${String(status)})`;
+    if (verdict === 'retry') return `${answer}; another one was asked.`;
+    return `${answer}; no other one was asked (${String(reason)}).`;
+  });
   const second = linesOf(own, hedged).map(
     ({ fields }) => `A second runner was asked beside ${String(fields.runner)}, which was slow.`,
   );
-  return [...failed, ...second];
+  return [...failed, ...errors, ...second];
 }
 
 /** A request that ends without any failed attempt has waited for one runner. */
