--- a/src/news/FleetSocket.ts
+++ b/src/news/FleetSocket.ts
@@ -5,9 +5,10 @@
 import { createSocket } from 'node:dgram';
 import type { Socket } from 'node:dgram';
 
-import type { MessageKind } from '../generated/baobabdock/v1/news_pb.js';
+import { MessageKind } from '../generated/baobabdock/v1/news_pb.js';
 import type { HostAndPort } from '../http/parseAddress.js';
 import type { Log } from '../logging/Log.js';
+import type { Counter } from '../metrics/Counter.js';
 import { openMessage, sealMessage } from './newsCodec.js';
 import { newsLogEvents } from './newsFeature.js';
 
@@ -16,8 +17,21 @@
   log: Log;
   /** The secret of the fleet, once it is known; nothing is sent or taken before. */
   secret: () => string | undefined;
+  /** Counts what is sent, by kind. */
+  sentBytes?: Pick<Counter<'kind'>, 'add'>;
 }
 
+/** As the metric names them. */
+const KIND_NAMES: Readonly<Record<MessageKind, string>> = {
+  [MessageKind.UNSPECIFIED]: 'news',
+  [MessageKind.STORE_CHANGES]: 'store_changes',
+  [MessageKind.RUNNER_QUESTION]: 'runner_question',
+  [MessageKind.RUNNER_ANSWER]: 'runner_answer',
+  [MessageKind.SILENT_DAEMONS]: 'silent_daemons',
+  [MessageKind.CRASH_REPORT]: 'crash_report',
+  [MessageKind.LEAVING_RUNNERS]: 'leaving_runners',
+};
+
 /** Takes one kind of messages. */
 export type MessageHandler = (message: Uint8Array) => void;
 
@@ -77,6 +91,7 @@
     const key = secret();
     if (key === undefined || recipients.length === 0) return;
     const datagram = sealMessage(kind, message, key);
+    this.options.sentBytes?.add(datagram.length * recipients.length, { kind: KIND_NAMES[kind] });
     for (const { host, port } of recipients) this.socket?.send(datagram, port, host);
   }
 
--- a/src/news/NewsTask.spec.ts
+++ b/src/news/NewsTask.spec.ts
@@ -6,6 +6,7 @@
 import { expect } from 'earl';
 
 import { MemoryLog } from '../callers/testFakes.js';
+import { MetricRegistry } from '../metrics/MetricRegistry.js';
 import { RunnerTable } from '../runners/RunnerTable.js';
 import { WarmPlaces } from '../runners/WarmPlaces.js';
 import { ManualClock } from '../time/ManualClock.js';
@@ -19,6 +20,7 @@
 describe(NewsTask.name, () => {
   let other: Socket;
   let task: NewsTask;
+  let registry: MetricRegistry;
   let revision: number;
   let heard: number[];
   let told: number[];
@@ -33,13 +35,16 @@
     });
     other.bind({ address: HOST, port: 0 });
     await once(other, 'listening');
+    const clock = new ManualClock();
+    registry = new MetricRegistry({ clock });
     task = new NewsTask({
       daemon: 'daemon-1',
       runners: new RunnerTable(),
       loads: new ForeignLoads(),
       warmPlaces: new WarmPlaces(),
       // The clock stands still: only what is told at once is told a second time.
-      clock: new ManualClock(),
+      clock,
+      registry,
       log: new MemoryLog(),
       changedAtRevision: () => revision,
       onRevision: (newer) => heard.push(newer),
@@ -58,6 +63,15 @@
     while (!condition()) await new Promise(setImmediate);
   }
 
+  it('counts the bytes that it sends, by kind', async () => {
+    revision = 1;
+    task.tellChange();
+    await until(() => told.length > 0);
+    const sent = registry.snapshot().find(({ name }) => name.includes('datagram_bytes'));
+    const news = sent?.series.find(({ labels }) => labels.kind === 'news');
+    expect((news?.value ?? 0) > 0).toEqual(true);
+  });
+
   it('tells of a change at once, and of each change once', async () => {
     task.tellChange();
     task.tellChange();
--- a/src/news/NewsTask.ts
+++ b/src/news/NewsTask.ts
@@ -11,6 +11,7 @@
 import type { DaemonNews, WarmPartSchema } from '../generated/baobabdock/v1/news_pb.js';
 import type { HostAndPort } from '../http/parseAddress.js';
 import type { Log } from '../logging/Log.js';
+import type { MetricRegistry } from '../metrics/MetricRegistry.js';
 import type { RunnerTable } from '../runners/RunnerTable.js';
 import type { WarmPlaces } from '../runners/WarmPlaces.js';
 import type { Clock } from '../time/Clock.js';
@@ -39,6 +40,8 @@
   countedGrants?: () => MessageInitShape<typeof DaemonNewsSchema>['grants'];
   /** Whether this daemon is in a planned stop. */
   isLeaving?: () => boolean;
+  /** Where bytes of datagrams are counted. */
+  registry: MetricRegistry;
   /** Hears what another daemon has told. */
   onNews?: (news: DaemonNews) => void;
 }
@@ -108,7 +111,12 @@
       onNews: () => undefined,
       ...options,
     };
-    this.socket = new FleetSocket(options);
+    const sentBytes = options.registry.counter({
+      name: 'datagram_bytes',
+      help: 'Bytes of datagrams sent to other daemons, by kind of message.',
+      labels: ['kind'] as const,
+    });
+    this.socket = new FleetSocket({ ...options, sentBytes });
     this.socket.handle(MessageKind.UNSPECIFIED, (message) => this.take(message));
   }
 
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -287,8 +287,9 @@
   }
 
   private createNews(): NewsTask {
-    const { knowledge, clock, log, warmPlaces, foreignLoads, entry } = this;
+    const { knowledge, clock, log, registry, warmPlaces, foreignLoads, entry } = this;
     return new NewsTask({
+      registry,
       daemon: entry.name,
       runners: knowledge.runners,
       loads: foreignLoads,
