Keep a cold runner's owners until others decide; one place says which statuses are a runner's fault

What earlier work left: owners were ordered anew for each cold candidate of each request, watchers twice at each change of the list, and status 504 was judged where a request ends.

--- a/src/coordination/ColdRunnerOwners.ts
+++ b/src/coordination/ColdRunnerOwners.ts
@@ -12,6 +12,9 @@
  */
 const MAXIMUM_OWNERS = 4;
 
+/** Lives that are remembered; the fleet has fewer cold runners at a time. */
+const MAXIMUM_SHARES = 5_000;
+
 /** Options of a {@link ColdRunnerOwners}. */
 export interface ColdRunnerOwnersOptions {
   /** This daemon's name. */
@@ -27,11 +30,14 @@
 export class ColdRunnerOwners {
   private readonly options: ColdRunnerOwnersOptions;
 
-  private known = '';
+  private deciders = '';
 
   /** When the deciders last changed, monotonic ms. */
   private changedAt: number;
 
+  /** This daemon's share by life of a runner, while the same daemons decide. */
+  private readonly shares = new Map<string, number>();
+
   /**
    * @param options - this daemon, and who decides.
    */
@@ -45,19 +51,27 @@
    * @returns Whether this daemon decides about it.
    */
   ownershipOf(life: string): ColdOwnership {
-    const { daemon, clock, deciders } = this.options;
-    const names = deciders();
-    const now = clock.monotonicMilliseconds();
-    const list = [...names].sort().join();
-    if (list !== this.known) this.changedAt = now;
-    this.known = list;
-    const ordered = rendezvousOrder(
-      life,
-      names.map((id) => ({ id })),
-    );
-    const owners = ordered.slice(0, this.options.owners ?? MAXIMUM_OWNERS);
-    const isOwner = owners.some(({ id }) => id === daemon);
-    const share = isOwner ? 1 / owners.length : 0;
+    const names = this.options.deciders();
+    const now = this.options.clock.monotonicMilliseconds();
+    this.followDeciders(names, now);
+    const share = this.shares.get(life) ?? this.shareOf(life, names);
+    if (this.shares.size >= MAXIMUM_SHARES) this.shares.clear();
+    this.shares.set(life, share);
     return { share, settledMilliseconds: now - this.changedAt };
   }
+
+  private followDeciders(names: readonly string[], now: number): void {
+    const deciders = [...names].sort().join();
+    if (deciders === this.deciders) return;
+    this.deciders = deciders;
+    this.changedAt = now;
+    this.shares.clear();
+  }
+
+  private shareOf(life: string, names: readonly string[]): number {
+    const named = names.map((id) => ({ id }));
+    const ordered = rendezvousOrder(life, named);
+    const owners = ordered.slice(0, this.options.owners ?? MAXIMUM_OWNERS);
+    return owners.some(({ id }) => id === this.options.daemon) ? 1 / owners.length : 0;
+  }
 }
--- a/src/coordination/FleetCoordination.ts
+++ b/src/coordination/FleetCoordination.ts
@@ -21,7 +21,7 @@
 import type { Clock } from '../time/Clock.js';
 import { ChoiceServer } from './ChoiceServer.js';
 import { CoordinatedSelector } from './CoordinatedSelector.js';
-import { coordinatorsOf, readersOf, tellersOf, watchersOf } from './coordinatorsOf.js';
+import { coordinatorsAmong, readersOf, tellersOf, watchersOf } from './coordinatorsOf.js';
 import type { GrantLedger } from './GrantLedger.js';
 import { LeaveNotices } from './LeaveNotices.js';
 import { livenessDuties } from './livenessDuties.js';
@@ -264,7 +264,7 @@
     const listed = [...knowledge.daemons.values()];
     const isOut = (name: string) => liveness.isOut(name);
     this.keptWatchers = watchersOf(listed, isOut);
-    this.keptCoordinators = coordinatorsOf(listed, isOut);
+    this.keptCoordinators = coordinatorsAmong(this.keptWatchers, listed);
   }
 
   private addressesOf(daemons: Iterable<DaemonEntry>): HostAndPort[] {
--- a/src/coordination/coordinatorsOf.ts
+++ b/src/coordination/coordinatorsOf.ts
@@ -71,6 +71,18 @@
     .slice(0, count);
 }
 
+/**
+ * @param watchers - of the fleet.
+ * @param daemons - that are listed.
+ * @returns Those of the watchers that coordinate.
+ */
+export function coordinatorsAmong(
+  watchers: readonly DaemonEntry[],
+  daemons: readonly DaemonEntry[],
+): DaemonEntry[] {
+  return watchers.slice(0, countFor(daemons));
+}
+
 /**
  * @param daemons - that are listed.
  * @param isOut - whether a daemon has died or stops; the next one takes its place.
@@ -80,7 +92,7 @@
   daemons: readonly DaemonEntry[],
   isOut?: (name: string) => boolean,
 ): DaemonEntry[] {
-  return watchersOf(daemons, isOut).slice(0, countFor(daemons));
+  return coordinatorsAmong(watchersOf(daemons, isOut), daemons);
 }
 
 /**
--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -26,9 +26,6 @@
 
 const SERVER_ERROR = 500;
 
-/** A runner's answer to a deadline that has passed; it says nothing against the runner. */
-const GATEWAY_TIMEOUT = 504;
-
 /** Options of a {@link ForwardedRequest}. */
 export interface ForwardedRequestOptions {
   request: AdmittedRequest;
@@ -149,8 +146,7 @@
     const { statusCode: status = SERVER_ERROR } = held.answer;
     const failed = status >= SERVER_ERROR;
     this.guard.answered(status);
-    const isRunnersFault = failed && status !== GATEWAY_TIMEOUT;
-    this.judge.record(attempt.runner, isRunnersFault ? 'failed' : 'answered');
+    this.judge.answered(attempt.runner, status);
     const isStream = this.stream.isFrom(attempt);
     if (isStream || this.held.isPassing(attempt)) {
       this.stopAttempts();
--- a/src/forwarding/RunnerJudge.ts
+++ b/src/forwarding/RunnerJudge.ts
@@ -16,6 +16,11 @@
   refused: 'failed',
 };
 
+const SERVER_ERROR = 500;
+
+/** A runner's answer to a deadline that has passed; it says nothing against the runner. */
+const GATEWAY_TIMEOUT = 504;
+
 /** Options of a {@link RunnerJudge}. */
 export interface RunnerJudgeOptions {
   context: Pick<ForwardingContext, 'clock' | 'link'>;
@@ -49,10 +54,15 @@
   }
 
   /**
-   * @param runner - that had a request.
-   * @param outcome - how that ended.
+   * @param runner - that has answered.
+   * @param status - of its whole answer.
    */
-  record(runner: Runner, outcome: RunnerOutcome): void {
+  answered(runner: Runner, status: number): void {
+    const isItsFault = status >= SERVER_ERROR && status !== GATEWAY_TIMEOUT;
+    this.record(runner, isItsFault ? 'failed' : 'answered');
+  }
+
+  private record(runner: Runner, outcome: RunnerOutcome): void {
     const { context, report } = this.options;
     const now = context.clock.monotonicMilliseconds();
     if (runner.health.record(now, outcome)) report.runnerPaused(runner, outcome);
