--- a/measure/retryBudget.ts
+++ b/measure/retryBudget.ts
@@ -9,24 +9,14 @@
   RetryFleetOptions,
   ServiceFailure,
 } from '../src/forwarding/testRetryFleet.js';
-import { playRetries } from '../src/forwarding/testRetryFleet.js';
-import {
-  CentralBudget,
-  OwingBudget,
-  ToldBudget,
-  ToldRetries,
-  WindowBudget,
-} from './retryBudget/WindowBudget.js';
+import { playRetries, RETRY_FLEETS } from '../src/forwarding/testRetryFleet.js';
+import { CentralBudget } from './retryBudget/CentralBudget.js';
+import { OwingBudget } from './retryBudget/OwingBudget.js';
+import { ToldBudget } from './retryBudget/ToldBudget.js';
+import { ToldRetries } from './retryBudget/ToldRetries.js';
+import { WindowBudget } from './retryBudget/WindowBudget.js';
 import { printRecords } from './routing/printRecords.js';
 
-const FLEETS = [
-  { daemons: 6, allowance: 52 },
-  { daemons: 9, allowance: 58 },
-  { daemons: 90, allowance: 220 },
-  { daemons: 195, allowance: 430 },
-  { daemons: 390, allowance: 430 },
-];
-
 const FAILURES: readonly ServiceFailure[] = ['some', 'most', 'bursts'];
 
 /** Troubles that keep daemons, and those that end them. */
@@ -83,13 +73,16 @@
 
   override async execute(): Promise<number> {
     const records = Object.keys(WAYS).flatMap((way) =>
-      FLEETS.map((fleet) => this.measure(way, fleet)),
+      RETRY_FLEETS.map((fleet) => this.measure(way, fleet)),
     );
     printRecords(this.context.stdout, records, this.json);
     return 0;
   }
 
-  private measure(way: string, fleet: (typeof FLEETS)[number]): Record<string, string | number> {
+  private measure(
+    way: string,
+    fleet: (typeof RETRY_FLEETS)[number],
+  ): Record<string, string | number> {
     const plays = FAILURES.flatMap((failure) =>
       TROUBLES.map((trouble) => {
         const createAccount = WAYS[way]!(fleet.daemons);
--- a/src/forwarding/SharedRetryBudget.spec.ts
+++ b/src/forwarding/SharedRetryBudget.spec.ts
@@ -5,23 +5,12 @@
 import { SharedRetryBudget } from './SharedRetryBudget.js';
 import type { SharedRetryBudgetOptions } from './SharedRetryBudget.js';
 import type { FleetTrouble, ServiceFailure } from './testRetryFleet.js';
-import { playRetries } from './testRetryFleet.js';
-
-/** Fleets as large as the deployments, with their allowances. */
-const FLEETS = [
-  { daemons: 6, allowance: 52 },
-  { daemons: 9, allowance: 58 },
-  { daemons: 90, allowance: 220 },
-  { daemons: 195, allowance: 430 },
-  { daemons: 390, allowance: 430 },
-];
-
-const WINDOW_MILLISECONDS = 10_000;
+import { playRetries, RETRY_FLEETS, RETRY_WINDOW_MILLISECONDS } from './testRetryFleet.js';
 
 const LIMITS = {
   ratio: 0.2,
   allowance: 10,
-  windowMilliseconds: WINDOW_MILLISECONDS,
+  windowMilliseconds: RETRY_WINDOW_MILLISECONDS,
   daemons: () => 1,
 };
 
@@ -44,7 +33,7 @@
   for (const { name, troubles } of CASES) {
     // Guards against repeats beyond the fleet's limit, summed over the lives of all daemons.
     it(`keeps the fleet within its limit ${name}`, () => {
-      const plays = FLEETS.flatMap((fleet) =>
+      const plays = RETRY_FLEETS.flatMap((fleet) =>
         troubles.flatMap((trouble) =>
           FAILURES.map((failure) => ({ ...fleet, trouble, failure, createAccount })),
         ),
@@ -71,8 +60,8 @@
     expect(spendAfter(0, 0)).toEqual(0);
     expect(spendAfter(1_000, 0)).toEqual(50);
     expect(spendAfter(4_000, 0)).toEqual(50);
-    expect(spendAfter(4_000, WINDOW_MILLISECONDS / 2)).toEqual(30);
-    expect(spendAfter(4_000, WINDOW_MILLISECONDS + 1)).toEqual(10);
+    expect(spendAfter(4_000, RETRY_WINDOW_MILLISECONDS / 2)).toEqual(30);
+    expect(spendAfter(4_000, RETRY_WINDOW_MILLISECONDS + 1)).toEqual(10);
   });
 
   it('earns again what it has spent, with the requests that come', () => {
@@ -86,7 +75,7 @@
   });
 
   it('retries nearly all that fail where one in ten does, in a fleet of any size', () => {
-    const plays = FLEETS.map((fleet) =>
+    const plays = RETRY_FLEETS.map((fleet) =>
       playRetries({ ...fleet, trouble: 'none', failure: 'some', createAccount }),
     );
     const shares = plays.map(({ granted, wanted }) => granted / wanted);
--- a/src/forwarding/SharedRetryBudget.ts
+++ b/src/forwarding/SharedRetryBudget.ts
@@ -9,6 +9,8 @@
  * more in a window was earned within that window, or lay in buckets at its start: a process that starts again brings
  * nothing along, so that the sum stays below the limit over any number of starts.
  */
+import { dropBefore } from '../time/dropBefore.js';
+
 /** Options of a {@link SharedRetryBudget}. */
 export interface SharedRetryBudgetOptions {
   /** Retries for each request, 0 to 1. */
@@ -54,11 +56,6 @@
   readonly retries: number[];
 }
 
-function dropBefore(times: number[], start: number): void {
-  const keep = times.findIndex((time) => time >= start);
-  times.splice(0, keep === -1 ? times.length : keep);
-}
-
 /** Buckets by service. */
 export class SharedRetryBudget {
   private readonly options: Required<SharedRetryBudgetOptions>;
--- a/src/forwarding/testRetryFleet.ts
+++ b/src/forwarding/testRetryFleet.ts
@@ -2,6 +2,8 @@
  * Plays a fleet whose service fails in virtual time: daemons that are killed, rolled, paused or added, each with the
  * retry budget of its process. Counts what the fleet sends once more in any window against the operators' limit.
  */
+import { match } from 'ts-pattern';
+
 import { FleetSize } from '../sync/FleetSize.js';
 import { seededRandom } from '../random/seededRandom.js';
 import type { SharedRetryBudget, SharedRetryBudgetOptions } from './SharedRetryBudget.js';
@@ -56,6 +58,15 @@
   readonly granted: number;
 }
 
+/** Fleets as large as deployments, with what their operators allow. */
+export const RETRY_FLEETS = [
+  { daemons: 6, allowance: 52 },
+  { daemons: 9, allowance: 58 },
+  { daemons: 90, allowance: 220 },
+  { daemons: 195, allowance: 430 },
+  { daemons: 390, allowance: 430 },
+];
+
 /** Length of the operators' window, in ms. */
 export const RETRY_WINDOW_MILLISECONDS = 10_000;
 
@@ -176,31 +187,25 @@
     const since = this.step - FAILS_FROM_STEP;
     if (since < 0) return;
     const second = since / STEPS_PER_SECOND;
-    switch (this.options.trouble) {
-      case 'killed_together':
-        if ([3, 6, 9, 21].includes(second))
-          this.daemons.forEach((one) => this.end(one, AWAY_STEPS));
-        break;
-      case 'killed_in_turn':
-        this.killInTurn();
-        break;
-      case 'rolled':
-        this.roll(since);
-        break;
-      case 'lists_short':
-        this.areListsShort = (second >= 2 && second < 5) || (second >= 12 && second < 14);
-        break;
-      case 'paused':
-        this.pause(second);
-        break;
-      case 'added':
-        if (second === 3) this.add();
-        break;
-      case 'gone':
-        this.lose(second);
-        break;
-      default:
-    }
+    match(this.options.trouble)
+      .with('none', () => undefined)
+      .with('killed_together', () => this.killTogether(second))
+      .with('killed_in_turn', () => this.killInTurn())
+      .with('rolled', () => this.roll(since))
+      .with('lists_short', () => this.shorten(second))
+      .with('paused', () => this.pause(second))
+      .with('added', () => this.add(second))
+      .with('gone', () => this.lose(second))
+      .exhaustive();
+  }
+
+  private killTogether(second: number): void {
+    if (![3, 6, 9, 21].includes(second)) return;
+    for (const daemon of this.daemons) this.end(daemon, AWAY_STEPS);
+  }
+
+  private shorten(second: number): void {
+    this.areListsShort = (second >= 2 && second < 5) || (second >= 12 && second < 14);
   }
 
   private killInTurn(): void {
@@ -227,7 +232,8 @@
     });
   }
 
-  private add(): void {
+  private add(second: number): void {
+    if (second !== 3) return;
     for (let count = this.options.daemons; count > 0; count -= 1) {
       const daemon = this.createDaemon(this.daemons.length);
       this.daemons.push(daemon);
