--- a/src/coordination/FleetCoordination.ts
+++ b/src/coordination/FleetCoordination.ts
@@ -66,7 +66,7 @@
 
 /**
  * Of a daemon that others read for: they notice the store's return and tell it. Every call has its price, those to a
- * store that is away too: in eight seconds each of 195 daemons made eight calls with the pauses of a reader.
+ * store that is away too.
  */
 const FOLLOWER_PAUSES: StorePauses = { firstMilliseconds: 500, longestMilliseconds: 3_000 };
 
--- a/src/coordination/StoreRelay.ts
+++ b/src/coordination/StoreRelay.ts
@@ -53,8 +53,8 @@
 }
 
 /**
- * Datagrams that go to all others at once, and the pause before the next ones, in ms. Queues on the way drop what comes
- * faster: eight datagrams to 194 daemons are 2 MB, a tenth of a second of a reader's link.
+ * Datagrams that go to all others at once, and the pause before the next ones, in ms: queues on the way drop what comes
+ * faster.
  */
 const DATAGRAMS_AT_ONCE = 3;
 
@@ -222,7 +222,7 @@
    *
    * What goes wrong otherwise: daemons that started at once read at the same moments. Each knows a revision that is a
    * few heartbeats newer than the one that the readers have read just before, takes none of their messages, and
-   * reads the store itself: 185 of 195 daemons, five times each, in the first ten seconds.
+   * reads the store itself.
    */
   private compareOlder(digest: number | undefined, now: number): void {
     if (this.options.knowledge.listingDigest === digest) this.agreedAt = now;
--- a/src/coordination/coordinatorsOf.ts
+++ b/src/coordination/coordinatorsOf.ts
@@ -2,10 +2,8 @@
  * Which daemons of a large fleet coordinate the others: they count requests, choose runners and read the store for
  * them. Everything that they do any daemon does by itself while it hears of none.
  *
- * The load that it answers: with 80 daemons before 98 runners a daemon has less than one request at a runner, and
- * counts that all tell all are a second old. Daemons then chose the same few runners at the same moment (95 of 1,511
- * requests in 5 s went to a runner with over twice the mean), and 66 daemons made 3,217 calls to the store in a calm
- * minute.
+ * The load that it answers: in a large fleet a daemon has less than one request at a runner, and counts that all tell all
+ * are a second old. Daemons would choose the same few runners at the same moment, and each would read the store.
  */
 import { rendezvousOrder } from '../routing/rendezvous.js';
 import type { DaemonEntry } from '../sync/FleetStore.js';
@@ -16,7 +14,7 @@
  */
 const LARGEST_FLEET_WITHOUT = 16;
 
-/** Reckoned, not measured: one coordinator takes some 160 questions a second where 80 daemons serve 630. */
+/** Bounds the questions and the news that one coordinator takes. */
 const DAEMONS_A_COORDINATOR = 20;
 
 /** With three of them two can be lost or frozen at once. */
@@ -24,16 +22,13 @@
 
 /**
  * Those that hear from all daemons, coordinators or not: where all of them are lost at once, it takes twice as long until
- * the others learn who has died. Of five all are in 4 of 1,000 losses of a third of the fleet. Each of them gets a message
- * of every daemon, several times a second.
+ * the others learn who has died. Each of them gets a message of every daemon, several times a second.
  */
 const FEWEST_WATCHERS = 5;
 
 /**
- * So many of the coordinators read the store for all. A change has to reach everybody while some of them are cut off:
- * with three in ten daemons cut off at random all four are in 8 of 1,000 cases, and daemons read the store themselves
- * then. What each of them tells goes to every daemon: when ten of them told 195 daemons at once of 20 that had lost their
- * leases and of runners that were leaving, half of the daemons heard of these 2.1 s late.
+ * So many of the coordinators read the store for all. A change has to reach everybody while some of them are cut off; where
+ * all are, daemons read the store themselves. What each of them tells goes to every daemon, and more of them fill links.
  */
 const READERS = 4;
 
--- a/src/forwarding/LinkCheck.ts
+++ b/src/forwarding/LinkCheck.ts
@@ -4,8 +4,7 @@
  * What goes wrong without it: a large configuration, or a squeeze, fills the daemon's link for a second. Whatever
  * runners say waits behind it, and so does their acceptance of new connections. Each runner then looks dark; the daemon
  * gives up streams that are well served, finds nobody to go on with, and cuts them. One would see connections given up
- * at one daemon for all runners alike. With configurations of 1,400 routes on links of 10 Mbit/s 75 daemons gave up runners
- * 549 times on a day of 35 s on which none failed, and 45 answers were cut; with this, 21 times and none.
+ * at one daemon for all runners alike.
  */
 import type { Log } from '../logging/Log.js';
 import type { Runner } from '../runners/Runner.js';
--- a/src/forwarding/probeRunner.ts
+++ b/src/forwarding/probeRunner.ts
@@ -60,8 +60,8 @@
 }
 
 /**
- * Those who ask while a probe is under way share it: each quiet stream asks after its runner by itself, and twenty
- * streams of one runner made some 160 connections in the two seconds in which a daemon's link was full.
+ * Those who ask while a probe is under way share it: each quiet stream asks after its runner by itself, and a full link
+ * makes all of them quiet at once.
  *
  * @param runner - that is asked.
  * @param done - told once, later, what came of it.
--- a/src/runners/RunnerHealth.ts
+++ b/src/runners/RunnerHealth.ts
@@ -8,9 +8,7 @@
  * failures, each time for longer. After that a single request finds out whether it is back.
  *
  * A runner that fails as often as the others of its service is no outlier: the service itself fails, and leaving its
- * runners alone in turn only sends prompts to runners that have to read them again. On a day on which all runners
- * failed 45 in 100 requests for four seconds, 418 k tokens of shared prompts were read again without this and 392 k
- * with it (one run each, processor time not charged).
+ * runners alone in turn only sends prompts to runners that have to read them again.
  */
 import { FailureShare } from './FailureShare.js';
 
