Let operators set a retry ratio above one, and the soak one that pays for each request's retry

Cause: the soak takes retries out of its scope with a ratio of 1 and an allowance of 2,000, which a budget that starts full made endless. One that starts empty earns three quarters of a retry with a request. Ruled out: a fault of the budget; the operators' limit holds no more for a process that cannot know what the one before it spent. Change: the setting's ratio may be up to 10; the soak's is 2.

--- a/soak/SoakSite.ts
+++ b/soak/SoakSite.ts
@@ -36,9 +36,9 @@
 
 /**
  * What retries are allowed is not what the soak is about: a link that resets breaks more streams in a second than
- * the fleet may send once more by its default.
+ * the fleet may send once more by its default. Each request earns the one retry that it may need.
  */
-const RETRY_BUDGET = { ratio: 1, allowance: 2_000, windowSeconds: 10 };
+const RETRY_BUDGET = { ratio: 2, allowance: 2_000, windowSeconds: 10 };
 
 /**
  * Requests of these may run once, whatever number of attempts their routes allow: with one attempt no retry would
--- a/soak/soak.spec.ts
+++ b/soak/soak.spec.ts
@@ -60,6 +60,11 @@
     expect(await brokenIn({ seed: 1, seconds: 8, plan })).toEqual('');
   });
 
+  // Guards against a soak whose daemons may not retry yet when they have just started.
+  it('lets streams go on at a daemon that has just started', async () => {
+    expect(await brokenIn({ seed: 103, seconds: 12 })).toEqual('');
+  });
+
   it('keeps its promises through the faults of one seed', async () => {
     expect(await brokenIn({ seed: 2, seconds: 14 })).toEqual('');
   });
--- a/src/forwarding/SharedRetryBudget.ts
+++ b/src/forwarding/SharedRetryBudget.ts
@@ -13,7 +13,7 @@
 
 /** Options of a {@link SharedRetryBudget}. */
 export interface SharedRetryBudgetOptions {
-  /** Retries for each request, 0 to 1. */
+  /** Retries for each request, from 0. */
   ratio: number;
   /** Retries in a window that all daemons together have besides. */
   allowance: number;
--- a/src/router/routerFeature.ts
+++ b/src/router/routerFeature.ts
@@ -52,7 +52,7 @@
   stopSeconds: z.number().positive().default(8).describe('Time that a planned stop may take.'),
   retryBudget: z
     .strictObject({
-      ratio: z.number().min(0).max(1).default(0.2).describe('Retries for each request.'),
+      ratio: z.number().min(0).max(10).default(0.2).describe('Retries for each request.'),
       allowance: z.number().min(0).default(50).describe('Retries of all daemons besides.'),
       windowSeconds: z.number().positive().default(10).describe('Length of the window.'),
     })
