Give the stand-in site of the path's tests a ratio that pays for each request's retry

Cause: both break the first request of a daemon that has just started, and its budget starts empty; the operators' limit holds no retry for it. The tests are about how a request is retried, not about what a fleet may retry, which they had been given by an allowance that each start brought along. Their assertions stay; tests/retryBudget.spec.ts and all others keep the default.

--- a/standIns/site/StandInSite.ts
+++ b/standIns/site/StandInSite.ts
@@ -37,6 +37,8 @@
   changeBoundMilliseconds?: number;
   /** Region of each data centre. */
   dataCentreRegions?: Readonly<Record<string, string>>;
+  /** Retries for each request; a daemon that has just started has earned none yet. */
+  retryRatio?: number;
 }
 
 /**
@@ -118,6 +120,8 @@
 
   private readonly dataCentreRegions: Readonly<Record<string, string>>;
 
+  private readonly retryRatio: number;
+
   private storeAddress = '';
 
   /**
@@ -128,11 +132,13 @@
     pollMilliseconds = 5,
     changeBoundMilliseconds = 50,
     dataCentreRegions = { here: 'region' },
+    retryRatio = 0.2,
   }: StandInSiteOptions = {}) {
     this.log = log;
     this.changeBoundMilliseconds = changeBoundMilliseconds;
     this.dataCentreRegions = dataCentreRegions;
     this.pollMilliseconds = pollMilliseconds;
+    this.retryRatio = retryRatio;
   }
 
   /** Starts the store with a first configuration. */
@@ -180,6 +186,7 @@
       store: this.storeAddress,
       stopSeconds: 2,
       changeBoundsMilliseconds: [this.changeBoundMilliseconds],
+      retryBudget: { ratio: this.retryRatio },
     });
   }
 
