--- a/src/router/KnowledgeChangeHandler.ts
+++ b/src/router/KnowledgeChangeHandler.ts
@@ -125,6 +125,12 @@
     this.options.applyQuarantine(page);
   }
 
+  /** @param revision - revision of a full read that is older than what is known. */
+  outdatedRead(revision: number): void {
+    const fields = { revision, knownRevision: this.options.revision() };
+    this.options.log.write(syncLogEvents.readOutdated, fields);
+  }
+
   /** Called after all changes of one read have been reported: writes the log lines. */
   updated(): void {
     this.logRunners();
--- a/src/sync/FleetKnowledge.ts
+++ b/src/sync/FleetKnowledge.ts
@@ -172,6 +172,7 @@
    */
   applyFullRead(read: StoreRead, now: number): void {
     if (read.revision < this.revision) {
+      this.listener.outdatedRead(read.revision);
       this.applyChanges(read, now);
       return;
     }
--- a/src/sync/knowledgeTypes.ts
+++ b/src/sync/knowledgeTypes.ts
@@ -40,6 +40,8 @@
   runnersLeaving(lives: readonly string[]): void;
   /** A daemon has saved to the store which requests are quarantined. */
   quarantineSaved(page: string): void;
+  /** A full read of the store was older than what is known, so that its listing was not applied. */
+  outdatedRead(revision: number): void;
   /** All facts of a read have been applied. */
   updated(): void;
   /** An entry of the store could not be decoded. */
--- a/src/sync/syncFeature.ts
+++ b/src/sync/syncFeature.ts
@@ -96,6 +96,13 @@
     text: 'More runners changed at once than are logged one by one; the fields count the others by state.',
     operatorAction: 'None.',
   }),
+  readOutdated: defineLogEvent({
+    number: 2714,
+    name: 'sync.read_outdated',
+    level: 'warn',
+    text: 'A full read of the store is older than what this daemon knows; what it says of runners, daemons and evacuations is not applied.',
+    operatorAction: 'If it repeats: check whether the store has lost writes.',
+  }),
   daemonsChanged: defineLogEvent({
     number: 2710,
     name: 'sync.daemons_changed',
--- a/src/sync/testKnowledge.ts
+++ b/src/sync/testKnowledge.ts
@@ -18,6 +18,7 @@
       warmPlacesSaved: () => undefined,
       runnersLeaving: () => undefined,
       quarantineSaved: () => undefined,
+      outdatedRead: () => undefined,
       updated: () => undefined,
       unreadable: (key) => unreadable.push(key),
     },
