--- a/standIns/site/StoreStandIn.ts
+++ b/standIns/site/StoreStandIn.ts
@@ -53,10 +53,25 @@
   concerns?: (request: IncomingMessage) => boolean;
 }
 
+/** Everything that the store held at one moment. */
+export interface StoreCopy {
+  readonly items: ReadonlyMap<string, StoreItem>;
+  readonly history: readonly (StoreItem | Removal)[];
+  readonly historyStart: number;
+  readonly revision: number;
+  readonly nextLease: number;
+  /** Time to live of each lease, in ms. */
+  readonly leases: ReadonlyMap<number, number>;
+}
+
 const PAGE_ITEMS = 500;
 
 const SLOW_MILLISECONDS = 400;
 
+function encode(content: unknown): string {
+  return Buffer.from(JSON.stringify(content)).toString('base64');
+}
+
 /** Serves the store's calls on a loopback port. */
 export class StoreStandIn {
   /** Calls by method and path without parameters. */
@@ -73,8 +88,14 @@
 
   private revision = 1;
 
+  /** Grows by one each time the store comes back from a copy. */
+  private era = 1;
+
   private nextLease = 1;
 
+  /** What operators and runners wrote last, by key; `undefined` for a key that they removed. */
+  private readonly written = new Map<string, unknown>();
+
   private readonly leases = new Map<number, { timer: NodeJS.Timeout; milliseconds: number }>();
 
   private readonly waiters = new Set<Waiter>();
@@ -123,6 +144,55 @@
     for (const waiter of [...this.waiters]) this.cut(waiter);
   }
 
+  /** @returns A copy of everything that it holds, for {@link restore}. */
+  copy(): StoreCopy {
+    const { revision, historyStart, nextLease } = this;
+    const leases = [...this.leases].map(
+      ([lease, { milliseconds }]) => [lease, milliseconds] as const,
+    );
+    const held = {
+      items: new Map(this.items),
+      history: [...this.history],
+      leases: new Map(leases),
+    };
+    return { ...held, revision, historyStart, nextLease };
+  }
+
+  /**
+   * Comes back from a copy: what was written since is gone, and its revisions and leases are given out again. Calls that
+   * wait are cut.
+   *
+   * @param copy - what it holds from now on.
+   */
+  restore(copy: StoreCopy): void {
+    for (const waiter of [...this.waiters]) this.cut(waiter);
+    for (const { timer } of this.leases.values()) clearTimeout(timer);
+    this.era += 1;
+    this.revision = copy.revision;
+    this.history = [...copy.history];
+    this.historyStart = copy.historyStart;
+    this.nextLease = copy.nextLease;
+    this.items.clear();
+    for (const [key, item] of copy.items) this.items.set(key, item);
+    this.leases.clear();
+    for (const [lease, milliseconds] of copy.leases) {
+      this.leases.set(lease, { milliseconds, timer: this.expiry(lease, milliseconds) });
+    }
+  }
+
+  /**
+   * Writes again what operators and runners wrote last, where the store holds something else.
+   *
+   * @param prefix - of the keys.
+   */
+  writeAgain(prefix = ''): void {
+    for (const [key, content] of this.written) {
+      const held = this.items.get(key)?.value;
+      const isSame = content === undefined ? held === undefined : held === encode(content);
+      if (key.startsWith(prefix) && !isSame) this.write(key, content);
+    }
+  }
+
   /**
    * Writes as an operator or a runner does.
    *
@@ -131,8 +201,9 @@
    * @returns The new revision.
    */
   write(key: string, content: unknown): number {
+    this.written.set(key, content);
     if (content === undefined) this.remove(key);
-    else this.put(key, Buffer.from(JSON.stringify(content)).toString('base64'), 0);
+    else this.put(key, encode(content), 0);
     this.wake();
     return this.revision;
   }
@@ -181,7 +252,7 @@
       response.req.socket.resetAndDestroy();
       return;
     }
-    response.writeHead(status, { 'Content-Type': 'application/json' });
+    response.writeHead(status, { 'Content-Type': 'application/json', 'Store-Era': this.era });
     response.end(JSON.stringify(body));
   }
 
@@ -205,7 +276,7 @@
   private watch(query: URLSearchParams, response: ServerResponse): void {
     const prefix = query.get('path_prefix') ?? '';
     const after = Number(query.get('after'));
-    if (after < this.historyStart) {
+    if (after < this.historyStart || after > this.revision) {
       this.answer(response, 410, {});
       return;
     }
