Write again what a restored store may have lost of the daemons' own writes

Class: what the system itself wrote rests on the store keeping it. A daemon whose lease is younger than a minute registers again, spread over a second; older ones are in any copy and go on.

Each has a test that fails without its change (the methods are new).

--- a/src/quarantine/QuarantinePersistence.spec.ts
+++ b/src/quarantine/QuarantinePersistence.spec.ts
@@ -61,4 +61,16 @@
     const { keeper } = createStored(new ManualClock());
     expect(() => keeper.load('{"requests":[{"digest":"x"}]}')).toThrow();
   });
+
+  it('saves an unchanged list again after a restore of the store', async () => {
+    // Guards against a fleet that, started anew, sends a quarantined request to runners because the copy did not hold it.
+    const pages: string[] = [];
+    const { quarantine, keeper } = createStored(new ManualClock(), pages);
+    for (const life of [1, 2, 3]) quarantine.decisions.crashed([DIGEST], { life, at: life }, 3);
+    await keeper.save();
+    keeper.handleRestore();
+    await keeper.save();
+    expect(pages.length).toEqual(2);
+    expect(pages[1]).toEqual(pages[0]);
+  });
 });
--- a/src/quarantine/QuarantinePersistence.ts
+++ b/src/quarantine/QuarantinePersistence.ts
@@ -28,8 +28,8 @@
 
   private timer: NodeJS.Timeout | undefined;
 
-  /** Hash of the list in the store, as far as this daemon knows. */
-  private storedHash: number;
+  /** Hash of the list in the store, as far as this daemon knows; `undefined` if the store may have lost it. */
+  private storedHash: number | undefined;
 
   private isWriting = false;
 
@@ -48,6 +48,11 @@
     }, INTERVAL_MILLISECONDS);
   }
 
+  /** Writes the list again even if it has not changed, since the restored store may hold an older one. */
+  handleRestore(): void {
+    this.storedHash = undefined;
+  }
+
   /** Stops writing. */
   stop(): void {
     clearInterval(this.timer);
--- a/src/quarantine/QuarantineTask.ts
+++ b/src/quarantine/QuarantineTask.ts
@@ -109,6 +109,11 @@
     this.persistence.start();
   }
 
+  /** Saves the list again, since the store has been restored from an older copy. */
+  handleRestore(): void {
+    this.persistence.handleRestore();
+  }
+
   /** Stops both. */
   stop(): void {
     this.relay.stop();
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -157,7 +157,7 @@
       listings: this.listings,
     });
     const isListed = () => knowledge.daemons.has(name);
-    this.registration = new DaemonRegistration({ store, log, daemon: entry, isListed });
+    this.registration = new DaemonRegistration({ store, log, clock, daemon: entry, isListed });
     this.peers = new PeerExchange({
       knowledge,
       clock,
@@ -333,7 +333,7 @@
       applyLeavingRunners: (lives) =>
         this.coordination.leaveNotices.recordFromDaemon(lives, 'peer'),
       applyQuarantine: (page) => this.quarantineTask.mergeStored(page),
-      onStoreRestored: () => undefined,
+      onStoreRestored: () => this.handleRestore(),
       onUpdate: () => {
         this.news.broadcastChange();
         this.listings.answerWaiting();
@@ -343,6 +343,14 @@
     });
   }
 
+  /** Writes again what the restored store may have lost of this daemon's writes. */
+  private handleRestore(): void {
+    this.registration.handleRestore();
+    this.secret.handleRestore();
+    this.warmPlacesKeeper.handleRestore();
+    this.quarantineTask.handleRestore();
+  }
+
   /** Registers the daemon the first time it is ready, so that no caller is sent to a daemon that cannot serve yet. */
   private registerOnceReady(): void {
     if (this.hasBeenReady || !this.isReady) return;
--- a/src/sync/DaemonRegistration.spec.ts
+++ b/src/sync/DaemonRegistration.spec.ts
@@ -3,6 +3,7 @@
 import { expect } from 'earl';
 
 import { SilentLog } from '../logging/Log.js';
+import { ManualClock } from '../time/ManualClock.js';
 import { DaemonRegistration } from './DaemonRegistration.js';
 import { TestStore } from './testStore.js';
 
@@ -29,16 +30,19 @@
 }
 
 describe(DaemonRegistration.name, () => {
+  let clock: ManualClock;
   let store: RefusingStore;
   let registration: DaemonRegistration;
 
   beforeEach(() => {
     mock.timers.enable({ apis: ['setTimeout'] });
+    clock = new ManualClock();
     store = new RefusingStore();
     const addresses = { callerAddress: ADDRESS, peerAddress: ADDRESS, newsAddress: ADDRESS };
     registration = new DaemonRegistration({
       store,
       log: new SilentLog(),
+      clock,
       daemon: { name: 'daemon-1', dataCentre: 'here', ...addresses },
       isListed: () => true,
     });
@@ -74,4 +78,22 @@
     store.isAway = true;
     expect(await pass(3_000)).toEqual(6);
   });
+
+  it('registers again within a second if the restored store may lack a registration', async () => {
+    // Guards against a renewal that keeps another daemon's lease alive because the store has given it out again.
+    store.isAway = false;
+    await registration.start();
+    registration.handleRestore();
+    await pass(1_000);
+    expect(store.calls).toEqual(['register']);
+  });
+
+  it('goes on with a lease that any copy of the store holds', async () => {
+    store.isAway = false;
+    await registration.start();
+    clock.advance(60_000);
+    registration.handleRestore();
+    await pass(2_500);
+    expect(store.calls).toEqual(['renew']);
+  });
 });
--- a/src/sync/DaemonRegistration.ts
+++ b/src/sync/DaemonRegistration.ts
@@ -2,6 +2,7 @@
  * Keeps this daemon registered in the store, under a lease, for as long as it accepts requests.
  */
 import type { Log } from '../logging/Log.js';
+import type { Clock } from '../time/Clock.js';
 import type { DaemonEntry, FleetStore } from './FleetStore.js';
 import { syncLogEvents } from './syncFeature.js';
 
@@ -12,6 +13,9 @@
   daemon: DaemonEntry;
   /** Whether the store lists this daemon; if its entry is missing, it is registered again. */
   isListed: () => boolean;
+  clock: Clock;
+  /** Returns random numbers in [0, 1); replaced by tests. */
+  random?: () => number;
 }
 
 /**
@@ -34,12 +38,21 @@
  */
 const LONGEST_RETRY_MILLISECONDS = 3_000;
 
+/** Age of a lease from which on any copy of the store holds it, in ms; a copy is some seconds old. */
+const SAFE_LEASE_AGE_MILLISECONDS = 60_000;
+
+/** Time over which daemons spread their registrations after a restore of the store, in ms. */
+const REGISTRATION_SPREAD_MILLISECONDS = 1_000;
+
 /** Registers the daemon, renews its lease, and registers again when the lease or the entry is lost. */
 export class DaemonRegistration {
   private readonly options: DaemonRegistrationOptions;
 
   private registration: string | undefined;
 
+  /** When it was made, monotonic ms. */
+  private registeredAt = Number.NEGATIVE_INFINITY;
+
   private unlistedRenewals = 0;
 
   /** Consecutive registrations that failed. */
@@ -59,11 +72,20 @@
   /** Registers the daemon, and renews the lease until {@link stop}. */
   async start(): Promise<void> {
     if (this.stopped) return;
+    this.timer = undefined;
     const wait = await this.step();
-    if (this.stopped) return;
-    this.timer = setTimeout(() => {
-      void this.start();
-    }, wait);
+    if (!this.stopped) this.schedule(wait);
+  }
+
+  /**
+   * Registers the daemon again if the restored store may lack its registration. Its lease cannot be renewed to find out:
+   * the store may have given the same lease to another daemon.
+   */
+  handleRestore(): void {
+    const age = this.options.clock.monotonicMilliseconds() - this.registeredAt;
+    if (this.registration === undefined || age >= SAFE_LEASE_AGE_MILLISECONDS) return;
+    this.registration = undefined;
+    if (this.timer) this.schedule(this.spreadMilliseconds);
   }
 
   /** Removes the daemon's entry at once. If the store does not answer, the entry goes when the lease expires. */
@@ -78,18 +100,31 @@
     }
   }
 
+  private get spreadMilliseconds(): number {
+    const { random = Math.random } = this.options;
+    return REGISTRATION_SPREAD_MILLISECONDS * random();
+  }
+
+  private schedule(milliseconds: number): void {
+    clearTimeout(this.timer);
+    this.timer = setTimeout(() => {
+      void this.start();
+    }, milliseconds);
+  }
+
   private async step(): Promise<number> {
-    const { store, daemon, log } = this.options;
+    const { store, daemon, log, clock } = this.options;
     try {
       if (this.registration === undefined) {
         this.registration = await store.register(daemon, LEASE_MILLISECONDS);
+        this.registeredAt = clock.monotonicMilliseconds();
         this.failures = 0;
         log.write(syncLogEvents.registered, { registration: this.registration });
       } else {
         await store.renew(this.registration);
         this.checkListed();
       }
-      return RENEWAL_MILLISECONDS;
+      return this.registration === undefined ? this.spreadMilliseconds : RENEWAL_MILLISECONDS;
     } catch (error) {
       this.logFailure(error as Error, this.registration ? 'renew' : 'register');
       if ((error as Error).name === 'RegistrationLost') this.registration = undefined;
--- a/src/sync/FleetSecretProposer.spec.ts
+++ b/src/sync/FleetSecretProposer.spec.ts
@@ -47,4 +47,15 @@
     secret.ensure(undefined, () => false);
     expect(proposals.length).toEqual(1);
   });
+
+  it('is proposed again as it is by the first listed daemon after a restore of the store', async () => {
+    // Guards against a second secret from a daemon that starts while the restored store holds none.
+    secret.handleRestore();
+    secret.ensure('known', () => false);
+    secret.ensure('known', () => true);
+    await new Promise(setImmediate);
+    clock.advance(2_000);
+    secret.ensure('known', () => true);
+    expect(proposals).toEqual(['known']);
+  });
 });
--- a/src/sync/FleetSecretProposer.ts
+++ b/src/sync/FleetSecretProposer.ts
@@ -33,6 +33,9 @@
 
   private proposedAt = Number.NEGATIVE_INFINITY;
 
+  /** Whether the store may lack the secret because it has been restored from an older copy. */
+  private isLost = false;
+
   /**
    * @param options - the store that holds the secret.
    */
@@ -40,8 +43,14 @@
     this.options = options;
   }
 
+  /** Lets the first listed daemon propose the known secret again, so that a daemon that starts gets no other one. */
+  handleRestore(): void {
+    this.isLost = true;
+    this.proposedAt = Number.NEGATIVE_INFINITY;
+  }
+
   /**
-   * Proposes a secret if the store has none. The store keeps the first proposal and returns it with the next changes.
+   * Proposes a secret if the store has none or may have lost it. The store keeps the first proposal and returns it with the next changes.
    * Only the first listed daemon proposes: if all daemons of a fleet that starts at once did, there would be 195 writes
    * for one secret.
    *
@@ -49,17 +58,22 @@
    * @param isFirst - whether this daemon is the first one in the list of daemons.
    */
   ensure(known: string | undefined, isFirst: () => boolean): void {
-    if (known !== undefined) return;
+    if (known !== undefined && !this.isLost) return;
     const { store, clock, log } = this.options;
     const now = clock.monotonicMilliseconds();
-    this.missingSince ??= now;
-    const isOverdue = now - this.missingSince >= ANY_DAEMON_AFTER_MILLISECONDS;
+    if (known === undefined) this.missingSince ??= now;
+    const isOverdue = now - (this.missingSince ?? now) >= ANY_DAEMON_AFTER_MILLISECONDS;
     if ((!isOverdue && !isFirst()) || now - this.proposedAt < PROPOSAL_MILLISECONDS) return;
     this.proposedAt = now;
-    const secret = randomBytes(SECRET_BYTES).toString('base64');
-    store.proposeSecret(secret).catch((error: Error) => {
-      const fields = { during: 'secret', error: error.message };
-      log.write(syncLogEvents.registrationFailed, fields);
-    });
+    const secret = known ?? randomBytes(SECRET_BYTES).toString('base64');
+    store
+      .proposeSecret(secret)
+      .then(() => {
+        this.isLost = false;
+      })
+      .catch((error: Error) => {
+        const fields = { during: 'secret', error: error.message };
+        log.write(syncLogEvents.registrationFailed, fields);
+      });
   }
 }
--- a/src/sync/WarmPlacesWriter.spec.ts
+++ b/src/sync/WarmPlacesWriter.spec.ts
@@ -47,4 +47,27 @@
     // Guards against dozens of daemons of a large fleet that each overwrite the list with the few places that they know.
     expect(writesOf('a', ['c', 'b', 'd'])).toEqual(0);
   });
+
+  it('writes unchanged places again after a restore of the store', async () => {
+    // Guards against a start of all daemons that finds the places of an older copy, however long ago it was restored.
+    const store = new CountingStore();
+    const warmPlaces = new WarmPlaces();
+    warmPlaces.remember('prompt', 'runner-1');
+    const log = new MemoryLog();
+    const keeper = new WarmPlacesWriter({
+      store,
+      warmPlaces,
+      log,
+      name: 'a',
+      daemons: () => ['a'],
+    });
+    keeper.start();
+    for (const isRestored of [false, false, true]) {
+      if (isRestored) keeper.handleRestore();
+      mock.timers.tick(WRITES_MILLISECONDS);
+      await new Promise(setImmediate);
+    }
+    keeper.stop();
+    expect(store.writes).toEqual(2);
+  });
 });
--- a/src/sync/WarmPlacesWriter.ts
+++ b/src/sync/WarmPlacesWriter.ts
@@ -50,6 +50,11 @@
     }, INTERVAL_MILLISECONDS);
   }
 
+  /** Writes the places again even if they have not changed, since the restored store may hold older ones. */
+  handleRestore(): void {
+    this.lastSavedText = '';
+  }
+
   /** Stops writing. */
   stop(): void {
     clearInterval(this.timer);
