Put the store's epoch and revision on the metrics address; compare ordered revisions in tests

Gauges store_epoch and store_revision, so that daemons that have not followed a restore show without their logs.

A fault of mine in the stand-in, found by a red sitePath.spec ('sends chats to a runner that has started again under its id', once): its answers carry an era since the failing tests were added, so that the revision that a daemon knows is an ordered one, and tests that wait until it has reached the revision of a write did not wait any more. The stand-in returns the ordered revision of a write now; the tests are unchanged and wait again.

--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -155,6 +155,7 @@
     this.follower = createStoreFollower({
       ...{ daemon: name, store, knowledge, clock, log, gatherMilliseconds, coordination },
       listings: this.listings,
+      registry,
     });
     const isListed = () => knowledge.daemons.has(name);
     this.registration = new DaemonRegistration({ store, log, clock, daemon: entry, isListed });
--- a/src/router/createStoreFollower.ts
+++ b/src/router/createStoreFollower.ts
@@ -3,8 +3,11 @@
  */
 import type { FleetCoordination } from '../coordination/FleetCoordination.js';
 import { coordinatorsOf } from '../coordination/daemonRoles.js';
+import type { MetricRegistry } from '../metrics/MetricRegistry.js';
 import { FleetBootstrap } from '../sync/FleetBootstrap.js';
+import type { FleetKnowledge } from '../sync/FleetKnowledge.js';
 import type { ListingExchange } from '../sync/ListingExchange.js';
+import { storePositionOf } from '../sync/orderedRevision.js';
 import { StoreFollower } from '../sync/StoreFollower.js';
 import type { StoreFollowerOptions } from '../sync/StoreFollower.js';
 
@@ -17,6 +20,22 @@
   daemon: string;
   coordination: FleetCoordination;
   listings: ListingExchange;
+  registry: MetricRegistry;
+}
+
+function createPositionGauges(registry: MetricRegistry, knowledge: FleetKnowledge): void {
+  registry
+    .gauge({
+      name: 'store_epoch',
+      help: 'Number of restores of the store from an older copy that this daemon has followed.',
+    })
+    .readFrom(() => storePositionOf(knowledge.revision).epoch);
+  registry
+    .gauge({
+      name: 'store_revision',
+      help: 'Revision of the store, within its epoch, up to which this daemon has applied changes.',
+    })
+    .readFrom(() => storePositionOf(knowledge.revision).revision);
 }
 
 /**
@@ -27,9 +46,11 @@
   daemon,
   coordination,
   listings,
+  registry,
   ...parts
 }: CreateStoreFollowerOptions): StoreFollower {
   const { knowledge, clock, log } = parts;
+  createPositionGauges(registry, knowledge);
   const { relay, liveness } = coordination;
   const bootstrap = new FleetBootstrap({
     ...{ daemon, knowledge, clock, log },
--- a/standIns/site/StoreStandIn.ts
+++ b/standIns/site/StoreStandIn.ts
@@ -6,6 +6,7 @@
 import { setTimeout as wait } from 'node:timers/promises';
 
 import { listen } from '../../src/http/listen.js';
+import { orderedRevisionOf } from '../../src/sync/orderedRevision.js';
 
 /** A key with its value. */
 export interface StoreItem {
@@ -198,14 +199,14 @@
    *
    * @param key - the key.
    * @param content - encoded as JSON; `undefined` removes the key.
-   * @returns The new revision.
+   * @returns The new revision, ordered over restores as daemons know it.
    */
   write(key: string, content: unknown): number {
     this.written.set(key, content);
     if (content === undefined) this.remove(key);
     else this.put(key, encode(content), 0);
     this.wake();
-    return this.revision;
+    return orderedRevisionOf({ epoch: this.era, revision: this.revision });
   }
 
   /**
--- a/tests/restoredStore.spec.ts
+++ b/tests/restoredStore.spec.ts
@@ -8,6 +8,7 @@
 import { MemoryLog } from '../src/callers/testFakes.js';
 import { syncLogEvents } from '../src/sync/syncFeature.js';
 import { callSite } from '../standIns/site/callSite.js';
+import { fetchText } from '../standIns/site/SiteProcess.js';
 import type { SiteRunner } from '../standIns/site/SiteRunner.js';
 import { siteConfiguration, StandInSite } from '../standIns/site/StandInSite.js';
 import type { SiteDaemon } from '../standIns/site/StandInSite.js';
@@ -85,6 +86,15 @@
       write(1, 'draining');
       expect(await failingAfterBound((one) => !readyAt(one).includes('plain-1'))).toEqual(0);
       expect(log.fieldsOf(syncLogEvents.readOutdated)).toEqual([]);
+      const restores = log.fieldsOf(syncLogEvents.storeRestored);
+      expect(restores.map(({ epoch, knownEpoch }) => [epoch, knownEpoch])).toEqual(
+        site.daemons.map(() => [2, 1]),
+      );
+      const metrics = await fetchText(
+        site.daemons[0]?.settings.addresses.metrics ?? '',
+        '/metrics',
+      );
+      expect(/store_epoch 2/u.test(metrics.text)).toEqual(true);
     });
 
     it('has a configuration in force that was written at a revision given out twice', async () => {
