Soak: the store comes back from an older copy, in series and over the other faults

The store is away for .1 to 1.5 s and comes back from a copy that is .5 to 4 s old; runners write again within 1.2 s, operators within 1 s; some restores come while the one before is still being followed. The checks are unchanged.

--- a/soak/faults/faultPlan.ts
+++ b/soak/faults/faultPlan.ts
@@ -15,7 +15,7 @@
   RunnerRestart,
   RunnerSaysItLeaves,
 } from './runnerFaults.js';
-import { DroppedHistory, FailingStore } from './storeFaults.js';
+import { DroppedHistory, FailingStore, RestoredStore } from './storeFaults.js';
 
 /** A fault and when it begins, in ms after the start. */
 export interface PlannedFault {
@@ -76,7 +76,21 @@
 /** Time from one evacuation to the next, in ms. */
 const EVACUATION_PAUSES: readonly [number, number] = [4_000, 12_000];
 
+/** Time from one restore of the store to the next, in ms: some come while the one before is still being followed. */
+const RESTORE_PAUSES: readonly [number, number] = [1_000, 9_000];
+
 /** Drawn after all others, which stay as they are for a seed. */
+function planRestores(draw: Draw, seconds: number): PlannedFault[] {
+  const plan: PlannedFault[] = [];
+  let at = SERIES_MILLISECONDS;
+  while (at < seconds * 1_000) {
+    plan.push({ at, fault: new RestoredStore(draw) });
+    at += draw.between(...RESTORE_PAUSES);
+  }
+  return plan;
+}
+
+/** Drawn after those of the series and the statements, which stay as they are for a seed. */
 function planEvacuations(draw: Draw, seconds: number): PlannedFault[] {
   const plan: PlannedFault[] = [];
   let at = SERIES_MILLISECONDS;
@@ -116,5 +130,6 @@
     }
     at += draw.between(...PAUSES);
   }
-  return [...plan, ...planStatements(draw, seconds), ...planEvacuations(draw, seconds)];
+  const evacuations = [...planStatements(draw, seconds), ...planEvacuations(draw, seconds)];
+  return [...plan, ...evacuations, ...planRestores(draw, seconds)];
 }
--- a/soak/faults/storeFaults.ts
+++ b/soak/faults/storeFaults.ts
@@ -1,6 +1,8 @@
 /**
  * Troubles of the store.
  */
+import { setTimeout as wait } from 'node:timers/promises';
+
 import type { StoreFault } from '../../standIns/site/StoreStandIn.js';
 import type { FaultGround } from './Fault.js';
 import { Fault } from './Fault.js';
@@ -52,3 +54,38 @@
     });
   }
 }
+
+/** The store is away for a moment and comes back from an older copy; runners and operators write again what it lacks. */
+export class RestoredStore extends Fault {
+  private readonly copyMilliseconds = this.draw.between(500, 4_000);
+
+  private readonly awayMilliseconds = this.draw.between(100, 1_500);
+
+  private readonly fault: StoreFault = this.draw.one(['reset', 'silent']);
+
+  private readonly runnersMilliseconds = this.draw.between(100, 1_200);
+
+  private readonly operatorsMilliseconds = this.draw.between(100, 1_000);
+
+  override async play(ground: FaultGround): Promise<void> {
+    const { store } = ground.site.stand;
+    const copy = store.copy();
+    await wait(this.copyMilliseconds);
+    const text = `the store comes back from a copy that is ${this.copyMilliseconds} ms old`;
+    await this.last(ground, { kind: 'store', text }, this.awayMilliseconds, {
+      begin: () => store.faultFor({ fault: this.fault }),
+      end: () => {
+        store.faultFor({ fault: 'none' });
+        store.restore(copy);
+      },
+    });
+    const writeAgain = async (prefix: string, milliseconds: number) => {
+      await wait(milliseconds);
+      store.writeAgain(prefix);
+    };
+    await Promise.all([
+      writeAgain('servers/', this.runnersMilliseconds),
+      writeAgain('op/', this.operatorsMilliseconds),
+    ]);
+  }
+}
