Soak: a runner leaves and a change is made while revisions are below those of before a restore

Runners send heartbeats now until the store goes away, and once daemons are in touch again a runner leaves and configurations are written.

--- a/soak/faults/storeFaults.ts
+++ b/soak/faults/storeFaults.ts
@@ -4,8 +4,11 @@
 import { setTimeout as wait } from 'node:timers/promises';
 
 import type { StoreFault } from '../../standIns/site/StoreStandIn.js';
+import { CONTACT_MILLISECONDS } from '../soakBounds.js';
+import { ConfigurationSeries } from './ConfigurationSeries.js';
 import type { FaultGround } from './Fault.js';
 import { Fault } from './Fault.js';
+import { RunnerLeaves } from './runnerFaults.js';
 
 const ALL_SHARE = 0.5;
 
@@ -55,7 +58,12 @@
   }
 }
 
-/** The store is away for a moment and comes back from an older copy; runners and operators write again what it lacks. */
+const HEARTBEAT_MILLISECONDS = 400;
+
+/**
+ * The store is away for a moment and comes back from an older copy; runners and operators write again what it lacks. Once
+ * daemons are in touch again, while revisions are still below those of before, a runner leaves and a change is made.
+ */
 export class RestoredStore extends Fault {
   private readonly copyMilliseconds = this.draw.between(500, 4_000);
 
@@ -67,10 +75,17 @@
 
   private readonly operatorsMilliseconds = this.draw.between(100, 1_000);
 
+  private readonly leave = new RunnerLeaves(this.draw);
+
+  private readonly changes = new ConfigurationSeries(this.draw);
+
   override async play(ground: FaultGround): Promise<void> {
     const { store } = ground.site.stand;
     const copy = store.copy();
-    await wait(this.copyMilliseconds);
+    for (let passed = 0; passed < this.copyMilliseconds; passed += HEARTBEAT_MILLISECONDS) {
+      for (const runner of ground.site.runners.values()) ground.site.list(runner);
+      await wait(HEARTBEAT_MILLISECONDS);
+    }
     const text = `the store comes back from a copy that is ${this.copyMilliseconds} ms old`;
     await this.last(ground, { kind: 'store', text }, this.awayMilliseconds, {
       begin: () => store.faultFor({ fault: this.fault }),
@@ -87,5 +102,7 @@
       writeAgain('servers/', this.runnersMilliseconds),
       writeAgain('op/', this.operatorsMilliseconds),
     ]);
+    await wait(CONTACT_MILLISECONDS);
+    await Promise.all([this.leave.play(ground), this.changes.play(ground)]);
   }
 }
--- a/soak/soak.spec.ts
+++ b/soak/soak.spec.ts
@@ -11,6 +11,7 @@
 import { buildDaemon } from '../standIns/site/buildDaemon.js';
 import type { Draw, FaultGround } from './faults/Fault.js';
 import { Fault } from './faults/Fault.js';
+import { RestoredStore } from './faults/storeFaults.js';
 import { reportLines } from './report.js';
 import type { SoakOptions } from './runSoak.js';
 import { runSoak } from './runSoak.js';
@@ -27,6 +28,8 @@
   }
 }
 
+const RESTORE_TIMES = [1_000, 1_500];
+
 const RESET_TIMES = [2_000, 4_500, 7_000];
 
 describe('a fleet of processes in faults', () => {
@@ -65,6 +68,13 @@
     expect(await brokenIn({ seed: 103, seconds: 12 })).toEqual('');
   });
 
+  // Guards against daemons that do not follow a store whose revisions have gone back.
+  it('follows a store that comes back from an older copy twice', async () => {
+    const plan = (draw: Draw) =>
+      RESTORE_TIMES.map((at) => ({ at, fault: new RestoredStore(draw) }));
+    expect(await brokenIn({ seed: 1, seconds: 8, plan })).toEqual('');
+  });
+
   it('keeps its promises through the faults of one seed', async () => {
     expect(await brokenIn({ seed: 2, seconds: 14 })).toEqual('');
   });
