--- a/src/sync/FleetBootstrap.spec.ts
+++ b/src/sync/FleetBootstrap.spec.ts
@@ -9,6 +9,7 @@
 import type { RoutingConfiguration } from '../routes/routeTypes.js';
 import { ManualClock } from '../time/ManualClock.js';
 import { FleetBootstrap } from './FleetBootstrap.js';
+import { orderedRevisionOf } from './orderedRevision.js';
 import type { FleetBootstrapOptions } from './FleetBootstrap.js';
 import type { DaemonEntry, StoreFact, StorePage } from './FleetStore.js';
 import type { KnowledgeSnapshot } from './knowledgeTypes.js';
@@ -90,6 +91,14 @@
     expect([answers.length, knowledge.revision]).toEqual([0, 0]);
   });
 
+  it('takes no listing of before a restore that the first page is from', async () => {
+    // Guards against a daemon that starts with the runners of before the restore, and with the rest of after it.
+    const { bootstrap, knowledge, asked } = bootstrapOf();
+    const revision = orderedRevisionOf({ epoch: 1, revision: 4 });
+    expect(await bootstrap.learn({ ...FIRST, revision })).toEqual(false);
+    expect([asked.length, knowledge.revision]).toEqual([2, 0]);
+  });
+
   it('makes the coordinators, and every daemon of a small fleet, read the store', async () => {
     const coordinator = bootstrapOf({ daemon: 'a' });
     expect(await coordinator.bootstrap.learn(FIRST)).toEqual(false);
--- a/src/sync/FleetKnowledge.spec.ts
+++ b/src/sync/FleetKnowledge.spec.ts
@@ -4,7 +4,9 @@
 
 import type { RoutingConfiguration } from '../routes/routeTypes.js';
 import type { RunnerEntry } from '../runners/Runner.js';
+import type { FleetKnowledge } from './FleetKnowledge.js';
 import type { StoreFact } from './FleetStore.js';
+import { orderedRevisionOf } from './orderedRevision.js';
 import { createTestKnowledge } from './testKnowledge.js';
 
 const LIMITS = {
@@ -302,3 +304,55 @@
     expect(fresh.evacuated).toEqual([]);
   });
 });
+
+describe('knowledge of a store that is restored from an older copy', () => {
+  const restored = (revision: number) => orderedRevisionOf({ epoch: 1, revision });
+  const order = { kind: 'evacuation', dataCentre: 'there' } as const;
+  const idsOf = (knowledge: FleetKnowledge) =>
+    knowledge.runners.readyOf('plain').map(({ entry }) => entry.id);
+
+  it('holds back runners that had left until a full read shows that they are still listed', () => {
+    // Guards against requests to a runner that has ended, and against a live runner that gets none for good.
+    const { knowledge } = createKnowledge();
+    knowledge.applyChanges({ revision: 11, facts: [{ kind: 'runner_gone', id: 'a' }] }, 100);
+    const copy = [factOf('a'), factOf('b')];
+    knowledge.applyFullRead({ revision: restored(10), facts: copy }, 1_000);
+    expect(idsOf(knowledge)).toEqual(['b']);
+    knowledge.applyFullRead({ revision: restored(12), facts: copy }, 10_900);
+    expect([idsOf(knowledge), knowledge.isFullReadDue(10_900)]).toEqual([['b'], false]);
+    expect(knowledge.isFullReadDue(11_000)).toEqual(true);
+    knowledge.applyFullRead({ revision: restored(13), facts: copy }, 11_000);
+    expect([idsOf(knowledge), knowledge.isFullReadDue(11_000)]).toEqual([['a', 'b'], false]);
+  });
+
+  it('takes a new incarnation of a runner that had left at once', () => {
+    const { knowledge } = createKnowledge();
+    knowledge.applyChanges({ revision: 11, facts: [{ kind: 'runner_gone', id: 'a' }] }, 100);
+    const again: StoreFact = { kind: 'runner', runner: runnerOf('a', 'a@2') };
+    knowledge.applyFullRead({ revision: restored(10), facts: [again, factOf('b')] }, 1_000);
+    expect(idsOf(knowledge)).toEqual(['a', 'b']);
+  });
+
+  it('ends evacuations and drops runners that are still missing in a full read after the grace period', () => {
+    // Guards against an order that is lost with the copy's age, and against one that stays in force for good.
+    const { knowledge, gone } = createKnowledge();
+    knowledge.applyChanges({ revision: 11, facts: [order] }, 100);
+    knowledge.applyFullRead({ revision: restored(9), facts: [factOf('b')] }, 1_000);
+    knowledge.applyChanges({ revision: restored(10), facts: [] }, 3_400);
+    expect([knowledge.evacuated, gone]).toEqual([['there'], []]);
+    expect(knowledge.isFullReadDue(3_300)).toEqual(true);
+    knowledge.applyFullRead({ revision: restored(11), facts: [factOf('b')] }, 3_500);
+    expect([knowledge.evacuated, gone]).toEqual([[], ['a']]);
+  });
+
+  it('is not replaced by answers and snapshots of before the restore', () => {
+    const { knowledge } = createKnowledge();
+    const drained: StoreFact = { kind: 'runner', runner: { ...runnerOf('b'), state: 'draining' } };
+    knowledge.applyFullRead({ revision: restored(3), facts: [factOf('a'), drained] }, 1_000);
+    knowledge.applyFullRead({ revision: 400, facts: [factOf('a'), factOf('b')] }, 1_100);
+    const snapshot = { revision: 500, runners: [runnerOf('a'), runnerOf('b')], daemons: [] };
+    expect(knowledge.applyPeerSnapshot(snapshot, 1_200)).toEqual(false);
+    knowledge.applyRelayed({ revision: 600, facts: [{ ...factOf('b'), revision: 600 }] }, 1_300);
+    expect(idsOf(knowledge)).toEqual(['a']);
+  });
+});
