--- a/src/commands/CheckCommand.ts
+++ b/src/commands/CheckCommand.ts
@@ -1,12 +1,12 @@
 /**
- * `baobabdock check`: finds all mistakes in files of the product.
+ * `baobabdock check`: validates files of the product.
  */
 import { Command, Option } from 'clipanion';
 
 import { checkFile } from './checkFile.js';
 import { EXIT_FAILURE, EXIT_SUCCESS, ProgramCommand } from './ProgramCommand.js';
 
-/** Checks files without starting anything. */
+/** Validates files and prints all findings; starts nothing. */
 export class CheckCommand extends ProgramCommand {
   static override paths = [['check']];
 
--- a/src/commands/ExplainCommand.ts
+++ b/src/commands/ExplainCommand.ts
@@ -1,5 +1,5 @@
 /**
- * `baobabdock explain`: tells the story of one request from the logs of the daemons.
+ * `baobabdock explain`: reconstructs what happened to one request from the logs of the daemons.
  */
 import { readFileSync } from 'node:fs';
 
@@ -18,7 +18,7 @@
   return `  ${time} ${daemon} ${number} ${event} ${pairs}`.trimEnd();
 }
 
-/** Prints what the logs say of a request. */
+/** Prints the log lines of a request and what follows from them. */
 export class ExplainCommand extends ProgramCommand {
   static override paths = [['explain']];
 
--- a/src/commands/ExplainLossesCommand.ts
+++ b/src/commands/ExplainLossesCommand.ts
@@ -1,5 +1,5 @@
 /**
- * `baobabdock explain --losses`: sums over the logs of daemons what callers lost, and why.
+ * `baobabdock explain --losses`: sums up failed, refused and late requests by cause, from the logs of the daemons.
  */
 import { Command, Option } from 'clipanion';
 
@@ -11,10 +11,10 @@
 import { EXIT_FAILURE, EXIT_SUCCESS, ProgramCommand } from './ProgramCommand.js';
 import { wholeNumber } from './wholeNumber.js';
 
-/** Fits a screen. */
+/** Default number of rows per table, so that a table fits on a screen. */
 const DEFAULT_ROWS = '20';
 
-/** Prints an account of losses. */
+/** Prints the sums of losses. */
 export class ExplainLossesCommand extends ProgramCommand {
   static override paths = [['explain']];
 
@@ -54,7 +54,7 @@
     this.complainOf(findings.list());
     if (!unreadable || findings.hasAny) return EXIT_FAILURE;
     const lines = formatLosses({ summary: account.finish(), unreadable, maximumRows });
-    // In one piece: a reader that takes only the head of it would otherwise end the command with an error.
+    // Written at once: if a pipe such as `head` closes early, a later write would end the command with an error.
     this.print(lines.join('\n'));
     return EXIT_SUCCESS;
   }
--- a/src/commands/ProgramCommand.ts
+++ b/src/commands/ProgramCommand.ts
@@ -1,28 +1,28 @@
 /**
- * What all commands share.
+ * Base of all commands.
  */
 import { Command } from 'clipanion';
 
 import { formatFinding } from '../findings/Findings.js';
 import type { Finding } from '../findings/Findings.js';
 
-/** Everything went well. */
+/** Exit code for success. */
 export const EXIT_SUCCESS = 0;
 
-/** What was asked for is wrong or failed; the reason is on standard error. */
+/** Exit code for invalid input or a failure; the reason is on standard error. */
 export const EXIT_FAILURE = 1;
 
-/** Results go to standard output, reasons of a failure to standard error. */
+/** Base of the commands: results go to standard output, the reasons of a failure to standard error. */
 export abstract class ProgramCommand extends Command {
   /**
-   * @param text - one line of the result.
+   * @param text - a line of the result.
    */
   protected print(text: string): void {
     this.context.stdout.write(`${text}\n`);
   }
 
   /**
-   * @param text - one line of what went wrong.
+   * @param text - a line that tells why the command failed.
    */
   protected complain(text: string): void {
     this.context.stderr.write(`${text}\n`);
--- a/src/commands/ReplayCommand.ts
+++ b/src/commands/ReplayCommand.ts
@@ -1,5 +1,5 @@
 /**
- * `baobabdock replay`: runs a recorded session through the decisions.
+ * `baobabdock replay`: replays a recorded session and compares the resulting actions.
  */
 import { readFileSync, writeFileSync } from 'node:fs';
 
@@ -20,7 +20,7 @@
   return `${kind} ${formatFields(fields)}`.trimEnd();
 }
 
-/** Replays, prints and compares. */
+/** Replays a session, prints its actions and reports the first difference. */
 export class ReplayCommand extends ProgramCommand {
   static override paths = [['replay']];
 
--- a/src/commands/ServeCommand.ts
+++ b/src/commands/ServeCommand.ts
@@ -36,8 +36,8 @@
       return EXIT_FAILURE;
     }
     const exitCode = await runDaemon(result.settings);
-    // The stop is complete and the log is out or given up. A collector that no longer reads the log
-    // would keep the process alive for ever, which shows as an instance that never ends its stop.
+    // The stop is complete, and the log has been written or given up. Without the explicit exit, a log
+    // collector that no longer reads would keep the process alive, and the instance would never stop.
     return process.exit(exitCode);
   }
 }
--- a/src/commands/VersionCommand.ts
+++ b/src/commands/VersionCommand.ts
@@ -1,5 +1,5 @@
 /**
- * `baobabdock version`: says what runs.
+ * `baobabdock version`: prints the version.
  */
 import { Command, Option } from 'clipanion';
 
--- a/src/commands/checkFile.ts
+++ b/src/commands/checkFile.ts
@@ -1,5 +1,5 @@
 /**
- * Checks any of the product's files, whatever kind it is of.
+ * Validates a file of the product; the kind of file is detected from its content.
  */
 import { match } from 'ts-pattern';
 import { isMap, isScalar, parseDocument } from 'yaml';
@@ -13,26 +13,26 @@
 import { readSettingsFile } from '../settings/loadSettings.js';
 import { parseSession } from './session.js';
 
-/** What a file is taken for, in the words that the command prints. */
+/** Kind of a file, as printed by the command. */
 export type FileKind =
   | 'settings of a daemon'
   | 'settings of a daemon that forwards directly'
   | 'resources'
   | 'session of decisions';
 
-/** What came of a check. */
+/** Result of a check. */
 export interface CheckedFile {
-  /** `undefined` where the file cannot be read. */
+  /** `undefined` if the file cannot be read. */
   readonly kind: FileKind | undefined;
   readonly findings: readonly Finding[];
-  /** Values from outside that are not there on this machine. */
+  /** External values that are missing on this machine, such as environment variables. */
   readonly absent: readonly Finding[];
 }
 
-/** The section that only a daemon that forwards directly has. */
+/** A section that occurs only in the settings of a daemon that forwards directly. */
 const ROUTER_SECTION = 'router';
 
-/** A session is one JSON object a line; the first one names its feature. */
+/** Matches the header of a session, a JSON object that names its feature. */
 const SESSION_START = /^\s*\{\s*"feature"/u;
 
 function topLevelKeys(text: string): string[] {
@@ -49,8 +49,8 @@
 }
 
 /**
- * @param file - its path.
- * @returns What it was taken for and all that is wrong with it; never throws.
+ * @param file - path of the file.
+ * @returns The kind of the file and all findings. Never throws.
  */
 export function checkFile(file: string): CheckedFile {
   const findings = new Findings();
--- a/src/commands/createProgram.spec.ts
+++ b/src/commands/createProgram.spec.ts
@@ -55,8 +55,7 @@
   });
 
   it('writes errors of usage to standard error and fails', async () => {
-    // Symptom: a script takes an error text for a result. Sequence: a misspelt command in a pipe.
-    // Cause: the command-line library prints its errors on standard output.
+    // Guards against a script that reads an error as a result: clipanion prints errors on standard output.
     const { exitCode, results, errors } = await run('sevre', 'x.yaml');
     expect({ exitCode, results }).toEqual({ exitCode: 1, results: '' });
     expect(errors).toEqual(expect.includes('Command not found'));
@@ -152,8 +151,7 @@
   });
 
   it('names the first line that came out otherwise', async () => {
-    // Symptom: a change of the decisions goes unnoticed. Sequence: a recorded session is replayed
-    // after it. Cause: the actions are printed but not compared.
+    // Guards against a changed decision that goes unnoticed because replayed actions are printed but not compared.
     const file = temporaryFile('changed.jsonl', SESSION);
     await run('replay', '--rewrite', file);
     const changed = readFileSync(file, 'utf8').replace('"kind":"start"', '"kind":"refuse"');
--- a/src/commands/createProgram.ts
+++ b/src/commands/createProgram.ts
@@ -1,5 +1,5 @@
 /**
- * Puts the commands together.
+ * Creates the command line program from its commands.
  */
 import { Builtins, Cli } from 'clipanion';
 import type { BaseContext, CommandClass } from 'clipanion';
@@ -15,7 +15,7 @@
 
 const PROGRAM_NAME = 'baobabdock';
 
-/** Every command of the program. */
+/** All commands of the program. */
 const COMMANDS: readonly CommandClass[] = [
   ServeCommand,
   CheckCommand,
@@ -28,8 +28,8 @@
 ];
 
 /**
- * clipanion writes errors to standard output, where a script would take them for results: they go to
- * standard error here.
+ * Redirects error output to standard error. clipanion writes it to standard output, where a script would read
+ * it as a result.
  */
 class Program extends Cli {
   private readonly errors: NodeJS.WritableStream;
@@ -45,16 +45,16 @@
   }
 }
 
-/** A program and its commands. */
+/** Name and commands of a program. */
 export interface ProgramOptions {
-  /** As it is called. */
+  /** Name on the command line. */
   name?: string;
   commands?: readonly CommandClass[];
 }
 
 /**
  * @param context - the streams of the process.
- * @param options - the product's own program by default.
+ * @param options - name and commands; those of the product by default.
  * @returns The program with all its commands.
  */
 export function createProgram(
--- a/src/commands/formatLosses.ts
+++ b/src/commands/formatLosses.ts
@@ -1,22 +1,22 @@
 /**
- * Writes an account of losses for people.
+ * Formats sums of losses for terminals.
  */
 import type { CauseSum, GroupSum, LogCoverage, LossSummary } from '../explanations/lossTypes.js';
 import { formatTable } from './operator/formatTable.js';
 
-/** How many causes a row by route, moment or runner names. */
+/** Number of causes shown in a row by route, moment or runner. */
 const NAMED_CAUSES = 3;
 
-/** How many places of unreadable lines are named; a collector that cuts files leaves one in each. */
+/** Number of unreadable lines whose place is shown; log rotation may cut one line in each file. */
 const NAMED_PLACES = 3;
 
-/** Milliseconds of a time that a moment of whole seconds does not need. */
+/** The milliseconds of a timestamp, left out for moments of whole seconds. */
 const NO_MILLISECONDS = '.000Z';
 
-/** Lines of the files that are in no sum. */
+/** Lines of the files that are not included in any sum. */
 export interface UnreadableLines {
   readonly lines: number;
-  /** The first of each file that has any: `file:line`. */
+  /** Place of the first such line of each file, as `file:line`. */
   readonly places: readonly string[];
 }
 
@@ -24,7 +24,7 @@
 export interface FormatLossesOptions {
   summary: LossSummary;
   unreadable: UnreadableLines;
-  /** Rows of each table; the rest is summed in one line. */
+  /** Maximum number of rows of each table; the others are summed up in one line. */
   maximumRows: number;
 }
 
@@ -73,7 +73,7 @@
   return formatTable([...headings, ...probed('probed ms'), 'look at'], rows);
 }
 
-/** Lines of a failed attempt do not name the route, so that it has no such sum. */
+/** There are no sums of attempts by route, since log lines of failed attempts do not contain the route. */
 function groupTable(name: 'route' | 'moment' | 'runner', sums: readonly GroupSum[]): string {
   const attempts = (text: string) => (name === 'route' ? [] : [text]);
   const rows = sums.map(({ key, requests, lost, failedAttempts, causes }) => [
@@ -95,7 +95,7 @@
   return [`Further rows: ${rest.length}, with ${lost} lost; --rows shows more.`];
 }
 
-/** @returns A table under its title, with what its rows leave out. */
+/** @returns A table with its title and a line for the rows that are left out. */
 function section(title: string, table: string, rest: readonly number[]): string[] {
   return ['', `${title}:`, table.trimEnd(), ...restLine(rest)];
 }
@@ -105,8 +105,8 @@
 }
 
 /**
- * @param options - the sums, and how much of them.
- * @returns The account, one text a line; tables hold several.
+ * @param options - the sums and the number of rows.
+ * @returns The output; each text is a line or a table of several lines.
  */
 export function formatLosses({ summary, unreadable, maximumRows }: FormatLossesOptions): string[] {
   const { requests, lost, recovered, causes, routes, moments, runners } = summary;
--- a/src/commands/operator/ApplyCommand.ts
+++ b/src/commands/operator/ApplyCommand.ts
@@ -1,5 +1,5 @@
 /**
- * `baobabdock operator apply FILE`: resources from a YAML file in one change.
+ * `baobabdock operator apply FILE`: applies the resources of a YAML file in one change.
  */
 import { readFile } from 'node:fs/promises';
 
@@ -12,7 +12,7 @@
 import { ChangingCommand } from './ChangingCommand.js';
 import { operatorUsage } from './OperatorCommand.js';
 
-/** Creates and changes what a file holds, all of it or nothing. */
+/** Creates or changes all resources of a file, or none of them. */
 export class ApplyCommand extends ChangingCommand {
   static override paths = [['operator', 'apply']];
 
--- a/src/commands/operator/ChangingCommand.ts
+++ b/src/commands/operator/ChangingCommand.ts
@@ -1,5 +1,5 @@
 /**
- * What the commands that change something share: change id, reason, and waiting until it is in force.
+ * Base of the commands that change something: change id, reason, and waiting until the change is in force.
  */
 import { randomUUID } from 'node:crypto';
 
@@ -11,7 +11,7 @@
 import { EXIT_FAILURE, EXIT_SUCCESS } from '../ProgramCommand.js';
 import { OperatorCommand } from './OperatorCommand.js';
 
-/** As long as a change may take to be in force everywhere, with room. */
+/** Default timeout of the wait, in seconds: longer than a change takes to be in force on every daemon. */
 const DEFAULT_WAIT_SECONDS = '10';
 
 const MILLISECONDS_A_SECOND = 1000;
@@ -34,17 +34,17 @@
 
   private chosenChangeId: string | undefined;
 
-  /** @returns What every change says of itself; the same for all daemons that are tried. */
+  /** @returns Change id and reason; the same for each daemon that is tried, so that the change is made once at most. */
   protected origin(): { changeId: string; reason: string } {
     this.chosenChangeId ??= this.changeId ?? randomUUID();
     return { changeId: this.chosenChangeId, reason: this.reason };
   }
 
   /**
-   * Prints a change's answer and, where asked, waits until it is in force.
+   * Prints the answer to a change and, with `--wait`, waits until the change is in force.
    *
-   * @param client - that made the change.
-   * @param answer - what the daemon said.
+   * @param client - the client that sent the change.
+   * @param answer - the daemon's answer.
    * @returns The exit code.
    */
   protected async concluded(client: OperatorClient, answer: ChangeResponse): Promise<number> {
@@ -60,9 +60,9 @@
   }
 
   /**
-   * @param client - any daemons.
-   * @param revision - that has to be in force.
-   * @returns 0 when it is in force on every daemon that serves, else 1.
+   * @param client - a client of any daemons.
+   * @param revision - the revision to wait for.
+   * @returns Exit code: 0 if the revision is in force on every serving daemon, 1 otherwise.
    */
   protected async waitFor(client: OperatorClient, revision: bigint): Promise<number> {
     const timeoutMilliseconds = Number(this.waitSeconds) * MILLISECONDS_A_SECOND || 1;
--- a/src/commands/operator/MetricsCommand.ts
+++ b/src/commands/operator/MetricsCommand.ts
@@ -1,5 +1,5 @@
 /**
- * `baobabdock operator metrics`: what one daemon measures of itself.
+ * `baobabdock operator metrics`: the metrics of one daemon.
  */
 import {
   FleetService,
@@ -8,7 +8,7 @@
 import { EXIT_SUCCESS } from '../ProgramCommand.js';
 import { OperatorCommand, operatorUsage } from './OperatorCommand.js';
 
-/** Prints the scrape page of the daemon that answers. */
+/** Prints the metrics page of the daemon that answers. */
 export class MetricsCommand extends OperatorCommand {
   static override paths = [['operator', 'metrics']];
 
--- a/src/commands/operator/OperatorCommand.ts
+++ b/src/commands/operator/OperatorCommand.ts
@@ -1,5 +1,5 @@
 /**
- * What all commands for operators share: where to call, as whom, and how to print.
+ * Base of the commands for operators: endpoints, token and output format.
  */
 import { readFile } from 'node:fs/promises';
 
@@ -18,7 +18,7 @@
 import { EXIT_FAILURE, ProgramCommand } from '../ProgramCommand.js';
 import { formatTable } from './formatTable.js';
 
-/** Where daemons are when no `--endpoint` is given; separated by commas. */
+/** Environment variable with the daemons' addresses, separated by commas; used without `--endpoint`. */
 const ENDPOINTS_VARIABLE = 'BAOBABDOCK_ENDPOINTS';
 
 const TOKEN_VARIABLE = 'BAOBABDOCK_TOKEN';
@@ -32,7 +32,7 @@
   The token is read from \`--token-file\`, from the file that \`${TOKEN_FILE_VARIABLE}\` names, or from \`${TOKEN_VARIABLE}\`;
   never from the command line, which other users of the machine can see.`;
 
-/** The command's part of its help, to which where and how to call is added. */
+/** Help of one command; the options for the connection are added to it. */
 export interface OperatorUsage {
   description: string;
   details: string;
@@ -40,8 +40,8 @@
 }
 
 /**
- * @param usage - what the command does, with examples.
- * @returns Help in the category of the commands for operators.
+ * @param usage - the help of the command.
+ * @returns The help in the category of the commands for operators.
  */
 export function operatorUsage({ description, details, examples }: OperatorUsage) {
   return Command.Usage({
@@ -52,7 +52,7 @@
   });
 }
 
-/** Base of the commands; subclasses say what to call. */
+/** Base of the commands for operators; subclasses make the calls. */
 export abstract class OperatorCommand extends ProgramCommand {
   endpoint = Option.Array('--endpoint', {
     description: 'A daemon, for example http://10.0.0.1:8090; may be given several times.',
@@ -62,7 +62,7 @@
 
   json = Option.Boolean('--json', false, { description: 'Print JSON for programs.' });
 
-  /** @returns The exit code: 0 when all went as asked. */
+  /** @returns The exit code; 0 for success. */
   protected abstract run(): Promise<number>;
 
   override async execute(): Promise<number> {
@@ -76,12 +76,12 @@
     }
   }
 
-  /** @returns A client for the daemons and the token that options or environment name. */
+  /** @returns A client with the endpoints and the token from the options or the environment. */
   protected async client(): Promise<OperatorClient> {
     return new OperatorClient({ endpoints: this.endpoints(), token: await this.token() });
   }
 
-  /** @returns The daemons to call. */
+  /** @returns The endpoints of the daemons to call. */
   protected endpoints(): string[] {
     const named = this.context.env[ENDPOINTS_VARIABLE]?.split(',') ?? [DEFAULT_ENDPOINT];
     const endpoints = (this.endpoint ?? named).map((endpoint) => endpoint.trim()).filter(Boolean);
@@ -91,8 +91,8 @@
   }
 
   /**
-   * @param schema - of the message.
-   * @param message - what a daemon answered.
+   * @param schema - the schema of the message.
+   * @param message - the answer of a daemon.
    */
   protected printJson<Schema extends DescMessage>(
     schema: Schema,
@@ -103,18 +103,18 @@
   }
 
   /**
-   * @param headings - of the columns.
-   * @param rows - one array of cells a row.
+   * @param headings - headings of the columns.
+   * @param rows - the cells of each row.
    */
   protected printTable(headings: readonly string[], rows: readonly (readonly string[])[]): void {
     this.context.stdout.write(formatTable(headings, rows));
   }
 
   /**
-   * Says where a field that a daemon named stands; overridden where a file was sent.
+   * Gives the place of a field that a daemon's error names; overridden by commands that send a file.
    *
-   * @param field - of the request.
-   * @returns The finding's place.
+   * @param field - a field of the request.
+   * @returns The place for the finding.
    */
   protected placeOf(field: string): Finding['place'] {
     return { field };
--- a/src/commands/operator/StatusCommand.ts
+++ b/src/commands/operator/StatusCommand.ts
@@ -16,7 +16,7 @@
   return mean > 0 ? (load / mean).toFixed(MULTIPLE_DIGITS) : '-';
 }
 
-/** Shows what one daemon believes, and the gates of every daemon that is asked. */
+/** Shows the state of the fleet as one daemon knows it, and the gates of every daemon that is asked. */
 export class StatusCommand extends OperatorCommand {
   static override paths = [['operator', 'status']];
 
--- a/src/commands/operator/fleetCommands.ts
+++ b/src/commands/operator/fleetCommands.ts
@@ -14,7 +14,7 @@
 
 const DEFAULT_HISTORY = '20';
 
-/** Gives a daemon or runner no new work. */
+/** Drains a daemon or a runner. */
 export class DrainCommand extends ChangingCommand {
   static override paths = [['operator', 'drain']];
 
@@ -62,7 +62,7 @@
   }
 }
 
-/** Waits for a revision. */
+/** Waits until a revision is in force on every daemon. */
 export class WaitCommand extends ChangingCommand {
   static override paths = [['operator', 'wait']];
 
@@ -80,7 +80,7 @@
   }
 }
 
-/** Shows who changed what. */
+/** Shows the history of changes. */
 export class HistoryCommand extends OperatorCommand {
   static override paths = [['operator', 'history']];
 
--- a/src/commands/operator/formatTable.ts
+++ b/src/commands/operator/formatTable.ts
@@ -1,13 +1,13 @@
 /**
- * Tables for people: columns as wide as their widest cell.
+ * Formats tables for terminals; each column is as wide as its widest cell.
  */
 
 const GAP = '  ';
 
 /**
- * @param headings - of the columns.
- * @param rows - one array of cells a row, as many as there are headings.
- * @returns Lines with line ends; "none" when there are no rows.
+ * @param headings - headings of the columns.
+ * @param rows - the cells of each row, one for each heading.
+ * @returns The lines, each with a line end; "none" if there are no rows.
  */
 export function formatTable(
   headings: readonly string[],
--- a/src/commands/operator/keyCommands.ts
+++ b/src/commands/operator/keyCommands.ts
@@ -9,7 +9,7 @@
 import { ChangingCommand } from './ChangingCommand.js';
 import { operatorUsage } from './OperatorCommand.js';
 
-/** Makes a key for a client account and shows it once. */
+/** Creates a key for a client account and prints it; it cannot be read again later. */
 export class CreateKeyCommand extends ChangingCommand {
   static override paths = [['operator', 'keys', 'create']];
 
@@ -35,7 +35,7 @@
   }
 }
 
-/** Takes a key from a client account. */
+/** Revokes a key of a client account. */
 export class RemoveKeyCommand extends ChangingCommand {
   static override paths = [['operator', 'keys', 'remove']];
 
@@ -58,7 +58,7 @@
   }
 }
 
-/** Makes a token for an operator; needs no daemon. */
+/** Creates a token for an operator. Needs no daemon. */
 export class CreateTokenCommand extends ProgramCommand {
   static override paths = [['operator', 'token', 'create']];
 
--- a/src/commands/operator/resourceCommands.ts
+++ b/src/commands/operator/resourceCommands.ts
@@ -1,5 +1,5 @@
 /**
- * `list`, `read`, `create`, `change` and `remove` for each kind of resource.
+ * The commands `list`, `read`, `create`, `change` and `remove` for each kind of resource.
  */
 import type { JsonObject } from '@bufbuild/protobuf';
 import { create, fromJson, toJson } from '@bufbuild/protobuf';
@@ -35,15 +35,15 @@
   readonly plural: string;
   /** For example `client account`. */
   readonly singular: string;
-  /** Fields that a list shows, after the name. */
+  /** Fields shown by `list` after the name. */
   readonly columns: readonly string[];
-  /** A name for examples. */
+  /** Name used in the examples of the help. */
   readonly exampleName: string;
-  /** Settings for examples. */
+  /** Fields used in the examples of the help. */
   readonly exampleSettings: string;
 }
 
-/** The kinds of resources, as operators type them. */
+/** The kinds of resources, by their names on the command line. */
 export const RESOURCE_NOUNS: readonly ResourceNoun[] = [
   {
     kind: 'client_account',
@@ -87,7 +87,7 @@
   }) as JsonObject;
   const { keys, ...fields } = json[value.case] as JsonObject;
   if (!Array.isArray(keys)) return fields;
-  // The hashes are of no use to people; the ids say which keys there are.
+  // Key hashes are left out: the ids already identify the keys.
   return { ...fields, keyIds: keys.map((key) => (key as JsonObject).keyId ?? '') };
 }
 
@@ -160,7 +160,7 @@
   };
 }
 
-/** Base of create and change: fields by `--set`. */
+/** Base of `create` and `change`: sets fields with `--set`. */
 abstract class SettingCommand extends ChangingCommand {
   name = Option.String();
 
@@ -171,8 +171,8 @@
   protected abstract readonly noun: ResourceNoun;
 
   /**
-   * @param findings - receives every mistake in `--set`.
-   * @returns The fields that were set.
+   * @param findings - receives every error in `--set`.
+   * @returns The fields given by `--set`.
    */
   protected settings(findings: Finding[]): JsonObject {
     const schema = RESOURCE_SCHEMAS[this.noun.kind];
@@ -298,7 +298,7 @@
   };
 }
 
-/** All commands about resources. */
+/** The commands for all kinds of resources. */
 export const resourceCommands: readonly CommandClass[] = RESOURCE_NOUNS.flatMap((noun) =>
   [listCommand, readCommand, createCommand, changeCommand, removeCommand].map((make) => make(noun)),
 );
--- a/src/commands/programVersion.ts
+++ b/src/commands/programVersion.ts
@@ -1,5 +1,5 @@
 /**
- * The version of the program, as its package states it.
+ * The version of the program, from its package.
  */
 import packageInformation from '../../package.json' with { type: 'json' };
 
--- a/src/commands/replayRegistry.ts
+++ b/src/commands/replayRegistry.ts
@@ -1,5 +1,5 @@
 /**
- * The decision classes that `baobabdock replay` can run, by the feature that a session names.
+ * Maps the feature in a session's header to the decision class that `baobabdock replay` runs.
  */
 import { LocateDecisions } from '../callers/LocateDecisions.js';
 import { replayedConfiguration } from '../configuration/replayedConfiguration.js';
@@ -12,13 +12,13 @@
 import { replayedRequest } from '../requests/replayedRequest.js';
 import { PlacementDecisions } from '../routing/PlacementDecisions.js';
 
-/** Decisions whose messages come from a file. */
+/** Decision class whose messages are read from a file. */
 export type ReplayedDecisions = Decisions<HasKind, HasKind>;
 
-/** Makes new decisions from the options in a session's first line. */
+/** Creates a decision class from the options in a session's header. */
 export type ReplayFactory = (options: Readonly<Record<string, unknown>>) => ReplayedDecisions;
 
-/** One line for each class; a session's messages must be JSON data of its message type. */
+/** One entry per class. The messages of a session must be JSON data of the class's message type. */
 export const REPLAY_REGISTRY: Readonly<Record<string, ReplayFactory>> = {
   callers: (options) => new LocateDecisions(options),
   configuration: replayedConfiguration,
--- a/src/commands/replaySession.ts
+++ b/src/commands/replaySession.ts
@@ -1,5 +1,5 @@
 /**
- * Runs a recorded session through the decisions that the daemon uses, and compares.
+ * Replays a recorded session with the decision classes of the daemon, and compares the actions.
  */
 import VError from 'verror';
 
@@ -8,34 +8,34 @@
 import { formatStep } from './session.js';
 import type { Session, SessionStep } from './session.js';
 
-/** One step as it was recorded and as it came out now. */
+/** One step as recorded, and the actions of the replay. */
 export interface ReplayedStep {
   readonly recorded: SessionStep;
   readonly actions: readonly HasKind[];
-  /** The line as it would be written now. */
+  /** The line of the session as this replay would write it. */
   readonly text: string;
 }
 
-/** What differs first. */
+/** The first difference between a session and its replay. */
 export interface ReplayDifference {
-  /** From 1. */
+  /** Line number, starting at 1. */
   readonly line: number;
   readonly message: string;
 }
 
 /**
- * Runs all steps.
+ * Replays all steps.
  *
- * @param session - what was recorded.
- * @param decisions - new decisions of the session's feature.
- * @returns The steps as they came out now.
- * @throws {@link VError} with the line when the decisions throw.
+ * @param session - the recorded session.
+ * @param decisions - a new instance of the session's decision class.
+ * @returns The replayed steps.
+ * @throws {@link VError} with the line number if the decision class throws.
  */
 export function replaySession(session: Session, decisions: ReplayedDecisions): ReplayedStep[] {
   return session.steps.map((recorded) => {
     const { at, message } = recorded.step;
     try {
-      // Through JSON and back, since the file cannot hold what JSON leaves out.
+      // Converted to JSON and back, since the recorded actions lack what JSON cannot represent.
       const actions = JSON.parse(JSON.stringify(decisions.decide(at, message))) as HasKind[];
       return { recorded, actions, text: formatStep({ at, message, actions }) };
     } catch (cause) {
@@ -50,10 +50,10 @@
 }
 
 /**
- * Finds the first step that came out otherwise than recorded.
+ * Finds the first step whose replay differs from the recording.
  *
- * @param steps - as replayed.
- * @returns What differs, or `undefined` when the file is the same byte for byte.
+ * @param steps - the replayed steps.
+ * @returns The difference, or `undefined` if the session is identical byte for byte.
  */
 export function firstDifference(steps: readonly ReplayedStep[]): ReplayDifference | undefined {
   const step = steps.find(({ recorded, text }) => recorded.text !== text);
--- a/src/commands/session.ts
+++ b/src/commands/session.ts
@@ -1,5 +1,5 @@
 /**
- * A recorded session: JSON lines, first its header, then its steps.
+ * Format of recorded sessions: JSON lines, the header first, then one line per step.
  */
 import { z } from 'zod';
 
@@ -7,26 +7,26 @@
 import type { HasKind } from '../decisions/Decisions.js';
 import type { Findings } from '../findings/Findings.js';
 
-/** The first line. */
+/** Header of a session: its first line. */
 export interface SessionHeader {
-  /** Names the decision class, see `replayRegistry.ts`. */
+  /** Name of the decision class, see `replayRegistry.ts`. */
   readonly feature: string;
-  /** Options of its constructor. */
+  /** Options of the class's constructor. */
   readonly options: Readonly<Record<string, unknown>>;
-  /** What the session shows. */
+  /** Description of the session. */
   readonly title?: string | undefined;
 }
 
-/** A step with the line it stands on. */
+/** A step and its line in the file. */
 export interface SessionStep {
-  /** From 1. */
+  /** Line number, starting at 1. */
   readonly line: number;
   /** As it stands in the file. */
   readonly text: string;
   readonly step: DecisionStep<HasKind, HasKind>;
 }
 
-/** A whole session. */
+/** A parsed session. */
 export interface Session {
   readonly header: SessionHeader;
   /** As it stands in the file. */
@@ -63,21 +63,21 @@
 }
 
 /**
- * Writes one step as it stands in a session.
+ * Formats one step as a line of a session.
  *
- * @param step - time, message and actions.
- * @returns One line without a line end.
+ * @param step - the step, with its time, message and actions.
+ * @returns The line, without a line end.
  */
 export function formatStep({ at, message, actions }: DecisionStep<HasKind, HasKind>): string {
   return JSON.stringify({ at, message, actions });
 }
 
 /**
- * Writes a session.
+ * Formats a session.
  *
- * @param header - the first line.
- * @param steps - time, messages and actions, as a task records them.
- * @returns The whole file.
+ * @param header - the header.
+ * @param steps - the steps, as recorded by a task.
+ * @returns The content of the file.
  */
 export function formatSession(
   header: SessionHeader,
@@ -87,12 +87,12 @@
 }
 
 /**
- * Reads a session.
+ * Parses a session.
  *
- * @param text - the whole file.
- * @param file - its name, for findings.
- * @param findings - takes every line that is not as it should be.
- * @returns The session, without its wrong lines; `undefined` when the first line is wrong.
+ * @param text - the content of the file.
+ * @param file - the file name, for findings.
+ * @param findings - receives an error for every invalid line.
+ * @returns The session without the invalid lines; `undefined` if the header is invalid.
  */
 export function parseSession(text: string, file: string, findings: Findings): Session | undefined {
   const [headerText = '', ...rest] = text.split('\n');
--- a/src/commands/wholeNumber.ts
+++ b/src/commands/wholeNumber.ts
@@ -1,22 +1,22 @@
 /**
- * Numbers among the options of a command.
+ * Parses options of commands that are whole numbers.
  */
 import type { Findings } from '../findings/Findings.js';
 
-/** An option that has to be a whole number. */
+/** An option whose value must be a whole number. */
 export interface WholeNumberOption {
-  /** The option, as it is typed. */
+  /** Name of the option on the command line. */
   field: string;
-  /** What was typed. */
+  /** The value as given. */
   text: string;
   lowest?: number;
   highest?: number;
 }
 
 /**
- * @param option - what was typed, and what is allowed.
- * @param findings - take what is wrong with it.
- * @returns The number; the lowest one that is allowed where something is wrong.
+ * @param option - the value and its allowed range.
+ * @param findings - receives an error if the value is invalid.
+ * @returns The number; the lowest allowed one if the value is invalid.
  */
 export function wholeNumber(
   { field, text, lowest = 1, highest = Number.MAX_SAFE_INTEGER }: WholeNumberOption,
