--- a/standIns/site/SiteProcess.ts
+++ b/standIns/site/SiteProcess.ts
@@ -1,5 +1,5 @@
 /**
- * A daemon of a site as a process of its own.
+ * Runs a daemon of a site as a separate process.
  */
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
@@ -13,15 +13,15 @@
 /** Options of a {@link SiteProcess}. */
 export interface SiteProcessOptions {
   settings: RouterSettings;
-  /** Where its settings file is written. */
+  /** Folder for the settings file. */
   folder: string;
   /** Arguments of the runtime: its options and the built program, see `buildDaemon`. */
   program: readonly string[];
 }
 
-/** What a short question got. */
+/** Answer to a short HTTP request. */
 export interface SiteText {
-  /** 0 where nobody answered. */
+  /** HTTP status; 0 if there was no answer. */
   readonly status: number;
   readonly text: string;
 }
@@ -29,9 +29,9 @@
 const OK = 200;
 
 /**
- * @param address - IP number and port.
- * @param path - with the query.
- * @returns The whole answer.
+ * @param address - IP address and port.
+ * @param path - path with the query.
+ * @returns The complete answer.
  */
 export function fetchText(address: string, path: string): Promise<SiteText> {
   return new Promise((done) => {
@@ -46,14 +46,14 @@
   });
 }
 
-/** Owns the process. */
+/** Starts, signals and ends the process. */
 export class SiteProcess {
   readonly settings: RouterSettings;
 
-  /** What it has written to standard output. */
+  /** Its standard output so far. */
   log = '';
 
-  /** What it has written to standard error. */
+  /** Its standard error so far. */
   complaints = '';
 
   private readonly file: string;
@@ -80,8 +80,8 @@
   }
 
   /**
-   * @returns Whether it says that it takes requests.
-   * @throws When it has ended by itself: it never will.
+   * @returns Whether it reports that it is ready.
+   * @throws If the process has ended by itself, since it will never be ready.
    */
   async isReady(): Promise<boolean> {
     const { exitCode = null } = this.child ?? {};
@@ -91,13 +91,13 @@
   }
 
   /**
-   * @param content - of its settings file; JSON is YAML as well.
+   * @param content - content of its settings file, written as JSON, which is valid YAML.
    */
   writeSettings(content: object): void {
     writeFileSync(this.file, JSON.stringify(content));
   }
 
-  /** Starts it, anew where it has ended. */
+  /** Starts the process, also after it has ended. */
   start(): void {
     const { callers } = this.settings.addresses;
     const child = spawn(process.execPath, [...this.program, `--callers=${callers}`], {
@@ -115,19 +115,19 @@
   }
 
   /**
-   * @param signal - to send.
+   * @param signal - the signal to send.
    */
   signal(signal: NodeJS.Signals): void {
     this.child?.kill(signal);
   }
 
-  /** @returns Its exit code once it has ended; `null` where a signal has ended it. */
+  /** @returns Its exit code once it has ended; `null` if it was ended by a signal. */
   async ended(): Promise<unknown> {
     const [code] = await this.exit;
     return code;
   }
 
-  /** Kills it, whatever it does. */
+  /** Kills the process. */
   async kill(): Promise<void> {
     this.signal('SIGKILL');
     await this.ended();
--- a/standIns/site/SiteRunner.ts
+++ b/standIns/site/SiteRunner.ts
@@ -1,6 +1,6 @@
 /**
- * A stand-in of a runner on the platform: answers with its own id and signature, streams events, and fails as
- * it is told. It remembers what it ran, so that a test can count.
+ * Stand-in for a runner on the platform: answers with its own id and signature, streams events, and fails as
+ * configured. Records what it ran, so that tests can count.
  */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
@@ -8,7 +8,7 @@
 import { listen } from '../../src/http/listen.js';
 import { parseAddress } from '../../src/http/parseAddress.js';
 
-/** What a runner does with a request. */
+/** How a runner handles requests. */
 export type RunnerBehaviour =
   | 'answers'
   /** States that it has not run the request. */
@@ -19,14 +19,14 @@
   | 'cuts_stream'
   /** Sends most of a plain answer and closes the connection. */
   | 'cuts_plain'
-  /** Runs it and says nothing. */
+  /** Runs it and never answers. */
   | 'mute'
-  /** Answers 500, signed. */
+  /** Answers 500 with its signature. */
   | 'fails'
-  /** Is another runner by now. */
+  /** Answers as another runner that has taken over the address. */
   | 'misdirected';
 
-/** What a runner was asked to do. */
+/** A request that a runner received. */
 export interface ReceivedRequest {
   readonly id: string | undefined;
   readonly method: string;
@@ -40,25 +40,25 @@
   id: string;
   service: string;
   dataCentre?: string;
-  /** Events of each stream. */
+  /** Number of events of each stream. */
   events?: number;
-  /** Between events, in ms. */
+  /** Time between events, in ms. */
   eventMilliseconds?: number;
-  /** Before a plain answer, in ms. */
+  /** Time until a plain answer, in ms. */
   workMilliseconds?: number;
   /** Body of a plain answer. */
   plainBody?: string;
-  /** Whether answers and events name the request that they belong to. */
+  /** Whether answers and events contain the id of their request. */
   echoes?: boolean;
-  /** Told of each request that begins to run, with the IP number that it came from. */
+  /** Called for each request that starts to run, with the IP address of its sender. */
   onRan?: (request: ReceivedRequest, from: string) => void;
   /** Whether a request crashes the runner. */
   isFatal?: (request: ReceivedRequest) => boolean;
-  /** From a crash to the next start, in ms. */
+  /** Time from a crash to the next start, in ms. */
   downMilliseconds?: number;
-  /** Told of each crash. */
+  /** Called at each crash. */
   onCrashed?: () => void;
-  /** Told of each start after a crash: the listing has to be written anew. */
+  /** Called at each start after a crash: the entry in the store has to be written again. */
   onRestarted?: () => void;
 }
 
@@ -69,21 +69,21 @@
 export class SiteRunner {
   readonly id: string;
 
-  /** Every request that it ran, in order. */
+  /** All requests that it ran, in order. */
   readonly ran: ReceivedRequest[] = [];
 
   behaviour: RunnerBehaviour = 'answers';
 
-  /** Whether its answers say that it leaves, whatever its listing says. */
+  /** Whether its answers announce that it leaves, whatever its entry says. */
   saysLeaving = false;
 
-  /** What it asks for in `Retry-After` where it refuses. */
+  /** Value of `Retry-After` in its refusals. */
   retryAfter: string | undefined;
 
-  /** When each request arrived, also those that it refused; monotonic ms. */
+  /** Arrival time of each request, including refused ones; monotonic ms. */
   readonly arrivals: number[] = [];
 
-  /** How often it has crashed. */
+  /** Number of crashes so far. */
   crashes = 0;
 
   private readonly options: Required<SiteRunnerOptions>;
@@ -94,13 +94,13 @@
 
   private restartTimer: NodeJS.Timeout | undefined;
 
-  /** Of its start, Unix ms. */
+  /** Start time, Unix ms. */
   private born = Date.now();
 
   private sequence = 0;
 
   /**
-   * @param options - who it is, and how fast.
+   * @param options - id, service, speed and faults.
    */
   constructor(options: SiteRunnerOptions) {
     this.options = {
@@ -121,18 +121,18 @@
     this.server = this.createServer();
   }
 
-  /** @returns IP number and port, once it listens. */
+  /** @returns IP address and port; empty before the start. */
   get ownAddress(): string {
     return this.address;
   }
 
-  /** @returns Once it listens. */
+  /** Starts to listen. */
   async start(): Promise<void> {
     const { address, port } = await listen(this.server, { host: '127.0.0.1', port: 0 });
     this.address = `${address}:${port}`;
   }
 
-  /** Starts again under its id and at its address, knowing nothing; its listing has to be written anew. */
+  /** Restarts with the same id and address but without state; its entry in the store has to be written again. */
   restart(): void {
     this.server.closeAllConnections();
     this.born += 1;
@@ -140,7 +140,7 @@
     this.ran.length = 0;
   }
 
-  /** Ends without a word and refuses connections; starts again later at the same address, with another birth. */
+  /** Ends without notice and refuses connections; starts again later at the same address, with a new start time. */
   crash(): void {
     if (!this.server.listening) return;
     this.crashes += 1;
@@ -151,7 +151,7 @@
     }, this.options.downMilliseconds);
   }
 
-  /** Ends it, with its connections. */
+  /** Stops the runner and closes its connections. */
   stop(): void {
     clearTimeout(this.restartTimer);
     this.close();
@@ -159,7 +159,7 @@
 
   /**
    * @param state - `ready` or `draining`.
-   * @returns What it writes of itself into the store.
+   * @returns Its entry in the store.
    */
   entry(state = 'ready'): object {
     const { service, dataCentre } = this.options;
--- a/standIns/site/StandInSite.ts
+++ b/standIns/site/StandInSite.ts
@@ -1,5 +1,5 @@
 /**
- * A small site on loopback: a store, runners, and daemons that forward directly, in this process.
+ * A small site on loopback, in this process: a store, runners, and daemons that forward directly.
  */
 import { PlatformRunnerProtocol } from '../../platform/headers.js';
 import { servePlatformEndpoints } from '../../platform/servePlatformEndpoints.js';
@@ -14,39 +14,39 @@
 import { SiteRunner } from './SiteRunner.js';
 import { StoreStandIn } from './StoreStandIn.js';
 
-/** Host of all routes. */
+/** Host name of all routes. */
 export const SITE_HOST = 'site.example';
 
-/** A key of the one client account. */
+/** Key of the only client account. */
 export const SITE_KEY = 'key-of-the-account';
 
-/** A daemon with what a test needs of it. */
+/** A daemon with its settings and servers. */
 export interface SiteDaemon {
   readonly daemon: RouterDaemon;
   readonly settings: RouterSettings;
-  /** Ends its readiness and directory servers. */
+  /** Closes its readiness and directory servers. */
   readonly closeRoles: () => void;
 }
 
 /** Options of a {@link StandInSite}. */
 export interface StandInSiteOptions {
   log?: Log;
-  /** How often conditions are looked at, in ms. */
+  /** Interval between checks of a condition, in ms. */
   pollMilliseconds?: number;
-  /** Within which changes have to be in force, in ms. */
+  /** Time within which changes have to be in force, in ms. */
   changeBoundMilliseconds?: number;
   /** Region of each data centre. */
   dataCentreRegions?: Readonly<Record<string, string>>;
-  /** Retries for each request; a daemon that has just started has earned none yet. */
+  /** Retries earned by each request; a daemon that has just started has earned none. */
   retryRatio?: number;
 }
 
 /**
- * The configuration of the site.
+ * Creates a configuration of the site.
  *
- * @param version - grows with each change.
+ * @param version - version number, which grows with each change.
  * @param changes - routes to add, and the route timeout in ms.
- * @returns As operators write it.
+ * @returns The configuration in the form in which operators write it.
  */
 export function siteConfiguration(
   version: number,
@@ -104,7 +104,7 @@
   };
 }
 
-/** Starts and ends the parts. */
+/** Starts and stops the parts of the site. */
 export class StandInSite {
   readonly store = new StoreStandIn();
 
@@ -125,7 +125,7 @@
   private storeAddress = '';
 
   /**
-   * @param options - log and pace.
+   * @param options - log, intervals and limits.
    */
   constructor({
     log = new SilentLog(),
@@ -148,8 +148,8 @@
   }
 
   /**
-   * @param options - the runner.
-   * @returns A runner that is listed.
+   * @param options - options of the runner.
+   * @returns A started runner that is listed in the store.
    */
   async addRunner(options: SiteRunnerOptions): Promise<SiteRunner> {
     const list = (runner: SiteRunner) => this.store.write(`servers/${runner.id}`, runner.entry());
@@ -161,10 +161,10 @@
   }
 
   /**
-   * @param name - of a daemon.
-   * @param seeds - addresses of daemons that it may ask.
-   * @param dataCentre - where it is.
-   * @returns Its settings, with ports of its own.
+   * @param name - name of a daemon.
+   * @param seeds - addresses of daemons that it may poll.
+   * @param dataCentre - its data centre.
+   * @returns Its settings, with ports reserved for it.
    */
   async settingsOf(
     name: string,
@@ -191,10 +191,10 @@
   }
 
   /**
-   * @param name - of the daemon.
-   * @param seeds - addresses of daemons that it may ask.
-   * @param dataCentre - where it is.
-   * @returns The daemon, in this process, once it listens.
+   * @param name - name of the daemon.
+   * @param seeds - addresses of daemons that it may poll.
+   * @param dataCentre - its data centre.
+   * @returns The daemon, which listens and runs in this process.
    */
   async addDaemon(
     name: string,
@@ -214,7 +214,9 @@
   }
 
   /**
-   * @param condition - looked at again and again until it holds.
+   * Waits for a condition.
+   *
+   * @param condition - checked at intervals until it holds.
    */
   async until(condition: () => boolean | Promise<boolean>): Promise<void> {
     while (!(await condition())) {
@@ -224,7 +226,7 @@
     }
   }
 
-  /** Ends everything. */
+  /** Stops all parts. */
   async stop(): Promise<void> {
     this.store.faultFor({ fault: 'none' });
     await Promise.all(this.daemons.map(({ daemon }) => daemon.stop()));
--- a/standIns/site/StoreStandIn.ts
+++ b/standIns/site/StoreStandIn.ts
@@ -1,5 +1,6 @@
 /**
- * A stand-in of the platform's store: conditions, leases, watches and faults, in memory.
+ * Stand-in for the platform's store, in memory: transactions with conditions, leases, watches, restores from a copy, and
+ * faults.
  */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
@@ -11,7 +12,7 @@
 /** A key with its value. */
 export interface StoreItem {
   readonly key: string;
-  /** Base64. */
+  /** In base64. */
   readonly value: string;
   readonly revision: number;
   readonly create_rev: number;
@@ -42,19 +43,19 @@
 }
 
 /**
- * How calls are answered: `busy` refuses with 503, `silent` never answers, `reset` resets connections, `slow` takes
- * its time, `loses_answers` does what it is asked and resets the connection instead of saying so.
+ * How calls are answered: `busy` refuses with 503, `silent` never answers, `reset` resets connections, `slow` delays
+ * each answer, `loses_answers` executes the call and resets the connection instead of answering.
  */
 export type StoreFault = 'none' | 'busy' | 'silent' | 'reset' | 'slow' | 'loses_answers';
 
 /** Options of {@link StoreStandIn.faultFor}. */
 export interface FaultFor {
   fault: StoreFault;
-  /** Only calls from this port's connections are concerned; all others are served. */
+  /** Selects the calls that the fault applies to; all others are served. */
   concerns?: (request: IncomingMessage) => boolean;
 }
 
-/** Everything that the store held at one moment. */
+/** The state of the store at one moment. */
 export interface StoreCopy {
   readonly items: ReadonlyMap<string, StoreItem>;
   readonly history: readonly (StoreItem | Removal)[];
@@ -73,12 +74,12 @@
   return Buffer.from(JSON.stringify(content)).toString('base64');
 }
 
-/** Serves the store's calls on a loopback port. */
+/** Serves the store's HTTP calls on a loopback port. */
 export class StoreStandIn {
-  /** Calls by method and path without parameters. */
+  /** Number of calls by method and path, without parameters. */
   readonly calls = new Map<string, number>();
 
-  /** Gives an item as one caller is to see it, for example with an address on that caller's own path. */
+  /** Returns an item as a given caller sees it, for example with the address of that caller's own link. */
   seenAs: (item: StoreItem, request: IncomingMessage) => StoreItem = (item) => item;
 
   private readonly items = new Map<string, StoreItem>();
@@ -89,12 +90,12 @@
 
   private revision = 1;
 
-  /** Grows by one each time the store comes back from a copy. */
+  /** Number that grows by one with each restore; sent with all answers. */
   private era = 1;
 
   private nextLease = 1;
 
-  /** What operators and runners wrote last, by key; `undefined` for a key that they removed. */
+  /** Latest write of operators and runners for each key; `undefined` for a key that they removed. */
   private readonly written = new Map<string, unknown>();
 
   private readonly leases = new Map<number, { timer: NodeJS.Timeout; milliseconds: number }>();
@@ -103,7 +104,7 @@
 
   private fault: FaultFor = { fault: 'none' };
 
-  /** Calls that are done and whose answers are lost. */
+  /** Executed calls whose answers are to be lost. */
   private readonly lost = new WeakSet<ServerResponse>();
 
   private readonly server: Server;
@@ -114,13 +115,13 @@
     });
   }
 
-  /** @returns Its address, once it listens. */
+  /** @returns The address on which it listens. */
   async start(): Promise<string> {
     const { address, port } = await listen(this.server, { host: '127.0.0.1', port: 0 });
     return `${address}:${port}`;
   }
 
-  /** Ends everything. */
+  /** Stops the server and all timers. */
   stop(): void {
     for (const { timer } of this.leases.values()) clearTimeout(timer);
     for (const { timer } of this.waiters) clearTimeout(timer);
@@ -129,7 +130,7 @@
   }
 
   /**
-   * @param fault - how calls are answered from now on; watches that wait are cut.
+   * @param fault - how calls are answered from now on; waiting watches are cut.
    */
   faultFor(fault: FaultFor): void {
     this.fault = fault;
@@ -138,14 +139,14 @@
     }
   }
 
-  /** Forgets what has changed: watches from before get 410. */
+  /** Compacts the history: watches from an earlier revision get 410. */
   dropHistory(): void {
     this.history = [];
     this.historyStart = this.revision;
     for (const waiter of [...this.waiters]) this.cut(waiter);
   }
 
-  /** @returns A copy of everything that it holds, for {@link restore}. */
+  /** @returns A copy of the state, for {@link restore}. */
   copy(): StoreCopy {
     const { revision, historyStart, nextLease } = this;
     const leases = [...this.leases].map(
@@ -160,10 +161,10 @@
   }
 
   /**
-   * Comes back from a copy: what was written since is gone, and its revisions and leases are given out again. Calls that
-   * wait are cut.
+   * Restores the state from a copy: later writes are lost, and their revisions and leases are given out again. Waiting
+   * watches are cut.
    *
-   * @param copy - what it holds from now on.
+   * @param copy - the state to restore.
    */
   restore(copy: StoreCopy): void {
     for (const waiter of [...this.waiters]) this.cut(waiter);
@@ -182,9 +183,9 @@
   }
 
   /**
-   * Writes again what operators and runners wrote last, where the store holds something else.
+   * Repeats the latest writes of operators and runners that the store has lost.
    *
-   * @param prefix - of the keys.
+   * @param prefix - prefix of the keys.
    */
   writeAgain(prefix = ''): void {
     for (const [key, content] of this.written) {
@@ -195,10 +196,10 @@
   }
 
   /**
-   * Writes as an operator or a runner does.
+   * Writes a key on behalf of an operator or a runner.
    *
    * @param key - the key.
-   * @param content - encoded as JSON; `undefined` removes the key.
+   * @param content - the value, encoded as JSON; `undefined` removes the key.
    * @returns The new revision, ordered over restores as daemons know it.
    */
   write(key: string, content: unknown): number {
@@ -210,8 +211,8 @@
   }
 
   /**
-   * @param prefix - of keys.
-   * @returns The keys that begin so.
+   * @param prefix - prefix of the keys.
+   * @returns The keys with this prefix.
    */
   keys(prefix: string): string[] {
     return [...this.items.keys()].filter((key) => key.startsWith(prefix)).sort();
--- a/standIns/site/askDirectory.ts
+++ b/standIns/site/askDirectory.ts
@@ -1,12 +1,12 @@
 /**
- * The directory of a daemon as callers ask it.
+ * Queries the directory of a daemon as a caller does.
  */
 import type { RouterSettings } from '../../src/router/routerFeature.js';
 import { fetchText } from './SiteProcess.js';
 
 const PATH = '/v1/resolve';
 
-/** Where a caller is. */
+/** Location of a caller. */
 export interface CallerRegion {
   zone: string;
   region?: string;
@@ -15,9 +15,9 @@
 const OK = 200;
 
 /**
- * @param settings - of the daemon that is asked.
- * @param place - of the caller.
- * @returns The addresses for callers that it names; none where it does not answer, or has none.
+ * @param settings - settings of the daemon.
+ * @param place - location of the caller.
+ * @returns The addresses in its answer; empty if it does not answer with status 200.
  */
 export async function askDirectory(
   { addresses }: RouterSettings,
--- a/standIns/site/buildDaemon.ts
+++ b/standIns/site/buildDaemon.ts
@@ -1,5 +1,5 @@
 /**
- * Builds the daemon as it is deployed.
+ * Builds the daemon in the same way as a deployment.
  */
 import { execFileSync } from 'node:child_process';
 import { readFileSync } from 'node:fs';
@@ -8,8 +8,8 @@
 const RUN = /^run = "node (.*) target\/router\.cjs --callers=\{\{listen\.front\}\}"$/mu;
 
 /**
- * @param folder - where it is written.
- * @returns Arguments of the runtime: options as deployed, and the program.
+ * @param folder - output folder.
+ * @returns Arguments of the runtime: the options of the deployment, and the program.
  */
 export function buildDaemon(folder: string): string[] {
   execFileSync(process.execPath, ['--import', 'tsx', 'tools/buildPlatform.ts', folder]);
--- a/standIns/site/callSite.ts
+++ b/standIns/site/callSite.ts
@@ -1,30 +1,30 @@
 /**
- * A caller of the site: one request on a connection of its own.
+ * Sends one request to the site, on a new connection.
  */
 import { Agent, request as sendRequest } from 'node:http';
 import type { IncomingHttpHeaders } from 'node:http';
 
 import { SITE_HOST, SITE_KEY } from './StandInSite.js';
 
-/** What a caller sends. */
+/** A request of a caller. */
 export interface SiteCall {
-  /** IP number and port of a daemon. */
+  /** IP address and port of a daemon. */
   address: string;
   path: string;
   method?: string;
   body?: string;
   headers?: Record<string, string>;
-  /** Called with the connection's first bytes, for example to act while a stream runs. */
+  /** Called when the first bytes arrive, for example to act while a stream is in progress. */
   onData?: () => void;
   agent?: Agent;
 }
 
-/** What a caller gets. */
+/** The answer to a caller. */
 export interface SiteAnswer {
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
   readonly body: string;
-  /** Whether the answer ended as an HTTP message ends. */
+  /** Whether the HTTP message ended regularly. */
   readonly isComplete: boolean;
 }
 
@@ -32,7 +32,7 @@
 
 /**
  * @param call - the request.
- * @returns The answer, also where it breaks off in the middle.
+ * @returns The answer, also if it breaks off.
  */
 export function callSite({
   address,
--- a/standIns/site/freePort.spec.ts
+++ b/standIns/site/freePort.spec.ts
@@ -10,15 +10,14 @@
 const ROUNDS = 12;
 const PORTS_A_ROUND = 40;
 
-/** Few enough that processes ask for the same ones again and again. */
+/** Few ports, so that the processes compete for the same ones. */
 const LOWEST = 20_000;
 const END = 23_300;
 
 describe(freePort.name, () => {
   it('gives a port to one process only, however many ask at the same time', async () => {
-    // Symptom: once in some runs a daemon ends at its start, since its address is in use. Sequence: it is given a port
-    // that is free; before it opens that, a stand-in of another process is given the same one, or opens it for a moment
-    // to see whether it is free. Cause: a port was looked at, and not reserved.
+    // Guards against a daemon that sometimes fails at its start with an address in use: between the check of a free port and
+    // its use, another process got the same port or opened it for its own check.
     const program = ['--import', 'tsx', 'standIns/site/openPorts.ts'];
     const words = [ROUNDS, PORTS_A_ROUND, LOWEST, END].map(String);
     const runs = Array.from({ length: PROCESSES }, () =>
--- a/standIns/site/freePort.ts
+++ b/standIns/site/freePort.ts
@@ -1,9 +1,9 @@
 /**
- * Ports for daemons that are told where to listen, and that may open them much later, more than once, or never.
+ * Reserves ports for daemons, which may open them much later, several times, or never.
  *
- * What goes wrong with a port that is only looked at: it is free, and another process is given it, or looks at it, just
- * when its daemon opens it. One would see a daemon end at its start with an address in use, once in some runs. So a port
- * is reserved by opening it at an address of its own, which nobody else uses and which all who ask for ports try first.
+ * If a port were only checked for being free, another process could get or check the same port just when the daemon opens
+ * it, and the daemon would sometimes fail at its start with an address in use. So a port is reserved by opening it at a
+ * separate loopback address, which is used for nothing else and which all callers of this function try first.
  */
 import { randomInt } from 'node:crypto';
 import { createServer } from 'node:net';
@@ -13,20 +13,20 @@
 
 /** Options of {@link freePort}. */
 export interface FreePortOptions {
-  /** The lowest port that is given. */
+  /** Lowest port of the range. */
   lowest?: number;
-  /** The first port that is not given any more. */
+  /** First port above the range. */
   end?: number;
 }
 
-/** Below the ports that the system gives to outgoing connections, which could take one before its daemon does. */
+/** Range below the ephemeral ports: outgoing connections could otherwise take a port before its daemon opens it. */
 const LOWEST_PORT = 10_000;
 const END_OF_PORTS = 32_000;
 
-/** Where daemons listen. */
+/** Address on which daemons listen. */
 const HOST = '127.0.0.1';
 
-/** Where a port is held open for as long as the process lives that it was given to. */
+/** Address on which a port is held open as its reservation, until this process ends. */
 const RESERVATION_HOST = '127.77.0.1';
 
 async function open(host: string, port: number): Promise<Server | undefined> {
@@ -35,7 +35,7 @@
     await listen(server, { host, port });
     return server;
   } catch {
-    // Somebody else has it: the answer to the question.
+    // Not an error: the port is in use.
     return undefined;
   }
 }
@@ -57,8 +57,8 @@
 }
 
 /**
- * @param options - the range.
- * @returns A loopback port that nobody has, and that nobody else is given while this process lives.
+ * @param options - the range of ports.
+ * @returns A free loopback port that is given to no other caller while this process lives.
  */
 export async function freePort({
   lowest = LOWEST_PORT,
--- a/standIns/site/openPorts.ts
+++ b/standIns/site/openPorts.ts
@@ -1,6 +1,6 @@
 /**
- * A process that asks for ports again and again, and opens each as a daemon does, a little later. It prints how many of
- * them could not be opened.
+ * A process that repeatedly reserves ports and opens each a little later, as a daemon does. Prints how many of them
+ * could not be opened.
  */
 import { createServer } from 'node:net';
 import type { Server } from 'node:net';
--- a/standIns/site/siteLoad.ts
+++ b/standIns/site/siteLoad.ts
@@ -1,5 +1,5 @@
 /**
- * Load for a site: requests of all kinds at a steady rate, with what callers got and how long they waited.
+ * Generates load for a site: requests of all kinds at a constant rate, with the results and latencies of callers.
  */
 import { Agent } from 'node:http';
 
@@ -11,24 +11,24 @@
 
 /** Options of {@link runSiteLoad}. */
 export interface SiteLoadOptions {
-  /** IP numbers and ports of daemons, asked before each request. */
+  /** Returns the IP addresses and ports of daemons; called before each request. */
   addresses: () => readonly string[];
-  /** Requests a second, over all daemons. */
+  /** Requests per second, over all daemons. */
   rate: number;
   seconds: number;
   seed?: number;
-  /** Different shared prompts. */
+  /** Number of different shared prompts. */
   prompts?: number;
-  /** Bytes of a chat's body. */
+  /** Size of a chat's body, in bytes. */
   bodyBytes?: number;
 }
 
-/** What came of a load. */
+/** Results of a load. */
 export interface SiteLoadResult {
   readonly sent: number;
-  /** By status; 0 where a connection broke. */
+  /** Number of answers by status; 0 stands for a broken connection. */
   readonly statuses: Readonly<Record<string, number>>;
-  /** Until the whole answer, in ms. */
+  /** Time until the complete answer, in ms. */
   readonly medianMilliseconds: number;
   readonly slowestMilliseconds: number;
 }
@@ -39,10 +39,10 @@
 const WRITE_SHARE = 0.2;
 
 /**
- * Sends requests at their times, whether earlier ones have been answered or not.
+ * Sends requests at fixed times, regardless of whether earlier ones have been answered (open loop).
  *
- * @param options - where, how many and how long.
- * @returns What callers got.
+ * @param options - the daemons, the rate and the duration.
+ * @returns The results.
  */
 export async function runSiteLoad({
   addresses,
@@ -59,7 +59,7 @@
   const pending: Promise<void>[] = [];
   const body = 'x'.repeat(bodyBytes);
   const refusing = new Set<string>();
-  /** Callers leave an address alone that refused a connection; nothing was sent there. */
+  /** Addresses that refused a connection. Callers avoid them, since nothing was sent there. */
   const callAnywhere = async (call: Omit<SiteCall, 'address'>): Promise<number> => {
     const choices = addresses().filter((address) => !refusing.has(address));
     const address = choices[Math.floor(random() * choices.length)];
