Stand-ins go on when a caller leaves in the middle of a request

Cause: the stand-ins of store and runners read a request's body without regard to a connection that is reset meanwhile, as by the kill of a daemon that sends a write. Both read it by one function now, which tells a caller that has left.

--- a/standIns/site/SiteRunner.ts
+++ b/standIns/site/SiteRunner.ts
@@ -7,6 +7,7 @@
 
 import { listen } from '../../src/http/listen.js';
 import { parseAddress } from '../../src/http/parseAddress.js';
+import { readBody } from './readBody.js';
 
 /** How a runner handles requests. */
 export type RunnerBehaviour =
@@ -197,8 +198,8 @@
   }
 
   private async take(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const chunks: Buffer[] = [];
-    for await (const chunk of request) chunks.push(chunk as Buffer);
+    const body = await readBody(request);
+    if (body === undefined) return;
     const expected = request.headers['expect-instance'];
     this.arrivals.push(performance.now());
     if (this.saysLeaving) response.setHeader('Server-Leaving', '1');
@@ -214,7 +215,7 @@
       return;
     }
     const { method = 'GET', url: target = '/', headers } = request;
-    const received = { id, method, target, headers, body: Buffer.concat(chunks).toString() };
+    const received = { id, method, target, headers, body };
     this.ran.push(received);
     this.options.onRan(received, request.socket.remoteAddress ?? '');
     if (this.options.isFatal(received)) {
--- a/standIns/site/StoreStandIn.ts
+++ b/standIns/site/StoreStandIn.ts
@@ -8,6 +8,7 @@
 
 import { listen } from '../../src/http/listen.js';
 import { orderedRevisionOf } from '../../src/sync/orderedRevision.js';
+import { readBody } from './readBody.js';
 
 /** A key with its value. */
 export interface StoreItem {
@@ -223,9 +224,8 @@
     const name = `${request.method} ${pathname.replace(/\/\d+$/u, '')}`;
     this.calls.set(name, (this.calls.get(name) ?? 0) + 1);
     if (await this.isFaulty(request, response)) return;
-    const chunks: Buffer[] = [];
-    for await (const chunk of request) chunks.push(chunk as Buffer);
-    const text = Buffer.concat(chunks).toString();
+    const text = await readBody(request);
+    if (text === undefined) return;
     const body: unknown = text === '' ? {} : JSON.parse(text);
     const lease = Number(pathname.split('/').at(-1));
     if (name === 'GET /v1/kv-key') this.readKey(searchParams, response);
