--- a/soak/faults/faultPlan.ts
+++ b/soak/faults/faultPlan.ts
@@ -79,35 +79,18 @@
 /** Time from one restore of the store to the next, in ms: some come while the one before is still being followed. */
 const RESTORE_PAUSES: readonly [number, number] = [1_000, 9_000];
 
-/** Drawn after all others, which stay as they are for a seed. */
-function planRestores(draw: Draw, seconds: number): PlannedFault[] {
+/** Plans faults of one kind, one after the other. */
+function planSeparately(
+  draw: Draw,
+  seconds: number,
+  pauses: readonly [number, number],
+  create: () => Fault,
+): PlannedFault[] {
   const plan: PlannedFault[] = [];
   let at = SERIES_MILLISECONDS;
   while (at < seconds * 1_000) {
-    plan.push({ at, fault: new RestoredStore(draw) });
-    at += draw.between(...RESTORE_PAUSES);
-  }
-  return plan;
-}
-
-/** Drawn after those of the series and the statements, which stay as they are for a seed. */
-function planEvacuations(draw: Draw, seconds: number): PlannedFault[] {
-  const plan: PlannedFault[] = [];
-  let at = SERIES_MILLISECONDS;
-  while (at < seconds * 1_000) {
-    plan.push({ at, fault: new EvacuatedPlace(draw) });
-    at += draw.between(...EVACUATION_PAUSES);
-  }
-  return plan;
-}
-
-/** Drawn after those of the series, which stay as they are for a seed. */
-function planStatements(draw: Draw, seconds: number): PlannedFault[] {
-  const plan: PlannedFault[] = [];
-  let at = SERIES_MILLISECONDS;
-  while (at < seconds * 1_000) {
-    plan.push({ at, fault: new (draw.one([FatalRequest, RunnerSaysItLeaves]))(draw) });
-    at += draw.between(...STATEMENT_PAUSES);
+    plan.push({ at, fault: create() });
+    at += draw.between(...pauses);
   }
   return plan;
 }
@@ -130,6 +113,12 @@
     }
     at += draw.between(...PAUSES);
   }
-  const evacuations = [...planStatements(draw, seconds), ...planEvacuations(draw, seconds)];
-  return [...plan, ...evacuations, ...planRestores(draw, seconds)];
+  // Each kind is drawn after the ones before it, whose faults stay the same for a seed.
+  const statement = () => new (draw.one([FatalRequest, RunnerSaysItLeaves]))(draw);
+  const statements = planSeparately(draw, seconds, STATEMENT_PAUSES, statement);
+  const evacuation = () => new EvacuatedPlace(draw);
+  const evacuations = planSeparately(draw, seconds, EVACUATION_PAUSES, evacuation);
+  const restore = () => new RestoredStore(draw);
+  const restores = planSeparately(draw, seconds, RESTORE_PAUSES, restore);
+  return [...plan, ...statements, ...evacuations, ...restores];
 }
