Keep the pages of the full read that follows a restore when one of them fails

Found by reading the change: while that read was due, each step began it anew, so that a refused page cost all pages before it. The new case of StoreFollower.spec fails without the change. What FleetKnowledge knows of a restore is a class of its own now (StoreRestoreTracker); names and comments of the change read once more.

--- a/src/router/KnowledgeChangeHandler.ts
+++ b/src/router/KnowledgeChangeHandler.ts
@@ -71,7 +71,7 @@
   configurationChanged({ version, routes, limits }: RoutingConfiguration): void {
     const { applyLimits, log } = this.options;
     applyLimits(limits);
-    const fields = { version, routes: routes.length, ...this.revisionFields };
+    const fields = { version, routes: routes.length, ...this.positionFields };
     log.write(syncLogEvents.configurationInForce, fields);
   }
 
@@ -106,7 +106,7 @@
    */
   evacuationChanged(dataCentre: string, state: 'begun' | 'over'): void {
     const { log, dataCentres } = this.options;
-    const fields = { dataCentre, state, ...this.revisionFields };
+    const fields = { dataCentre, state, ...this.positionFields };
     if (!dataCentres.includes(dataCentre)) {
       log.write(syncLogEvents.evacuationUnknown, fields);
       return;
@@ -162,7 +162,7 @@
   }
 
   /** Where in the store's history this daemon is, for log lines. */
-  private get revisionFields(): ReturnType<typeof revisionFields> {
+  private get positionFields(): ReturnType<typeof revisionFields> {
     return revisionFields(this.options.revision());
   }
 
@@ -170,7 +170,7 @@
     const changed = this.changedRunners;
     this.changedRunners = [];
     const { log } = this.options;
-    const position = this.revisionFields;
+    const position = this.positionFields;
     for (const { entry, state } of changed.slice(0, MAXIMUM_LOGGED_RUNNERS)) {
       const { id: runner, life, service, coldMilliseconds } = entry;
       const fields = { runner, life, state, service, coldMilliseconds, ...position };
@@ -190,7 +190,7 @@
       listedCount: listed.length,
       gone: gone.slice(0, MAXIMUM_LOGGED_DAEMONS),
       goneCount: gone.length,
-      ...this.revisionFields,
+      ...this.positionFields,
     });
   }
 }
--- a/src/sync/FleetKnowledge.ts
+++ b/src/sync/FleetKnowledge.ts
@@ -11,10 +11,9 @@
 import type { DaemonEntry, StoreFact, StoreRead } from './FleetStore.js';
 import { digestOf, factsOf, isListingFact } from './listings.js';
 import type { KnowledgeListener, KnowledgeSnapshot } from './knowledgeTypes.js';
-import { epochOf } from './orderedRevision.js';
 import type { ChangeMoment } from './RunnerListing.js';
 import { RunnerListing } from './RunnerListing.js';
-import { LAPSE_GRACE_MILLISECONDS } from './StoreOutageDetector.js';
+import { StoreRestoreTracker } from './StoreRestoreTracker.js';
 import { UnreadableEntries } from './UnreadableEntries.js';
 
 /** Options of a {@link FleetKnowledge}. */
@@ -45,11 +44,7 @@
 
   private cachedDigest: number | undefined;
 
-  /** The revision that was known before a restore of the store that has not been reported yet. */
-  private restoredFrom: number | undefined;
-
-  /** When a full read is due that decides what a restored store has lost, monotonic ms. */
-  private confirmAt = Number.POSITIVE_INFINITY;
+  private readonly restores = new StoreRestoreTracker();
 
   /** Number of changes of the configuration, the runners and the evacuations so far. */
   private changes = 0;
@@ -132,11 +127,11 @@
 
   /**
    * @param now - monotonic milliseconds.
-   * @returns Whether everything has to be read again: some time ago the store was restored from an older copy, and what
-   *   is still missing by now has been lost, or what is still listed by now is there.
+   * @returns Whether everything has to be read again, since the store was restored from an older copy some time ago:
+   *   entries that are still missing have been lost, and entries that are still listed are valid.
    */
   isFullReadDue(now: number): boolean {
-    return now >= this.confirmAt || this.listing.isFullReadDue(now);
+    return this.restores.isFullReadDue(now) || this.listing.isFullReadDue(now);
   }
 
   /** Records that a call of this daemon to the store failed. */
@@ -196,7 +191,7 @@
       return;
     }
     this.enterEpoch(read.revision, now);
-    if (now >= this.confirmAt) this.confirmAt = Number.POSITIVE_INFINITY;
+    this.restores.recordFullRead(now);
     const runners = new Set<string>();
     const daemons = new Set<string>();
     const evacuated = new Set<string>();
@@ -298,23 +293,20 @@
   }
 
   /**
-   * Prepares for the state of a restored store. The configuration needs nothing, since its version never goes back.
+   * Prepares the listings for the state of a restored store. The configuration needs nothing: its version never goes back.
    *
    * @param revision - ordered revision of the state that is about to be applied.
    * @param now - monotonic milliseconds.
    */
   private enterEpoch(revision: number, now: number): void {
-    if (this.revision === 0 || epochOf(revision) <= epochOf(this.revision)) return;
-    this.restoredFrom = this.revision;
-    this.confirmAt = now + LAPSE_GRACE_MILLISECONDS;
+    if (!this.restores.detect(this.revision, revision, now)) return;
     this.listing.handleRestore(now);
     this.evacuations.handleRestore(now);
   }
 
   private reportRestore(): void {
-    const knownRevision = this.restoredFrom;
+    const knownRevision = this.restores.takeUnreported();
     if (knownRevision === undefined) return;
-    this.restoredFrom = undefined;
     this.listener.storeRestored({
       knownRevision,
       revision: this.revision,
--- a/src/sync/FleetSecretProposer.ts
+++ b/src/sync/FleetSecretProposer.ts
@@ -50,7 +50,8 @@
   }
 
   /**
-   * Proposes a secret if the store has none or may have lost it. The store keeps the first proposal and returns it with the next changes.
+   * Proposes a secret if the store has none or may have lost it. The store keeps the first proposal and returns it with
+   * the next changes.
    * Only the first listed daemon proposes: if all daemons of a fleet that starts at once did, there would be 195 writes
    * for one secret.
    *
--- a/src/sync/StoreFollower.spec.ts
+++ b/src/sync/StoreFollower.spec.ts
@@ -149,6 +149,29 @@
     expect(store.pendingReads.at(-1)?.after).toEqual(undefined);
   });
 
+  it('has only the page read again that failed in the last full read', async () => {
+    // Guards against a large fleet's readers that begin anew at each call that a store refuses after its return.
+    const { store, clock, pauses, follower } = await follow();
+    follower.readNow('everything');
+    await settle();
+    store.pendingReads[1]?.answer({ revision: restored(5), facts: [] });
+    await settle();
+    clock.advance(2_300);
+    pauses.at(-1)?.end();
+    await settle();
+    store.pendingReads[2]?.answer({ revision: restored(6), facts: [], next: 'servers/i-5' });
+    await settle();
+    store.pendingReads[3]?.fail(new Error('429'));
+    await settle();
+    pauses.at(-1)?.end();
+    await settle();
+    expect(store.pendingReads.slice(2).map(({ from }) => from)).toEqual([
+      undefined,
+      'servers/i-5',
+      'servers/i-5',
+    ]);
+  });
+
   it('between two pages has the first one read again', async () => {
     const { store } = await followFrom({ revision: 10, facts: [], next: 'servers/i-5' });
     store.pendingReads[1]?.answer({ revision: restored(5), facts: [] });
--- a/src/sync/StoreFollower.ts
+++ b/src/sync/StoreFollower.ts
@@ -179,7 +179,8 @@
     }
     this.mustRead = false;
     const { knowledge, clock } = this.options;
-    if (knowledge.isFullReadDue(clock.monotonicMilliseconds())) this.resetToFullRead();
+    const isFullReadDue = knowledge.isFullReadDue(clock.monotonicMilliseconds());
+    if (this.revision !== undefined && isFullReadDue) this.resetToFullRead();
     try {
       if (this.revision === undefined || this.hasMissedRestore(this.revision)) await this.readAll();
       else await this.readChanges(this.revision);
