Reword the comments of tests/

The stories of failures at the head of tests are a line or two now that say what the test guards against; figures are kept.

--- a/tests/FleetUnderTest.ts
+++ b/tests/FleetUnderTest.ts
@@ -1,5 +1,5 @@
 /**
- * The small fleet of both firms as the tests with real processes use it.
+ * The small fleet that tests with real processes use.
  */
 import { setImmediate as turn } from 'node:timers/promises';
 
@@ -26,8 +26,8 @@
 /**
  * Waits for a condition.
  *
- * @param condition - asked again and again.
- * @throws Error with the condition's text when it never comes.
+ * @param condition - checked at intervals.
+ * @throws Error with the condition's text if it does not hold in time.
  */
 export async function until(condition: () => boolean | Promise<boolean>): Promise<void> {
   const endsAt = performance.now() + PATIENCE_MILLISECONDS;
@@ -59,8 +59,8 @@
   }
 
   /**
-   * @param account - a client account.
-   * @param entries - addresses to use.
+   * @param account - the client account.
+   * @param entries - addresses of daemons.
    * @returns A caller.
    */
   caller(account: string, entries: readonly string[] = this.entries()): CallerClient {
@@ -68,8 +68,8 @@
   }
 
   /**
-   * @param entries - addresses to use, read anew for each call.
-   * @returns Long streams of the showroom.
+   * @param entries - addresses of daemons, read again for each call.
+   * @returns A load of long streams.
    */
   chats(entries: () => readonly string[] = () => this.entries()): ManyChats {
     return new ManyChats({
@@ -81,15 +81,15 @@
   }
 
   /**
-   * @param dataCentre - where it runs.
-   * @returns The daemon of that data centre that runs now.
+   * @param dataCentre - its data centre.
+   * @returns The running daemon of that data centre.
    */
   daemonOf(dataCentre: string): DaemonProcess {
     return this.fleet.runningDaemons().find(({ id }) => id === `daemon-${dataCentre}`)!;
   }
 
   /**
-   * @param id - the runner's name.
+   * @param id - the runner's id.
    * @returns The runner.
    */
   runner(id: string): RunnerProcess {
@@ -97,9 +97,9 @@
   }
 
   /**
-   * Starts a daemon anew under its name.
+   * Restarts a daemon under its name.
    *
-   * @param daemon - one that has ended.
+   * @param daemon - a daemon that has ended.
    * @returns The new process.
    */
   restart(daemon: DaemonProcess): Promise<DaemonProcess> {
--- a/tests/ManyChats.ts
+++ b/tests/ManyChats.ts
@@ -1,5 +1,6 @@
 /**
- * Many streams at once through a fleet of processes, each checked to be whole and its caller's own.
+ * Runs many concurrent streams through a fleet of processes, and checks that each one is complete and belongs to its
+ * caller.
  */
 import { setTimeout as wait } from 'node:timers/promises';
 
@@ -60,12 +61,12 @@
   private lastCode = '';
 
   /**
-   * @param expected - the one right answer.
+   * @param expected - the expected answer.
    */
   constructor(private readonly expected: string) {}
 
   /**
-   * @param result - of a call; `undefined` when its connection broke.
+   * @param result - the result of a call; `undefined` if its connection broke.
    */
   take(result: CallResult | undefined): void {
     this.calls += 1;
@@ -75,8 +76,8 @@
   }
 
   /**
-   * @param chat - its name.
-   * @returns How it ended.
+   * @param chat - name of the chat.
+   * @returns The outcome.
    */
   ending(chat: string): ChatEnding {
     const { calls, cuts, restarts, foreign, lastCode } = this;
@@ -110,7 +111,7 @@
   private ended = 0;
 
   /**
-   * @param options - where and as whom to call.
+   * @param options - addresses and client account.
    */
   constructor(options: ManyChatsOptions) {
     this.options = options;
@@ -128,9 +129,9 @@
   }
 
   /**
-   * @param count - chats at once.
-   * @param name - start of their names.
-   * @returns How each ended.
+   * @param count - number of concurrent chats.
+   * @param name - prefix of their names.
+   * @returns The outcome of each chat.
    */
   ask(count: number, name: string): Promise<ChatEnding[]> {
     return Promise.all(
@@ -186,17 +187,17 @@
 }
 
 /**
- * @param endings - of many chats.
- * @returns Those that did not bring the whole answer to their own question, and nothing else, in one stream.
+ * @param endings - outcomes of many chats.
+ * @returns Those whose single stream was not exactly the complete answer to their own request.
  */
 export function inexact(endings: readonly ChatEnding[]): readonly ChatEnding[] {
   return endings.filter(({ exact, restarts, foreign }) => !exact || restarts > 0 || foreign);
 }
 
 /**
- * @param endings - of many chats.
- * @returns Those that were not answered in the end, or that got anything but their own answer on the way. A
- *   stream that said in so many words that it cannot go on may have been asked anew.
+ * @param endings - outcomes of many chats.
+ * @returns Those that got no answer in the end, or anything but their own answer before. A request whose stream ended
+ *   with an explicit error may have been repeated.
  */
 export function wronglyAnswered(endings: readonly ChatEnding[]): readonly ChatEnding[] {
   return endings.filter(({ exact, foreign }) => !exact || foreign);
--- a/tests/askedPauses.spec.ts
+++ b/tests/askedPauses.spec.ts
@@ -1,5 +1,5 @@
 /**
- * Runners that refuse requests and say for how long they want none.
+ * Runners that refuse requests with a Retry-After.
  */
 import { afterEach, beforeEach, describe, it } from 'node:test';
 
--- a/tests/deadDaemons.spec.ts
+++ b/tests/deadDaemons.spec.ts
@@ -1,5 +1,5 @@
 /**
- * Where callers are sent after a daemon has died. Daemons are built and run as processes.
+ * Addresses in the directory after a daemon has died. Daemons are built and run as processes.
  */
 import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
@@ -23,12 +23,9 @@
 const PATIENCE_MILLISECONDS = 15_000;
 
 describe('the directory after a daemon has died', () => {
-  // Symptom: callers are sent to a daemon that has been off for more than 6 s; their connections hang until they give
-  // up. Sequence: a daemon loses power; the others serve on, hear no more from it, and name it in each answer until the
-  // store drops its entry. Cause: the directory took the store's list for the list of those that live; an entry stays
-  // until its lease of 9 s ends, and for good while nobody reads the store. Evidence: the store's record has no call of
-  // that daemon after its end; in this test, without a failure detector, the others named it until the store had dropped
-  // its entry, and for as long as the test waited where the store refused everybody.
+  // Guards against callers that are directed to a daemon which has been dead for more than 6 s, where their connections hang: the directory must not
+  // rely on the store's list, since an entry stays until its lease of 9 s ends, and longer while nobody reads the
+  // store.
   let folder: string;
   let program: string[];
   let site: StandInSite;
@@ -100,8 +97,8 @@
   });
 
   it('does not name it while the store refuses everybody since some daemons have started', async () => {
-    // Symptom: a third of a large fleet names a dead daemon for as long as the store is away. Sequence: the store goes away
-    // when some daemons do not know the fleet's secret yet; one dies. Cause: they cannot read who is told to be silent.
+    // Guards against daemons that keep naming a dead one while the store is away, because they do not know the fleet's
+    // secret yet and cannot read the others' messages about it.
     expect(await loseOneWithoutStore(LARGE)).toEqual(true);
   });
 
--- a/tests/fatalRequests.spec.ts
+++ b/tests/fatalRequests.spec.ts
@@ -1,5 +1,5 @@
 /**
- * A request that crashes each runner that runs it, and comes again at all daemons.
+ * A request that crashes each runner that runs it, and is repeated at all daemons.
  */
 import { afterEach, beforeEach, describe, it } from 'node:test';
 
--- a/tests/fleetFaults.spec.ts
+++ b/tests/fleetFaults.spec.ts
@@ -1,6 +1,6 @@
 /**
- * A fleet of real processes under failure: what callers see when daemons stop, die, freeze, and when the
- * platform is away.
+ * A fleet of real processes under faults: results of callers while daemons stop, die or freeze, and while the
+ * platform's store is unavailable.
  */
 import { after, before, describe, it } from 'node:test';
 
@@ -23,9 +23,8 @@
   after(() => world.stop());
 
   it('cuts no stream at a planned stop', async () => {
-    // Symptom: callers see cut streams whenever a daemon is replaced.
-    // Sequence: streams are open at a daemon and at the gates it holds; the daemon gets SIGTERM.
-    // Cause: the process would end, or hand its gates away, while attempts still run at them.
+    // Guards against streams that are cut by a planned stop: the daemon must not end or hand over its gates while
+    // attempts still run through them.
     const leaving = world.daemonOf('rosario-1');
     const chats = world.chats(() => [leaving.callerAddress]);
     const asked = chats.ask(CHATS, 'planned-stop');
@@ -40,9 +39,8 @@
   });
 
   it('lets every stream of a killed daemon go on through another', async () => {
-    // Symptom: a caller loses the rest of an answer, or gets parts twice, when a daemon dies.
-    // Sequence: streams are open through a daemon that is their entry and the gate of a runner; SIGKILL.
-    // Cause: the position of a stream would be known to the dead process only.
+    // Guards against a stream that loses or repeats parts after SIGKILL of the daemon that is its entry and the gate of
+    // its runner: its position must not be known to that process only.
     const victim = world.daemonOf('rosario-2');
     const chats = world.chats();
     const asked = chats.ask(CHATS, 'killed');
@@ -56,9 +54,8 @@
   });
 
   it('serves through the others while a daemon is frozen, and gives only own answers when it wakes', async () => {
-    // Symptom: answers late, crossed or twice after a paused process goes on where it was.
-    // Sequence: streams are open; SIGSTOP long enough that the others declare the daemon dead; SIGCONT.
-    // Cause: the woken daemon would act on gates, attempts and clocks from before its pause.
+    // Guards against late, crossed or repeated answers of a daemon that is resumed after the others have declared it
+    // dead: it must not act on gates, attempts and clocks from before its pause.
     const frozen = world.daemonOf('rosario-3');
     const others = (): string[] =>
       world.entries().filter((entry) => entry !== frozen.callerAddress);
@@ -70,15 +67,13 @@
     await waitForGates(world.fleet, frozen.id);
     frozen.program.signal('SIGCONT');
     expect(inexact(meanwhile)).toEqual([]);
-    // How long the runner keeps a stream that nobody reads is limited, so one may have to be asked anew.
+    // The runner keeps a stream without a reader only for a limited time, so that one request may have to be repeated.
     expect(wronglyAnswered(await asked)).toEqual([]);
     expect(inexact(await world.chats().ask(CHATS, 'after-wake'))).toEqual([]);
   });
 
   it('serves on while the platform is away, and also from a daemon that starts meanwhile', async () => {
-    // Symptom: requests fail, or a restarted daemon knows no account, while the key-value service is down.
-    // Sequence: the platform refuses every call; a daemon is killed and started anew; chats are asked.
-    // Cause: something on a request's way, or the cold start, would need the platform.
+    // Guards against failed requests and a cold start without accounts while the platform's store is unavailable.
     await world.fleet.setPlatformFaults({ outage: true });
     try {
       const victim = world.daemonOf('sofia-2');
--- a/tests/fleetPromises.spec.ts
+++ b/tests/fleetPromises.spec.ts
@@ -1,6 +1,6 @@
 /**
- * What must always hold, with real processes: at most once, no new work for a leaving runner, and a
- * configuration that is one for everybody.
+ * Guarantees with real processes: at-most-once execution, no new work for a leaving runner, and one configuration for
+ * all daemons.
  */
 import { randomUUID } from 'node:crypto';
 import { after, before, describe, it } from 'node:test';
@@ -109,9 +109,8 @@
   after(() => world.stop());
 
   it('runs a handover once when copies of it come through several daemons at the same time', async () => {
-    // Symptom: a parcel is handed over twice.
-    // Sequence: the caller's own retries reach three daemons while the first copy still runs.
-    // Cause: each daemon would run the copy that it got.
+    // Guards against a non-idempotent request that runs at several daemons because the caller repeats it while the
+    // first copy still runs.
     const parcel = 'P-copies';
     const entries = world.entries();
     const binding = await bindingAt(entries[0]!, parcel);
@@ -124,9 +123,8 @@
   });
 
   it('does not run a handover again when its answer was lost, and does not say "not run"', async () => {
-    // Symptom: a confirmation is repeated although it took effect.
-    // Sequence: the plain service does the work, and its connection breaks before the answer; the caller repeats.
-    // Cause: a lost answer would be taken for a request that never ran.
+    // Guards against a lost answer that is taken for a request that never ran: the service has done the work and its
+    // connection breaks before the answer.
     const parcel = 'P-lost';
     const [first, second] = world.entries();
     const binding = await bindingAt(first!, parcel);
@@ -140,9 +138,8 @@
   });
 
   it('does not run a handover again when the daemon that holds its binding is killed', async () => {
-    // Symptom: a handover runs twice when a daemon dies in the middle of it.
-    // Sequence: the bound daemon has sent it to the service and is killed; the caller repeats it elsewhere.
-    // Cause: another daemon would run it, because it cannot know what became of the first run.
+    // Guards against a second run of a request whose daemon was killed after it had sent the request: another daemon
+    // cannot know the outcome of the first run.
     const parcel = 'P-killed';
     const victim = world.daemonOf('rosario-2');
     const other = world.daemonOf('sofia-1');
@@ -160,9 +157,7 @@
   });
 
   it('gives a leaving runner no new work, and cuts nothing that runs there', async () => {
-    // Symptom: requests are lost with a runner that the platform takes away.
-    // Sequence: streams are open at the runner; the list shows it as leaving, then as live again by an old entry.
-    // Cause: a daemon with an older list, or the flapping entry, would bring it new work.
+    // Guards against new work for a leaving runner that an outdated entry lists as live again.
     const leaving = world.runner(LEAVING_RUNNER);
     const chats = world.chats();
     const asked = chats.ask(CHATS, 'before-leave');
@@ -178,9 +173,7 @@
   });
 
   it('makes a change once when the platform loses the answer to its write', async () => {
-    // Symptom: a change is in the history twice, or was reported as failed although it is in force.
-    // Sequence: the platform commits the write and the answer is lost.
-    // Cause: the daemon cannot tell a lost answer from a lost request.
+    // Guards against a committed change that is reported as failed or made twice because the store's answer was lost.
     const changeId = randomUUID();
     await world.fleet.planPlatformFault('transact', 'lose_answer');
     const { revision } = await applyAt(world.daemonOf('rosario-1'), 1.3, changeId);
@@ -189,9 +182,8 @@
   });
 
   it('lets one of two operators win a race, and shows the other what is there', async () => {
-    // Symptom: one operator's change disappears without a word.
-    // Sequence: two operators read the same revision and change the same policy through two daemons.
-    // Cause: the later write would replace the earlier one.
+    // Guards against a lost update: two operators change the same policy, based on the same revision, through two
+    // daemons.
     const operator = world.fleet.operator();
     const key = { kind: 'routing_policy', name: 'raced' };
     const { changedRevision: expectedRevision } = await operator.call(ResourceService, (service) =>
@@ -213,9 +205,8 @@
   });
 
   it('names the daemon on which a change is not in force', async () => {
-    // Symptom: an operator believes that a change is in force everywhere while one daemon still acts on the old.
-    // Sequence: one daemon is frozen; a change is made; the operator waits for it.
-    // Cause: the daemons that answer would be taken for all.
+    // Guards against a change that is reported as in force everywhere while a frozen daemon still applies the previous
+    // one.
     const frozen = world.daemonOf('sofia-2');
     const asked = world.daemonOf('rosario-1');
     frozen.program.signal('SIGSTOP');
@@ -225,7 +216,7 @@
       service.waitInForce({ revision, timeoutMilliseconds: SHORT_WAIT_MILLISECONDS }),
     );
     frozen.program.signal('SIGCONT');
-    // Others may still lag after so short a time; the frozen one has to be among them.
+    // Others may lag after so short a time, too; the frozen one must be among them.
     const named = lagging.some(({ daemonId }) => daemonId === frozen.id);
     expect([inForce, named]).toEqual([false, true]);
     await waitInForce(world.fleet, revision);
--- a/tests/leavingRunners.spec.ts
+++ b/tests/leavingRunners.spec.ts
@@ -1,5 +1,5 @@
 /**
- * What runners say of themselves in their answers, while the store still lists them as before.
+ * Runners that announce in their answers that they leave, while the store still lists them as ready.
  */
 import { afterEach, beforeEach, describe, it } from 'node:test';
 
--- a/tests/movedCaller.spec.ts
+++ b/tests/movedCaller.spec.ts
@@ -41,9 +41,8 @@
   }
 
   it('has its order run once, and gets the answer to its next request only', async () => {
-    // Symptom: a board is reserved twice, and a caller takes another request's answer for its own. Sequence: a caller
-    // walks to another hall while its order runs, and asks there; the first daemon still has the order. Cause: a daemon
-    // that has lost its caller sends the order once more, or an answer without a caller goes to the next one.
+    // Guards against a second run of an order, and against an answer that reaches another request, when a caller moves
+    // to another daemon while its order still runs at the first one.
     plain.behaviour = 'mute';
     const agent = new Agent({ keepAlive: true });
     const headers = { 'Attempt-Id': 'order' };
--- a/tests/readmeCommands.spec.ts
+++ b/tests/readmeCommands.spec.ts
@@ -1,5 +1,5 @@
 /**
- * What the README shows, runs: every command of its blocks, as a newcomer types it.
+ * Runs every command of the README's code blocks.
  */
 import { exec } from 'node:child_process';
 import { readFileSync } from 'node:fs';
@@ -45,14 +45,13 @@
 
 /** Fails with what the command has written. */
 async function run(command: string): Promise<string> {
-  // A program that finds this variable takes itself for a part of the test.
+  // A program with this variable in its environment behaves as a part of the test run.
   const env = { ...process.env, NODE_TEST_CONTEXT: undefined };
   const { stdout } = await promisify(exec)(command, { env, timeout: TIMEOUT_MILLISECONDS });
   return stdout;
 }
 
-// Symptom: a newcomer types a command of the README, and it ends with an error or does nothing. Sequence: a program was
-// moved, and what starts it was not. Cause: no test ran what the README shows.
+// Guards against commands of the README that fail because a program was moved.
 describe('the README', () => {
   it('shows the commands that the test leaves out, and more', () => {
     const shown = new Set(shownCommands());
--- a/tests/retryBudget.spec.ts
+++ b/tests/retryBudget.spec.ts
@@ -1,5 +1,5 @@
 /**
- * What the whole fleet sends once more while its runners fail and its daemons start again.
+ * Retries of the whole fleet while its runners fail and its daemons restart.
  */
 import { afterEach, beforeEach, describe, it } from 'node:test';
 
@@ -71,7 +71,7 @@
     await Promise.all(ended);
   }
 
-  // Guards against an allowance for each life of a daemon.
+  // Guards against a retry allowance that each incarnation of a daemon gets anew.
   it('is kept over the lives of daemons that start again', async () => {
     for (let start = 0; start < STARTS; start += 1) {
       if (start > 0) await endDaemons();
--- a/tests/rollingRestart.spec.ts
+++ b/tests/rollingRestart.spec.ts
@@ -1,5 +1,5 @@
 /**
- * An upgrade as operators do it: every daemon is replaced, one after the other, under load.
+ * A rolling upgrade under load: all daemons are replaced one after the other.
  */
 import { after, before, describe, it } from 'node:test';
 
@@ -18,9 +18,8 @@
   after(() => world.stop());
 
   it('costs no answer, daemon by daemon, with streams open throughout', async () => {
-    // Symptom: an upgrade of the fleet costs answers.
-    // Sequence: one daemon after the other gets SIGTERM and is started anew while chats are asked all the time.
-    // Cause: gates and homes would move faster than the lists of the daemons agree on them.
+    // Guards against lost answers in a rolling restart: gates and homes must not move faster than the daemons' lists
+    // agree on them.
     for (const daemon of world.fleet.runningDaemons()) {
       const chats = world.chats();
       const asked = chats.ask(CHATS, `rolling-${daemon.id}`);
--- a/tests/sitePath.spec.ts
+++ b/tests/sitePath.spec.ts
@@ -77,8 +77,8 @@
   });
 
   it('goes on with a cut stream at another runner, within the same answer', async () => {
-    // Symptom: a caller sees half an event, an event twice, or a gap. Sequence: a runner dies in the middle
-    // of an event; the stream may be resumed. Cause: bytes of the unfinished event had been passed on.
+    // Guards against half an event, a repeated one or a gap in a resumed stream: bytes of an unfinished event must not
+    // be passed on.
     engine.behaviour = 'cuts_stream';
     const second = await site.addRunner({ id: 'engine-2', service: 'engine' });
     await site.until(() => site.daemons[0]?.daemon.knowledge.runners.size === 3);
@@ -103,8 +103,7 @@
   });
 
   it('cuts the answer where a stream may not be resumed', async () => {
-    // Symptom: a caller takes half a draft for the whole. Sequence: the runner dies in the middle of a stream
-    // that may not run twice. Cause: an answer that ends as HTTP messages end looks complete.
+    // Guards against a cut stream that looks complete to its caller because the HTTP message ends regularly.
     engine.behaviour = 'cuts_stream';
     const answer = await callSite({ address, path: '/draft/', headers: CHAT });
     expect(answer.isComplete).toEqual(false);
@@ -113,8 +112,7 @@
   });
 
   it('does not repeat what may run once when its answer is lost', async () => {
-    // Symptom: a board is reserved twice. Sequence: a runner reserves it and its answer is lost; another
-    // runner is free. Cause: a reset tells nothing of whether the request has run.
+    // Guards against a repeated non-idempotent request: after a reset it is unknown whether the request has run.
     await site.addRunner({ id: 'plain-2', service: 'plain' });
     await site.until(() => site.daemons[0]?.daemon.knowledge.runners.size === 3);
     for (const runner of site.runners) runner.behaviour = 'loses_answer';
@@ -154,16 +152,15 @@
   });
 
   it('tells the end of a request once, also where a second try finds no runner', async () => {
-    // Symptom: more requests end than come. Sequence: a runner answers with an error of its own, and there is
-    // no other. Cause: the search for another runner ends the request, and so does whoever asked for it.
+    // Guards against a request that is ended twice: by the failed search for another runner, and by its caller.
     plain.behaviour = 'fails';
     await callSite({ address, path: '/read/a' });
     expect(log.fieldsOf(forwardingLogEvents.answered).length).toEqual(1);
   });
 
   it('says which runner broke off an answer that is too large to be held', async () => {
-    // Symptom: a caller complains of half an answer, and no line names the runner. Sequence: a large answer
-    // passes as it comes, and its runner dies. Cause: no other runner can do better, so nothing was decided.
+    // Guards against a cut answer without a log line that names the runner: a large answer is passed on while it
+    // arrives, so that there is no decision about another runner.
     const plainBody = 'x'.repeat(600_000);
     const large = await site.addRunner({ id: 'plain-2', service: 'plain', plainBody });
     large.behaviour = 'cuts_plain';
@@ -180,8 +177,8 @@
   });
 
   it('passes an answer that is too large to be held', async () => {
-    // Symptom: large answers end broken. Sequence: an answer outgrows what is held for a second try, passes as
-    // it comes, and ends. Cause: its end was taken for a second answer behind one that had begun.
+    // Guards against broken large answers: an answer that outgrows the buffer for a second attempt is passed on, and
+    // its end must not be taken for a second answer.
     const plainBody = 'x'.repeat(600_000);
     const large = await site.addRunner({ id: 'plain-2', service: 'plain', plainBody });
     site.store.write('servers/plain-1', undefined);
@@ -195,8 +192,8 @@
   });
 
   it('ends a request at the timeout of its route, and its run with it', async () => {
-    // Symptom: callers wait beyond the operators' timeout, and the runner works on for nobody. Sequence: a
-    // runner says nothing. Cause: only the caller's own, longer deadline was watched.
+    // Guards against requests that last longer than the timeout of their route, because only the caller's longer
+    // deadline is observed, and against runners that keep working for them.
     site.store.write('op/config', siteConfiguration(2, { timeout: 60 }));
     const { knowledge } = site.daemons[0]?.daemon ?? {};
     await site.until(() => knowledge?.routes?.configuration.version === 2);
@@ -221,8 +218,8 @@
   });
 
   it('sends nothing new to a draining runner, and finishes what it has', async () => {
-    // Symptom: requests reach a runner that has announced its end. Sequence: it writes that it drains while
-    // a stream runs. Cause: the list was read once, or the stream's connection was closed with it.
+    // Guards against new requests to a runner that drains while a stream runs, and against a stream that is cut with
+    // it.
     await site.addRunner({ id: 'engine-2', service: 'engine' });
     const { knowledge } = site.daemons[0]?.daemon ?? {};
     await site.until(() => knowledge?.runners.size === 3);
@@ -238,8 +235,8 @@
   });
 
   it('sends chats to a runner that has started again under its id, as to a new one', async () => {
-    // Symptom: a chat waits on connections and counts of a runner that is no more. Sequence: a runner crashes and
-    // starts again under its id and address, and its entry never lapses. Cause: the entry looked unchanged.
+    // Guards against connections and counts of an earlier incarnation: a runner restarts under its id and address, and
+    // its entry never lapses.
     const { knowledge } = site.daemons[0]?.daemon ?? {};
     await callSite({ address, path: '/chat/', headers: CHAT });
     const before = knowledge?.runners.get('engine-1');
@@ -269,8 +266,8 @@
   });
 
   it('reads everything anew when the store has forgotten its history', async () => {
-    // Symptom: a daemon keeps sending to a runner that is gone. Sequence: the watch is cut, a runner leaves,
-    // and the store drops its history. Cause: what was removed is in no later change.
+    // Guards against requests to a runner that left while the watch was interrupted, after which the store compacted
+    // its history: no later change contains the removal.
     const { knowledge } = site.daemons[0]?.daemon ?? {};
     site.store.faultFor({ fault: 'busy' });
     site.store.write('servers/engine-1', undefined);
@@ -280,8 +277,7 @@
   });
 
   it('learns from another daemon what the store does not tell it', async () => {
-    // Symptom: one daemon refuses a new route for seconds. Sequence: the store turns this daemon away and
-    // serves the others; an operator adds the route. Cause: it waited for the store alone.
+    // Guards against a daemon that does not know a new route for seconds because the store refuses this daemon only.
     const first = site.daemons[0];
     if (!first) throw new Error('the site has no daemon');
     const second = await site.addDaemon('daemon-2', [first.settings.addresses.peers]);
@@ -290,7 +286,7 @@
     site.store.faultFor({
       fault: 'busy',
       concerns: ({ socket }) => {
-        // The daemon that is turned away is the one whose watch comes first from now on.
+        // From now on the store refuses the daemon whose watch arrives first.
         if (own.size === 0) own.add(socket.remotePort ?? 0);
         return own.has(socket.remotePort ?? 0);
       },
@@ -313,8 +309,8 @@
   });
 
   it('finishes what is in progress in a planned stop, and is out of the directory at once', async () => {
-    // Symptom: callers lose answers around each restart. Sequence: a daemon is told to stop while a stream
-    // runs. Cause: connections were closed, or callers were still sent there.
+    // Guards against lost answers in a planned stop: connections must not be closed under a stream, and callers must
+    // not be directed to the daemon any more.
     const [first] = site.daemons;
     if (!first) throw new Error('the site has no daemon');
     await site.until(() => site.store.keys('daemons/').length === 1);
--- a/tests/siteProcesses.spec.ts
+++ b/tests/siteProcesses.spec.ts
@@ -1,5 +1,5 @@
 /**
- * Daemons as the platform runs them, built and as processes: what callers see around starts, stops and losses.
+ * Built daemons as processes: results of callers around starts, stops and losses.
  */
 import { execFile } from 'node:child_process';
 import { mkdtempSync, rmSync } from 'node:fs';
@@ -70,8 +70,8 @@
   }
 
   it('serves by the last acknowledged configuration after all daemons were lost at once', async () => {
-    // Symptom: after a loss of power routes of the last minute are unknown. Sequence: an operator adds a route,
-    // the store acknowledges it, all daemons die, and start. Cause: daemons had kept it for themselves.
+    // Guards against a route that is unknown after a power loss although the store had acknowledged it: daemons must
+    // not keep it in their memory only.
     site.store.write('op/config', siteConfiguration(2, { routes: [LATER_ROUTE] }));
     await Promise.all(processes.map((one) => one.kill()));
     for (const one of processes) one.start();
@@ -83,9 +83,8 @@
   });
 
   it('serves callers who connect while all daemons start', async () => {
-    // Symptom: after a loss of power callers find no daemon for half a second, and many give up. Sequence: a caller
-    // connects as soon as the port is there, before the program is loaded and the configuration is known. Cause: the
-    // port was opened last, and requests were refused until the store had answered.
+    // Guards against callers that find no daemon for half a second after a power loss: the port must be open before the
+    // program is loaded, and requests must wait for the configuration.
     await Promise.all(processes.map((one) => one.kill()));
     const [first] = processes;
     const address = addressOf(0);
@@ -103,8 +102,8 @@
   });
 
   it('says "come back" while nothing is known, and serves once the store is back', async () => {
-    // Symptom: callers are told for good that routes do not exist. Sequence: all daemons die while the store is
-    // away, and start. Cause: "no configuration" was taken for "no route".
+    // Guards against a 404 for existing routes from daemons that start while the store is away and know no
+    // configuration yet.
     site.store.faultFor({ fault: 'busy' });
     await Promise.all(processes.map((one) => one.kill()));
     for (const one of processes) one.start();
@@ -120,10 +119,8 @@
   });
 
   it('learns everything from another daemon while the store turns it away', async () => {
-    // Symptom: a daemon that the store turns away sends requests to a runner that left two seconds before (DRAIN).
-    // Sequence: it asks the others, and each answer fails in the built daemon, although it does not from sources. Cause:
-    // the configuration is decompressed by a module that is loaded when it is needed, and a bundle that is run as a
-    // script refuses such loading.
+    // Guards against a built daemon that cannot read the answers of other daemons, and so sends requests to a runner
+    // that left two seconds before: the bundle, run as a script, could not import the decompression module dynamically.
     site.store.write('op/config', siteConfiguration(2, { routes: [LATER_ROUTE] }));
     const isInForce = async (one: SiteProcess) => {
       const address = one.settings.addresses.callers;
@@ -141,8 +138,8 @@
   });
 
   it('answers what waited through a pause of the process, once', async () => {
-    // Symptom: a request runs twice, or its caller gets nothing. Sequence: a process stands still while a
-    // request waits in its connection, and goes on. Cause: timers that are due go before what has arrived.
+    // Guards against requests that run twice or get no answer when a process is paused and resumed: timers that are due
+    // run before data that has arrived.
     const [paused] = processes;
     paused?.signal('SIGSTOP');
     const headers = { 'Deadline-Ms': '60000' };
@@ -165,8 +162,7 @@
   });
 
   it('ends with a failure and one line where nobody says where its settings are', async () => {
-    // Symptom: a daemon ends at once with success, and nobody is told. Sequence: what starts it names no settings. Cause:
-    // a program that has not served takes its end for a success.
+    // Guards against a daemon that exits with success although it was started without settings and has served nothing.
     const env = { ...process.env, BAOBABDOCK_BOOT: undefined };
     const start = promisify(execFile)(process.execPath, program, { env });
     const failure = await start.then(
