--- a/tests/deadDaemons.spec.ts
+++ b/tests/deadDaemons.spec.ts
@@ -23,9 +23,9 @@
 const PATIENCE_MILLISECONDS = 15_000;
 
 describe('the directory after a daemon has died', () => {
-  // Guards against callers that are directed to a daemon which has been dead for more than 6 s, where their connections hang: the directory must not
-  // rely on the store's list, since an entry stays until its lease of 9 s ends, and longer while nobody reads the
-  // store.
+  // Guards against callers that are directed to a daemon which has been dead for more than 6 s, where their connections
+  // hang: the directory must not rely on the store's list, since an entry stays until its lease of 9 s ends, and longer
+  // while nobody reads the store.
   let folder: string;
   let program: string[];
   let site: StandInSite;
