Tests of the restored store wait for conditions up to the bound

As strict as before: what does not hold at the end of the bound counts. readBody.spec waits for the connection's end; with the error thrown on it still fails.

--- a/standIns/site/readBody.spec.ts
+++ b/standIns/site/readBody.spec.ts
@@ -16,9 +16,7 @@
     socket.write('POST /v1/kv-txn HTTP/1.1\r\nHost: store\r\nContent-Length: 100\r\n\r\n{"exp');
     while (!store.calls.has('POST /v1/kv-txn')) await new Promise(setImmediate);
     socket.resetAndDestroy();
-    await new Promise((done) => {
-      setTimeout(done, 100);
-    });
+    await once(socket, 'close');
     const answer = await fetch(`http://${host}:${port}/v1/kv-range?path_prefix=`);
     expect(answer.status).toEqual(200);
     store.stop();
--- a/tests/restoredStore.spec.ts
+++ b/tests/restoredStore.spec.ts
@@ -44,10 +44,10 @@
       site.store.write(`servers/${runner.id}`, state && runner.entry(state));
     }
 
+    /** Lets daemons read the store for a while. */
     function pause(milliseconds: number): Promise<void> {
-      return new Promise((done) => {
-        setTimeout(done, milliseconds);
-      });
+      const until = performance.now() + milliseconds;
+      return site.until(() => performance.now() > until);
     }
 
     /** Writes entries that say the same as before, until all daemons know them. */
@@ -57,10 +57,12 @@
       await site.until(() => site.daemons.every((daemon) => revisionOf(daemon) >= known));
     }
 
-    /** @returns How many daemons do not satisfy the condition at the end of the bound. */
+    /** @returns How many daemons do not satisfy the condition when all do, or at the end of the bound. */
     async function failingAfterBound(holds: (daemon: SiteDaemon) => boolean): Promise<number> {
-      await pause(BOUND_MILLISECONDS);
-      return site.daemons.filter((daemon) => !holds(daemon)).length;
+      const failing = () => site.daemons.filter((daemon) => !holds(daemon)).length;
+      const until = performance.now() + BOUND_MILLISECONDS;
+      await site.until(() => failing() === 0 || performance.now() > until);
+      return failing();
     }
 
     beforeEach(async () => {
