Wait the whole grace period for an entry that another daemon tells as lapsed

Found by reading the change: the deadline of a relayed lapse had become the end of this daemon's own grace period, so that in an ordinary outage a runner told as lapsed late in it was dropped almost at once instead of after 2.3 s. After a restore the longer of the two holds. The new case of FleetKnowledge.spec failed before.

--- a/src/sync/FleetKnowledge.spec.ts
+++ b/src/sync/FleetKnowledge.spec.ts
@@ -88,6 +88,18 @@
     expect(names()).toEqual([]);
   });
 
+  it('waits as long for an entry that another daemon tells as lapsed late in the grace period', () => {
+    // Guards against a runner that is dropped at once because this daemon's own grace period is about to end.
+    const { knowledge, gone } = createKnowledge();
+    knowledge.suspectOutage(5_000);
+    const lapsed: StoreFact = { kind: 'runner_lapsed', id: 'a', revision: 11 };
+    knowledge.applyRelayed({ revision: 11, facts: [lapsed] }, 7_200);
+    knowledge.applyChanges({ revision: 12, facts: [] }, 9_400);
+    expect(gone).toEqual([]);
+    knowledge.applyChanges({ revision: 13, facts: [] }, 9_500);
+    expect(gone).toEqual(['a']);
+  });
+
   it('drops no lapsed runner between two reads', () => {
     // Guards against losing what is known of a runner's cached prompts, which then are processed again after each outage.
     // The entry is back after two seconds, the daemon reads the store every 1.6 s, and the grace period ends at 2.3 s: a
--- a/src/sync/RunnerListing.ts
+++ b/src/sync/RunnerListing.ts
@@ -178,7 +178,10 @@
   lapse(
     id: string,
     moment: ChangeMoment,
-    goneAt = this.outages.graceDeadline(moment.now) ?? moment.now + LAPSE_GRACE_MILLISECONDS,
+    goneAt = Math.max(
+      this.outages.graceDeadline(moment.now) ?? Number.NEGATIVE_INFINITY,
+      moment.now + LAPSE_GRACE_MILLISECONDS,
+    ),
   ): void {
     const known = this.table.get(id);
     if (!known || this.lapsed.has(id)) return;
