Test daemons without a path to the runners, failing; links of the stand-ins lose paths

Callers of a daemon that reaches no runner are not served, although other daemons reach all of them.

The links of the soak move to standIns/link, lose a path in three ways (hang, reset, refuse), and may run in the process of a test.

--- a/soak/FaultHistory.ts
+++ b/soak/FaultHistory.ts
@@ -1,7 +1,7 @@
 /**
  * Which faults were on when: what a failed check prints, and what may excuse a request.
  */
-import type { LinkSide } from './link/linkTypes.js';
+import type { LinkSide } from '../standIns/link/linkTypes.js';
 
 /**
  * What a fault does to those it touches: `stall` delays, `break` resets connections, `silence` leaves open ones dead,
--- a/soak/SoakDaemon.ts
+++ b/soak/SoakDaemon.ts
@@ -3,7 +3,7 @@
  */
 import type { SiteProcess } from '../standIns/site/SiteProcess.js';
 import type { FaultHistory } from './FaultHistory.js';
-import type { DaemonLink } from './link/DaemonLink.js';
+import type { DaemonLink } from '../standIns/link/DaemonLink.js';
 
 /** One process, with monotonic ms; those to come are infinite. */
 export interface DaemonLife {
--- a/soak/SoakSite.ts
+++ b/soak/SoakSite.ts
@@ -9,8 +9,8 @@
 import { siteConfiguration, StandInSite } from '../standIns/site/StandInSite.js';
 import type { StoreItem } from '../standIns/site/StoreStandIn.js';
 import { FaultHistory } from './FaultHistory.js';
-import { DaemonLink } from './link/DaemonLink.js';
-import { watchLateness } from './link/watchLateness.js';
+import { DaemonLink } from '../standIns/link/DaemonLink.js';
+import { watchLateness } from '../standIns/link/watchLateness.js';
 import { RunBook } from './RunBook.js';
 import { SoakDaemon } from './SoakDaemon.js';
 import {
--- a/soak/checks/Excuses.ts
+++ b/soak/checks/Excuses.ts
@@ -2,7 +2,7 @@
  * Which faults excuse a request without a whole answer. Nothing else does, and delays never do.
  */
 import type { FaultHistory, FaultKind } from '../FaultHistory.js';
-import type { LinkSide } from '../link/linkTypes.js';
+import type { LinkSide } from '../../standIns/link/linkTypes.js';
 import type { RunBook } from '../RunBook.js';
 import type { Call } from '../SoakCallers.js';
 import type { SoakDaemon } from '../SoakDaemon.js';
--- a/soak/faults/linkFaults.ts
+++ b/soak/faults/linkFaults.ts
@@ -1,8 +1,8 @@
 /**
  * Troubles of one daemon's link.
  */
-import { LINK_SIDES } from '../link/linkTypes.js';
-import type { LinkDirection, LinkPace, LinkSide } from '../link/linkTypes.js';
+import { LINK_SIDES } from '../../standIns/link/linkTypes.js';
+import type { LinkDirection, LinkPace, LinkSide } from '../../standIns/link/linkTypes.js';
 import type { FaultGround } from './Fault.js';
 import { Fault } from './Fault.js';
 
--- a/soak/link/DaemonLink.ts
+++ b/standIns/link/DaemonLink.ts
@@ -13,6 +13,7 @@
   LinkOpened,
   LinkPace,
   LinkSide,
+  Severance,
 } from './linkTypes.js';
 
 /** Threads don't inherit the loader of TypeScript sources. */
@@ -110,6 +111,21 @@
     for (const side of sides) this.send({ kind: 'cut', side, direction });
   }
 
+  /**
+   * @param side - to which the path is lost.
+   * @param how - what that does to connections.
+   */
+  sever(side: LinkSide, how: Severance): void {
+    this.send({ kind: 'sever', side, how });
+  }
+
+  /**
+   * @param side - to which the path is back.
+   */
+  rejoin(side: LinkSide): void {
+    this.send({ kind: 'rejoin', side });
+  }
+
   /** Ends all cuts. */
   mend(): void {
     for (const side of LINK_SIDES) {
--- a/soak/link/Link.ts
+++ b/standIns/link/Link.ts
@@ -8,7 +8,15 @@
 
 import { listen } from '../../src/http/listen.js';
 import { Flow, LinkQueue } from './Flow.js';
-import type { LinkCommand, LinkData, LinkDirection, LinkOpened, LinkSide } from './linkTypes.js';
+import { HangingPorts } from './HangingPorts.js';
+import type {
+  LinkCommand,
+  LinkData,
+  LinkDirection,
+  LinkOpened,
+  LinkSide,
+  Severance,
+} from './linkTypes.js';
 
 /** Connections that the system accepts for a listener whose owner does not; more than come at once here. */
 const BACKLOG = 16;
@@ -23,10 +31,16 @@
 }
 
 interface Listener {
-  readonly server: Server;
+  readonly side: LinkSide;
+  readonly target: string;
   readonly port: number;
+  /** Missing while the path is lost. */
+  server: Server | undefined;
 }
 
+/** Directions in which a path that hangs carries nothing. */
+const DIRECTIONS: readonly LinkDirection[] = ['in', 'out'];
+
 function parse(address: string): { host: string; port: number } {
   const [host = '', port = ''] = address.split(':');
   return { host, port: Number(port) };
@@ -49,6 +63,15 @@
 
   private readonly listeners = new Map<number, Listener>();
 
+  /** Ports on which new connections hang, by the side whose path is lost. */
+  private readonly hanging = new Map<LinkSide, HangingPorts>();
+
+  /** Sides whose path is lost. */
+  private readonly severed = new Set<LinkSide>();
+
+  /** Severing and rejoining take time; each waits for the one before it. */
+  private changing: Promise<void> = Promise.resolve();
+
   /**
    * @param data - IP numbers.
    * @param tell - hears of listeners.
@@ -67,7 +90,7 @@
         void this.open(open);
       })
       .with({ kind: 'close' }, ({ port }) => {
-        this.listeners.get(port)?.server.close();
+        this.listeners.get(port)?.server?.close();
         this.listeners.delete(port);
       })
       .with({ kind: 'pace' }, ({ pace }) => {
@@ -79,17 +102,69 @@
         this.cuts.add(`${side} ${direction}`);
       })
       .with({ kind: 'mend' }, ({ side, direction }) => this.mend(side, direction))
+      .with({ kind: 'sever' }, ({ side, how }) => {
+        this.changing = this.changing.then(() => this.sever(side, how));
+      })
+      .with({ kind: 'rejoin' }, ({ side }) => {
+        this.changing = this.changing.then(() => this.rejoin(side));
+      })
       .with({ kind: 'hold' }, ({ milliseconds }) => this.hold(milliseconds))
       .exhaustive();
   }
 
   private async open({ id, side, target }: LinkCommand & { kind: 'open' }): Promise<void> {
+    const { server, port } = await this.listen(side, target, 0);
+    const isLost = this.severed.has(side);
+    if (isLost) server.close();
+    this.listeners.set(port, { side, target, port, server: isLost ? undefined : server });
+    this.tell({ id, port });
+  }
+
+  private async listen(side: LinkSide, target: string, wanted: number) {
     const server = createServer({ allowHalfOpen: true, noDelay: true }, (near) =>
       this.accept(near, side, target),
     );
-    const { port } = await listen(server, { host: '127.0.0.1', port: 0, backlog: BACKLOG });
-    this.listeners.set(port, { server, port });
-    this.tell({ id, port });
+    const { port } = await listen(server, { host: '127.0.0.1', port: wanted, backlog: BACKLOG });
+    return { server, port };
+  }
+
+  private listenersOf(side: LinkSide): Listener[] {
+    return [...this.listeners.values()].filter((listener) => listener.side === side);
+  }
+
+  private async sever(side: LinkSide, how: Severance): Promise<void> {
+    if (this.severed.has(side)) return;
+    this.severed.add(side);
+    const listeners = this.listenersOf(side);
+    for (const listener of listeners) {
+      listener.server?.close();
+      listener.server = undefined;
+    }
+    if (how === 'reset') this.each(side, (pipe) => this.reset(pipe));
+    if (how !== 'hang') return;
+    for (const direction of DIRECTIONS) this.cuts.add(`${side} ${direction}`);
+    this.hanging.set(side, await HangingPorts.open(listeners.map(({ port }) => port)));
+  }
+
+  private async rejoin(side: LinkSide): Promise<void> {
+    if (!this.severed.delete(side)) return;
+    await this.hanging.get(side)?.close();
+    this.hanging.delete(side);
+    await Promise.all(
+      this.listenersOf(side).map(async (listener) => {
+        const { server } = await this.listen(side, listener.target, listener.port);
+        Object.assign(listener, { server });
+      }),
+    );
+    for (const direction of DIRECTIONS) this.mend(side, direction);
+  }
+
+  /** Closes all listeners and connections. */
+  async close(): Promise<void> {
+    await this.changing;
+    for (const hanging of this.hanging.values()) await hanging.close();
+    for (const { server } of this.listeners.values()) server?.close();
+    for (const { ends } of this.pipes) for (const end of ends) end.destroy();
   }
 
   private accept(near: Socket, side: LinkSide, target: string): void {
@@ -148,7 +223,7 @@
    * first. What comes then is accepted at the system's next try, a second later, or not at all.
    */
   private hold(milliseconds: number): void {
-    for (const { port } of this.listeners.values()) this.fill(port);
+    for (const { port, server } of this.listeners.values()) if (server) this.fill(port);
     // Connections are begun at the end of this turn; the thread stops right after that.
     process.nextTick(() => {
       const nobodyWakes = new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT));
--- a/soak/link/linkTypes.ts
+++ b/standIns/link/linkTypes.ts
@@ -19,6 +19,12 @@
   readonly delayMilliseconds: number;
 }
 
+/**
+ * What a lost path does to connections. `hang`: open ones carry nothing and new ones are not accepted; `reset`: open
+ * ones are reset and new ones refused; `refuse`: open ones go on and new ones are refused.
+ */
+export type Severance = 'hang' | 'reset' | 'refuse';
+
 /** What a link is told. */
 export type LinkCommand =
   | {
@@ -36,6 +42,9 @@
   /** Bytes in one direction wait until the cut is mended. */
   | { readonly kind: 'cut'; readonly side: LinkSide; readonly direction: LinkDirection }
   | { readonly kind: 'mend'; readonly side: LinkSide; readonly direction: LinkDirection }
+  /** The path to everything at this side is lost. */
+  | { readonly kind: 'sever'; readonly side: LinkSide; readonly how: Severance }
+  | { readonly kind: 'rejoin'; readonly side: LinkSide }
   /** Nothing passes, and no new connection is accepted; then all arrives at once. */
   | { readonly kind: 'hold'; readonly milliseconds: number };
 
--- a/standIns/site/StandInSite.ts
+++ b/standIns/site/StandInSite.ts
@@ -10,6 +10,7 @@
 import type { RouterSettings } from '../../src/router/routerFeature.js';
 import { routerSettings } from '../../src/router/routerFeature.js';
 import { freePort } from './freePort.js';
+import { SiteLinks } from './SiteLinks.js';
 import type { SiteRunnerOptions } from './SiteRunner.js';
 import { SiteRunner } from './SiteRunner.js';
 import { StoreStandIn } from './StoreStandIn.js';
@@ -39,6 +40,8 @@
   dataCentreRegions?: Readonly<Record<string, string>>;
   /** Retries earned by each request; a daemon that has just started has earned none. */
   retryRatio?: number;
+  /** Whether each daemon has a link of its own to the store and the runners. */
+  hasLinks?: boolean;
 }
 
 /**
@@ -122,6 +125,9 @@
 
   private readonly retryRatio: number;
 
+  /** Links of the daemons, if they have any. */
+  readonly links: SiteLinks | undefined;
+
   private storeAddress = '';
 
   /**
@@ -133,7 +139,9 @@
     changeBoundMilliseconds = 50,
     dataCentreRegions = { here: 'region' },
     retryRatio = 0.2,
+    hasLinks = false,
   }: StandInSiteOptions = {}) {
+    this.links = hasLinks ? new SiteLinks() : undefined;
     this.log = log;
     this.changeBoundMilliseconds = changeBoundMilliseconds;
     this.dataCentreRegions = dataCentreRegions;
@@ -144,6 +152,8 @@
   /** Starts the store with a first configuration. */
   async start(): Promise<void> {
     this.storeAddress = await this.store.start();
+    const { links } = this;
+    if (links) this.store.seenAs = (item, request) => links.seenAs(item, request);
     this.store.write('op/config', siteConfiguration(1));
   }
 
@@ -155,6 +165,7 @@
     const list = (runner: SiteRunner) => this.store.write(`servers/${runner.id}`, runner.entry());
     const runner: SiteRunner = new SiteRunner({ onRestarted: () => list(runner), ...options });
     await runner.start();
+    await this.links?.addRunner(runner);
     this.runners.push(runner);
     list(runner);
     return runner;
@@ -173,6 +184,7 @@
   ): Promise<RouterSettings> {
     const roles = ['callers', 'readiness', 'directory', 'peers', 'news', 'metrics'];
     const ports = await Promise.all(roles.map(() => freePort()));
+    const store = await this.links?.add(name, this.storeAddress, this.runners);
     const addresses = Object.fromEntries(
       roles.map((role, index) => [role, `127.0.0.1:${ports[index]}`]),
     );
@@ -183,7 +195,7 @@
       dataCentreRegions: { ...this.dataCentreRegions },
       addresses,
       seeds: [...seeds],
-      store: this.storeAddress,
+      store: store ?? this.storeAddress,
       stopSeconds: 2,
       changeBoundsMilliseconds: [this.changeBoundMilliseconds],
       retryBudget: { ratio: this.retryRatio },
@@ -232,6 +244,7 @@
     await Promise.all(this.daemons.map(({ daemon }) => daemon.stop()));
     for (const { closeRoles } of this.daemons) closeRoles();
     for (const runner of this.runners) runner.stop();
+    await this.links?.close();
     this.store.stop();
   }
 }
