Hand requests over to another daemon when this one reaches no runner

Cause: a daemon had one way to a runner, its own connection. The check of its link noticed within 0.3 s that no runner accepted a connection, and only kept runners from being blamed.

Change: RunnerPath judges from connections and answers whether the daemon reaches any runner; the monitor probes when requests wait in silence, and while the path is lost. Requests then go to another daemon, whole and with what the configuration allows them, over the address for daemons, authenticated with the fleet's secret. The other daemon confirms before the request is sent, so one that is dead or has no path has not run it; it forwards to runners as for its own callers, and never hands on. Daemons say in their news that they have no path. A request whose attempts have reached no runner is also handed over while the path is not lost, for example when one service alone cannot be reached. Runners are not blamed while the path is lost.

--- a/src/forwarding/AnswerRelay.ts
+++ b/src/forwarding/AnswerRelay.ts
@@ -21,6 +21,9 @@
   bytes: number;
 }
 
+/** Supplies an answer: an attempt at a runner, or a request that was handed over to another daemon. */
+export type AnswerSource = object;
+
 const NOTHING: ReadonlySet<string> = new Set();
 
 const BAD_GATEWAY = 502;
--- a/src/forwarding/BufferedAnswers.ts
+++ b/src/forwarding/BufferedAnswers.ts
@@ -4,8 +4,7 @@
  */
 import type { IncomingMessage } from 'node:http';
 
-import type { AnswerRelay, BufferedAnswer } from './AnswerRelay.js';
-import type { RunnerAttempt } from './RunnerAttempt.js';
+import type { AnswerRelay, AnswerSource, BufferedAnswer } from './AnswerRelay.js';
 
 /**
  * Maximum size of a buffered answer, in bytes. Answers to plain calls have about 1 kB; a hundred answers of the maximum
@@ -17,9 +16,9 @@
 export class BufferedAnswers {
   private readonly relay: AnswerRelay;
 
-  private readonly answersByAttempt = new Map<RunnerAttempt, BufferedAnswer>();
+  private readonly answersByAttempt = new Map<AnswerSource, BufferedAnswer>();
 
-  private passingAttempt: RunnerAttempt | undefined;
+  private passingAttempt: AnswerSource | undefined;
 
   /**
    * @param relay - writes to the caller.
@@ -32,7 +31,7 @@
    * @param attempt - attempt whose answer has begun.
    * @param answer - head of the answer.
    */
-  begin(attempt: RunnerAttempt, answer: IncomingMessage): void {
+  begin(attempt: AnswerSource, answer: IncomingMessage): void {
     this.answersByAttempt.set(attempt, { answer, chunks: [], bytes: 0 });
   }
 
@@ -43,7 +42,7 @@
    * @param chunk - bytes of the body.
    * @returns Whether this answer is being forwarded to the caller, so that no other one can be sent.
    */
-  take(attempt: RunnerAttempt, chunk: Buffer): boolean {
+  take(attempt: AnswerSource, chunk: Buffer): boolean {
     const held = this.answersByAttempt.get(attempt);
     if (!held) return false;
     if (this.isPassing(attempt)) {
@@ -63,7 +62,7 @@
    * @param attempt - an attempt of the request.
    * @returns Whether its answer is forwarded as it arrives.
    */
-  isPassing(attempt: RunnerAttempt): boolean {
+  isPassing(attempt: AnswerSource): boolean {
     return attempt === this.passingAttempt;
   }
 
@@ -71,14 +70,14 @@
    * @param attempt - an attempt of the request.
    * @returns Its answer as far as it has arrived, or `undefined` before its head.
    */
-  of(attempt: RunnerAttempt): BufferedAnswer | undefined {
+  of(attempt: AnswerSource): BufferedAnswer | undefined {
     return this.answersByAttempt.get(attempt);
   }
 
   /**
    * @param attempt - attempt that failed, so that its answer will not be complete.
    */
-  drop(attempt: RunnerAttempt): void {
+  drop(attempt: AnswerSource): void {
     this.answersByAttempt.delete(attempt);
   }
 
--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -4,25 +4,27 @@
  */
 import type { IncomingMessage } from 'node:http';
 
+import type { HandOverEnd } from '../handover/HandedOverRequest.js';
+import { HandOverSession } from '../handover/HandOverSession.js';
 import type { Choice } from '../runners/RunnerChoice.js';
 import type { AnswerRelay, BufferedAnswer, DaemonAnswer } from './AnswerRelay.js';
 import type { AdmittedRequest, ForwardingContext } from './forwardingTypes.js';
 import { BufferedAnswers } from './BufferedAnswers.js';
 import { daemonAnswerFor } from './daemonAnswerFor.js';
 import { RequestRetries } from './RequestRetries.js';
-import type { AttemptVerdict } from './retryDecision.js';
+import type { AttemptVerdict, RetryDecision } from './retryDecision.js';
 import type { AttemptFailure, RunnerAttempt } from './RunnerAttempt.js';
 import { AttemptObserver } from './RunnerAttempt.js';
 import { QuarantineSession } from './QuarantineSession.js';
 import { RequestReport } from './RequestReport.js';
 import { RequestTimer } from './RequestTimer.js';
+import { RequestWaits } from './RequestWaits.js';
 import { RunnerOutcomes } from './RunnerOutcomes.js';
 import { isEventStream, StreamedAnswer } from './StreamedAnswer.js';
 import { TriedRunners } from './TriedRunners.js';
 import type { EndEvent } from './RequestReport.js';
 import { requestDigest } from '../quarantine/requestDigest.js';
 import { createAttempt } from './createAttempt.js';
-import { nextCheck, stalledAttempt, shouldHedge } from './waitLimits.js';
 
 const SERVER_ERROR = 500;
 
@@ -32,6 +34,8 @@
   body: Buffer | undefined;
   relay: AnswerRelay;
   context: ForwardingContext;
+  /** What the daemon that handed the request over did for it; missing for a request of a caller. */
+  before?: { readonly isCounted: boolean; readonly mayHaveRun: number };
 }
 
 /** State of one forwarded request; observes the attempts that it sends. */
@@ -58,9 +62,6 @@
   /** Whether the selection of the next runner is in progress. */
   private isSelecting = false;
 
-  /** When data of this request was last received, or an attempt sent; monotonic ms. */
-  private lastProgressAt = 0;
-
   private firstAnswerAt: number | undefined;
 
   private readonly quarantine: QuarantineSession;
@@ -71,12 +72,18 @@
 
   private readonly outcomes: RunnerOutcomes;
 
+  private readonly handOver: HandOverSession;
+
+  private readonly isCounted: boolean;
+
+  private readonly waits: RequestWaits;
+
   private readonly timer: RequestTimer;
 
   /**
    * @param options - the request and the relay that writes its answer.
    */
-  constructor({ request, body, relay, context }: ForwardedRequestOptions) {
+  constructor({ request, body, relay, context, before }: ForwardedRequestOptions) {
     super();
     this.request = request;
     this.body = body;
@@ -92,15 +99,23 @@
       digest,
       onQuarantined: () => this.onQuarantined(),
     });
-    const { tried, quarantine, report } = this;
+    const { tried, quarantine, report, active } = this;
+    this.waits = new RequestWaits({ request, context, relay, active, tried, quarantine });
     this.retries = new RequestRetries({ request, context, tried, quarantine, report });
     this.outcomes = new RunnerOutcomes({ context, report: this.report });
+    this.isCounted = before?.isCounted ?? false;
+    tried.mayHaveRun = before?.mayHaveRun ?? 0;
+    const { bufferedAnswers, stream } = this;
+    this.handOver = new HandOverSession({
+      ...{ request, body, context, relay, bufferedAnswers, stream, tried },
+      onEnd: (end) => this.handleHandOverEnd(end),
+    });
   }
 
   /** Sends the first attempt. */
   start(): void {
     const { service, deadlineAt } = this.request;
-    this.context.budget.recordRequest(service, this.now());
+    if (!this.isCounted) this.context.budget.recordRequest(service, this.now());
     if (this.now() >= deadlineAt) {
       this.expire();
       return;
@@ -121,14 +136,14 @@
   }
 
   override answered(attempt: RunnerAttempt, answer: IncomingMessage): void {
-    this.lastProgressAt = this.now();
+    this.waits.recordHeard();
     this.bufferedAnswers.begin(attempt, answer);
     const isStream = this.request.route.kind === 'stream' && isEventStream(answer);
     if (isStream) this.stream.take(attempt, answer);
   }
 
   override received(attempt: RunnerAttempt, chunk: Buffer): void {
-    this.lastProgressAt = this.now();
+    this.waits.recordHeard();
     if (this.stream.isFrom(attempt)) {
       this.stream.pass(chunk);
       if (this.relay.hasHead) this.firstAnswerAt ??= this.now();
@@ -178,11 +193,40 @@
     const { lastEventId } = this.stream;
     this.report.attemptFailed(attempt, failure, { verdict, reason, lastEventId });
     if (verdict === 'wait') return;
+    if (verdict === 'cut') this.endWith({ status: 502, reason: failure });
+    else this.proceed(verdict, failure);
+  }
+
+  private proceed(verdict: RetryDecision['verdict'], failure: AttemptFailure): void {
     if (verdict === 'retry') this.sendNext();
-    else if (verdict === 'cut') this.endWith({ status: 502, reason: failure });
+    else if (verdict === 'refuse' && this.handOver.mayHelp) this.beginHandOver();
     else this.giveUp(verdict, failure);
   }
 
+  private beginHandOver(): void {
+    this.timer.set(this.request.deadlineAt);
+    this.handOver.begin();
+  }
+
+  private handleHandOverEnd(end: HandOverEnd): void {
+    if (end === 'answered' || end === 'not_served') {
+      this.firstAnswerAt ??= this.now();
+      this.end(end === 'answered' ? 'answered' : 'notServed', 'handed_over');
+    } else if (end === 'unanswered') {
+      this.sendNext();
+    } else if (end === 'unreached') {
+      this.giveUp(this.tried.mayHaveRun > 0 ? 'fail' : 'refuse', 'no_path');
+    } else if (this.relay.hasHead && this.stream.lastEventId === undefined) {
+      this.endWith({ status: 502, reason: 'broken' });
+    } else {
+      this.tried.mayHaveRun += 1;
+      this.proceed(
+        this.retries.afterFailure('broken', this.fallback !== undefined).verdict,
+        'broken',
+      );
+    }
+  }
+
   private verdictOn(attempt: RunnerAttempt, failure: AttemptFailure): AttemptVerdict {
     // The caller already has the beginning of this answer, and another runner's answer cannot continue it.
     if (this.bufferedAnswers.isPassing(attempt)) return { verdict: 'cut' };
@@ -198,6 +242,14 @@
     const tried = this.tried.excluded;
     const now = this.now();
     const question = { service, sharedParts, tried, homeRegions, connectionLimit, now };
+    if (this.handOver.isNeeded) {
+      this.beginHandOver();
+      return;
+    }
+    if (this.handOver.isHopeless && this.tried.mayHaveRun === 0) {
+      this.giveUp('refuse', 'no_path');
+      return;
+    }
     this.isSelecting = true;
     this.context.selector.select(question, (chosen) => this.sendTo(chosen));
   }
@@ -221,13 +273,14 @@
     const options = { chosen, request, body, context, tried, observer: this, resumesAfter };
     const attempt = createAttempt(options);
     this.active.add(attempt);
-    this.lastProgressAt = this.now();
+    this.waits.recordSent();
     attempt.start();
     this.scheduleCheck();
   }
 
   private handleNoRunner(): void {
     if (!this.fallback && this.tried.readmitUnreached()) this.sendNext();
+    else if (this.handOver.mayHelp) this.beginHandOver();
     else this.giveUp(this.tried.mayHaveRun > 0 ? 'fail' : 'refuse');
   }
 
@@ -265,7 +318,7 @@
   }
 
   /** Ends the request with the failure of its last attempt or, if there is none, the reason why no runner is available. */
-  private giveUp(verdict: 'refuse' | 'fail', failure?: AttemptFailure): void {
+  private giveUp(verdict: 'refuse' | 'fail', failure?: AttemptFailure | 'no_path'): void {
     if (this.answerFallback()) return;
     const now = this.now();
     const isLate = now >= this.request.deadlineAt;
@@ -281,6 +334,7 @@
 
   private stopAttempts(): void {
     this.timer.clear();
+    this.handOver.cancel();
     for (const attempt of this.active) {
       attempt.cancel();
       this.quarantine.abandoned(attempt);
@@ -289,20 +343,7 @@
   }
 
   private scheduleCheck(): void {
-    this.timer.set(nextCheck(this.progress()));
-  }
-
-  private progress() {
-    return {
-      request: this.request,
-      now: this.now(),
-      attempts: this.active,
-      mayHaveRun: this.tried.mayHaveRun,
-      lastProgressAt: this.lastProgressAt,
-      hasEvents: this.relay.hasHead,
-      hasBudget: () => this.context.budget.hasRoom(this.request.service, this.now()),
-      isLinkSuspect: this.context.link.isSuspect,
-    };
+    this.timer.set(this.waits.nextCheckAt);
   }
 
   private check(): void {
@@ -311,15 +352,17 @@
       this.expire();
       return;
     }
-    const progress = this.progress();
-    const stalled = stalledAttempt(progress);
+    if (this.handOver.isInProgress) return;
+    if (this.handOver.isNeeded && this.waits.takeMove()) {
+      this.tried.mayHaveRun += this.active.size;
+      this.stopAttempts();
+      this.sendNext();
+      return;
+    }
+    const { stalled } = this.waits;
     if (stalled) {
-      stalled.attempt.probe(() => stalledAttempt(this.progress())?.ifAccepted ?? 'not_silent');
-    } else if (
-      shouldHedge(progress) &&
-      this.quarantine.mayHedge &&
-      this.context.budget.take(this.request.service, progress.now)
-    ) {
+      stalled.attempt.probe(() => this.waits.stalled?.ifAccepted ?? 'not_silent');
+    } else if (this.waits.takeHedge()) {
       this.report.hedged();
       this.sendNext();
       return;
--- a/src/forwarding/LinkCheck.ts
+++ b/src/forwarding/LinkCheck.ts
@@ -7,12 +7,14 @@
  * would give up healthy streams, find no runner to resume them, and cut them. The symptom is that one daemon gives up
  * connections to all runners alike.
  */
+import { RunnerPath } from '../handover/RunnerPath.js';
 import type { Log } from '../logging/Log.js';
 import type { Runner } from '../runners/Runner.js';
 import type { Clock } from '../time/Clock.js';
 import { forwardingLogEvents } from './forwardingFeature.js';
 import type { ForwardingMetrics } from './ForwardingMetrics.js';
 import { probeRunner } from './probeRunner.js';
+import type { ProbeResult } from './probeRunner.js';
 
 /** Options of a {@link LinkCheck}. */
 export interface LinkCheckOptions {
@@ -21,6 +23,8 @@
   clock: Clock;
   log: Log;
   metrics: Pick<ForwardingMetrics, 'linkChecks'>;
+  /** Told of each runner that did or did not accept a connection. */
+  path?: RunnerPath;
 }
 
 /** Called with whether the runner is unresponsive while others are not; `false` also if that could not be determined. */
@@ -40,6 +44,8 @@
 export class LinkCheck {
   private readonly options: LinkCheckOptions;
 
+  private readonly path: RunnerPath;
+
   /** The check in progress. */
   private underWay: Check | undefined;
 
@@ -54,6 +60,12 @@
    */
   constructor(options: LinkCheckOptions) {
     this.options = options;
+    this.path = options.path ?? new RunnerPath({ runnerCount: () => options.runners().length });
+  }
+
+  /** @returns Whether this daemon reaches no runner at all. */
+  get isPathLost(): boolean {
+    return this.path.isLost;
   }
 
   /** @returns Whether the link is suspected, because all runners that were probed last accepted no connection. */
@@ -85,9 +97,7 @@
     }
     this.underWay = check;
     for (const reference of references) {
-      probeRunner(reference, (result) =>
-        this.handleReferenceResult(check, reference, result !== 'no_answer'),
-      );
+      probeRunner(reference, (result) => this.handleReferenceResult(check, reference, result));
     }
   }
 
@@ -97,6 +107,34 @@
    * @param runner - runner that accepted it.
    */
   accepted(runner: Runner): void {
+    this.path.recordAccepted(this.now);
+    this.recordResponse(runner);
+  }
+
+  /**
+   * Records that a connection to a runner was refused.
+   *
+   * @param runner - runner whose host refused it.
+   */
+  refused({ entry }: Runner): void {
+    this.path.recordFailure(entry.life, this.now);
+  }
+
+  /** Records that a request was sent to a runner. */
+  sent(): void {
+    this.path.recordSent(this.now);
+  }
+
+  /** Records that data arrived from a runner. */
+  heard(): void {
+    this.path.recordHeard();
+  }
+
+  private get now(): number {
+    return this.options.clock.monotonicMilliseconds();
+  }
+
+  private recordResponse(runner: Runner): void {
     this.missedAt.delete(runner);
     if (this.suspectSince === undefined) return;
     const { clock, log } = this.options;
@@ -106,7 +144,8 @@
   }
 
   private recordMissed(runner: Runner): void {
-    this.missedAt.set(runner, this.options.clock.monotonicMilliseconds());
+    this.missedAt.set(runner, this.now);
+    this.path.recordFailure(runner.entry.life, this.now);
   }
 
   private hasMissed(runner: Runner): boolean {
@@ -127,10 +166,10 @@
       .slice(0, REFERENCE_RUNNERS);
   }
 
-  private handleReferenceResult(check: Check, reference: Runner, isAccepting: boolean): void {
+  private handleReferenceResult(check: Check, reference: Runner, result: ProbeResult): void {
     check.pending.delete(reference);
-    if (isAccepting) this.accepted(reference);
-    else this.recordMissed(reference);
+    this.recordProbe(reference, result);
+    const isAccepting = result !== 'no_answer';
     // The first reference runner that accepts ends the check; later results only concern the runners themselves.
     if (this.underWay !== check || (!isAccepting && check.pending.size > 0)) return;
     this.underWay = undefined;
@@ -139,6 +178,20 @@
     else this.reportLinkSuspected(check);
   }
 
+  /** A refusal shows that the link carries packets, but the path to the runner may still be lost. */
+  private recordProbe(runner: Runner, result: ProbeResult): void {
+    if (result === 'accepted') {
+      this.accepted(runner);
+      return;
+    }
+    if (result === 'no_answer') {
+      this.recordMissed(runner);
+      return;
+    }
+    this.refused(runner);
+    this.recordResponse(runner);
+  }
+
   /**
    * Probes the suspects again. The link may have recovered after the suspect was probed and before the reference runner
    * was, or a single packet was lost. Only a runner that still accepts no connection while others do is unresponsive.
--- /dev/null
+++ b/src/forwarding/RequestWaits.ts
@@ -0,0 +1,93 @@
+/**
+ * Tracks how long one request has been waiting for its runners, and decides what to do about it.
+ */
+import type { AnswerRelay } from './AnswerRelay.js';
+import type { AdmittedRequest, ForwardingContext } from './forwardingTypes.js';
+import type { QuarantineSession } from './QuarantineSession.js';
+import type { RunnerAttempt } from './RunnerAttempt.js';
+import type { TriedRunners } from './TriedRunners.js';
+import { nextCheck, shouldHedge, stalledAttempt } from './waitLimits.js';
+import type { RequestProgress, StalledAttempt } from './waitLimits.js';
+
+/** Options of {@link RequestWaits}. */
+export interface RequestWaitsOptions {
+  request: AdmittedRequest;
+  context: Pick<ForwardingContext, 'clock' | 'budget' | 'link'>;
+  relay: AnswerRelay;
+  /** Attempts in progress. */
+  active: ReadonlySet<RunnerAttempt>;
+  tried: TriedRunners;
+  quarantine: QuarantineSession;
+}
+
+/** Waits of one request. */
+export class RequestWaits {
+  private readonly options: RequestWaitsOptions;
+
+  /** When data of this request was last received, or an attempt sent; monotonic ms. */
+  private lastProgressAt = 0;
+
+  /**
+   * @param options - the request and its attempts.
+   */
+  constructor(options: RequestWaitsOptions) {
+    this.options = options;
+  }
+
+  /** @returns When to check the request again, monotonic ms. */
+  get nextCheckAt(): number {
+    return nextCheck(this.progress);
+  }
+
+  /** @returns The attempt of a stalled stream, whose runner has to be probed. */
+  get stalled(): StalledAttempt | undefined {
+    return stalledAttempt(this.progress);
+  }
+
+  /** Records that an attempt was sent. */
+  recordSent(): void {
+    this.lastProgressAt = this.now;
+    this.options.context.link.sent();
+  }
+
+  /** Records that data has arrived. */
+  recordHeard(): void {
+    this.lastProgressAt = this.now;
+    this.options.context.link.heard();
+  }
+
+  /** @returns Whether the request is hedged now; if so, the retry budget has paid for it. */
+  takeHedge(): boolean {
+    return shouldHedge(this.progress) && this.takeBudget();
+  }
+
+  /** @returns Whether a request whose runners cannot answer runs again elsewhere now; if so, the budget has paid for it. */
+  takeMove(): boolean {
+    const { progress } = this;
+    const isStuck = stalledAttempt(progress) ?? shouldHedge({ ...progress, isLinkSuspect: false });
+    return Boolean(isStuck) && this.takeBudget();
+  }
+
+  private takeBudget(): boolean {
+    const { quarantine, context, request } = this.options;
+    return quarantine.mayHedge && context.budget.take(request.service, this.now);
+  }
+
+  private get progress(): RequestProgress {
+    const { request, context, active, tried, relay } = this.options;
+    return {
+      request,
+      now: this.now,
+      attempts: active,
+      mayHaveRun: tried.mayHaveRun,
+      lastProgressAt: this.lastProgressAt,
+      hasEvents: relay.hasHead,
+      hasBudget: () => context.budget.hasRoom(request.service, this.now),
+      isLinkSuspect: context.link.isSuspect,
+    };
+  }
+
+  private get now(): number {
+    return this.options.context.clock.monotonicMilliseconds();
+  }
+}
--- a/src/forwarding/RunnerOutcomes.ts
+++ b/src/forwarding/RunnerOutcomes.ts
@@ -44,18 +44,23 @@
   }
 
   /**
-   * Records a failed attempt. After a connect timeout, the runner is blamed only if others accept connections.
+   * Records a failed attempt. After a connect timeout, the runner is blamed only if others accept connections, and no
+   * runner is blamed while this daemon reaches none.
    *
    * @param attempt - attempt that failed.
    * @param failure - kind of failure.
    */
   failed({ runner, startedAt }: RunnerAttempt, failure: AttemptFailure): void {
-    if (failure !== 'connect_timeout') {
+    const { link } = this.options.context;
+    if (failure === 'not_connected') link.refused(runner);
+    if (failure === 'refused' || failure === 'stray_answer') link.heard();
+    if (failure !== 'connect_timeout' && !link.isPathLost) {
       this.record(runner, OUTCOME_BY_FAILURE[failure]);
       return;
     }
     runner.health.recordAbandoned();
-    this.options.context.link.ask(runner, (isUnresponsive) => {
+    if (failure !== 'connect_timeout') return;
+    link.ask(runner, (isUnresponsive) => {
       if (isUnresponsive && runner.lastHeardAt < startedAt) this.record(runner, 'unreachable');
     });
   }
--- a/src/forwarding/StreamedAnswer.ts
+++ b/src/forwarding/StreamedAnswer.ts
@@ -4,9 +4,8 @@
  */
 import type { IncomingMessage } from 'node:http';
 
-import type { AnswerRelay } from './AnswerRelay.js';
+import type { AnswerRelay, AnswerSource } from './AnswerRelay.js';
 import { EventStreamBuffer } from './EventStreamBuffer.js';
-import type { RunnerAttempt } from './RunnerAttempt.js';
 
 const SUCCESS = 200;
 
@@ -26,7 +25,7 @@
 
   private readonly cut = new EventStreamBuffer();
 
-  private attempt: RunnerAttempt | undefined;
+  private attempt: AnswerSource | undefined;
 
   private answer: IncomingMessage | undefined;
 
@@ -46,7 +45,7 @@
    * @param attempt - an attempt of the request.
    * @returns Whether the stream is supplied by this attempt.
    */
-  isFrom(attempt: RunnerAttempt): boolean {
+  isFrom(attempt: AnswerSource): boolean {
     return attempt === this.attempt;
   }
 
@@ -56,7 +55,7 @@
    * @param attempt - attempt whose answer is a stream.
    * @param answer - head of its answer; only the first head is sent to the caller.
    */
-  take(attempt: RunnerAttempt, answer: IncomingMessage): void {
+  take(attempt: AnswerSource, answer: IncomingMessage): void {
     this.attempt = attempt;
     this.answer = answer;
   }
--- a/src/forwarding/daemonAnswerFor.ts
+++ b/src/forwarding/daemonAnswerFor.ts
@@ -16,8 +16,11 @@
 export interface DaemonAnswerInput {
   /** `refuse`: no runner has run the request, and none will; `fail`: a runner may have run it. */
   readonly verdict: 'refuse' | 'fail';
-  /** Failure of the last attempt; `undefined` if no runner was left for another attempt. */
-  readonly failure?: AttemptFailure | undefined;
+  /**
+   * Failure of the last attempt, or `no_path` if neither this daemon nor another one reached a runner; `undefined` if no
+   * runner was left for another attempt.
+   */
+  readonly failure?: AttemptFailure | 'no_path' | undefined;
   /** Whether the caller's deadline has passed. */
   readonly isLate: boolean;
   /** Why no runner of the service can take the request. */
--- a/src/forwarding/forwardingFeature.ts
+++ b/src/forwarding/forwardingFeature.ts
@@ -92,4 +92,41 @@
     text: 'A runner accepted a connection again; the daemon’s own network link is no longer suspected.',
     operatorAction: 'None.',
   }),
+  pathLost: defineLogEvent({
+    number: 2612,
+    name: 'forwarding.path_lost',
+    level: 'warn',
+    text: 'This daemon reaches no runner: several in a row accepted no connection and none was heard from. Its requests are handed over to other daemons.',
+    operatorAction:
+      'Check the network between this instance and the runners. If all daemons write this, check the runners.',
+  }),
+  pathBack: defineLogEvent({
+    number: 2613,
+    name: 'forwarding.path_back',
+    level: 'info',
+    text: 'A runner accepted a connection of this daemon again; requests go to runners directly.',
+    operatorAction: 'None.',
+  }),
+  handedOver: defineLogEvent({
+    number: 2614,
+    name: 'forwarding.handed_over',
+    level: 'info',
+    text: 'A request was handed over to another daemon, because this one reached no runner for it.',
+    operatorAction:
+      'None; the line 2615 of the same request at the other daemon shows what follows.',
+  }),
+  takenOver: defineLogEvent({
+    number: 2615,
+    name: 'forwarding.taken_over',
+    level: 'info',
+    text: 'A request of another daemon, which reached no runner for it, is forwarded by this one.',
+    operatorAction: 'None.',
+  }),
+  handOverRejected: defineLogEvent({
+    number: 2616,
+    name: 'forwarding.hand_over_rejected',
+    level: 'warn',
+    text: 'A message that hands a request over was not sent by a daemon of this fleet, or is truncated.',
+    operatorAction: 'Check who connects to the address for other daemons.',
+  }),
 };
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -1,6 +1,7 @@
 /**
  * Types that the modules of the forwarding path share.
  */
+import type { HandOverTask } from '../handover/HandOverTask.js';
 import type { Log } from '../logging/Log.js';
 import type { RequestQuarantine } from '../quarantine/RequestQuarantine.js';
 import type { HomeRegions } from '../routes/homeRegions.js';
@@ -26,6 +27,8 @@
   readonly connections: RunnerConnections;
   readonly budget: SharedRetryBudget;
   readonly link: LinkCheck;
+  /** Hands requests over to other daemons; missing for requests that were handed over to this one. */
+  readonly handOver?: HandOverTask | undefined;
   readonly quarantine: RequestQuarantine;
   readonly statements: RunnerNotices;
   /** Determines why no runner can take a request. `now` is in monotonic ms. */
--- /dev/null
+++ b/src/handover/HandOverParts.ts
@@ -0,0 +1,104 @@
+/**
+ * Connects the parts with which a daemon hands requests over to others and takes theirs.
+ */
+import type { RequestListener } from 'node:http';
+
+import { forwardingLogEvents } from '../forwarding/forwardingFeature.js';
+import type { ForwardingContext } from '../forwarding/forwardingTypes.js';
+import type { Log } from '../logging/Log.js';
+import type { MetricRegistry } from '../metrics/MetricRegistry.js';
+import type { Runner } from '../runners/Runner.js';
+import type { DaemonEntry } from '../sync/FleetStore.js';
+import type { Clock } from '../time/Clock.js';
+import { HandOverServer } from './HandOverServer.js';
+import { HandOverTask } from './HandOverTask.js';
+import { PathReports } from './PathReports.js';
+import { RunnerPath } from './RunnerPath.js';
+import { RunnerPathMonitor } from './RunnerPathMonitor.js';
+
+/** Options of {@link HandOverParts}. */
+export interface HandOverPartsOptions {
+  /** This daemon's entry in the list of daemons. */
+  daemon: DaemonEntry;
+  /** Returns all listed runners. */
+  runners: () => readonly Runner[];
+  /** Returns the available daemons except this one. */
+  daemons: () => readonly DaemonEntry[];
+  /** Returns the fleet's secret, or `undefined` while it is unknown. */
+  secret: () => string | undefined;
+  clock: Clock;
+  log: Log;
+  registry: MetricRegistry;
+}
+
+/** Owns the parts of one daemon. */
+export class HandOverParts {
+  /** Whether this daemon reaches the runners. */
+  readonly path: RunnerPath;
+
+  /** What the other daemons say of their paths. */
+  readonly reports = new PathReports();
+
+  /** Hands requests over. */
+  readonly task: HandOverTask;
+
+  private readonly monitor: RunnerPathMonitor;
+
+  private readonly options: HandOverPartsOptions;
+
+  /** When the path was lost, monotonic ms. */
+  private lostAt = 0;
+
+  /**
+   * @param options - this daemon, the runners and the other daemons.
+   */
+  constructor(options: HandOverPartsOptions) {
+    const { daemon, runners, daemons, secret, clock, log, registry } = options;
+    this.options = options;
+    this.path = new RunnerPath({
+      runnerCount: () => runners().length,
+      onChange: (isLost, now) => this.reportChange(isLost, now),
+    });
+    const { path } = this;
+    this.monitor = new RunnerPathMonitor({ path, runners, clock });
+    const hasNoPath = (name: string) => this.reports.hasNoPath(name, clock.monotonicMilliseconds());
+    const shared = { daemon, daemons, secret, clock, log, registry };
+    this.task = new HandOverTask({ ...shared, path, hasNoPath });
+  }
+
+  /**
+   * @param context - what requests of this daemon need.
+   * @param isAllowedHost - tells whether a host is one of the fleet's.
+   * @returns Handler of the requests that other daemons hand over.
+   */
+  handlerFor(
+    context: ForwardingContext,
+    isAllowedHost: (host: string) => boolean,
+  ): RequestListener {
+    const { path, options } = this;
+    const server = new HandOverServer({ context, path, isAllowedHost, secret: options.secret });
+    return (request, response) => server.take(request, response);
+  }
+
+  /** Starts to look at the path. */
+  start(): void {
+    this.monitor.start();
+  }
+
+  /** Ends it, and closes the connections to other daemons. */
+  stop(): void {
+    this.monitor.stop();
+    this.task.close();
+  }
+
+  private reportChange(isLost: boolean, now: number): void {
+    const { log, runners } = this.options;
+    if (isLost) {
+      this.lostAt = now;
+      log.write(forwardingLogEvents.pathLost, { runners: runners().length });
+      return;
+    }
+    const milliseconds = Math.round(now - this.lostAt);
+    log.write(forwardingLogEvents.pathBack, { milliseconds });
+  }
+}
--- /dev/null
+++ b/src/handover/HandOverServer.ts
@@ -0,0 +1,133 @@
+/**
+ * Takes requests that other daemons hand over, and forwards them to runners as if their callers had connected here. They
+ * are never handed on.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import { ForwardedRequest } from '../forwarding/ForwardedRequest.js';
+import { forwardingLogEvents } from '../forwarding/forwardingFeature.js';
+import type { ForwardingContext } from '../forwarding/forwardingTypes.js';
+import { REFUSED_HEADER } from './handOverHeaders.js';
+import { decodeHandOver, HandOverError } from './handOverMessage.js';
+import type { ReceivedHandOver } from './handOverMessage.js';
+import type { RunnerPath } from './RunnerPath.js';
+import { TakenOverRelay } from './TakenOverRelay.js';
+
+/**
+ * Maximum number of requests of other daemons in progress. With their bodies and buffered answers, they stay a small part
+ * of a daemon's memory.
+ */
+const MAXIMUM_IN_PROGRESS = 512;
+
+/** Largest message, in bytes; callers' bodies are smaller. */
+const MAXIMUM_MESSAGE_BYTES = 16_777_216;
+
+const UNAVAILABLE = 503;
+
+const FORBIDDEN = 403;
+
+/** Why a request is not taken. */
+export type HandOverRefusal = 'no_path' | 'stopping' | 'busy' | 'not_started';
+
+/** Options of a {@link HandOverServer}. */
+export interface HandOverServerOptions {
+  context: ForwardingContext;
+  path: RunnerPath;
+  secret: () => string | undefined;
+  /** Whether a host is one of the fleet's. */
+  isAllowedHost: (host: string) => boolean;
+}
+
+/** Serves the path for handed over requests. */
+export class HandOverServer {
+  /** Number of requests whose answers are not complete. */
+  inProgress = 0;
+
+  private readonly options: HandOverServerOptions;
+
+  /** The context without a task that hands requests over, so that no request goes on to a third daemon. */
+  private readonly context: ForwardingContext;
+
+  /**
+   * @param options - what requests need, and who may send them.
+   */
+  constructor(options: HandOverServerOptions) {
+    this.options = options;
+    this.context = { ...options.context, handOver: undefined };
+  }
+
+  /**
+   * Answers a daemon that wants to hand a request over, before it has sent the request.
+   *
+   * @param request - head of its message.
+   * @param response - answer to the daemon.
+   */
+  take(request: IncomingMessage, response: ServerResponse): void {
+    if (!this.options.isAllowedHost(request.socket.remoteAddress ?? '')) {
+      response.writeHead(FORBIDDEN, { 'Content-Length': 0, Connection: 'close' }).end();
+      return;
+    }
+    const { refusal } = this;
+    if (refusal) {
+      this.refuse(response, refusal);
+      return;
+    }
+    this.inProgress += 1;
+    response.once('close', () => {
+      this.inProgress -= 1;
+    });
+    this.read(request, response);
+    response.writeContinue();
+  }
+
+  private get refusal(): HandOverRefusal | undefined {
+    const { path, secret, context } = this.options;
+    if (context.stopPhase() !== 'serving') return 'stopping';
+    if (secret() === undefined || context.routes() === undefined) return 'not_started';
+    if (path.isLost) return 'no_path';
+    return this.inProgress >= MAXIMUM_IN_PROGRESS ? 'busy' : undefined;
+  }
+
+  private refuse(response: ServerResponse, reason: HandOverRefusal): void {
+    const headers = { [REFUSED_HEADER]: reason, 'Content-Length': 0, Connection: 'close' };
+    response.writeHead(UNAVAILABLE, headers).end();
+  }
+
+  private read(request: IncomingMessage, response: ServerResponse): void {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    request.on('data', (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes <= MAXIMUM_MESSAGE_BYTES) chunks.push(chunk);
+      else request.destroy();
+    });
+    request.once('end', () => {
+      if (!response.destroyed) this.decode(Buffer.concat(chunks, bytes), response);
+    });
+  }
+
+  private decode(message: Buffer, response: ServerResponse): void {
+    try {
+      this.forward(decodeHandOver(message, this.options.secret() ?? ''), response);
+    } catch (error) {
+      if (!(error instanceof HandOverError)) throw error;
+      const { log } = this.context;
+      log.write(forwardingLogEvents.handOverRejected, { error: error.message });
+      response.writeHead(FORBIDDEN, { 'Content-Length': 0 }).end();
+    }
+  }
+
+  private forward({ handOver, body }: ReceivedHandOver, response: ServerResponse): void {
+    const { context } = this;
+    const { sender, remainingMilliseconds, isCounted, mayHaveRun } = handOver;
+    const arrivedAt = context.clock.monotonicMilliseconds();
+    const deadlineAt = arrivedAt + remainingMilliseconds;
+    const request = { ...handOver.request, arrivedAt, deadlineAt };
+    const relay = new TakenOverRelay(response, () => context.stopPhase() !== 'serving');
+    context.log.write(forwardingLogEvents.takenOver, { request: request.id, from: sender });
+    const before = { isCounted, mayHaveRun };
+    const forwarded = new ForwardedRequest({ request, body, relay, context, before });
+    response.once('close', () => forwarded.callerLeft());
+    forwarded.start();
+  }
+}
--- a/src/news/NewsTask.ts
+++ b/src/news/NewsTask.ts
@@ -42,6 +42,8 @@
   countedGrants?: () => MessageInitShape<typeof DaemonNewsSchema>['grants'];
   /** Whether this daemon is in a planned stop. */
   isLeaving?: () => boolean;
+  /** Whether this daemon reaches no runner. */
+  hasNoPath?: () => boolean;
   /** Registry for the counter of sent bytes. */
   registry: MetricRegistry;
   /** Called with each new message of another daemon. */
@@ -123,6 +125,7 @@
       daemons: () => 1,
       countedGrants: () => [],
       isLeaving: () => false,
+      hasNoPath: () => false,
       onNews: () => undefined,
       ...options,
     };
@@ -210,7 +213,8 @@
     const loads = busy.map(({ entry, inFlight }) => ({ runner: entry.life, requests: inFlight }));
     const grants = this.options.countedGrants();
     const isLeaving = this.options.isLeaving();
-    const content = JSON.stringify([loads, changedAtRevision(), grants, isLeaving]);
+    const hasNoPath = this.options.hasNoPath();
+    const content = JSON.stringify([loads, changedAtRevision(), grants, isLeaving, hasNoPath]);
     const isDue = now - this.lastSentAt >= REPEAT_MILLISECONDS - TIMER_SLACK_MILLISECONDS;
     if (content === this.lastSent && this.waitingWarm.length === 0 && !isDue) return;
     this.lastSent = content;
@@ -219,7 +223,7 @@
     const warm = this.waitingWarm.splice(0, MAXIMUM_WARM);
     const { life, number } = this;
     const revision = BigInt(changedAtRevision());
-    const state = { loads, warm, revision, grants, isLeaving };
+    const state = { loads, warm, revision, grants, isLeaving, hasNoPath };
     const news = create(DaemonNewsSchema, { daemon, life, number, ...state });
     this.socket.send(MessageKind.UNSPECIFIED, toBinary(DaemonNewsSchema, news), others());
   }
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -10,6 +10,8 @@
 import type { StopPhase } from '../forwarding/forwardingTypes.js';
 import { RunnerConnections } from '../forwarding/RunnerConnections.js';
 import type { RunnerProtocol } from '../forwarding/RunnerProtocol.js';
+import { HAND_OVER_PATH } from '../handover/handOverHeaders.js';
+import { HandOverParts } from '../handover/HandOverParts.js';
 import { parseAddress } from '../http/parseAddress.js';
 import type { HostAndPort } from '../http/parseAddress.js';
 import type { Log } from '../logging/Log.js';
@@ -98,6 +100,8 @@
 
   private readonly warmPlacesKeeper: WarmPlacesWriter;
 
+  private readonly handOver: HandOverParts;
+
   private readonly front: ForwardingServer;
 
   private readonly follower: StoreFollower;
@@ -147,10 +151,27 @@
       peers: () => this.peers.addresses(),
       isWriter: () => coordination.isFirst,
     });
+    const isAllowedHost = (host: string) => this.peers.isAllowedHost(host);
+    this.handOver = new HandOverParts({
+      ...{ daemon: entry, clock, log, registry },
+      runners: () => knowledge.runners.list(),
+      daemons: () => coordination.otherAvailableDaemons(),
+      secret: () => knowledge.secret,
+    });
+    const context = createForwardingContext({
+      ...{ settings, protocol, clock, log, knowledge, registry, coordination },
+      connections: this.connections,
+      quarantine: this.quarantineTask.quarantine,
+      path: this.handOver.path,
+      handOver: this.handOver.task,
+      stopPhase: () => this.phase,
+      isStoreSilent: () => this.follower.isStoreUnresponsive,
+    });
+    this.front = new ForwardingServer(context);
     this.listings = new ListingExchange({
       knowledge,
       clock,
-      isAllowedHost: (host) => this.peers.isAllowedHost(host),
+      isAllowedHost,
     });
     this.follower = createStoreFollower({
       ...{ daemon: name, store, knowledge, clock, log, gatherMilliseconds, coordination },
@@ -173,6 +194,7 @@
         ],
         [QUARANTINE_PATH, this.quarantineTask.peerHandler],
         [LISTING_PATH, this.listings.handler],
+        [HAND_OVER_PATH, this.handOver.handlerFor(context, isAllowedHost)],
       ]),
       isStoreUnresponsive: () => this.follower.isStoreUnresponsive,
     });
@@ -183,15 +205,6 @@
       name,
       daemons: () => coordination.namesOfChoosingDaemons(),
     });
-    this.front = new ForwardingServer(
-      createForwardingContext({
-        ...{ settings, protocol, clock, log, knowledge, registry, coordination },
-        connections: this.connections,
-        quarantine: this.quarantineTask.quarantine,
-        stopPhase: () => this.phase,
-        isStoreSilent: () => this.follower.isStoreUnresponsive,
-      }),
-    );
   }
 
   /** @returns Whether callers may be sent to this daemon: it is not stopping, and has a configuration and runners. */
@@ -230,6 +243,7 @@
     this.metricsServer = metricsServer;
     void this.follower.run();
     this.coordination.liveness.start();
+    this.handOver.start();
     this.warmPlacesKeeper.start();
     this.quarantineTask.start();
     this.log.write(routerLogEvents.started, {
@@ -262,6 +276,7 @@
     this.follower.stop();
     this.coordination.liveness.stop();
     this.coordination.leaveNotices.stop();
+    this.handOver.stop();
     this.peers.close();
     this.news.close();
     this.warmPlacesKeeper.stop();
@@ -316,8 +331,12 @@
       daemons: () => knowledge.daemons.size,
       secret: () => knowledge.secret,
       isLeaving: () => this.phase !== 'serving',
+      hasNoPath: () => this.handOver.path.isLost,
       countedGrants: () => this.coordination.selector.countedGrants(),
-      onNews: (news) => this.coordination.handleNews(news),
+      onNews: (news) => {
+        this.coordination.handleNews(news);
+        this.handOver.reports.record(news.daemon, news.hasNoPath, clock.monotonicMilliseconds());
+      },
     });
   }
 
--- a/src/router/createForwardingContext.ts
+++ b/src/router/createForwardingContext.ts
@@ -7,6 +7,7 @@
 import { LinkCheck } from '../forwarding/LinkCheck.js';
 import { RunnerNotices } from '../forwarding/RunnerNotices.js';
 import { SharedRetryBudget } from '../forwarding/SharedRetryBudget.js';
+import type { RunnerPath } from '../handover/RunnerPath.js';
 import type { MetricRegistry } from '../metrics/MetricRegistry.js';
 import { unavailabilityOf } from '../runners/unavailability.js';
 import type { FleetKnowledge } from '../sync/FleetKnowledge.js';
@@ -15,12 +16,20 @@
 /** Options of {@link createForwardingContext}. */
 export interface ForwardingContextOptions extends Pick<
   ForwardingContext,
-  'clock' | 'log' | 'protocol' | 'connections' | 'quarantine' | 'stopPhase' | 'isStoreSilent'
+  | 'clock'
+  | 'log'
+  | 'protocol'
+  | 'connections'
+  | 'quarantine'
+  | 'stopPhase'
+  | 'isStoreSilent'
+  | 'handOver'
 > {
   settings: RouterSettings;
   knowledge: FleetKnowledge;
   coordination: FleetCoordination;
   registry: MetricRegistry;
+  path: RunnerPath;
 }
 
 /**
@@ -32,6 +41,7 @@
   knowledge,
   coordination,
   registry,
+  path,
   ...parts
 }: ForwardingContextOptions): ForwardingContext {
   const { clock, log, protocol } = parts;
@@ -74,7 +84,7 @@
     ...parts,
     daemons,
     metrics,
-    link: new LinkCheck({ runners, clock, log, metrics }),
+    link: new LinkCheck({ runners, clock, log, metrics, path }),
     selector: coordination.selector,
     statements: new RunnerNotices({
       protocol,
--- a/src/sync/PeerExchange.ts
+++ b/src/sync/PeerExchange.ts
@@ -107,6 +107,9 @@
   constructor(options: PeerExchangeOptions) {
     this.options = options;
     this.server = createServer((request, response) => this.answer(request, response));
+    this.server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) =>
+      this.answer(request, response),
+    );
   }
 
   /**
