Tests of requests that are handed over; broadcast which daemons have no path

Daemons of a large fleet send their news to a few monitors only, so the broadcasts of these now also name the daemons that reach no runner: of 300 daemons with 290 cut, a request would ask up to 16 daemons in vain. A daemon that has found few others tries more of them now and then: without that, 27 of the 30 daemons with a path got all requests of the 60 others.

--- a/src/coordination/FleetCoordination.ts
+++ b/src/coordination/FleetCoordination.ts
@@ -3,6 +3,7 @@
  * and what they do for it.
  */
 import type { RunnerConnections } from '../forwarding/RunnerConnections.js';
+import { PathReports } from '../handover/PathReports.js';
 import { MessageKind } from '../generated/baobabdock/v1/news_pb.js';
 import type { DaemonNews } from '../generated/baobabdock/v1/news_pb.js';
 import type { HostAndPort } from '../http/parseAddress.js';
@@ -88,6 +89,9 @@
   /** Failure detector for the listed daemons. */
   readonly liveness: LivenessTask;
 
+  /** Daemons that reach no runner. */
+  readonly pathReports = new PathReports();
+
   private readonly options: FleetCoordinationOptions;
 
   private cachedMonitors: readonly DaemonEntry[] = [];
@@ -133,6 +137,7 @@
         }),
       others,
       longestPauseMilliseconds,
+      pathReports: this.pathReports,
     });
     this.selector = new CoordinatedSelector({
       daemon,
@@ -263,12 +268,14 @@
   }
 
   /**
-   * Handles a load report: notes that its sender is alive and which grants of this daemon it has counted.
+   * Handles a load report: notes that its sender is alive, whether it reaches runners, and which grants of this daemon it
+   * has counted.
    *
    * @param news - the load report of another daemon.
    */
-  handleNews({ daemon, grants, isLeaving }: DaemonNews): void {
+  handleNews({ daemon, grants, isLeaving, hasNoPath }: DaemonNews): void {
     this.liveness.recordMessage(daemon, isLeaving);
+    this.pathReports.record(daemon, hasNoPath, this.options.clock.monotonicMilliseconds());
     const own = grants.find(({ coordinator }) => coordinator === this.options.daemon.name);
     if (own) this.options.grants.acknowledge(daemon, own.grant);
   }
--- a/src/handover/HandOverParts.ts
+++ b/src/handover/HandOverParts.ts
@@ -12,7 +12,7 @@
 import type { Clock } from '../time/Clock.js';
 import { HandOverServer } from './HandOverServer.js';
 import { HandOverTask } from './HandOverTask.js';
-import { PathReports } from './PathReports.js';
+import type { PathReports } from './PathReports.js';
 import { RunnerPath } from './RunnerPath.js';
 import { RunnerPathMonitor } from './RunnerPathMonitor.js';
 
@@ -24,6 +24,8 @@
   runners: () => readonly Runner[];
   /** Returns the available daemons except this one. */
   daemons: () => readonly DaemonEntry[];
+  /** What the other daemons say of their paths. */
+  reports: PathReports;
   /** Returns the fleet's secret, or `undefined` while it is unknown. */
   secret: () => string | undefined;
   clock: Clock;
@@ -36,9 +38,6 @@
   /** Whether this daemon reaches the runners. */
   readonly path: RunnerPath;
 
-  /** What the other daemons say of their paths. */
-  readonly reports = new PathReports();
-
   /** Hands requests over. */
   readonly task: HandOverTask;
 
@@ -53,7 +52,7 @@
    * @param options - this daemon, the runners and the other daemons.
    */
   constructor(options: HandOverPartsOptions) {
-    const { daemon, runners, daemons, secret, clock, log, registry } = options;
+    const { daemon, runners, daemons, reports, secret, clock, log, registry } = options;
     this.options = options;
     this.path = new RunnerPath({
       runnerCount: () => runners().length,
@@ -61,7 +60,7 @@
     });
     const { path } = this;
     this.monitor = new RunnerPathMonitor({ path, runners, clock });
-    const hasNoPath = (name: string) => this.reports.hasNoPath(name, clock.monotonicMilliseconds());
+    const hasNoPath = (name: string) => reports.hasNoPath(name, clock.monotonicMilliseconds());
     const shared = { daemon, daemons, secret, clock, log, registry };
     this.task = new HandOverTask({ ...shared, path, hasNoPath });
   }
--- a/src/handover/HandOverPeers.ts
+++ b/src/handover/HandOverPeers.ts
@@ -10,6 +10,12 @@
 /** How long a daemon that took a request counts as one that takes the next, in ms; longer than most partitions last. */
 const ACCEPTANCE_MILLISECONDS = 30_000;
 
+/** With fewer accepting daemons than this, others are tried as well, so that the requests spread over all of them. */
+const SPREAD_DAEMONS = 4;
+
+/** Share of the requests for which others are tried. */
+const TRIAL_SHARE = 0.25;
+
 /** What the choice depends on. */
 export interface PeerQuestion {
   /** The daemons that are available, without this one. */
@@ -83,7 +89,9 @@
   private best(daemons: readonly DaemonEntry[], now: number): readonly DaemonEntry[] {
     const near = daemons.filter(({ dataCentre }) => dataCentre === this.dataCentre);
     const accepts = ({ name }: DaemonEntry) => this.hasAccepted(name, now);
-    const groups = [near.filter(accepts), daemons.filter(accepts), near, daemons];
+    const accepting = near.filter(accepts);
+    const isTrial = accepting.length < SPREAD_DAEMONS && this.random() < TRIAL_SHARE;
+    const groups = [...(isTrial ? [near] : []), accepting, daemons.filter(accepts), near, daemons];
     return groups.find((group) => group.length > 0) ?? [];
   }
 
--- /dev/null
+++ b/src/handover/HandedOverRequest.spec.ts
@@ -0,0 +1,145 @@
+import { afterEach, beforeEach, describe, it } from 'node:test';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import { expect } from 'earl';
+
+import { REFUSED_HEADER, UNREACHED_HEADER } from './handOverHeaders.js';
+import { decodeHandOver, encodeHandOver, HandOverError } from './handOverMessage.js';
+import type { HandOver, ReceivedHandOver } from './handOverMessage.js';
+import { TestPeers } from './testPeers.js';
+
+const SIGNED = { Signature: 's' };
+
+const STREAM = { ...SIGNED, 'Content-Type': 'text/event-stream' };
+
+const eventOf = (id: number) => `id: ${id}\ndata: token ${id}\n\n`;
+
+function answerPlainly(_: ReceivedHandOver, response: ServerResponse): void {
+  response.writeHead(200, SIGNED).end('an answer');
+}
+
+function refuse(_: IncomingMessage, response: ServerResponse): void {
+  response.writeHead(503, { [REFUSED_HEADER]: 'no_path', Connection: 'close' }).end();
+}
+
+function sayUnreached(_: ReceivedHandOver, response: ServerResponse): void {
+  response.writeHead(503, { [UNREACHED_HEADER]: 'connect_timeout' }).end('{}');
+}
+
+describe('a request that is handed over', () => {
+  let peers: TestPeers;
+
+  beforeEach(() => {
+    peers = new TestPeers();
+  });
+
+  afterEach(() => peers.close());
+
+  it('arrives unchanged, and its answer too', async () => {
+    await peers.add('one', { answer: answerPlainly });
+    const { end, text } = await peers.handOver('idempotent');
+    expect(end).toEqual('answered');
+    expect(text.endsWith('an answer')).toEqual(true);
+    const { handOver, body } = peers.taken[0]?.received as ReceivedHandOver;
+    expect(handOver.request.target).toEqual('/path?query');
+    expect(handOver.request.method).toEqual('POST');
+    expect(body?.toString()).toEqual('the body');
+    expect(handOver.remainingMilliseconds > 4_000).toEqual(true);
+  });
+
+  it('goes on to a daemon that takes it when others refuse', async () => {
+    await peers.add('one', { confirm: refuse });
+    await peers.add('two', { confirm: refuse });
+    await peers.add('three', { answer: answerPlainly });
+    expect((await peers.handOver('at_most_once')).end).toEqual('answered');
+    expect(peers.taken.map(({ by }) => by)).toEqual(['three']);
+  });
+
+  // Guards against a request that may run once and is sent to a second daemon.
+  it('is sent to no other daemon when the one that took it breaks off', async () => {
+    const breakOff = (_: ReceivedHandOver, response: ServerResponse) => response.destroy();
+    await peers.add('one', { answer: breakOff });
+    await peers.add('two', { answer: breakOff });
+    expect((await peers.handOver('at_most_once')).end).toEqual('lost');
+    expect(peers.taken.length).toEqual(1);
+  });
+
+  // Guards against a daemon that is frozen, and reads later what was sent to it.
+  it('is not sent to a daemon that does not confirm', async () => {
+    await peers.add('frozen', { confirm: () => undefined, answer: answerPlainly });
+    await peers.add('sound', { answer: answerPlainly });
+    for (let count = 0; count < 4; count += 1) {
+      expect((await peers.handOver('at_most_once')).end).toEqual('answered');
+    }
+    expect(peers.taken.every(({ by }) => by === 'sound')).toEqual(true);
+  });
+
+  // Guards against callers that wait for several timeouts while this daemon's own link is saturated.
+  it('comes back when several daemons do not answer', async () => {
+    for (const name of ['one', 'two', 'three', 'four', 'five']) {
+      await peers.add(name, { confirm: () => undefined });
+    }
+    const startedAt = performance.now();
+    expect((await peers.handOver('idempotent')).end).toEqual('unanswered');
+    expect(performance.now() - startedAt < 1_000).toEqual(true);
+  });
+
+  it('is not served when all daemons refuse', async () => {
+    await peers.add('one', { confirm: refuse });
+    await peers.add('two', { confirm: refuse });
+    expect((await peers.handOver('idempotent')).end).toEqual('unreached');
+    expect(peers.taken).toEqual([]);
+  });
+
+  // Guards against a service that is down and costs each of its requests a tour of the fleet.
+  it('is tried at two daemons that reach no runner either', async () => {
+    for (const name of ['one', 'two', 'three', 'four']) {
+      await peers.add(name, { answer: sayUnreached });
+    }
+    expect((await peers.handOver('idempotent')).end).toEqual('unreached');
+    expect(peers.taken.length).toEqual(2);
+  });
+
+  it('streams the events as they come', async () => {
+    const stream = (_: ReceivedHandOver, response: ServerResponse) => {
+      response.writeHead(200, STREAM);
+      response.write(eventOf(1) + eventOf(2).slice(0, 5));
+      response.end(eventOf(2).slice(5));
+    };
+    await peers.add('one', { answer: stream });
+    const { end, text } = await peers.handOver('stream');
+    expect(end).toEqual('answered');
+    expect(text.match(/token \d/gu)).toEqual(['token 1', 'token 2']);
+  });
+
+  // Guards against half an event, or an end that looks complete, where the other daemon breaks off in a stream.
+  it('passes whole events only when the other daemon breaks off', async () => {
+    const stream = (_: ReceivedHandOver, response: ServerResponse) => {
+      response.writeHead(200, STREAM);
+      response.write(eventOf(1) + eventOf(2).slice(0, 8), () => response.destroy());
+    };
+    await peers.add('one', { answer: stream });
+    const { end, text } = await peers.handOver('stream');
+    expect(end).toEqual('lost');
+    expect(text.includes('id: 2')).toEqual(false);
+    expect(text.endsWith('0\r\n\r\n')).toEqual(false);
+  });
+
+  it('resumes a stream after the last event of its caller', async () => {
+    await peers.add('one', { answer: answerPlainly });
+    await peers.handOver('stream', '7');
+    const { headers } = (peers.taken[0]?.received as ReceivedHandOver).handOver.request;
+    expect(headers).toEqual(['Host', 'x', 'last-event', '7']);
+  });
+
+  it('is read from a daemon of the fleet alone', () => {
+    const handOver = { sender: 'one', hasBody: true } as HandOver;
+    const message = encodeHandOver(handOver, Buffer.from('body'), 'secret');
+    expect(decodeHandOver(message, 'secret').body?.toString()).toEqual('body');
+    expect(() => decodeHandOver(message, 'another')).toThrow(HandOverError);
+    const changed = Buffer.from(message);
+    changed[changed.length - 1] = 0;
+    expect(() => decodeHandOver(changed, 'secret')).toThrow(HandOverError);
+    expect(() => decodeHandOver(message.subarray(0, 10), 'secret')).toThrow(HandOverError);
+  });
+});
--- /dev/null
+++ b/src/handover/testPeers.ts
@@ -0,0 +1,180 @@
+/**
+ * Test helper: other daemons that take requests over as a test says, and a request that is handed over to them.
+ */
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { connect } from 'node:net';
+import type { AddressInfo } from 'node:net';
+
+import { MemoryLog } from '../callers/testFakes.js';
+import { AnswerRelay } from '../forwarding/AnswerRelay.js';
+import { BufferedAnswers } from '../forwarding/BufferedAnswers.js';
+import type { AdmittedRequest } from '../forwarding/forwardingTypes.js';
+import { StreamedAnswer } from '../forwarding/StreamedAnswer.js';
+import { MetricRegistry } from '../metrics/MetricRegistry.js';
+import type { Route } from '../routes/routeTypes.js';
+import type { DaemonEntry } from '../sync/FleetStore.js';
+import { SystemClock } from '../time/SystemClock.js';
+import { HandedOverRequest } from './HandedOverRequest.js';
+import type { HandOverEnd } from './HandedOverRequest.js';
+import { decodeHandOver } from './handOverMessage.js';
+import type { ReceivedHandOver } from './handOverMessage.js';
+import { HandOverTask } from './HandOverTask.js';
+import { RunnerPath } from './RunnerPath.js';
+
+const SECRET = 'secret of the fleet';
+
+const DEADLINE_MILLISECONDS = 5_000;
+
+/** What another daemon does with a request: before it is sent, and once it has it. */
+export interface PeerBehaviour {
+  /** Confirms or refuses; confirms if left out. */
+  readonly confirm?: (request: IncomingMessage, response: ServerResponse) => void;
+  /** Answers the request that it has taken. */
+  readonly answer?: (taken: ReceivedHandOver, response: ServerResponse) => void;
+}
+
+/** Sends a request and returns everything that arrives until the connection ends. */
+function textFrom(port: number): Promise<string> {
+  return new Promise((done) => {
+    const socket = connect({ host: '127.0.0.1', port });
+    let text = '';
+    socket.on('error', () => undefined);
+    socket.on('data', (chunk) => {
+      text += String(chunk);
+    });
+    socket.once('close', () => done(text));
+    socket.write('GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n');
+  });
+}
+
+/** The other daemons of one test. */
+export class TestPeers {
+  readonly clock = new SystemClock();
+
+  readonly log = new MemoryLog();
+
+  /** Requests that the daemons have read, with their names, in order. */
+  readonly taken: { readonly by: string; readonly received: ReceivedHandOver }[] = [];
+
+  private readonly daemons: DaemonEntry[] = [];
+
+  private readonly servers: Server[] = [];
+
+  private readonly task: HandOverTask;
+
+  constructor() {
+    this.task = new HandOverTask({
+      daemon: this.entryOf('own', 0),
+      path: new RunnerPath({ runnerCount: () => 4 }),
+      daemons: () => this.daemons,
+      hasNoPath: () => false,
+      secret: () => SECRET,
+      clock: this.clock,
+      log: this.log,
+      registry: new MetricRegistry({ clock: this.clock }),
+    });
+  }
+
+  /**
+   * @param name - name of another daemon.
+   * @param behaviour - what it does.
+   */
+  async add(name: string, behaviour: PeerBehaviour): Promise<void> {
+    const server = createServer();
+    const { confirm = (_, response) => response.writeContinue(), answer } = behaviour;
+    server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
+      const chunks: Buffer[] = [];
+      request.on('data', (chunk: Buffer) => chunks.push(chunk));
+      request.on('error', () => undefined);
+      request.once('end', () => {
+        const received = decodeHandOver(Buffer.concat(chunks), SECRET);
+        this.taken.push({ by: name, received });
+        answer?.(received, response);
+      });
+      confirm(request, response);
+    });
+    this.daemons.push(this.entryOf(name, await this.listen(server)));
+  }
+
+  /**
+   * Hands a request over and returns what its caller received.
+   *
+   * @param kind - kind of its route.
+   * @param resumesAfter - id of the last event that the caller has.
+   * @returns The end of the hand-over, and the text that the caller received.
+   */
+  async handOver(
+    kind: Route['kind'],
+    resumesAfter?: string,
+  ): Promise<{ end: HandOverEnd; text: string }> {
+    let end: HandOverEnd | undefined;
+    const front = createServer((_request, response) => {
+      const finish = (ending: HandOverEnd) => {
+        end = ending;
+        if (!response.writableEnded) response.destroy();
+      };
+      this.requestFor(kind, resumesAfter, response, finish).start();
+    });
+    const text = await textFrom(await this.listen(front));
+    if (end === undefined) throw new Error('the hand-over has not ended');
+    return { end, text };
+  }
+
+  /** Closes everything. */
+  close(): void {
+    this.task.close();
+    for (const server of this.servers) {
+      server.close();
+      server.closeAllConnections();
+    }
+  }
+
+  private requestFor(
+    kind: Route['kind'],
+    resumesAfter: string | undefined,
+    response: ServerResponse,
+    onEnd: (end: HandOverEnd) => void,
+  ): HandedOverRequest {
+    const relay = new AnswerRelay(response, () => true);
+    const now = this.clock.monotonicMilliseconds();
+    const request: AdmittedRequest = {
+      id: 'r-1',
+      hasOwnId: true,
+      route: { name: 'route', kind } as Route,
+      service: 'service',
+      clientAccount: undefined,
+      homeRegions: undefined,
+      configurationVersion: 1,
+      method: 'POST',
+      target: '/path?query',
+      headers: ['Host', 'x', 'Last-Event', '1'],
+      sharedParts: [],
+      arrivedAt: now,
+      deadlineAt: now + DEADLINE_MILLISECONDS,
+      connectionLimit: 4,
+    };
+    return new HandedOverRequest({
+      ...{ task: this.task, request, relay, resumesAfter, onEnd, clock: this.clock },
+      body: Buffer.from('the body'),
+      bufferedAnswers: new BufferedAnswers(relay),
+      stream: new StreamedAnswer(relay),
+      names: { lastEventId: 'last-event', signature: 'signature' },
+      isCounted: true,
+      mayHaveRun: 0,
+    });
+  }
+
+  private entryOf(name: string, port: number): DaemonEntry {
+    const address = `127.0.0.1:${port}`;
+    const addresses = { callerAddress: address, peerAddress: address, newsAddress: address };
+    return { name, dataCentre: 'here', ...addresses };
+  }
+
+  private listen(server: Server): Promise<number> {
+    this.servers.push(server);
+    return new Promise((done) => {
+      server.listen(0, '127.0.0.1', () => done((server.address() as AddressInfo).port));
+    });
+  }
+}
--- a/src/liveness/LivenessTask.ts
+++ b/src/liveness/LivenessTask.ts
@@ -5,6 +5,7 @@
 
 import { MessageKind, SilentDaemonsSchema } from '../generated/baobabdock/v1/news_pb.js';
 import type { HostAndPort } from '../http/parseAddress.js';
+import type { PathReports } from '../handover/PathReports.js';
 import type { Log } from '../logging/Log.js';
 import type { FleetSocket } from '../news/FleetSocket.js';
 import type { FleetKnowledge } from '../sync/FleetKnowledge.js';
@@ -38,6 +39,8 @@
   others: () => readonly HostAndPort[];
   /** Longest normal pause between two messages of a daemon, in ms. */
   longestPauseMilliseconds: () => number;
+  /** Daemons that reach no runner; broadcast together with the unresponsive ones. */
+  pathReports: Pick<PathReports, 'recordBroadcast' | 'nextBroadcast'>;
 }
 
 /** Owns the tick timer and the pending requests. */
@@ -66,8 +69,10 @@
       quietMilliseconds: () => QUIET_FACTOR * longestPauseMilliseconds(),
     });
     socket.handle(MessageKind.SILENT_DAEMONS, (message) => {
-      const { daemon: broadcaster, silent } = fromBinary(SilentDaemonsSchema, message);
-      if (broadcaster !== daemon) this.decisions.takeBroadcast(broadcaster, silent, this.now);
+      const { daemon: broadcaster, silent, withoutPath } = fromBinary(SilentDaemonsSchema, message);
+      if (broadcaster === daemon) return;
+      this.decisions.takeBroadcast(broadcaster, silent, this.now);
+      options.pathReports.recordBroadcast(withoutPath, this.now);
     });
   }
 
@@ -197,8 +202,9 @@
   }
 
   private broadcast(silent: readonly number[]): void {
-    const { daemon, socket, others } = this.options;
-    const message = create(SilentDaemonsSchema, { daemon, silent: [...silent] });
+    const { daemon, socket, others, pathReports } = this.options;
+    const withoutPath = pathReports.nextBroadcast(this.now);
+    const message = create(SilentDaemonsSchema, { daemon, silent: [...silent], withoutPath });
     const bytes = toBinary(SilentDaemonsSchema, message);
     socket.send(MessageKind.SILENT_DAEMONS, bytes, others());
   }
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -156,6 +156,7 @@
       ...{ daemon: entry, clock, log, registry },
       runners: () => knowledge.runners.list(),
       daemons: () => coordination.otherAvailableDaemons(),
+      reports: coordination.pathReports,
       secret: () => knowledge.secret,
     });
     const context = createForwardingContext({
@@ -333,10 +334,7 @@
       isLeaving: () => this.phase !== 'serving',
       hasNoPath: () => this.handOver.path.isLost,
       countedGrants: () => this.coordination.selector.countedGrants(),
-      onNews: (news) => {
-        this.coordination.handleNews(news);
-        this.handOver.reports.record(news.daemon, news.hasNoPath, clock.monotonicMilliseconds());
-      },
+      onNews: (news) => this.coordination.handleNews(news),
     });
   }
 
--- a/standIns/site/SiteLinks.ts
+++ b/standIns/site/SiteLinks.ts
@@ -51,6 +51,12 @@
     return this.addresses.get(runnerId);
   }
 
+  closeRunner(runnerId: string): void {
+    const port = Number(this.addresses.get(runnerId)?.split(':')[1]);
+    this.link.take({ kind: 'close', port });
+    this.link.take({ kind: 'reset', side: 'runners' });
+  }
+
   sever(how: Severance): void {
     this.link.take({ kind: 'sever', side: 'runners', how });
   }
@@ -96,6 +102,14 @@
     this.links.get(name)?.sever(how);
   }
 
+  /**
+   * @param name - name of the daemon whose path to one runner is lost for good; new connections are refused.
+   * @param runnerId - id of the runner.
+   */
+  closeRunner(name: string, runnerId: string): void {
+    this.links.get(name)?.closeRunner(runnerId);
+  }
+
   /**
    * @param name - name of the daemon whose path to the runners is back.
    */
