Soak: daemons lose their path to the runners; a handed over request runs once at each daemon

The soak cuts one to all but one of the daemons off from all runners, in the three ways of the links, over its other faults, and checks the rule on first tries at cut daemons against the others.

The daemon that had taken it over used up both attempts and broke off, and the one that had handed it over counted that as one run. Now a daemon that takes a request over runs it once, marks an error after a run that may have happened, and the daemon of the caller decides about the next run, with its own budget.

--- a/soak/FaultHistory.ts
+++ b/soak/FaultHistory.ts
@@ -6,7 +6,8 @@
 /**
  * What a fault does to those it touches: `stall` delays, `break` resets connections, `silence` leaves open ones dead,
  * `cut` holds back all of them in one direction, `kill`, `stop` (planned) and `pause` concern a process, `runner` is a
- * runner that breaks off or ends, `store` a store that misbehaves. A `configuration` is no fault, and told with them.
+ * runner that breaks off or ends, `store` a store that misbehaves,
+ * `path` a daemon that reaches no runner. A `configuration` is no fault, and told with them.
  */
 export type FaultKind =
   | 'stall'
@@ -18,6 +19,7 @@
   | 'pause'
   | 'reload'
   | 'runner'
+  | 'path'
   | 'store'
   | 'configuration';
 
--- /dev/null
+++ b/soak/checks/PathChecks.ts
@@ -0,0 +1,85 @@
+/**
+ * What callers are promised of daemons that reach no runner while others do.
+ */
+import type { FaultHistory, PlayedFault } from '../FaultHistory.js';
+import type { Call } from '../SoakCallers.js';
+import { CONTACT_MILLISECONDS } from '../soakBounds.js';
+import type { Contact } from './Contact.js';
+import type { Violations } from './Violations.js';
+
+const OK = 200;
+
+/** First tries at cut daemons are served at least this share as often as those at the others. */
+const SERVED_SHARE = 2 / 3;
+
+/** Failures that are allowed in any case, and as a share of all first tries. */
+const ALLOWED_FAILURES = 10;
+const ALLOWED_FAILURE_SHARE = 1 / 50;
+
+/** Options of {@link PathChecks}. */
+export interface PathChecksOptions {
+  history: FaultHistory;
+  contact: Contact;
+  violations: Violations;
+  calls: ReadonlyMap<string, Call>;
+  /** How many daemons there are. */
+  daemons: number;
+}
+
+interface Tally {
+  sent: number;
+  served: number;
+}
+
+/** Compares daemons without a path with the others. */
+export class PathChecks {
+  private readonly options: PathChecksOptions;
+
+  /**
+   * @param options - faults and calls.
+   */
+  constructor(options: PathChecksOptions) {
+    this.options = options;
+  }
+
+  /** Looks at all calls; none may be under way. */
+  look(): void {
+    const cut: Tally = { sent: 0, served: 0 };
+    const others: Tally = { sent: 0, served: 0 };
+    for (const call of this.options.calls.values()) {
+      if (!this.isCounted(call)) continue;
+      const tally = this.cutsOf(call.daemon, call).length > 0 ? cut : others;
+      tally.sent += 1;
+      tally.served += call.answer?.status === OK && call.answer.isComplete ? 1 : 0;
+    }
+    if (cut.sent === 0 || others.sent === 0) return;
+    const failures = cut.sent - cut.served;
+    const isKept =
+      cut.served / cut.sent >= (SERVED_SHARE * others.served) / others.sent ||
+      failures <= ALLOWED_FAILURES + (cut.sent + others.sent) * ALLOWED_FAILURE_SHARE;
+    const told = () =>
+      `${cut.served} of ${cut.sent} at cut daemons, ${others.served} of ${others.sent} at the others`;
+    this.options.violations.check('daemons without a path serve', isKept, told);
+  }
+
+  /** Requests count while paths are lost, from the time of contact on, if another daemon in touch has one. */
+  private isCounted(call: Call): boolean {
+    const { contact, daemons } = this.options;
+    if (call.kind === 'look' || !contact.holds(call.daemon, call.sentAt, call.endedAt))
+      return false;
+    const indexes = Array.from({ length: daemons }, (_, index) => index);
+    const isCut = indexes.some((index) => this.cutsOf(index, call).length > 0);
+    const isReached = indexes.some(
+      (index) =>
+        this.cutsOf(index, call).length === 0 && contact.holds(index, call.sentAt, call.endedAt),
+    );
+    const own = this.cutsOf(call.daemon, call);
+    const isLong = own.every(({ from }) => call.sentAt >= from + CONTACT_MILLISECONDS);
+    return isCut && isReached && isLong;
+  }
+
+  private cutsOf(index: number, { sentAt, endedAt }: Call): PlayedFault[] {
+    const cuts = this.options.history.during(['path'], sentAt, endedAt);
+    return cuts.filter(({ daemon }) => daemon === index);
+  }
+}
--- a/soak/faults/faultPlan.ts
+++ b/soak/faults/faultPlan.ts
@@ -3,7 +3,14 @@
  */
 import { ConfigurationSeries } from './ConfigurationSeries.js';
 import type { Draw, Fault } from './Fault.js';
-import { FilledLink, LinkReset, OneWayCut, SilencedLink, SlowLink } from './linkFaults.js';
+import {
+  FilledLink,
+  LinkReset,
+  LostPath,
+  OneWayCut,
+  SilencedLink,
+  SlowLink,
+} from './linkFaults.js';
 import { Kill, Pause, Reload, RollingRestart } from './processFaults.js';
 import {
   EvacuatedPlace,
@@ -79,6 +86,9 @@
 /** Time from one restore of the store to the next, in ms: some come while the one before is still being followed. */
 const RESTORE_PAUSES: readonly [number, number] = [1_000, 9_000];
 
+/** Time from one loss of paths to the next, in ms: some overlap. */
+const PATH_PAUSES: readonly [number, number] = [4_000, 12_000];
+
 /** Plans faults of one kind, one after the other. */
 function planSeparately(
   draw: Draw,
@@ -120,5 +130,6 @@
   const evacuations = planSeparately(draw, seconds, EVACUATION_PAUSES, evacuation);
   const restore = () => new RestoredStore(draw);
   const restores = planSeparately(draw, seconds, RESTORE_PAUSES, restore);
-  return [...plan, ...statements, ...evacuations, ...restores];
+  const paths = planSeparately(draw, seconds, PATH_PAUSES, () => new LostPath(draw));
+  return [...plan, ...statements, ...evacuations, ...restores, ...paths];
 }
--- a/soak/faults/linkFaults.ts
+++ b/soak/faults/linkFaults.ts
@@ -1,8 +1,15 @@
 /**
  * Troubles of one daemon's link.
  */
+import { setTimeout as wait } from 'node:timers/promises';
+
 import { LINK_SIDES } from '../../standIns/link/linkTypes.js';
-import type { LinkDirection, LinkPace, LinkSide } from '../../standIns/link/linkTypes.js';
+import type {
+  LinkDirection,
+  LinkPace,
+  LinkSide,
+  Severance,
+} from '../../standIns/link/linkTypes.js';
 import type { FaultGround } from './Fault.js';
 import { Fault } from './Fault.js';
 
@@ -134,3 +141,31 @@
     await this.last(ground, record, milliseconds, act);
   }
 }
+
+/** Daemons lose their path to all runners; callers, the store and the other daemons still reach them. */
+export class LostPath extends Fault {
+  private readonly first = this.draw.daemon();
+
+  private readonly count = this.draw.between(1, this.draw.daemons - 1);
+
+  private readonly how: Severance = this.draw.one(['hang', 'reset', 'refuse']);
+
+  private readonly milliseconds = this.draw.between(4_500, 7_000);
+
+  override async play(ground: FaultGround): Promise<void> {
+    const { how, milliseconds } = this;
+    const { history } = ground.site;
+    const cut = Array.from({ length: this.count }, (_, offset) =>
+      this.daemonOf(ground, (this.first + offset) % this.draw.daemons),
+    );
+    const ends = cut.map(({ index }) => {
+      const text = `daemon-${index} loses its path to all runners, connections ${how}`;
+      history.begin({ kind: 'break', daemon: index, sides: ['runners'], text })();
+      return history.begin({ kind: 'path', daemon: index, text });
+    });
+    for (const { link } of cut) link.sever('runners', how);
+    await wait(milliseconds);
+    for (const { link } of cut) link.rejoin('runners');
+    for (const end of ends) end();
+  }
+}
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -12,6 +12,7 @@
 import { Contact } from './checks/Contact.js';
 import { DrainChecks } from './checks/DrainChecks.js';
 import { Excuses } from './checks/Excuses.js';
+import { PathChecks } from './checks/PathChecks.js';
 import { checkRecovery } from './checks/recovery.js';
 import { StatementChecks } from './checks/StatementChecks.js';
 import { Violations } from './checks/Violations.js';
@@ -52,7 +53,8 @@
   const { calls } = answers;
   const statements = new StatementChecks({ runs, history, contact, violations, calls });
   const configurations = new ConfigurationChecks({ site, contact, violations });
-  return { violations, answers, drains, statements, configurations };
+  const paths = new PathChecks({ history, contact, violations, calls, daemons: daemons.length });
+  return { violations, answers, drains, statements, configurations, paths };
 }
 
 async function play(plan: readonly PlannedFault[], start: (one: PlannedFault) => Promise<void>) {
@@ -66,7 +68,7 @@
 async function soak(site: SoakSite, options: SoakOptions): Promise<Violations> {
   const { seed, seconds, rate = 40, plan = planFaults } = options;
   const { daemons } = site;
-  const { violations, answers, drains, statements, configurations } = createChecks(site);
+  const { violations, answers, drains, statements, configurations, paths } = createChecks(site);
   const planned = plan(new Draw(seededRandom(seed), daemons.length), seconds);
   const random = seededRandom(seed + 1);
   const callers = new SoakCallers({ daemons, random, rate, onEnd: (call) => answers.look(call) });
@@ -79,6 +81,7 @@
   answers.lookAtRuns();
   drains.look();
   statements.look();
+  paths.look();
   for (const complaint of daemons.flatMap(({ complaints }) => complaints)) {
     violations.check('processes go on', false, () => complaint);
   }
--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -34,7 +34,10 @@
   body: Buffer | undefined;
   relay: AnswerRelay;
   context: ForwardingContext;
-  /** What the daemon that handed the request over did for it; missing for a request of a caller. */
+  /**
+   * What the daemon that handed the request over did for it; missing for a request of a caller. That daemon decides
+   * whether the request runs again, so it runs here once.
+   */
   before?: { readonly isCounted: boolean; readonly mayHaveRun: number };
 }
 
@@ -100,8 +103,14 @@
       onQuarantined: () => this.onQuarantined(),
     });
     const { tried, quarantine, report, active } = this;
-    this.waits = new RequestWaits({ request, context, relay, active, tried, quarantine });
-    this.retries = new RequestRetries({ request, context, tried, quarantine, report });
+    this.waits = new RequestWaits({
+      ...{ request, context, relay, active, tried, quarantine },
+      mayHedge: before === undefined,
+    });
+    this.retries = new RequestRetries({
+      ...{ request, context, tried, quarantine, report },
+      ...(before && { maximumAttempts: before.mayHaveRun + 1 }),
+    });
     this.outcomes = new RunnerOutcomes({ context, report: this.report });
     this.isCounted = before?.isCounted ?? false;
     tried.mayHaveRun = before?.mayHaveRun ?? 0;
--- a/src/forwarding/RequestRetries.ts
+++ b/src/forwarding/RequestRetries.ts
@@ -16,6 +16,8 @@
   tried: TriedRunners;
   quarantine: QuarantineSession;
   report: Pick<RequestReport, 'runnersError'>;
+  /** Number of runners that may run the request before its end; by default that of its route. */
+  maximumAttempts?: number;
 }
 
 /** Retry decisions of one request, based on its attempts, its deadline and the retry budget. */
@@ -37,13 +39,14 @@
   afterFailure(failure: AttemptFailure, hasFallback: boolean): RetryDecision {
     const { request, tried, quarantine } = this.options;
     const { route, deadlineAt } = request;
+    const { maximumAttempts = route.maximumAttempts } = this.options;
     return decideRetry({
       kind: route.kind,
       resumable: route.resumable,
       failure,
       mayHaveRun: tried.mayHaveRun,
       notRun: tried.notRun,
-      maximumAttempts: route.maximumAttempts,
+      maximumAttempts,
       hasFallback,
       isSuspect: quarantine.isRepeatedSuspect,
       remainingMilliseconds: deadlineAt - this.now,
@@ -59,11 +62,12 @@
   afterError(attempt: RunnerAttempt, status: number): boolean {
     const { request, tried, report } = this.options;
     const { route, deadlineAt } = request;
+    const { maximumAttempts = route.maximumAttempts } = this.options;
     const decided = decideRetryAfterError({
       kind: route.kind,
       resumable: route.resumable,
       mayHaveRun: tried.mayHaveRun,
-      maximumAttempts: route.maximumAttempts,
+      maximumAttempts,
       remainingMilliseconds: deadlineAt - this.now,
       takeBudget: () => this.takeBudget(),
     });
--- a/src/forwarding/RequestWaits.ts
+++ b/src/forwarding/RequestWaits.ts
@@ -18,6 +18,8 @@
   active: ReadonlySet<RunnerAttempt>;
   tried: TriedRunners;
   quarantine: QuarantineSession;
+  /** Whether the request may be sent to a second runner while the first is still working on it. */
+  mayHedge: boolean;
 }
 
 /** Waits of one request. */
@@ -58,7 +60,7 @@
 
   /** @returns Whether the request is hedged now; if so, the retry budget has paid for it. */
   takeHedge(): boolean {
-    return shouldHedge(this.progress) && this.takeBudget();
+    return this.options.mayHedge && shouldHedge(this.progress) && this.takeBudget();
   }
 
   /** @returns Whether a request whose runners cannot answer runs again elsewhere now; if so, the budget has paid for it. */
--- a/src/handover/HandedOverRequest.ts
+++ b/src/handover/HandedOverRequest.ts
@@ -18,7 +18,12 @@
 import { parseAddress } from '../http/parseAddress.js';
 import type { DaemonEntry } from '../sync/FleetStore.js';
 import type { Clock } from '../time/Clock.js';
-import { HAND_OVER_PATH, REFUSED_HEADER, UNREACHED_HEADER } from './handOverHeaders.js';
+import {
+  BROKEN_HEADER,
+  HAND_OVER_PATH,
+  REFUSED_HEADER,
+  UNREACHED_HEADER,
+} from './handOverHeaders.js';
 import { encodeHandOver } from './handOverMessage.js';
 import type { HandOverTask } from './HandOverTask.js';
 
@@ -207,6 +212,11 @@
       this.handleUnreached(answer, peer);
       return;
     }
+    if (answer.headers[BROKEN_HEADER] !== undefined) {
+      answer.resume();
+      this.lose(outgoing);
+      return;
+    }
     const { bufferedAnswers, stream, request } = this.options;
     bufferedAnswers.begin(this, answer);
     if (request.route.kind === 'stream' && isEventStream(answer)) stream.take(this, answer);
--- a/src/handover/TakenOverRelay.ts
+++ b/src/handover/TakenOverRelay.ts
@@ -1,12 +1,14 @@
 /**
- * Writes the answer to a request that another daemon handed over. An error that means that no runner was reached is
- * marked, so that the other daemon can ask a third one.
+ * Writes the answer to a request that another daemon handed over. Errors that say that no runner was reached, or that the
+ * runner broke off, are marked, so that the other daemon can decide whether a third one gets the request.
  */
 import type { ServerResponse } from 'node:http';
 
 import type { DaemonAnswer } from '../forwarding/AnswerRelay.js';
 import { AnswerRelay } from '../forwarding/AnswerRelay.js';
-import { UNREACHED_HEADER } from './handOverHeaders.js';
+import { BROKEN_HEADER, UNREACHED_HEADER } from './handOverHeaders.js';
+
+const BAD_GATEWAY = 502;
 
 const UNAVAILABLE = 503;
 
@@ -32,8 +34,9 @@
 
   override sendDaemonAnswer(own: DaemonAnswer): void {
     const isUnreached = own.status === UNAVAILABLE && UNREACHED_REASONS.has(own.reason);
-    if (isUnreached && !this.hasHead && !this.isDone) {
-      this.answer.setHeader(UNREACHED_HEADER, own.reason);
+    if (!this.hasHead && !this.isDone) {
+      if (isUnreached) this.answer.setHeader(UNREACHED_HEADER, own.reason);
+      if (own.status === BAD_GATEWAY) this.answer.setHeader(BROKEN_HEADER, own.reason);
     }
     super.sendDaemonAnswer(own);
   }
--- a/src/handover/handOverHeaders.ts
+++ b/src/handover/handOverHeaders.ts
@@ -10,3 +10,6 @@
 
 /** Set on an error of a daemon that took the request and reached no runner, so that it has not run. */
 export const UNREACHED_HEADER = 'handover-unreached';
+
+/** Set on an error of a daemon whose runner broke off, so that the request may have run. */
+export const BROKEN_HEADER = 'handover-broken';
