Keep brittle runners below what they can take, over the whole fleet

Cause: each daemon knew only its own requests at a runner, and learnt of a full runner by its rejections, of which such a runner bears a few a second from all daemons together. One that is back gets the load of all.

While it lasts, the slots of a service's runners are dealt to the daemons in turn; a daemon may exceed its part at a runner that is known to be less than half full, unless the runner was full, new or ejected within two seconds. A rejection within the part pauses the runner for as long as all daemons together stay below the limit. What has no room is refused at once (reason full). Coordinators of a large fleet admit by the loads that they hear.

--- a/src/coordination/ChoiceServer.ts
+++ b/src/coordination/ChoiceServer.ts
@@ -62,6 +62,7 @@
       homeRegions: question.homeRegions.length > 0 ? question.homeRegions : undefined,
       connectionLimit: Number.POSITIVE_INFINITY,
       dataCentre: question.dataCentre,
+      isForOther: true,
       now,
     });
     const life = chosen?.runner.entry.life ?? '';
--- a/src/coordination/FleetCoordination.ts
+++ b/src/coordination/FleetCoordination.ts
@@ -261,6 +261,17 @@
     return this.otherDaemons().filter(({ name }) => !this.liveness.isUnavailable(name));
   }
 
+  /** @returns Names of this daemon and of the others that are not known to be dead or shutting down. */
+  namesOfAvailableDaemons(): string[] {
+    return [this.options.daemon.name, ...this.otherAvailableDaemons().map(({ name }) => name)];
+  }
+
+  /** @returns Whether this daemon gets the load reports of all others. */
+  get hearsLoads(): boolean {
+    const { monitors } = this;
+    return monitors.length === 0 || monitors.some(({ name }) => name === this.options.daemon.name);
+  }
+
   /** @returns Pauses between calls to a store that is away. */
   get storePauses(): StoreBackoff {
     const isFollower = this.coordinators.length > 0 && !this.isReader;
--- a/src/forwarding/RunnerNotices.ts
+++ b/src/forwarding/RunnerNotices.ts
@@ -1,10 +1,11 @@
 /**
- * Applies what a runner announces in the head of an answer: that it is shutting down, or a `Retry-After`. The sender is
+ * Applies what a runner announces in the head of an answer: that it is shutting down, is brittle, or a `Retry-After`. The sender is
  * verified first, because the answer may come from another runner at the same address, or its sender may be unknown.
  */
 import type { IncomingMessage } from 'node:http';
 
 import type { Log } from '../logging/Log.js';
+import type { BrittleRunners } from '../runners/BrittleRunners.js';
 import type { Runner } from '../runners/Runner.js';
 import type { Clock } from '../time/Clock.js';
 import { parseRetryAfter } from './parseRetryAfter.js';
@@ -30,6 +31,8 @@
   log: Log;
   /** Called with a runner that announces its shutdown. */
   onLeaving: (runner: Runner) => void;
+  /** Told of each runner that says that it is brittle or, by saying nothing, that it is not, and of its rejections. */
+  brittleRunners?: Pick<BrittleRunners, 'recordStated' | 'recordRejected'> | undefined;
 }
 
 /** Processes the head of each answer as soon as it has arrived. */
@@ -54,11 +57,22 @@
     const { statusCode, headers } = answer;
     const speakerId = headers[protocol.names.speaker];
     if (speakerId !== undefined && speakerId !== runner.entry.id) return;
-    if (protocol.isLeaving(headers) && this.isFromRunner(answer)) onLeaving(runner);
+    if (this.isFromRunner(answer)) {
+      if (protocol.isLeaving(headers)) onLeaving(runner);
+      this.applyBrittleness(runner, answer);
+    }
     const retryAfter = statusCode === UNAVAILABLE ? headers['retry-after'] : undefined;
     if (retryAfter !== undefined) this.applyPause(runner, retryAfter);
   }
 
+  private applyBrittleness(runner: Runner, { statusCode = 0, headers }: AnswerHead): void {
+    const { protocol, clock, brittleRunners } = this.options;
+    const now = clock.monotonicMilliseconds();
+    brittleRunners?.recordStated(runner, protocol.brittleLimit(headers), now);
+    const isRejection = statusCode === UNAVAILABLE && protocol.didNotRun(statusCode, headers);
+    if (isRejection) brittleRunners?.recordRejected(runner, now);
+  }
+
   private applyPause(runner: Runner, retryAfter: string): void {
     const { clock, log } = this.options;
     const { milliseconds, isCorrected } = parseRetryAfter(retryAfter);
--- a/src/forwarding/RunnerProtocol.ts
+++ b/src/forwarding/RunnerProtocol.ts
@@ -47,6 +47,13 @@
    */
   abstract isLeaving(headers: IncomingHttpHeaders): boolean;
 
+  /**
+   * @param headers - headers of a runner's answer.
+   * @returns Number of requests per second that a brittle runner can reject without falling over; `undefined` if it is
+   * not brittle.
+   */
+  abstract brittleLimit(headers: IncomingHttpHeaders): number | undefined;
+
   /**
    * @param headers - headers of a caller's request.
    * @returns Ids of the parts of its prompt that other requests share, the outermost first.
--- a/src/forwarding/forwardingFeature.ts
+++ b/src/forwarding/forwardingFeature.ts
@@ -129,4 +129,12 @@
     text: 'A message that hands a request over was not sent by a daemon of this fleet, or is truncated.',
     operatorAction: 'Check who connects to the address for other daemons.',
   }),
+  brittleRunners: defineLogEvent({
+    number: 2617,
+    name: 'forwarding.brittle_runners',
+    level: 'warn',
+    text: 'The runners of a service say that they fall over when they reject more requests per second than the field limit, or that they no longer do (none). Their slots are divided among the daemons meanwhile.',
+    operatorAction:
+      'Check the runners of the service; requests that they cannot take are refused with the reason full.',
+  }),
 };
--- a/src/forwarding/testProtocol.ts
+++ b/src/forwarding/testProtocol.ts
@@ -29,6 +29,10 @@
     return headers.leaving !== undefined;
   }
 
+  override brittleLimit(headers: IncomingHttpHeaders): number | undefined {
+    return headers.brittle === undefined ? undefined : Number(headers.brittle);
+  }
+
   override sharedPartsOf(headers: IncomingHttpHeaders): readonly string[] {
     return String(headers.parts ?? '')
       .split(',')
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -292,11 +292,13 @@
   private createCoordination(gatherMilliseconds: number): FleetCoordination {
     const { knowledge, store, clock, log, entry, grants, settings } = this;
     const { admission, choice } = createRunnerChoice({
-      ...{ settings, knowledge, clock },
+      ...{ settings, knowledge, clock, log },
       warmPlaces: this.warmPlaces,
       foreignLoad: (life) => this.foreignLoads.of(life) + grants.outstandingOf(life),
       onWarmPlace: (key, life) => this.news.addWarmPlace(key, life),
       deciders: () => this.coordination.namesOfChoosingDaemons(),
+      daemons: () => this.coordination.namesOfAvailableDaemons(),
+      hearsLoads: () => this.coordination.hearsLoads,
     });
     const options = { daemon: entry, knowledge, choice, admission, grants, store, clock, log };
     const calls = {
--- a/src/router/createForwardingContext.ts
+++ b/src/router/createForwardingContext.ts
@@ -90,6 +90,7 @@
       protocol,
       clock,
       log,
+      brittleRunners: admission.brittleRunners,
       onLeaving: ({ entry }) => coordination.leaveNotices.recordFromRunner(entry.life),
     }),
     budget,
--- a/src/router/createRunnerChoice.ts
+++ b/src/router/createRunnerChoice.ts
@@ -1,7 +1,10 @@
 /**
  * Creates the parts by which a daemon chooses a runner for each request.
  */
+import { forwardingLogEvents } from '../forwarding/forwardingFeature.js';
+import type { Log } from '../logging/Log.js';
 import { ColdRunnerOwners } from '../coordination/ColdRunnerOwners.js';
+import { BrittleRunners } from '../runners/BrittleRunners.js';
 import { ColdStarts } from '../runners/ColdStarts.js';
 import { RunnerAdmission } from '../runners/RunnerAdmission.js';
 import { RunnerChoice } from '../runners/RunnerChoice.js';
@@ -21,6 +24,11 @@
   clock: Clock;
   /** Names of the daemons that choose runners for the others; in a small fleet, of all daemons. */
   deciders: () => readonly string[];
+  /** Names of all available daemons, including this one. */
+  daemons: () => readonly string[];
+  /** Whether this daemon hears the loads of all others. */
+  hearsLoads: () => boolean;
+  log: Log;
 }
 
 /**
@@ -32,6 +40,9 @@
   knowledge,
   clock,
   deciders,
+  daemons,
+  hearsLoads,
+  log,
   ...parts
 }: CreateRunnerChoiceOptions): { admission: RunnerAdmission; choice: RunnerChoice } {
   const { name: daemon, dataCentre } = settings;
@@ -44,7 +55,16 @@
     daemons: () =>
       knowledge.daemonsSharingLimits(sharedMilliseconds, clock.monotonicMilliseconds()),
   });
-  const admission = new RunnerAdmission({ coldStarts, regionOf });
   const { runners } = knowledge;
+  const { foreignLoad = () => 0 } = parts;
+  const brittleRunners = new BrittleRunners({
+    daemon,
+    daemons,
+    runnersOf: (service) => runners.readyOf(service),
+    foreignLoad: (life) => (hearsLoads() ? foreignLoad(life) : undefined),
+    onChange: (service, limit) =>
+      log.write(forwardingLogEvents.brittleRunners, { service, limit: limit ?? 'none' }),
+  });
+  const admission = new RunnerAdmission({ coldStarts, brittleRunners, regionOf });
   return { admission, choice: new RunnerChoice({ runners, admission, dataCentre, ...parts }) };
 }
--- /dev/null
+++ b/src/runners/BrittleRunners.ts
@@ -0,0 +1,199 @@
+/**
+ * Limits the requests to brittle runners, which crash when they have to reject more than a few requests per second.
+ *
+ * What fails without it: each daemon knows only what it has sent itself, so that all of them together send more than a
+ * runner can queue. The runner crashes, its load goes to the others, and these crash in turn; each one that is back gets
+ * the load of all.
+ *
+ * The slots of all runners of a service are therefore divided among the daemons. A daemon may exceed its part at a runner
+ * that is less than half full as far as it knows, because the counts of other daemons are a little old.
+ */
+import type { Runner } from './Runner.js';
+
+/** Options of {@link BrittleRunners}. */
+export interface BrittleRunnersOptions {
+  /** Name of this daemon. */
+  daemon: string;
+  /** Returns the names of all daemons that send requests, including this one. */
+  daemons: () => readonly string[];
+  /** Returns the runners of a service that accept new work. */
+  runnersOf: (service: string) => readonly Runner[];
+  /** Returns the requests of other daemons at a runner, by its incarnation; `undefined` if this daemon does not hear them. */
+  foreignLoad: (life: string) => number | undefined;
+  /** Called when the runners of a service begin or end to be brittle. */
+  onChange?: (service: string, limit: number | undefined) => void;
+}
+
+/** How long runners count as brittle after their last answer, in ms. */
+const STATED_MILLISECONDS = 10_000;
+
+/** Share of a runner's slots up to which a daemon may exceed its part. */
+const SHARED_FILL = 0.5;
+
+/** How long a runner that was full, new or unusable is limited to the parts of the daemons, in ms. */
+const PRESSED_MILLISECONDS = 2_000;
+
+/** How long the division of the slots is kept, in ms; the lists of daemons and runners change rarely. */
+const DIVISION_MILLISECONDS = 200;
+
+/** Bounds of the pause after a rejection, in ms. */
+const SHORTEST_PAUSE_MILLISECONDS = 1_000;
+const LONGEST_PAUSE_MILLISECONDS = 5_000;
+
+/** Multiple of the pause at which the daemons together would use up what a runner may reject. */
+const PAUSE_FACTOR = 2;
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Stands for a limit of 0, which allows no rejection at all. */
+const SMALLEST_LIMIT = 0.5;
+
+interface BrittleService {
+  /** Rejections per second that a runner bears. */
+  readonly limit: number;
+  readonly statedAt: number;
+}
+
+interface RunnerState {
+  pressedUntil: number;
+  pausedUntil: number;
+}
+
+interface Division {
+  readonly at: number;
+  /** This daemon's slots at each runner, by incarnation. */
+  readonly slots: ReadonlyMap<string, number>;
+}
+
+/**
+ * Divides slots among daemons, so that each has the same number of them but for one.
+ *
+ * @param runners - runners with their slots.
+ * @param daemons - names of the daemons.
+ * @param daemon - one of them.
+ * @returns The daemon's slots at each runner, by incarnation.
+ */
+export function divideSlots(
+  runners: readonly Runner[],
+  daemons: readonly string[],
+  daemon: string,
+): Map<string, number> {
+  const names = [...new Set([...daemons, daemon])].sort();
+  const own = names.indexOf(daemon);
+  const sorted = [...runners].sort((one, other) => (one.entry.life < other.entry.life ? -1 : 1));
+  const slotsOf = new Map<string, number>();
+  let first = 0;
+  for (const { entry } of sorted) {
+    const { slots = Number.POSITIVE_INFINITY, life } = entry;
+    if (!Number.isFinite(slots)) {
+      slotsOf.set(life, slots);
+    } else {
+      const offset = (own - (first % names.length) + names.length) % names.length;
+      slotsOf.set(life, offset < slots ? Math.ceil((slots - offset) / names.length) : 0);
+      first += slots;
+    }
+  }
+  return slotsOf;
+}
+
+/** Keeps which services are brittle, and how full their runners may be. */
+export class BrittleRunners {
+  private readonly options: BrittleRunnersOptions;
+
+  private readonly services = new Map<string, BrittleService>();
+
+  private readonly states = new WeakMap<Runner, RunnerState>();
+
+  private readonly divisions = new Map<string, Division>();
+
+  /**
+   * @param options - the daemons and runners, and their loads.
+   */
+  constructor(options: BrittleRunnersOptions) {
+    this.options = options;
+  }
+
+  /**
+   * Records what a runner says of itself in an answer.
+   *
+   * @param runner - the runner.
+   * @param limit - rejections per second that it bears; `undefined` if it is not brittle.
+   * @param now - monotonic ms.
+   */
+  recordStated({ entry }: Runner, limit: number | undefined, now: number): void {
+    const { service } = entry;
+    const before = this.services.get(service);
+    if (limit === undefined) this.services.delete(service);
+    else this.services.set(service, { limit, statedAt: now });
+    if (before?.limit !== limit) this.options.onChange?.(service, limit);
+  }
+
+  /**
+   * Records that a runner rejected a request, which still counts among those in flight.
+   *
+   * @param runner - the runner.
+   * @param now - monotonic ms.
+   */
+  recordRejected(runner: Runner, now: number): void {
+    const { service, slots = 1 } = runner.entry;
+    if (!this.isBrittle(service, now)) return;
+    const state = this.stateOf(runner, now);
+    state.pressedUntil = now + PRESSED_MILLISECONDS;
+    // With more requests there than this daemon's part, it is enough to keep to the part from now on.
+    if (runner.inFlight > this.ownSlots(runner, now)) return;
+    const limit = Math.max(SMALLEST_LIMIT, this.services.get(service)?.limit ?? 0);
+    const senders = Math.min(slots, this.options.daemons().length);
+    const pause = (PAUSE_FACTOR * MILLISECONDS_PER_SECOND * senders) / limit;
+    const bounded = Math.max(SHORTEST_PAUSE_MILLISECONDS, pause);
+    state.pausedUntil = now + Math.min(LONGEST_PAUSE_MILLISECONDS, bounded);
+    state.pressedUntil = state.pausedUntil + PRESSED_MILLISECONDS;
+  }
+
+  /**
+   * @param service - name of a service.
+   * @param now - monotonic ms.
+   * @returns Whether its runners said lately that they are brittle.
+   */
+  isBrittle(service: string, now: number): boolean {
+    const stated = this.services.get(service);
+    return stated !== undefined && now - stated.statedAt < STATED_MILLISECONDS;
+  }
+
+  /**
+   * @param runner - a runner that accepts new work.
+   * @param now - monotonic ms.
+   * @param isForOther - whether another daemon sends the request, which has its own part of the slots.
+   * @returns Whether it may get another request.
+   */
+  maySend(runner: Runner, now: number, isForOther = false): boolean {
+    const { service, slots } = runner.entry;
+    if (slots === undefined || !this.isBrittle(service, now)) return true;
+    const state = this.stateOf(runner, now);
+    if (!runner.health.isUsable(now)) state.pressedUntil = now + PRESSED_MILLISECONDS;
+    if (state.pausedUntil > now) return false;
+    if (!isForOther && runner.inFlight < this.ownSlots(runner, now)) return true;
+    if (state.pressedUntil > now) return false;
+    const foreign = this.options.foreignLoad(runner.entry.life);
+    if (foreign !== undefined && runner.inFlight + foreign < slots * SHARED_FILL) return true;
+    state.pressedUntil = now + PRESSED_MILLISECONDS;
+    return false;
+  }
+
+  private ownSlots({ entry }: Runner, now: number): number {
+    const known = this.divisions.get(entry.service);
+    if (known && now - known.at < DIVISION_MILLISECONDS) return known.slots.get(entry.life) ?? 0;
+    const { runnersOf, daemons, daemon } = this.options;
+    const slots = divideSlots(runnersOf(entry.service), daemons(), daemon);
+    this.divisions.set(entry.service, { at: now, slots });
+    return slots.get(entry.life) ?? 0;
+  }
+
+  /** A runner that is seen for the first time may have just started, and all daemons see it at the same moment. */
+  private stateOf(runner: Runner, now: number): RunnerState {
+    const known = this.states.get(runner);
+    if (known) return known;
+    const made = { pressedUntil: now + PRESSED_MILLISECONDS, pausedUntil: 0 };
+    this.states.set(runner, made);
+    return made;
+  }
+}
--- a/src/runners/Runner.ts
+++ b/src/runners/Runner.ts
@@ -29,6 +29,8 @@
    * ms.
    */
   readonly coldMilliseconds?: number | undefined;
+  /** Number of requests that it works on at the same time. */
+  readonly slots?: number | undefined;
 }
 
 /** A runner with the requests that this daemon has in flight there. */
--- a/src/runners/RunnerAdmission.ts
+++ b/src/runners/RunnerAdmission.ts
@@ -2,6 +2,7 @@
  * Decides whether a runner that accepts new work may get a specific request now, and why not.
  */
 import type { HomeRegions } from '../routes/homeRegions.js';
+import type { BrittleRunners } from './BrittleRunners.js';
 import type { ColdStarts } from './ColdStarts.js';
 import type { Runner } from './Runner.js';
 
@@ -18,26 +19,37 @@
   readonly connectionLimit: number;
   /** Current time, monotonic ms. */
   readonly now: number;
+  /** Whether another daemon sends the request. */
+  readonly isForOther?: boolean;
 }
 
 /** Options of a {@link RunnerAdmission}. */
 export interface RunnerAdmissionOptions {
   coldStarts?: ColdStarts | undefined;
+  brittleRunners?: BrittleRunners | undefined;
   /** Returns the region of a data centre, or `undefined` if it is unknown. */
   regionOf?: (dataCentre: string) => string | undefined;
 }
 
 /** Checks each request against the state of the runner that it may go to. */
 export class RunnerAdmission {
+  /** Limits the requests to brittle runners. */
+  readonly brittleRunners: BrittleRunners | undefined;
+
   private readonly coldStarts: ColdStarts | undefined;
 
   private readonly regionOf: (dataCentre: string) => string | undefined;
 
   /**
-   * @param options - the limits for cold runners, without which every runner counts as warm, and the regions of data
-   * centres.
+   * @param options - the limits for cold and brittle runners, without which every runner counts as warm and sound, and
+   * the regions of data centres.
    */
-  constructor({ coldStarts, regionOf = () => undefined }: RunnerAdmissionOptions = {}) {
+  constructor({
+    coldStarts,
+    brittleRunners,
+    regionOf = () => undefined,
+  }: RunnerAdmissionOptions = {}) {
+    this.brittleRunners = brittleRunners;
     this.coldStarts = coldStarts;
     this.regionOf = regionOf;
   }
@@ -75,13 +87,15 @@
    *
    * @param runners - runners that accept new work.
    * @param question - the request.
-   * @returns The warm runners, and the cold ones with unused rate.
+   * @returns The warm runners, and the cold ones with unused rate; brittle ones as long as they have room.
    */
   admitted(runners: readonly Runner[], question: AdmissionQuestion): readonly Runner[] {
     const { coldStarts } = this;
-    const { now } = question;
+    const { now, isForOther } = question;
     const open = runners.filter(
-      (runner) => this.rejectionReasonFor(runner, question) === undefined,
+      (runner) =>
+        this.rejectionReasonFor(runner, question) === undefined &&
+        !this.isFull(runner, now, isForOther),
     );
     if (!coldStarts) return open;
     const admitted = open.filter((runner) => coldStarts.mayOwnerSend(runner, now));
@@ -89,6 +103,16 @@
     return open.filter((runner) => coldStarts.mayNonOwnerSend(runner, now));
   }
 
+  /**
+   * @param runner - the runner to check.
+   * @param now - current time, monotonic ms.
+   * @param isForOther - whether another daemon sends the request.
+   * @returns Whether it is brittle and may have no room.
+   */
+  isFull(runner: Runner, now: number, isForOther = false): boolean {
+    return this.brittleRunners?.maySend(runner, now, isForOther) === false;
+  }
+
   /**
    * @param runner - the runner to check.
    * @param now - current time, monotonic ms.
--- a/src/runners/unavailability.spec.ts
+++ b/src/runners/unavailability.spec.ts
@@ -19,7 +19,7 @@
 }
 
 function unavailabilityFor(runners: RunnerTable, service = 'chat', isCold = false) {
-  const admission = { isCold: () => isCold, isInHomeRegion: () => true };
+  const admission = { isFull: () => false, isCold: () => isCold, isInHomeRegion: () => true };
   return unavailabilityOf({ runners, admission, service, now: NOW });
 }
 
--- a/src/runners/unavailability.ts
+++ b/src/runners/unavailability.ts
@@ -6,10 +6,11 @@
 import type { RunnerTable } from './RunnerTable.js';
 
 /**
- * Why no runner is available. `no_runner`: no runner is listed, or those that are have been tried or have no free
+ * Why no runner is available. `full`: the runners are brittle, and what they can take is in use. `no_runner`: no runner is listed, or those that are have been tried or have no free
  * connection.
  */
-export type UnavailableReason = 'no_runner' | 'asked_for_time' | 'evacuated' | 'no_home' | 'cold';
+export type UnavailableReason =
+  'no_runner' | 'asked_for_time' | 'evacuated' | 'no_home' | 'cold' | 'full';
 
 /** Why a service has no runner for a request. */
 export interface Unavailability {
@@ -27,7 +28,7 @@
 /** The request that no runner was found for, and the state of the runners. */
 export interface UnavailabilityQuestion {
   readonly runners: RunnerTable;
-  readonly admission: Pick<RunnerAdmission, 'isCold' | 'isInHomeRegion'>;
+  readonly admission: Pick<RunnerAdmission, 'isCold' | 'isFull' | 'isInHomeRegion'>;
   readonly service: string;
   /** Regions whose runners may execute the request. */
   readonly homeRegions?: HomeRegions;
@@ -55,6 +56,7 @@
   }
   const pauseMilliseconds = Math.min(...ready.map(({ pausedUntil }) => pausedUntil - now));
   if (pauseMilliseconds > 0) return { reason: 'asked_for_time', pauseMilliseconds };
+  if (ready.every((runner) => admission.isFull(runner, now))) return { reason: 'full' };
   const areCold = ready.every((runner) => admission.isCold(runner, now));
   return { reason: areCold ? 'cold' : 'no_runner' };
 }
--- a/standIns/site/SiteRunner.ts
+++ b/standIns/site/SiteRunner.ts
@@ -36,6 +36,14 @@
   readonly body: string;
 }
 
+/** How a runner crashes when it has to reject requests. */
+export interface Brittleness {
+  /** It crashes when it rejects more requests than this within a second. */
+  readonly limit: number;
+  /** Number of requests that wait at most; from some time after it has begun to say so. */
+  readonly waiting: number;
+}
+
 /** Options of a {@link SiteRunner}. */
 export interface SiteRunnerOptions {
   id: string;
@@ -55,6 +63,10 @@
   onRan?: (request: ReceivedRequest, from: string) => void;
   /** Whether a request crashes the runner. */
   isFatal?: (request: ReceivedRequest) => boolean;
+  /** Number of requests that it works on at the same time; more of them wait. */
+  slots?: number;
+  /** Number of requests that wait; it rejects more of them. */
+  maximumWaiting?: number;
   /** Time from a crash to the next start, in ms. */
   downMilliseconds?: number;
   /** Called at each crash. */
@@ -63,6 +75,13 @@
   onRestarted?: () => void;
 }
 
+/** A runner that says that it is brittle keeps its queue for this long, in ms. */
+const BRITTLE_NOTICE_MILLISECONDS = 3_000;
+
+const SECOND_MILLISECONDS = 1_000;
+
+const DEFAULT_SLOTS = 8;
+
 const EVENTS_BEFORE_CUT = 2;
 const SHARE_BEFORE_CUT = 0.9;
 
@@ -81,6 +100,17 @@
   /** Value of `Retry-After` in its refusals. */
   retryAfter: string | undefined;
 
+  /** Times of its rejections for want of room, monotonic ms. */
+  rejections: number[] = [];
+
+  private brittleness: Brittleness | undefined;
+
+  private brittleSince = 0;
+
+  private running = 0;
+
+  private readonly queue: (() => void)[] = [];
+
   /** Arrival time of each request, including refused ones; monotonic ms. */
   readonly arrivals: number[] = [];
 
@@ -113,6 +143,8 @@
       echoes: false,
       onRan: () => undefined,
       isFatal: () => false,
+      slots: Number.POSITIVE_INFINITY,
+      maximumWaiting: Number.POSITIVE_INFINITY,
       downMilliseconds: 300,
       onCrashed: () => undefined,
       onRestarted: () => undefined,
@@ -141,10 +173,20 @@
     this.ran.length = 0;
   }
 
+  /**
+   * @param brittleness - what it says in all answers from now on, and does some seconds later; `undefined` ends it.
+   */
+  becomeBrittle(brittleness: Brittleness | undefined): void {
+    this.brittleness = brittleness;
+    this.brittleSince = performance.now();
+    this.rejections = [];
+  }
+
   /** Ends without notice and refuses connections; starts again later at the same address, with a new start time. */
   crash(): void {
     if (!this.server.listening) return;
     this.crashes += 1;
+    this.rejections = [];
     this.close();
     this.options.onCrashed();
     this.restartTimer = setTimeout(() => {
@@ -170,7 +212,7 @@
       address: this.address,
       zone: dataCentre,
       version: 'v1',
-      slots: 8,
+      slots: Number.isFinite(this.options.slots) ? this.options.slots : DEFAULT_SLOTS,
       state,
       cold_remaining_ms: 0,
       sequence: this.sequence,
@@ -202,6 +244,7 @@
     if (body === undefined) return;
     const expected = request.headers['expect-instance'];
     this.arrivals.push(performance.now());
+    if (this.brittleness) response.setHeader('Server-Brittle', String(this.brittleness.limit));
     if (this.saysLeaving) response.setHeader('Server-Leaving', '1');
     if (this.behaviour === 'misdirected' || (expected !== undefined && expected !== this.id)) {
       response.writeHead(421, { 'Instance-Id': 'another' }).end();
@@ -214,6 +257,12 @@
       response.writeHead(503, headers).end();
       return;
     }
+    if (!(await this.enter())) {
+      this.reject(id, response);
+      return;
+    }
+    response.once('close', () => this.leave());
+    if (response.destroyed) return;
     const { method = 'GET', url: target = '/', headers } = request;
     const received = { id, method, target, headers, body };
     this.ran.push(received);
@@ -229,6 +278,44 @@
     else await this.answerPlain(id, response);
   }
 
+  /** @returns Whether the request may run, once a slot is free. */
+  private async enter(): Promise<boolean> {
+    if (this.running < this.options.slots) {
+      this.running += 1;
+      return true;
+    }
+    if (this.queue.length >= this.maximumWaiting) return false;
+    // The slot passes from the request that leaves to the one that waits.
+    await new Promise<void>((enter) => {
+      this.queue.push(enter);
+    });
+    return true;
+  }
+
+  private leave(): void {
+    const next = this.queue.shift();
+    if (next) next();
+    else this.running -= 1;
+  }
+
+  private get isNoticeOver(): boolean {
+    return performance.now() - this.brittleSince >= BRITTLE_NOTICE_MILLISECONDS;
+  }
+
+  private get maximumWaiting(): number {
+    const { brittleness, options } = this;
+    return brittleness && this.isNoticeOver ? brittleness.waiting : options.maximumWaiting;
+  }
+
+  private reject(id: string | undefined, response: ServerResponse): void {
+    response.writeHead(503, { 'Not-Executed': '1', ...(id && { 'Attempt-Id': id }) }).end();
+    const now = performance.now();
+    const recent = this.rejections.filter((at) => now - at < SECOND_MILLISECONDS);
+    this.rejections = [...recent, now];
+    if (!this.brittleness || !this.isNoticeOver) return;
+    if (this.rejections.length > this.brittleness.limit) this.crash();
+  }
+
   private headersFor(id: string | undefined): Record<string, string> {
     return { 'Response-Seal': `seal-${this.id}`, ...(id && { 'Attempt-Id': id }) };
   }
--- /dev/null
+++ b/tests/brittleRunners.spec.ts
@@ -0,0 +1,121 @@
+/**
+ * Runners that crash when they have to reject more than a few requests per second, under more load than they can take.
+ */
+import { Agent } from 'node:http';
+import { afterEach, describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import { callSite } from '../standIns/site/callSite.js';
+import { StandInSite } from '../standIns/site/StandInSite.js';
+import type { SiteDaemon } from '../standIns/site/StandInSite.js';
+
+const RUNNERS = 8;
+
+const SLOTS = 4;
+
+const WORK_MILLISECONDS = 100;
+
+/** What all runners can do, per second. */
+const CAPACITY = (RUNNERS * SLOTS * 1_000) / WORK_MILLISECONDS;
+
+/** Requests that wait at a runner, before and while it is brittle. */
+const WAITING = 12;
+const BRITTLE_WAITING = 2;
+
+/** From this time after the runners have said that they are brittle on, they may crash; in ms. */
+const CONTACT_MILLISECONDS = 3_000;
+
+/** How long crashes and answers are counted after that, in ms. */
+const COUNTED_MILLISECONDS = 4_000;
+
+const ALLOWED_CRASHES = 2 + RUNNERS / 10;
+
+/** Share of the capacity that callers get at least. */
+const SERVED_SHARE = 0.5;
+
+const TICK_MILLISECONDS = 10;
+
+for (const { daemons, limit, load } of [
+  { daemons: 6, limit: 3, load: 1.1 },
+  { daemons: 6, limit: 3, load: 2 },
+  { daemons: 6, limit: 1, load: 3 },
+  { daemons: 20, limit: 3, load: 2 },
+]) {
+  describe(`brittle runners before ${daemons} daemons`, () => {
+    let site: StandInSite;
+    const agents: Agent[] = [];
+
+    async function start(): Promise<void> {
+      site = new StandInSite({ pollMilliseconds: 10, changeBoundMilliseconds: 1_000 });
+      await site.start();
+      for (let index = 0; index < RUNNERS; index += 1) {
+        await site.addRunner({
+          id: `plain-${index}`,
+          service: 'plain',
+          workMilliseconds: WORK_MILLISECONDS,
+          slots: SLOTS,
+          maximumWaiting: WAITING,
+          downMilliseconds: 3_000,
+        });
+      }
+      for (let index = 0; index < daemons; index += 1) await site.addDaemon(`daemon-${index}`);
+      const knowsAll = ({ daemon }: SiteDaemon) =>
+        daemon.isReady && daemon.knowledge.daemons.size === daemons;
+      await site.until(() => site.daemons.every(knowsAll));
+    }
+
+    afterEach(async () => {
+      for (const agent of agents.splice(0)) agent.destroy();
+      await site.stop();
+    });
+
+    /** Sends requests at a steady rate to all daemons in turn, and counts those that are served. */
+    async function callUntil(isOver: () => boolean, onServed: () => void): Promise<void> {
+      const ends = site.daemons.map(({ settings }) => {
+        const agent = new Agent({ keepAlive: true });
+        agents.push(agent);
+        return { address: settings.addresses.callers, agent };
+      });
+      const startedAt = performance.now();
+      const calls: Promise<void>[] = [];
+      while (!isOver()) {
+        const due = ((performance.now() - startedAt) * CAPACITY * load) / 1_000;
+        while (calls.length < due) {
+          const { address, agent } = ends[calls.length % ends.length] as (typeof ends)[number];
+          const headers = { 'Deadline-Ms': '1500' };
+          const call = callSite({ address, agent, path: '/write/x', headers }).then(
+            ({ status }) => {
+              if (status === 200) onServed();
+            },
+            () => undefined,
+          );
+          calls.push(call);
+        }
+        const until = performance.now() + TICK_MILLISECONDS;
+        await site.until(() => performance.now() > until);
+      }
+      await Promise.all(calls);
+    }
+
+    // Guards against daemons that together send more than brittle runners can queue, so that these crash in turn.
+    it(`stay up and serve at ${load} times what they can do, with ${limit} rejections allowed`, async () => {
+      await start();
+      const brittleAt = performance.now() + 1_500;
+      const countedFrom = brittleAt + CONTACT_MILLISECONDS;
+      const isOver = () => performance.now() > countedFrom + COUNTED_MILLISECONDS;
+      let served = 0;
+      const calls = callUntil(isOver, () => {
+        if (performance.now() > countedFrom) served += 1;
+      });
+      await site.until(() => performance.now() > brittleAt);
+      for (const runner of site.runners) runner.becomeBrittle({ limit, waiting: BRITTLE_WAITING });
+      await calls;
+      const crashes = site.runners.reduce((sum, runner) => sum + runner.crashes, 0);
+      const least = (CAPACITY * SERVED_SHARE * COUNTED_MILLISECONDS) / 1_000;
+      const isKept = crashes <= ALLOWED_CRASHES && served >= least;
+      const seen = `${crashes} crashes, ${served} served of ${least / SERVED_SHARE} possible`;
+      expect(isKept ? '' : seen).toEqual('');
+    });
+  });
+}
