Keep the attempts of a stuck request until another daemon takes it; repeat nothing that may have run

A stuck request left its runner before it was known whether another daemon would take it, and none did.

The parts of a forwarded request move to a base class, how long it waits to RequestWaits, the step after a hand-over to a pure decision.

--- a/soak/SoakSite.ts
+++ b/soak/SoakSite.ts
@@ -31,6 +31,12 @@
 /** Of the large configurations. */
 const LARGE_ROUTES = 1_400;
 
+/**
+ * Each runner writes its entry again this often, in ms. A daemon that has learnt of a runner from another one, with the
+ * address of the other's link, then gets the address of its own link.
+ */
+const HEARTBEAT_MILLISECONDS = 1_200;
+
 /** Fewer runners of a service would leave a broken stream nowhere to go on. */
 const FEWEST_RUNNERS = 3;
 
@@ -97,6 +103,8 @@
 
   private endWatch: () => void = () => undefined;
 
+  private heartbeat: NodeJS.Timeout | undefined;
+
   /**
    * @param options - sizes and program.
    */
@@ -117,11 +125,19 @@
       await this.addRunner('engine');
     }
     await Promise.all(this.daemons.map((daemon) => daemon.start()));
+    this.heartbeat = setInterval(() => this.listAll(), HEARTBEAT_MILLISECONDS);
+  }
+
+  private listAll(): void {
+    const now = performance.now();
+    if (this.history.during(['store'], now, now).length > 0) return;
+    for (const runner of this.runners.values()) this.list(runner);
   }
 
   /** Ends everything. */
   async stop(): Promise<void> {
     this.endWatch();
+    clearInterval(this.heartbeat);
     await Promise.all(this.daemons.map((daemon) => daemon.stop()));
     for (const runner of this.runners.values()) runner.stop();
     await this.stand.stop();
--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -4,60 +4,30 @@
  */
 import type { IncomingMessage } from 'node:http';
 
+import { match } from 'ts-pattern';
+
 import type { HandOverEnd } from '../handover/HandedOverRequest.js';
 import { HandOverSession } from '../handover/HandOverSession.js';
+import { stepAfterHandOver } from '../handover/stepAfterHandOver.js';
 import type { Choice } from '../runners/RunnerChoice.js';
-import type { AnswerRelay, BufferedAnswer, DaemonAnswer } from './AnswerRelay.js';
-import type { AdmittedRequest, ForwardingContext } from './forwardingTypes.js';
-import { BufferedAnswers } from './BufferedAnswers.js';
+import type { BufferedAnswer, DaemonAnswer } from './AnswerRelay.js';
 import { daemonAnswerFor } from './daemonAnswerFor.js';
-import { RequestRetries } from './RequestRetries.js';
 import type { AttemptVerdict, RetryDecision } from './retryDecision.js';
 import type { AttemptFailure, RunnerAttempt } from './RunnerAttempt.js';
-import { AttemptObserver } from './RunnerAttempt.js';
-import { QuarantineSession } from './QuarantineSession.js';
-import { RequestReport } from './RequestReport.js';
+import { RequestParts } from './RequestParts.js';
+import type { ForwardedRequestOptions } from './RequestParts.js';
 import { RequestTimer } from './RequestTimer.js';
-import { RequestWaits } from './RequestWaits.js';
-import { RunnerOutcomes } from './RunnerOutcomes.js';
-import { isEventStream, StreamedAnswer } from './StreamedAnswer.js';
-import { TriedRunners } from './TriedRunners.js';
+import { isEventStream } from './StreamedAnswer.js';
 import type { EndEvent } from './RequestReport.js';
-import { requestDigest } from '../quarantine/requestDigest.js';
 import { createAttempt } from './createAttempt.js';
 
 const SERVER_ERROR = 500;
 
-/** Options of a {@link ForwardedRequest}. */
-export interface ForwardedRequestOptions {
-  request: AdmittedRequest;
-  body: Buffer | undefined;
-  relay: AnswerRelay;
-  context: ForwardingContext;
-  /**
-   * What the daemon that handed the request over did for it; missing for a request of a caller. That daemon decides
-   * whether the request runs again, so it runs here once.
-   */
-  before?: { readonly isCounted: boolean; readonly mayHaveRun: number };
-}
-
 /** State of one forwarded request; observes the attempts that it sends. */
-export class ForwardedRequest extends AttemptObserver {
-  private readonly request: AdmittedRequest;
-
-  private readonly body: Buffer | undefined;
-
-  private readonly relay: AnswerRelay;
-
-  private readonly context: ForwardingContext;
-
-  private readonly active = new Set<RunnerAttempt>();
-
-  private readonly tried = new TriedRunners();
-
-  private readonly bufferedAnswers: BufferedAnswers;
+export class ForwardedRequest extends RequestParts {
+  private readonly timer: RequestTimer;
 
-  private readonly stream: StreamedAnswer;
+  private readonly handOver: HandOverSession;
 
   /** Complete server error of a runner, sent to the caller if no other runner succeeds. */
   private fallback: BufferedAnswer | undefined;
@@ -67,54 +37,17 @@
 
   private firstAnswerAt: number | undefined;
 
-  private readonly quarantine: QuarantineSession;
-
-  private readonly retries: RequestRetries;
-
-  private readonly report: RequestReport;
-
-  private readonly outcomes: RunnerOutcomes;
-
-  private readonly handOver: HandOverSession;
-
   private readonly isCounted: boolean;
 
-  private readonly waits: RequestWaits;
-
-  private readonly timer: RequestTimer;
-
   /**
    * @param options - the request and the relay that writes its answer.
    */
-  constructor({ request, body, relay, context, before }: ForwardedRequestOptions) {
-    super();
-    this.request = request;
-    this.body = body;
-    this.relay = relay;
-    this.context = context;
-    this.bufferedAnswers = new BufferedAnswers(relay);
-    this.stream = new StreamedAnswer(relay);
-    this.timer = new RequestTimer({ clock: context.clock, onTime: () => this.check() });
-    const digest = requestDigest({ ...request, body });
-    this.report = new RequestReport({ request, context, digest });
-    this.quarantine = new QuarantineSession({
-      quarantine: context.quarantine,
-      digest,
-      onQuarantined: () => this.onQuarantined(),
-    });
-    const { tried, quarantine, report, active } = this;
-    this.waits = new RequestWaits({
-      ...{ request, context, relay, active, tried, quarantine },
-      mayHedge: before === undefined,
-    });
-    this.retries = new RequestRetries({
-      ...{ request, context, tried, quarantine, report },
-      ...(before && { maximumAttempts: before.mayHaveRun + 1 }),
-    });
-    this.outcomes = new RunnerOutcomes({ context, report: this.report });
+  constructor(options: ForwardedRequestOptions) {
+    super(options);
+    const { body, before } = options;
     this.isCounted = before?.isCounted ?? false;
-    tried.mayHaveRun = before?.mayHaveRun ?? 0;
-    const { bufferedAnswers, stream } = this;
+    const { request, context, relay, bufferedAnswers, stream, tried } = this;
+    this.timer = new RequestTimer({ clock: context.clock, onTime: () => this.check() });
     this.handOver = new HandOverSession({
       ...{ request, body, context, relay, bufferedAnswers, stream, tried },
       onEnd: (end) => this.handleHandOverEnd(end),
@@ -208,7 +141,7 @@
 
   private proceed(verdict: RetryDecision['verdict'], failure: AttemptFailure): void {
     if (verdict === 'retry') this.sendNext();
-    else if (verdict === 'refuse' && this.handOver.mayHelp) this.beginHandOver();
+    else if (this.handOver.mayHelp) this.beginHandOver();
     else this.giveUp(verdict, failure);
   }
 
@@ -218,28 +151,37 @@
   }
 
   private handleHandOverEnd(end: HandOverEnd): void {
-    if (end === 'answered' || end === 'not_served') {
-      this.firstAnswerAt ??= this.now();
-      this.end(end === 'answered' ? 'answered' : 'notServed', 'handed_over');
-    } else if (end === 'unanswered') {
-      this.sendNext();
-    } else if (end === 'unreached') {
-      this.giveUp(this.tried.mayHaveRun > 0 ? 'fail' : 'refuse', 'no_path');
-    } else if (this.relay.hasHead && this.stream.lastEventId === undefined) {
-      this.endWith({ status: 502, reason: 'broken' });
-    } else {
-      this.tried.mayHaveRun += 1;
-      this.proceed(
-        this.retries.afterFailure('broken', this.fallback !== undefined).verdict,
-        'broken',
-      );
-    }
+    const { mayHaveRun } = this.tried;
+    const hasAttempts = this.active.size > 0;
+    const { isBegun } = this;
+    match(stepAfterHandOver({ end, hasAttempts, mayHaveRun: mayHaveRun > 0, isBegun }))
+      .with('finish', () => {
+        this.firstAnswerAt ??= this.now();
+        this.end(end === 'answered' ? 'answered' : 'notServed', 'handed_over');
+      })
+      .with('wait', () => this.scheduleCheck())
+      .with('send', () => this.sendNext())
+      .with('refuse', () => this.giveUp('refuse', 'no_path'))
+      .with('cut', () => this.endWith({ status: 502, reason: 'broken' }))
+      .with('repeat', () => {
+        this.tried.recordLostHandOver();
+        const hasFallback = this.fallback !== undefined;
+        this.proceed(this.retries.afterFailure('broken', hasFallback).verdict, 'broken');
+      })
+      .exhaustive();
+  }
+
+  /** Whether the caller has the beginning of an answer that cannot be resumed. */
+  private get isBegun(): boolean {
+    return this.relay.hasHead && this.stream.lastEventId === undefined;
   }
 
   private verdictOn(attempt: RunnerAttempt, failure: AttemptFailure): AttemptVerdict {
     // The caller already has the beginning of this answer, and another runner's answer cannot continue it.
     if (this.bufferedAnswers.isPassing(attempt)) return { verdict: 'cut' };
-    if (this.active.size > 0 || this.isSelecting) return { verdict: 'wait' };
+    if (this.active.size > 0 || this.isSelecting || this.handOver.isInProgress) {
+      return { verdict: 'wait' };
+    }
     return this.retries.afterFailure(failure, this.fallback !== undefined);
   }
 
@@ -344,11 +286,16 @@
   private stopAttempts(): void {
     this.timer.clear();
     this.handOver.cancel();
-    for (const attempt of this.active) {
-      attempt.cancel();
-      this.quarantine.abandoned(attempt);
-    }
-    this.active.clear();
+    this.active.cancelAll(this.quarantine);
+  }
+
+  /** Leaves the attempts, whose runners cannot answer, as another daemon takes the request. */
+  private leaveAttempts(): boolean {
+    if (this.isBegun || !this.waits.takeMove()) return false;
+    this.tried.mayHaveRun += this.active.size;
+    this.stream.breakOff();
+    this.active.cancelAll(this.quarantine);
+    return true;
   }
 
   private scheduleCheck(): void {
@@ -361,11 +308,13 @@
       this.expire();
       return;
     }
-    if (this.handOver.isInProgress) return;
-    if (this.handOver.isNeeded && this.waits.takeMove()) {
-      this.tried.mayHaveRun += this.active.size;
-      this.stopAttempts();
-      this.sendNext();
+    if (this.handOver.isInProgress) {
+      this.scheduleCheck();
+      return;
+    }
+    if (this.handOver.isNeeded && this.waits.isStuck) {
+      this.scheduleCheck();
+      this.handOver.begin(() => this.leaveAttempts());
       return;
     }
     const { stalled } = this.waits;
@@ -380,7 +329,7 @@
   }
 
   /** Ends a request that was put into quarantine; cancelling it may save the runner that is working on it. */
-  private onQuarantined(): void {
+  protected override onQuarantined(): void {
     if (this.relay.isDone) return;
     const mayHaveRun = this.active.size > 0 || this.tried.mayHaveRun > 0;
     this.endWith(mayHaveRun ? { status: 502, reason: 'quarantined' } : this.quarantine.refusal);
--- /dev/null
+++ b/src/forwarding/RequestParts.ts
@@ -0,0 +1,92 @@
+/**
+ * The parts of one forwarded request, each of which keeps a side of its state.
+ */
+import { requestDigest } from '../quarantine/requestDigest.js';
+import { ActiveAttempts } from './ActiveAttempts.js';
+import type { AnswerRelay } from './AnswerRelay.js';
+import { BufferedAnswers } from './BufferedAnswers.js';
+import type { AdmittedRequest, ForwardingContext } from './forwardingTypes.js';
+import { QuarantineSession } from './QuarantineSession.js';
+import { RequestReport } from './RequestReport.js';
+import { RequestRetries } from './RequestRetries.js';
+import { RequestWaits } from './RequestWaits.js';
+import { AttemptObserver } from './RunnerAttempt.js';
+import { RunnerOutcomes } from './RunnerOutcomes.js';
+import { StreamedAnswer } from './StreamedAnswer.js';
+import { TriedRunners } from './TriedRunners.js';
+
+/** Options of a forwarded request. */
+export interface ForwardedRequestOptions {
+  request: AdmittedRequest;
+  body: Buffer | undefined;
+  relay: AnswerRelay;
+  context: ForwardingContext;
+  /**
+   * What the daemon that handed the request over did for it; missing for a request of a caller. That daemon decides
+   * whether the request runs again, so it runs here once.
+   */
+  before?: { readonly isCounted: boolean; readonly mayHaveRun: number };
+}
+
+/** Creates and holds the parts. */
+export abstract class RequestParts extends AttemptObserver {
+  protected readonly request: AdmittedRequest;
+
+  protected readonly body: Buffer | undefined;
+
+  protected readonly relay: AnswerRelay;
+
+  protected readonly context: ForwardingContext;
+
+  protected readonly active = new ActiveAttempts();
+
+  protected readonly tried = new TriedRunners();
+
+  protected readonly bufferedAnswers: BufferedAnswers;
+
+  protected readonly stream: StreamedAnswer;
+
+  protected readonly quarantine: QuarantineSession;
+
+  protected readonly retries: RequestRetries;
+
+  protected readonly report: RequestReport;
+
+  protected readonly outcomes: RunnerOutcomes;
+
+  protected readonly waits: RequestWaits;
+
+  /**
+   * @param options - the request and the relay that writes its answer.
+   */
+  constructor({ request, body, relay, context, before }: ForwardedRequestOptions) {
+    super();
+    this.request = request;
+    this.body = body;
+    this.relay = relay;
+    this.context = context;
+    this.bufferedAnswers = new BufferedAnswers(relay);
+    this.stream = new StreamedAnswer(relay);
+    const digest = requestDigest({ ...request, body });
+    this.report = new RequestReport({ request, context, digest });
+    this.quarantine = new QuarantineSession({
+      quarantine: context.quarantine,
+      digest,
+      onQuarantined: () => this.onQuarantined(),
+    });
+    const { tried, quarantine, report, active } = this;
+    this.waits = new RequestWaits({
+      ...{ request, context, relay, active, tried, quarantine },
+      mayHedge: before === undefined,
+    });
+    this.retries = new RequestRetries({
+      ...{ request, context, tried, quarantine, report },
+      ...(before && { maximumAttempts: before.mayHaveRun + 1 }),
+    });
+    this.outcomes = new RunnerOutcomes({ context, report });
+    tried.mayHaveRun = before?.mayHaveRun ?? 0;
+  }
+
+  /** Called when the request has been put into quarantine. */
+  protected abstract onQuarantined(): void;
+}
--- a/src/forwarding/RequestWaits.ts
+++ b/src/forwarding/RequestWaits.ts
@@ -63,11 +63,16 @@
     return this.options.mayHedge && shouldHedge(this.progress) && this.takeBudget();
   }
 
-  /** @returns Whether a request whose runners cannot answer runs again elsewhere now; if so, the budget has paid for it. */
-  takeMove(): boolean {
+  /** @returns Whether the request has waited so long that it should run at another daemon if its runners cannot answer. */
+  get isStuck(): boolean {
     const { progress } = this;
-    const isStuck = stalledAttempt(progress) ?? shouldHedge({ ...progress, isLinkSuspect: false });
-    return Boolean(isStuck) && this.takeBudget();
+    if (stalledAttempt(progress)) return true;
+    return shouldHedge({ ...progress, isLinkSuspect: false });
+  }
+
+  /** @returns Whether a request that is stuck runs again elsewhere now; if so, the budget has paid for it. */
+  takeMove(): boolean {
+    return this.isStuck && this.takeBudget();
   }
 
   private takeBudget(): boolean {
--- a/src/forwarding/TriedRunners.ts
+++ b/src/forwarding/TriedRunners.ts
@@ -34,8 +34,8 @@
   /** Number of attempts, including repeated ones at the same runner. */
   count = 0;
 
-  /** Number of failed attempts that did not reach their runner. */
-  private unreachable = 0;
+  /** Whether the last attempt did not reach its runner. */
+  isUnreached = false;
 
   /** Incarnations that do not get the request again. */
   private readonly asked = new Set<string>();
@@ -46,11 +46,6 @@
   /** Number of connect timeouts since the request may have run. */
   private timeoutsAfterRun = 0;
 
-  /** @returns Whether there were attempts, and none of them reached its runner. */
-  get hasReachedNone(): boolean {
-    return this.count > 0 && this.unreachable === this.count;
-  }
-
   /** @returns Incarnations of runners that the next attempt must not use. */
   get excluded(): ReadonlySet<string> {
     return new Set([...this.asked, ...this.unreached]);
@@ -91,13 +86,19 @@
     if (failure === 'broken') this.needsNewConnection = true;
     if (NOT_RUN.has(failure)) this.notRun += 1;
     else this.mayHaveRun += 1;
-    if (failure === 'not_connected' || failure === 'connect_timeout') this.unreachable += 1;
+    this.isUnreached = failure === 'not_connected' || failure === 'connect_timeout';
     if (failure !== 'connect_timeout') return;
     if (this.mayHaveRun > 0) this.timeoutsAfterRun += 1;
     this.asked.delete(life);
     this.unreached.add(life);
   }
 
+  /** Records that a daemon took the request over and broke off, so that it may have run there. */
+  recordLostHandOver(): void {
+    this.mayHaveRun += 1;
+    this.isUnreached = false;
+  }
+
   /**
    * Allows another attempt at the runners that did not accept a connection in time, if the request may have run.
    *
--- a/src/handover/HandOverSession.ts
+++ b/src/handover/HandOverSession.ts
@@ -50,10 +50,10 @@
     return !this.isOver && context.handOver?.isHopeless(request.service) === true;
   }
 
-  /** @returns Whether another daemon may serve the request, none of whose attempts has reached a runner. */
+  /** @returns Whether another daemon may serve the request, whose last attempt has not reached its runner. */
   get mayHelp(): boolean {
     const { context, request, tried } = this.options;
-    if (this.isOver || !tried.hasReachedNone) return false;
+    if (this.isOver || !tried.isUnreached) return false;
     return context.handOver?.mayHelp(request.service) === true;
   }
 
@@ -62,18 +62,23 @@
     return this.current !== undefined;
   }
 
-  /** Hands the request over. */
-  begin(): void {
+  /**
+   * Hands the request over.
+   *
+   * @param isWanted - called when another daemon would take it; returns whether it still has to be handed over.
+   */
+  begin(isWanted: () => boolean = () => true): void {
     const { context, request, tried, stream, ...options } = this.options;
     const { handOver: task, clock, protocol } = context;
     if (!task) return;
     this.current = new HandedOverRequest({
       ...options,
       ...{ request, stream, task, clock },
-      resumesAfter: stream.lastEventId,
+      resumesAfter: () => stream.lastEventId,
       names: protocol.names,
       isCounted: true,
-      mayHaveRun: tried.mayHaveRun,
+      mayHaveRun: () => tried.mayHaveRun,
+      isWanted,
       onEnd: (end) => this.handleEnd(end),
     });
     this.current.start();
@@ -87,7 +92,9 @@
 
   private handleEnd(end: HandOverEnd): void {
     this.current = undefined;
-    this.isOver ||= end === 'unanswered';
+    // What may have run cannot be refused any more, so it is tried from here until its deadline.
+    this.isOver ||=
+      end === 'unanswered' || (end === 'unreached' && this.options.tried.mayHaveRun > 0);
     this.options.onEnd(end);
   }
 }
--- a/src/handover/HandedOverRequest.ts
+++ b/src/handover/HandedOverRequest.ts
@@ -56,13 +56,15 @@
   relay: AnswerRelay;
   bufferedAnswers: BufferedAnswers;
   stream: StreamedAnswer;
-  /** Id of the last event that the caller has received of a stream that is being resumed. */
-  resumesAfter: string | undefined;
+  /** Returns the id of the last event that the caller has received of a stream that is being resumed. */
+  resumesAfter: () => string | undefined;
   names: Pick<HeaderNames, 'lastEventId' | 'signature'>;
   /** Whether this daemon has counted the request in its retry budget. */
   isCounted: boolean;
-  /** Number of attempts that may have run. */
-  mayHaveRun: number;
+  /** Returns the number of attempts that may have run. */
+  mayHaveRun: () => number;
+  /** Called when a daemon would take the request; returns whether it still has to be handed over. */
+  isWanted: () => boolean;
   /** Called once, unless the request is cancelled. */
   onEnd: (end: HandOverEnd) => void;
 }
@@ -120,12 +122,12 @@
       return;
     }
     this.asked.add(peer.name);
-    this.ask(peer, this.messageFor(secret));
+    this.ask(peer, secret);
   }
 
   private messageFor(secret: string): Buffer {
-    const { task, request, body, clock, resumesAfter, names } = this.options;
-    const { isCounted, mayHaveRun } = this.options;
+    const { task, request, body, clock, names, isCounted } = this.options;
+    const resumesAfter = this.options.resumesAfter();
     const { arrivedAt, deadlineAt, ...admitted } = request;
     const headers =
       resumesAfter === undefined
@@ -136,13 +138,13 @@
       request: { ...admitted, headers },
       remainingMilliseconds: deadlineAt - clock.monotonicMilliseconds(),
       isCounted,
-      mayHaveRun,
+      mayHaveRun: this.options.mayHaveRun(),
       hasBody: body !== undefined,
     };
     return encodeHandOver(handOver, body, secret);
   }
 
-  private ask(peer: DaemonEntry, message: Buffer): void {
+  private ask(peer: DaemonEntry, secret: string): void {
     const { task } = this.options;
     const { host, port } = parseAddress(peer.peerAddress);
     const outgoing = sendRequest({
@@ -151,7 +153,7 @@
       method: 'POST',
       path: HAND_OVER_PATH,
       agent: task.agent,
-      headers: { 'Content-Length': message.length, Expect: '100-continue' },
+      headers: { 'Transfer-Encoding': 'chunked', Expect: '100-continue' },
     });
     this.outgoing = outgoing;
     let isTaken = false;
@@ -166,10 +168,15 @@
     outgoing.once('continue', () => {
       if (this.isOver || this.outgoing !== outgoing) return;
       clearTimeout(this.timer);
-      isTaken = true;
       task.recordAccepted(peer.name);
+      if (!this.options.isWanted()) {
+        outgoing.destroy();
+        this.end('unanswered');
+        return;
+      }
+      isTaken = true;
       this.report(peer);
-      outgoing.end(message);
+      outgoing.end(this.messageFor(secret));
     });
     outgoing.once('response', (answer) => {
       if (isTaken) {
@@ -196,7 +203,12 @@
 
   private report({ name }: DaemonEntry): void {
     const { task, request, mayHaveRun } = this.options;
-    const fields = { request: request.id, to: name, asked: this.asked.size, mayHaveRun };
+    const fields = {
+      request: request.id,
+      to: name,
+      asked: this.asked.size,
+      mayHaveRun: mayHaveRun(),
+    };
     task.log.write(forwardingLogEvents.handedOver, fields);
   }
 
--- a/src/handover/testPeers.ts
+++ b/src/handover/testPeers.ts
@@ -155,13 +155,15 @@
       connectionLimit: 4,
     };
     return new HandedOverRequest({
-      ...{ task: this.task, request, relay, resumesAfter, onEnd, clock: this.clock },
+      ...{ task: this.task, request, relay, onEnd, clock: this.clock },
+      resumesAfter: () => resumesAfter,
+      isWanted: () => true,
       body: Buffer.from('the body'),
       bufferedAnswers: new BufferedAnswers(relay),
       stream: new StreamedAnswer(relay),
       names: { lastEventId: 'last-event', signature: 'signature' },
       isCounted: true,
-      mayHaveRun: 0,
+      mayHaveRun: () => 0,
     });
   }
 
--- a/src/router/CallerDirectory.ts
+++ b/src/router/CallerDirectory.ts
@@ -6,6 +6,7 @@
 import type { DirectoryQuery } from '../directory/selectAddresses.js';
 import type { FleetKnowledge } from '../sync/FleetKnowledge.js';
 import type { DaemonEntry } from '../sync/FleetStore.js';
+import type { Clock } from '../time/Clock.js';
 import { regionOfDataCentre } from './routerFeature.js';
 import type { RouterSettings } from './routerFeature.js';
 
@@ -20,6 +21,7 @@
   settings: RouterSettings;
   knowledge: FleetKnowledge;
   coordination: FleetCoordination;
+  clock: Clock;
 }
 
 /** Collects the daemons, home regions and data centres that a directory answer depends on. */
@@ -40,7 +42,7 @@
    */
   addressesFor(location: CallerLocation, own: DaemonEntry | undefined): string[] {
     const { settings, knowledge, coordination } = this.options;
-    const availableDaemons = coordination.otherAvailableDaemons();
+    const availableDaemons = this.withPath(coordination.otherAvailableDaemons());
     // If every daemon seems unavailable, all listed ones are given: a caller without any address can reach nobody, whereas
     // one that gets the address of a dead daemon tries the next address.
     const daemons =
@@ -49,4 +51,15 @@
     const regionOf = (dataCentre: string) => regionOfDataCentre(settings, dataCentre);
     return selectAddresses({ daemons, own, homeRegions, regionOf, ...location });
   }
+
+  /**
+   * Leaves out daemons that have lost their path to the runners for a while: other daemons serve their callers, which
+   * takes a hop more. If more than half have lost it, all stay, since the others could not take all callers.
+   */
+  private withPath(daemons: readonly DaemonEntry[]): readonly DaemonEntry[] {
+    const { coordination, clock } = this.options;
+    const now = clock.monotonicMilliseconds();
+    const left = daemons.filter(({ name }) => !coordination.pathReports.isPathLost(name, now));
+    return 2 * left.length >= daemons.length ? left : daemons;
+  }
 }
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -140,7 +140,7 @@
     const { knowledge, entry, registry } = this;
     this.coordination = this.createCoordination(gatherMilliseconds);
     const { coordination } = this;
-    this.directory = new CallerDirectory({ settings, knowledge, coordination });
+    this.directory = new CallerDirectory({ settings, knowledge, coordination, clock });
     this.quarantineTask = new QuarantineTask({
       ...{ daemon: entry, store, clock, log, registry },
       socket: this.news.socket,
--- a/standIns/link/HangingPorts.ts
+++ b/standIns/link/HangingPorts.ts
@@ -9,26 +9,19 @@
 
 /**
  * Worker that listens with the smallest queue and blocks its thread. Once the queue is full, the operating system drops
- * the SYN packet of each new connection. When it is released, it closes everything by itself: a thread that is terminated
- * with open listeners may never end.
+ * the SYN packet of each new connection.
  */
 const LISTENER = `
   const { createServer } = require('node:net');
   const { parentPort, workerData } = require('node:worker_threads');
-  const servers = [];
   const listen = (port) => new Promise((done, fail) => {
-    const server = createServer((socket) => {
-      socket.on('error', () => {});
-      socket.destroy();
-    });
-    servers.push(server);
+    const server = createServer((socket) => socket.on('error', () => {}));
     server.once('error', fail);
     server.listen({ port, host: '127.0.0.1', backlog: 1 }, () => done(server.address().port));
   });
   Promise.all(workerData.ports.map(listen)).then((ports) => {
     parentPort.postMessage(ports);
     Atomics.wait(new Int32Array(workerData.buffer), 0, 0);
-    for (const server of servers) server.close();
   });
 `;
 
@@ -70,10 +63,9 @@
   /** Closes the connections and ends the thread. */
   async close(): Promise<void> {
     for (const socket of this.fillers) socket.destroy();
-    const ended = once(this.worker, 'exit');
     Atomics.store(this.gate, 0, 1);
     Atomics.notify(this.gate, 0);
-    await ended;
+    await this.worker.terminate();
   }
 
   private async fill(port: number): Promise<void> {
--- a/standIns/link/Link.ts
+++ b/standIns/link/Link.ts
@@ -7,6 +7,7 @@
 import { match } from 'ts-pattern';
 
 import { listen } from '../../src/http/listen.js';
+import { freePort } from '../site/freePort.js';
 import { Flow, LinkQueue } from './Flow.js';
 import { HangingPorts } from './HangingPorts.js';
 import type {
@@ -113,7 +114,8 @@
   }
 
   private async open({ id, side, target }: LinkCommand & { kind: 'open' }): Promise<void> {
-    const { server, port } = await this.listen(side, target, 0);
+    // Not one that the system assigns: an outgoing connection could take it while the path is lost.
+    const { server, port } = await this.listen(side, target, await freePort());
     const isLost = this.severed.has(side);
     if (isLost) server.close();
     this.listeners.set(port, { side, target, port, server: isLost ? undefined : server });
@@ -194,7 +196,11 @@
   private reset({ ends, flows }: Pipe): void {
     if (flows[0].isSilenced) return;
     for (const flow of flows) flow.stop();
-    for (const end of ends) end.resetAndDestroy();
+    // The runtime never closes a socket that is reset while its end is still being sent.
+    for (const end of ends) {
+      if (end.writableEnded) end.destroy();
+      else end.resetAndDestroy();
+    }
   }
 
   private forget(pipe: Pipe): void {
--- a/tests/handOver.spec.ts
+++ b/tests/handOver.spec.ts
@@ -126,6 +126,15 @@
     expect(addresses.length).toEqual(DAEMONS);
   });
 
+  // Guards against a request that may run once and is handed over again after a daemon that took it over has broken off.
+  it('does not repeat what may have run at another daemon', async () => {
+    for (const runner of site.runners) runner.behaviour = 'loses_answer';
+    site.links?.sever('daemon-0', 'hang');
+    const answer = await call(daemonAt(0), '/write/x');
+    expect(answer.status).toEqual(502);
+    expect(site.runners.flatMap(({ ran }) => ran).length).toEqual(1);
+  });
+
   it('serves itself again when its path is back', async () => {
     await sever(daemonAt(0));
     site.links?.rejoin('daemon-0');
