A handed over request in quarantine is no refusal; errors that reached nobody say so; soak with brittle runners

The daemon of its caller counted its own attempts only. Errors say now whether this daemon reached a runner; test with it.

A runner's own statement on being brittle goes before that of others of its service, so that one that is not brittle ends no limit. The soak makes all plain runners brittle, with a surge of requests, and checks their crashes.

--- a/soak/SoakSite.ts
+++ b/soak/SoakSite.ts
@@ -6,6 +6,7 @@
 import type { RouterSettings } from '../src/router/routerFeature.js';
 import { SiteProcess } from '../standIns/site/SiteProcess.js';
 import { SiteRunner } from '../standIns/site/SiteRunner.js';
+import type { Brittleness } from '../standIns/site/SiteRunner.js';
 import { siteConfiguration, StandInSite } from '../standIns/site/StandInSite.js';
 import type { StoreItem } from '../standIns/site/StoreStandIn.js';
 import { FaultHistory } from './FaultHistory.js';
@@ -28,6 +29,9 @@
 
 const EVENT_MILLISECONDS = 40;
 
+/** Requests that a plain runner works on at the same time; a surge fills them. */
+const PLAIN_SLOTS = 4;
+
 /** Of the large configurations. */
 const LARGE_ROUTES = 1_400;
 
@@ -99,6 +103,9 @@
 
   private readonly options: SoakSiteOptions;
 
+  /** What all plain runners say of themselves, also those that come. */
+  private brittleness: Brittleness | undefined;
+
   private nextRunner = 0;
 
   private endWatch: () => void = () => undefined;
@@ -181,12 +188,14 @@
       eventMilliseconds: EVENT_MILLISECONDS,
       workMilliseconds: WORK_MILLISECONDS,
       onRan: (request, from) => this.runs.note(request, id, from),
+      ...(service === 'plain' && { slots: PLAIN_SLOTS }),
       isFatal: ({ body }) => body.startsWith(FATAL_BODY),
       onCrashed: () => this.crashed(runner),
       onRestarted: () => {
         void this.listAnew(runner);
       },
     });
+    if (service === 'plain') runner.becomeBrittle(this.brittleness);
     await runner.start();
     await this.openPaths(runner);
     this.runners.set(id, runner);
@@ -194,6 +203,17 @@
     return runner;
   }
 
+  /**
+   * @param brittleness - what plain runners say from now on; `undefined` ends it.
+   * @returns The plain runners.
+   */
+  makePlainRunnersBrittle(brittleness: Brittleness | undefined): SiteRunner[] {
+    this.brittleness = brittleness;
+    const runners = [...this.runners.values()].filter(({ id }) => id.startsWith('plain'));
+    for (const runner of runners) runner.becomeBrittle(brittleness);
+    return runners;
+  }
+
   /** Its host refuses connections from now on; what it had is cut within the longest time of a request. */
   private crashed(runner: SiteRunner): void {
     const text = `${runner.id} crashes at a request`;
--- a/soak/checks/Excuses.ts
+++ b/soak/checks/Excuses.ts
@@ -8,6 +8,7 @@
 import type { SoakDaemon } from '../SoakDaemon.js';
 import {
   CLOSING_SHARE,
+  CONTACT_MILLISECONDS,
   CUTTING_SHARE,
   LATENESS_MILLISECONDS,
   MAXIMUM_ATTEMPTS,
@@ -126,14 +127,21 @@
     return endedAt - sentAt >= TIMEOUT_MILLISECONDS - ROUNDING_MILLISECONDS;
   }
 
-  /** How often a runner, or the way to it, broke a request off; a cut lasts, and leaves nowhere to go on. */
+  /**
+   * How often a runner, or the way to it, broke a request off; a cut lasts, and leaves nowhere to go on. A daemon whose path
+   * is lost may send on connections that hang until it is in contact again.
+   */
   private breaksOf(call: Call): number {
     const runners = new Set(this.options.runs.of(call.id).map(({ runner }) => runner));
     const broken = this.during(call, ['runner']).filter(({ runner = '' }) => runners.has(runner));
     const links = this.during(call, LOSSES).filter(
       ({ daemon, sides = [] }) => this.concerns(call, daemon) && sides.includes('runners'),
     );
+    const lost = this.during(call, ['path']).filter(
+      ({ daemon, from }) =>
+        this.concerns(call, daemon) && call.sentAt < from + CONTACT_MILLISECONDS,
+    );
     const cuts = links.filter(({ kind }) => kind === 'cut').length;
-    return broken.length + links.length + cuts * MAXIMUM_ATTEMPTS;
+    return broken.length + links.length + lost.length + cuts * MAXIMUM_ATTEMPTS;
   }
 }
--- a/soak/faults/Fault.ts
+++ b/soak/faults/Fault.ts
@@ -5,6 +5,7 @@
 import { setTimeout as wait } from 'node:timers/promises';
 
 import type { DrainChecks } from '../checks/DrainChecks.js';
+import type { Violations } from '../checks/Violations.js';
 import type { FaultRecord } from '../FaultHistory.js';
 import type { SoakCallers } from '../SoakCallers.js';
 import type { SoakDaemon } from '../SoakDaemon.js';
@@ -15,6 +16,7 @@
   readonly site: SoakSite;
   readonly callers: SoakCallers;
   readonly drains: DrainChecks;
+  readonly violations: Violations;
 }
 
 /** Draws what a fault needs. */
--- a/soak/faults/faultPlan.ts
+++ b/soak/faults/faultPlan.ts
@@ -13,6 +13,7 @@
 } from './linkFaults.js';
 import { Kill, Pause, Reload, RollingRestart } from './processFaults.js';
 import {
+  BrittleRunnersInSurge,
   EvacuatedPlace,
   FailingRunner,
   LostAnswers,
@@ -89,6 +90,9 @@
 /** Time from one loss of paths to the next, in ms: some overlap. */
 const PATH_PAUSES: readonly [number, number] = [4_000, 12_000];
 
+/** Time from one surge before brittle runners to the next, in ms. */
+const SURGE_PAUSES: readonly [number, number] = [7_000, 15_000];
+
 /** Plans faults of one kind, one after the other. */
 function planSeparately(
   draw: Draw,
@@ -131,5 +135,7 @@
   const restore = () => new RestoredStore(draw);
   const restores = planSeparately(draw, seconds, RESTORE_PAUSES, restore);
   const paths = planSeparately(draw, seconds, PATH_PAUSES, () => new LostPath(draw));
-  return [...plan, ...statements, ...evacuations, ...restores, ...paths];
+  const surge = () => new BrittleRunnersInSurge(draw);
+  const surges = planSeparately(draw, seconds, SURGE_PAUSES, surge);
+  return [...plan, ...statements, ...evacuations, ...restores, ...paths, ...surges];
 }
--- a/soak/faults/linkFaults.ts
+++ b/soak/faults/linkFaults.ts
@@ -160,7 +160,6 @@
     );
     const ends = cut.map(({ index }) => {
       const text = `daemon-${index} loses its path to all runners, connections ${how}`;
-      history.begin({ kind: 'break', daemon: index, sides: ['runners'], text })();
       return history.begin({ kind: 'path', daemon: index, text });
     });
     for (const { link } of cut) link.sever('runners', how);
--- a/soak/faults/runnerFaults.ts
+++ b/soak/faults/runnerFaults.ts
@@ -208,3 +208,50 @@
     });
   }
 }
+
+/** Plain runners say this long before that they will keep a short queue, in ms. */
+const BRITTLE_NOTICE_MILLISECONDS = 3_000;
+
+const BRITTLE = { limit: 3, waiting: 2 };
+
+/** Requests of a surge that begin at the same moment, and the time to the next ones, in ms. */
+const SURGE_REQUESTS = 3;
+const SURGE_PAUSE_MILLISECONDS = 10;
+
+/** Plain runners that crash when they reject more than a few requests a second, and a surge of requests for them. */
+export class BrittleRunnersInSurge extends Fault {
+  private readonly milliseconds = this.draw.between(1_000, 2_500);
+
+  override async play({ site, callers, violations }: FaultGround): Promise<void> {
+    const text = `plain runners are brittle, with a surge of ${this.milliseconds} ms`;
+    const over = site.history.begin({ kind: 'runner', runner: '', text });
+    site.makePlainRunnersBrittle(BRITTLE);
+    await wait(BRITTLE_NOTICE_MILLISECONDS);
+    const runners = site.makePlainRunnersBrittle(BRITTLE);
+    const crashes = () => runners.reduce((sum, runner) => sum + runner.crashes, 0);
+    const before = crashes();
+    await this.surge(site, callers);
+    const allowed = 2 + runners.length / 10;
+    const fallen = crashes() - before;
+    const told = () => `${fallen} of ${runners.length} brittle runners crashed`;
+    violations.check('brittle runners stay up', fallen <= allowed, told);
+    site.makePlainRunnersBrittle(undefined);
+    over();
+  }
+
+  private async surge(
+    { daemons }: FaultGround['site'],
+    callers: FaultGround['callers'],
+  ): Promise<void> {
+    const calls: Promise<unknown>[] = [];
+    const until = performance.now() + this.milliseconds;
+    while (performance.now() < until) {
+      for (let sent = 0; sent < SURGE_REQUESTS; sent += 1) {
+        const daemon = daemons[calls.length % daemons.length];
+        if (daemon) calls.push(callers.call(daemon, 'read'));
+      }
+      await wait(SURGE_PAUSE_MILLISECONDS);
+    }
+    await Promise.all(calls);
+  }
+}
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -74,7 +74,7 @@
   const callers = new SoakCallers({ daemons, random, rate, onEnd: (call) => answers.look(call) });
   await callers.start();
   configurations.start(callers);
-  await play(planned, ({ fault }) => fault.play({ site, callers, drains }));
+  await play(planned, ({ fault }) => fault.play({ site, callers, drains, violations }));
   await checkRecovery(daemons, callers, violations);
   configurations.stop();
   await callers.stop();
--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -331,7 +331,8 @@
   /** Ends a request that was put into quarantine; cancelling it may save the runner that is working on it. */
   protected override onQuarantined(): void {
     if (this.relay.isDone) return;
-    const mayHaveRun = this.active.size > 0 || this.tried.mayHaveRun > 0;
+    const isElsewhere = this.handOver.isInProgress;
+    const mayHaveRun = isElsewhere || this.active.size > 0 || this.tried.mayHaveRun > 0;
     this.endWith(mayHaveRun ? { status: 502, reason: 'quarantined' } : this.quarantine.refusal);
   }
 
--- a/src/forwarding/forwardingFeature.ts
+++ b/src/forwarding/forwardingFeature.ts
@@ -133,7 +133,7 @@
     number: 2617,
     name: 'forwarding.brittle_runners',
     level: 'warn',
-    text: 'The runners of a service say that they fall over when they reject more requests per second than the field limit, or that they no longer do (none). Their slots are divided among the daemons meanwhile.',
+    text: 'Runners of a service say that they fall over when they reject more requests per second than the field limit. Their slots are divided among the daemons for as long as they say so.',
     operatorAction:
       'Check the runners of the service; requests that they cannot take are refused with the reason full.',
   }),
--- a/src/handover/HandedOverRequest.spec.ts
+++ b/src/handover/HandedOverRequest.spec.ts
@@ -132,6 +132,17 @@
     expect(headers).toEqual(['Host', 'x', 'last-event', '7']);
   });
 
+  // Guards against a refusal that says "not run" of a request that runs at another daemon while it is quarantined.
+  it('is not refused as not run when it is quarantined while another daemon runs it', async () => {
+    let run: () => void = () => undefined;
+    const isRunning = new Promise<void>((done) => {
+      run = done;
+    });
+    await peers.add('one', { answer: () => run() });
+    const text = await peers.quarantineDuring(isRunning);
+    expect(text.startsWith('HTTP/1.1 502')).toEqual(true);
+  });
+
   it('is read from a daemon of the fleet alone', () => {
     const handOver = { sender: 'one', hasBody: true } as HandOver;
     const message = encodeHandOver(handOver, Buffer.from('body'), 'secret');
--- a/src/handover/TakenOverRelay.ts
+++ b/src/handover/TakenOverRelay.ts
@@ -33,11 +33,14 @@
   }
 
   override sendDaemonAnswer(own: DaemonAnswer): void {
-    const isUnreached = own.status === UNAVAILABLE && UNREACHED_REASONS.has(own.reason);
-    if (!this.hasHead && !this.isDone) {
-      if (isUnreached) this.answer.setHeader(UNREACHED_HEADER, own.reason);
-      if (own.status === BAD_GATEWAY) this.answer.setHeader(BROKEN_HEADER, own.reason);
-    }
+    if (!this.hasHead && !this.isDone) this.mark(own);
     super.sendDaemonAnswer(own);
   }
+
+  /** A request that may have run elsewhere before cannot be refused any more, but may have reached nobody here. */
+  private mark({ status, reason }: DaemonAnswer): void {
+    if (status !== UNAVAILABLE && status !== BAD_GATEWAY) return;
+    if (UNREACHED_REASONS.has(reason)) this.answer.setHeader(UNREACHED_HEADER, reason);
+    else if (status === BAD_GATEWAY) this.answer.setHeader(BROKEN_HEADER, reason);
+  }
 }
--- a/src/handover/testPeers.ts
+++ b/src/handover/testPeers.ts
@@ -9,9 +9,14 @@
 import { MemoryLog } from '../callers/testFakes.js';
 import { AnswerRelay } from '../forwarding/AnswerRelay.js';
 import { BufferedAnswers } from '../forwarding/BufferedAnswers.js';
-import type { AdmittedRequest } from '../forwarding/forwardingTypes.js';
+import { ForwardedRequest } from '../forwarding/ForwardedRequest.js';
+import { createForwardingMetrics } from '../forwarding/ForwardingMetrics.js';
+import type { AdmittedRequest, ForwardingContext } from '../forwarding/forwardingTypes.js';
+import { SharedRetryBudget } from '../forwarding/SharedRetryBudget.js';
 import { StreamedAnswer } from '../forwarding/StreamedAnswer.js';
+import { TestProtocol } from '../forwarding/testProtocol.js';
 import { MetricRegistry } from '../metrics/MetricRegistry.js';
+import type { RequestQuarantine } from '../quarantine/RequestQuarantine.js';
 import type { Route } from '../routes/routeTypes.js';
 import type { DaemonEntry } from '../sync/FleetStore.js';
 import { SystemClock } from '../time/SystemClock.js';
@@ -63,10 +68,12 @@
 
   private readonly task: HandOverTask;
 
+  private readonly path = new RunnerPath({ runnerCount: () => 4 });
+
   constructor() {
     this.task = new HandOverTask({
       daemon: this.entryOf('own', 0),
-      path: new RunnerPath({ runnerCount: () => 4 }),
+      path: this.path,
       daemons: () => this.daemons,
       hasNoPath: () => false,
       secret: () => SECRET,
@@ -121,6 +128,46 @@
     return { end, text };
   }
 
+  /**
+   * Forwards a request of a daemon without a path, which puts it into quarantine while another daemon runs it.
+   *
+   * @param isRunning - resolves once the other daemon runs it.
+   * @returns What the caller received.
+   */
+  async quarantineDuring(isRunning: Promise<void>): Promise<string> {
+    for (const life of ['a', 'b', 'c', 'd']) this.path.recordFailure(life, 0);
+    const front = createServer((_request, response) => {
+      const relay = new AnswerRelay(response, () => true);
+      const request = this.admitted('at_most_once');
+      const context = this.contextWith((quarantine) => {
+        isRunning.then(quarantine, quarantine);
+      });
+      new ForwardedRequest({ request, body: undefined, relay, context }).start();
+    });
+    return textFrom(await this.listen(front));
+  }
+
+  /** Only what a request needs that is handed over at once. */
+  private contextWith(onBegin: (quarantine: () => void) => void): ForwardingContext {
+    const { clock, log, task } = this;
+    const quarantine: Partial<RequestQuarantine> = {
+      stateOf: () => 'sound',
+      hasRepeatedCrashes: () => false,
+      begin: (_, listener) => onBegin(listener),
+      end: () => undefined,
+      retryAfterSeconds: () => 1,
+    };
+    const registry = new MetricRegistry({ clock });
+    const budget = new SharedRetryBudget({
+      ...{ ratio: 1, allowance: 10, windowMilliseconds: 10_000 },
+      daemons: () => 1,
+    });
+    const metrics = createForwardingMetrics(registry);
+    const protocol = new TestProtocol();
+    const context = { clock, log, protocol, metrics, budget, quarantine, handOver: task };
+    return context as unknown as ForwardingContext;
+  }
+
   /** Closes everything. */
   close(): void {
     this.task.close();
@@ -137,8 +184,22 @@
     onEnd: (end: HandOverEnd) => void,
   ): HandedOverRequest {
     const relay = new AnswerRelay(response, () => true);
+    return new HandedOverRequest({
+      ...{ task: this.task, request: this.admitted(kind), relay, onEnd, clock: this.clock },
+      resumesAfter: () => resumesAfter,
+      isWanted: () => true,
+      body: Buffer.from('the body'),
+      bufferedAnswers: new BufferedAnswers(relay),
+      stream: new StreamedAnswer(relay),
+      names: { lastEventId: 'last-event', signature: 'signature' },
+      isCounted: true,
+      mayHaveRun: () => 0,
+    });
+  }
+
+  private admitted(kind: Route['kind']): AdmittedRequest {
     const now = this.clock.monotonicMilliseconds();
-    const request: AdmittedRequest = {
+    return {
       id: 'r-1',
       hasOwnId: true,
       route: { name: 'route', kind } as Route,
@@ -154,17 +215,6 @@
       deadlineAt: now + DEADLINE_MILLISECONDS,
       connectionLimit: 4,
     };
-    return new HandedOverRequest({
-      ...{ task: this.task, request, relay, onEnd, clock: this.clock },
-      resumesAfter: () => resumesAfter,
-      isWanted: () => true,
-      body: Buffer.from('the body'),
-      bufferedAnswers: new BufferedAnswers(relay),
-      stream: new StreamedAnswer(relay),
-      names: { lastEventId: 'last-event', signature: 'signature' },
-      isCounted: true,
-      mayHaveRun: () => 0,
-    });
   }
 
   private entryOf(name: string, port: number): DaemonEntry {
--- a/src/router/createRunnerChoice.ts
+++ b/src/router/createRunnerChoice.ts
@@ -62,8 +62,8 @@
     daemons,
     runnersOf: (service) => runners.readyOf(service),
     foreignLoad: (life) => (hearsLoads() ? foreignLoad(life) : undefined),
-    onChange: (service, limit) =>
-      log.write(forwardingLogEvents.brittleRunners, { service, limit: limit ?? 'none' }),
+    onBrittle: (service, limit) =>
+      log.write(forwardingLogEvents.brittleRunners, { service, limit }),
   });
   const admission = new RunnerAdmission({ coldStarts, brittleRunners, regionOf });
   return { admission, choice: new RunnerChoice({ runners, admission, dataCentre, ...parts }) };
--- a/src/runners/BrittleRunners.ts
+++ b/src/runners/BrittleRunners.ts
@@ -20,11 +20,11 @@
   runnersOf: (service: string) => readonly Runner[];
   /** Returns the requests of other daemons at a runner, by its incarnation; `undefined` if this daemon does not hear them. */
   foreignLoad: (life: string) => number | undefined;
-  /** Called when the runners of a service begin or end to be brittle. */
-  onChange?: (service: string, limit: number | undefined) => void;
+  /** Called when runners of a service begin to say that they are brittle. */
+  onBrittle?: (service: string, limit: number) => void;
 }
 
-/** How long runners count as brittle after their last answer, in ms. */
+/** How long a statement of a runner counts, in ms. */
 const STATED_MILLISECONDS = 10_000;
 
 /** Share of a runner's slots up to which a daemon may exceed its part. */
@@ -48,10 +48,10 @@
 /** Stands for a limit of 0, which allows no rejection at all. */
 const SMALLEST_LIMIT = 0.5;
 
-interface BrittleService {
-  /** Rejections per second that a runner bears. */
-  readonly limit: number;
-  readonly statedAt: number;
+interface Statement {
+  /** Rejections per second that the runner bears; `undefined` if it is not brittle. */
+  readonly limit: number | undefined;
+  readonly at: number;
 }
 
 interface RunnerState {
@@ -65,6 +65,10 @@
   readonly slots: ReadonlyMap<string, number>;
 }
 
+function isFresh(statement: Statement | undefined, now: number): statement is Statement {
+  return statement !== undefined && now - statement.at < STATED_MILLISECONDS;
+}
+
 /**
  * Divides slots among daemons, so that each has the same number of them but for one.
  *
@@ -100,7 +104,10 @@
 export class BrittleRunners {
   private readonly options: BrittleRunnersOptions;
 
-  private readonly services = new Map<string, BrittleService>();
+  private readonly statements = new WeakMap<Runner, Statement>();
+
+  /** The latest statement of a brittle runner of each service; it holds for runners that have not answered yet. */
+  private readonly services = new Map<string, Statement>();
 
   private readonly states = new WeakMap<Runner, RunnerState>();
 
@@ -120,12 +127,14 @@
    * @param limit - rejections per second that it bears; `undefined` if it is not brittle.
    * @param now - monotonic ms.
    */
-  recordStated({ entry }: Runner, limit: number | undefined, now: number): void {
-    const { service } = entry;
-    const before = this.services.get(service);
-    if (limit === undefined) this.services.delete(service);
-    else this.services.set(service, { limit, statedAt: now });
-    if (before?.limit !== limit) this.options.onChange?.(service, limit);
+  recordStated(runner: Runner, limit: number | undefined, now: number): void {
+    const { service } = runner.entry;
+    const statement = { limit, at: now };
+    this.statements.set(runner, statement);
+    if (limit === undefined) return;
+    const isNew = !isFresh(this.services.get(service), now);
+    this.services.set(service, statement);
+    if (isNew) this.options.onBrittle?.(service, limit);
   }
 
   /**
@@ -135,13 +144,14 @@
    * @param now - monotonic ms.
    */
   recordRejected(runner: Runner, now: number): void {
-    const { service, slots = 1 } = runner.entry;
-    if (!this.isBrittle(service, now)) return;
+    const { slots = 1 } = runner.entry;
+    const stated = this.limitOf(runner, now);
+    if (stated === undefined) return;
     const state = this.stateOf(runner, now);
     state.pressedUntil = now + PRESSED_MILLISECONDS;
     // With more requests there than this daemon's part, it is enough to keep to the part from now on.
     if (runner.inFlight > this.ownSlots(runner, now)) return;
-    const limit = Math.max(SMALLEST_LIMIT, this.services.get(service)?.limit ?? 0);
+    const limit = Math.max(SMALLEST_LIMIT, stated);
     const senders = Math.min(slots, this.options.daemons().length);
     const pause = (PAUSE_FACTOR * MILLISECONDS_PER_SECOND * senders) / limit;
     const bounded = Math.max(SHORTEST_PAUSE_MILLISECONDS, pause);
@@ -149,16 +159,6 @@
     state.pressedUntil = state.pausedUntil + PRESSED_MILLISECONDS;
   }
 
-  /**
-   * @param service - name of a service.
-   * @param now - monotonic ms.
-   * @returns Whether its runners said lately that they are brittle.
-   */
-  isBrittle(service: string, now: number): boolean {
-    const stated = this.services.get(service);
-    return stated !== undefined && now - stated.statedAt < STATED_MILLISECONDS;
-  }
-
   /**
    * @param runner - a runner that accepts new work.
    * @param now - monotonic ms.
@@ -166,8 +166,8 @@
    * @returns Whether it may get another request.
    */
   maySend(runner: Runner, now: number, isForOther = false): boolean {
-    const { service, slots } = runner.entry;
-    if (slots === undefined || !this.isBrittle(service, now)) return true;
+    const { slots } = runner.entry;
+    if (slots === undefined || this.limitOf(runner, now) === undefined) return true;
     const state = this.stateOf(runner, now);
     if (!runner.health.isUsable(now)) state.pressedUntil = now + PRESSED_MILLISECONDS;
     if (state.pausedUntil > now) return false;
@@ -179,6 +179,14 @@
     return false;
   }
 
+  /** @returns Rejections per second that a brittle runner bears; `undefined` if it is not brittle. */
+  private limitOf(runner: Runner, now: number): number | undefined {
+    const own = this.statements.get(runner);
+    if (isFresh(own, now)) return own.limit;
+    const ofService = this.services.get(runner.entry.service);
+    return isFresh(ofService, now) ? ofService.limit : undefined;
+  }
+
   private ownSlots({ entry }: Runner, now: number): number {
     const known = this.divisions.get(entry.service);
     if (known && now - known.at < DIVISION_MILLISECONDS) return known.slots.get(entry.life) ?? 0;
--- a/standIns/site/SiteRunner.ts
+++ b/standIns/site/SiteRunner.ts
@@ -177,8 +177,8 @@
    * @param brittleness - what it says in all answers from now on, and does some seconds later; `undefined` ends it.
    */
   becomeBrittle(brittleness: Brittleness | undefined): void {
+    if (!this.brittleness || !brittleness) this.brittleSince = performance.now();
     this.brittleness = brittleness;
-    this.brittleSince = performance.now();
     this.rejections = [];
   }
 
