--- a/src/forwarding/attemptHeaders.ts
+++ b/src/forwarding/attemptHeaders.ts
@@ -2,6 +2,7 @@
  * Builds the headers of one attempt: the forwarded headers of the request and those that differ for each runner.
  */
 import type { Runner } from '../runners/Runner.js';
+import { replaceHeader } from './forwardedHeaders.js';
 import type { AdmittedRequest } from './forwardingTypes.js';
 import type { HeaderNames } from './RunnerProtocol.js';
 
@@ -20,15 +21,6 @@
   readonly resumesAfter: string | undefined;
 }
 
-function without(headers: readonly string[], dropped: string): string[] {
-  const kept: string[] = [];
-  for (let index = 0; index < headers.length; index += 2) {
-    const name = headers[index] ?? '';
-    if (name.toLowerCase() !== dropped) kept.push(name, headers[index + 1] ?? '');
-  }
-  return kept;
-}
-
 function hasBody({ request, body }: AttemptHeadersOptions): boolean {
   return body !== undefined || request.method === 'POST' || request.method === 'PUT';
 }
@@ -48,10 +40,5 @@
   }
   if (hasBody(options)) added.push('Content-Length', String(body?.length ?? 0));
   if (resumesAfter === undefined) return [...request.headers, ...added];
-  return [
-    ...without(request.headers, names.lastEventId),
-    ...added,
-    names.lastEventId,
-    resumesAfter,
-  ];
+  return [...replaceHeader(request.headers, names.lastEventId, resumesAfter), ...added];
 }
--- a/src/forwarding/forwardedHeaders.ts
+++ b/src/forwarding/forwardedHeaders.ts
@@ -49,3 +49,22 @@
   }
   return passing;
 }
+
+/**
+ * @param headers - flat list of names and values.
+ * @param replaced - name of the header, in lower case.
+ * @param value - its only value from now on.
+ * @returns The headers, with this one at the end.
+ */
+export function replaceHeader(
+  headers: readonly string[],
+  replaced: string,
+  value: string,
+): string[] {
+  const kept: string[] = [];
+  for (let index = 0; index < headers.length; index += 2) {
+    const name = headers[index] ?? '';
+    if (name.toLowerCase() !== replaced) kept.push(name, headers[index + 1] ?? '');
+  }
+  return [...kept, replaced, value];
+}
--- a/src/handover/HandedOverRequest.ts
+++ b/src/handover/HandedOverRequest.ts
@@ -10,6 +10,7 @@
 
 import type { AnswerRelay } from '../forwarding/AnswerRelay.js';
 import type { BufferedAnswers } from '../forwarding/BufferedAnswers.js';
+import { replaceHeader } from '../forwarding/forwardedHeaders.js';
 import { forwardingLogEvents } from '../forwarding/forwardingFeature.js';
 import type { AdmittedRequest } from '../forwarding/forwardingTypes.js';
 import type { HeaderNames } from '../forwarding/RunnerProtocol.js';
@@ -69,15 +70,6 @@
   onEnd: (end: HandOverEnd) => void;
 }
 
-function replaceHeader(headers: readonly string[], name: string, value: string): string[] {
-  const kept: string[] = [];
-  for (let index = 0; index < headers.length; index += 2) {
-    const own = headers[index] ?? '';
-    if (own.toLowerCase() !== name) kept.push(own, headers[index + 1] ?? '');
-  }
-  return [...kept, name, value];
-}
-
 /** Asks daemons one after the other until one takes the request. */
 export class HandedOverRequest {
   private readonly options: HandedOverRequestOptions;
