--- a/src/handover/HandOverPeers.spec.ts
+++ b/src/handover/HandOverPeers.spec.ts
@@ -136,6 +136,17 @@
     expect(peers.choose({ ...question, hasNoPath: isNorth })?.dataCentre).not.toEqual('north');
   });
 
+  // Guards against a second without service when the only daemon with a path was slow once.
+  it('are asked again at once after a question without an answer, if no other is left', () => {
+    const daemons = [entryOf(0), entryOf(1)];
+    const peers = new HandOverPeers({ dataCentre: 'north' });
+    const question = { daemons, asked: new Set<string>(), hasNoPath: () => false, now: 1 };
+    peers.recordUnanswered('daemon-0', 0);
+    expect(peers.choose(question)?.name).toEqual('daemon-1');
+    peers.recordRefused('daemon-1', 0);
+    expect(peers.choose(question)?.name).toEqual('daemon-0');
+  });
+
   it('are asked again a second after a refusal', () => {
     const daemons = [entryOf(0)];
     const peers = new HandOverPeers({ dataCentre: 'north' });
--- a/src/handover/HandOverPeers.ts
+++ b/src/handover/HandOverPeers.ts
@@ -46,6 +46,9 @@
 
   private readonly acceptedAt = new Map<string, number>();
 
+  /** When daemons last left a question unanswered; they are asked where no other daemon is left. */
+  private readonly unansweredAt = new Map<string, number>();
+
   /**
    * @param options - this daemon's data centre, and the random numbers.
    */
@@ -63,11 +66,21 @@
     this.acceptedAt.delete(name);
   }
 
+  /**
+   * @param name - a daemon that did not answer in time; it may be busy, or dead.
+   * @param now - monotonic ms.
+   */
+  recordUnanswered(name: string, now: number): void {
+    this.unansweredAt.set(name, now);
+    this.acceptedAt.delete(name);
+  }
+
   /**
    * @param name - a daemon that took a request.
    * @param now - monotonic ms.
    */
   recordAccepted(name: string, now: number): void {
+    this.unansweredAt.delete(name);
     this.acceptedAt.set(name, now);
     this.refusedAt.delete(name);
   }
@@ -82,7 +95,8 @@
     const { daemons, asked, hasNoPath, now } = question;
     const open = daemons.filter(({ name }) => !asked.has(name) && !this.hasRefused(name, now));
     const hopeful = open.filter(({ name }) => !hasNoPath(name));
-    const best = this.best(hopeful, now);
+    const answering = hopeful.filter(({ name }) => !this.isUnanswered(name, now));
+    const best = this.best(answering.length > 0 ? answering : hopeful, now);
     return best[Math.floor(this.random() * best.length)];
   }
 
@@ -95,6 +109,10 @@
     return groups.find((group) => group.length > 0) ?? [];
   }
 
+  private isUnanswered(name: string, now: number): boolean {
+    return now - (this.unansweredAt.get(name) ?? Number.NEGATIVE_INFINITY) < REFUSAL_MILLISECONDS;
+  }
+
   private hasRefused(name: string, now: number): boolean {
     return now - (this.refusedAt.get(name) ?? Number.NEGATIVE_INFINITY) < REFUSAL_MILLISECONDS;
   }
--- a/src/handover/HandOverTask.ts
+++ b/src/handover/HandOverTask.ts
@@ -123,9 +123,11 @@
 
   /**
    * @param name - daemon that refused a request, or did not answer.
+   * @param hasAnswered - whether it answered.
    */
-  recordRefused(name: string): void {
-    this.peers.recordRefused(name, this.now);
+  recordRefused(name: string, hasAnswered = true): void {
+    if (hasAnswered) this.peers.recordRefused(name, this.now);
+    else this.peers.recordUnanswered(name, this.now);
     this.results.increment({ result: 'refused' });
   }
 
--- a/src/handover/HandedOverRequest.ts
+++ b/src/handover/HandedOverRequest.ts
@@ -149,12 +149,12 @@
     });
     this.outgoing = outgoing;
     let isTaken = false;
-    const refuse = () => {
-      if (this.outgoing === outgoing) this.handleRefusal(peer);
+    const refuse = (hasAnswered = true) => {
+      if (this.outgoing === outgoing) this.handleRefusal(peer, hasAnswered);
     };
     this.timer = setTimeout(() => {
       this.unanswered += 1;
-      refuse();
+      refuse(false);
       outgoing.destroy();
     }, CONFIRMATION_MILLISECONDS);
     outgoing.once('continue', () => {
@@ -184,11 +184,11 @@
     });
   }
 
-  private handleRefusal({ name }: DaemonEntry): void {
+  private handleRefusal({ name }: DaemonEntry, hasAnswered: boolean): void {
     clearTimeout(this.timer);
     if (this.isOver) return;
     this.outgoing = undefined;
-    this.options.task.recordRefused(name);
+    this.options.task.recordRefused(name, hasAnswered);
     if (this.unanswered < MAXIMUM_UNANSWERED) this.askNext();
     else this.end('unanswered');
   }
