Test streams that end inside an event with their connection, failing

A runner's stream that has neither a length nor chunks and whose connection is closed in order inside an event reaches the caller framed as complete; no other runner is asked. Virtual time, raw answers.

--- a/src/forwarding/ForwardedRequest.spec.ts
+++ b/src/forwarding/ForwardedRequest.spec.ts
@@ -17,6 +17,9 @@
 /** Longer than the sum of all wait limits, in ms. */
 const LONG_MILLISECONDS = 3_000;
 
+/** Ends a complete answer that is sent in chunks. */
+const LAST_CHUNK = '\r\n0\r\n\r\n';
+
 describe('ForwardedRequest', () => {
   let test: RequestUnderTest;
 
@@ -159,6 +162,71 @@
     });
   });
 
+  describe('when a runner closes its connection in order, without having said how long its stream is', () => {
+    /** Beginnings of an event at which a stream may stop. */
+    const PIECES: Readonly<Record<string, string>> = {
+      'inside the id': 'id: 2',
+      'after the id line': 'id: 2\n',
+      'inside the data': 'id: 2\ndata: to',
+      'after the data line': 'id: 2\ndata: token 2\n',
+    };
+
+    for (const [place, piece] of Object.entries(PIECES)) {
+      // Guards against an answer that looks complete although its runner crashed.
+      it(`resumes at another runner a stream that ends ${place}`, async () => {
+        const { runner, caller } = await begin();
+        const asked = await test.addOpenRunner('runner-2');
+        runner.write(streamOf(1));
+        await test.pass(50);
+        runner.end(piece);
+        await test.pass(50);
+        expect(asked.length).toEqual(1);
+        asked[0]?.end(streamOf(2, 3));
+        const answer = await caller;
+        expect(eventsIn(answer)).toEqual(['token 1', 'token 2', 'token 3']);
+        expect(answer.endsWith(LAST_CHUNK)).toEqual(true);
+      });
+
+      // Guards against an answer that looks complete although its runner crashed.
+      it(`breaks off, visibly, a stream that may not be resumed and ends ${place}`, async () => {
+        const { runner, caller } = await begin({ route: { resumable: false } });
+        await test.addOpenRunner('runner-2');
+        runner.write(streamOf(1));
+        await test.pass(50);
+        runner.end(piece);
+        const answer = await caller;
+        expect(eventsIn(answer)).toEqual(['token 1']);
+        expect(answer.endsWith(LAST_CHUNK)).toEqual(false);
+      });
+    }
+
+    it('does not answer with an empty stream when the runner ends before its first event', async () => {
+      // Guards against a success without any content when the runner crashed after the head of its answer.
+      const { runner, caller } = await begin({ route: { resumable: false } });
+      runner.end(streamOf());
+      expect((await caller).startsWith('HTTP/1.1 502')).toEqual(true);
+    });
+
+    it('counts the end inside an event as a failure of the runner', async () => {
+      // Guards against a runner that goes on to get new streams although it breaks each of them.
+      const { runner } = await begin();
+      runner.end(`${streamOf(1)}id: 2`);
+      await test.pass(50);
+      const [failed] = test.log.fieldsOf(forwardingLogEvents.attemptFailed);
+      expect(failed).toEqual(
+        expect.subset({ failure: 'broken', framing: 'until_close', partialBytes: 5 }),
+      );
+    });
+
+    it('takes an end between two events for the end of the stream', async () => {
+      const { runner, caller } = await begin();
+      runner.end(streamOf(1, 2));
+      const answer = await caller;
+      expect(eventsIn(answer)).toEqual(['token 1', 'token 2']);
+      expect(answer.endsWith(LAST_CHUNK)).toEqual(true);
+    });
+  });
+
   it('finds a healthy runner quickly after a broken connection, however many unresponsive ones it tries first', async () => {
     const { runner, caller } = await begin();
     const asked = await test.addOpenRunner('runner-9');
