Log how an answer is framed, and how much of an event is lost

The lines could not tell an answer whose end is proven (a length, a last chunk) from one that ends with its connection, nor whether bytes of an unfinished event were left over. 2600, 2601 and 2602 have framing where it is until_close; 2603 has framing and partialBytes.

--- a/src/forwarding/EventStreamBuffer.ts
+++ b/src/forwarding/EventStreamBuffer.ts
@@ -21,9 +21,9 @@
     return this.lastId;
   }
 
-  /** @returns Whether bytes of an incomplete event are held back. */
-  get holdsPart(): boolean {
-    return this.partialEvent !== undefined && this.partialEvent.length > 0;
+  /** @returns Number of bytes of an incomplete event that are held back. */
+  get partialBytes(): number {
+    return this.partialEvent?.length ?? 0;
   }
 
   /**
@@ -31,8 +31,7 @@
    * @returns All events that are complete now, or `undefined` if there is none.
    */
   push(chunk: Buffer): Buffer | undefined {
-    const bytes =
-      this.holdsPart && this.partialEvent ? Buffer.concat([this.partialEvent, chunk]) : chunk;
+    const bytes = this.partialEvent ? Buffer.concat([this.partialEvent, chunk]) : chunk;
     const lastEnd = bytes.lastIndexOf(EVENT_END);
     if (lastEnd === -1) {
       this.partialEvent = bytes;
--- a/src/forwarding/ForwardedRequest.spec.ts
+++ b/src/forwarding/ForwardedRequest.spec.ts
@@ -171,33 +171,38 @@
       'after the data line': 'id: 2\ndata: token 2\n',
     };
 
+    async function resumesAfter(piece: string): Promise<void> {
+      const { runner, caller } = await begin();
+      const asked = await test.addOpenRunner('runner-2');
+      runner.write(streamOf(1));
+      await test.pass(50);
+      runner.end(piece);
+      await test.pass(50);
+      expect(asked.length).toEqual(1);
+      asked[0]?.end(streamOf(2, 3));
+      const answer = await caller;
+      expect(eventsIn(answer)).toEqual(['token 1', 'token 2', 'token 3']);
+      expect(answer.endsWith(LAST_CHUNK)).toEqual(true);
+    }
+
+    async function breaksOffAfter(piece: string): Promise<void> {
+      const { runner, caller } = await begin({ route: { resumable: false } });
+      await test.addOpenRunner('runner-2');
+      runner.write(streamOf(1));
+      await test.pass(50);
+      runner.end(piece);
+      const answer = await caller;
+      expect(eventsIn(answer)).toEqual(['token 1']);
+      expect(answer.endsWith(LAST_CHUNK)).toEqual(false);
+    }
+
     for (const [place, piece] of Object.entries(PIECES)) {
       // Guards against an answer that looks complete although its runner crashed.
-      it(`resumes at another runner a stream that ends ${place}`, async () => {
-        const { runner, caller } = await begin();
-        const asked = await test.addOpenRunner('runner-2');
-        runner.write(streamOf(1));
-        await test.pass(50);
-        runner.end(piece);
-        await test.pass(50);
-        expect(asked.length).toEqual(1);
-        asked[0]?.end(streamOf(2, 3));
-        const answer = await caller;
-        expect(eventsIn(answer)).toEqual(['token 1', 'token 2', 'token 3']);
-        expect(answer.endsWith(LAST_CHUNK)).toEqual(true);
-      });
+      it(`resumes at another runner a stream that ends ${place}`, () => resumesAfter(piece));
 
       // Guards against an answer that looks complete although its runner crashed.
-      it(`breaks off, visibly, a stream that may not be resumed and ends ${place}`, async () => {
-        const { runner, caller } = await begin({ route: { resumable: false } });
-        await test.addOpenRunner('runner-2');
-        runner.write(streamOf(1));
-        await test.pass(50);
-        runner.end(piece);
-        const answer = await caller;
-        expect(eventsIn(answer)).toEqual(['token 1']);
-        expect(answer.endsWith(LAST_CHUNK)).toEqual(false);
-      });
+      it(`breaks off, visibly, a stream that may not be resumed and ends ${place}`, () =>
+        breaksOffAfter(piece));
     }
 
     it('does not answer with an empty stream when the runner ends before its first event', async () => {
--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -11,6 +11,7 @@
 import { stepAfterHandOver } from '../handover/stepAfterHandOver.js';
 import type { Choice } from '../runners/RunnerChoice.js';
 import type { BufferedAnswer, DaemonAnswer } from './AnswerRelay.js';
+import { framingOf } from './answerFraming.js';
 import { daemonAnswerFor } from './daemonAnswerFor.js';
 import type { AttemptVerdict, RetryDecision } from './retryDecision.js';
 import type { AttemptFailure, RunnerAttempt } from './RunnerAttempt.js';
@@ -79,6 +80,7 @@
 
   override answered(attempt: RunnerAttempt, answer: IncomingMessage): void {
     this.waits.recordHeard();
+    this.report.answerBegun(framingOf(answer));
     this.bufferedAnswers.begin(attempt, answer);
     const isStream = this.request.route.kind === 'stream' && isEventStream(answer);
     if (isStream) this.stream.take(attempt, answer);
@@ -130,10 +132,10 @@
     this.quarantine.failed(attempt, failure);
     // The crash may have put the request into quarantine, which ends it.
     if (this.relay.isDone) return;
-    if (this.stream.isFrom(attempt)) this.stream.breakOff();
+    const partialBytes = this.stream.isFrom(attempt) ? this.stream.breakOff() : 0;
     const { verdict, reason } = this.verdictOn(attempt, failure);
     const { lastEventId } = this.stream;
-    this.report.attemptFailed(attempt, failure, { verdict, reason, lastEventId });
+    this.report.attemptFailed(attempt, failure, { verdict, reason, lastEventId, partialBytes });
     if (verdict === 'wait') return;
     if (verdict === 'cut') this.endWith({ status: 502, reason: failure });
     else this.proceed(verdict, failure);
--- a/src/forwarding/RequestReport.ts
+++ b/src/forwarding/RequestReport.ts
@@ -6,6 +6,7 @@
 import type { Runner } from '../runners/Runner.js';
 import type { Choice } from '../runners/RunnerChoice.js';
 import type { RunnerOutcome } from '../runners/RunnerHealth.js';
+import type { AnswerFraming } from './answerFraming.js';
 import { forwardingLogEvents } from './forwardingFeature.js';
 import type { AdmittedRequest, ForwardingContext } from './forwardingTypes.js';
 import type { RetryDecision } from './retryDecision.js';
@@ -34,6 +35,17 @@
   readonly tried: number;
 }
 
+/** What is logged of a failed attempt besides its runner and the failure. */
+export interface AttemptEnd {
+  readonly verdict: string;
+  /** Why the request is not retried. */
+  readonly reason: string | undefined;
+  /** Last event of the stream that the caller received. */
+  readonly lastEventId: string | undefined;
+  /** Bytes of the next event, which has not arrived whole; 0 if there are none. */
+  readonly partialBytes: number;
+}
+
 /** Options of a {@link RequestReport}. */
 export interface RequestReportOptions {
   request: AdmittedRequest;
@@ -52,6 +64,8 @@
 
   private choice: Choice | undefined;
 
+  private framing: AnswerFraming | undefined;
+
   /**
    * @param options - the request, its digest, and the log and metrics.
    */
@@ -68,6 +82,16 @@
    */
   chosen(choice: Choice): void {
     this.choice = choice;
+    this.framing = undefined;
+  }
+
+  /**
+   * Remembers how the answer of the attempt in progress is framed; it is logged when the attempt or the request ends.
+   *
+   * @param framing - how the end of the answer is recognized.
+   */
+  answerBegun(framing: AnswerFraming): void {
+    this.framing = framing;
   }
 
   /** Logs that the request is hedged: sent to a second runner while the first is still working on it. */
@@ -100,13 +124,9 @@
    *
    * @param attempt - attempt that failed.
    * @param failure - kind of failure.
-   * @param decided - the verdict, why the request is not retried, and the last event of the stream.
+   * @param end - the verdict, its reason, and where a stream ended.
    */
-  attemptFailed(
-    attempt: RunnerAttempt,
-    failure: AttemptFailure,
-    decided: { verdict: string; reason: string | undefined; lastEventId: string | undefined },
-  ): void {
+  attemptFailed(attempt: RunnerAttempt, failure: AttemptFailure, end: AttemptEnd): void {
     const now = this.context.clock.monotonicMilliseconds();
     const { lastHeardAt: heardAt } = attempt.runner;
     this.context.metrics.failures.increment({ kind: failure });
@@ -117,7 +137,9 @@
       attemptMilliseconds: Math.round(now - attempt.startedAt),
       // Time since the runner sent data for any request; a runner that still serves others is not unresponsive.
       heardMilliseconds: Number.isFinite(heardAt) ? Math.round(now - heardAt) : undefined,
-      ...decided,
+      ...end,
+      partialBytes: end.partialBytes || undefined,
+      framing: this.framing,
       ...this.budgetFields(),
     });
   }
@@ -158,6 +180,8 @@
       parts: this.request.sharedParts.join() || undefined,
       cacheSource: this.choice?.cacheSource?.entry.id,
       load: this.choice?.load,
+      // Only the framing that does not prove the end of an answer is worth its bytes in a line of each request.
+      framing: this.framing === 'until_close' ? this.framing : undefined,
       meanLoad: this.choice && Math.round(this.choice.meanLoad * LOAD_ROUNDING) / LOAD_ROUNDING,
       tried,
       firstMilliseconds: firstAnswerAt && Math.round(firstAnswerAt - arrivedAt),
--- a/src/forwarding/StreamedAnswer.ts
+++ b/src/forwarding/StreamedAnswer.ts
@@ -80,10 +80,16 @@
     this.relay.finish();
   }
 
-  /** Drops the incomplete event of a runner whose stream broke off; another runner may resume the stream. */
-  breakOff(): void {
+  /**
+   * Drops the incomplete event of a runner whose stream broke off; another runner may resume the stream.
+   *
+   * @returns Number of bytes that were dropped.
+   */
+  breakOff(): number {
+    const { partialBytes } = this.cut;
     this.attempt = undefined;
     this.cut.drop();
+    return partialBytes;
   }
 
   private begin(): void {
