Stand-in link: do not open a port twice when its path comes back

A listener that was opened between the end of the loss and the end of its hanging ports had a server already and was opened again.

--- a/standIns/link/Link.ts
+++ b/standIns/link/Link.ts
@@ -152,8 +152,10 @@
     if (!this.severed.delete(side)) return;
     await this.hanging.get(side)?.close();
     this.hanging.delete(side);
+    // A listener that was opened since the path came back has a server already.
+    const without = this.listenersOf(side).filter(({ server }) => server === undefined);
     await Promise.all(
-      this.listenersOf(side).map(async (listener) => {
+      without.map(async (listener) => {
         const { server } = await this.listen(side, listener.target, listener.port);
         Object.assign(listener, { server });
       }),
