Take a stream that ends inside an event for broken off

Callers saw an event stream, cut in the middle of an event, as a complete answer (ORDER).

Cause: an answer with neither a length nor chunks ends with its connection. A reset was told apart from an orderly close, an orderly close inside an event was not; StreamedAnswer.end passed on the unfinished piece and ended the answer.

Change: such an end, and an end before the first event where only the connection ends the answer, is a failed attempt like a reset. Blank lines of CRLF and CR end events too, comments at the end belong to none.

--- a/soak/SoakSite.ts
+++ b/soak/SoakSite.ts
@@ -32,6 +32,12 @@
 /** Requests that a plain runner works on at the same time; a surge fills them. */
 const PLAIN_SLOTS = 4;
 
+/**
+ * Answers of two of so many runners have neither a length nor chunks. Runners are added in turn for the two services, so
+ * both have some.
+ */
+const UNFRAMED_EVERY = 4;
+
 /** Of the large configurations. */
 const LARGE_ROUTES = 1_400;
 
@@ -184,6 +190,7 @@
       service,
       dataCentre,
       echoes: true,
+      isUnframed: this.nextRunner % UNFRAMED_EVERY < 2,
       events: EVENTS,
       eventMilliseconds: EVENT_MILLISECONDS,
       workMilliseconds: WORK_MILLISECONDS,
--- a/soak/faults/runnerFaults.ts
+++ b/soak/faults/runnerFaults.ts
@@ -17,7 +17,7 @@
 /** What runners of a service do wrong. */
 const BEHAVIOURS: Readonly<Record<SoakService, readonly RunnerBehaviour[]>> = {
   plain: ['loses_answer', 'cuts_plain', 'refuses', 'fails'],
-  engine: ['cuts_stream', 'loses_answer', 'refuses'],
+  engine: ['cuts_stream', 'loses_answer', 'refuses', 'ends_stream_early'],
 };
 
 async function misbehave(
--- a/src/forwarding/EventStreamBuffer.ts
+++ b/src/forwarding/EventStreamBuffer.ts
@@ -6,9 +6,40 @@
  * runner's signature covers them; only the ends of events are searched for.
  */
 
-const EVENT_END = Buffer.from('\n\n');
+const LINE_FEED = 0x0a;
 
-const ID_FIELD = /^id: ?(.*)$/gmu;
+const CARRIAGE_RETURN = 0x0d;
+
+/** The byte order mark that may start a stream, as read in Latin-1. */
+const BYTE_ORDER_MARK = '\u00ef\u00bb\u00bf';
+
+const LINE_END = /\r\n|\r|\n/u;
+
+const ID_LINE = /^id: ?(.*)$/u;
+
+/** A comment, or a field that takes effect without an event. */
+const LINE_OUTSIDE_EVENTS = /^(?::|retry:)/u;
+
+function isLineEnd(byte: number | undefined): boolean {
+  return byte === LINE_FEED || byte === CARRIAGE_RETURN;
+}
+
+/**
+ * Returns the position after the last blank line, which ends an event, or 0 if there is none. A line ends with a line
+ * feed, a carriage return, or both.
+ */
+function endOfLastEvent(bytes: Buffer): number {
+  for (let index = bytes.length - 1; index > 0; index -= 1) {
+    const isPair = bytes[index] === LINE_FEED && bytes[index - 1] === CARRIAGE_RETURN;
+    const before = isPair ? index - 2 : index - 1;
+    if (isLineEnd(bytes[index]) && isLineEnd(bytes[before])) return index + 1;
+  }
+  return 0;
+}
+
+function linesOf(bytes: Buffer): string[] {
+  return bytes.toString('latin1').split(LINE_END);
+}
 
 /** Accepts chunks of a stream and returns complete events. */
 export class EventStreamBuffer {
@@ -21,6 +52,14 @@
     return this.lastId;
   }
 
+  /** @returns Whether part of an event has arrived without its end; comments belong to no event. */
+  get isInsideEvent(): boolean {
+    if (!this.partialEvent) return false;
+    return linesOf(this.partialEvent).some(
+      (line) => line !== '' && !LINE_OUTSIDE_EVENTS.test(line),
+    );
+  }
+
   /** @returns Number of bytes of an incomplete event that are held back. */
   get partialBytes(): number {
     return this.partialEvent?.length ?? 0;
@@ -32,19 +71,18 @@
    */
   push(chunk: Buffer): Buffer | undefined {
     const bytes = this.partialEvent ? Buffer.concat([this.partialEvent, chunk]) : chunk;
-    const lastEnd = bytes.lastIndexOf(EVENT_END);
-    if (lastEnd === -1) {
+    const end = endOfLastEvent(bytes);
+    if (end === 0) {
       this.partialEvent = bytes;
       return undefined;
     }
-    const end = lastEnd + EVENT_END.length;
     this.partialEvent = end < bytes.length ? bytes.subarray(end) : undefined;
     const whole = bytes.subarray(0, end);
     this.readLastId(whole);
     return whole;
   }
 
-  /** @returns The bytes left at the end of a complete stream, which are forwarded as they are. */
+  /** @returns The comments left at the end of a complete stream, which are forwarded as they are. */
   rest(): Buffer | undefined {
     const { partialEvent } = this;
     this.partialEvent = undefined;
@@ -57,8 +95,9 @@
   }
 
   private readLastId(events: Buffer): void {
-    for (const [, id] of events.toString('latin1').matchAll(ID_FIELD)) {
-      this.lastId = id?.replace(/\r$/u, '') ?? this.lastId;
+    for (const line of linesOf(events)) {
+      const [, id] = ID_LINE.exec(line.replace(BYTE_ORDER_MARK, '')) ?? [];
+      this.lastId = id ?? this.lastId;
     }
   }
 }
--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -99,6 +99,10 @@
   }
 
   override ended(attempt: RunnerAttempt): void {
+    if (this.stream.isFrom(attempt) && this.stream.isBrokenOff) {
+      this.failed(attempt, 'broken');
+      return;
+    }
     this.active.delete(attempt);
     const held = this.bufferedAnswers.of(attempt);
     if (!held || this.relay.isDone) return;
--- a/src/forwarding/StreamedAnswer.ts
+++ b/src/forwarding/StreamedAnswer.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingMessage } from 'node:http';
 
+import { framingOf } from './answerFraming.js';
 import type { AnswerRelay, AnswerSource } from './AnswerRelay.js';
 import { EventStreamBuffer } from './EventStreamBuffer.js';
 
@@ -72,6 +73,16 @@
     this.relay.pass(events);
   }
 
+  /**
+   * @returns Whether the stream, whose answer has ended, was broken off: inside an event, or before the first one where
+   * only the end of the connection ends the answer.
+   */
+  get isBrokenOff(): boolean {
+    if (this.cut.isInsideEvent) return true;
+    const isEmpty = !this.relay.hasHead;
+    return isEmpty && this.answer !== undefined && framingOf(this.answer) === 'until_close';
+  }
+
   /** Ends the caller's stream because the runner's stream is complete. */
   end(): void {
     const rest = this.cut.rest();
--- a/src/forwarding/decisions.spec.ts
+++ b/src/forwarding/decisions.spec.ts
@@ -119,6 +119,51 @@
     }
   });
 
+  for (const [name, end] of Object.entries({ CRLF: '\r\n', CR: '\r' })) {
+    it(`knows the ends of events whose lines end with ${name}`, () => {
+      // Guards against holding a stream back until its end, and then taking it for one that broke off.
+      const text = events.replaceAll('\n', end);
+      for (let cut = 1; cut < text.length; cut += 1) {
+        const stream = new EventStreamBuffer();
+        const parts = [text.slice(0, cut), text.slice(cut)].map((part) =>
+          stream.push(Buffer.from(part)),
+        );
+        const rest = stream.rest() ?? Buffer.alloc(0);
+        expect(`${parts[0]?.toString() ?? ''}${parts[1]?.toString() ?? ''}${String(rest)}`).toEqual(
+          text,
+        );
+        expect(stream.isInsideEvent).toEqual(false);
+        expect(stream.lastEventId).toEqual('3');
+      }
+    });
+  }
+
+  it('tells a stream that ends inside an event from one that ends with a comment', () => {
+    const endings: readonly (readonly [string, boolean])[] = [
+      ['', false],
+      [': still there', false],
+      [': still there\nretry: 100\n', false],
+      ['\n', false],
+      ['id: 4', true],
+      ['id: 4\n', true],
+      ['data', true],
+      ['data: d\n', true],
+      [': still there\ndata: d\n', true],
+      ['event', true],
+    ];
+    for (const [ending, expected] of endings) {
+      const stream = new EventStreamBuffer();
+      stream.push(Buffer.from(events + ending));
+      expect(stream.isInsideEvent).toEqual(expected);
+    }
+  });
+
+  it('reads the id of an event that follows a byte order mark', () => {
+    const stream = new EventStreamBuffer();
+    stream.push(Buffer.from('\ufeffid: 1\ndata: a\n\n'));
+    expect(stream.lastEventId).toEqual('1');
+  });
+
   it('drops the incomplete event of a runner whose stream broke off', () => {
     const stream = new EventStreamBuffer();
     stream.push(Buffer.from('id: 1\ndata: a\n\nid: 2\ndata: ha'));
--- a/src/handover/HandedOverRequest.ts
+++ b/src/handover/HandedOverRequest.ts
@@ -253,6 +253,10 @@
   private handleEnd(answer: IncomingMessage): void {
     if (this.isOver || !answer.complete) return;
     const { stream, bufferedAnswers, relay, names } = this.options;
+    if (stream.isFrom(this) && stream.isBrokenOff) {
+      this.lose();
+      return;
+    }
     const held = bufferedAnswers.of(this);
     if (stream.isFrom(this)) stream.end();
     else if (bufferedAnswers.isPassing(this)) relay.finish();
@@ -265,7 +269,7 @@
   }
 
   /** The other daemon, or the connection to it, broke off after it had taken the request. */
-  private lose(outgoing: ClientRequest): void {
+  private lose(outgoing: ClientRequest | undefined = this.outgoing): void {
     if (this.isOver || this.outgoing !== outgoing) return;
     const { bufferedAnswers, stream } = this.options;
     bufferedAnswers.drop(this);
--- a/standIns/site/SiteRunner.ts
+++ b/standIns/site/SiteRunner.ts
@@ -18,6 +18,8 @@
   | 'loses_answer'
   /** Sends some events, half of the next one, and resets the connection. */
   | 'cuts_stream'
+  /** Sends some events, half of the next one, and closes the connection in order. */
+  | 'ends_stream_early'
   /** Sends most of a plain answer and closes the connection. */
   | 'cuts_plain'
   /** Runs it and never answers. */
@@ -49,6 +51,8 @@
   id: string;
   service: string;
   dataCentre?: string;
+  /** Whether its answers have neither a length nor chunks, and end with their connection. */
+  isUnframed?: boolean;
   /** Number of events of each stream. */
   events?: number;
   /** Time between events, in ms. */
@@ -83,6 +87,10 @@
 const DEFAULT_SLOTS = 8;
 
 const EVENTS_BEFORE_CUT = 2;
+
+/** Beginning of an event. */
+const HALF_EVENT = 'id: 9\ndata: ha';
+
 const SHARE_BEFORE_CUT = 0.9;
 
 /** Serves requests on a loopback port. */
@@ -119,6 +127,9 @@
 
   private readonly options: Required<SiteRunnerOptions>;
 
+  /** Streams without a length or chunks that are in progress. */
+  private readonly unframedStreams = new Set<ServerResponse>();
+
   private server: Server;
 
   private address = '';
@@ -136,6 +147,7 @@
   constructor(options: SiteRunnerOptions) {
     this.options = {
       dataCentre: 'here',
+      isUnframed: false,
       events: 5,
       eventMilliseconds: 2,
       workMilliseconds: 1,
@@ -167,6 +179,7 @@
 
   /** Restarts with the same id and address but without state; its entry in the store has to be written again. */
   restart(): void {
+    for (const { socket } of this.unframedStreams) socket?.write(HALF_EVENT);
     this.server.closeAllConnections();
     this.born += 1;
     this.sequence = 0;
@@ -227,6 +240,8 @@
   }
 
   private close(): void {
+    // Between two events, nothing would tell such an end from that of a whole stream.
+    for (const { socket } of this.unframedStreams) socket?.write(HALF_EVENT);
     this.server.close();
     this.server.closeAllConnections();
   }
@@ -320,6 +335,11 @@
     return { 'Response-Seal': `seal-${this.id}`, ...(id && { 'Attempt-Id': id }) };
   }
 
+  /** Leaves out the framing of an answer whose head has not been written. */
+  private frame(response: ServerResponse, isUnframed = this.options.isUnframed): void {
+    response.useChunkedEncodingByDefault = !isUnframed;
+  }
+
   private echoOf(id: string | undefined): string {
     return this.options.echoes ? ` for ${id}` : '';
   }
@@ -328,26 +348,36 @@
     await this.pause(this.options.workMilliseconds);
     const plainBody = `${this.options.plainBody}${this.echoOf(id)}`;
     const status = this.behaviour === 'fails' ? 500 : 200;
-    const headers = { ...this.headersFor(id), 'Content-Length': plainBody.length };
-    response.writeHead(status, headers);
+    const { isUnframed } = this.options;
+    const length = { 'Content-Length': plainBody.length };
+    this.frame(response);
+    response.writeHead(status, { ...this.headersFor(id), ...(!isUnframed && length) });
     if (this.behaviour !== 'cuts_plain') {
-      response.end(plainBody);
+      response.write(plainBody);
+      response.end();
       return;
     }
     const most = plainBody.slice(0, Math.floor(plainBody.length * SHARE_BEFORE_CUT));
-    response.write(most, () => response.destroy());
+    // Without a length, an orderly end after a part of the body would be that of a whole answer.
+    const cut = () => (isUnframed ? response.socket?.resetAndDestroy() : response.destroy());
+    response.write(most, cut);
   }
 
   private async stream(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const id = request.headers['attempt-id'] as string | undefined;
     const after = Number(request.headers['last-event-id'] ?? 0);
     const { behaviour } = this;
+    const isUnframed = this.options.isUnframed || behaviour === 'ends_stream_early';
+    this.frame(response, isUnframed);
     response.writeHead(200, { ...this.headersFor(id), 'Content-Type': 'text/event-stream' });
+    if (isUnframed) this.keepAsUnframed(response);
     for (let event = after + 1; event <= this.options.events; event += 1) {
-      if (behaviour === 'cuts_stream' && event > after + EVENTS_BEFORE_CUT) {
-        response.write(`id: ${event}\ndata: ha`);
+      const isCut = behaviour === 'cuts_stream' || behaviour === 'ends_stream_early';
+      if (isCut && event > after + EVENTS_BEFORE_CUT) {
+        response.write(HALF_EVENT);
         await this.pause(this.options.eventMilliseconds);
-        request.socket.resetAndDestroy();
+        if (behaviour === 'cuts_stream') request.socket.resetAndDestroy();
+        else response.end();
         return;
       }
       response.write(`id: ${event}\ndata: token ${event}${this.echoOf(id)}\n\n`);
@@ -356,6 +386,11 @@
     response.end();
   }
 
+  private keepAsUnframed(response: ServerResponse): void {
+    this.unframedStreams.add(response);
+    response.once('close', () => this.unframedStreams.delete(response));
+  }
+
   private pause(milliseconds: number): Promise<void> {
     return new Promise((done) => {
       setTimeout(done, milliseconds);
--- a/tests/sitePath.spec.ts
+++ b/tests/sitePath.spec.ts
@@ -111,6 +111,49 @@
     expect(engine.ran.length).toEqual(1);
   });
 
+  describe('with answers that have neither a length nor chunks', () => {
+    beforeEach(async () => {
+      const common = { service: 'engine', isUnframed: true };
+      await site.addRunner({ ...common, id: 'engine-2' });
+      await site.addRunner({ ...common, id: 'engine-3' });
+      engine.stop();
+      site.store.write('servers/engine-1', undefined);
+      await site.until(() => {
+        const ready = site.daemons[0]?.daemon.knowledge.runners.readyOf('engine') ?? [];
+        return ready.length === 2 && ready.every(({ entry }) => entry.id !== 'engine-1');
+      });
+    });
+
+    function letAll(behaviour: SiteRunner['behaviour']): void {
+      for (const runner of site.runners) runner.behaviour = behaviour;
+    }
+
+    it('goes on, within the same answer, with a stream whose runner ends it inside an event', async () => {
+      // Guards against half a stream that looks complete because its runner closed the connection in order.
+      letAll('ends_stream_early');
+      const onData = () => letAll('answers');
+      const answer = await callSite({ address, path: '/chat/', headers: CHAT, onData });
+      expect(answer.body).toEqual(wholeStream(5));
+      expect(answer.isComplete).toEqual(true);
+    });
+
+    it('breaks off, visibly, a stream that may not be resumed and ends inside an event', async () => {
+      // Guards against half a stream that looks complete because its runner closed the connection in order.
+      letAll('ends_stream_early');
+      const answer = await callSite({ address, path: '/draft/', headers: CHAT });
+      expect(answer.body).toEqual(wholeStream(2));
+      expect(answer.isComplete).toEqual(false);
+    });
+
+    it('passes on whole streams as complete', async () => {
+      for (const path of ['/chat/', '/draft/']) {
+        const answer = await callSite({ address, path, headers: CHAT });
+        expect(answer.body).toEqual(wholeStream(5));
+        expect(answer.isComplete).toEqual(true);
+      }
+    });
+  });
+
   it('does not repeat what may run once when its answer is lost', async () => {
     // Guards against a repeated non-idempotent request: after a reset it is unknown whether the request has run.
     await site.addRunner({ id: 'plain-2', service: 'plain' });
