--- a/soak/RunBook.ts
+++ b/soak/RunBook.ts
@@ -1,7 +1,7 @@
 /**
  * What the runners ran.
  */
-import type { ReceivedRequest } from '../standIns/site/SiteRunner.js';
+import type { ReceivedRequest } from '../standIns/site/siteRunnerTypes.js';
 
 /** A request that a runner began to run. */
 export interface SoakRun {
--- a/soak/SoakSite.ts
+++ b/soak/SoakSite.ts
@@ -6,7 +6,7 @@
 import type { RouterSettings } from '../src/router/routerFeature.js';
 import { SiteProcess } from '../standIns/site/SiteProcess.js';
 import { SiteRunner } from '../standIns/site/SiteRunner.js';
-import type { Brittleness } from '../standIns/site/SiteRunner.js';
+import type { Brittleness } from '../standIns/site/siteRunnerTypes.js';
 import { siteConfiguration, StandInSite } from '../standIns/site/StandInSite.js';
 import type { StoreItem } from '../standIns/site/StoreStandIn.js';
 import { FaultHistory } from './FaultHistory.js';
--- a/soak/faults/runnerFaults.ts
+++ b/soak/faults/runnerFaults.ts
@@ -3,7 +3,8 @@
  */
 import { setTimeout as wait } from 'node:timers/promises';
 
-import type { RunnerBehaviour, SiteRunner } from '../../standIns/site/SiteRunner.js';
+import type { SiteRunner } from '../../standIns/site/SiteRunner.js';
+import type { RunnerBehaviour } from '../../standIns/site/siteRunnerTypes.js';
 import type { SoakService } from '../SoakSite.js';
 import { CHANGE_BOUND_MILLISECONDS, FATAL_BODY, TIMEOUT_MILLISECONDS } from '../soakBounds.js';
 import type { FaultGround } from './Fault.js';
--- a/standIns/site/SiteRunner.ts
+++ b/standIns/site/SiteRunner.ts
@@ -8,76 +8,12 @@
 import { listen } from '../../src/http/listen.js';
 import { parseAddress } from '../../src/http/parseAddress.js';
 import { readBody } from './readBody.js';
-
-/** How a runner handles requests. */
-export type RunnerBehaviour =
-  | 'answers'
-  /** States that it has not run the request. */
-  | 'refuses'
-  /** Runs it and resets the connection without an answer. */
-  | 'loses_answer'
-  /** Sends some events, half of the next one, and resets the connection. */
-  | 'cuts_stream'
-  /** Sends some events, half of the next one, and closes the connection in order. */
-  | 'ends_stream_early'
-  /** Sends most of a plain answer and closes the connection. */
-  | 'cuts_plain'
-  /** Runs it and never answers. */
-  | 'mute'
-  /** Answers 500 with its signature. */
-  | 'fails'
-  /** Answers as another runner that has taken over the address. */
-  | 'misdirected';
-
-/** A request that a runner received. */
-export interface ReceivedRequest {
-  readonly id: string | undefined;
-  readonly method: string;
-  readonly target: string;
-  readonly headers: IncomingMessage['headers'];
-  readonly body: string;
-}
-
-/** How a runner crashes when it has to reject requests. */
-export interface Brittleness {
-  /** It crashes when it rejects more requests than this within a second. */
-  readonly limit: number;
-  /** Number of requests that wait at most; from some time after it has begun to say so. */
-  readonly waiting: number;
-}
-
-/** Options of a {@link SiteRunner}. */
-export interface SiteRunnerOptions {
-  id: string;
-  service: string;
-  dataCentre?: string;
-  /** Whether its answers have neither a length nor chunks, and end with their connection. */
-  isUnframed?: boolean;
-  /** Number of events of each stream. */
-  events?: number;
-  /** Time between events, in ms. */
-  eventMilliseconds?: number;
-  /** Time until a plain answer, in ms. */
-  workMilliseconds?: number;
-  /** Body of a plain answer. */
-  plainBody?: string;
-  /** Whether answers and events contain the id of their request. */
-  echoes?: boolean;
-  /** Called for each request that starts to run, with the IP address of its sender. */
-  onRan?: (request: ReceivedRequest, from: string) => void;
-  /** Whether a request crashes the runner. */
-  isFatal?: (request: ReceivedRequest) => boolean;
-  /** Number of requests that it works on at the same time; more of them wait. */
-  slots?: number;
-  /** Number of requests that wait; it rejects more of them. */
-  maximumWaiting?: number;
-  /** Time from a crash to the next start, in ms. */
-  downMilliseconds?: number;
-  /** Called at each crash. */
-  onCrashed?: () => void;
-  /** Called at each start after a crash: the entry in the store has to be written again. */
-  onRestarted?: () => void;
-}
+import type {
+  Brittleness,
+  ReceivedRequest,
+  RunnerBehaviour,
+  SiteRunnerOptions,
+} from './siteRunnerTypes.js';
 
 /** A runner that says that it is brittle keeps its queue for this long, in ms. */
 const BRITTLE_NOTICE_MILLISECONDS = 3_000;
@@ -105,6 +41,9 @@
   /** Whether its answers announce that it leaves, whatever its entry says. */
   saysLeaving = false;
 
+  /** Version of its software; another one takes effect with the next start. */
+  version: string;
+
   /** Value of `Retry-After` in its refusals. */
   retryAfter: string | undefined;
 
@@ -147,6 +86,7 @@
   constructor(options: SiteRunnerOptions) {
     this.options = {
       dataCentre: 'here',
+      version: 'v1',
       isUnframed: false,
       events: 5,
       eventMilliseconds: 2,
@@ -163,6 +103,7 @@
       ...options,
     };
     this.id = options.id;
+    this.version = this.options.version;
     this.server = this.createServer();
   }
 
@@ -224,7 +165,7 @@
       service,
       address: this.address,
       zone: dataCentre,
-      version: 'v1',
+      version: this.version,
       slots: Number.isFinite(this.options.slots) ? this.options.slots : DEFAULT_SLOTS,
       state,
       cold_remaining_ms: 0,
--- a/standIns/site/StandInSite.ts
+++ b/standIns/site/StandInSite.ts
@@ -11,7 +11,7 @@
 import { routerSettings } from '../../src/router/routerFeature.js';
 import { freePort } from './freePort.js';
 import { SiteLinks } from './SiteLinks.js';
-import type { SiteRunnerOptions } from './SiteRunner.js';
+import type { SiteRunnerOptions } from './siteRunnerTypes.js';
 import { SiteRunner } from './SiteRunner.js';
 import { StoreStandIn } from './StoreStandIn.js';
 
--- a/standIns/site/callSite.ts
+++ b/standIns/site/callSite.ts
@@ -16,6 +16,8 @@
   headers?: Record<string, string>;
   /** Called when the first bytes arrive, for example to act while a stream is in progress. */
   onData?: () => void;
+  /** Whether the caller breaks the connection off now that it has received this much of the body. */
+  leaves?: (received: string) => boolean;
   agent?: Agent;
 }
 
@@ -41,6 +43,7 @@
   body = '',
   headers = {},
   onData = () => undefined,
+  leaves = () => false,
   agent = new Agent({ keepAlive: false }),
 }: SiteCall): Promise<SiteAnswer> {
   const [host, port] = address.split(':');
@@ -62,6 +65,7 @@
       response.on('data', (chunk: Buffer) => {
         if (chunks.length === 0) onData();
         chunks.push(chunk);
+        if (leaves(Buffer.concat(chunks).toString())) response.destroy();
       });
       response.once('close', () =>
         done({
--- /dev/null
+++ b/standIns/site/siteRunnerTypes.ts
@@ -0,0 +1,76 @@
+/**
+ * What a stand-in for a runner does, and what it is told to do wrong.
+ */
+import type { IncomingMessage } from 'node:http';
+
+/** How a runner handles requests. */
+export type RunnerBehaviour =
+  | 'answers'
+  /** States that it has not run the request. */
+  | 'refuses'
+  /** Runs it and resets the connection without an answer. */
+  | 'loses_answer'
+  /** Sends some events, half of the next one, and resets the connection. */
+  | 'cuts_stream'
+  /** Sends some events, half of the next one, and closes the connection in order. */
+  | 'ends_stream_early'
+  /** Sends most of a plain answer and closes the connection. */
+  | 'cuts_plain'
+  /** Runs it and never answers. */
+  | 'mute'
+  /** Answers 500 with its signature. */
+  | 'fails'
+  /** Answers as another runner that has taken over the address. */
+  | 'misdirected';
+
+/** A request that a runner received. */
+export interface ReceivedRequest {
+  readonly id: string | undefined;
+  readonly method: string;
+  readonly target: string;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: string;
+}
+
+/** How a runner crashes when it has to reject requests. */
+export interface Brittleness {
+  /** It crashes when it rejects more requests than this within a second. */
+  readonly limit: number;
+  /** Number of requests that wait at most; from some time after it has begun to say so. */
+  readonly waiting: number;
+}
+
+/** Options of a {@link SiteRunner}. */
+export interface SiteRunnerOptions {
+  id: string;
+  service: string;
+  dataCentre?: string;
+  /** Version of its software. */
+  version?: string;
+  /** Whether its answers have neither a length nor chunks, and end with their connection. */
+  isUnframed?: boolean;
+  /** Number of events of each stream. */
+  events?: number;
+  /** Time between events, in ms. */
+  eventMilliseconds?: number;
+  /** Time until a plain answer, in ms. */
+  workMilliseconds?: number;
+  /** Body of a plain answer. */
+  plainBody?: string;
+  /** Whether answers and events contain the id of their request. */
+  echoes?: boolean;
+  /** Called for each request that starts to run, with the IP address of its sender. */
+  onRan?: (request: ReceivedRequest, from: string) => void;
+  /** Whether a request crashes the runner. */
+  isFatal?: (request: ReceivedRequest) => boolean;
+  /** Number of requests that it works on at the same time; more of them wait. */
+  slots?: number;
+  /** Number of requests that wait; it rejects more of them. */
+  maximumWaiting?: number;
+  /** Time from a crash to the next start, in ms. */
+  downMilliseconds?: number;
+  /** Called at each crash. */
+  onCrashed?: () => void;
+  /** Called at each start after a crash: the entry in the store has to be written again. */
+  onRestarted?: () => void;
+}
