--- a/src/coordination/ChoiceServer.ts
+++ b/src/coordination/ChoiceServer.ts
@@ -60,6 +60,7 @@
       sharedParts: question.sharedParts,
       tried: new Set(question.excludedLives),
       homeRegions: question.homeRegions.length > 0 ? question.homeRegions : undefined,
+      softwareVersion: question.softwareVersion,
       connectionLimit: Number.POSITIVE_INFINITY,
       dataCentre: question.dataCentre,
       isForOther: true,
--- a/src/coordination/CoordinatedSelector.spec.ts
+++ b/src/coordination/CoordinatedSelector.spec.ts
@@ -148,6 +148,21 @@
     expect(socket.questions[0]?.excludedLives).toEqual(['runner-2', 'runner-1']);
   });
 
+  it('asks for a runner of the version that a stream goes on at, and rejects another one', async () => {
+    // Guards against events of two software versions where a coordinator does not know of versions.
+    for (const [id, softwareVersion] of [
+      ['runner-1', 'v1'],
+      ['runner-2', 'v2'],
+    ] as const) {
+      const entry = runners.get(id)?.entry;
+      if (entry) runners.put({ ...entry, softwareVersion });
+    }
+    const chosen = select({ ...questionOf(), softwareVersion: 'v1' });
+    expect(socket.questions[0]?.softwareVersion).toEqual('v1');
+    socket.answer(1, 'runner-2');
+    expect((await chosen)?.runner.entry.id).toEqual('runner-1');
+  });
+
   it('asks no coordinator in a small fleet', async () => {
     coordinators = [];
     expect((await select())?.reason).toEqual('first_place');
--- a/src/coordination/CoordinatedSelector.ts
+++ b/src/coordination/CoordinatedSelector.ts
@@ -118,7 +118,7 @@
 
   private sendQuestion(number: number, question: ChoiceQuestion, coordinator: DaemonEntry): void {
     const { daemon, socket } = this.options;
-    const { service, sharedParts, homeRegions = [] } = question;
+    const { service, sharedParts, homeRegions = [], softwareVersion } = question;
     const message = create(RunnerQuestionSchema, {
       daemon: daemon.name,
       address: daemon.newsAddress,
@@ -128,6 +128,7 @@
       sharedParts: [...sharedParts],
       homeRegions: [...homeRegions],
       excludedLives: this.excludedLives(question),
+      ...(softwareVersion !== undefined && { softwareVersion }),
     });
     const recipients = [parseAddress(coordinator.newsAddress)];
     socket.send(MessageKind.RUNNER_QUESTION, toBinary(RunnerQuestionSchema, message), recipients);
--- a/src/forwarding/AnswerRelay.ts
+++ b/src/forwarding/AnswerRelay.ts
@@ -3,6 +3,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
+import { VERSION_HEADER } from '../handover/handOverHeaders.js';
 import { passingHeaders } from './forwardedHeaders.js';
 
 /** An error answer that the daemon generates; it never has a runner's signature. */
@@ -24,7 +25,8 @@
 /** Supplies an answer: an attempt at a runner, or a request that was handed over to another daemon. */
 export type AnswerSource = object;
 
-const NOTHING: ReadonlySet<string> = new Set();
+/** Headers of answers between daemons, which callers do not get. */
+const HEADERS_BETWEEN_DAEMONS: ReadonlySet<string> = new Set([VERSION_HEADER]);
 
 const BAD_GATEWAY = 502;
 
@@ -88,7 +90,7 @@
   sendBuffered({ answer, chunks, bytes }: BufferedAnswer): void {
     if (this.done) return;
     this.done = true;
-    const headers = passingHeaders(answer.rawHeaders, NOTHING);
+    const headers = passingHeaders(answer.rawHeaders, HEADERS_BETWEEN_DAEMONS);
     const status = answer.statusCode ?? BAD_GATEWAY;
     if (answer.headers['content-length'] !== undefined || bytes > 0) {
       headers.push('Content-Length', String(bytes));
@@ -101,10 +103,12 @@
    * Begins an answer whose body is forwarded as it arrives.
    *
    * @param answer - head of the runner's answer.
+   * @param _softwareVersion - version of the runner of a stream; callers are not told.
    */
-  begin(answer: IncomingMessage): void {
+  begin(answer: IncomingMessage, _softwareVersion?: string): void {
     if (this.done || this.hasHead) return;
-    this.writeHead(answer.statusCode ?? BAD_GATEWAY, passingHeaders(answer.rawHeaders, NOTHING));
+    const headers = passingHeaders(answer.rawHeaders, HEADERS_BETWEEN_DAEMONS);
+    this.writeHead(answer.statusCode ?? BAD_GATEWAY, headers);
   }
 
   /**
--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -68,7 +68,18 @@
       this.endWith(refusal);
       return;
     }
-    this.sendNext();
+    if (this.versions.isUnknown) this.findVersion();
+    else this.sendNext();
+  }
+
+  /** Finds the software version that began the stream that the caller takes up. */
+  private findVersion(): void {
+    this.timer.set(this.request.deadlineAt);
+    this.versions.resolve((isKnown) => {
+      if (this.relay.isDone) return;
+      if (isKnown) this.sendNext();
+      else this.endWith({ status: 503, reason: 'version_unknown' });
+    });
   }
 
   /** Cancels all attempts because the caller has disconnected. */
@@ -83,7 +94,8 @@
     this.report.answerBegun(framingOf(answer));
     this.bufferedAnswers.begin(attempt, answer);
     const isStream = this.request.route.kind === 'stream' && isEventStream(answer);
-    if (isStream) this.stream.take(attempt, answer);
+    const { runner } = attempt;
+    if (isStream) this.stream.take(attempt, answer, () => runner.answeringVersion);
   }
 
   override received(attempt: RunnerAttempt, chunk: Buffer): void {
@@ -91,6 +103,7 @@
     if (this.stream.isFrom(attempt)) {
       this.stream.pass(chunk);
       if (this.relay.hasHead) this.firstAnswerAt ??= this.now();
+      if (this.stream.isBound) this.versions.record(attempt.runner);
       return;
     }
     if (!this.bufferedAnswers.take(attempt, chunk)) return;
@@ -198,7 +211,9 @@
     const sharedParts = this.quarantine.isRepeatedSuspect ? [] : this.request.sharedParts;
     const tried = this.tried.excluded;
     const now = this.now();
-    const question = { service, sharedParts, tried, homeRegions, connectionLimit, now };
+    const { softwareVersion } = this.stream;
+    const limits = { homeRegions, softwareVersion, connectionLimit };
+    const question = { service, sharedParts, tried, ...limits, now };
     if (this.handOver.isNeeded) {
       this.beginHandOver();
       return;
@@ -226,6 +241,7 @@
     if (tried.count > 0) context.metrics.retries.increment();
     tried.recordAttempt(chosen.runner.entry.life);
     this.report.chosen(chosen);
+    this.versions.record(chosen.runner);
     const resumesAfter = this.stream.lastEventId;
     const options = { chosen, request, body, context, tried, observer: this, resumesAfter };
     const attempt = createAttempt(options);
@@ -279,7 +295,8 @@
     if (this.answerFallback()) return;
     const now = this.now();
     const isLate = now >= this.request.deadlineAt;
-    const unavailability = this.context.unavailabilityOf(this.request, now);
+    const { softwareVersion } = this.stream;
+    const unavailability = this.context.unavailabilityOf({ ...this.request, softwareVersion }, now);
     this.endWith(daemonAnswerFor({ verdict, failure, isLate, unavailability }));
   }
 
@@ -344,6 +361,7 @@
 
   private end(event: EndEvent, outcome: string): void {
     this.quarantine.end();
+    this.versions.end();
     const { firstAnswerAt, tried, relay } = this;
     this.report.ended({ event, outcome, status: relay.status, firstAnswerAt, tried: tried.count });
   }
--- a/src/forwarding/RequestParts.ts
+++ b/src/forwarding/RequestParts.ts
@@ -2,6 +2,7 @@
  * The parts of one forwarded request, each of which keeps a side of its state.
  */
 import { requestDigest } from '../quarantine/requestDigest.js';
+import { StreamVersionSession } from '../streamVersions/StreamVersionSession.js';
 import { ActiveAttempts } from './ActiveAttempts.js';
 import type { AnswerRelay } from './AnswerRelay.js';
 import { BufferedAnswers } from './BufferedAnswers.js';
@@ -25,7 +26,12 @@
    * What the daemon that handed the request over did for it; missing for a request of a caller. That daemon decides
    * whether the request runs again, so it runs here once.
    */
-  before?: { readonly isCounted: boolean; readonly mayHaveRun: number };
+  before?: {
+    readonly isCounted: boolean;
+    readonly mayHaveRun: number;
+    /** Version at which a stream goes on; any if it is missing. */
+    readonly softwareVersion?: string | undefined;
+  };
 }
 
 /** Creates and holds the parts. */
@@ -46,6 +52,8 @@
 
   protected readonly stream: StreamedAnswer;
 
+  protected readonly versions: StreamVersionSession;
+
   protected readonly quarantine: QuarantineSession;
 
   protected readonly retries: RequestRetries;
@@ -67,6 +75,11 @@
     this.context = context;
     this.bufferedAnswers = new BufferedAnswers(relay);
     this.stream = new StreamedAnswer(relay);
+    if (before?.softwareVersion !== undefined) this.stream.bindTo(before.softwareVersion);
+    this.versions = new StreamVersionSession({
+      ...{ request, stream: this.stream },
+      task: context.streamVersions,
+    });
     const digest = requestDigest({ ...request, body });
     this.report = new RequestReport({ request, context, digest });
     this.quarantine = new QuarantineSession({
--- a/src/forwarding/RequestReport.ts
+++ b/src/forwarding/RequestReport.ts
@@ -140,6 +140,7 @@
       ...end,
       partialBytes: end.partialBytes || undefined,
       framing: this.framing,
+      softwareVersion: this.versionOf(attempt.runner),
       ...this.budgetFields(),
     });
   }
@@ -176,6 +177,7 @@
       configurationVersion,
       digest: event === 'answered' ? undefined : this.digest,
       runner: this.choice?.runner.entry.id,
+      softwareVersion: this.versionOf(this.choice?.runner),
       choice: this.choice?.reason,
       parts: this.request.sharedParts.join() || undefined,
       cacheSource: this.choice?.cacheSource?.entry.id,
@@ -189,6 +191,11 @@
     });
   }
 
+  /** Software version of a stream's runner, at which the stream has to go on. */
+  private versionOf(runner: Runner | undefined): string | undefined {
+    return this.request.route.kind === 'stream' ? runner?.entry.softwareVersion : undefined;
+  }
+
   /** State of the retry budget, which determines whether the request may be retried. */
   private budgetFields(): Record<string, number> {
     const { budget, clock } = this.context;
--- a/src/forwarding/RunnerProtocol.ts
+++ b/src/forwarding/RunnerProtocol.ts
@@ -26,6 +26,8 @@
   readonly signature: string;
   /** Id of the last event of a stream that the caller has received. */
   readonly lastEventId: string;
+  /** Id of the caller's attempt that a stream began with, in a request that takes the stream up. */
+  readonly resumes: string;
   /** Headers that only the fleet may set; removed from callers' requests. */
   readonly systemOnly: readonly string[];
 }
--- a/src/forwarding/StreamedAnswer.ts
+++ b/src/forwarding/StreamedAnswer.ts
@@ -30,6 +30,10 @@
 
   private answer: IncomingMessage | undefined;
 
+  private boundVersion: string | undefined;
+
+  private versionOf: () => string | undefined = () => undefined;
+
   /**
    * @param relay - writes to the caller.
    */
@@ -42,6 +46,23 @@
     return this.relay.hasHead ? this.cut.lastEventId : undefined;
   }
 
+  /** @returns Software version that the caller's events are from, and at which the stream may go on; `undefined`: any. */
+  get softwareVersion(): string | undefined {
+    return this.boundVersion;
+  }
+
+  /** @returns Whether the stream may go on at one software version only. */
+  get isBound(): boolean {
+    return this.boundVersion !== undefined;
+  }
+
+  /**
+   * @param softwareVersion - version that began the stream, at another daemon or for an earlier request.
+   */
+  bindTo(softwareVersion: string): void {
+    this.boundVersion = softwareVersion;
+  }
+
   /**
    * @param attempt - an attempt of the request.
    * @returns Whether the stream is supplied by this attempt.
@@ -55,10 +76,16 @@
    *
    * @param attempt - attempt whose answer is a stream.
    * @param answer - head of its answer; only the first head is sent to the caller.
+   * @param versionOf - returns the software version of the runner that answers.
    */
-  take(attempt: AnswerSource, answer: IncomingMessage): void {
+  take(
+    attempt: AnswerSource,
+    answer: IncomingMessage,
+    versionOf: () => string | undefined = () => undefined,
+  ): void {
     this.attempt = attempt;
     this.answer = answer;
+    this.versionOf = versionOf;
   }
 
   /**
@@ -69,6 +96,7 @@
   pass(chunk: Buffer): void {
     const events = this.cut.push(chunk);
     if (!events) return;
+    this.boundVersion = this.versionOf() ?? this.boundVersion;
     this.begin();
     this.relay.pass(events);
   }
@@ -104,6 +132,6 @@
   }
 
   private begin(): void {
-    if (this.answer) this.relay.begin(this.answer);
+    if (this.answer) this.relay.begin(this.answer, this.boundVersion);
   }
 }
--- a/src/forwarding/admitRequest.ts
+++ b/src/forwarding/admitRequest.ts
@@ -1,14 +1,15 @@
 /**
  * Admission of requests: checks a request's head against the configuration in force.
  */
-import type { IncomingMessage } from 'node:http';
+import type { IncomingHttpHeaders, IncomingMessage } from 'node:http';
 
 import { homeRegionsOf } from '../routes/homeRegions.js';
 import { RouteTable } from '../routes/RouteTable.js';
 import type { ClientAccount, Route } from '../routes/routeTypes.js';
 import type { DaemonAnswer } from './AnswerRelay.js';
 import { passingHeaders } from './forwardedHeaders.js';
-import type { AdmittedRequest, ForwardingContext } from './forwardingTypes.js';
+import type { AdmittedRequest, ForwardingContext, TakenUpStream } from './forwardingTypes.js';
+import type { HeaderNames } from './RunnerProtocol.js';
 
 /** The admitted request, or the error answer to a rejected one. */
 export type Admission =
@@ -54,6 +55,16 @@
   return Array.isArray(value) ? value[0] : value;
 }
 
+function takenUpStream(
+  headers: IncomingHttpHeaders,
+  names: HeaderNames,
+  { kind, resumable }: Route,
+): TakenUpStream | undefined {
+  const lastEventId = firstValue(headers[names.lastEventId]);
+  if (kind !== 'stream' || !resumable || !lastEventId) return undefined;
+  return { id: firstValue(headers[names.resumes]) };
+}
+
 function headerBytes(rawHeaders: readonly string[]): number {
   return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
 }
@@ -79,7 +90,7 @@
     names.cacheSource,
     'host',
   ]);
-  return { dropped, essential: new Set([names.requestId, names.lastEventId]) };
+  return { dropped, essential: new Set([names.requestId, names.lastEventId, names.resumes]) };
 }
 
 const headerSetsByProtocol = new WeakMap<object, ReturnType<typeof headerSets>>();
@@ -151,7 +162,9 @@
   const ownId = firstValue(headers[names.requestId]);
   requestsWithoutId += ownId === undefined ? 1 : 0;
   const id = ownId ?? `unnamed-${requestsWithoutId}`;
-  const service = RouteTable.targetOf(route, id);
+  const takesUp = takenUpStream(headers, names, route);
+  // A stream goes on at the service that it began at.
+  const service = RouteTable.targetOf(route, takesUp?.id ?? id);
   return {
     kind: 'admitted',
     request: {
@@ -166,6 +179,7 @@
       target: url,
       headers: runnerHeaders(request, context, route, account),
       sharedParts: route.cachesPrompts ? context.protocol.sharedPartsOf(headers) : [],
+      takesUp,
       arrivedAt,
       deadlineAt: arrivedAt + Math.min(callerMilliseconds, route.timeoutMilliseconds),
       connectionLimit: connectionLimit(table, service, Math.max(1, context.daemons())),
--- a/src/forwarding/daemonAnswerFor.ts
+++ b/src/forwarding/daemonAnswerFor.ts
@@ -35,6 +35,10 @@
   const { verdict, failure, isLate, unavailability } = question;
   const { reason: unavailable, pauseMilliseconds = 0 } = unavailability;
   const reason = failure ?? unavailable;
+  if (verdict === 'refuse' && unavailable === 'no_runner_of_version') {
+    // Coming back later changes nothing: a version that has left does not return.
+    return { status: 503, reason };
+  }
   if (verdict === 'refuse') {
     const pauseSeconds =
       Math.ceil(pauseMilliseconds / ROUNDING_MILLISECONDS) / ROUNDING_STEPS_PER_SECOND;
--- a/src/forwarding/forwardingFeature.ts
+++ b/src/forwarding/forwardingFeature.ts
@@ -137,4 +137,19 @@
     operatorAction:
       'Check the runners of the service; requests that they cannot take are refused with the reason full.',
   }),
+  takenUp: defineLogEvent({
+    number: 2618,
+    name: 'forwarding.taken_up',
+    level: 'info',
+    text: 'A caller takes up a stream that broke off. It goes on at the software version that began it: recorded by a daemon, or the only one that the service has had.',
+    operatorAction: 'None; the field stream is the id of the request that the stream began with.',
+  }),
+  versionUnknown: defineLogEvent({
+    number: 2619,
+    name: 'forwarding.version_unknown',
+    level: 'warn',
+    text: 'A caller takes up a stream, and no daemon that answered knows which of several software versions began it. The request is refused; it has not run.',
+    operatorAction:
+      'None while daemons end or are cut off from each other; otherwise check that datagrams pass between them.',
+  }),
 };
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -9,6 +9,7 @@
 import type { Route } from '../routes/routeTypes.js';
 import type { RunnerSelector } from '../runners/RunnerSelector.js';
 import type { Unavailability } from '../runners/unavailability.js';
+import type { StreamVersionTask } from '../streamVersions/StreamVersionTask.js';
 import type { Clock } from '../time/Clock.js';
 import type { ForwardingMetrics } from './ForwardingMetrics.js';
 import type { LinkCheck } from './LinkCheck.js';
@@ -29,11 +30,15 @@
   readonly link: LinkCheck;
   /** Hands requests over to other daemons; missing for requests that were handed over to this one. */
   readonly handOver?: HandOverTask | undefined;
+  /** Knows which software version began each stream; missing where runners have no versions. */
+  readonly streamVersions?: StreamVersionTask | undefined;
   readonly quarantine: RequestQuarantine;
   readonly statements: RunnerNotices;
   /** Determines why no runner can take a request. `now` is in monotonic ms. */
   readonly unavailabilityOf: (
-    request: Pick<AdmittedRequest, 'service' | 'homeRegions'>,
+    request: Pick<AdmittedRequest, 'service' | 'homeRegions'> & {
+      readonly softwareVersion?: string | undefined;
+    },
     now: number,
   ) => Unavailability;
   /** Route table of the configuration in force, or `undefined` until the first one is known. */
@@ -52,6 +57,12 @@
  */
 export type StopPhase = 'serving' | 'leaving' | 'closing';
 
+/** A stream that broke off, and that its caller takes up with another request. */
+export interface TakenUpStream {
+  /** Id of the attempt that brought its first event; `undefined` if the caller does not name it. */
+  readonly id: string | undefined;
+}
+
 /** A request that the configuration allows, with everything that forwarding needs to know of its head. */
 export interface AdmittedRequest {
   /** Id that the caller sent for this attempt, or a generated one if it sent none. */
@@ -71,6 +82,8 @@
   readonly headers: readonly string[];
   /** Ids of the parts of the prompt that other requests share, the outermost first. */
   readonly sharedParts: readonly string[];
+  /** The stream that the caller takes up with this request; missing for new ones and requests of other kinds. */
+  readonly takesUp?: TakenUpStream | undefined;
   /** When the request arrived, monotonic ms. */
   readonly arrivedAt: number;
   /** The caller's deadline or the route's timeout, whichever is earlier; monotonic ms. */
--- a/src/forwarding/testProtocol.ts
+++ b/src/forwarding/testProtocol.ts
@@ -18,6 +18,7 @@
     speaker: 'speaker',
     signature: 'signature',
     lastEventId: 'last-event-id',
+    resumes: 'resumes',
     systemOnly: ['reserved'],
   };
 
--- a/src/handover/HandOverServer.ts
+++ b/src/handover/HandOverServer.ts
@@ -119,13 +119,13 @@
 
   private forward({ handOver, body }: ReceivedHandOver, response: ServerResponse): void {
     const { context } = this;
-    const { sender, remainingMilliseconds, isCounted, mayHaveRun } = handOver;
+    const { sender, remainingMilliseconds, isCounted, mayHaveRun, softwareVersion } = handOver;
     const arrivedAt = context.clock.monotonicMilliseconds();
     const deadlineAt = arrivedAt + remainingMilliseconds;
     const request = { ...handOver.request, arrivedAt, deadlineAt };
     const relay = new TakenOverRelay(response, () => context.stopPhase() !== 'serving');
     context.log.write(forwardingLogEvents.takenOver, { request: request.id, from: sender });
-    const before = { isCounted, mayHaveRun };
+    const before = { isCounted, mayHaveRun, softwareVersion };
     const forwarded = new ForwardedRequest({ request, body, relay, context, before });
     response.once('close', () => forwarded.callerLeft());
     forwarded.start();
--- a/src/handover/HandedOverRequest.spec.ts
+++ b/src/handover/HandedOverRequest.spec.ts
@@ -3,7 +3,7 @@
 
 import { expect } from 'earl';
 
-import { REFUSED_HEADER, UNREACHED_HEADER } from './handOverHeaders.js';
+import { REFUSED_HEADER, UNREACHED_HEADER, VERSION_HEADER } from './handOverHeaders.js';
 import { decodeHandOver, encodeHandOver, HandOverError } from './handOverMessage.js';
 import type { HandOver, ReceivedHandOver } from './handOverMessage.js';
 import { TestPeers } from './testPeers.js';
@@ -64,6 +64,21 @@
     expect(peers.taken.length).toEqual(1);
   });
 
+  // Guards against a stream that goes on at another software version after a daemon in between has ended.
+  it('learns the software version from the daemon that takes it, which its caller is not told', async () => {
+    await peers.add('one', {
+      answer: (_, response) => {
+        response.writeHead(200, { ...STREAM, [VERSION_HEADER]: 'v1.2' });
+        response.write(eventOf(1), () => response.destroy());
+      },
+    });
+    const { text, softwareVersion } = await peers.handOver('stream');
+    expect(softwareVersion).toEqual('v1.2');
+    expect(text.toLowerCase().includes(VERSION_HEADER)).toEqual(false);
+    await peers.handOver('stream', '1', 'v1.1');
+    expect(peers.taken[1]?.received.handOver.softwareVersion).toEqual('v1.1');
+  });
+
   // Guards against a daemon that is frozen, and reads later what was sent to it.
   it('is not sent to a daemon that does not confirm', async () => {
     await peers.add('frozen', { confirm: () => undefined, answer: answerPlainly });
--- a/src/handover/HandedOverRequest.ts
+++ b/src/handover/HandedOverRequest.ts
@@ -23,6 +23,7 @@
   BROKEN_HEADER,
   HAND_OVER_PATH,
   REFUSED_HEADER,
+  runnerVersionIn,
   UNREACHED_HEADER,
 } from './handOverHeaders.js';
 import { encodeHandOver } from './handOverMessage.js';
@@ -131,6 +132,7 @@
       remainingMilliseconds: deadlineAt - clock.monotonicMilliseconds(),
       isCounted,
       mayHaveRun: this.options.mayHaveRun(),
+      softwareVersion: this.options.stream.softwareVersion,
       hasBody: body !== undefined,
     };
     return encodeHandOver(handOver, body, secret);
@@ -223,7 +225,9 @@
     }
     const { bufferedAnswers, stream, request } = this.options;
     bufferedAnswers.begin(this, answer);
-    if (request.route.kind === 'stream' && isEventStream(answer)) stream.take(this, answer);
+    if (request.route.kind === 'stream' && isEventStream(answer)) {
+      stream.take(this, answer, () => runnerVersionIn(answer.headers));
+    }
     answer.on('data', (chunk: Buffer) => this.handleChunk(chunk));
     answer.once('end', () => this.handleEnd(answer));
   }
--- a/src/handover/TakenOverRelay.ts
+++ b/src/handover/TakenOverRelay.ts
@@ -2,11 +2,11 @@
  * Writes the answer to a request that another daemon handed over. Errors that say that no runner was reached, or that the
  * runner broke off, are marked, so that the other daemon can decide whether a third one gets the request.
  */
-import type { ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import type { DaemonAnswer } from '../forwarding/AnswerRelay.js';
 import { AnswerRelay } from '../forwarding/AnswerRelay.js';
-import { BROKEN_HEADER, UNREACHED_HEADER } from './handOverHeaders.js';
+import { BROKEN_HEADER, UNREACHED_HEADER, VERSION_HEADER } from './handOverHeaders.js';
 
 const BAD_GATEWAY = 502;
 
@@ -37,6 +37,13 @@
     super.sendDaemonAnswer(own);
   }
 
+  override begin(answer: IncomingMessage, softwareVersion?: string): void {
+    if (softwareVersion !== undefined && !this.hasHead && !this.isDone) {
+      this.answer.setHeader(VERSION_HEADER, encodeURIComponent(softwareVersion));
+    }
+    super.begin(answer);
+  }
+
   /** A request that may have run elsewhere before cannot be refused any more, but may have reached nobody here. */
   private mark({ status, reason }: DaemonAnswer): void {
     if (status !== UNAVAILABLE && status !== BAD_GATEWAY) return;
--- a/src/handover/handOverHeaders.ts
+++ b/src/handover/handOverHeaders.ts
@@ -1,6 +1,7 @@
 /**
  * Path and headers with which daemons hand requests over to each other.
  */
+import type { IncomingHttpHeaders } from 'node:http';
 
 /** Path at the address for requests of other daemons. */
 export const HAND_OVER_PATH = '/handover';
@@ -13,3 +14,15 @@
 
 /** Set on an error of a daemon whose runner broke off, so that the request may have run. */
 export const BROKEN_HEADER = 'handover-broken';
+
+/** Software version of the runner that began the stream of an answer, URI-encoded. */
+export const VERSION_HEADER = 'handover-version';
+
+/**
+ * @param headers - headers of another daemon's answer.
+ * @returns Software version of the runner; `undefined` if the other daemon does not tell.
+ */
+export function runnerVersionIn(headers: IncomingHttpHeaders): string | undefined {
+  const text = headers[VERSION_HEADER];
+  return typeof text === 'string' ? decodeURIComponent(text) : undefined;
+}
--- a/src/handover/handOverMessage.ts
+++ b/src/handover/handOverMessage.ts
@@ -20,6 +20,8 @@
   readonly isCounted: boolean;
   /** Number of attempts that may have run. */
   readonly mayHaveRun: number;
+  /** Software version at which a stream goes on; any if it is missing. */
+  readonly softwareVersion?: string | undefined;
   /** Whether the caller sent a body, which may be empty. */
   readonly hasBody: boolean;
 }
--- a/src/handover/testPeers.ts
+++ b/src/handover/testPeers.ts
@@ -39,6 +39,14 @@
   readonly answer?: (taken: ReceivedHandOver, response: ServerResponse) => void;
 }
 
+interface RequestOptions {
+  readonly kind: Route['kind'];
+  readonly resumesAfter: string | undefined;
+  readonly relay: AnswerRelay;
+  readonly stream: StreamedAnswer;
+  readonly onEnd: (end: HandOverEnd) => void;
+}
+
 /** Sends a request and returns everything that arrives until the connection ends. */
 function textFrom(port: number): Promise<string> {
   return new Promise((done) => {
@@ -109,23 +117,29 @@
    *
    * @param kind - kind of its route.
    * @param resumesAfter - id of the last event that the caller has.
-   * @returns The end of the hand-over, and the text that the caller received.
+   * @param boundVersion - software version that began its stream.
+   * @returns The end of the hand-over, the text that the caller received, and the version that its stream is bound to.
    */
   async handOver(
     kind: Route['kind'],
     resumesAfter?: string,
-  ): Promise<{ end: HandOverEnd; text: string }> {
+    boundVersion?: string,
+  ): Promise<{ end: HandOverEnd; text: string; softwareVersion: string | undefined }> {
     let end: HandOverEnd | undefined;
+    let stream: StreamedAnswer | undefined;
     const front = createServer((_request, response) => {
       const finish = (ending: HandOverEnd) => {
         end = ending;
         if (!response.writableEnded) response.destroy();
       };
-      this.requestFor(kind, resumesAfter, response, finish).start();
+      const relay = new AnswerRelay(response, () => true);
+      stream = new StreamedAnswer(relay);
+      if (boundVersion !== undefined) stream.bindTo(boundVersion);
+      this.requestFor({ kind, resumesAfter, relay, stream, onEnd: finish }).start();
     });
     const text = await textFrom(await this.listen(front));
     if (end === undefined) throw new Error('the hand-over has not ended');
-    return { end, text };
+    return { end, text, softwareVersion: stream?.softwareVersion };
   }
 
   /**
@@ -177,20 +191,20 @@
     }
   }
 
-  private requestFor(
-    kind: Route['kind'],
-    resumesAfter: string | undefined,
-    response: ServerResponse,
-    onEnd: (end: HandOverEnd) => void,
-  ): HandedOverRequest {
-    const relay = new AnswerRelay(response, () => true);
+  private requestFor({
+    kind,
+    resumesAfter,
+    relay,
+    stream,
+    onEnd,
+  }: RequestOptions): HandedOverRequest {
     return new HandedOverRequest({
       ...{ task: this.task, request: this.admitted(kind), relay, onEnd, clock: this.clock },
       resumesAfter: () => resumesAfter,
       isWanted: () => true,
       body: Buffer.from('the body'),
       bufferedAnswers: new BufferedAnswers(relay),
-      stream: new StreamedAnswer(relay),
+      stream,
       names: { lastEventId: 'last-event', signature: 'signature' },
       isCounted: true,
       mayHaveRun: () => 0,
--- a/src/news/FleetSocket.ts
+++ b/src/news/FleetSocket.ts
@@ -33,6 +33,9 @@
   [MessageKind.SILENT_DAEMONS]: 'silent_daemons',
   [MessageKind.CRASH_REPORT]: 'crash_report',
   [MessageKind.LEAVING_RUNNERS]: 'leaving_runners',
+  [MessageKind.STREAM_VERSIONS]: 'stream_versions',
+  [MessageKind.STREAM_VERSION_QUESTION]: 'stream_version_question',
+  [MessageKind.STREAM_VERSION_ANSWER]: 'stream_version_answer',
 };
 
 /** Handles messages of one kind. */
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -17,6 +17,7 @@
 import type { Log } from '../logging/Log.js';
 import { MetricRegistry } from '../metrics/MetricRegistry.js';
 import { serveMetrics } from '../metrics/serveMetrics.js';
+import type { StreamVersionTask } from '../streamVersions/StreamVersionTask.js';
 import { PeerLoads } from '../news/PeerLoads.js';
 import { LIVENESS_PATH } from '../liveness/LivenessPeers.js';
 import { NewsTask } from '../news/NewsTask.js';
@@ -38,6 +39,7 @@
 import { createRunnerChoice } from './createRunnerChoice.js';
 import { createStoreFollower } from './createStoreFollower.js';
 import { createForwardingContext } from './createForwardingContext.js';
+import { createStreamVersions } from './createStreamVersions.js';
 import { KnowledgeChangeHandler } from './KnowledgeChangeHandler.js';
 import { runPlannedStop } from './runPlannedStop.js';
 import { daemonEntryOf, routerLogEvents } from './routerFeature.js';
@@ -102,6 +104,8 @@
 
   private readonly handOver: HandOverParts;
 
+  private readonly streamVersions: StreamVersionTask;
+
   private readonly front: ForwardingServer;
 
   private readonly follower: StoreFollower;
@@ -159,12 +163,17 @@
       reports: coordination.pathReports,
       secret: () => knowledge.secret,
     });
+    this.streamVersions = createStreamVersions({
+      ...{ daemon: entry, socket: this.news.socket, clock, log, registry, knowledge, coordination },
+      follower: () => this.follower,
+    });
     const context = createForwardingContext({
       ...{ settings, protocol, clock, log, knowledge, registry, coordination },
       connections: this.connections,
       quarantine: this.quarantineTask.quarantine,
       path: this.handOver.path,
       handOver: this.handOver.task,
+      streamVersions: this.streamVersions,
       stopPhase: () => this.phase,
       isStoreSilent: () => this.follower.isStoreUnresponsive,
     });
@@ -245,6 +254,7 @@
     void this.follower.run();
     this.coordination.liveness.start();
     this.handOver.start();
+    this.streamVersions.start();
     this.warmPlacesKeeper.start();
     this.quarantineTask.start();
     this.log.write(routerLogEvents.started, {
@@ -278,6 +288,7 @@
     this.coordination.liveness.stop();
     this.coordination.leaveNotices.stop();
     this.handOver.stop();
+    this.streamVersions.stop();
     this.peers.close();
     this.news.close();
     this.warmPlacesKeeper.stop();
--- a/src/router/createForwardingContext.ts
+++ b/src/router/createForwardingContext.ts
@@ -24,6 +24,7 @@
   | 'stopPhase'
   | 'isStoreSilent'
   | 'handOver'
+  | 'streamVersions'
 > {
   settings: RouterSettings;
   knowledge: FleetKnowledge;
@@ -94,8 +95,10 @@
       onLeaving: ({ entry }) => coordination.leaveNotices.recordFromRunner(entry.life),
     }),
     budget,
-    unavailabilityOf: ({ service, homeRegions }, now) =>
-      unavailabilityOf({ runners: knowledge.runners, admission, service, homeRegions, now }),
+    unavailabilityOf: ({ service, homeRegions, softwareVersion }, now) =>
+      unavailabilityOf({
+        ...{ runners: knowledge.runners, admission, service, homeRegions, softwareVersion, now },
+      }),
     routes: () => knowledge.routes,
   };
 }
--- a/src/runners/Runner.ts
+++ b/src/runners/Runner.ts
@@ -31,12 +31,17 @@
   readonly coldMilliseconds?: number | undefined;
   /** Number of requests that it works on at the same time. */
   readonly slots?: number | undefined;
+  /** Version of its software; runners of a platform without such versions count as having the same one. */
+  readonly softwareVersion?: string | undefined;
 }
 
 /** A runner with the requests that this daemon has in flight there. */
 export class Runner {
   entry: RunnerEntry;
 
+  /** The incarnation that has taken its id over; known once the platform's list has its entry. */
+  successor: Runner | undefined;
+
   readonly health: RunnerHealth;
 
   /**
@@ -66,6 +71,14 @@
     this.health = new RunnerHealth(service);
   }
 
+  /**
+   * @returns Version of the software that answers on a connection to this runner on which data still arrives: a
+   * connection does not outlive its incarnation, so one that goes on has reached the successor from the start.
+   */
+  get answeringVersion(): string {
+    return this.successor?.answeringVersion ?? this.entry.softwareVersion ?? '';
+  }
+
   /**
    * Returns the entry to send to another daemon.
    *
--- a/src/runners/RunnerAdmission.ts
+++ b/src/runners/RunnerAdmission.ts
@@ -7,7 +7,8 @@
 import type { Runner } from './Runner.js';
 
 /** Why a runner may not get a request, although it may get others or may get this one later. */
-export type RejectionReason = 'tried' | 'other_region' | 'asked_for_time' | 'no_connection';
+export type RejectionReason =
+  'tried' | 'other_region' | 'other_version' | 'asked_for_time' | 'no_connection';
 
 /** The properties of a request that decide about its admission. */
 export interface AdmissionQuestion {
@@ -15,6 +16,8 @@
   readonly tried: ReadonlySet<string>;
   /** Regions whose runners may execute the request; any region if left out. */
   readonly homeRegions?: HomeRegions;
+  /** Software version that a stream goes on at; any version if left out. */
+  readonly softwareVersion?: string | undefined;
   /** Maximum number of requests that this daemon may have in flight at one runner. */
   readonly connectionLimit: number;
   /** Current time, monotonic ms. */
@@ -67,6 +70,15 @@
     return region !== undefined && homeRegions.includes(region);
   }
 
+  /**
+   * @param runner - a runner of any service.
+   * @param softwareVersion - version that a stream goes on at; `undefined` for other requests.
+   * @returns Whether the runner has that version.
+   */
+  static hasVersion({ entry }: Runner, softwareVersion: string | undefined): boolean {
+    return softwareVersion === undefined || (entry.softwareVersion ?? '') === softwareVersion;
+  }
+
   /**
    * Checks everything but the limits for cold runners.
    *
@@ -78,6 +90,7 @@
     const { tried, now, connectionLimit } = question;
     if (tried.has(runner.entry.life)) return 'tried';
     if (!this.isInHomeRegion(runner, question.homeRegions)) return 'other_region';
+    if (!RunnerAdmission.hasVersion(runner, question.softwareVersion)) return 'other_version';
     if (runner.pausedUntil > now) return 'asked_for_time';
     return runner.inFlight < connectionLimit ? undefined : 'no_connection';
   }
--- a/src/runners/RunnerTable.spec.ts
+++ b/src/runners/RunnerTable.spec.ts
@@ -47,6 +47,17 @@
     expect(ready()).toEqual(['a@1', 'b@1']);
   });
 
+  it('tells the version that answers on a connection which outlives the entry of its incarnation', () => {
+    // Guards against events of a runner that started again at another version before its new entry was known.
+    table.put({ ...entryOf('c'), softwareVersion: 'v1' });
+    const asked = table.get('c');
+    table.put({ ...entryOf('c', 'c@2'), softwareVersion: 'v2' });
+    expect(asked?.answeringVersion).toEqual('v2');
+    table.put({ ...entryOf('c', 'c@3'), softwareVersion: 'v3' });
+    expect(asked?.answeringVersion).toEqual('v3');
+    expect(asked?.entry.softwareVersion).toEqual('v1');
+  });
+
   it('still finds a leaving runner as a source of cached prompts', () => {
     table.markLeaving('a@1');
     expect(table.ofLife('a@1')?.entry.id).toEqual('a');
--- a/src/runners/RunnerTable.ts
+++ b/src/runners/RunnerTable.ts
@@ -203,6 +203,8 @@
 
   private add(entry: RunnerEntry): Runner {
     const runner = new Runner(entry, this.failureShareOf(entry.service));
+    const replaced = this.byId.get(entry.id);
+    if (replaced) replaced.successor = runner;
     this.remove(entry.id);
     this.byId.set(entry.id, runner);
     this.byLife.set(entry.life, runner);
--- a/src/runners/unavailability.spec.ts
+++ b/src/runners/unavailability.spec.ts
@@ -51,6 +51,16 @@
     expect(unavailabilityFor(table, 'chat', true)).toEqual({ reason: 'cold' });
   });
 
+  it('reports that no runner of the version that a stream needs is left', () => {
+    const runners = tableOf(['north', 'ready']);
+    const admission = new RunnerAdmission();
+    const question = { runners, admission, service: 'chat', now: NOW };
+    expect(unavailabilityOf({ ...question, softwareVersion: 'v2' })).toEqual({
+      reason: 'no_runner_of_version',
+    });
+    expect(unavailabilityOf({ ...question, softwareVersion: '' })).toEqual({ reason: 'no_runner' });
+  });
+
   it('reports that no home region of the request has a runner', () => {
     const runners = tableOf(['north', 'ready']);
     const admission = new RunnerAdmission({ regionOf: () => 'other' });
--- a/src/runners/unavailability.ts
+++ b/src/runners/unavailability.ts
@@ -2,15 +2,21 @@
  * Determines why a service has no runner for a request, and when the caller should retry.
  */
 import type { HomeRegions } from '../routes/homeRegions.js';
-import type { RunnerAdmission } from './RunnerAdmission.js';
+import { RunnerAdmission } from './RunnerAdmission.js';
 import type { RunnerTable } from './RunnerTable.js';
 
 /**
  * Why no runner is available. `full`: the runners are brittle, and what they can take is in use. `no_runner`: no runner is listed, or those that are have been tried or have no free
- * connection.
+ * connection. `no_runner_of_version`: no runner of the software version that began the stream is left.
  */
 export type UnavailableReason =
-  'no_runner' | 'asked_for_time' | 'evacuated' | 'no_home' | 'cold' | 'full';
+  | 'no_runner'
+  | 'no_runner_of_version'
+  | 'asked_for_time'
+  | 'evacuated'
+  | 'no_home'
+  | 'cold'
+  | 'full';
 
 /** Why a service has no runner for a request. */
 export interface Unavailability {
@@ -32,6 +38,8 @@
   readonly service: string;
   /** Regions whose runners may execute the request. */
   readonly homeRegions?: HomeRegions;
+  /** Software version that a stream goes on at; any version if left out. */
+  readonly softwareVersion?: string | undefined;
   /** Current time, monotonic ms. */
   readonly now: number;
 }
@@ -45,6 +53,7 @@
   admission,
   service,
   homeRegions,
+  softwareVersion,
   now,
 }: UnavailabilityQuestion): Unavailability {
   const all = runners.readyOf(service);
@@ -54,6 +63,9 @@
     if (!isEvacuated) return { reason: all.length > 0 ? 'no_home' : 'no_runner' };
     return { reason: 'evacuated', pauseMilliseconds: EVACUATION_RETRY_MILLISECONDS };
   }
+  if (!ready.some((runner) => RunnerAdmission.hasVersion(runner, softwareVersion))) {
+    return { reason: 'no_runner_of_version' };
+  }
   const pauseMilliseconds = Math.min(...ready.map(({ pausedUntil }) => pausedUntil - now));
   if (pauseMilliseconds > 0) return { reason: 'asked_for_time', pauseMilliseconds };
   if (ready.every((runner) => admission.isFull(runner, now))) return { reason: 'full' };
--- /dev/null
+++ b/src/streamVersions/StreamVersionSession.ts
@@ -0,0 +1,79 @@
+/**
+ * The software version of one request's stream: found before a caller's stream is taken up, and recorded where a new one
+ * begins.
+ */
+import type { AdmittedRequest } from '../forwarding/forwardingTypes.js';
+import type { StreamedAnswer } from '../forwarding/StreamedAnswer.js';
+import type { Runner } from '../runners/Runner.js';
+import type { StreamName } from './streamKey.js';
+import type { StreamVersionTask } from './StreamVersionTask.js';
+
+/** Options of a {@link StreamVersionSession}. */
+export interface StreamVersionSessionOptions {
+  request: AdmittedRequest;
+  /** Missing in fleets whose runners have no versions. */
+  task: Pick<StreamVersionTask, 'begin' | 'end' | 'find'> | undefined;
+  stream: StreamedAnswer;
+}
+
+/** Follows one request. */
+export class StreamVersionSession {
+  private readonly options: StreamVersionSessionOptions;
+
+  /** The stream, if it may be taken up later; it keeps the id of the attempt that it began with. */
+  private readonly name: StreamName | undefined;
+
+  /** The version that was recorded last. */
+  private recorded: string | undefined;
+
+  /**
+   * @param options - the request and its answer.
+   */
+  constructor(options: StreamVersionSessionOptions) {
+    const { service, clientAccount, route, takesUp, id, hasOwnId } = options.request;
+    this.options = options;
+    const firstId = takesUp ? takesUp.id : id;
+    const mayBeTakenUp = route.kind === 'stream' && route.resumable && hasOwnId;
+    if (mayBeTakenUp && firstId !== undefined) this.name = { service, clientAccount, id: firstId };
+  }
+
+  /** @returns Whether the version has to be found before the request is sent. */
+  get isUnknown(): boolean {
+    const { request, task, stream } = this.options;
+    return task !== undefined && request.takesUp !== undefined && !stream.isBound;
+  }
+
+  /**
+   * Finds the version and binds the stream to it.
+   *
+   * @param done - called once, with whether the version is known.
+   */
+  resolve(done: (isKnown: boolean) => void): void {
+    const { request, task, stream } = this.options;
+    const { service, clientAccount, takesUp } = request;
+    const name = { service, clientAccount, id: takesUp?.id ?? '' };
+    task?.find({ ...name, request: request.id }, (decision) => {
+      const isKnown = decision.evidence !== 'unknown';
+      if (isKnown) stream.bindTo(decision.softwareVersion);
+      done(isKnown);
+    });
+  }
+
+  /**
+   * Records the version at which the stream begins or goes on.
+   *
+   * @param runner - runner that the request is sent to, or that has sent an event.
+   */
+  record(runner: Runner): void {
+    const { task, stream } = this.options;
+    const softwareVersion = stream.softwareVersion ?? runner.answeringVersion;
+    if (!this.name || this.recorded === softwareVersion) return;
+    this.recorded = softwareVersion;
+    task?.begin(this.name, softwareVersion);
+  }
+
+  /** The request is over. */
+  end(): void {
+    if (this.name && this.recorded !== undefined) this.options.task?.end(this.name);
+  }
+}
--- /dev/null
+++ b/src/streamVersions/streamVersions.spec.ts
@@ -0,0 +1,154 @@
+import { describe, it } from 'node:test';
+
+import { expect } from 'earl';
+
+import { Runner } from '../runners/Runner.js';
+import type { DaemonEntry } from '../sync/FleetStore.js';
+import { ServiceVersions } from './ServiceVersions.js';
+import { StreamKeepers } from './StreamKeepers.js';
+import { streamKeyOf } from './streamKey.js';
+import { StreamRecords } from './StreamRecords.js';
+import { decideTakeUp } from './takeUpDecision.js';
+import type { TakeUpInput } from './takeUpDecision.js';
+
+function runnerOf(id: string, softwareVersion?: string): Runner {
+  const place = { host: '10.0.0.1', port: 80, dataCentre: 'here' };
+  return new Runner({ id, life: id, service: 'chat', state: 'ready', softwareVersion, ...place });
+}
+
+function daemonsOf(count: number): DaemonEntry[] {
+  return Array.from({ length: count }, (_, index) => {
+    const address = `10.0.0.${index}:7000`;
+    const addresses = { callerAddress: address, peerAddress: address, newsAddress: address };
+    return { name: `daemon-${index}`, dataCentre: 'here', ...addresses };
+  });
+}
+
+describe('decideTakeUp', () => {
+  const nothing = { recorded: undefined, only: undefined };
+  const onlyFirst = { recorded: undefined, only: 'v1' };
+  const cases: readonly (readonly [string, TakeUpInput, string | undefined])[] = [
+    [
+      'takes its own record',
+      { own: { recorded: 'v2', only: 'v1' }, others: [], isListCurrent: false },
+      'v2',
+    ],
+    [
+      'takes the record of another daemon, whatever it knows itself',
+      { own: onlyFirst, others: [nothing, { recorded: 'v2', only: 'v1' }], isListCurrent: true },
+      'v2',
+    ],
+    [
+      'needs no record where there is one version',
+      { own: onlyFirst, others: [], isListCurrent: true },
+      'v1',
+    ],
+    [
+      'is confirmed by another daemon while the store is away',
+      { own: onlyFirst, others: [onlyFirst], isListCurrent: false },
+      'v1',
+    ],
+    [
+      'guesses nothing where nobody confirms an old list',
+      { own: onlyFirst, others: [], isListCurrent: false },
+      undefined,
+    ],
+    [
+      'guesses nothing where another daemon has seen more versions',
+      { own: onlyFirst, others: [onlyFirst, nothing], isListCurrent: true },
+      undefined,
+    ],
+    [
+      'guesses nothing between several versions',
+      { own: nothing, others: [nothing], isListCurrent: true },
+      undefined,
+    ],
+  ];
+
+  for (const [name, input, expected] of cases) {
+    it(name, () => {
+      const decision = decideTakeUp(input);
+      expect(decision.evidence === 'unknown' ? undefined : decision.softwareVersion).toEqual(
+        expected,
+      );
+    });
+  }
+});
+
+describe('streamKeyOf', () => {
+  it('is another one for another account or service, whose streams a caller must learn nothing of', () => {
+    const name = { service: 's', clientAccount: 'a', id: 'i' };
+    const keys = [
+      name,
+      { ...name, service: 't' },
+      { ...name, clientAccount: 'b' },
+      { ...name, clientAccount: undefined },
+      { service: 's', clientAccount: 'ai', id: '' },
+    ].map(streamKeyOf);
+    expect(new Set(keys).size).toEqual(keys.length);
+    expect(streamKeyOf({ ...name })).toEqual(keys[0] ?? 0n);
+  });
+});
+
+describe(ServiceVersions.name, () => {
+  it('still knows of a version whose last runner has left', () => {
+    const versions = new ServiceVersions();
+    versions.see([runnerOf('a', 'v1'), runnerOf('b', 'v2')], 1_000);
+    versions.see([runnerOf('b', 'v2')], 2_000);
+    expect(versions.onlyVersionOf('chat', 1_000)).toEqual(undefined);
+    expect(versions.onlyVersionOf('chat', 1_001)).toEqual('v2');
+    expect(versions.onlyVersionOf('other', 0)).toEqual(undefined);
+  });
+
+  it('counts runners without a version as runners of the same one', () => {
+    const versions = new ServiceVersions();
+    versions.see([runnerOf('a'), runnerOf('b')], 1_000);
+    expect(versions.onlyVersionOf('chat', 0)).toEqual('');
+    expect([999, 1_000].map((from) => versions.isKnownSince('chat', from))).toEqual([false, true]);
+  });
+});
+
+describe(StreamRecords.name, () => {
+  it('keeps each record for the retention at least, and for twice as long at most', () => {
+    const records = new StreamRecords();
+    records.expire(0, 1_000);
+    records.record(1n, 'v1');
+    for (let now = 0; now < 1_999; now += 100) records.expire(now, 1_000);
+    expect(records.versionOf(1n)).toEqual('v1');
+    records.expire(2_000, 1_000);
+    expect(records.versionOf(1n)).toEqual(undefined);
+  });
+});
+
+describe(StreamKeepers.name, () => {
+  it('has all daemons of a small fleet keep a record, and four of a large one', () => {
+    const keepers = new StreamKeepers();
+    keepers.update(daemonsOf(9));
+    expect(keepers.keepersOf(5n).length).toEqual(9);
+    keepers.update(daemonsOf(300));
+    expect(keepers.keepersOf(5n).length).toEqual(4);
+  });
+
+  it('asks the keepers first, also where a daemon has joined since', () => {
+    const [before, after] = [new StreamKeepers(), new StreamKeepers()];
+    before.update(daemonsOf(299));
+    after.update(daemonsOf(300));
+    for (let stream = 0n; stream < 64n; stream += 1n) {
+      const asked = after.askableFor(stream).slice(0, 5);
+      const names = asked.map(({ name }) => name);
+      expect(before.keepersOf(stream).every(({ name }) => names.includes(name))).toEqual(true);
+    }
+  });
+
+  it('spreads the records over the fleet', () => {
+    const keepers = new StreamKeepers();
+    keepers.update(daemonsOf(60));
+    const counts = new Map<string, number>();
+    for (let stream = 0n; stream < 256n; stream += 1n) {
+      for (const { name } of keepers.keepersOf(stream)) {
+        counts.set(name, (counts.get(name) ?? 0) + 1);
+      }
+    }
+    expect(Math.max(...counts.values())).toBeLessThan((3 * 4 * 256) / 60);
+  });
+});
--- /dev/null
+++ b/src/streamVersions/testStreamFleet.ts
@@ -0,0 +1,336 @@
+/**
+ * Simulates, in virtual time, a fleet before runners of several software versions: the real records of all daemons, over a
+ * network that loses messages, with streams that their callers take up again at other daemons.
+ */
+import type { MessageKind } from '../generated/baobabdock/v1/news_pb.js';
+import type { HostAndPort } from '../http/parseAddress.js';
+import { SilentLog } from '../logging/Log.js';
+import { MetricRegistry } from '../metrics/MetricRegistry.js';
+import { seededRandom } from '../random/seededRandom.js';
+import { RunnerTable } from '../runners/RunnerTable.js';
+import type { DaemonEntry } from '../sync/FleetStore.js';
+import { ManualClock } from '../time/ManualClock.js';
+import { StreamVersionTask } from './StreamVersionTask.js';
+
+/** Options of a {@link TestStreamFleet}. */
+export interface TestStreamFleetOptions {
+  daemons: number;
+  runners: number;
+  seed: number;
+  /** Streams that begin per second, at all daemons together. */
+  streamsPerSecond: number;
+  /** Share of datagrams that get lost, from 0 to 1. */
+  loss?: number;
+  /** Share of streams whose callers lose them without a fault of a daemon. */
+  lostByCallers?: number;
+}
+
+/** What became of the streams that callers took up again. */
+export interface TakeUpTally {
+  /** All of them. */
+  taken: number;
+  /** Those that went on at a version that had not begun them. */
+  mixed: number;
+  /** Those at daemons in touch, while two runners of the version were ready. */
+  owed: number;
+  /** Those of the owed that went on. */
+  wentOn: number;
+}
+
+type Handler = (message: Uint8Array) => void;
+
+const SERVICE = 'chat';
+const FIRST_VERSION = 'v1';
+const LONGEST_STREAM_MILLISECONDS = 15_000;
+const LONGEST_DELAY_MILLISECONDS = 6;
+const SHORTEST_STREAM_MILLISECONDS = 300;
+const STREAM_MILLISECONDS = 3_000;
+
+/** Time until a daemon has learnt of a change of the list of runners, at most; in ms. */
+const LEARNING_MILLISECONDS = 800;
+
+/** Time until other daemons know that one has ended, in ms. */
+const DETECTION_MILLISECONDS = 1_200;
+
+const DOWN_MILLISECONDS = 1_000;
+
+/** A daemon is in touch when it has worked for this long without a fault, in ms. */
+const CONTACT_MILLISECONDS = 3_000;
+
+/** A daemon of the fleet. */
+export interface TestStreamDaemon {
+  readonly entry: DaemonEntry;
+  task: StreamVersionTask;
+  runners: RunnerTable;
+  handlers: Map<MessageKind, Handler>;
+  /** Grows with each start. */
+  life: number;
+  isUp: boolean;
+  /** Whether it reaches neither the store nor other daemons. */
+  isCut: boolean;
+  /** When its last fault ended, monotonic ms. */
+  soundSince: number;
+  /** When it last ended, monotonic ms. */
+  endedAt: number;
+  /** Streams in progress. */
+  readonly streams: Set<TestStream>;
+}
+
+interface TestStream {
+  readonly id: string;
+  readonly softwareVersion: string;
+  until: number;
+}
+
+/** Simulates daemons, runners, callers and the network. */
+export class TestStreamFleet {
+  readonly daemons: TestStreamDaemon[] = [];
+
+  readonly clock = new ManualClock();
+
+  readonly tally: TakeUpTally = { taken: 0, mixed: 0, owed: 0, wentOn: 0 };
+
+  /** Datagrams that daemons have sent. */
+  sent = 0;
+
+  readonly random: () => number;
+
+  private readonly options: Required<TestStreamFleetOptions>;
+
+  /** Version of each runner, by position. */
+  private readonly versions: string[];
+
+  private readonly calls = new Map<number, (() => void)[]>();
+
+  private readonly byAddress = new Map<string, TestStreamDaemon>();
+
+  private nextStream = 0;
+
+  /**
+   * @param options - size of the fleet, its load, and the seed of the random numbers.
+   */
+  constructor(options: TestStreamFleetOptions) {
+    this.options = { loss: 0.02, lostByCallers: 0.02, ...options };
+    this.random = seededRandom(options.seed);
+    this.versions = Array.from({ length: options.runners }, () => FIRST_VERSION);
+    for (let index = 0; index < options.daemons; index += 1) {
+      const address = `10.1.${Math.floor(index / 250)}.${1 + (index % 250)}:7000`;
+      const addresses = { callerAddress: address, peerAddress: address, newsAddress: address };
+      const entry = { name: `daemon-${index}`, dataCentre: 'here', ...addresses };
+      const daemon = {
+        ...{ entry, life: 0, isUp: false, isCut: false },
+        ...{ soundSince: -CONTACT_MILLISECONDS, endedAt: Number.NEGATIVE_INFINITY },
+        handlers: new Map<MessageKind, Handler>(),
+        runners: new RunnerTable(),
+        streams: new Set<TestStream>(),
+      } as Partial<TestStreamDaemon> as TestStreamDaemon;
+      this.daemons.push(daemon);
+      this.byAddress.set(address, daemon);
+    }
+    for (const daemon of this.daemons) this.boot(daemon);
+  }
+
+  /** @returns Monotonic milliseconds. */
+  get now(): number {
+    return this.clock.monotonicMilliseconds();
+  }
+
+  /**
+   * Ends a daemon without notice; it starts again a second later. Callers take its streams up at other daemons.
+   *
+   * @param daemon - the daemon.
+   */
+  kill(daemon: TestStreamDaemon): void {
+    if (!daemon.isUp) return;
+    daemon.task.stop();
+    Object.assign(daemon, { isUp: false, endedAt: this.now });
+    for (const stream of daemon.streams) this.takeUpLater(stream);
+    daemon.streams.clear();
+    this.after(DOWN_MILLISECONDS, () => this.boot(daemon));
+  }
+
+  /**
+   * Cuts a daemon off from the store and from other daemons; callers still reach it.
+   *
+   * @param daemon - the daemon.
+   * @param milliseconds - for how long.
+   */
+  cut(daemon: TestStreamDaemon, milliseconds: number): void {
+    Object.assign(daemon, { isCut: true });
+    this.after(milliseconds, () => {
+      Object.assign(daemon, { isCut: false, soundSince: this.now });
+      this.learnAll(daemon);
+    });
+  }
+
+  /**
+   * Replaces a runner by one of another version.
+   *
+   * @param index - position of the runner.
+   * @param softwareVersion - version of the new one.
+   */
+  replace(index: number, softwareVersion: string): void {
+    this.versions[index] = softwareVersion;
+    for (const daemon of this.daemons) {
+      this.after(this.random() * LEARNING_MILLISECONDS, () => this.learn(daemon, index));
+    }
+  }
+
+  /**
+   * Advances virtual time, in which streams begin.
+   *
+   * @param milliseconds - by how much.
+   */
+  play(milliseconds: number): void {
+    const end = this.now + milliseconds;
+    const share = this.options.streamsPerSecond / 1_000;
+    while (this.now < end) {
+      this.clock.advance(1);
+      const calls = this.calls.get(this.now) ?? [];
+      this.calls.delete(this.now);
+      for (const call of calls) call();
+      for (let left = share; left > 0; left -= 1) if (this.random() < left) this.beginStream();
+    }
+  }
+
+  /**
+   * @param milliseconds - from now on.
+   * @param call - what happens then.
+   */
+  after(milliseconds: number, call: () => void): void {
+    const at = Math.floor(this.now) + Math.max(1, Math.round(milliseconds));
+    this.calls.set(at, [...(this.calls.get(at) ?? []), call]);
+  }
+
+  private boot(daemon: TestStreamDaemon): void {
+    const life = daemon.life + 1;
+    const handlers = new Map<MessageKind, Handler>();
+    Object.assign(daemon, {
+      ...{ life, handlers, isUp: true, soundSince: Math.max(this.now, daemon.soundSince) },
+      runners: new RunnerTable(),
+    });
+    if (life === 1) Object.assign(daemon, { soundSince: -CONTACT_MILLISECONDS });
+    this.learnAll(daemon);
+    const task = new StreamVersionTask({
+      daemon: daemon.entry,
+      socket: {
+        handle: (kind: MessageKind, handler: Handler) => {
+          handlers.set(kind, handler);
+        },
+        send: (kind, message, recipients) => this.deliver(daemon, kind, message, recipients),
+      },
+      runners: () => daemon.runners.list(),
+      daemons: () => this.availableTo(daemon),
+      isListCurrent: () => !daemon.isCut,
+      longestStreamMilliseconds: () => LONGEST_STREAM_MILLISECONDS,
+      clock: this.clock,
+      log: new SilentLog(),
+      registry: new MetricRegistry({ clock: this.clock }),
+      later: (call, milliseconds) =>
+        this.after(milliseconds, () => {
+          if (daemon.isUp && daemon.life === life) call();
+        }),
+    });
+    Object.assign(daemon, { task });
+    task.start();
+  }
+
+  private availableTo(daemon: TestStreamDaemon): DaemonEntry[] {
+    const isKnownDead = ({ isUp, endedAt }: TestStreamDaemon) =>
+      !isUp && this.now - endedAt >= DETECTION_MILLISECONDS;
+    return this.daemons
+      .filter((other) => other !== daemon && !isKnownDead(other))
+      .map(({ entry }) => entry);
+  }
+
+  private deliver(
+    from: TestStreamDaemon,
+    kind: MessageKind,
+    message: Uint8Array,
+    recipients: readonly HostAndPort[],
+  ): void {
+    this.sent += recipients.length;
+    for (const { host, port } of recipients) {
+      const to = this.byAddress.get(`${host}:${port}`);
+      if (!to || from.isCut || this.random() < this.options.loss) continue;
+      this.after(this.random() * LONGEST_DELAY_MILLISECONDS, () => {
+        if (to.isUp && !to.isCut) to.handlers.get(kind)?.(message);
+      });
+    }
+  }
+
+  private learnAll(daemon: TestStreamDaemon): void {
+    for (const index of this.versions.keys()) this.learn(daemon, index);
+  }
+
+  private learn(daemon: TestStreamDaemon, index: number): void {
+    if (daemon.isCut) return;
+    const softwareVersion = this.versions[index];
+    const id = `runner-${index}`;
+    const life = `${id}@${softwareVersion}`;
+    const place = { host: '10.0.0.1', port: 8_000 + index, dataCentre: 'here' };
+    daemon.runners.put({ id, life, service: SERVICE, state: 'ready', softwareVersion, ...place });
+  }
+
+  private anyOf<T>(list: readonly T[]): T | undefined {
+    return list[Math.floor(this.random() * list.length)];
+  }
+
+  private anyDaemon(): TestStreamDaemon | undefined {
+    return this.anyOf(this.daemons.filter(({ isUp }) => isUp));
+  }
+
+  private beginStream(): void {
+    const daemon = this.anyDaemon();
+    if (!daemon) return;
+    const runner = this.anyOf(daemon.runners.readyOf(SERVICE));
+    const index = Number(runner?.entry.id.split('-')[1]);
+    // A runner that was replaced meanwhile says that it is another one, and does not run the request.
+    if (!runner || runner.entry.softwareVersion !== this.versions[index]) return;
+    this.nextStream += 1;
+    const duration = SHORTEST_STREAM_MILLISECONDS + this.random() * STREAM_MILLISECONDS;
+    const { softwareVersion = '' } = runner.entry;
+    const stream = { id: `stream-${this.nextStream}`, softwareVersion, until: this.now + duration };
+    this.serve(daemon, stream);
+    if (this.random() >= this.options.lostByCallers) return;
+    this.after(this.random() * duration, () => {
+      if (daemon.streams.delete(stream)) this.takeUpLater(stream);
+    });
+  }
+
+  private serve(daemon: TestStreamDaemon, stream: TestStream): void {
+    const name = { service: SERVICE, clientAccount: undefined, id: stream.id };
+    daemon.task.begin(name, stream.softwareVersion);
+    daemon.streams.add(stream);
+    const { task } = daemon;
+    this.after(stream.until - this.now, () => {
+      daemon.streams.delete(stream);
+      task.end(name);
+    });
+  }
+
+  private takeUpLater(stream: TestStream): void {
+    this.after(5 + this.random() * 100, () => this.takeUp(stream));
+  }
+
+  private takeUp(stream: TestStream): void {
+    const daemon = this.anyDaemon();
+    if (!daemon) return;
+    const { tally } = this;
+    const { softwareVersion } = stream;
+    const name = { service: SERVICE, clientAccount: undefined, id: stream.id };
+    const left = this.versions.filter((version) => version === softwareVersion).length;
+    const isInTouch = !daemon.isCut && this.now - daemon.soundSince >= CONTACT_MILLISECONDS;
+    const isOwed = isInTouch && left >= 2;
+    tally.taken += 1;
+    tally.owed += Number(isOwed);
+    daemon.task.find({ ...name, request: `${stream.id} again` }, (decision) => {
+      if (decision.evidence === 'unknown') return;
+      const isMixed = decision.softwareVersion !== softwareVersion;
+      tally.mixed += Number(isMixed);
+      if (isMixed || !daemon.isUp) return;
+      tally.wentOn += Number(isOwed);
+      this.serve(daemon, { ...stream, until: this.now + STREAM_MILLISECONDS });
+    });
+  }
+}
--- a/tests/softwareVersions.spec.ts
+++ b/tests/softwareVersions.spec.ts
@@ -2,6 +2,7 @@
  * Streams while runners of two software versions serve side by side: what two versions write does not fit together.
  */
 import { afterEach, describe, it } from 'node:test';
+import { setTimeout as pause } from 'node:timers/promises';
 
 import { expect } from 'earl';
 
@@ -21,6 +22,9 @@
 
 const EVENTS = 8;
 
+/** Streams that may hold events of two versions: it is not known at once that a runner has started again. */
+const ALLOWED_MIXED = 2;
+
 const OK = 200;
 
 const UNAVAILABLE = 503;
@@ -47,25 +51,34 @@
   let runners: SiteRunner[];
   let nextId = 0;
 
+  /** Versions at which each attempt ran, by its id. */
+  const ranAt = new Map<string, Set<string>>();
+
   function knowsAll({ daemon: { knowledge } }: SiteDaemon): boolean {
     const isWhole = knowledge.runners.size === runners.length && knowledge.secret !== undefined;
     return isWhole && knowledge.daemons.size === DAEMONS;
   }
 
+  async function addEngine(index: number, version: string): Promise<SiteRunner> {
+    const runner: SiteRunner = await site.addRunner({
+      id: `engine-${index + 1}`,
+      service: 'engine',
+      version,
+      events: EVENTS,
+      eventMilliseconds: 4,
+      onRan: ({ id = '' }) => {
+        ranAt.set(id, new Set([...(ranAt.get(id) ?? []), runner.version]));
+      },
+    });
+    return runner;
+  }
+
   async function start(versions = ['v1', 'v1.2']): Promise<void> {
     site = new StandInSite({ retryRatio: 2 });
     await site.start();
     runners = [];
     for (let index = 0; index < 2 * RUNNERS_OF_VERSION; index += 1) {
-      runners.push(
-        await site.addRunner({
-          id: `engine-${index + 1}`,
-          service: 'engine',
-          version: versions[index % versions.length]!,
-          events: EVENTS,
-          eventMilliseconds: 4,
-        }),
-      );
+      runners.push(await addEngine(index, versions[index % versions.length]!));
     }
     for (let index = 0; index < DAEMONS; index += 1) {
       const seeds = site.daemons.map(({ settings }) => settings.addresses.peers).slice(0, 3);
@@ -107,10 +120,7 @@
   }
 
   function versionsOf(...ids: readonly string[]): Set<string> {
-    const ran = runners.filter((runner) =>
-      runner.ran.some(({ id }) => id !== undefined && ids.includes(id)),
-    );
-    return new Set(ran.map(({ version }) => version));
+    return new Set(ids.flatMap((id) => [...(ranAt.get(id) ?? [])]));
   }
 
   it('go on, within one answer, at the version that began them', async () => {
@@ -143,6 +153,29 @@
     expect(whole.length).toEqual(STREAMS);
   });
 
+  it('do not mix while runners start again, under their ids and addresses, at the other version', async () => {
+    // Guards against a runner that is taken for the one that had its id before.
+    await start(['v1']);
+    const streams: Promise<Set<string>>[] = [];
+    for (const runner of runners.slice(0, -2)) {
+      for (let count = 0; count < STREAMS / 4; count += 1) {
+        const stream = begin(streams.length);
+        streams.push(
+          stream.then(async (begun) => {
+            const { secondId } = await takeUp(begun);
+            return versionsOf(begun.id, secondId);
+          }),
+        );
+        await pause(3);
+      }
+      runner.version = 'v1.2';
+      runner.restart();
+      site.store.write(`servers/${runner.id}`, runner.entry());
+    }
+    const mixed = (await Promise.all(streams)).filter((versions) => versions.size > 1);
+    expect(mixed.length).toBeLessThanOrEqual(ALLOWED_MIXED);
+  });
+
   it('are refused as not run when no runner of their version is left', async () => {
     // Guards against going on at another version because there is no runner of the right one.
     await start();
