Soak: runners of two software versions, callers who take streams up again

Half of the runners have each version, and a runner that starts again under its id does so at the other one. Callers lose a twentieth of the chats after five events, and take these and all others that broke off up at a daemon of their choice, with Last-Event-Id and Resumes. Checked: at most two streams hold events of two versions; of twelve or more taken up at daemons in touch while two runners of their version serve, half go on.

--- a/soak/SoakCallers.ts
+++ b/soak/SoakCallers.ts
@@ -8,6 +8,8 @@
 import { fetchText } from '../standIns/site/SiteProcess.js';
 import type { SoakDaemon } from './SoakDaemon.js';
 
+const OK = 200;
+
 /** What a request is for; `look` finds out which configuration is in force. */
 export type CallKind = 'read' | 'order' | 'chat' | 'story' | 'look';
 
@@ -25,6 +27,32 @@
   readonly answer: SiteAnswer | undefined;
   /** The error's code where no answer began. */
   readonly failure: string | undefined;
+  /** The stream that broke off and goes on with this request. */
+  readonly takesUp?: BrokenStream | undefined;
+  /** Whether its caller broke the connection off after some events, to take the stream up again. */
+  readonly hasLeft?: boolean;
+}
+
+/** A stream that broke off after its first event. */
+export interface BrokenStream {
+  /** Id of the request that brought the first event. */
+  readonly first: string;
+  /** Number of events that the caller has. */
+  readonly events: number;
+}
+
+function eventsIn(body: string): number {
+  return body.match(/\n\n/gu)?.length ?? 0;
+}
+
+/**
+ * @param call - that is over.
+ * @returns The stream that its caller takes up again; `undefined` if there is none.
+ */
+export function brokenStreamOf({ id, kind, answer, takesUp }: Call): BrokenStream | undefined {
+  if (kind !== 'chat' || takesUp || answer?.status !== OK || answer.isComplete) return undefined;
+  const events = eventsIn(answer.body);
+  return events > 0 ? { first: id, events } : undefined;
 }
 
 /** Options of {@link SoakCallers}. */
@@ -37,6 +65,17 @@
   onEnd: (call: Call) => void;
 }
 
+interface SoakRequest {
+  readonly daemon: SoakDaemon;
+  readonly kind: CallKind;
+  readonly path: string;
+  /** Called when the answer begins. */
+  readonly onData?: (() => void) | undefined;
+  /** Body of a request that comes again; one of its own by default. */
+  readonly body?: string | undefined;
+  readonly takesUp?: BrokenStream | undefined;
+}
+
 /** Callers hear nothing for longer than any daemon may take, in ms. */
 const GIVE_UP_MILLISECONDS = 20_000;
 
@@ -46,6 +85,11 @@
 /** These callers keep to a daemon until its process is gone, whatever the directory says. */
 const LOYAL_SHARE = 0.25;
 
+/** Share of the chats whose callers lose them and take them up at another daemon. */
+const LEAVING_SHARE = 0.05;
+
+const EVENTS_BEFORE_LEAVING = 5;
+
 /** Shares of the kinds, summed up. */
 const KINDS: readonly (readonly [CallKind, number])[] = [
   ['chat', 0.45],
@@ -56,8 +100,6 @@
 
 const PROMPTS = 20;
 
-const OK = 200;
-
 /** The error of a caller who heard nothing. */
 export const NOTHING_HEARD = 'nothing_heard';
 
@@ -119,7 +161,15 @@
     onData: () => void = () => undefined,
     body?: string,
   ): Promise<Call> {
-    const call = this.send(daemon, kind, path, onData, body);
+    const ended = await this.follow(this.send({ daemon, kind, path, onData, body }));
+    const takesUp = brokenStreamOf(ended);
+    if (takesUp) {
+      void this.follow(this.send({ daemon: this.choose(), kind, path, body: ended.body, takesUp }));
+    }
+    return ended;
+  }
+
+  private async follow(call: Promise<Call>): Promise<Call> {
     this.pending.add(call);
     const ended = await call;
     this.pending.delete(call);
@@ -127,29 +177,40 @@
     return ended;
   }
 
-  private async send(
-    { index, callersAddress: address }: SoakDaemon,
-    kind: CallKind,
-    path: string,
-    onData: () => void,
-    repeated: string | undefined,
-  ): Promise<Call> {
+  private async send({
+    daemon: { index, callersAddress: address },
+    kind,
+    path,
+    onData,
+    body: repeated,
+    takesUp,
+  }: SoakRequest): Promise<Call> {
     this.sent += 1;
     const id = `call-${this.sent}`;
     const body = repeated ?? `body of ${id}`;
-    const call = { id, kind, daemon: index, path, body, sentAt: performance.now() };
+    const call = { id, kind, daemon: index, path, body, takesUp, sentAt: performance.now() };
     const prompt = `a${this.sent % PROMPTS}:2000,b${this.sent}:50`;
     const isStream = kind === 'chat' || kind === 'story';
-    const headers = { 'Attempt-Id': id, ...(isStream && { 'Prompt-Prefix': prompt, Model: 'm' }) };
+    const headers = {
+      'Attempt-Id': id,
+      ...(isStream && { 'Prompt-Prefix': prompt, Model: 'm' }),
+      ...(takesUp && { 'Last-Event-Id': String(takesUp.events), Resumes: takesUp.first }),
+    };
     const agent = this.agentOf(index);
+    let hasLeft = false;
+    const mayLeave = kind === 'chat' && !takesUp && this.options.random() < LEAVING_SHARE;
+    const leaves = (received: string) => {
+      hasLeft ||= mayLeave && eventsIn(received) >= EVENTS_BEFORE_LEAVING;
+      return hasLeft;
+    };
     const result = await Promise.race([
       SoakCallers.giveUp(),
-      callSite({ address, path, body, headers, agent, onData }).then(
+      callSite({ address, path, body, headers, agent, onData, leaves }).then(
         (answer) => ({ answer, failure: undefined }),
         (error: NodeJS.ErrnoException) => ({ answer: undefined, failure: error.code ?? 'error' }),
       ),
     ]);
-    return { ...call, ...result, endedAt: performance.now() };
+    return { ...call, ...result, hasLeft, endedAt: performance.now() };
   }
 
   private static giveUp(): Promise<Pick<Call, 'answer' | 'failure'>> {
--- a/soak/SoakSite.ts
+++ b/soak/SoakSite.ts
@@ -38,6 +38,9 @@
  */
 const UNFRAMED_EVERY = 4;
 
+/** Half of the runners have each; what two versions write does not fit together. */
+export const SOFTWARE_VERSIONS = ['v1', 'v1.1'] as const;
+
 /** Of the large configurations. */
 const LARGE_ROUTES = 1_400;
 
@@ -190,6 +193,7 @@
       service,
       dataCentre,
       echoes: true,
+      version: SOFTWARE_VERSIONS[Math.floor(this.nextRunner / UNFRAMED_EVERY) % 2]!,
       isUnframed: this.nextRunner % UNFRAMED_EVERY < 2,
       events: EVENTS,
       eventMilliseconds: EVENT_MILLISECONDS,
--- /dev/null
+++ b/soak/checks/VersionChecks.ts
@@ -0,0 +1,82 @@
+/**
+ * What callers are promised of streams while runners of several software versions serve.
+ */
+import type { SiteRunner } from '../../standIns/site/SiteRunner.js';
+import type { Call } from '../SoakCallers.js';
+import type { Contact } from './Contact.js';
+import type { Violations } from './Violations.js';
+
+const OK = 200;
+
+/** Streams that may hold events of two versions: it is not known at once that a runner has started again. */
+const ALLOWED_MIXED = 2;
+
+/** Of so many streams that are taken up, at least half as many go on as new ones begin, which all do. */
+const COUNTED_TAKE_UPS = 12;
+const LEAST_SHARE = 0.5;
+
+/** Runners of a version that have to serve for its streams to go on. */
+const LEAST_RUNNERS = 2;
+
+/** Options of {@link VersionChecks}. */
+export interface VersionChecksOptions {
+  contact: Contact;
+  violations: Violations;
+  calls: ReadonlyMap<string, Call>;
+  /** Runners that neither crashed nor left. */
+  runners: ReadonlyMap<string, SiteRunner>;
+}
+
+function versionsIn({ answer }: Call): Set<string> {
+  const found = answer?.body.matchAll(/^data: .* by (\S+)$/gmu) ?? [];
+  return new Set([...found].map(([, version]) => version ?? ''));
+}
+
+/** Looks at each stream that is taken up when that is over, and at all streams in the end. */
+export class VersionChecks {
+  private readonly options: VersionChecksOptions;
+
+  private owed = 0;
+
+  private wentOn = 0;
+
+  /**
+   * @param options - faults, calls and runners.
+   */
+  constructor(options: VersionChecksOptions) {
+    this.options = options;
+  }
+
+  /**
+   * @param call - that is over.
+   */
+  look(call: Call): void {
+    const { contact, calls, runners } = this.options;
+    const first = call.takesUp && calls.get(call.takesUp.first);
+    if (!first || !contact.holds(call.daemon, call.sentAt, call.endedAt)) return;
+    const [version] = versionsIn(first);
+    const serving = [...runners.values()].filter(
+      (runner) => runner.id.startsWith('engine') && runner.version === version,
+    );
+    if (serving.length < LEAST_RUNNERS) return;
+    this.owed += 1;
+    this.wentOn += Number(call.answer?.status === OK);
+  }
+
+  /** Looks at all streams; none may be under way. */
+  lookAtAll(): void {
+    const { calls, violations } = this.options;
+    const mixed = [...calls.values()].filter((call) => {
+      const first = call.takesUp && calls.get(call.takesUp.first);
+      const before = first ? versionsIn(first) : [];
+      return new Set([...versionsIn(call), ...before]).size > 1;
+    });
+    const ids = () => `${mixed.length} streams are mixed: ${mixed.map(({ id }) => id).join(' ')}`;
+    const isPure = mixed.length <= ALLOWED_MIXED;
+    violations.check('streams are of one software version', isPure, ids, mixed[0]?.id);
+    if (this.owed < COUNTED_TAKE_UPS) return;
+    const told = () => `${this.wentOn} of ${this.owed} streams went on`;
+    const isKept = this.wentOn >= this.owed * LEAST_SHARE;
+    violations.check('streams go on at their software version', isKept, told);
+  }
+}
--- a/soak/faults/runnerFaults.ts
+++ b/soak/faults/runnerFaults.ts
@@ -5,6 +5,7 @@
 
 import type { SiteRunner } from '../../standIns/site/SiteRunner.js';
 import type { RunnerBehaviour } from '../../standIns/site/siteRunnerTypes.js';
+import { SOFTWARE_VERSIONS } from '../SoakSite.js';
 import type { SoakService } from '../SoakSite.js';
 import { CHANGE_BOUND_MILLISECONDS, FATAL_BODY, TIMEOUT_MILLISECONDS } from '../soakBounds.js';
 import type { FaultGround } from './Fault.js';
@@ -84,7 +85,7 @@
   }
 }
 
-/** A runner starts again under its id, and knows nothing. */
+/** A runner starts again under its id, at the other software version, and knows nothing. */
 export class RunnerRestart extends Fault {
   private readonly service: SoakService = this.draw.one(SERVICES);
 
@@ -97,6 +98,8 @@
     const text = `${runner.id} starts again`;
     await this.last(ground, { kind: 'runner', runner: runner.id, text }, 0, {
       begin: () => {
+        const [first, second] = SOFTWARE_VERSIONS;
+        runner.version = runner.version === first ? second : first;
         runner.restart();
         site.list(runner);
       },
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -15,11 +15,13 @@
 import { PathChecks } from './checks/PathChecks.js';
 import { checkRecovery } from './checks/recovery.js';
 import { StatementChecks } from './checks/StatementChecks.js';
+import { VersionChecks } from './checks/VersionChecks.js';
 import { Violations } from './checks/Violations.js';
 import { Draw } from './faults/Fault.js';
 import { planFaults } from './faults/faultPlan.js';
 import type { PlannedFault } from './faults/faultPlan.js';
 import { SoakCallers } from './SoakCallers.js';
+import type { Call } from './SoakCallers.js';
 import { SoakSite } from './SoakSite.js';
 
 /** Options of {@link runSoak}. */
@@ -54,7 +56,8 @@
   const statements = new StatementChecks({ runs, history, contact, violations, calls });
   const configurations = new ConfigurationChecks({ site, contact, violations });
   const paths = new PathChecks({ history, contact, violations, calls, daemons: daemons.length });
-  return { violations, answers, drains, statements, configurations, paths };
+  const versions = new VersionChecks({ contact, violations, calls, runners: site.runners });
+  return { violations, answers, drains, statements, configurations, paths, versions };
 }
 
 async function play(plan: readonly PlannedFault[], start: (one: PlannedFault) => Promise<void>) {
@@ -68,10 +71,15 @@
 async function soak(site: SoakSite, options: SoakOptions): Promise<Violations> {
   const { seed, seconds, rate = 40, plan = planFaults } = options;
   const { daemons } = site;
-  const { violations, answers, drains, statements, configurations, paths } = createChecks(site);
+  const checks = createChecks(site);
+  const { violations, answers, drains, statements, configurations, paths, versions } = checks;
   const planned = plan(new Draw(seededRandom(seed), daemons.length), seconds);
   const random = seededRandom(seed + 1);
-  const callers = new SoakCallers({ daemons, random, rate, onEnd: (call) => answers.look(call) });
+  const onEnd = (call: Call) => {
+    answers.look(call);
+    versions.look(call);
+  };
+  const callers = new SoakCallers({ daemons, random, rate, onEnd });
   await callers.start();
   configurations.start(callers);
   await play(planned, ({ fault }) => fault.play({ site, callers, drains, violations }));
@@ -82,6 +90,7 @@
   drains.look();
   statements.look();
   paths.look();
+  versions.lookAtAll();
   for (const complaint of daemons.flatMap(({ complaints }) => complaints)) {
     violations.check('processes go on', false, () => complaint);
   }
--- a/standIns/site/SiteRunner.ts
+++ b/standIns/site/SiteRunner.ts
@@ -307,7 +307,7 @@
   private async stream(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const id = request.headers['attempt-id'] as string | undefined;
     const after = Number(request.headers['last-event-id'] ?? 0);
-    const { behaviour } = this;
+    const { behaviour, version } = this;
     const isUnframed = this.options.isUnframed || behaviour === 'ends_stream_early';
     this.frame(response, isUnframed);
     response.writeHead(200, { ...this.headersFor(id), 'Content-Type': 'text/event-stream' });
@@ -321,7 +321,8 @@
         else response.end();
         return;
       }
-      response.write(`id: ${event}\ndata: token ${event}${this.echoOf(id)}\n\n`);
+      const by = this.options.echoes ? ` by ${version}` : '';
+      response.write(`id: ${event}\ndata: token ${event}${this.echoOf(id)}${by}\n\n`);
       await this.pause(this.options.eventMilliseconds);
     }
     response.end();
--- a/standIns/site/siteRunnerTypes.ts
+++ b/standIns/site/siteRunnerTypes.ts
@@ -57,7 +57,7 @@
   workMilliseconds?: number;
   /** Body of a plain answer. */
   plainBody?: string;
-  /** Whether answers and events contain the id of their request. */
+  /** Whether answers and events contain the id of their request, and events the version of the software. */
   echoes?: boolean;
   /** Called for each request that starts to run, with the IP address of its sender. */
   onRan?: (request: ReceivedRequest, from: string) => void;
