Send nothing to a runner for a caller that has left meanwhile

Found by reading: a request whose caller leaves while a coordinator is asked for its runner (in large fleets), or while the version of its stream is looked for, was sent to a runner all the same, since only a finished answer ended it. Both cases fail before (one request at the runner), none after: the answer counts as done once its caller has disconnected.

--- a/src/forwarding/ForwardedRequest.spec.ts
+++ b/src/forwarding/ForwardedRequest.spec.ts
@@ -1,7 +1,11 @@
-import { afterEach, describe, it, mock } from 'node:test';
+import { IncomingMessage, ServerResponse } from 'node:http';
+import { Socket } from 'node:net';
+import { afterEach, beforeEach, describe, it, mock } from 'node:test';
 
 import { expect } from 'earl';
 
+import type { TakeUpDecision } from '../streamVersions/takeUpDecision.js';
+import type { ForwardedRequest } from './ForwardedRequest.js';
 import { forwardingLogEvents } from './forwardingFeature.js';
 import type { RequestUnderTestOptions } from './testRequest.js';
 import {
@@ -47,6 +51,55 @@
     expect((await caller).startsWith('HTTP/1.1 502')).toEqual(true);
   });
 
+  describe('whose caller leaves before a runner is chosen', () => {
+    let answer: (() => void) | undefined;
+
+    function createRequest(takesUp?: { id: string }): ForwardedRequest {
+      const response = new ServerResponse(new IncomingMessage(new Socket()));
+      return test.createRequest(response, takesUp);
+    }
+
+    function expectNothingSent(): void {
+      expect(answer === undefined).toEqual(false);
+      answer?.();
+      const { health, inFlight } = test.runners.get(FIRST_RUNNER)!;
+      expect([inFlight, health.isUsable(0)]).toEqual([0, true]);
+      expect(test.log.fieldsOf(forwardingLogEvents.callerLeft).length).toEqual(1);
+    }
+
+    beforeEach(async () => {
+      answer = undefined;
+      test = await RequestUnderTest.open();
+      test.addHangingRunner(FIRST_RUNNER);
+    });
+
+    it('is sent to no runner when a coordinator answers later', () => {
+      // Guards against work at a runner for a caller that is gone.
+      const { selector } = test.context;
+      const select = selector.select.bind(selector);
+      mock.method(selector, 'select', (...both: Parameters<typeof select>) => {
+        answer = () => select(...both);
+      });
+      const request = createRequest();
+      request.start();
+      request.callerLeft();
+      expectNothingSent();
+    });
+
+    it('is sent to no runner when the version of its stream is found later', () => {
+      // Guards against work at a runner for a caller that is gone.
+      const find = (_: unknown, done: (decision: TakeUpDecision) => void) => {
+        answer = () => done({ evidence: 'recorded', softwareVersion: '' });
+      };
+      const streamVersions = { find, begin: () => undefined, end: () => undefined };
+      Object.assign(test.context, { streamVersions });
+      const request = createRequest({ id: 'r-0' });
+      request.start();
+      request.callerLeft();
+      expectNothingSent();
+    });
+  });
+
   describe('while the network link of the daemon is saturated', () => {
     it('does not cut a stream while no runner accepts a connection', async () => {
       // Guards against cutting a stream whose runner is healthy. A large configuration saturates the daemon's link for a
--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -85,6 +85,7 @@
   /** Cancels all attempts because the caller has disconnected. */
   callerLeft(): void {
     if (this.relay.isDone) return;
+    this.relay.abandon();
     this.stopAttempts();
     this.end('callerLeft', 'caller_left');
   }
--- a/src/forwarding/testRequest.ts
+++ b/src/forwarding/testRequest.ts
@@ -24,7 +24,7 @@
 import { AnswerRelay } from './AnswerRelay.js';
 import { ForwardedRequest } from './ForwardedRequest.js';
 import { createForwardingMetrics } from './ForwardingMetrics.js';
-import type { ForwardingContext } from './forwardingTypes.js';
+import type { ForwardingContext, TakenUpStream } from './forwardingTypes.js';
 import { LinkCheck } from './LinkCheck.js';
 import { RunnerAgent } from './RunnerAgent.js';
 import { RunnerConnections } from './RunnerConnections.js';
@@ -235,7 +235,7 @@
     const asked: Socket[] = [];
     this.openPort = await this.listenForRequests(asked);
     this.addHangingRunner(FIRST_RUNNER);
-    const front = createServer((_request, response) => this.forward(response));
+    const front = createServer((_request, response) => this.createRequest(response).start());
     const caller = this.call(await this.listen(front));
     while (asked.length === 0) await nextTurn();
     return { runner: asked[0]!, caller };
@@ -293,7 +293,12 @@
     );
   }
 
-  private forward(response: ServerResponse): void {
+  /**
+   * @param response - response to the caller.
+   * @param takesUp - stream that the caller takes up.
+   * @returns The request, which has not been started.
+   */
+  createRequest(response: ServerResponse, takesUp?: TakenUpStream): ForwardedRequest {
     const relay = new AnswerRelay(response, () => true);
     const arrivedAt = this.clock.monotonicMilliseconds();
     const request = {
@@ -308,11 +313,12 @@
       target: '/chat/',
       headers: ['Host', 'chat.example', 'Request-Id', 'r-1'],
       sharedParts: [],
+      takesUp,
       arrivedAt,
       deadlineAt: arrivedAt + DEADLINE_MILLISECONDS,
       connectionLimit: 10,
     };
-    new ForwardedRequest({ request, body: undefined, relay, context: this.context }).start();
+    return new ForwardedRequest({ request, body: undefined, relay, context: this.context });
   }
 
   private call(port: number): Promise<string> {
