Refuse no hedged request as not run while its first runner may run it

The daemon had sent it, lost its path to the runners, knew of no other daemon that reached them, and came to hedge it: with no failed attempt so far it was refused, although one was in progress. Only requests that may be repeated are hedged, so nothing ran twice and no order was affected. Now such a request waits for its runner. The test fails before (the caller gets 503 in place of the runner's answer).

--- a/src/forwarding/ForwardedRequest.spec.ts
+++ b/src/forwarding/ForwardedRequest.spec.ts
@@ -51,6 +51,17 @@
     expect((await caller).startsWith('HTTP/1.1 502')).toEqual(true);
   });
 
+  it('is not refused as not run while a runner may run it and a second one is looked for', async () => {
+    // Guards against a false "not run": the daemon loses its path, and no other one helps, before the request is hedged.
+    const { runner, caller } = await begin({ route: { kind: 'idempotent', resumable: false } });
+    const hopeless = { isNeeded: () => false, isHopeless: () => true, mayHelp: () => false };
+    Object.assign(test.context, { handOver: hopeless });
+    await test.pass(LONG_MILLISECONDS);
+    runner.end(plainAnswer('200 OK'));
+    await test.pass(100);
+    expect((await caller).startsWith('HTTP/1.1 200')).toEqual(true);
+  });
+
   describe('whose caller leaves before a runner is chosen', () => {
     let answer: (() => void) | undefined;
 
--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -219,7 +219,7 @@
       this.beginHandOver();
       return;
     }
-    if (this.handOver.isHopeless && this.tried.mayHaveRun === 0) {
+    if (this.handOver.isHopeless && this.tried.mayHaveRun === 0 && this.active.size === 0) {
       this.giveUp('refuse', 'no_path');
       return;
     }
