--- a/soak/SoakSite.ts
+++ b/soak/SoakSite.ts
@@ -50,9 +50,12 @@
  */
 const HEARTBEAT_MILLISECONDS = 1_200;
 
-/** Fewer runners of a service would leave a broken stream nowhere to go on. */
+/** Fewer runners of a service would leave a broken stream nowhere to go on; the same holds for a software version. */
 const FEWEST_RUNNERS = 3;
 
+/** Model runners beyond those of other services, so that each software version has enough. */
+const MORE_ENGINES = 4;
+
 /**
  * What retries are allowed is not what the soak is about: a link that resets breaks more streams in a second than
  * the fleet may send once more by its default. Each request earns the one retry that it may need.
@@ -140,6 +143,7 @@
       await this.addRunner('plain');
       await this.addRunner('engine');
     }
+    for (let index = 0; index < MORE_ENGINES; index += 1) await this.addRunner('engine');
     await Promise.all(this.daemons.map((daemon) => daemon.start()));
     this.heartbeat = setInterval(() => this.listAll(), HEARTBEAT_MILLISECONDS);
   }
@@ -193,7 +197,7 @@
       service,
       dataCentre,
       echoes: true,
-      version: SOFTWARE_VERSIONS[Math.floor(this.nextRunner / UNFRAMED_EVERY) % 2]!,
+      version: this.rarerVersion,
       isUnframed: this.nextRunner % UNFRAMED_EVERY < 2,
       events: EVENTS,
       eventMilliseconds: EVENT_MILLISECONDS,
@@ -278,11 +282,22 @@
    * @returns A runner that may be taken away, if enough of them are there.
    */
   spareRunner(service: SoakService, choice: number): SiteRunner | undefined {
-    const those = [...this.runners.values()].filter(({ id }) => id.startsWith(service));
-    if (those.length <= FEWEST_RUNNERS) return undefined;
+    const all = [...this.runners.values()].filter(({ id }) => id.startsWith(service));
+    const hasSpares = ({ version }: SiteRunner) =>
+      all.filter((other) => other.version === version).length > FEWEST_RUNNERS;
+    const those = service === 'engine' ? all.filter(hasSpares) : all;
+    if (all.length <= FEWEST_RUNNERS || those.length === 0) return undefined;
     return those[Math.floor(choice * those.length)];
   }
 
+  /** The software version that fewer model runners have. */
+  private get rarerVersion(): string {
+    const engines = [...this.runners.values()].filter(({ id }) => id.startsWith('engine'));
+    const [first, second] = SOFTWARE_VERSIONS;
+    const ofFirst = engines.filter(({ version }) => version === first).length;
+    return 2 * ofFirst <= engines.length ? first : second;
+  }
+
   private async addDaemon(index: number): Promise<void> {
     const { folder, program } = this.options;
     const seeds = this.daemons.map(({ process }) => process.settings.addresses.peers);
