Look at the whole list of runners only twice a second for versions

Each stream that began went through all listed runners and daemons, and through all routes for the longest stream. Now it notes the version of its own runner; the list is looked at twice a second, and the daemons when something is told.

--- a/src/streamVersions/ServiceVersions.ts
+++ b/src/streamVersions/ServiceVersions.ts
@@ -20,12 +20,19 @@
    * @param now - monotonic ms.
    */
   see(runners: readonly Runner[], now: number): void {
-    for (const { entry } of runners) {
-      const known = this.services.get(entry.service);
-      const history = known ?? { since: now, seenAt: new Map<string, number>() };
-      if (!known) this.services.set(entry.service, history);
-      history.seenAt.set(entry.softwareVersion ?? '', now);
-    }
+    for (const { entry } of runners) this.note(entry.service, entry.softwareVersion ?? '', now);
+  }
+
+  /**
+   * @param service - name of a service.
+   * @param softwareVersion - version of one of its runners.
+   * @param now - monotonic ms.
+   */
+  note(service: string, softwareVersion: string, now: number): void {
+    const known = this.services.get(service);
+    const history = known ?? { since: now, seenAt: new Map<string, number>() };
+    if (!known) this.services.set(service, history);
+    history.seenAt.set(softwareVersion, now);
   }
 
   /**
--- a/src/streamVersions/StreamVersionTask.ts
+++ b/src/streamVersions/StreamVersionTask.ts
@@ -108,6 +108,9 @@
 
   private lastNumber = 0;
 
+  /** How long a stream may be taken up after it has begun, in ms. */
+  private retentionMilliseconds = Number.POSITIVE_INFINITY;
+
   private isStopped = false;
 
   /**
@@ -151,7 +154,7 @@
     const stream = streamKeyOf(name);
     const begun = { stream, service: name.service, softwareVersion };
     this.records.record(stream, softwareVersion);
-    this.see();
+    this.versions.note(name.service, softwareVersion, this.now);
     if (this.hasOneVersion(name.service)) this.untold.set(stream, begun);
     else this.tell([begun]);
   }
@@ -194,13 +197,10 @@
     return this.options.clock.monotonicMilliseconds();
   }
 
-  private get retentionMilliseconds(): number {
-    return this.options.longestStreamMilliseconds() + TAKE_UP_MILLISECONDS;
-  }
-
   /** Looks at the list of runners again and again: a version may come and go while no stream begins. */
   private look(): void {
     if (this.isStopped) return;
+    this.retentionMilliseconds = this.options.longestStreamMilliseconds() + TAKE_UP_MILLISECONDS;
     this.see();
     this.records.expire(this.now, this.retentionMilliseconds);
     const known = [...this.untold.values()].filter(({ service }) => !this.hasOneVersion(service));
@@ -227,6 +227,9 @@
   }
 
   private tell(streams: readonly BegunStream[]): void {
+    if (streams.length === 0) return;
+    const { daemon, daemons } = this.options;
+    this.keepers.update([daemon, ...daemons()]);
     const byRecipients = new Map<string, BegunStream[]>();
     for (const begun of streams) {
       const keepers = this.others(this.keepers.keepersOf(begun.stream));
