Soak: a killed daemon that had taken a request over; no daemons left behind

For the caller's daemon that is the loss of its way to the runner, as for a runner's own, so it counts as one break; a kill of a daemon that has not taken the request over excuses nothing, as before.

--- a/soak/checks/AnswerChecks.spec.ts
+++ b/soak/checks/AnswerChecks.spec.ts
@@ -7,6 +7,7 @@
 import { FaultHistory } from '../FaultHistory.js';
 import { RunBook } from '../RunBook.js';
 import type { Call } from '../SoakCallers.js';
+import type { SoakDaemon } from '../SoakDaemon.js';
 import { EVENTS, STOP_SECONDS, TIMEOUT_MILLISECONDS } from '../soakBounds.js';
 import { AnswerChecks } from './AnswerChecks.js';
 import { Excuses } from './Excuses.js';
@@ -145,6 +146,12 @@
       isExcused: false,
       faults: [['kill', ...during, { daemon: 1 }]],
     },
+    {
+      what: 'a kill of another daemon that had not taken the request over',
+      call: { ...CUT, kind: 'story' },
+      isExcused: false,
+      faults: [['kill', ...during, { daemon: 1 }]],
+    },
     { what: 'a filled link', call: CUT, isExcused: false, faults: [['stall', ...during]] },
     { what: 'a pause', call: CUT, isExcused: false, faults: [['pause', ...during]] },
     { what: 'a store', call: CUT, isExcused: false, faults: [['store', ...during]] },
@@ -179,6 +186,16 @@
       faults: [['break', ...during, { sides: ['store'] }]],
     },
   ];
+  it('excuses by a kill of the daemon that had taken the request over, once', () => {
+    const taker = { index: 1, link: { ownHost: '127.0.1.1' } } as SoakDaemon;
+    const excuses = new Excuses({ history, runs, daemons: [taker] });
+    checks = new AnswerChecks({ runs, excuses, violations });
+    runAt('engine-1');
+    fault('kill', ...during, { daemon: 1 });
+    expect(brokenBy({ ...CUT, kind: 'story', path: '/chat/x' })).toEqual([]);
+    expect(brokenBy(CUT)).toEqual(['an answer or a refusal']);
+  });
+
   for (const { what, call, isExcused, faults = [] } of CASES) {
     it(`${isExcused ? 'excuses' : 'does not excuse'} by ${what}`, () => {
       runAt('engine-1');
--- a/soak/checks/Excuses.ts
+++ b/soak/checks/Excuses.ts
@@ -148,7 +148,10 @@
       ({ daemon, from }) =>
         this.concerns(call, daemon) && call.sentAt < from + CONTACT_MILLISECONDS,
     );
+    // Its own daemon's kill is another excuse; here it is that of one which has taken the request over.
+    const kills = this.during(call, ['kill']).filter(({ daemon }) => this.concerns(call, daemon));
     const cuts = links.filter(({ kind }) => kind === 'cut').length;
-    return broken.length + links.length + lost.length + cuts * MAXIMUM_ATTEMPTS;
+    const breaks = broken.length + links.length + lost.length + kills.length;
+    return breaks + cuts * MAXIMUM_ATTEMPTS;
   }
 }
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -23,6 +23,9 @@
   },
 });
 
+// A signal ends the process without its exit handlers, which end the daemons.
+for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => process.exit(1));
+
 const folder = mkdtempSync(join(tmpdir(), 'baobabdock-'));
 const failed: number[] = [];
 try {
--- a/standIns/site/SiteProcess.ts
+++ b/standIns/site/SiteProcess.ts
@@ -28,6 +28,13 @@
 
 const OK = 200;
 
+/** Processes that have not ended; a test or soak that fails must not leave them behind. */
+const running = new Set<ChildProcess>();
+
+process.once('exit', () => {
+  for (const child of running) child.kill('SIGKILL');
+});
+
 /**
  * @param address - IP address and port.
  * @param path - path with the query.
@@ -110,6 +117,8 @@
     child.stderr.on('data', (chunk: Buffer) => {
       this.complaints += String(chunk);
     });
+    running.add(child);
+    child.once('exit', () => running.delete(child));
     this.child = child;
     this.exit = once(child, 'close');
   }
