--- a/soak/checks/AnswerChecks.spec.ts
+++ b/soak/checks/AnswerChecks.spec.ts
@@ -196,6 +196,20 @@
     expect(brokenBy(CUT)).toEqual(['an answer or a refusal']);
   });
 
+  it('excuses by lost paths of all daemons, and not of all but one', () => {
+    const daemons = [0, 1].map((index) => ({ index, link: { ownHost: '' } }) as SoakDaemon);
+    checks = new AnswerChecks({
+      ...{ runs, violations },
+      excuses: new Excuses({ history, runs, daemons }),
+    });
+    runAt('engine-1');
+    fault('path', ...during, { daemon: 1 });
+    expect(brokenBy(CUT)).toEqual(['an answer or a refusal']);
+    violations.all.length = 0;
+    fault('path', ...during, { daemon: 0 });
+    expect(brokenBy(CUT)).toEqual([]);
+  });
+
   for (const { what, call, isExcused, faults = [] } of CASES) {
     it(`${isExcused ? 'excuses' : 'does not excuse'} by ${what}`, () => {
       runAt('engine-1');
--- a/soak/checks/Excuses.ts
+++ b/soak/checks/Excuses.ts
@@ -67,6 +67,7 @@
   ofCutAnswer(call: Call): boolean {
     if (this.wasKilled(call) || this.touched(call, LOSSES, 'callers')) return true;
     if (this.isPastDeadline(call) || this.isPastStop(call)) return true;
+    if (this.hadNoPathLeft(call)) return true;
     return this.breaksOf(call) >= (call.kind === 'chat' ? MAXIMUM_ATTEMPTS : 1);
   }
 
@@ -123,6 +124,13 @@
     );
   }
 
+  /** While all daemons lose their paths to the runners, no other one can go on with what one has lost. */
+  private hadNoPathLeft(call: Call): boolean {
+    const { daemons } = this.options;
+    const cut = new Set(this.during(call, ['path']).map(({ daemon }) => daemon));
+    return daemons.length > 0 && daemons.every(({ index }) => cut.has(index));
+  }
+
   private isPastStop(call: Call): boolean {
     const cutAfter = STOP_MILLISECONDS * CUTTING_SHARE;
     return this.during(call, ['stop']).some(
