Soak: callers reuse connections within four fifths of their idle limit

Suspected, not shown: connections that a surge had opened 15 s before were closed by the daemons for being idle just as they were reused. The platform's callers reuse connections that have been idle for up to four fifths of the limit; so do these now.

--- a/soak/SoakCallers.ts
+++ b/soak/SoakCallers.ts
@@ -85,6 +85,9 @@
 /** These callers keep to a daemon until its process is gone, whatever the directory says. */
 const LOYAL_SHARE = 0.25;
 
+/** Callers reuse connections that have been idle for up to four fifths of the limit of `siteConfiguration`, in ms. */
+const LONGEST_IDLE_MILLISECONDS = 12_000;
+
 /** Share of the chats whose callers lose them and take them up at another daemon. */
 const LEAVING_SHARE = 0.05;
 
@@ -223,7 +226,7 @@
   private agentOf(daemon: number): Agent {
     const known = this.agents.get(daemon);
     if (known) return known;
-    const agent = new Agent({ keepAlive: true });
+    const agent = new Agent({ keepAlive: true, timeout: LONGEST_IDLE_MILLISECONDS });
     this.agents.set(daemon, agent);
     return agent;
   }
