--- a/src/streamVersions/StreamVersionTask.ts
+++ b/src/streamVersions/StreamVersionTask.ts
@@ -52,7 +52,7 @@
 }
 
 /** A stream that a caller takes up, for the log. */
-export interface TakenUpStream extends StreamName {
+export interface TakeUpQuestion extends StreamName {
   /** Id of the caller's attempt that takes it up. */
   readonly request: string;
 }
@@ -172,7 +172,7 @@
    * @param name - the stream, and the request that takes it up.
    * @param done - called once, synchronously or later.
    */
-  find(name: TakenUpStream, done: (decision: TakeUpDecision) => void): void {
+  find(name: TakeUpQuestion, done: (decision: TakeUpDecision) => void): void {
     const startedAt = this.now;
     const stream = streamKeyOf(name);
     const finish = (decision: TakeUpDecision) => {
@@ -350,7 +350,7 @@
     done(this.decide(stream, service, views));
   }
 
-  private report(name: TakenUpStream, decision: TakeUpDecision, startedAt: number): void {
+  private report(name: TakeUpQuestion, decision: TakeUpDecision, startedAt: number): void {
     const { evidence } = decision;
     this.takeUps.increment({ evidence });
     const event =
