Stand-in runner: free the slot of a request whose caller left while it waited

The stand-in gave a freed slot to a waiting request whose connection had ended, and waited for a close that had been emitted already; each such request cost one of the runner's four slots for good. Daemons were not at fault.

--- a/standIns/site/SiteRunner.ts
+++ b/standIns/site/SiteRunner.ts
@@ -154,6 +154,13 @@
     this.close();
   }
 
+  /** @returns Number of open connections. */
+  countConnections(): Promise<number> {
+    return new Promise((done, fail) => {
+      this.server.getConnections((error, count) => (error ? fail(error) : done(count)));
+    });
+  }
+
   /**
    * @param state - `ready` or `draining`.
    * @returns Its entry in the store.
@@ -217,8 +224,12 @@
       this.reject(id, response);
       return;
     }
+    // A caller that left while its request waited: `close` has been emitted and would never free the slot.
+    if (response.destroyed) {
+      this.leave();
+      return;
+    }
     response.once('close', () => this.leave());
-    if (response.destroyed) return;
     const { method = 'GET', url: target = '/', headers } = request;
     const received = { id, method, target, headers, body };
     this.ran.push(received);
