Versions of streams: questions in a module of their own, nothing computed twice

StreamVersionTask did two jobs: it keeps and tells records, and it asked other daemons; the second is VersionQuestions now. The default of a runner's missing version stood in three places and is a getter of Runner, as is the comparison, which had been a static of RunnerAdmission. The key of a stream was hashed at its begin and at its end; the end takes the key. Addresses were joined to a text and split again; the version was looked for in the answers once more than the decision does. A comment said of an option what is not so. Behaviour as before: src/streamVersions, runners, forwarding, hand-over (220 tests) and softwareVersions.spec green, no assertion changed.

--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -30,7 +30,7 @@
   readonly link: LinkCheck;
   /** Hands requests over to other daemons; missing for requests that were handed over to this one. */
   readonly handOver?: HandOverTask | undefined;
-  /** Knows which software version began each stream; missing where runners have no versions. */
+  /** Knows which software version began each stream; without it, a stream is bound within one answer only. */
   readonly streamVersions?: StreamVersionTask | undefined;
   readonly quarantine: RequestQuarantine;
   readonly statements: RunnerNotices;
--- a/src/runners/Runner.ts
+++ b/src/runners/Runner.ts
@@ -71,12 +71,25 @@
     this.health = new RunnerHealth(service);
   }
 
+  /** @returns Version of its software. */
+  get softwareVersion(): string {
+    return this.entry.softwareVersion ?? '';
+  }
+
+  /**
+   * @param softwareVersion - version that a stream goes on at; `undefined` for other requests.
+   * @returns Whether the runner has that version.
+   */
+  hasVersion(softwareVersion: string | undefined): boolean {
+    return softwareVersion === undefined || this.softwareVersion === softwareVersion;
+  }
+
   /**
    * @returns Version of the software that answers on a connection to this runner on which data still arrives: a
    * connection does not outlive its incarnation, so one that goes on has reached the successor from the start.
    */
   get answeringVersion(): string {
-    return this.successor?.answeringVersion ?? this.entry.softwareVersion ?? '';
+    return this.successor?.answeringVersion ?? this.softwareVersion;
   }
 
   /**
--- a/src/runners/RunnerAdmission.ts
+++ b/src/runners/RunnerAdmission.ts
@@ -70,15 +70,6 @@
     return region !== undefined && homeRegions.includes(region);
   }
 
-  /**
-   * @param runner - a runner of any service.
-   * @param softwareVersion - version that a stream goes on at; `undefined` for other requests.
-   * @returns Whether the runner has that version.
-   */
-  static hasVersion({ entry }: Runner, softwareVersion: string | undefined): boolean {
-    return softwareVersion === undefined || (entry.softwareVersion ?? '') === softwareVersion;
-  }
-
   /**
    * Checks everything but the limits for cold runners.
    *
@@ -90,7 +81,7 @@
     const { tried, now, connectionLimit } = question;
     if (tried.has(runner.entry.life)) return 'tried';
     if (!this.isInHomeRegion(runner, question.homeRegions)) return 'other_region';
-    if (!RunnerAdmission.hasVersion(runner, question.softwareVersion)) return 'other_version';
+    if (!runner.hasVersion(question.softwareVersion)) return 'other_version';
     if (runner.pausedUntil > now) return 'asked_for_time';
     return runner.inFlight < connectionLimit ? undefined : 'no_connection';
   }
--- a/src/runners/unavailability.ts
+++ b/src/runners/unavailability.ts
@@ -2,7 +2,7 @@
  * Determines why a service has no runner for a request, and when the caller should retry.
  */
 import type { HomeRegions } from '../routes/homeRegions.js';
-import { RunnerAdmission } from './RunnerAdmission.js';
+import type { RunnerAdmission } from './RunnerAdmission.js';
 import type { RunnerTable } from './RunnerTable.js';
 
 /**
@@ -63,7 +63,7 @@
     if (!isEvacuated) return { reason: all.length > 0 ? 'no_home' : 'no_runner' };
     return { reason: 'evacuated', pauseMilliseconds: EVACUATION_RETRY_MILLISECONDS };
   }
-  if (!ready.some((runner) => RunnerAdmission.hasVersion(runner, softwareVersion))) {
+  if (!ready.some((runner) => runner.hasVersion(softwareVersion))) {
     return { reason: 'no_runner_of_version' };
   }
   const pauseMilliseconds = Math.min(...ready.map(({ pausedUntil }) => pausedUntil - now));
--- a/src/streamVersions/ServiceVersions.ts
+++ b/src/streamVersions/ServiceVersions.ts
@@ -20,7 +20,8 @@
    * @param now - monotonic ms.
    */
   see(runners: readonly Runner[], now: number): void {
-    for (const { entry } of runners) this.note(entry.service, entry.softwareVersion ?? '', now);
+    for (const { entry, softwareVersion } of runners)
+      this.note(entry.service, softwareVersion, now);
   }
 
   /**
--- a/src/streamVersions/StreamVersionSession.ts
+++ b/src/streamVersions/StreamVersionSession.ts
@@ -11,7 +11,7 @@
 /** Options of a {@link StreamVersionSession}. */
 export interface StreamVersionSessionOptions {
   request: AdmittedRequest;
-  /** Missing in fleets whose runners have no versions. */
+  /** Without it, a stream is bound within one answer only. */
   task: Pick<StreamVersionTask, 'begin' | 'end' | 'find'> | undefined;
   stream: StreamedAnswer;
 }
@@ -26,6 +26,9 @@
   /** The version that was recorded last. */
   private recorded: string | undefined;
 
+  /** Key of the stream, once it has been recorded. */
+  private key: bigint | undefined;
+
   /**
    * @param options - the request and its answer.
    */
@@ -52,10 +55,9 @@
     const { request, task, stream } = this.options;
     const { service, clientAccount, takesUp } = request;
     const name = { service, clientAccount, id: takesUp?.id ?? '' };
-    task?.find({ ...name, request: request.id }, (decision) => {
-      const isKnown = decision.evidence !== 'unknown';
-      if (isKnown) stream.bindTo(decision.softwareVersion);
-      done(isKnown);
+    task?.find({ ...name, request: request.id }, ({ softwareVersion }) => {
+      if (softwareVersion !== undefined) stream.bindTo(softwareVersion);
+      done(softwareVersion !== undefined);
     });
   }
 
@@ -69,11 +71,11 @@
     const softwareVersion = stream.softwareVersion ?? runner.answeringVersion;
     if (!this.name || this.recorded === softwareVersion) return;
     this.recorded = softwareVersion;
-    task?.begin(this.name, softwareVersion);
+    this.key = task?.begin(this.name, softwareVersion);
   }
 
   /** The request is over. */
   end(): void {
-    if (this.name && this.recorded !== undefined) this.options.task?.end(this.name);
+    if (this.key !== undefined) this.options.task?.end(this.key);
   }
 }
--- a/src/streamVersions/StreamVersionTask.ts
+++ b/src/streamVersions/StreamVersionTask.ts
@@ -11,11 +11,9 @@
   StreamVersionQuestionSchema,
   StreamVersionsSchema,
 } from '../generated/baobabdock/v1/news_pb.js';
-import type {
-  StreamVersionAnswer,
-  StreamVersionQuestion,
-} from '../generated/baobabdock/v1/news_pb.js';
+import type { StreamVersionQuestion } from '../generated/baobabdock/v1/news_pb.js';
 import { parseAddress } from '../http/parseAddress.js';
+import type { HostAndPort } from '../http/parseAddress.js';
 import type { Log } from '../logging/Log.js';
 import type { MetricRegistry } from '../metrics/MetricRegistry.js';
 import type { FleetSocket } from '../news/FleetSocket.js';
@@ -30,6 +28,7 @@
 import { StreamRecords } from './StreamRecords.js';
 import { decideTakeUp } from './takeUpDecision.js';
 import type { StreamVersionView, TakeUpDecision } from './takeUpDecision.js';
+import { VersionQuestions } from './VersionQuestions.js';
 
 /** Options of a {@link StreamVersionTask}. */
 export interface StreamVersionTaskOptions {
@@ -63,12 +62,6 @@
 /** Interval between looks at the list of runners, in ms. */
 const LOOK_MILLISECONDS = 500;
 
-/** How long the keepers of a record may take to answer, in ms: a round trip, and the queue for a busy processor. */
-const FIRST_ANSWER_MILLISECONDS = 60;
-
-/** How long all that are asked after them may take, in ms. */
-const SECOND_ANSWER_MILLISECONDS = 140;
-
 /** Records in one datagram of 1,400 bytes. */
 const STREAMS_IN_DATAGRAM = 120;
 
@@ -78,16 +71,7 @@
   readonly softwareVersion: string;
 }
 
-interface PendingQuestion {
-  readonly stream: bigint;
-  readonly service: string;
-  readonly views: StreamVersionView[];
-  readonly unanswered: Set<string>;
-  isSecond: boolean;
-  readonly done: (decision: TakeUpDecision) => void;
-}
-
-/** Owns the records, and the questions in progress. */
+/** Owns the records. */
 export class StreamVersionTask {
   private readonly options: StreamVersionTaskOptions;
 
@@ -102,12 +86,10 @@
   /** Streams in progress that no other daemon knows of, because their services had one version only; by key. */
   private readonly untold = new Map<bigint, BegunStream>();
 
-  private readonly pending = new Map<number, PendingQuestion>();
+  private readonly questions: VersionQuestions;
 
   private readonly takeUps;
 
-  private lastNumber = 0;
-
   /** How long a stream may be taken up after it has begun, in ms. */
   private retentionMilliseconds = Number.POSITIVE_INFINITY;
 
@@ -117,9 +99,10 @@
    * @param options - this daemon, the runners and the other daemons.
    */
   constructor(options: StreamVersionTaskOptions) {
-    const { socket, registry, later = setTimeout } = options;
+    const { daemon, socket, registry, later = setTimeout } = options;
     this.options = options;
     this.later = later;
+    this.questions = new VersionQuestions({ daemon, socket, keepers: this.keepers, later });
     this.takeUps = registry.counter({
       name: 'stream_take_ups',
       help: 'Streams that callers took up again, by how the software version that began them was found.',
@@ -129,9 +112,6 @@
     socket.handle(MessageKind.STREAM_VERSION_QUESTION, (message) =>
       this.answer(fromBinary(StreamVersionQuestionSchema, message)),
     );
-    socket.handle(MessageKind.STREAM_VERSION_ANSWER, (message) =>
-      this.handleAnswer(fromBinary(StreamVersionAnswerSchema, message)),
-    );
   }
 
   /** Starts to look at the list of runners. */
@@ -149,21 +129,23 @@
    *
    * @param name - service, account and id of the stream.
    * @param softwareVersion - version of the runner.
+   * @returns Key of the stream.
    */
-  begin(name: StreamName, softwareVersion: string): void {
+  begin(name: StreamName, softwareVersion: string): bigint {
     const stream = streamKeyOf(name);
     const begun = { stream, service: name.service, softwareVersion };
     this.records.record(stream, softwareVersion);
     this.versions.note(name.service, softwareVersion, this.now);
     if (this.hasOneVersion(name.service)) this.untold.set(stream, begun);
     else this.tell([begun]);
+    return stream;
   }
 
   /**
-   * @param name - stream that has ended at this daemon.
+   * @param stream - key of a stream that has ended at this daemon.
    */
-  end(name: StreamName): void {
-    if (this.untold.size > 0) this.untold.delete(streamKeyOf(name));
+  end(stream: bigint): void {
+    this.untold.delete(stream);
   }
 
   /**
@@ -174,23 +156,18 @@
    */
   find(name: TakeUpQuestion, done: (decision: TakeUpDecision) => void): void {
     const startedAt = this.now;
+    const { service } = name;
     const stream = streamKeyOf(name);
-    const finish = (decision: TakeUpDecision) => {
+    const finish = (others: readonly StreamVersionView[]) => {
+      const decision = this.decide(stream, service, others);
+      if (decision.evidence === 'recorded') this.records.record(stream, decision.softwareVersion);
       this.report(name, decision, startedAt);
       done(decision);
     };
     this.see();
-    const others = this.options.daemons();
-    if (this.records.versionOf(stream) !== undefined || others.length === 0) {
-      finish(this.decide(stream, name.service, []));
-      return;
-    }
-    this.lastNumber += 1;
-    const { service } = name;
-    const unanswered = new Set<string>();
-    const question = { stream, service, views: [], unanswered, isSecond: false, done: finish };
-    this.pending.set(this.lastNumber, question);
-    this.ask(this.lastNumber, question, this.others(this.keepers.keepersOf(stream)));
+    const isAlone = this.options.daemons().length === 0;
+    if (isAlone || this.records.versionOf(stream) !== undefined) finish([]);
+    else this.questions.ask(stream, service, finish);
   }
 
   private get now(): number {
@@ -222,28 +199,29 @@
     return only !== undefined && this.versions.isKnownSince(service, from);
   }
 
-  private others(daemons: readonly DaemonEntry[]): DaemonEntry[] {
-    return daemons.filter(({ name }) => name !== this.options.daemon.name);
-  }
-
   private tell(streams: readonly BegunStream[]): void {
     if (streams.length === 0) return;
     const { daemon, daemons } = this.options;
     this.keepers.update([daemon, ...daemons()]);
-    const byRecipients = new Map<string, BegunStream[]>();
-    for (const begun of streams) {
-      const keepers = this.others(this.keepers.keepersOf(begun.stream));
-      const key = keepers.map(({ newsAddress }) => newsAddress).join();
-      byRecipients.set(key, [...(byRecipients.get(key) ?? []), begun]);
+    const groups = new Map<string, { recipients: HostAndPort[]; begun: BegunStream[] }>();
+    for (const one of streams) {
+      const keepers = this.keepers.keepersOf(one.stream).filter(({ name }) => name !== daemon.name);
+      const addresses = keepers.map(({ newsAddress }) => newsAddress);
+      const known = groups.get(addresses.join());
+      if (known) known.begun.push(one);
+      else {
+        const recipients = addresses.map((address) => parseAddress(address));
+        groups.set(addresses.join(), { recipients, begun: [one] });
+      }
     }
-    for (const [addresses, begun] of byRecipients) {
-      for (let start = 0; start < begun.length && addresses !== ''; start += STREAMS_IN_DATAGRAM) {
-        this.send(begun.slice(start, start + STREAMS_IN_DATAGRAM), addresses.split(','));
+    for (const { recipients, begun } of groups.values()) {
+      for (let start = 0; start < begun.length; start += STREAMS_IN_DATAGRAM) {
+        this.send(begun.slice(start, start + STREAMS_IN_DATAGRAM), recipients);
       }
     }
   }
 
-  private send(streams: readonly BegunStream[], addresses: readonly string[]): void {
+  private send(streams: readonly BegunStream[], recipients: readonly HostAndPort[]): void {
     const versions = new Set(streams.map(({ softwareVersion }) => softwareVersion));
     const groups = [...versions].map((softwareVersion) => ({
       softwareVersion,
@@ -252,11 +230,7 @@
         .map(({ stream }) => stream),
     }));
     const message = toBinary(StreamVersionsSchema, create(StreamVersionsSchema, { groups }));
-    this.options.socket.send(
-      MessageKind.STREAM_VERSIONS,
-      message,
-      addresses.map((address) => parseAddress(address)),
-    );
+    this.options.socket.send(MessageKind.STREAM_VERSIONS, message, recipients);
   }
 
   private handleRecords(message: Uint8Array): void {
@@ -282,25 +256,6 @@
     return decideTakeUp({ own: this.viewOf(stream, service), others, isListCurrent });
   }
 
-  private ask(number: number, question: PendingQuestion, daemons: readonly DaemonEntry[]): void {
-    const { daemon, socket } = this.options;
-    const { stream, service, unanswered, isSecond } = question;
-    for (const { name } of daemons) unanswered.add(name);
-    const message = create(StreamVersionQuestionSchema, {
-      address: daemon.newsAddress,
-      number,
-      stream,
-      service,
-    });
-    socket.send(
-      MessageKind.STREAM_VERSION_QUESTION,
-      toBinary(StreamVersionQuestionSchema, message),
-      daemons.map(({ newsAddress }) => parseAddress(newsAddress)),
-    );
-    const milliseconds = isSecond ? SECOND_ANSWER_MILLISECONDS : FIRST_ANSWER_MILLISECONDS;
-    this.later(() => this.handleTimeout(number, isSecond), milliseconds);
-  }
-
   private answer({ address, number, stream, service }: StreamVersionQuestion): void {
     this.see();
     const { recorded, only } = this.viewOf(stream, service);
@@ -316,42 +271,8 @@
     this.options.socket.send(MessageKind.STREAM_VERSION_ANSWER, bytes, [parseAddress(address)]);
   }
 
-  private handleAnswer(answer: StreamVersionAnswer): void {
-    const { number, daemon, softwareVersion: recorded, onlyVersion: only } = answer;
-    const question = this.pending.get(number);
-    if (!question?.unanswered.delete(daemon)) return;
-    question.views.push({ recorded, only });
-    if (recorded !== undefined) this.finish(number, question);
-    else if (question.unanswered.size === 0) this.goOn(number, question);
-  }
-
-  private handleTimeout(number: number, wasSecond: boolean): void {
-    const question = this.pending.get(number);
-    if (question?.isSecond === wasSecond) this.goOn(number, question);
-  }
-
-  /** Asks more daemons, if there are any; a keeper that has not answered is asked again. */
-  private goOn(number: number, question: PendingQuestion): void {
-    const { stream, views, unanswered, isSecond } = question;
-    const more = this.others(this.keepers.askableFor(stream));
-    const isComplete = unanswered.size === 0 && views.length >= more.length;
-    if (isSecond || isComplete) {
-      this.finish(number, question);
-      return;
-    }
-    Object.assign(question, { isSecond: true, views: [] });
-    this.ask(number, question, more);
-  }
-
-  private finish(number: number, { stream, service, views, done }: PendingQuestion): void {
-    this.pending.delete(number);
-    const recorded = views.find((view) => view.recorded !== undefined)?.recorded;
-    if (recorded !== undefined) this.records.record(stream, recorded);
-    done(this.decide(stream, service, views));
-  }
-
   private report(name: TakeUpQuestion, decision: TakeUpDecision, startedAt: number): void {
-    const { evidence } = decision;
+    const { evidence, softwareVersion } = decision;
     this.takeUps.increment({ evidence });
     const event =
       evidence === 'unknown' ? forwardingLogEvents.versionUnknown : forwardingLogEvents.takenUp;
@@ -360,7 +281,7 @@
       stream: name.id,
       service: name.service,
       evidence,
-      softwareVersion: decision.evidence === 'unknown' ? undefined : decision.softwareVersion,
+      softwareVersion,
       milliseconds: Math.round(this.now - startedAt),
     });
   }
--- /dev/null
+++ b/src/streamVersions/VersionQuestions.ts
@@ -0,0 +1,126 @@
+/**
+ * Asks other daemons which software version began a stream: its keepers first, then others.
+ */
+import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
+
+import {
+  MessageKind,
+  StreamVersionAnswerSchema,
+  StreamVersionQuestionSchema,
+} from '../generated/baobabdock/v1/news_pb.js';
+import type { StreamVersionAnswer } from '../generated/baobabdock/v1/news_pb.js';
+import { parseAddress } from '../http/parseAddress.js';
+import type { FleetSocket } from '../news/FleetSocket.js';
+import type { CallScheduler } from '../news/MessageRepeater.js';
+import type { DaemonEntry } from '../sync/FleetStore.js';
+import type { StreamKeepers } from './StreamKeepers.js';
+import type { StreamVersionView } from './takeUpDecision.js';
+
+/** Options of {@link VersionQuestions}. */
+export interface VersionQuestionsOptions {
+  /** This daemon's entry in the list of daemons. */
+  daemon: DaemonEntry;
+  socket: Pick<FleetSocket, 'handle' | 'send'>;
+  keepers: StreamKeepers;
+  /** Schedules a call. */
+  later: CallScheduler;
+}
+
+/** How long the keepers of a record may take to answer, in ms: a round trip, and the queue for a busy processor. */
+const FIRST_ANSWER_MILLISECONDS = 60;
+
+/** How long all that are asked after them may take, in ms. */
+const SECOND_ANSWER_MILLISECONDS = 140;
+
+interface PendingQuestion {
+  readonly stream: bigint;
+  readonly service: string;
+  readonly views: StreamVersionView[];
+  readonly unanswered: Set<string>;
+  readonly isSecond: boolean;
+  readonly done: (views: readonly StreamVersionView[]) => void;
+}
+
+/** Owns the questions in progress. */
+export class VersionQuestions {
+  private readonly options: VersionQuestionsOptions;
+
+  private readonly pending = new Map<number, PendingQuestion>();
+
+  private lastNumber = 0;
+
+  /**
+   * @param options - this daemon, and whom it asks.
+   */
+  constructor(options: VersionQuestionsOptions) {
+    this.options = options;
+    options.socket.handle(MessageKind.STREAM_VERSION_ANSWER, (message) =>
+      this.handleAnswer(fromBinary(StreamVersionAnswerSchema, message)),
+    );
+  }
+
+  /**
+   * @param stream - key of a stream.
+   * @param service - its service.
+   * @param done - called once with the answers: as soon as one has a record, or all have answered, or time is up.
+   */
+  ask(stream: bigint, service: string, done: PendingQuestion['done']): void {
+    this.lastNumber += 1;
+    const unanswered = new Set<string>();
+    const question = { stream, service, views: [], unanswered, isSecond: false, done };
+    this.pending.set(this.lastNumber, question);
+    this.send(this.lastNumber, question, this.options.keepers.keepersOf(stream));
+  }
+
+  private send(number: number, question: PendingQuestion, daemons: readonly DaemonEntry[]): void {
+    const { daemon, socket, later } = this.options;
+    const { stream, service, unanswered, isSecond } = question;
+    const others = daemons.filter(({ name }) => name !== daemon.name);
+    for (const { name } of others) unanswered.add(name);
+    const message = create(StreamVersionQuestionSchema, {
+      address: daemon.newsAddress,
+      number,
+      stream,
+      service,
+    });
+    socket.send(
+      MessageKind.STREAM_VERSION_QUESTION,
+      toBinary(StreamVersionQuestionSchema, message),
+      others.map(({ newsAddress }) => parseAddress(newsAddress)),
+    );
+    const milliseconds = isSecond ? SECOND_ANSWER_MILLISECONDS : FIRST_ANSWER_MILLISECONDS;
+    later(() => this.handleTimeout(number, isSecond), milliseconds);
+  }
+
+  private handleAnswer(answer: StreamVersionAnswer): void {
+    const { number, daemon, softwareVersion: recorded, onlyVersion: only } = answer;
+    const question = this.pending.get(number);
+    if (!question?.unanswered.delete(daemon)) return;
+    question.views.push({ recorded, only });
+    if (recorded !== undefined) this.finish(number, question);
+    else if (question.unanswered.size === 0) this.goOn(number, question);
+  }
+
+  private handleTimeout(number: number, wasSecond: boolean): void {
+    const question = this.pending.get(number);
+    if (question?.isSecond === wasSecond) this.goOn(number, question);
+  }
+
+  /** Asks more daemons, if there are any; a keeper that has not answered is asked again. */
+  private goOn(number: number, question: PendingQuestion): void {
+    const { daemon, keepers } = this.options;
+    const more = keepers.askableFor(question.stream).filter(({ name }) => name !== daemon.name);
+    const isComplete = question.unanswered.size === 0 && question.views.length >= more.length;
+    if (question.isSecond || isComplete) {
+      this.finish(number, question);
+      return;
+    }
+    Object.assign(question, { isSecond: true, views: [] });
+    this.send(number, question, more);
+  }
+
+  private finish(number: number, { views, done }: PendingQuestion): void {
+    this.pending.delete(number);
+    done(views);
+  }
+}
--- a/src/streamVersions/takeUpDecision.ts
+++ b/src/streamVersions/takeUpDecision.ts
@@ -25,7 +25,7 @@
  */
 export type TakeUpDecision =
   | { readonly evidence: 'recorded' | 'only_version'; readonly softwareVersion: string }
-  | { readonly evidence: 'unknown' };
+  | { readonly evidence: 'unknown'; readonly softwareVersion?: undefined };
 
 /**
  * @param input - what this daemon and others know.
--- a/src/streamVersions/testStreamFleet.ts
+++ b/src/streamVersions/testStreamFleet.ts
@@ -300,12 +300,12 @@
 
   private serve(daemon: TestStreamDaemon, stream: TestStream): void {
     const name = { service: SERVICE, clientAccount: undefined, id: stream.id };
-    daemon.task.begin(name, stream.softwareVersion);
+    const key = daemon.task.begin(name, stream.softwareVersion);
     daemon.streams.add(stream);
     const { task } = daemon;
     this.after(stream.until - this.now, () => {
       daemon.streams.delete(stream);
-      task.end(name);
+      task.end(key);
     });
   }
 
