Stand-ins and soak: one text of a stream, one list of a service's runners

The text of a whole stream stood in two tests, the count of its events in a test and in the soak, the filter of a service's runners four times in the soak, and the end of unframed streams twice in the stand-in runner.

--- a/soak/SoakCallers.ts
+++ b/soak/SoakCallers.ts
@@ -6,6 +6,7 @@
 import { callSite } from '../standIns/site/callSite.js';
 import type { SiteAnswer } from '../standIns/site/callSite.js';
 import { fetchText } from '../standIns/site/SiteProcess.js';
+import { countEvents } from '../standIns/site/siteStreams.js';
 import type { SoakDaemon } from './SoakDaemon.js';
 
 const OK = 200;
@@ -41,17 +42,13 @@
   readonly events: number;
 }
 
-function eventsIn(body: string): number {
-  return body.match(/\n\n/gu)?.length ?? 0;
-}
-
 /**
  * @param call - that is over.
  * @returns The stream that its caller takes up again; `undefined` if there is none.
  */
 export function brokenStreamOf({ id, kind, answer, takesUp }: Call): BrokenStream | undefined {
   if (kind !== 'chat' || takesUp || answer?.status !== OK || answer.isComplete) return undefined;
-  const events = eventsIn(answer.body);
+  const events = countEvents(answer.body);
   return events > 0 ? { first: id, events } : undefined;
 }
 
@@ -203,7 +200,7 @@
     let hasLeft = false;
     const mayLeave = kind === 'chat' && !takesUp && this.options.random() < LEAVING_SHARE;
     const leaves = (received: string) => {
-      hasLeft ||= mayLeave && eventsIn(received) >= EVENTS_BEFORE_LEAVING;
+      hasLeft ||= mayLeave && countEvents(received) >= EVENTS_BEFORE_LEAVING;
       return hasLeft;
     };
     const result = await Promise.race([
--- a/soak/SoakSite.ts
+++ b/soak/SoakSite.ts
@@ -224,7 +224,7 @@
    */
   makePlainRunnersBrittle(brittleness: Brittleness | undefined): SiteRunner[] {
     this.brittleness = brittleness;
-    const runners = [...this.runners.values()].filter(({ id }) => id.startsWith('plain'));
+    const runners = this.runnersOf('plain');
     for (const runner of runners) runner.becomeBrittle(brittleness);
     return runners;
   }
@@ -276,13 +276,21 @@
     this.closePaths(runner);
   }
 
+  /**
+   * @param service - that they serve.
+   * @returns Its runners that neither crashed nor left.
+   */
+  runnersOf(service: SoakService): SiteRunner[] {
+    return [...this.runners.values()].filter(({ id }) => id.startsWith(service));
+  }
+
   /**
    * @param service - of the runner.
    * @param choice - from 0 up to 1.
    * @returns A runner that may be taken away, if enough of them are there.
    */
   spareRunner(service: SoakService, choice: number): SiteRunner | undefined {
-    const all = [...this.runners.values()].filter(({ id }) => id.startsWith(service));
+    const all = this.runnersOf(service);
     const hasSpares = ({ version }: SiteRunner) =>
       all.filter((other) => other.version === version).length > FEWEST_RUNNERS;
     const those = service === 'engine' ? all.filter(hasSpares) : all;
@@ -292,7 +300,7 @@
 
   /** The software version that fewer model runners have. */
   private get rarerVersion(): string {
-    const engines = [...this.runners.values()].filter(({ id }) => id.startsWith('engine'));
+    const engines = this.runnersOf('engine');
     const [first, second] = SOFTWARE_VERSIONS;
     const ofFirst = engines.filter(({ version }) => version === first).length;
     return 2 * ofFirst <= engines.length ? first : second;
--- a/soak/checks/VersionChecks.spec.ts
+++ b/soak/checks/VersionChecks.spec.ts
@@ -2,7 +2,6 @@
 
 import { expect } from 'earl';
 
-import type { SiteRunner } from '../../standIns/site/SiteRunner.js';
 import type { BrokenStream, Call } from '../SoakCallers.js';
 import type { Contact } from './Contact.js';
 import { VersionChecks } from './VersionChecks.js';
@@ -24,11 +23,9 @@
 function brokenBy(takeUps: readonly (readonly [status: number, version: string])[]): string[] {
   const violations = new Violations();
   const calls = new Map<string, Call>();
-  const runners = new Map(
-    ['engine-1', 'engine-2'].map((id) => [id, { id, version: 'v1' } as SiteRunner]),
-  );
+  const engines = () => [{ version: 'v1' }, { version: 'v1' }];
   const contact: Pick<Contact, 'holds'> = { holds: () => true };
-  const checks = new VersionChecks({ contact: contact as Contact, violations, calls, runners });
+  const checks = new VersionChecks({ contact: contact as Contact, violations, calls, engines });
   takeUps.forEach(([status, version], index) => {
     const first = callOf(`call-${index}`, 200, 'v1');
     const second = callOf(`again-${index}`, status, version, { first: first.id, events: 1 });
--- a/soak/checks/VersionChecks.ts
+++ b/soak/checks/VersionChecks.ts
@@ -23,8 +23,8 @@
   contact: Contact;
   violations: Violations;
   calls: ReadonlyMap<string, Call>;
-  /** Runners that neither crashed nor left. */
-  runners: ReadonlyMap<string, SiteRunner>;
+  /** Model runners that neither crashed nor left. */
+  engines: () => readonly Pick<SiteRunner, 'version'>[];
 }
 
 function versionsIn({ answer }: Call): Set<string> {
@@ -51,13 +51,11 @@
    * @param call - that is over.
    */
   look(call: Call): void {
-    const { contact, calls, runners } = this.options;
+    const { contact, calls, engines } = this.options;
     const first = call.takesUp && calls.get(call.takesUp.first);
     if (!first || !contact.holds(call.daemon, call.sentAt, call.endedAt)) return;
     const [version] = versionsIn(first);
-    const serving = [...runners.values()].filter(
-      (runner) => runner.id.startsWith('engine') && runner.version === version,
-    );
+    const serving = engines().filter((runner) => runner.version === version);
     if (serving.length < LEAST_RUNNERS) return;
     this.owed += 1;
     this.wentOn += Number(call.answer?.status === OK);
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -56,7 +56,12 @@
   const statements = new StatementChecks({ runs, history, contact, violations, calls });
   const configurations = new ConfigurationChecks({ site, contact, violations });
   const paths = new PathChecks({ history, contact, violations, calls, daemons: daemons.length });
-  const versions = new VersionChecks({ contact, violations, calls, runners: site.runners });
+  const versions = new VersionChecks({
+    contact,
+    violations,
+    calls,
+    engines: () => site.runnersOf('engine'),
+  });
   return { violations, answers, drains, statements, configurations, paths, versions };
 }
 
--- a/standIns/site/SiteRunner.ts
+++ b/standIns/site/SiteRunner.ts
@@ -24,8 +24,9 @@
 
 const EVENTS_BEFORE_CUT = 2;
 
-/** Beginning of an event. */
-const HALF_EVENT = 'id: 9\ndata: ha';
+function halfEvent(id: number): string {
+  return `id: ${id}\ndata: ha`;
+}
 
 const SHARE_BEFORE_CUT = 0.9;
 
@@ -120,8 +121,7 @@
 
   /** Restarts with the same id and address but without state; its entry in the store has to be written again. */
   restart(): void {
-    for (const { socket } of this.unframedStreams) socket?.write(HALF_EVENT);
-    this.server.closeAllConnections();
+    this.closeConnections();
     this.born += 1;
     this.sequence = 0;
     this.ran.length = 0;
@@ -188,9 +188,14 @@
   }
 
   private close(): void {
-    // Between two events, nothing would tell such an end from that of a whole stream.
-    for (const { socket } of this.unframedStreams) socket?.write(HALF_EVENT);
     this.server.close();
+    this.closeConnections();
+  }
+
+  private closeConnections(): void {
+    // Between two events, nothing would tell the end of an unframed stream from that of a whole one.
+    const half = halfEvent(this.options.events);
+    for (const { socket } of this.unframedStreams) socket?.write(half);
     this.server.closeAllConnections();
   }
 
@@ -326,7 +331,7 @@
     for (let event = after + 1; event <= this.options.events; event += 1) {
       const isCut = behaviour === 'cuts_stream' || behaviour === 'ends_stream_early';
       if (isCut && event > after + EVENTS_BEFORE_CUT) {
-        response.write(HALF_EVENT);
+        response.write(halfEvent(event));
         await this.pause(this.options.eventMilliseconds);
         if (behaviour === 'cuts_stream') request.socket.resetAndDestroy();
         else response.end();
--- a/tests/sitePath.spec.ts
+++ b/tests/sitePath.spec.ts
@@ -8,17 +8,11 @@
 import { callSite } from '../standIns/site/callSite.js';
 import type { SiteCall } from '../standIns/site/callSite.js';
 import type { SiteRunner } from '../standIns/site/SiteRunner.js';
+import { wholeStream } from '../standIns/site/siteStreams.js';
 import { siteConfiguration, StandInSite } from '../standIns/site/StandInSite.js';
 
 const CHAT = { 'Prompt-Prefix': 'a1:100,b2:200,c3:10', Model: 'm' };
 
-function wholeStream(events: number): string {
-  return Array.from(
-    { length: events },
-    (_, index) => `id: ${index + 1}\ndata: token ${index + 1}\n\n`,
-  ).join('');
-}
-
 describe('a site of daemons that forward directly', () => {
   let site: StandInSite;
   let log: MemoryLog;
--- a/tests/softwareVersions.spec.ts
+++ b/tests/softwareVersions.spec.ts
@@ -9,6 +9,7 @@
 import { callSite } from '../standIns/site/callSite.js';
 import type { SiteAnswer } from '../standIns/site/callSite.js';
 import type { SiteRunner } from '../standIns/site/SiteRunner.js';
+import { countEvents, wholeStream } from '../standIns/site/siteStreams.js';
 import type { SiteDaemon } from '../standIns/site/StandInSite.js';
 import { StandInSite } from '../standIns/site/StandInSite.js';
 
@@ -37,15 +38,6 @@
   readonly body: string;
 }
 
-function eventsIn(body: string): number {
-  return body.match(/\n\n/gu)?.length ?? 0;
-}
-
-function wholeStream(): string {
-  const numbers = Array.from({ length: EVENTS }, (_, index) => index + 1);
-  return numbers.map((number) => `id: ${number}\ndata: token ${number}\n\n`).join('');
-}
-
 describe('streams before runners of two software versions', () => {
   let site: StandInSite;
   let runners: SiteRunner[];
@@ -102,7 +94,7 @@
   /** Sends a stream whose caller loses it after its first events. */
   async function begin(daemon: number, id = newId()): Promise<BegunStream> {
     const address = site.daemons[daemon % DAEMONS]!.settings.addresses.callers;
-    const leaves = (received: string) => eventsIn(received) >= 2;
+    const leaves = (received: string) => countEvents(received) >= 2;
     const headers = { ...CHAT, 'Attempt-Id': id };
     const { body } = await callSite({ address, path: '/chat/', headers, leaves });
     return { id, daemon, body };
@@ -113,7 +105,7 @@
     const secondId = newId();
     const headers = {
       'Attempt-Id': secondId,
-      'Last-Event-Id': String(eventsIn(body)),
+      'Last-Event-Id': String(countEvents(body)),
       Resumes: id,
     };
     return { secondId, answer: await call(daemon + 1, headers) };
@@ -148,7 +140,8 @@
     const mixed = taken.filter(({ stream, secondId }) => versionsOf(stream.id, secondId).size > 1);
     expect(mixed.map(({ stream }) => stream.id)).toEqual([]);
     const whole = taken.filter(
-      ({ stream, answer }) => stream.body + answer.body === wholeStream() && answer.isComplete,
+      ({ stream, answer }) =>
+        stream.body + answer.body === wholeStream(EVENTS) && answer.isComplete,
     );
     expect(whole.length).toEqual(STREAMS);
   });
