Divide brittle runners' slots among all listed daemons, not among those that are heard

Cause: the slots were divided among the daemons that this one hears (liveness). Busy daemons hear nobody in time, so each of the twenty divided among two and took ten times its part. Evidence, from a scratch copy that prints each rejection: in the second wave of crashes all 24 rejections say daemons=2, 2 own slots, 1 or 2 requests there, from daemons that are all alive (20 processes, 40 that want a core).

Ruled out for this wave: requests beyond the own part (none), requests left by their callers (none within 1.5 s).

Change: the parts follow the store's list, with those that left it within 10 s, as a starved daemon may lose its lease; daemons that say themselves that they reach no runner, or that were dropped longer ago, have none. What a dead daemon does not use is idle for the rest of its lease and ten seconds more, but for what others may use of runners that are less than half full.

The test fails on the code before (names of available daemons only).

--- a/src/coordination/FleetCoordination.spec.ts
+++ b/src/coordination/FleetCoordination.spec.ts
@@ -10,6 +10,7 @@
 import { RunnerAdmission } from '../runners/RunnerAdmission.js';
 import { RunnerChoice } from '../runners/RunnerChoice.js';
 import { WarmPlaces } from '../runners/WarmPlaces.js';
+import type { FleetKnowledge } from '../sync/FleetKnowledge.js';
 import type { DaemonEntry, FleetStore } from '../sync/FleetStore.js';
 import { createTestKnowledge } from '../sync/testKnowledge.js';
 import { ManualClock } from '../time/ManualClock.js';
@@ -24,6 +25,9 @@
 
 const LONGEST_PAUSE_MILLISECONDS = 1_000;
 
+/** Time after which a daemon that left the list no longer counts among those that send, in ms. */
+const DEPARTED_MILLISECONDS = 10_000;
+
 /** Other daemons: the dead ones refuse probes, and the others answer them and report the dead ones as unresponsive. */
 class ScriptedPeers extends LivenessPeers {
   readonly dead = new Set<string>();
@@ -51,6 +55,7 @@
   let clock: ManualClock;
   let log: MemoryLog;
   let peers: ScriptedPeers;
+  let knowledge: FleetKnowledge;
 
   beforeEach(() => {
     mock.timers.enable({ apis: ['setTimeout'] });
@@ -68,7 +73,7 @@
   afterEach(() => mock.timers.reset());
 
   function start(size: number): FleetCoordination {
-    const { knowledge } = createTestKnowledge();
+    ({ knowledge } = createTestKnowledge());
     const daemons = Array.from({ length: size }, (_, index) => daemonOf(index));
     const facts = daemons.map((daemon) => ({ kind: 'daemon', daemon }) as const);
     const secret = { kind: 'secret', secret: 'of the fleet' } as const;
@@ -121,6 +126,21 @@
     ]);
   });
 
+  // Guards against brittle runners that are overrun because each busy daemon divides their slots among those it hears.
+  it('counts unresponsive daemons, and those that left the list lately, among those that send', async () => {
+    const coordination = start(5);
+    const all = ['daemon-02', 'daemon-00', 'daemon-01', 'daemon-03', 'daemon-04'];
+    for (const index of [0, 1, 3, 4]) peers.dead.add(`daemon-0${index}`);
+    await pass(DETECTION_MILLISECONDS);
+    expect(coordination.otherAvailableDaemons()).toEqual([]);
+    expect(coordination.namesOfSendingDaemons()).toEqual(all);
+    const fact = { kind: 'daemon_gone', name: 'daemon-04' } as const;
+    knowledge.applyChanges({ revision: 2, facts: [fact] }, clock.monotonicMilliseconds());
+    expect(coordination.namesOfSendingDaemons()).toEqual(all);
+    await pass(DEPARTED_MILLISECONDS);
+    expect(coordination.namesOfSendingDaemons()).toEqual(all.slice(0, -1));
+  });
+
   it('asks only live daemons, and sends load reports to unresponsive ones too', async () => {
     const coordination = start(5);
     peers.dead.add('daemon-04');
--- a/src/coordination/FleetCoordination.ts
+++ b/src/coordination/FleetCoordination.ts
@@ -65,6 +65,9 @@
 /** Shortest time between two reads of the configuration, as a share of the time between reads of the store. */
 const CONFIGURATION_SHARE = 0.5;
 
+/** How long a daemon that left the list still counts among those that send, in ms: a busy one may renew its lease late. */
+const SENDING_MILLISECONDS = 10_000;
+
 /**
  * Backoff of a daemon that others read the store for, in ms. It may be long: the store readers notice that the store
  * is back and broadcast it, and calls cost the store something even while it is unavailable.
@@ -261,12 +264,20 @@
     return this.otherDaemons().filter(({ name }) => !this.liveness.isUnavailable(name));
   }
 
-  /** @returns Names of this daemon and of the other available ones that reach the runners. */
+  /**
+   * Returns the daemons that may send requests to runners. An unresponsive one is among them as long as it is listed: a
+   * busy daemon that does not answer in time goes on sending, and if each daemon left out those that it does not hear,
+   * all parts of what is divided among the fleet would grow at the same moment.
+   *
+   * @returns Names of this daemon and of all that were listed lately, without those that say that they reach no runner.
+   */
   namesOfSendingDaemons(): string[] {
-    const now = this.options.clock.monotonicMilliseconds();
-    const others = this.otherAvailableDaemons().map(({ name }) => name);
-    const sending = others.filter((name) => !this.pathReports.isPathLost(name, now));
-    return [this.options.daemon.name, ...sending];
+    const { clock, daemon, knowledge } = this.options;
+    const now = clock.monotonicMilliseconds();
+    const others = knowledge
+      .namesSharingLimits(SENDING_MILLISECONDS, now)
+      .filter((name) => name !== daemon.name && !this.pathReports.isPathLost(name, now));
+    return [daemon.name, ...others];
   }
 
   /** @returns Whether this daemon gets the load reports of all others. */
--- a/src/sync/DaemonListing.ts
+++ b/src/sync/DaemonListing.ts
@@ -30,6 +30,9 @@
   /** Recent lengths of the list. */
   readonly size = new FleetSize();
 
+  /** When daemons were last dropped from the list, monotonic ms. */
+  private readonly droppedAt = new Map<string, number>();
+
   /** Number of changes of the list so far. */
   changes = 0;
 
@@ -53,6 +56,18 @@
     return [...this.daemons.values()].filter(({ name }) => !this.lapsed.has(name));
   }
 
+  /**
+   * @param periodMilliseconds - how long a daemon that was dropped is still included.
+   * @param now - monotonic milliseconds.
+   * @returns Names of the daemons that were listed at any time within the period.
+   */
+  namesWithin(periodMilliseconds: number, now: number): string[] {
+    for (const [name, at] of this.droppedAt) {
+      if (now - at >= periodMilliseconds) this.droppedAt.delete(name);
+    }
+    return [...this.daemons.keys(), ...this.droppedAt.keys()];
+  }
+
   /**
    * Adds or updates a daemon that has an entry.
    *
@@ -65,6 +80,7 @@
     const isSame = before?.newsAddress === newsAddress && before.callerAddress === callerAddress;
     const wasLapsed = this.lapsed.delete(name);
     this.daemons.set(name, daemon);
+    this.droppedAt.delete(name);
     this.size.changed(this.daemons.size, moment.now);
     if (isSame && !wasLapsed) return;
     this.options.onChange({ kind: 'daemon', daemon }, moment);
@@ -100,6 +116,7 @@
   private drop(name: string, now: number): void {
     this.lapsed.delete(name);
     this.daemons.delete(name);
+    this.droppedAt.set(name, now);
     this.size.changed(this.daemons.size, now);
     this.changes += 1;
     this.options.listener.daemonChanged(name, 'gone');
--- a/src/sync/FleetKnowledge.ts
+++ b/src/sync/FleetKnowledge.ts
@@ -102,6 +102,15 @@
     return this.daemonListing.size.maximumWithin(periodMilliseconds, now);
   }
 
+  /**
+   * @param periodMilliseconds - how long the requests of a daemon count towards the limits of the fleet.
+   * @param now - monotonic milliseconds.
+   * @returns Names of the daemons that share what is divided among the whole fleet.
+   */
+  namesSharingLimits(periodMilliseconds: number, now: number): string[] {
+    return this.daemonListing.namesWithin(periodMilliseconds, now);
+  }
+
   /** @returns The configuration in force, or `undefined` before the first one. */
   get routes(): RouteTable | undefined {
     return this.routeTable;
