Leave brittle runners' parts to daemons without a path while runners come back

Callers saw: after all brittle runners crashed of one shortage of processor time they crashed again together each 3.3 s (22 crashes in 18 s, 0 to 94 of 320 served a second, nothing of it after the shortage had ended).

Cause: runners that refuse connections because they are down make every daemon say that it has no path. Parts go to daemons with a path only, so that each daemon, back by itself, counted itself and perhaps one other and took ten to twenty times its part. Evidence: 23 of 25 and all of 32 rejections of the second and third wave say daemons=2 of 20, one request each, all within 0.1 s.

Change: the parts of daemons without a path are used by others only at runners that have been usable for 3 s, and by a daemon that has had a path itself for as long.

The new test fails without either condition.

--- a/src/coordination/FleetCoordination.spec.ts
+++ b/src/coordination/FleetCoordination.spec.ts
@@ -139,6 +139,10 @@
     expect(coordination.namesOfSendingDaemons()).toEqual(all);
     await pass(DEPARTED_MILLISECONDS);
     expect(coordination.namesOfSendingDaemons()).toEqual(all.slice(0, -1));
+    coordination.pathReports.record('daemon-00', true, clock.monotonicMilliseconds() - 1_000);
+    coordination.pathReports.record('daemon-00', true, clock.monotonicMilliseconds());
+    expect(coordination.namesOfSendingDaemons()).toEqual(all.slice(0, -1));
+    expect(coordination.namesOfDaemonsWithPath()).toEqual(['daemon-02', 'daemon-01', 'daemon-03']);
   });
 
   it('asks only live daemons, and sends load reports to unresponsive ones too', async () => {
--- a/src/coordination/FleetCoordination.ts
+++ b/src/coordination/FleetCoordination.ts
@@ -269,15 +269,20 @@
    * busy daemon that does not answer in time goes on sending, and if each daemon left out those that it does not hear,
    * all parts of what is divided among the fleet would grow at the same moment.
    *
-   * @returns Names of this daemon and of all that were listed lately, without those that say that they reach no runner.
+   * @returns Names of this daemon and of all that were listed lately.
    */
   namesOfSendingDaemons(): string[] {
     const { clock, daemon, knowledge } = this.options;
     const now = clock.monotonicMilliseconds();
-    const others = knowledge
-      .namesSharingLimits(SENDING_MILLISECONDS, now)
-      .filter((name) => name !== daemon.name && !this.pathReports.isPathLost(name, now));
-    return [daemon.name, ...others];
+    const names = knowledge.namesSharingLimits(SENDING_MILLISECONDS, now);
+    return [daemon.name, ...names.filter((name) => name !== daemon.name)];
+  }
+
+  /** @returns Those of the daemons that may send requests that have not said that they reach no runner. */
+  namesOfDaemonsWithPath(): string[] {
+    const now = this.options.clock.monotonicMilliseconds();
+    const [own, ...others] = this.namesOfSendingDaemons();
+    return [own!, ...others.filter((name) => !this.pathReports.isPathLost(name, now))];
   }
 
   /** @returns Whether this daemon gets the load reports of all others. */
--- a/src/handover/RunnerPath.ts
+++ b/src/handover/RunnerPath.ts
@@ -12,6 +12,9 @@
 /** With a single runner, its failure cannot be told from a lost path. */
 const MINIMUM_FAILED_RUNNERS = 2;
 
+/** How long a path that is back counts as new, in ms: until then others may not know of it, and it may be lost again. */
+const SETTLED_MILLISECONDS = 3_000;
+
 /** Options of a {@link RunnerPath}. */
 export interface RunnerPathOptions {
   /** Returns the number of listed runners. */
@@ -29,6 +32,9 @@
 
   private lostAt: number | undefined;
 
+  /** When the path was last found again, monotonic ms. */
+  private backAt = Number.NEGATIVE_INFINITY;
+
   /** When the first request was sent since a runner was last heard from; monotonic ms. */
   private waitingSince: number | undefined;
 
@@ -44,6 +50,14 @@
     return this.lostAt !== undefined;
   }
 
+  /**
+   * @param now - monotonic ms.
+   * @returns Whether this daemon has reached runners for a while.
+   */
+  isSettled(now: number): boolean {
+    return !this.isLost && now - this.backAt >= SETTLED_MILLISECONDS;
+  }
+
   /**
    * Records that a runner did not accept a connection, or refused it.
    *
@@ -67,6 +81,7 @@
     this.recordHeard();
     if (!this.isLost) return;
     this.lostAt = undefined;
+    this.backAt = now;
     this.options.onChange(false, now);
   }
 
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -309,6 +309,8 @@
       onWarmPlace: (key, life) => this.news.addWarmPlace(key, life),
       deciders: () => this.coordination.namesOfChoosingDaemons(),
       daemons: () => this.coordination.namesOfSendingDaemons(),
+      daemonsWithPath: () => this.coordination.namesOfDaemonsWithPath(),
+      isPathSettled: (now) => this.handOver.path.isSettled(now),
       hearsLoads: () => this.coordination.hearsLoads,
     });
     const options = { daemon: entry, knowledge, choice, admission, grants, store, clock, log };
--- a/src/router/createRunnerChoice.ts
+++ b/src/router/createRunnerChoice.ts
@@ -24,8 +24,12 @@
   clock: Clock;
   /** Names of the daemons that choose runners for the others; in a small fleet, of all daemons. */
   deciders: () => readonly string[];
-  /** Names of all daemons that send requests to runners, including this one. */
+  /** Names of all daemons that may send requests to runners, including this one. */
   daemons: () => readonly string[];
+  /** Names of those of them that have not said that they reach no runner. */
+  daemonsWithPath: () => readonly string[];
+  /** Whether this daemon has reached runners for a while. */
+  isPathSettled: (now: number) => boolean;
   /** Whether this daemon hears the loads of all others. */
   hearsLoads: () => boolean;
   log: Log;
@@ -41,6 +45,8 @@
   clock,
   deciders,
   daemons,
+  daemonsWithPath,
+  isPathSettled,
   hearsLoads,
   log,
   ...parts
@@ -60,6 +66,8 @@
   const brittleRunners = new BrittleRunners({
     daemon,
     daemons,
+    daemonsWithPath,
+    isPathSettled,
     runnersOf: (service) => runners.readyOf(service),
     foreignLoad: (life) => (hearsLoads() ? foreignLoad(life) : undefined),
     onBrittle: (service, limit) =>
--- a/src/runners/BrittleRunners.spec.ts
+++ b/src/runners/BrittleRunners.spec.ts
@@ -126,6 +126,27 @@
     expect(brittle.maySend(runner, SETTLED_MILLISECONDS - 1)).toEqual(false);
   });
 
+  // Guards against runners that are all back at once, before daemons that each take the others for cut off from them.
+  it('leave their parts to daemons without a path until the runners and the own path have been back for a while', () => {
+    let isSettled = false;
+    brittle = new BrittleRunners({
+      daemon: 'daemon-0',
+      daemons: () => namesOf(SLOTS),
+      daemonsWithPath: () => ['daemon-0'],
+      isPathSettled: () => isSettled,
+      runnersOf: () => [runner],
+      foreignLoad: () => SLOTS,
+    });
+    settle(1);
+    expect(brittle.maySend(runner, 2 * SETTLED_MILLISECONDS)).toEqual(false);
+    isSettled = true;
+    expect(brittle.maySend(runner, 2 * SETTLED_MILLISECONDS)).toEqual(true);
+    runner.health.record(2 * SETTLED_MILLISECONDS, 'unreachable');
+    expect(brittle.maySend(runner, 2 * SETTLED_MILLISECONDS)).toEqual(false);
+    expect(brittle.maySend(runner, 3 * SETTLED_MILLISECONDS)).toEqual(false);
+    expect(brittle.maySend(runner, 4 * SETTLED_MILLISECONDS)).toEqual(true);
+  });
+
   it('get nothing for a while after a rejection of a request within the part', () => {
     settle(2);
     brittle.recordRejected(runner, SETTLED_MILLISECONDS);
--- a/src/runners/BrittleRunners.ts
+++ b/src/runners/BrittleRunners.ts
@@ -14,8 +14,12 @@
 export interface BrittleRunnersOptions {
   /** Name of this daemon. */
   daemon: string;
-  /** Returns the names of all daemons that send requests, including this one. */
+  /** Returns the names of all daemons that may send requests, including this one. */
   daemons: () => readonly string[];
+  /** Returns those of them that have not said that they reach no runner. */
+  daemonsWithPath?: () => readonly string[];
+  /** Whether this daemon has reached runners for a while; one that has just found them again is not alone in that. */
+  isPathSettled?: (now: number) => boolean;
   /** Returns the runners of a service that accept new work. */
   runnersOf: (service: string) => readonly Runner[];
   /** Returns the requests of other daemons at a runner, by its incarnation; `undefined` if this daemon does not hear them. */
@@ -33,6 +37,12 @@
 /** How long a runner that was full, new or unusable is limited to the parts of the daemons, in ms. */
 const PRESSED_MILLISECONDS = 2_000;
 
+/**
+ * How long the parts of daemons without a path are left to them at a runner that is new or was unusable, in ms. If all
+ * runners were down, no daemon had a path, and all of them have one again at the same moment.
+ */
+const RETURN_MILLISECONDS = 3_000;
+
 /** How long the division of the slots is kept, in ms; the lists of daemons and runners change rarely. */
 const DIVISION_MILLISECONDS = 200;
 
@@ -57,6 +67,8 @@
 interface RunnerState {
   pressedUntil: number;
   pausedUntil: number;
+  /** Until when the runner counts as one that has just come back, monotonic ms. */
+  returningUntil: number;
 }
 
 interface Division {
@@ -102,7 +114,7 @@
 
 /** Keeps which services are brittle, and how full their runners may be. */
 export class BrittleRunners {
-  private readonly options: BrittleRunnersOptions;
+  private readonly options: Required<BrittleRunnersOptions>;
 
   private readonly statements = new WeakMap<Runner, Statement>();
 
@@ -111,13 +123,22 @@
 
   private readonly states = new WeakMap<Runner, RunnerState>();
 
-  private readonly divisions = new Map<string, Division>();
+  /** Among all daemons, and among those with a path; by service. */
+  private readonly divisions = {
+    daemons: new Map<string, Division>(),
+    daemonsWithPath: new Map<string, Division>(),
+  };
 
   /**
    * @param options - the daemons and runners, and their loads.
    */
   constructor(options: BrittleRunnersOptions) {
-    this.options = options;
+    this.options = {
+      daemonsWithPath: options.daemons,
+      isPathSettled: () => true,
+      onBrittle: () => undefined,
+      ...options,
+    };
   }
 
   /**
@@ -134,7 +155,7 @@
     if (limit === undefined) return;
     const isNew = !isFresh(this.services.get(service), now);
     this.services.set(service, statement);
-    if (isNew) this.options.onBrittle?.(service, limit);
+    if (isNew) this.options.onBrittle(service, limit);
   }
 
   /**
@@ -169,7 +190,10 @@
     const { slots } = runner.entry;
     if (slots === undefined || this.limitOf(runner, now) === undefined) return true;
     const state = this.stateOf(runner, now);
-    if (!runner.health.isUsable(now)) state.pressedUntil = now + PRESSED_MILLISECONDS;
+    if (!runner.health.isUsable(now)) {
+      state.pressedUntil = now + PRESSED_MILLISECONDS;
+      state.returningUntil = now + RETURN_MILLISECONDS;
+    }
     if (state.pausedUntil > now) return false;
     if (!isForOther && runner.inFlight < this.ownSlots(runner, now)) return true;
     if (state.pressedUntil > now) return false;
@@ -187,20 +211,29 @@
     return isFresh(ofService, now) ? ofService.limit : undefined;
   }
 
-  private ownSlots({ entry }: Runner, now: number): number {
-    const known = this.divisions.get(entry.service);
-    if (known && now - known.at < DIVISION_MILLISECONDS) return known.slots.get(entry.life) ?? 0;
-    const { runnersOf, daemons, daemon } = this.options;
-    const slots = divideSlots(runnersOf(entry.service), daemons(), daemon);
-    this.divisions.set(entry.service, { at: now, slots });
-    return slots.get(entry.life) ?? 0;
+  private ownSlots(runner: Runner, now: number): number {
+    const { service, life } = runner.entry;
+    const isReturning = this.stateOf(runner, now).returningUntil > now;
+    const isShared = isReturning || !this.options.isPathSettled(now);
+    const sharers = isShared ? 'daemons' : 'daemonsWithPath';
+    const divisions = this.divisions[sharers];
+    const known = divisions.get(service);
+    if (known && now - known.at < DIVISION_MILLISECONDS) return known.slots.get(life) ?? 0;
+    const { runnersOf, daemon } = this.options;
+    const slots = divideSlots(runnersOf(service), this.options[sharers](), daemon);
+    divisions.set(service, { at: now, slots });
+    return slots.get(life) ?? 0;
   }
 
   /** A runner that is seen for the first time may have just started, and all daemons see it at the same moment. */
   private stateOf(runner: Runner, now: number): RunnerState {
     const known = this.states.get(runner);
     if (known) return known;
-    const made = { pressedUntil: now + PRESSED_MILLISECONDS, pausedUntil: 0 };
+    const made = {
+      pressedUntil: now + PRESSED_MILLISECONDS,
+      pausedUntil: 0,
+      returningUntil: now + RETURN_MILLISECONDS,
+    };
     this.states.set(runner, made);
     return made;
   }
