Limit requests to runners that no longer answer in time

Callers saw: beside a machine that is short of processor time, 0 to 10 of 320 requests a second served, the rest 504 after 1.5 s, for as long as it lasted.

Cause: each daemon keeps up to four requests (more before few daemons) at each runner, whatever the runner does with them; 80 of 20 daemons at a runner of four slots that does ten a second wait eight seconds, so that all of them pass their deadline in the queue, and the next ones take their places. Evidence: foreign loads of 50 to 80 at each runner in the lines of rejections, and 601 of 760 requests of one second ended with the deadline.

Change: a request that is given up unanswered after twice its target latency halves what this daemon keeps at that runner, and below one request makes pauses, that grow to 8 s and are partly random; answers raise it again. Refused as backlogged, at once, with the pause. A retry is not limited: another runner has failed it already, and the budget bounds it.

--- a/src/coordination/CoordinatedSelector.ts
+++ b/src/coordination/CoordinatedSelector.ts
@@ -137,7 +137,10 @@
   private excludedLives({ tried, service, now }: ChoiceQuestion): string[] {
     const unusable = this.options.runners
       .readyOf(service)
-      .filter(({ health, pausedUntil }) => !health.isUsable(now) || pausedUntil > now)
+      .filter(
+        ({ health, pausedUntil, backlog, inFlight }) =>
+          !health.isUsable(now) || pausedUntil > now || !backlog.admits(inFlight, now),
+      )
       .map(({ entry }) => entry.life);
     return [...new Set([...tried, ...unusable])].slice(0, MAXIMUM_EXCLUDED);
   }
--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -86,6 +86,7 @@
   callerLeft(): void {
     if (this.relay.isDone) return;
     this.relay.abandon();
+    this.recordGivenUp();
     this.stopAttempts();
     this.end('callerLeft', 'caller_left');
   }
@@ -288,6 +289,7 @@
   }
 
   private expire(): void {
+    this.recordGivenUp();
     if (!this.answerFallback()) this.endWith({ status: 504, reason: 'deadline' });
   }
 
@@ -307,6 +309,11 @@
     this.end('notServed', own.reason);
   }
 
+  private recordGivenUp(): void {
+    const { targetLatencyMilliseconds } = this.request.route;
+    for (const attempt of this.active) this.outcomes.givenUp(attempt, targetLatencyMilliseconds);
+  }
+
   private stopAttempts(): void {
     this.timer.clear();
     this.handOver.cancel();
--- a/src/forwarding/RunnerAttempt.ts
+++ b/src/forwarding/RunnerAttempt.ts
@@ -83,6 +83,9 @@
   /** When the attempt was created, immediately before it is sent; monotonic ms. */
   readonly startedAt: number;
 
+  /** Whether the head of an answer has arrived. */
+  isAnswered = false;
+
   private readonly options: RunnerAttemptOptions;
 
   private request: ClientRequest | undefined;
@@ -236,6 +239,8 @@
       this.fail('refused', false);
       return;
     }
+    this.isAnswered = true;
+    this.runner.backlog.recordAnswered();
     answer.on('data', (chunk: Buffer) => this.handleChunk(chunk));
     answer.once('end', () => this.handleEnd(answer));
     answer.once('error', () => this.fail('broken'));
--- a/src/forwarding/RunnerOutcomes.ts
+++ b/src/forwarding/RunnerOutcomes.ts
@@ -23,6 +23,9 @@
 
 const SERVER_ERROR = 500;
 
+/** A runner that keeps a request for this multiple of its target latency is late; a caller that leaves earlier is not. */
+const LATE_FACTOR = 2;
+
 /** A runner's answer after the deadline has passed; it does not count as a failure of the runner. */
 const GATEWAY_TIMEOUT = 504;
 
@@ -76,6 +79,20 @@
     this.record(runner, isRunnerFault ? 'failed' : 'answered');
   }
 
+  /**
+   * Records an attempt that is about to be given up, because its caller's deadline has passed or the caller has left.
+   *
+   * @param attempt - attempt in progress.
+   * @param targetMilliseconds - target latency of its route, in ms.
+   */
+  givenUp({ runner, startedAt, isAnswered }: RunnerAttempt, targetMilliseconds: number): void {
+    const { link, clock } = this.options.context;
+    const now = clock.monotonicMilliseconds();
+    const isLate = now - startedAt >= targetMilliseconds * LATE_FACTOR;
+    if (isAnswered || !isLate || link.isPathLost) return;
+    runner.backlog.recordUnanswered(startedAt, runner.inFlight, now);
+  }
+
   private record(runner: Runner, outcome: RunnerOutcome): void {
     const { context, report } = this.options;
     const now = context.clock.monotonicMilliseconds();
--- a/src/runners/Runner.ts
+++ b/src/runners/Runner.ts
@@ -2,6 +2,7 @@
  * One incarnation of a runner, as this daemon knows it.
  */
 import type { FailureShare } from './FailureShare.js';
+import { RunnerBacklog } from './RunnerBacklog.js';
 import { RunnerHealth } from './RunnerHealth.js';
 
 /**
@@ -44,6 +45,9 @@
 
   readonly health: RunnerHealth;
 
+  /** Limits the requests of this daemon while the runner is too slow to answer them in time. */
+  readonly backlog = new RunnerBacklog();
+
   /**
    * Whether its entry is missing from the platform's list. The runner may be gone, or the list may have been
    * unavailable and the entry will be back.
--- a/src/runners/RunnerAdmission.ts
+++ b/src/runners/RunnerAdmission.ts
@@ -8,7 +8,7 @@
 
 /** Why a runner may not get a request, although it may get others or may get this one later. */
 export type RejectionReason =
-  'tried' | 'other_region' | 'other_version' | 'asked_for_time' | 'no_connection';
+  'tried' | 'other_region' | 'other_version' | 'asked_for_time' | 'backlogged' | 'no_connection';
 
 /** The properties of a request that decide about its admission. */
 export interface AdmissionQuestion {
@@ -83,6 +83,8 @@
     if (!this.isInHomeRegion(runner, question.homeRegions)) return 'other_region';
     if (!runner.hasVersion(question.softwareVersion)) return 'other_version';
     if (runner.pausedUntil > now) return 'asked_for_time';
+    // A request that another runner has failed already is worth more than the next one.
+    if (tried.size === 0 && !runner.backlog.admits(runner.inFlight, now)) return 'backlogged';
     return runner.inFlight < connectionLimit ? undefined : 'no_connection';
   }
 
--- a/src/runners/unavailability.ts
+++ b/src/runners/unavailability.ts
@@ -16,7 +16,8 @@
   | 'evacuated'
   | 'no_home'
   | 'cold'
-  | 'full';
+  | 'full'
+  | 'backlogged';
 
 /** Why a service has no runner for a request. */
 export interface Unavailability {
@@ -69,6 +70,10 @@
   const pauseMilliseconds = Math.min(...ready.map(({ pausedUntil }) => pausedUntil - now));
   if (pauseMilliseconds > 0) return { reason: 'asked_for_time', pauseMilliseconds };
   if (ready.every((runner) => admission.isFull(runner, now))) return { reason: 'full' };
+  if (ready.every(({ backlog, inFlight }) => !backlog.admits(inFlight, now))) {
+    const pauses = ready.map(({ backlog }) => backlog.remainingPause(now));
+    return { reason: 'backlogged', pauseMilliseconds: Math.min(...pauses) };
+  }
   const areCold = ready.every((runner) => admission.isCold(runner, now));
   return { reason: areCold ? 'cold' : 'no_runner' };
 }
