Blame no request for crashes of runners that had to reject too many

Callers saw: 290 of 640 requests a second refused as quarantined by the whole fleet, for good, after a shortage of processor time of nine seconds.

Cause: runners that crash of overload crash together, and each request that comes often is at three of them within half a second. The quarantine takes it for the cause, and nobody may run it any more, so that no answer clears it.

Whoever has seen the rejection marks the crash in its records, and the mark goes with them to the other daemons and the store; such crashes do not count. Runners that crash without rejections, and runners that are not brittle, count as before.

What remains: a rejection that nobody has seen, because the crash took its answer along, blames the requests as before.

--- a/src/quarantine/CrashRecord.ts
+++ b/src/quarantine/CrashRecord.ts
@@ -35,9 +35,9 @@
     this.digest = digest;
   }
 
-  /** @returns Crashes since the request was last cleared. */
+  /** @returns Crashes since the request was last cleared, without those of overload. */
   get countedCrashes(): readonly RunnerCrash[] {
-    return this.crashes.filter(({ at }) => at > this.clearedAt);
+    return this.crashes.filter(({ at, isOverload }) => at > this.clearedAt && !isOverload);
   }
 
   /** @returns The request's state, from the number of crashes that count. */
@@ -53,18 +53,22 @@
   }
 
   /**
-   * Adds a crash, or moves a known one to the earlier of its two times.
+   * Adds a crash, or moves a known one to the earlier of its two times. A crash that anybody knows to be one of overload
+   * is one.
    *
    * @param crash - crash of a runner on which the request was running.
-   * @returns Whether the crash was unknown.
+   * @returns Whether the crash, or that it is one of overload, was unknown.
    */
   add(crash: RunnerCrash): boolean {
     const known = this.crashes.findIndex(
       ({ life, at }) => life === crash.life && Math.abs(at - crash.at) <= SAME_CRASH_MILLISECONDS,
     );
-    if (known >= 0) {
-      if (crash.at < (this.crashes[known]?.at ?? 0)) this.crashes[known] = crash;
-      return false;
+    const before = this.crashes[known];
+    if (before) {
+      const isOverload = before.isOverload === true || crash.isOverload === true;
+      const at = Math.min(before.at, crash.at);
+      this.crashes[known] = { life: crash.life, at, ...(isOverload && { isOverload }) };
+      return isOverload !== (before.isOverload === true);
     }
     if (crash.at <= this.clearedAt && this.crashes.length >= MAXIMUM_CRASHES) return false;
     this.crashes.push(crash);
--- a/src/quarantine/QuarantineDecisions.spec.ts
+++ b/src/quarantine/QuarantineDecisions.spec.ts
@@ -75,6 +75,38 @@
     expect(decisions.stateOf(DIGEST)).toEqual('quarantined');
   });
 
+  // Guards against requests that are refused for good because they were at runners that crashed of overload.
+  it('blames no request for crashes of runners that had to reject requests, and tells other daemons', () => {
+    decisions.rejected(1, 900);
+    for (const life of [1, 2, 3, 4]) crash(life, 1_000);
+    expect([decisions.crashesOf(DIGEST), decisions.stateOf(DIGEST)]).toEqual([3, 'quarantined']);
+    decisions.rejected(2, 1_800);
+    expect(decisions.stateOf(DIGEST)).toEqual('suspect');
+    const other = new QuarantineDecisions();
+    const unexcused = [1, 2, 3].map((life) => ({ life, at: 1_000 }));
+    other.merge([{ digest: DIGEST, crashes: unexcused, clearedAt: undefined }], 1_100);
+    expect(other.stateOf(DIGEST)).toEqual('quarantined');
+    other.merge([decisions.summaryOf(DIGEST)!], 1_200);
+    expect(other.stateOf(DIGEST)).toEqual('suspect');
+    other.merge([{ digest: DIGEST, crashes: unexcused, clearedAt: undefined }], 1_300);
+    expect(other.stateOf(DIGEST)).toEqual('suspect');
+  });
+
+  it('blames a request for a crash long after a rejection', () => {
+    decisions.rejected(1, 0);
+    for (const life of [1, 2, 3]) crash(life, 5_000);
+    expect(decisions.stateOf(DIGEST)).toEqual('quarantined');
+  });
+
+  // Guards against a daemon that has seen the rejections, but of the crashes knows from others only.
+  it('tells other daemons of an overload that only this one has seen', () => {
+    decisions.rejected(1, 900);
+    decisions.takeChanged();
+    const crashes = [1, 2, 3].map((life) => ({ life, at: 1_000 }));
+    decisions.merge([{ digest: DIGEST, crashes, clearedAt: undefined }], 1_100);
+    expect([...decisions.takeChanged()]).toEqual([[DIGEST, 'seen']]);
+  });
+
   it('keeps a request quarantined for a day after the last crash', () => {
     crashThree();
     expect(decisions.remainingMilliseconds(DIGEST, 1_300)).toEqual(DAY_MILLISECONDS - 1_000);
--- a/src/quarantine/QuarantineDecisions.ts
+++ b/src/quarantine/QuarantineDecisions.ts
@@ -10,6 +10,7 @@
 import { CrashRecord } from './CrashRecord.js';
 import type { CrashSummary, RequestState, RunnerCrash } from './quarantineTypes.js';
 import { RecentAnswers } from './RecentAnswers.js';
+import { RecentRejections } from './RecentRejections.js';
 
 /** Time after the last crash at which a quarantined request may be tried again, in ms. */
 export const QUARANTINE_MILLISECONDS = 86_400_000;
@@ -62,6 +63,8 @@
 
   private readonly answers = new RecentAnswers();
 
+  private readonly rejections = new RecentRejections();
+
   private readonly onStateChange: StateChangeListener;
 
   private cachedHash: number | undefined;
@@ -135,6 +138,21 @@
     this.dropExcess(now);
   }
 
+  /**
+   * Records that a runner that crashes when it rejects too many requests has rejected one. Its crashes at about this time
+   * count against no request.
+   *
+   * @param life - hash of the name of its incarnation.
+   * @param now - monotonic ms.
+   */
+  rejected(life: number, now: number): void {
+    this.rejections.record(life, now);
+    for (const record of this.records.values()) {
+      const before = record.state;
+      if (this.excuse(record)) this.recordChange(record, before, 'seen');
+    }
+  }
+
   /**
    * Records that a runner has answered a request, which clears earlier crashes.
    *
@@ -231,11 +249,19 @@
       // This daemon may have seen an answer that the sender of the report does not know of.
       const answeredAt = this.answers.of(digest);
       const wasAnswered = answeredAt !== undefined && record.answered(answeredAt);
-      this.recordChange(record, before, wasAnswered ? 'seen' : source);
+      const isExcused = this.excuse(record);
+      this.recordChange(record, before, wasAnswered || isExcused ? 'seen' : source);
     }
     this.forgetOld(record, now);
   }
 
+  /** @returns Whether a crash of the record turned out to be one of overload. */
+  private excuse(record: CrashRecord): boolean {
+    const excused = record.countedCrashes.filter((crash) => this.rejections.explain(crash));
+    for (const crash of excused) record.add({ ...crash, isOverload: true });
+    return excused.length > 0;
+  }
+
   private recordChange(record: CrashRecord, before: RequestState, source: 'seen' | 'told'): void {
     const { digest, state: standing } = record;
     this.cachedHash = undefined;
--- a/src/quarantine/RequestQuarantine.ts
+++ b/src/quarantine/RequestQuarantine.ts
@@ -4,6 +4,8 @@
  * Without it, each arrival looks like a new request to each daemon: a single caller that repeats a request that
  * crashes runners takes down all runners of a small site in turn, with everything that runs there.
  */
+import murmurhash from 'murmurhash';
+
 import type { Log } from '../logging/Log.js';
 import type { Counter } from '../metrics/Counter.js';
 import type { Runner } from '../runners/Runner.js';
@@ -165,6 +167,16 @@
     this.watch.recordRefusal(runner);
   }
 
+  /**
+   * Records that a runner that crashes when it rejects too many requests has rejected one.
+   *
+   * @param runner - the runner.
+   */
+  rejected({ entry }: Runner): void {
+    this.decisions.rejected(murmurhash.v3(entry.life), this.now);
+    this.notifyChange();
+  }
+
   /**
    * Records that a runner has answered a request completely.
    *
--- a/src/quarantine/crashSummaryCodec.ts
+++ b/src/quarantine/crashSummaryCodec.ts
@@ -7,7 +7,7 @@
 
 import { CrashRecordSchema } from '../generated/baobabdock/v1/news_pb.js';
 import type { CrashRecord as CrashMessage } from '../generated/baobabdock/v1/news_pb.js';
-import type { CrashSummary } from './quarantineTypes.js';
+import type { CrashSummary, RunnerCrash } from './quarantineTypes.js';
 
 /**
  * Maximum number of crashes sent for a request: enough to quarantine it, and few enough for sixteen requests in a
@@ -22,6 +22,8 @@
   digest: z.string().regex(/^[0-9a-f]{32}$/u),
   /** Hash of the name of the runner's incarnation, and when it ended. */
   crashes: z.array(z.tuple([z.int().nonnegative(), z.number().nonnegative()])),
+  /** Those of the crashes whose runners had to reject too many requests, by position. */
+  overloads: z.array(z.int().nonnegative()).optional(),
   clearedAt: z.number().nonnegative().optional(),
 });
 
@@ -41,11 +43,17 @@
     digest: Buffer.from(digest, 'hex'),
     crashes: crashes
       .slice(-MAXIMUM_SENT_CRASHES)
-      .map(({ life, at }) => ({ life, ageMilliseconds: ageOf(at, now) })),
+      .map(({ life, at, isOverload }) => ({ life, ageMilliseconds: ageOf(at, now), isOverload })),
     clearedAgeMilliseconds: clearedAt === undefined ? undefined : ageOf(clearedAt, now),
   });
 }
 
+/** @returns Positions of the crashes of overload; `undefined` if there are none. */
+function overloadsAmong(crashes: readonly RunnerCrash[]): number[] | undefined {
+  const positions = crashes.flatMap(({ isOverload }, index) => (isOverload ? [index] : []));
+  return positions.length > 0 ? positions : undefined;
+}
+
 /**
  * @param message - message of another daemon.
  * @param now - this daemon's monotonic time, in ms.
@@ -55,7 +63,11 @@
   const { digest, crashes, clearedAgeMilliseconds } = message;
   return {
     digest: Buffer.from(digest).toString('hex'),
-    crashes: crashes.map(({ life, ageMilliseconds }) => ({ life, at: now - ageMilliseconds })),
+    crashes: crashes.map(({ life, ageMilliseconds, isOverload }) => ({
+      life,
+      at: now - ageMilliseconds,
+      ...(isOverload && { isOverload }),
+    })),
     clearedAt: clearedAgeMilliseconds === undefined ? undefined : now - clearedAgeMilliseconds,
   };
 }
@@ -72,6 +84,7 @@
   const requests = news.map(({ digest, crashes, clearedAt }) => ({
     digest,
     crashes: crashes.map(({ life, at }) => [life, toDocumentTime(at)]),
+    overloads: overloadsAmong(crashes),
     clearedAt: clearedAt === undefined ? undefined : toDocumentTime(clearedAt),
   }));
   return JSON.stringify({ requests });
@@ -84,9 +97,14 @@
  * @throws When the document does not match the schema.
  */
 export function decodeDocument(text: string, fromDocumentTime: TimeConversion): CrashSummary[] {
-  return documentSchema.parse(JSON.parse(text)).requests.map(({ digest, crashes, clearedAt }) => ({
+  const { requests } = documentSchema.parse(JSON.parse(text));
+  return requests.map(({ digest, crashes, overloads = [], clearedAt }) => ({
     digest,
-    crashes: crashes.map(([life, time]) => ({ life, at: fromDocumentTime(time) })),
+    crashes: crashes.map(([life, time], index) => ({
+      life,
+      at: fromDocumentTime(time),
+      ...(overloads.includes(index) && { isOverload: true }),
+    })),
     clearedAt: clearedAt === undefined ? undefined : fromDocumentTime(clearedAt),
   }));
 }
--- a/src/quarantine/quarantineTypes.ts
+++ b/src/quarantine/quarantineTypes.ts
@@ -8,6 +8,8 @@
   readonly life: number;
   /** When it crashed, in monotonic ms. */
   readonly at: number;
+  /** Whether it crashed because it had to reject too many requests, so that no request is to blame. */
+  readonly isOverload?: boolean;
 }
 
 /** Crashes that occurred while a given request was running, as daemons exchange them. */
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -312,6 +312,7 @@
       daemonsWithPath: () => this.coordination.namesOfDaemonsWithPath(),
       isPathSettled: (now) => this.handOver.path.isSettled(now),
       hearsLoads: () => this.coordination.hearsLoads,
+      onRejected: (runner) => this.quarantineTask.quarantine.rejected(runner),
     });
     const options = { daemon: entry, knowledge, choice, admission, grants, store, clock, log };
     const calls = {
--- a/src/router/createRunnerChoice.ts
+++ b/src/router/createRunnerChoice.ts
@@ -8,6 +8,7 @@
 import { ColdStarts } from '../runners/ColdStarts.js';
 import { RunnerAdmission } from '../runners/RunnerAdmission.js';
 import { RunnerChoice } from '../runners/RunnerChoice.js';
+import type { Runner } from '../runners/Runner.js';
 import type { RunnerChoiceOptions } from '../runners/RunnerChoice.js';
 import type { FleetKnowledge } from '../sync/FleetKnowledge.js';
 import type { Clock } from '../time/Clock.js';
@@ -32,6 +33,8 @@
   isPathSettled: (now: number) => boolean;
   /** Whether this daemon hears the loads of all others. */
   hearsLoads: () => boolean;
+  /** Called when a brittle runner has rejected a request. */
+  onRejected: (runner: Runner) => void;
   log: Log;
 }
 
@@ -48,6 +51,7 @@
   daemonsWithPath,
   isPathSettled,
   hearsLoads,
+  onRejected,
   log,
   ...parts
 }: CreateRunnerChoiceOptions): { admission: RunnerAdmission; choice: RunnerChoice } {
@@ -68,6 +72,7 @@
     daemons,
     daemonsWithPath,
     isPathSettled,
+    onRejected,
     runnersOf: (service) => runners.readyOf(service),
     foreignLoad: (life) => (hearsLoads() ? foreignLoad(life) : undefined),
     onBrittle: (service, limit) =>
--- a/src/runners/BrittleRunners.ts
+++ b/src/runners/BrittleRunners.ts
@@ -26,6 +26,8 @@
   foreignLoad: (life: string) => number | undefined;
   /** Called when runners of a service begin to say that they are brittle. */
   onBrittle?: (service: string, limit: number) => void;
+  /** Called when a brittle runner has rejected a request. */
+  onRejected?: (runner: Runner) => void;
 }
 
 /** How long a statement of a runner counts, in ms. */
@@ -137,6 +139,7 @@
       daemonsWithPath: options.daemons,
       isPathSettled: () => true,
       onBrittle: () => undefined,
+      onRejected: () => undefined,
       ...options,
     };
   }
@@ -168,6 +171,7 @@
     const { slots = 1 } = runner.entry;
     const stated = this.limitOf(runner, now);
     if (stated === undefined) return;
+    this.options.onRejected(runner);
     const state = this.stateOf(runner, now);
     state.pressedUntil = now + PRESSED_MILLISECONDS;
     // With more requests there than this daemon's part, it is enough to keep to the part from now on.
