Keep the facts of a revision together when the store's content is relayed

Callers saw: two of eight runners unused for good by 19 of 20 daemons after all had started again at the same moment: 193 of 320 requests a second served in place of 256.

Cause: a restart under the same id is two facts of one revision, the old incarnation gone and the new one ready. Broadcasts hold five facts each; the third pair was split, and a receiver that had applied the first datagram took the second half for known, as it skips revisions that it has reached. Coordinators receive such broadcasts as well; two of four were wrong in the same way, confirmed each other, and each broadcast of one ended the count of differences to the others, so that they never read the store again; the one that was right read everything twice a second (2901) in vain.

Change: the changes of a revision go into one datagram; if they do not fit, the revision is announced with the last one of them. Differences are counted by coordinator too.

Both tests fail on the code before (10 of 12 runners; no read).

--- a/src/coordination/StoreRelay.spec.ts
+++ b/src/coordination/StoreRelay.spec.ts
@@ -12,6 +12,9 @@
 
 /** How long a broadcast counts as current, in ms. */
 const FRESH_MILLISECONDS = 1_500;
+/** How long a change is relayed, in ms. */
+const RELAYED_MILLISECONDS = 2_501;
+
 /** More facts than fit into two datagrams. */
 const FACTS = 12;
 
@@ -101,6 +104,45 @@
     coordinator.knowledge.applyChanges({ revision, facts: [fact] }, clock.monotonicMilliseconds());
   }
 
+  // Guards against a runner that is missing for good once the two facts of its restart are in two datagrams.
+  it('relays all runners that start again at the same moment', () => {
+    for (let index = 1; index < FACTS; index += 1) change(index, 5 + index);
+    const { knowledge, relay } = coordinator;
+    relay.handleStoreRead();
+    clock.advance(RELAYED_MILLISECONDS);
+    for (let index = 0; index < FACTS; index += 1) {
+      const revision = 20 + index;
+      const runner = { ...runnerOf(index), life: `runner-${index} again` };
+      const facts = [{ kind: 'runner', runner, revision } as const];
+      knowledge.applyChanges({ revision, facts }, clock.monotonicMilliseconds());
+    }
+    relay.handleStoreRead();
+    coordinator.sent.forEach(follower.take);
+    expect(follower.knowledge.runners.size).toEqual(FACTS);
+    expect(follower.relay.isFresh).toEqual(true);
+  });
+
+  // Guards against two coordinators that confirm each other in what both have missed.
+  it('reads everything again when one of several coordinators keeps a different listing', () => {
+    const wrong = createDaemon('daemon-3', clock, true);
+    wrong.knowledge.applyFullRead(
+      { revision: 5, facts: [{ kind: 'runner', runner: runnerOf(0) }] },
+      0,
+    );
+    wrong.knowledge.changeLog.restart(5);
+    wrong.knowledge.applyChanges({ revision: 6, facts: [] }, 0);
+    change(1, 6);
+    coordinator.knowledge.changeLog.restart(6);
+    follower.knowledge.applyChanges({ revision: 6, facts: [] }, 0);
+    for (let count = 0; count < 3; count += 1) {
+      for (const { relay, sent } of [wrong, coordinator]) {
+        relay.handleStoreRead();
+        sent.splice(0).forEach(follower.take);
+      }
+    }
+    expect(follower.reads).toEqual(['everything']);
+  });
+
   it('counts a read of its own as current for as long as a broadcast of the store readers', () => {
     // Guards against a second read by each daemon that starts, before the store readers had time to broadcast.
     follower.relay.handleStoreRead();
--- a/src/coordination/StoreRelay.ts
+++ b/src/coordination/StoreRelay.ts
@@ -88,16 +88,31 @@
   readonly digest?: number;
 }
 
-function chunksOf(changes: readonly LoggedChange[]): LoggedChange[][] {
-  const chunks: LoggedChange[][] = [];
-  for (let index = 0; index < changes.length; index += FACTS_IN_DATAGRAM) {
-    chunks.push(changes.slice(index, index + FACTS_IN_DATAGRAM));
+/**
+ * Divides changes among datagrams. A receiver skips the changes of revisions that it has reached, so that only the last
+ * datagram with changes of a revision may reach it.
+ *
+ * @param changes - ordered by revision.
+ * @param sinceRevision - the revision that they follow.
+ * @returns The datagrams; the changes of a revision are split only if they do not fit into one.
+ */
+function partsOf(changes: readonly LoggedChange[], sinceRevision: number): BroadcastPart[] {
+  const parts: BroadcastPart[] = [];
+  let since = sinceRevision;
+  let start = 0;
+  while (start < changes.length) {
+    let end = Math.min(start + FACTS_IN_DATAGRAM, changes.length);
+    const isSplit = () => changes[end - 1]?.revision === changes[end]?.revision;
+    while (end > start && isSplit()) end -= 1;
+    const isTooLong = end === start;
+    if (isTooLong) end = start + FACTS_IN_DATAGRAM;
+    const chunk = changes.slice(start, end);
+    const revision = isTooLong ? since : (chunk.at(-1)?.revision ?? since);
+    parts.push({ since, revision, changes: chunk });
+    since = revision;
+    start = end;
   }
-  return chunks;
-}
-
-function latestRevisionOf(changes: readonly LoggedChange[]): number {
-  return Math.max(...changes.map(({ revision }) => revision));
+  return parts;
 }
 
 /** Broadcasts what this daemon has read from the store, and applies what other daemons broadcast. */
@@ -111,6 +126,9 @@
 
   private consecutiveDifferences = 0;
 
+  /** Consecutive broadcasts of each store reader with a different digest, by its name. */
+  private readonly differences = new Map<string, number>();
+
   /** The newest configuration version in any broadcast, and the daemon that sent the latest one. */
   private toldVersion = 0;
 
@@ -166,14 +184,8 @@
   private broadcast(): void {
     const { knowledge, clock } = this.options;
     const { sinceRevision, changes } = knowledge.changeLog.recent(clock.monotonicMilliseconds());
-    const parts: BroadcastPart[] = [];
-    let since = sinceRevision;
-    for (const chunk of chunksOf(changes)) {
-      const revision = latestRevisionOf(chunk);
-      parts.push({ since, revision, changes: chunk });
-      since = revision;
-    }
-    const last = parts.pop() ?? { since, changes: [] };
+    const parts = partsOf(changes, sinceRevision);
+    const last = parts.pop() ?? { since: sinceRevision, changes: [] };
     const { revision, listingDigest: digest } = knowledge;
     this.sendPaced([...parts, { ...last, revision, digest }]);
     this.options.onBroadcast();
@@ -242,11 +254,14 @@
     if (this.options.knowledge.listingDigest === digest) {
       this.confirmedAt = now;
       this.consecutiveDifferences = 0;
+      this.differences.delete(coordinator);
       return;
     }
+    const differences = (this.differences.get(coordinator) ?? 0) + 1;
+    this.differences.set(coordinator, differences);
     this.consecutiveDifferences += 1;
-    if (this.consecutiveDifferences >= DIFFERENCES_BEFORE_FULL_READ)
-      this.catchUp('everything', coordinator);
+    const most = Math.max(this.consecutiveDifferences, differences);
+    if (most >= DIFFERENCES_BEFORE_FULL_READ) this.catchUp('everything', coordinator);
   }
 
   /** Reads from the store what a lost datagram would have said. */
@@ -256,6 +271,7 @@
     if (now - this.lastCatchUpAt < CATCH_UP_MILLISECONDS) return;
     this.lastCatchUpAt = now;
     this.consecutiveDifferences = 0;
+    this.differences.clear();
     const fields = { coordinator, ...revisionFields(knowledge.revision), reads: what };
     log.write(coordinationLogEvents.listingDiffers, fields);
     readStore(what);
