Remember that runners are brittle over an outage in which none of them answers

Callers saw: two runners that crashed again after the shortage of processor time had ended, and 137 to 148 of 320 requests a second for the next four.

Cause: a statement counted for 10 s. Runners that are down, or too slow to answer, say nothing; nine daemons wrote 2617 (new statement) when the runners were back, and 11 of 13 rejections came from daemons whose part there is 0.

Change: a statement counts for a minute, unless runners of the service answer without one for 10 s after it. The test fails on the code before.

--- a/src/runners/BrittleRunners.spec.ts
+++ b/src/runners/BrittleRunners.spec.ts
@@ -100,6 +100,20 @@
     expect(brittle.maySend(other, SETTLED_MILLISECONDS)).toEqual(true);
   });
 
+  // Guards against runners that all crash again after an outage in which none of them could say that it is brittle.
+  it('are limited after an outage, until others of the service answer without saying so', () => {
+    const [, other] = runnersOf(2) as [Runner, Runner];
+    settle(2);
+    foreign = SLOTS;
+    expect(brittle.maySend(runner, 30_000)).toEqual(false);
+    brittle.recordStated(other, undefined, 9_000);
+    const [back] = runnersOf(1) as [Runner];
+    back.inFlight = 2;
+    expect(brittle.maySend(back, 9_000)).toEqual(false);
+    brittle.recordStated(other, undefined, 10_000);
+    expect(brittle.maySend(back, 10_000)).toEqual(true);
+  });
+
   it('get the part of this daemon in any case', () => {
     foreign = 4;
     settle(1);
--- a/src/runners/BrittleRunners.ts
+++ b/src/runners/BrittleRunners.ts
@@ -30,8 +30,14 @@
   onRejected?: (runner: Runner) => void;
 }
 
-/** How long a statement of a runner counts, in ms. */
-const STATED_MILLISECONDS = 10_000;
+/**
+ * How long a statement of a runner counts, in ms; longer than an outage. Runners that are down say nothing, and would
+ * come back before daemons that have forgotten that they are brittle.
+ */
+const STATED_MILLISECONDS = 60_000;
+
+/** Time without a statement, while runners of the service answer without one, after which it is over, in ms. */
+const UNREPEATED_MILLISECONDS = 10_000;
 
 /** Share of a runner's slots up to which a daemon may exceed its part. */
 const SHARED_FILL = 0.5;
@@ -155,7 +161,11 @@
     const { service } = runner.entry;
     const statement = { limit, at: now };
     this.statements.set(runner, statement);
-    if (limit === undefined) return;
+    if (limit === undefined) {
+      const statedAt = this.services.get(service)?.at ?? now;
+      if (now - statedAt >= UNREPEATED_MILLISECONDS) this.services.delete(service);
+      return;
+    }
     const isNew = !isFresh(this.services.get(service), now);
     this.services.set(service, statement);
     if (isNew) this.options.onBrittle(service, limit);
