Offer a request to several daemons at once, and keep the connections of withdrawn offers

Callers saw: thirteen of twenty daemons without a path serve nobody, 0 of 162 and 0 of 208 first tries at 200 requests a second, beside 16 busy processes, although seven others reach all runners; the same with four of six.

Cause: a daemon is waited for 150 ms and left on a connection that is then destroyed, and a process accepts one connection in each turn of its event loop. Where a turn takes 80 ms, connections are accepted 0.6 to 2.2 s after they were opened (evidence: times of both ends of withdrawn offers; ports 59882 to 59946 accepted one by one at 689, 777, 835, 893, 1005, 1107, 1280 ms), those of dead offers first. So each offer that is given up delays the next ones, and this goes on for as long as callers come: an outage that outlives its cause.

Ruled out: daemons that refuse (8 to 51 refusals against 321 to 490 offers without an answer in time).

Change: an offer that is late stays open while others are asked, the first daemon that confirms gets the request, within half of what it has left, 450 to 900 ms. How late is late follows from what confirmations take. A withdrawn offer ends with an empty message, a refusal without closing, so that connections are used again.

The test with daemons that confirm after 350 ms fails on the code before.

--- a/src/handover/HandOverServer.ts
+++ b/src/handover/HandOverServer.ts
@@ -22,6 +22,8 @@
 /** Largest message, in bytes; callers' bodies are smaller. */
 const MAXIMUM_MESSAGE_BYTES = 16_777_216;
 
+const NO_CONTENT = 204;
+
 const UNAVAILABLE = 503;
 
 const FORBIDDEN = 403;
@@ -69,6 +71,7 @@
     }
     const { refusal } = this;
     if (refusal) {
+      request.resume();
       this.refuse(response, refusal);
       return;
     }
@@ -89,8 +92,7 @@
   }
 
   private refuse(response: ServerResponse, reason: HandOverRefusal): void {
-    const headers = { [REFUSED_HEADER]: reason, 'Content-Length': 0, Connection: 'close' };
-    response.writeHead(UNAVAILABLE, headers).end();
+    response.writeHead(UNAVAILABLE, { [REFUSED_HEADER]: reason, 'Content-Length': 0 }).end();
   }
 
   private read(request: IncomingMessage, response: ServerResponse): void {
@@ -107,6 +109,11 @@
   }
 
   private decode(message: Buffer, response: ServerResponse): void {
+    if (message.length === 0) {
+      // Another daemon has taken the request.
+      response.writeHead(NO_CONTENT).end();
+      return;
+    }
     try {
       this.forward(decodeHandOver(message, this.options.secret() ?? ''), response);
     } catch (error) {
--- a/src/handover/HandOverTask.ts
+++ b/src/handover/HandOverTask.ts
@@ -10,12 +10,16 @@
 import type { MetricRegistry } from '../metrics/MetricRegistry.js';
 import type { DaemonEntry } from '../sync/FleetStore.js';
 import type { Clock } from '../time/Clock.js';
+import { ConfirmationTimes } from './ConfirmationTimes.js';
 import { HandOverPeers } from './HandOverPeers.js';
 import type { RunnerPath } from './RunnerPath.js';
 
 /** How long a service that no other daemon reaches either is not handed over, in ms. */
 const UNREACHED_MILLISECONDS = 1_000;
 
+/** Maximum number of connections to one other daemon. */
+const MAXIMUM_CONNECTIONS = 256;
+
 /** Options of a {@link HandOverTask}. */
 export interface HandOverTaskOptions {
   /** This daemon's entry in the list of daemons. */
@@ -35,7 +39,7 @@
 /** State that all requests of a daemon share. */
 export class HandOverTask {
   /** Connections to other daemons. */
-  readonly agent = new Agent({ keepAlive: true });
+  readonly agent = new Agent({ keepAlive: true, maxSockets: MAXIMUM_CONNECTIONS });
 
   readonly log: Log;
 
@@ -43,6 +47,8 @@
 
   private readonly peers: HandOverPeers;
 
+  private readonly confirmations = new ConfirmationTimes();
+
   private readonly unreachedAt = new Map<string, number>();
 
   private readonly results;
@@ -113,24 +119,37 @@
     return this.peers.choose({ daemons: daemons(), asked, hasNoPath, now: this.now });
   }
 
+  /** @returns Time after which a request is offered to another daemon as well, in ms. */
+  get delayMilliseconds(): number {
+    return this.confirmations.delayMilliseconds;
+  }
+
   /**
    * @param name - daemon that took a request.
+   * @param milliseconds - how long it took to confirm.
    */
-  recordAccepted(name: string): void {
+  recordAccepted(name: string, milliseconds: number): void {
+    this.confirmations.record(milliseconds);
     this.peers.recordAccepted(name, this.now);
     this.results.increment({ result: 'taken' });
   }
 
   /**
-   * @param name - daemon that refused a request, or did not answer.
-   * @param hasAnswered - whether it answered.
+   * @param name - daemon that refused a request.
    */
-  recordRefused(name: string, hasAnswered = true): void {
-    if (hasAnswered) this.peers.recordRefused(name, this.now);
-    else this.peers.recordUnanswered(name, this.now);
+  recordRefused(name: string): void {
+    this.peers.recordRefused(name, this.now);
     this.results.increment({ result: 'refused' });
   }
 
+  /**
+   * @param name - daemon that has not answered in time.
+   */
+  recordUnanswered(name: string): void {
+    this.peers.recordUnanswered(name, this.now);
+    this.results.increment({ result: 'delayed' });
+  }
+
   /**
    * @param service - service that other daemons do not reach either.
    */
--- a/src/handover/HandedOverRequest.spec.ts
+++ b/src/handover/HandedOverRequest.spec.ts
@@ -89,6 +89,18 @@
     expect(peers.taken.every(({ by }) => by === 'sound')).toEqual(true);
   });
 
+  // Guards against daemons of a busy machine, of which none confirms in time although all would take the request.
+  it('is taken by a daemon that confirms late while the others do too', async () => {
+    const confirmLate = (_: IncomingMessage, response: ServerResponse) => {
+      setTimeout(() => response.writeContinue(), 350);
+    };
+    for (const name of ['one', 'two', 'three', 'four']) {
+      await peers.add(name, { confirm: confirmLate, answer: answerPlainly });
+    }
+    expect((await peers.handOver('at_most_once')).end).toEqual('answered');
+    expect(peers.taken.length).toEqual(1);
+  });
+
   // Guards against callers that wait for several timeouts while this daemon's own link is saturated.
   it('comes back when several daemons do not answer', async () => {
     for (const name of ['one', 'two', 'three', 'four', 'five']) {
--- a/src/handover/HandedOverRequest.ts
+++ b/src/handover/HandedOverRequest.ts
@@ -2,11 +2,10 @@
  * One request that was handed over to another daemon: finds a daemon that takes it, sends it there, and passes the answer
  * on to the caller.
  *
- * The other daemon confirms before the request is sent, so that one that is dead, frozen or without a path of its own
- * has certainly not run it.
+ * A daemon confirms before it gets the request, so that one that is dead, frozen or without a path of its own has
+ * certainly not run it. One that is late is not given up: others are asked as well, and the first to confirm gets it.
  */
-import { request as sendRequest } from 'node:http';
-import type { ClientRequest, IncomingMessage } from 'node:http';
+import type { IncomingMessage } from 'node:http';
 
 import type { AnswerRelay } from '../forwarding/AnswerRelay.js';
 import type { BufferedAnswers } from '../forwarding/BufferedAnswers.js';
@@ -16,17 +15,16 @@
 import type { HeaderNames } from '../forwarding/RunnerProtocol.js';
 import { isEventStream } from '../forwarding/StreamedAnswer.js';
 import type { StreamedAnswer } from '../forwarding/StreamedAnswer.js';
-import { parseAddress } from '../http/parseAddress.js';
 import type { DaemonEntry } from '../sync/FleetStore.js';
 import type { Clock } from '../time/Clock.js';
 import {
   BROKEN_HEADER,
-  HAND_OVER_PATH,
   REFUSED_HEADER,
   runnerVersionIn,
   UNREACHED_HEADER,
 } from './handOverHeaders.js';
 import { encodeHandOver } from './handOverMessage.js';
+import { HandOverObserver, HandOverOffer } from './HandOverOffer.js';
 import type { HandOverTask } from './HandOverTask.js';
 
 /**
@@ -43,11 +41,13 @@
 /** Number of daemons that may fail to reach a runner before the service counts as unreachable. */
 const MAXIMUM_UNREACHED = 2;
 
-/** Number of daemons that may leave a question unanswered. */
-const MAXIMUM_UNANSWERED = 3;
+/** Number of daemons that a request is offered to at the same time; the first one that confirms gets it. */
+const MAXIMUM_OFFERS = 3;
 
-/** How long a daemon may take to confirm, in ms: a round trip and its queue, a share of the shortest deadlines. */
-const CONFIRMATION_MILLISECONDS = 150;
+/** Bounds of the time until a daemon has to have confirmed, in ms; within them it is a share of what the request has left. */
+const SHORTEST_PATIENCE_MILLISECONDS = 450;
+const LONGEST_PATIENCE_MILLISECONDS = 900;
+const PATIENCE_SHARE = 0.5;
 
 /** Options of a {@link HandedOverRequest}. */
 export interface HandedOverRequestOptions {
@@ -71,18 +71,21 @@
   onEnd: (end: HandOverEnd) => void;
 }
 
-/** Asks daemons one after the other until one takes the request. */
-export class HandedOverRequest {
+/** Offers the request to daemons until one takes it. */
+export class HandedOverRequest extends HandOverObserver {
   private readonly options: HandedOverRequestOptions;
 
   private readonly asked = new Set<string>();
 
   private unreached = 0;
 
-  private unanswered = 0;
+  /** Offers that no daemon has answered yet. */
+  private readonly offers = new Map<HandOverOffer, { readonly madeAt: number }>();
 
-  private outgoing: ClientRequest | undefined;
+  /** The offer whose daemon has got the request. */
+  private taken: HandOverOffer | undefined;
 
+  /** Ends the wait for confirmations. */
   private timer: NodeJS.Timeout | undefined;
 
   private isOver = false;
@@ -91,6 +94,7 @@
    * @param options - the request, the shared state, and where the answer goes.
    */
   constructor(options: HandedOverRequestOptions) {
+    super();
     this.options = options;
   }
 
@@ -103,19 +107,115 @@
   cancel(): void {
     this.isOver = true;
     clearTimeout(this.timer);
-    this.outgoing?.destroy();
+    this.taken?.cancel();
+    this.withdrawOffers();
   }
 
-  private askNext(): void {
+  override accepted(offer: HandOverOffer): void {
     const { task } = this.options;
+    const { peer } = offer;
+    task.recordAccepted(peer.name, this.now - (this.offers.get(offer)?.madeAt ?? this.now));
     const { secret } = task;
-    const peer = this.asked.size < MAXIMUM_ASKED ? task.choosePeer(this.asked) : undefined;
-    if (!peer || secret === undefined) {
-      this.end(this.asked.size === 0 && task.isAlone ? 'unanswered' : 'unreached');
+    this.offers.delete(offer);
+    clearTimeout(this.timer);
+    if (secret === undefined || !this.options.isWanted()) {
+      offer.cancel();
+      this.end('unanswered');
+      return;
+    }
+    this.withdrawOffers();
+    this.taken = offer;
+    this.report(peer);
+    offer.give(this.messageFor(secret));
+  }
+
+  override refused(offer: HandOverOffer): void {
+    this.offers.delete(offer);
+    this.options.task.recordRefused(offer.peer.name);
+    this.askNext();
+  }
+
+  override missed(offer: HandOverOffer): void {
+    this.offers.delete(offer);
+    if (!this.isOver && !this.taken) this.offerTo(offer.peer);
+  }
+
+  override delayed({ peer }: HandOverOffer): void {
+    this.options.task.recordUnanswered(peer.name);
+    this.askNext();
+  }
+
+  override answered(offer: HandOverOffer, answer: IncomingMessage): void {
+    if (this.isOver || this.taken !== offer) return;
+    answer.once('close', () => {
+      if (!answer.complete) this.lose(offer);
+    });
+    answer.on('error', () => this.lose(offer));
+    const hasReason = answer.headers[REFUSED_HEADER] ?? answer.headers[UNREACHED_HEADER];
+    if (hasReason !== undefined) {
+      this.handleUnreached(answer, offer.peer);
+      return;
+    }
+    if (answer.headers[BROKEN_HEADER] !== undefined) {
+      answer.resume();
+      this.lose(offer);
       return;
     }
+    const { bufferedAnswers, stream, request } = this.options;
+    bufferedAnswers.begin(this, answer);
+    if (request.route.kind === 'stream' && isEventStream(answer)) {
+      stream.take(this, answer, () => runnerVersionIn(answer.headers));
+    }
+    answer.on('data', (chunk: Buffer) => this.handleChunk(chunk));
+    answer.once('end', () => this.handleEnd(answer));
+  }
+
+  override broken(offer: HandOverOffer): void {
+    this.lose(offer);
+  }
+
+  private get now(): number {
+    return this.options.clock.monotonicMilliseconds();
+  }
+
+  private askNext(): void {
+    if (this.isOver || this.taken) return;
+    const { task } = this.options;
+    const mayAsk = this.asked.size < MAXIMUM_ASKED && this.offers.size < MAXIMUM_OFFERS;
+    const peer = mayAsk && task.secret !== undefined ? task.choosePeer(this.asked) : undefined;
+    if (peer) this.offerTo(peer);
+    else if (this.offers.size === 0)
+      this.end(this.asked.size === 0 && task.isAlone ? 'unanswered' : 'unreached');
+  }
+
+  private offerTo(peer: DaemonEntry): void {
+    const { task } = this.options;
     this.asked.add(peer.name);
-    this.ask(peer, secret);
+    if (this.offers.size === 0) this.waitForConfirmation();
+    const { agent, delayMilliseconds } = task;
+    const offer = new HandOverOffer({ peer, agent, delayMilliseconds, observer: this });
+    this.offers.set(offer, { madeAt: this.now });
+  }
+
+  private waitForConfirmation(): void {
+    const remaining = this.options.request.deadlineAt - this.now;
+    const share = Math.min(LONGEST_PATIENCE_MILLISECONDS, remaining * PATIENCE_SHARE);
+    clearTimeout(this.timer);
+    this.timer = setTimeout(
+      () => setImmediate(() => this.giveUpWaiting()),
+      Math.max(SHORTEST_PATIENCE_MILLISECONDS, share),
+    );
+  }
+
+  private giveUpWaiting(): void {
+    if (this.isOver || this.taken) return;
+    this.withdrawOffers();
+    this.end('unanswered');
+  }
+
+  private withdrawOffers(): void {
+    for (const offer of this.offers.keys()) offer.cancel();
+    this.offers.clear();
   }
 
   private messageFor(secret: string): Buffer {
@@ -138,63 +238,6 @@
     return encodeHandOver(handOver, body, secret);
   }
 
-  private ask(peer: DaemonEntry, secret: string): void {
-    const { task } = this.options;
-    const { host, port } = parseAddress(peer.peerAddress);
-    const outgoing = sendRequest({
-      host,
-      port,
-      method: 'POST',
-      path: HAND_OVER_PATH,
-      agent: task.agent,
-      headers: { 'Transfer-Encoding': 'chunked', Expect: '100-continue' },
-    });
-    this.outgoing = outgoing;
-    let isTaken = false;
-    const refuse = (hasAnswered = true) => {
-      if (this.outgoing === outgoing) this.handleRefusal(peer, hasAnswered);
-    };
-    this.timer = setTimeout(() => {
-      this.unanswered += 1;
-      refuse(false);
-      outgoing.destroy();
-    }, CONFIRMATION_MILLISECONDS);
-    outgoing.once('continue', () => {
-      if (this.isOver || this.outgoing !== outgoing) return;
-      clearTimeout(this.timer);
-      task.recordAccepted(peer.name);
-      if (!this.options.isWanted()) {
-        outgoing.destroy();
-        this.end('unanswered');
-        return;
-      }
-      isTaken = true;
-      this.report(peer);
-      outgoing.end(this.messageFor(secret));
-    });
-    outgoing.once('response', (answer) => {
-      if (isTaken) {
-        this.handleAnswer(answer, peer);
-        return;
-      }
-      refuse();
-      outgoing.destroy();
-    });
-    outgoing.on('error', () => {
-      if (isTaken) this.lose(outgoing);
-      else refuse();
-    });
-  }
-
-  private handleRefusal({ name }: DaemonEntry, hasAnswered: boolean): void {
-    clearTimeout(this.timer);
-    if (this.isOver) return;
-    this.outgoing = undefined;
-    this.options.task.recordRefused(name, hasAnswered);
-    if (this.unanswered < MAXIMUM_UNANSWERED) this.askNext();
-    else this.end('unanswered');
-  }
-
   private report({ name }: DaemonEntry): void {
     const { task, request, mayHaveRun } = this.options;
     const fields = {
@@ -206,37 +249,11 @@
     task.log.write(forwardingLogEvents.handedOver, fields);
   }
 
-  private handleAnswer(answer: IncomingMessage, peer: DaemonEntry): void {
-    const { outgoing } = this;
-    if (this.isOver || !outgoing) return;
-    answer.once('close', () => {
-      if (!answer.complete) this.lose(outgoing);
-    });
-    answer.on('error', () => this.lose(outgoing));
-    const hasReason = answer.headers[REFUSED_HEADER] ?? answer.headers[UNREACHED_HEADER];
-    if (hasReason !== undefined) {
-      this.handleUnreached(answer, peer);
-      return;
-    }
-    if (answer.headers[BROKEN_HEADER] !== undefined) {
-      answer.resume();
-      this.lose(outgoing);
-      return;
-    }
-    const { bufferedAnswers, stream, request } = this.options;
-    bufferedAnswers.begin(this, answer);
-    if (request.route.kind === 'stream' && isEventStream(answer)) {
-      stream.take(this, answer, () => runnerVersionIn(answer.headers));
-    }
-    answer.on('data', (chunk: Buffer) => this.handleChunk(chunk));
-    answer.once('end', () => this.handleEnd(answer));
-  }
-
   /** The other daemon took the request and reached no runner; it has not run. */
   private handleUnreached(answer: IncomingMessage, peer: DaemonEntry): void {
     const { task, request } = this.options;
     answer.resume();
-    this.outgoing = undefined;
+    this.taken = undefined;
     this.unreached += 1;
     task.recordRefused(peer.name);
     if (this.unreached < MAXIMUM_UNREACHED) {
@@ -273,8 +290,8 @@
   }
 
   /** The other daemon, or the connection to it, broke off after it had taken the request. */
-  private lose(outgoing: ClientRequest | undefined = this.outgoing): void {
-    if (this.isOver || this.outgoing !== outgoing) return;
+  private lose(offer: HandOverOffer | undefined = this.taken): void {
+    if (this.isOver || this.taken !== offer) return;
     const { bufferedAnswers, stream } = this.options;
     bufferedAnswers.drop(this);
     if (stream.isFrom(this)) stream.breakOff();
