Keep streams away from runners that may have started again at another version

Callers saw: 3 to 6 of 90 streams with events of two software versions beside a busy machine, while runners start again under their ids and addresses.

Cause: nothing tells a runner that has started again from the one before until its new entry is read, which takes 45 to 274 ms beside 16 busy processes.

Change: connections do not outlive an incarnation, so an idle connection that the runner closes, or one that it refuses, is evidence that comes before the entry. For three seconds, or until the new entry is known, streams that may be taken up go to other runners; the other daemons are told, as many have no connection to that runner. Where most runners are suspected, the link of this daemon has failed: new streams go on as before, and it tells nobody; a stream that is bound goes to a suspected runner if no other one of its version is left. Broken answers alone are no evidence: answers get lost without a restart.

--- a/src/coordination/CoordinatedSelector.ts
+++ b/src/coordination/CoordinatedSelector.ts
@@ -134,12 +134,15 @@
     socket.send(MessageKind.RUNNER_QUESTION, toBinary(RunnerQuestionSchema, message), recipients);
   }
 
-  private excludedLives({ tried, service, now }: ChoiceQuestion): string[] {
+  private excludedLives({ tried, service, now, needsVersion }: ChoiceQuestion): string[] {
     const unusable = this.options.runners
       .readyOf(service)
       .filter(
-        ({ health, pausedUntil, backlog, inFlight }) =>
-          !health.isUsable(now) || pausedUntil > now || !backlog.admits(inFlight, now),
+        ({ health, pausedUntil, backlog, inFlight, restart }) =>
+          !health.isUsable(now) ||
+          pausedUntil > now ||
+          !backlog.admits(inFlight, now) ||
+          (needsVersion === true && restart.isSuspected(now)),
       )
       .map(({ entry }) => entry.life);
     return [...new Set([...tried, ...unusable])].slice(0, MAXIMUM_EXCLUDED);
--- a/src/coordination/FleetCoordination.ts
+++ b/src/coordination/FleetCoordination.ts
@@ -19,6 +19,7 @@
 import type { DaemonEntry, FleetStore } from '../sync/FleetStore.js';
 import type { StoreBackoff } from '../sync/StoreFollower.js';
 import { READER_BACKOFF } from '../sync/StoreFollower.js';
+import { RestartNotices } from '../streamVersions/RestartNotices.js';
 import type { Clock } from '../time/Clock.js';
 import { ChoiceServer } from './ChoiceServer.js';
 import { CoordinatedSelector } from './CoordinatedSelector.js';
@@ -86,6 +87,9 @@
   /** Tracks the runners that have announced their shutdown. */
   readonly leaveNotices: LeaveNotices;
 
+  /** Runners that may have started again. */
+  readonly restartNotices: RestartNotices;
+
   /** Answers other daemons' probes and indirect probes. */
   readonly livenessPeers: LivenessPeers;
 
@@ -161,6 +165,11 @@
       reportRecipients: () => this.reportRecipients(),
       broadcastRecipients: () => this.broadcastRecipients(),
     });
+    this.restartNotices = new RestartNotices({
+      ...{ daemon: daemon.name, runners: knowledge.runners, socket, clock },
+      reportRecipients: () => this.reportRecipients(),
+      broadcastRecipients: () => this.broadcastRecipients(),
+    });
     const server = new ChoiceServer({ daemon: daemon.name, socket, choice, grants, clock });
     socket.handle(MessageKind.RUNNER_QUESTION, (message) => server.handleQuestion(message));
     this.relay = new StoreRelay({
--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -214,7 +214,8 @@
     const tried = this.tried.excluded;
     const now = this.now();
     const { softwareVersion } = this.stream;
-    const limits = { homeRegions, softwareVersion, connectionLimit };
+    const { needsVersion } = this.versions;
+    const limits = { homeRegions, softwareVersion, needsVersion, connectionLimit };
     const question = { service, sharedParts, tried, ...limits, now };
     if (this.handOver.isNeeded) {
       this.beginHandOver();
--- a/src/forwarding/RunnerAgent.ts
+++ b/src/forwarding/RunnerAgent.ts
@@ -38,6 +38,7 @@
 interface IdleWatch {
   readonly timer: NodeJS.Timeout;
   readonly onData: () => void;
+  readonly onEnd: () => void;
 }
 
 function idleLimitMilliseconds(keepAliveHeader: string | undefined): number {
@@ -47,14 +48,26 @@
   return Math.min(MAXIMUM_IDLE_MILLISECONDS, limit);
 }
 
+/** Options of a {@link RunnerAgent}. */
+export interface RunnerAgentOptions {
+  /** Called when the runner's instance has closed an idle connection. */
+  onLost?: () => void;
+}
+
 /** HTTP agent that closes idle connections early, and when data arrives on them. */
 export class RunnerAgent extends Agent {
   private readonly idleWatches = new WeakMap<Socket, IdleWatch>();
 
   private isReleased = false;
 
-  constructor() {
+  private readonly onLost: () => void;
+
+  /**
+   * @param options - the listener.
+   */
+  constructor({ onLost = () => undefined }: RunnerAgentOptions = {}) {
     super({ keepAlive: true, scheduling: 'lifo', maxFreeSockets: MAXIMUM_IDLE_CONNECTIONS });
+    this.onLost = onLost;
   }
 
   /**
@@ -68,9 +81,12 @@
     const idleLimit = idleLimitMilliseconds(socket._httpMessage?.res?.headers['keep-alive']);
     if (idleLimit <= 0) return false;
     const onData = () => socket.destroy();
+    const onEnd = () => this.onLost();
     socket.on('data', onData);
+    socket.once('end', onEnd);
+    socket.once('error', onEnd);
     const timer = setTimeout(onData, idleLimit).unref();
-    this.idleWatches.set(socket, { timer, onData });
+    this.idleWatches.set(socket, { timer, onData, onEnd });
     socket.unref();
     return true;
   }
@@ -86,6 +102,8 @@
     if (watch) {
       clearTimeout(watch.timer);
       socket.off('data', watch.onData);
+      socket.off('end', watch.onEnd);
+      socket.off('error', watch.onEnd);
     }
     super.reuseSocket(socket, request);
   }
--- a/src/forwarding/RunnerConnections.ts
+++ b/src/forwarding/RunnerConnections.ts
@@ -5,18 +5,34 @@
 import type { Runner } from '../runners/Runner.js';
 import { RunnerAgent } from './RunnerAgent.js';
 
+/** Options of {@link RunnerConnections}. */
+export interface RunnerConnectionsOptions {
+  /** Called when a runner's instance has closed an idle connection. */
+  onLost?: (runner: Runner) => void;
+}
+
 /** Creates a runner's connection pool at its first use and releases it when the runner ends. */
 export class RunnerConnections {
   private readonly agents = new Map<string, RunnerAgent>();
 
+  private readonly onLost: (runner: Runner) => void;
+
+  /**
+   * @param options - the listener.
+   */
+  constructor({ onLost = () => undefined }: RunnerConnectionsOptions = {}) {
+    this.onLost = onLost;
+  }
+
   /**
    * @param runner - runner to connect to.
    * @returns Connection pool of the runner's incarnation.
    */
-  agentOf({ entry }: Runner): RunnerAgent {
+  agentOf(runner: Runner): RunnerAgent {
+    const { entry } = runner;
     const known = this.agents.get(entry.life);
     if (known) return known;
-    const agent = new RunnerAgent();
+    const agent = new RunnerAgent({ onLost: () => this.onLost(runner) });
     this.agents.set(entry.life, agent);
     return agent;
   }
--- a/src/forwarding/RunnerOutcomes.ts
+++ b/src/forwarding/RunnerOutcomes.ts
@@ -31,7 +31,7 @@
 
 /** Options of a {@link RunnerOutcomes}. */
 export interface RunnerOutcomesOptions {
-  context: Pick<ForwardingContext, 'clock' | 'link'>;
+  context: Pick<ForwardingContext, 'clock' | 'link' | 'onConnectionRefused'>;
   report: Pick<RequestReport, 'runnerPaused'>;
 }
 
@@ -54,8 +54,11 @@
    * @param failure - kind of failure.
    */
   failed({ runner, startedAt }: RunnerAttempt, failure: AttemptFailure): void {
-    const { link } = this.options.context;
-    if (failure === 'not_connected') link.refused(runner);
+    const { link, onConnectionRefused } = this.options.context;
+    if (failure === 'not_connected') {
+      link.refused(runner);
+      onConnectionRefused?.(runner);
+    }
     if (failure === 'refused' || failure === 'stray_answer') link.heard();
     if (failure !== 'connect_timeout' && !link.isPathLost) {
       this.record(runner, OUTCOME_BY_FAILURE[failure]);
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -7,6 +7,7 @@
 import type { HomeRegions } from '../routes/homeRegions.js';
 import type { RouteTable } from '../routes/RouteTable.js';
 import type { Route } from '../routes/routeTypes.js';
+import type { Runner } from '../runners/Runner.js';
 import type { RunnerSelector } from '../runners/RunnerSelector.js';
 import type { Unavailability } from '../runners/unavailability.js';
 import type { StreamVersionTask } from '../streamVersions/StreamVersionTask.js';
@@ -32,6 +33,8 @@
   readonly handOver?: HandOverTask | undefined;
   /** Knows which software version began each stream; without it, a stream is bound within one answer only. */
   readonly streamVersions?: StreamVersionTask | undefined;
+  /** Called when the instance of a runner refuses a connection. */
+  readonly onConnectionRefused?: (runner: Runner) => void;
   readonly quarantine: RequestQuarantine;
   readonly statements: RunnerNotices;
   /** Determines why no runner can take a request. `now` is in monotonic ms. */
--- a/src/news/FleetSocket.ts
+++ b/src/news/FleetSocket.ts
@@ -36,6 +36,7 @@
   [MessageKind.STREAM_VERSIONS]: 'stream_versions',
   [MessageKind.STREAM_VERSION_QUESTION]: 'stream_version_question',
   [MessageKind.STREAM_VERSION_ANSWER]: 'stream_version_answer',
+  [MessageKind.SUSPECTED_RESTARTS]: 'suspected_restarts',
 };
 
 /** Handles messages of one kind. */
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -84,7 +84,9 @@
 
   private readonly registry: MetricRegistry;
 
-  private readonly connections = new RunnerConnections();
+  private readonly connections = new RunnerConnections({
+    onLost: (runner) => this.coordination.restartNotices.recordLost(runner),
+  });
 
   private readonly warmPlaces = new WarmPlaces();
 
@@ -178,11 +180,7 @@
       isStoreSilent: () => this.follower.isStoreUnresponsive,
     });
     this.front = new ForwardingServer(context);
-    this.listings = new ListingExchange({
-      knowledge,
-      clock,
-      isAllowedHost,
-    });
+    this.listings = new ListingExchange({ knowledge, clock, isAllowedHost });
     this.follower = createStoreFollower({
       ...{ daemon: name, store, knowledge, clock, log, gatherMilliseconds, coordination },
       listings: this.listings,
@@ -289,6 +287,7 @@
     this.coordination.leaveNotices.stop();
     this.handOver.stop();
     this.streamVersions.stop();
+    this.coordination.restartNotices.stop();
     this.peers.close();
     this.news.close();
     this.warmPlacesKeeper.stop();
--- a/src/router/createForwardingContext.ts
+++ b/src/router/createForwardingContext.ts
@@ -87,6 +87,7 @@
     metrics,
     link: new LinkCheck({ runners, clock, log, metrics, path }),
     selector: coordination.selector,
+    onConnectionRefused: (runner) => coordination.restartNotices.recordLost(runner),
     statements: new RunnerNotices({
       protocol,
       clock,
--- a/src/runners/Runner.ts
+++ b/src/runners/Runner.ts
@@ -3,6 +3,7 @@
  */
 import type { FailureShare } from './FailureShare.js';
 import { RunnerBacklog } from './RunnerBacklog.js';
+import { RestartSuspicion } from './RestartSuspicion.js';
 import { RunnerHealth } from './RunnerHealth.js';
 
 /**
@@ -48,6 +49,9 @@
   /** Limits the requests of this daemon while the runner is too slow to answer them in time. */
   readonly backlog = new RunnerBacklog();
 
+  /** Whether the runner may have started again since its entry was written. */
+  readonly restart = new RestartSuspicion();
+
   /**
    * Whether its entry is missing from the platform's list. The runner may be gone, or the list may have been
    * unavailable and the entry will be back.
--- a/src/runners/RunnerAdmission.ts
+++ b/src/runners/RunnerAdmission.ts
@@ -10,6 +10,9 @@
 export type RejectionReason =
   'tried' | 'other_region' | 'other_version' | 'asked_for_time' | 'backlogged' | 'no_connection';
 
+/** New streams avoid runners that may have started again only if at least this share of all is left for them. */
+const FEWEST_KNOWN_SHARE = 2 / 3;
+
 /** The properties of a request that decide about its admission. */
 export interface AdmissionQuestion {
   /** Incarnations of the runners that have already had this request. */
@@ -18,6 +21,8 @@
   readonly homeRegions?: HomeRegions;
   /** Software version that a stream goes on at; any version if left out. */
   readonly softwareVersion?: string | undefined;
+  /** Whether the version of the runner matters, because the request is a stream that may be taken up elsewhere. */
+  readonly needsVersion?: boolean;
   /** Maximum number of requests that this daemon may have in flight at one runner. */
   readonly connectionLimit: number;
   /** Current time, monotonic ms. */
@@ -98,7 +103,7 @@
   admitted(runners: readonly Runner[], question: AdmissionQuestion): readonly Runner[] {
     const { coldStarts } = this;
     const { now, isForOther } = question;
-    const open = runners.filter(
+    const open = this.withKnownVersion(runners, question).filter(
       (runner) =>
         this.rejectionReasonFor(runner, question) === undefined &&
         !this.isFull(runner, now, isForOther),
@@ -109,6 +114,23 @@
     return open.filter((runner) => coldStarts.mayNonOwnerSend(runner, now));
   }
 
+  /**
+   * Leaves out the runners that may have started again, at another version perhaps. If most of them may have, this daemon's
+   * own link has failed rather than they; a stream that has begun keeps to the others all the same.
+   */
+  private withKnownVersion(
+    runners: readonly Runner[],
+    { needsVersion, softwareVersion, now }: AdmissionQuestion,
+  ): readonly Runner[] {
+    if (needsVersion !== true) return runners;
+    const known = runners.filter(
+      (runner) => runner.hasVersion(softwareVersion) && !runner.restart.isSuspected(now),
+    );
+    const isNew = softwareVersion === undefined;
+    const fewest = isNew ? runners.length * FEWEST_KNOWN_SHARE : 1;
+    return known.length >= fewest ? known : runners;
+  }
+
   /**
    * @param runner - the runner to check.
    * @param now - current time, monotonic ms.
--- /dev/null
+++ b/src/streamVersions/RestartNotices.ts
@@ -0,0 +1,104 @@
+/**
+ * Tells the other daemons which runners may have started again: a daemon without a connection to such a runner has no
+ * evidence of its own, and would let a stream go on there at another software version.
+ */
+import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
+
+import { MessageKind, SuspectedRestartsSchema } from '../generated/baobabdock/v1/news_pb.js';
+import type { HostAndPort } from '../http/parseAddress.js';
+import type { FleetSocket } from '../news/FleetSocket.js';
+import { MessageRepeater } from '../news/MessageRepeater.js';
+import type { CallScheduler, RepeatedItem } from '../news/MessageRepeater.js';
+import type { Runner } from '../runners/Runner.js';
+import type { RunnerTable } from '../runners/RunnerTable.js';
+import type { Clock } from '../time/Clock.js';
+
+/** Options of {@link RestartNotices}. */
+export interface RestartNoticesOptions {
+  /** This daemon's name. */
+  daemon: string;
+  runners: Pick<RunnerTable, 'list' | 'ofLife'>;
+  socket: Pick<FleetSocket, 'handle' | 'send'>;
+  clock: Clock;
+  /** Daemons that every daemon reports to. */
+  reportRecipients: () => readonly HostAndPort[];
+  /** Daemons that this daemon forwards others' reports to. */
+  broadcastRecipients: () => readonly HostAndPort[];
+  /** Schedules a call; replaced by tests. */
+  later?: CallScheduler;
+}
+
+/** Largest share of all runners that may have started again; if it is more, this daemon's own link has failed. */
+const LARGEST_SHARE = 1 / 3;
+
+/** Incarnations that fit into a datagram of 1,400 bytes. */
+const LIVES_IN_DATAGRAM = 24;
+
+/** Marks the runners, and forwards the notices. */
+export class RestartNotices {
+  private readonly options: RestartNoticesOptions;
+
+  private readonly news: MessageRepeater;
+
+  /**
+   * @param options - the runners and the daemons to notify.
+   */
+  constructor(options: RestartNoticesOptions) {
+    const { daemon, socket, later } = options;
+    this.options = options;
+    this.news = new MessageRepeater({ send: (news) => this.send(news), later });
+    socket.handle(MessageKind.SUSPECTED_RESTARTS, (message) => {
+      const { daemon: teller, lives } = fromBinary(SuspectedRestartsSchema, message);
+      if (teller !== daemon) this.recordFromDaemon(lives);
+    });
+  }
+
+  /**
+   * Records that the instance of a runner has closed an idle connection, or refused one.
+   *
+   * @param runner - the runner.
+   */
+  recordLost(runner: Runner): void {
+    if (runner.restart.record(this.now)) this.news.add({ key: runner.entry.life, isSeen: true });
+  }
+
+  /** Stops sending notices. */
+  stop(): void {
+    this.news.stop();
+  }
+
+  private get now(): number {
+    return this.options.clock.monotonicMilliseconds();
+  }
+
+  private recordFromDaemon(lives: readonly string[]): void {
+    for (const life of lives) {
+      const isNew = this.options.runners.ofLife(life)?.restart.record(this.now) === true;
+      if (isNew) this.news.add({ key: life, isSeen: false });
+    }
+  }
+
+  private get isOwnLinkSuspect(): boolean {
+    const all = this.options.runners.list();
+    const suspected = all.filter(({ restart }) => restart.isSuspected(this.now));
+    return suspected.length > all.length * LARGEST_SHARE;
+  }
+
+  private send(news: readonly RepeatedItem[]): void {
+    const { reportRecipients, broadcastRecipients } = this.options;
+    const seen = news.filter(({ isSeen }) => isSeen);
+    if (!this.isOwnLinkSuspect) this.sendTo(seen, reportRecipients());
+    this.sendTo(news, broadcastRecipients());
+  }
+
+  private sendTo(news: readonly RepeatedItem[], recipients: readonly HostAndPort[]): void {
+    const { daemon, socket } = this.options;
+    if (recipients.length === 0) return;
+    for (let start = 0; start < news.length; start += LIVES_IN_DATAGRAM) {
+      const lives = news.slice(start, start + LIVES_IN_DATAGRAM).map(({ key }) => key);
+      const message = create(SuspectedRestartsSchema, { daemon, lives });
+      const bytes = toBinary(SuspectedRestartsSchema, message);
+      socket.send(MessageKind.SUSPECTED_RESTARTS, bytes, recipients);
+    }
+  }
+}
--- a/src/streamVersions/StreamVersionSession.ts
+++ b/src/streamVersions/StreamVersionSession.ts
@@ -40,6 +40,11 @@
     if (mayBeTakenUp && firstId !== undefined) this.name = { service, clientAccount, id: firstId };
   }
 
+  /** @returns Whether the version of the runner matters, because the stream may be taken up elsewhere. */
+  get needsVersion(): boolean {
+    return this.name !== undefined;
+  }
+
   /** @returns Whether the version has to be found before the request is sent. */
   get isUnknown(): boolean {
     const { request, task, stream } = this.options;
