Tell the other daemons which services are brittle

Cause: three of four daemons were cut off from the runners before these began to say that they are brittle, and nobody told them; their way back to the runners came during a surge.

Change: load reports name the services whose runners said so to the sender; what store readers broadcast names those that were reported to them as well. What was passed on once is not passed on again, or it would never end. The test fails on the code before (no such message).

--- a/src/coordination/FleetCoordination.ts
+++ b/src/coordination/FleetCoordination.ts
@@ -12,6 +12,7 @@
 import type { FleetSocket } from '../news/FleetSocket.js';
 import { LivenessPeers } from '../liveness/LivenessPeers.js';
 import { LivenessTask } from '../liveness/LivenessTask.js';
+import type { BrittleService } from '../runners/BrittleRunners.js';
 import type { RunnerAdmission } from '../runners/RunnerAdmission.js';
 import type { RunnerChoice } from '../runners/RunnerChoice.js';
 import type { RoutingConfiguration } from '../routes/routeTypes.js';
@@ -184,6 +185,9 @@
       others,
       onMessage: (name) => this.liveness.recordMessage(name),
       onBroadcast: () => this.liveness.recordOtherBroadcast(),
+      brittle: () => this.brittleServices(true),
+      onBrittle: (told) =>
+        admission.brittleRunners?.recordTold(told, 'relay', clock.monotonicMilliseconds()),
       readStore,
       fetchConfiguration,
       freshMilliseconds: readMilliseconds * FRESH_READS,
@@ -300,6 +304,15 @@
     return monitors.length === 0 || monitors.some(({ name }) => name === this.options.daemon.name);
   }
 
+  /**
+   * @param withReports - whether to include what other daemons have reported to this one.
+   * @returns Services whose runners have said that they are brittle.
+   */
+  brittleServices(withReports = false): readonly BrittleService[] {
+    const now = this.options.clock.monotonicMilliseconds();
+    return this.admission.brittleRunners?.statedServices(now, withReports) ?? [];
+  }
+
   /** @returns Pauses between calls to a store that is away. */
   get storePauses(): StoreBackoff {
     const isFollower = this.coordinators.length > 0 && !this.isReader;
@@ -307,14 +320,16 @@
   }
 
   /**
-   * Handles a load report: notes that its sender is alive, whether it reaches runners, and which grants of this daemon it
-   * has counted.
+   * Handles a load report: notes that its sender is alive, whether it reaches runners, which services are brittle, and
+   * which grants of this daemon it has counted.
    *
    * @param news - the load report of another daemon.
    */
-  handleNews({ daemon, grants, isLeaving, hasNoPath }: DaemonNews): void {
+  handleNews({ daemon, grants, isLeaving, hasNoPath, brittle }: DaemonNews): void {
+    const now = this.options.clock.monotonicMilliseconds();
     this.liveness.recordMessage(daemon, isLeaving);
-    this.pathReports.record(daemon, hasNoPath, this.options.clock.monotonicMilliseconds());
+    this.pathReports.record(daemon, hasNoPath, now);
+    for (const told of brittle) this.admission.brittleRunners?.recordTold(told, 'report', now);
     const own = grants.find(({ coordinator }) => coordinator === this.options.daemon.name);
     if (own) this.options.grants.acknowledge(daemon, own.grant);
   }
--- a/src/coordination/StoreRelay.ts
+++ b/src/coordination/StoreRelay.ts
@@ -15,6 +15,7 @@
 import type { FleetSocket } from '../news/FleetSocket.js';
 import type { LoggedChange } from '../sync/FleetChangeLog.js';
 import type { RoutingConfiguration } from '../routes/routeTypes.js';
+import type { BrittleService } from '../runners/BrittleRunners.js';
 import type { FleetKnowledge } from '../sync/FleetKnowledge.js';
 import type { FleetStore, StoreFact } from '../sync/FleetStore.js';
 import { epochOf, revisionFields } from '../sync/orderedRevision.js';
@@ -39,6 +40,10 @@
   others: () => readonly HostAndPort[];
   /** Called for each message, with the name of the daemon that sent it. */
   onMessage?: (daemon: string) => void;
+  /** Returns the services whose runners have said that they are brittle. */
+  brittle?: () => readonly BrittleService[];
+  /** Called for each service that another daemon says is brittle. */
+  onBrittle?: (told: BrittleService) => void;
   /** Called after this daemon has broadcast to all others. */
   onBroadcast?: () => void;
   /** Reads the store once: the changes since the last read, or everything. */
@@ -148,6 +153,8 @@
       later: setTimeout,
       onMessage: () => undefined,
       onBroadcast: () => undefined,
+      brittle: () => [],
+      onBrittle: () => undefined,
       ...options,
     };
     options.socket.handle(MessageKind.STORE_CHANGES, (message) =>
@@ -205,14 +212,18 @@
       sinceRevision: BigInt(part.since),
       digest: part.digest,
       configurationVersion: BigInt(knowledge.routes?.configuration.version ?? 0),
+      brittle: [...this.options.brittle()],
       facts: part.changes.map(({ fact, revision }) => JSON.stringify({ ...fact, revision })),
     });
     socket.send(MessageKind.STORE_CHANGES, toBinary(StoreChangesSchema, message), others());
   }
 
   private handleBroadcast(message: StoreChanges): void {
-    const { daemon, knowledge, clock, onMessage } = this.options;
-    if (message.daemon !== daemon) onMessage(message.daemon);
+    const { daemon, knowledge, clock, onMessage, onBrittle } = this.options;
+    if (message.daemon !== daemon) {
+      onMessage(message.daemon);
+      message.brittle.forEach((told) => onBrittle(told));
+    }
     // Before its own first read a daemon has no listing that changes could be applied to.
     if (message.daemon === daemon || knowledge.revision === 0) return;
     this.toldVersion = Math.max(this.toldVersion, Number(message.configurationVersion));
--- a/src/news/NewsTask.ts
+++ b/src/news/NewsTask.ts
@@ -12,6 +12,7 @@
 import type { HostAndPort } from '../http/parseAddress.js';
 import type { Log } from '../logging/Log.js';
 import type { MetricRegistry } from '../metrics/MetricRegistry.js';
+import type { BrittleService } from '../runners/BrittleRunners.js';
 import type { RunnerTable } from '../runners/RunnerTable.js';
 import type { WarmPlaces } from '../runners/WarmPlaces.js';
 import type { Clock } from '../time/Clock.js';
@@ -44,6 +45,8 @@
   isLeaving?: () => boolean;
   /** Whether this daemon reaches no runner. */
   hasNoPath?: () => boolean;
+  /** Returns the services whose runners have told this daemon that they are brittle. */
+  brittle?: () => readonly BrittleService[];
   /** Registry for the counter of sent bytes. */
   registry: MetricRegistry;
   /** Called with each new message of another daemon. */
@@ -126,6 +129,7 @@
       countedGrants: () => [],
       isLeaving: () => false,
       hasNoPath: () => false,
+      brittle: () => [],
       onNews: () => undefined,
       ...options,
     };
@@ -214,7 +218,9 @@
     const grants = this.options.countedGrants();
     const isLeaving = this.options.isLeaving();
     const hasNoPath = this.options.hasNoPath();
-    const content = JSON.stringify([loads, changedAtRevision(), grants, isLeaving, hasNoPath]);
+    const brittle = [...this.options.brittle()];
+    const flags = [isLeaving, hasNoPath, brittle];
+    const content = JSON.stringify([loads, changedAtRevision(), grants, flags]);
     const isDue = now - this.lastSentAt >= REPEAT_MILLISECONDS - TIMER_SLACK_MILLISECONDS;
     if (content === this.lastSent && this.waitingWarm.length === 0 && !isDue) return;
     this.lastSent = content;
@@ -223,7 +229,7 @@
     const warm = this.waitingWarm.splice(0, MAXIMUM_WARM);
     const { life, number } = this;
     const revision = BigInt(changedAtRevision());
-    const state = { loads, warm, revision, grants, isLeaving, hasNoPath };
+    const state = { loads, warm, revision, grants, isLeaving, hasNoPath, brittle };
     const news = create(DaemonNewsSchema, { daemon, life, number, ...state });
     this.socket.send(MessageKind.UNSPECIFIED, toBinary(DaemonNewsSchema, news), others());
   }
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -348,6 +348,7 @@
       secret: () => knowledge.secret,
       isLeaving: () => this.phase !== 'serving',
       hasNoPath: () => this.handOver.path.isLost,
+      brittle: () => this.coordination.brittleServices(),
       countedGrants: () => this.coordination.selector.countedGrants(),
       onNews: (news) => this.coordination.handleNews(news),
     });
--- a/src/runners/BrittleRunners.spec.ts
+++ b/src/runners/BrittleRunners.spec.ts
@@ -114,6 +114,21 @@
     expect(brittle.maySend(back, 10_000)).toEqual(true);
   });
 
+  // Guards against a daemon that reaches runners again and sends what it likes, as it has not heard that they are brittle.
+  it('are limited at a daemon that others have told, which does not pass on what was passed on before', () => {
+    const told = { service: SERVICE, limit: LIMIT };
+    brittle.recordTold(told, 'relay', 0);
+    runner.inFlight = 50;
+    expect(brittle.maySend(runner, 0)).toEqual(false);
+    expect(brittle.statedServices(0, true)).toEqual([]);
+    brittle.recordTold(told, 'report', 1);
+    expect([brittle.statedServices(1), brittle.statedServices(1, true)]).toEqual([[], [told]]);
+    brittle.recordStated(runner, LIMIT, 2);
+    expect(brittle.statedServices(2)).toEqual([told]);
+    expect(brittle.statedServices(20_000, true)).toEqual([]);
+    expect(begun).toEqual([LIMIT]);
+  });
+
   it('get the part of this daemon in any case', () => {
     foreign = 4;
     settle(1);
--- a/src/runners/BrittleRunners.ts
+++ b/src/runners/BrittleRunners.ts
@@ -54,6 +54,9 @@
 /** How long the division of the slots is kept, in ms; the lists of daemons and runners change rarely. */
 const DIVISION_MILLISECONDS = 200;
 
+/** Maximum number of services in one message. */
+const MAXIMUM_TOLD = 8;
+
 /** Bounds of the pause after a rejection, in ms. */
 const SHORTEST_PAUSE_MILLISECONDS = 1_000;
 const LONGEST_PAUSE_MILLISECONDS = 5_000;
@@ -72,6 +75,26 @@
   readonly at: number;
 }
 
+/** A service whose runners say that they are brittle. */
+export interface BrittleService {
+  readonly service: string;
+  /** Rejections per second that each of its runners bears. */
+  readonly limit: number;
+}
+
+/**
+ * Who said that runners are brittle: they themselves, a daemon that has heard it from them, or a daemon that passes on what
+ * others have reported to it.
+ */
+export type StatementSource = 'runner' | 'report' | 'relay';
+
+interface ServiceStatement extends BrittleService {
+  readonly at: number;
+  /** When it was last said by a runner, and by a daemon that had heard it from one; monotonic ms. */
+  readonly heardAt: number;
+  readonly reportedAt: number;
+}
+
 interface RunnerState {
   pressedUntil: number;
   pausedUntil: number;
@@ -85,7 +108,15 @@
   readonly slots: ReadonlyMap<string, number>;
 }
 
-function isFresh(statement: Statement | undefined, now: number): statement is Statement {
+const NEVER_SAID = {
+  heardAt: Number.NEGATIVE_INFINITY,
+  reportedAt: Number.NEGATIVE_INFINITY,
+};
+
+function isFresh<Kind extends Statement>(
+  statement: Kind | undefined,
+  now: number,
+): statement is Kind {
   return statement !== undefined && now - statement.at < STATED_MILLISECONDS;
 }
 
@@ -127,7 +158,7 @@
   private readonly statements = new WeakMap<Runner, Statement>();
 
   /** The latest statement of a brittle runner of each service; it holds for runners that have not answered yet. */
-  private readonly services = new Map<string, Statement>();
+  private readonly services = new Map<string, ServiceStatement>();
 
   private readonly states = new WeakMap<Runner, RunnerState>();
 
@@ -159,18 +190,49 @@
    */
   recordStated(runner: Runner, limit: number | undefined, now: number): void {
     const { service } = runner.entry;
-    const statement = { limit, at: now };
-    this.statements.set(runner, statement);
+    this.statements.set(runner, { limit, at: now });
     if (limit === undefined) {
       const statedAt = this.services.get(service)?.at ?? now;
       if (now - statedAt >= UNREPEATED_MILLISECONDS) this.services.delete(service);
       return;
     }
-    const isNew = !isFresh(this.services.get(service), now);
-    this.services.set(service, statement);
+    this.recordTold({ service, limit }, 'runner', now);
+  }
+
+  /**
+   * Records that runners of a service have said that they are brittle, to this daemon or to another one: a daemon that
+   * reaches no runner hears nothing from them, and would not know when it reaches them again.
+   *
+   * @param told - the service.
+   * @param source - how the daemon that says so knows.
+   * @param now - monotonic ms.
+   */
+  recordTold({ service, limit }: BrittleService, source: StatementSource, now: number): void {
+    const before = this.services.get(service);
+    const isNew = !isFresh(before, now);
+    const { heardAt, reportedAt } = before ?? NEVER_SAID;
+    this.services.set(service, {
+      ...{ service, limit, at: now },
+      heardAt: source === 'runner' ? now : heardAt,
+      reportedAt: source === 'report' ? now : reportedAt,
+    });
     if (isNew) this.options.onBrittle(service, limit);
   }
 
+  /**
+   * @param now - monotonic ms.
+   * @param withReports - whether to include what other daemons have heard from runners and reported.
+   * @returns The services to tell other daemons of.
+   */
+  statedServices(now: number, withReports = false): BrittleService[] {
+    const latest = ({ heardAt, reportedAt }: ServiceStatement) =>
+      withReports ? Math.max(heardAt, reportedAt) : heardAt;
+    return [...this.services.values()]
+      .filter((statement) => now - latest(statement) < UNREPEATED_MILLISECONDS)
+      .slice(0, MAXIMUM_TOLD)
+      .map(({ service, limit }) => ({ service, limit }));
+  }
+
   /**
    * Records that a runner rejected a request, which still counts among those in flight.
    *
