Soak: compare cut daemons with the others from the same time on

The rule counts first tries at cut daemons and at the others from 3 s after a cut began on.

Replaced by one as strict: both sides count from that time on, and everything else is as it was. It may now also fail where the others fared badly in the first three seconds, which hid a difference before.

--- a/soak/checks/PathChecks.ts
+++ b/soak/checks/PathChecks.ts
@@ -69,14 +69,13 @@
     if (call.kind === 'look' || !contact.holds(call.daemon, call.sentAt, call.endedAt))
       return false;
     const indexes = Array.from({ length: daemons }, (_, index) => index);
-    const isCut = indexes.some((index) => this.cutsOf(index, call).length > 0);
+    const isLong = ({ from }: PlayedFault) => call.sentAt >= from + CONTACT_MILLISECONDS;
+    const isCut = indexes.some((index) => this.cutsOf(index, call).some(isLong));
     const isReached = indexes.some(
       (index) =>
         this.cutsOf(index, call).length === 0 && contact.holds(index, call.sentAt, call.endedAt),
     );
-    const own = this.cutsOf(call.daemon, call);
-    const isLong = own.every(({ from }) => call.sentAt >= from + CONTACT_MILLISECONDS);
-    return isCut && isReached && isLong;
+    return isCut && isReached && this.cutsOf(call.daemon, call).every(isLong);
   }
 
   private cutsOf(index: number, { sentAt, endedAt }: Call): PlayedFault[] {
