Offer a handed over request to a second daemon when the first one has no room

Change: such a refusal is marked, and one more daemon is asked; the refusal of the second one goes to the caller.

--- a/src/handover/HandedOverRequest.spec.ts
+++ b/src/handover/HandedOverRequest.spec.ts
@@ -3,7 +3,12 @@
 
 import { expect } from 'earl';
 
-import { REFUSED_HEADER, UNREACHED_HEADER, VERSION_HEADER } from './handOverHeaders.js';
+import {
+  FULL_HEADER,
+  REFUSED_HEADER,
+  UNREACHED_HEADER,
+  VERSION_HEADER,
+} from './handOverHeaders.js';
 import { decodeHandOver, encodeHandOver, HandOverError } from './handOverMessage.js';
 import type { HandOver, ReceivedHandOver } from './handOverMessage.js';
 import { TestPeers } from './testPeers.js';
@@ -22,6 +27,10 @@
   response.writeHead(503, { [REFUSED_HEADER]: 'no_path', Connection: 'close' }).end();
 }
 
+function sayFull(_: ReceivedHandOver, response: ServerResponse): void {
+  response.writeHead(503, { [FULL_HEADER]: 'full' }).end('{}');
+}
+
 function sayUnreached(_: ReceivedHandOver, response: ServerResponse): void {
   response.writeHead(503, { [UNREACHED_HEADER]: 'connect_timeout' }).end('{}');
 }
@@ -127,6 +136,19 @@
     expect(peers.taken.length).toEqual(2);
   });
 
+  // Guards against callers of a cut daemon that are refused more often than others, as each daemon has a part of the slots.
+  it('goes on to a daemon with room, and gets the refusal of the second one without', async () => {
+    await peers.add('full', { answer: sayFull });
+    await peers.add('too', { answer: sayFull });
+    expect((await peers.handOver('at_most_once')).end).toEqual('not_served');
+    expect(peers.taken.length).toEqual(2);
+    await peers.add('free', { answer: answerPlainly });
+    const ends = new Set<string>();
+    for (let count = 0; count < 20; count += 1) ends.add((await peers.handOver('stream')).end);
+    expect(ends.has('answered')).toEqual(true);
+    expect([...ends].filter((end) => end !== 'answered' && end !== 'not_served')).toEqual([]);
+  });
+
   it('streams the events as they come', async () => {
     const stream = (_: ReceivedHandOver, response: ServerResponse) => {
       response.writeHead(200, STREAM);
--- a/src/handover/HandedOverRequest.ts
+++ b/src/handover/HandedOverRequest.ts
@@ -19,6 +19,7 @@
 import type { Clock } from '../time/Clock.js';
 import {
   BROKEN_HEADER,
+  FULL_HEADER,
   REFUSED_HEADER,
   runnerVersionIn,
   UNREACHED_HEADER,
@@ -41,6 +42,9 @@
 /** Number of daemons that may fail to reach a runner before the service counts as unreachable. */
 const MAXIMUM_UNREACHED = 2;
 
+/** Number of daemons that may have no room for a request before it is refused. */
+const MAXIMUM_FULL = 2;
+
 /** Number of daemons that a request is offered to at the same time; the first one that confirms gets it. */
 const MAXIMUM_OFFERS = 3;
 
@@ -79,6 +83,8 @@
 
   private unreached = 0;
 
+  private full = 0;
+
   /** Offers that no daemon has answered yet. */
   private readonly offers = new Map<HandOverOffer, { readonly madeAt: number }>();
 
@@ -161,6 +167,12 @@
       this.lose(offer);
       return;
     }
+    if (answer.headers[FULL_HEADER] !== undefined && this.mayAskAfterFull()) {
+      answer.resume();
+      this.taken = undefined;
+      this.askNext();
+      return;
+    }
     const { bufferedAnswers, stream, request } = this.options;
     bufferedAnswers.begin(this, answer);
     if (request.route.kind === 'stream' && isEventStream(answer)) {
@@ -197,6 +209,12 @@
     this.offers.set(offer, { madeAt: this.now });
   }
 
+  /** Whether another daemon may have room, of which this one knows; if not, the caller gets the refusal. */
+  private mayAskAfterFull(): boolean {
+    this.full += 1;
+    return this.full < MAXIMUM_FULL && this.options.task.choosePeer(this.asked) !== undefined;
+  }
+
   private waitForConfirmation(): void {
     const remaining = this.options.request.deadlineAt - this.now;
     const share = Math.min(LONGEST_PATIENCE_MILLISECONDS, remaining * PATIENCE_SHARE);
--- a/src/handover/TakenOverRelay.ts
+++ b/src/handover/TakenOverRelay.ts
@@ -6,7 +6,7 @@
 
 import type { DaemonAnswer } from '../forwarding/AnswerRelay.js';
 import { AnswerRelay } from '../forwarding/AnswerRelay.js';
-import { BROKEN_HEADER, UNREACHED_HEADER, VERSION_HEADER } from './handOverHeaders.js';
+import { BROKEN_HEADER, FULL_HEADER, UNREACHED_HEADER, VERSION_HEADER } from './handOverHeaders.js';
 
 const BAD_GATEWAY = 502;
 
@@ -19,6 +19,9 @@
   'no_runner',
 ]);
 
+/** Reasons for a refusal that follow from what this daemon has at the runners itself. */
+const FULL_REASONS: ReadonlySet<string> = new Set(['full', 'backlogged']);
+
 /** Response to the daemon that handed the request over. */
 export class TakenOverRelay extends AnswerRelay {
   private readonly answer: ServerResponse;
@@ -48,6 +51,7 @@
   private mark({ status, reason }: DaemonAnswer): void {
     if (status !== UNAVAILABLE && status !== BAD_GATEWAY) return;
     if (UNREACHED_REASONS.has(reason)) this.answer.setHeader(UNREACHED_HEADER, reason);
+    else if (FULL_REASONS.has(reason)) this.answer.setHeader(FULL_HEADER, reason);
     else if (status === BAD_GATEWAY) this.answer.setHeader(BROKEN_HEADER, reason);
   }
 }
--- a/src/handover/handOverHeaders.ts
+++ b/src/handover/handOverHeaders.ts
@@ -12,6 +12,9 @@
 /** Set on an error of a daemon that took the request and reached no runner, so that it has not run. */
 export const UNREACHED_HEADER = 'handover-unreached';
 
+/** Set on a refusal of a daemon that has no room for the request at any runner; another one may have. */
+export const FULL_HEADER = 'handover-full';
+
 /** Set on an error of a daemon whose runner broke off, so that the request may have run. */
 export const BROKEN_HEADER = 'handover-broken';
 
