Reset the connections of requests that are given up while the path to the runners is lost

Cause: a connection that is closed in order still delivers what was sent on it. Requests that hang while the path is lost are given up at their deadlines, the next ones are sent, and all of them reach the runners at once when the path is back, those of callers that have left seconds before too.

Change: such connections are reset, which drops what is in transit. Elsewhere they are closed as before. The test fails on the code before.

--- a/src/forwarding/RunnerAttempt.spec.ts
+++ b/src/forwarding/RunnerAttempt.spec.ts
@@ -6,6 +6,7 @@
 import { expect } from 'earl';
 
 import { RunnerAgent } from './RunnerAgent.js';
+import type { RunnerAttempt } from './RunnerAttempt.js';
 import { attemptAt } from './testAttempt.js';
 
 const HEAD = 'HTTP/1.1 200 OK\r\nSignature: s\r\nRequest-Id: r-1\r\n';
@@ -121,6 +122,29 @@
     expect((await attemptAt({ port: 1, agent })).outcome).toEqual('connect_timeout');
   });
 
+  for (const [isPathLost, expected] of [
+    [true, 'reset'],
+    [false, 'closed'],
+  ] as const) {
+    // Guards against requests that were given up during a loss of the path and all run once it is back.
+    it(`${expected === 'reset' ? 'resets' : 'closes'} the connection of a request that is given up, with the path ${isPathLost ? 'lost' : 'well'}`, async () => {
+      let sent: RunnerAttempt | undefined;
+      const ended = new Promise((done) => {
+        void listen((socket) => {
+          socket.once('error', () => done('reset'));
+          socket.once('end', () => done('closed'));
+          socket.once('data', () => sent?.cancel());
+        }).then((port) => {
+          const onAttempt = (attempt: RunnerAttempt) => {
+            sent = attempt;
+          };
+          void attemptAt({ port, isPathLost, onAttempt });
+        });
+      });
+      expect(await ended).toEqual(expected);
+    });
+  }
+
   it('closes an idle connection on which data arrives', async () => {
     // Guards against answers that belong to other requests. A runner sends data after a complete answer, while the
     // connection is idle; if the next request is sent on it, that data is read as its answer.
--- a/src/forwarding/RunnerAttempt.ts
+++ b/src/forwarding/RunnerAttempt.ts
@@ -58,7 +58,7 @@
   /** Receives the head of each answer, which may contain the runner's shutdown notice or `Retry-After`. */
   statements: Pick<RunnerNotices, 'take'>;
   /** Distinguishes an unresponsive runner from a saturated network link of this daemon. */
-  link: Pick<LinkCheck, 'ask' | 'accepted'>;
+  link: Pick<LinkCheck, 'ask' | 'accepted' | 'isPathLost'>;
   /** Timeout for opening a new connection, in ms. */
   connectMilliseconds: number;
   observer: AttemptObserver;
@@ -135,7 +135,7 @@
     if (this.settled) return;
     this.markSettled();
     this.runner.health.recordAbandoned();
-    this.request?.destroy();
+    this.destroy();
   }
 
   /**
@@ -275,10 +275,20 @@
   private fail(failure: AttemptFailure, destroys = true): void {
     if (this.settled) return;
     this.markSettled();
-    if (destroys) this.request?.destroy();
+    if (destroys) this.destroy();
     this.options.observer.failed(this, failure);
   }
 
+  /**
+   * Closes the connection. While the path to the runners is lost, what was sent on it is still in transit, and would run,
+   * together with everything else that was given up meanwhile, once the path is back; a reset drops it.
+   */
+  private destroy(): void {
+    const socket = this.request?.socket;
+    if (this.options.link.isPathLost && socket?.connecting === false) socket.resetAndDestroy();
+    this.request?.destroy();
+  }
+
   private markSettled(): void {
     this.settled = true;
     this.runner.inFlight -= 1;
--- a/src/forwarding/testAttempt.ts
+++ b/src/forwarding/testAttempt.ts
@@ -57,6 +57,10 @@
   target?: string;
   requestId?: string;
   agent?: RunnerAgent;
+  /** Whether the daemon reaches no runner. */
+  isPathLost?: boolean;
+  /** Given the attempt before it is sent. */
+  onAttempt?: (attempt: RunnerAttempt) => void;
 }
 
 /**
@@ -68,17 +72,19 @@
   target = '/',
   requestId = 'r-1',
   agent = new RunnerAgent(),
+  isPathLost = false,
+  onAttempt = () => undefined,
 }: AttemptAtOptions): Promise<AttemptResult> {
   const entry = { id: 'runner-1', life: 'runner-1', service: 'plain', dataCentre: 'here' } as const;
   const runner = new Runner({ ...entry, host: '127.0.0.1', port, state: 'ready' });
   return new Promise((done) => {
-    new RunnerAttempt({
+    const attempt = new RunnerAttempt({
       runner,
       agent,
       statements: { take: () => undefined },
       protocol: new TestProtocol(),
       clock: new SystemClock(),
-      link: { ask: (_suspect, listener) => listener(true), accepted: () => undefined },
+      link: { ask: (_suspect, listener) => listener(true), accepted: () => undefined, isPathLost },
       connectMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
       observer: new CollectingObserver(done),
       method: 'GET',
@@ -86,6 +92,8 @@
       headers: ['Host', 'plain.example', 'Request-Id', requestId],
       body: undefined,
       requestId,
-    }).start();
+    });
+    onAttempt(attempt);
+    attempt.start();
   });
 }
