--- a/tests/brittleRunners.spec.ts
+++ b/tests/brittleRunners.spec.ts
@@ -16,8 +16,8 @@
 
 const WORK_MILLISECONDS = 200;
 
-/** What all runners can do, per second. */
-const CAPACITY = (RUNNERS * SLOTS * 1_000) / WORK_MILLISECONDS;
+/** Runners that work twice as fast get twice the requests. */
+const FAST_MILLISECONDS = 100;
 
 /** Requests that wait at a runner, before and while it is brittle. */
 const WAITING = 12;
@@ -36,13 +36,19 @@
 
 const TICK_MILLISECONDS = 10;
 
-for (const { daemons, limit, load } of [
+for (const { daemons, limit, load, work = WORK_MILLISECONDS } of [
   { daemons: 6, limit: 3, load: 1.1 },
   { daemons: 6, limit: 3, load: 2 },
   { daemons: 6, limit: 1, load: 3 },
   { daemons: 20, limit: 3, load: 2 },
+  { daemons: 6, limit: 3, load: 2, work: FAST_MILLISECONDS },
+  { daemons: 6, limit: 1, load: 3, work: FAST_MILLISECONDS },
+  { daemons: 20, limit: 3, load: 2, work: FAST_MILLISECONDS },
 ]) {
-  describe(`brittle runners before ${daemons} daemons`, () => {
+  /** What all runners can do, per second. */
+  const capacity = (RUNNERS * SLOTS * 1_000) / work;
+
+  describe(`${work === WORK_MILLISECONDS ? '' : 'fast '}brittle runners before ${daemons} daemons`, () => {
     let site: StandInSite;
     const agents: Agent[] = [];
 
@@ -53,7 +59,7 @@
         await site.addRunner({
           id: `plain-${index}`,
           service: 'plain',
-          workMilliseconds: WORK_MILLISECONDS,
+          workMilliseconds: work,
           slots: SLOTS,
           maximumWaiting: WAITING,
           downMilliseconds: 3_000,
@@ -80,7 +86,7 @@
       const startedAt = performance.now();
       const calls: Promise<void>[] = [];
       while (!isOver()) {
-        const due = ((performance.now() - startedAt) * CAPACITY * load) / 1_000;
+        const due = ((performance.now() - startedAt) * capacity * load) / 1_000;
         while (calls.length < due) {
           const { address, agent } = ends[calls.length % ends.length] as (typeof ends)[number];
           const headers = { 'Deadline-Ms': '1500' };
@@ -112,7 +118,7 @@
       for (const runner of site.runners) runner.becomeBrittle({ limit, waiting: BRITTLE_WAITING });
       await calls;
       const crashes = site.runners.reduce((sum, runner) => sum + runner.crashes, 0);
-      const least = (CAPACITY * SERVED_SHARE * COUNTED_MILLISECONDS) / 1_000;
+      const least = (capacity * SERVED_SHARE * COUNTED_MILLISECONDS) / 1_000;
       const isKept = crashes <= ALLOWED_CRASHES && served >= least;
       const seen = `${crashes} crashes, ${served} served of ${least / SERVED_SHARE} possible`;
       expect(isKept ? '' : seen).toEqual('');
--- a/tests/daemonsWithoutRunners.spec.ts
+++ b/tests/daemonsWithoutRunners.spec.ts
@@ -23,6 +23,7 @@
 
 /** Requests to all daemons together, per second; all of them run in this process. */
 const REQUESTS_PER_SECOND = 60;
+const MANY_REQUESTS_PER_SECOND = 200;
 
 const DEADLINE_MILLISECONDS = 1_500;
 
@@ -48,11 +49,15 @@
   return isKept ? '' : seen;
 }
 
-for (const { daemons, cut } of [
+for (const { daemons, cut, rate = REQUESTS_PER_SECOND } of [
   { daemons: 6, cut: 4 },
   { daemons: 20, cut: 13 },
+  { daemons: 6, cut: 4, rate: MANY_REQUESTS_PER_SECOND },
+  { daemons: 20, cut: 13, rate: MANY_REQUESTS_PER_SECOND },
 ]) {
-  describe(`${cut} of ${daemons} daemons without a path to the runners`, () => {
+  const many = rate === REQUESTS_PER_SECOND ? '' : ', with many requests';
+
+  describe(`${cut} of ${daemons} daemons without a path to the runners${many}`, () => {
     let site: StandInSite;
     let log: MemoryLog;
     const agents: Agent[] = [];
@@ -82,7 +87,7 @@
     });
 
     function nextRequest(): () => boolean {
-      const until = performance.now() + (daemons * 1_000) / REQUESTS_PER_SECOND;
+      const until = performance.now() + (daemons * 1_000) / rate;
       return () => performance.now() > until;
     }
 
