Keep to the own part of brittle runners' slots until the path has been back for a while

A daemon may exceed its part at a runner that is less than half full as far as it knows, and after a loss of its path it has heard nothing of what the others send.

--- a/src/runners/BrittleRunners.spec.ts
+++ b/src/runners/BrittleRunners.spec.ts
@@ -155,6 +155,22 @@
     expect(brittle.maySend(runner, SETTLED_MILLISECONDS - 1)).toEqual(false);
   });
 
+  // Guards against a surge of what waited for the path, at runners of which this daemon hears nothing meanwhile.
+  it('get the part alone from a daemon whose path was lost until lately', () => {
+    let isSettled = false;
+    brittle = new BrittleRunners({
+      daemon: 'daemon-0',
+      daemons: () => namesOf(3),
+      isPathSettled: () => isSettled,
+      runnersOf: () => [runner],
+      foreignLoad: () => 0,
+    });
+    settle(2);
+    expect(brittle.maySend(runner, 2 * SETTLED_MILLISECONDS)).toEqual(false);
+    isSettled = true;
+    expect(brittle.maySend(runner, 2 * SETTLED_MILLISECONDS)).toEqual(true);
+  });
+
   // Guards against runners that are all back at once, before daemons that each take the others for cut off from them.
   it('leave their parts to daemons without a path until the runners and the own path have been back for a while', () => {
     let isSettled = false;
--- a/src/runners/BrittleRunners.ts
+++ b/src/runners/BrittleRunners.ts
@@ -272,7 +272,8 @@
     }
     if (state.pausedUntil > now) return false;
     if (!isForOther && runner.inFlight < this.ownSlots(runner, now)) return true;
-    if (state.pressedUntil > now) return false;
+    // After a loss of its path, a daemon has not heard what others send, and whatever waited for the path is sent at once.
+    if (state.pressedUntil > now || !this.options.isPathSettled(now)) return false;
     const foreign = this.options.foreignLoad(runner.entry.life);
     if (foreign !== undefined && runner.inFlight + foreign < slots * SHARED_FILL) return true;
     state.pressedUntil = now + PRESSED_MILLISECONDS;
