Believe an old answer of a runner less than a newer word that its service is brittle

Cause: the last answer of each runner, from before the cut, had no statement, and counted for a minute more than what others said since.

Change: an answer without a statement counts for one second against a newer statement of its service. The test fails on the code before.

--- a/src/runners/BrittleRunners.spec.ts
+++ b/src/runners/BrittleRunners.spec.ts
@@ -129,6 +129,15 @@
     expect(begun).toEqual([LIMIT]);
   });
 
+  // Guards against a daemon that was cut off before they became brittle, and believes the answers from before that.
+  it('are limited at a daemon that others have told since it last heard from them', () => {
+    brittle.recordStated(runner, undefined, 0);
+    brittle.recordTold({ service: SERVICE, limit: LIMIT }, 'report', 500);
+    runner.inFlight = 50;
+    expect(brittle.maySend(runner, 999)).toEqual(true);
+    expect(brittle.maySend(runner, 1_000)).toEqual(false);
+  });
+
   it('get the part of this daemon in any case', () => {
     foreign = 4;
     settle(1);
--- a/src/runners/BrittleRunners.ts
+++ b/src/runners/BrittleRunners.ts
@@ -36,6 +36,12 @@
  */
 const STATED_MILLISECONDS = 60_000;
 
+/**
+ * How long an answer without a statement counts for its runner while others of the service say that they are brittle, in
+ * ms. A daemon that has been cut off from a runner knows what it said before that.
+ */
+const SOUND_MILLISECONDS = 1_000;
+
 /** Time without a statement, while runners of the service answer without one, after which it is over, in ms. */
 const UNREPEATED_MILLISECONDS = 10_000;
 
@@ -283,7 +289,8 @@
   /** @returns Rejections per second that a brittle runner bears; `undefined` if it is not brittle. */
   private limitOf(runner: Runner, now: number): number | undefined {
     const own = this.statements.get(runner);
-    if (isFresh(own, now)) return own.limit;
+    if (isFresh(own, now) && own.limit !== undefined) return own.limit;
+    if (own && own.limit === undefined && now - own.at < SOUND_MILLISECONDS) return undefined;
     const ofService = this.services.get(runner.entry.service);
     return isFresh(ofService, now) ? ofService.limit : undefined;
   }
