--- a/src/runners/RunnerAdmission.ts
+++ b/src/runners/RunnerAdmission.ts
@@ -103,11 +103,12 @@
   admitted(runners: readonly Runner[], question: AdmissionQuestion): readonly Runner[] {
     const { coldStarts } = this;
     const { now, isForOther } = question;
-    const open = this.withKnownVersion(runners, question).filter(
-      (runner) =>
-        this.rejectionReasonFor(runner, question) === undefined &&
-        !this.isFull(runner, now, isForOther),
-    );
+    const isOpen = (runner: Runner) =>
+      this.rejectionReasonFor(runner, question) === undefined &&
+      !this.isFull(runner, now, isForOther);
+    const known = this.withKnownVersion(runners, question).filter(isOpen);
+    // A stream that has begun is not cut because the runners of a known version have failed it already.
+    const open = known.length > 0 ? known : runners.filter(isOpen);
     if (!coldStarts) return open;
     const admitted = open.filter((runner) => coldStarts.mayOwnerSend(runner, now));
     if (admitted.length > 0) return admitted;
