--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -103,6 +103,7 @@
   override received(attempt: RunnerAttempt, chunk: Buffer): void {
     this.waits.recordHeard();
     if (this.stream.isFrom(attempt)) {
+      this.quarantine.streamed(attempt, this.now());
       this.stream.pass(chunk);
       if (this.relay.hasHead) this.firstAnswerAt ??= this.now();
       if (this.stream.isBound) this.versions.record(attempt.runner);
@@ -123,7 +124,7 @@
     if (!held || this.relay.isDone) return;
     const { statusCode: status = SERVER_ERROR } = held.answer;
     const failed = status >= SERVER_ERROR;
-    this.quarantine.answered(status);
+    this.quarantine.answered(attempt, status);
     this.outcomes.answered(attempt.runner, status);
     const isStream = this.stream.isFrom(attempt);
     if (isStream || this.bufferedAnswers.isPassing(attempt)) {
@@ -148,7 +149,7 @@
     if (this.relay.isDone) return;
     this.outcomes.failed(attempt, failure);
     this.tried.recordFailure(attempt.runner.entry.life, failure);
-    this.quarantine.failed(attempt, failure);
+    this.quarantine.failed(attempt, failure, this.now());
     // The crash may have put the request into quarantine, which ends it.
     if (this.relay.isDone) return;
     const partialBytes = this.stream.isFrom(attempt) ? this.stream.breakOff() : 0;
@@ -213,7 +214,11 @@
     const sharedParts = this.quarantine.isRepeatedSuspect ? [] : this.request.sharedParts;
     const tried = this.tried.excluded;
     const now = this.now();
-    const { softwareVersion } = this.stream;
+    const softwareVersion = this.stream.softwareVersion ?? this.quarantine.softwareVersion;
+    if (this.quarantine.isExcludedFrom(softwareVersion)) {
+      this.endWithQuarantine();
+      return;
+    }
     const { needsVersion } = this.versions;
     const limits = { homeRegions, softwareVersion, needsVersion, connectionLimit };
     const question = { service, sharedParts, tried, ...limits, now };
@@ -299,7 +304,7 @@
     if (this.answerFallback()) return;
     const now = this.now();
     const isLate = now >= this.request.deadlineAt;
-    const { softwareVersion } = this.stream;
+    const softwareVersion = this.stream.softwareVersion ?? this.quarantine.softwareVersion;
     const unavailability = this.context.unavailabilityOf({ ...this.request, softwareVersion }, now);
     this.endWith(daemonAnswerFor({ verdict, failure, isLate, unavailability }));
   }
@@ -363,6 +368,10 @@
   /** Ends a request that was put into quarantine; cancelling it may save the runner that is working on it. */
   protected override onQuarantined(): void {
     if (this.relay.isDone) return;
+    this.endWithQuarantine();
+  }
+
+  private endWithQuarantine(): void {
     const isElsewhere = this.handOver.isInProgress;
     const mayHaveRun = isElsewhere || this.active.size > 0 || this.tried.mayHaveRun > 0;
     this.endWith(mayHaveRun ? { status: 502, reason: 'quarantined' } : this.quarantine.refusal);
@@ -372,7 +381,11 @@
     this.quarantine.end();
     this.versions.end();
     const { firstAnswerAt, tried, relay } = this;
-    this.report.ended({ event, outcome, status: relay.status, firstAnswerAt, tried: tried.count });
+    const { quarantinedParts } = this.quarantine;
+    this.report.ended({
+      ...{ event, outcome, status: relay.status, firstAnswerAt, tried: tried.count },
+      quarantinedParts: outcome === 'quarantined' ? quarantinedParts : undefined,
+    });
   }
 
   private now(): number {
--- a/src/forwarding/QuarantineSession.ts
+++ b/src/forwarding/QuarantineSession.ts
@@ -1,91 +1,140 @@
 /**
  * Connects one request to the quarantine: checks whether the request may run, and reports the results of its attempts,
- * from which the quarantine recognises requests that crash runners.
+ * from which the quarantine recognises what crashes runners.
  */
+import { match } from 'ts-pattern';
+
+import type { CrashSubject } from '../quarantine/quarantineTypes.js';
 import type { QuarantineListener, RequestQuarantine } from '../quarantine/RequestQuarantine.js';
 import type { DaemonAnswer } from './AnswerRelay.js';
 import type { AttemptFailure, RunnerAttempt } from './RunnerAttempt.js';
 
-/** `Retry-After` while the same suspect request is in progress, in seconds; it is answered, or crashes its runner, within
+/** `Retry-After` while a suspect like this one is in progress, in seconds; it is answered, or crashes its runner, within
  * about this time. */
 const SUSPECT_RETRY_SECONDS = 0.5;
 
 /** A runner's answer after the deadline has passed; the request may not have reached the point that crashes the runner. */
 const GATEWAY_TIMEOUT = 504;
 
+/** A stream that has gone on for this long after its first event shows that the parts of its prompt are sound; in ms. */
+const SOUND_STREAM_MILLISECONDS = 1_000;
+
 /** Options of a {@link QuarantineSession}. */
 export interface QuarantineSessionOptions {
   quarantine: RequestQuarantine;
-  /** Digest of the request. */
-  digest: string;
+  /** The request as a whole, then the shared parts of its prompt. */
+  subjects: readonly CrashSubject[];
+  service: string;
+  /** Attempts in progress. */
+  active: ReadonlySet<RunnerAttempt>;
   /** Called when the request has been put into quarantine and must not reach another runner. */
   onQuarantined: QuarantineListener;
 }
 
 /** Quarantine state of one request. */
 export class QuarantineSession {
-  /** Digest of the request; the same each time the caller sends it. */
-  readonly digest: string;
+  /** Software version at which alone the request may run; any if `undefined`. */
+  softwareVersion: string | undefined;
+
+  private readonly options: QuarantineSessionOptions;
+
+  private readonly parts: readonly CrashSubject[];
+
+  /** Whether the request was let through to see whether runners still crash. */
+  private isTrial = false;
 
-  private readonly quarantine: RequestQuarantine;
+  /** The attempt that streams, and when its first event arrived, in monotonic ms. */
+  private streaming: { readonly attempt: RunnerAttempt; readonly since: number } | undefined;
 
-  private readonly onQuarantined: QuarantineListener;
+  /** Whether the stream has shown that the parts are sound. */
+  private isStreamSound = false;
 
   /**
-   * @param options - the quarantine and the digest of the request.
+   * @param options - the quarantine and the request.
    */
-  constructor({ quarantine, digest, onQuarantined }: QuarantineSessionOptions) {
-    this.quarantine = quarantine;
-    this.digest = digest;
-    this.onQuarantined = onQuarantined;
+  constructor(options: QuarantineSessionOptions) {
+    this.options = options;
+    this.parts = options.subjects.filter(({ part }) => part !== undefined);
   }
 
   /** @returns Whether more than one runner has crashed while it was running the request. */
   get isRepeatedSuspect(): boolean {
-    return this.quarantine.hasRepeatedCrashes(this.digest);
+    return this.options.quarantine.hasRepeatedCrashes(this.options.subjects);
   }
 
   /** @returns Whether the request may be hedged, which only requests that are not suspects may. */
   get mayHedge(): boolean {
-    return this.quarantine.stateOf(this.digest) === 'sound';
+    return !this.options.quarantine.isSuspect(this.options.subjects);
+  }
+
+  /** @returns Names of the parts of its prompt that are quarantined. */
+  get quarantinedParts(): string | undefined {
+    return this.options.quarantine.quarantinedPartsOf(this.options.subjects);
   }
 
   /**
-   * Begins the request, unless it is in quarantine or the same suspect request is in progress. Suspects run one at a
-   * time, so that a request that crashes runners does not reach several of them at once.
+   * @param softwareVersion - version that the request is about to be sent to; `undefined` for any.
+   * @returns Whether the quarantine lets it run at another version only.
+   */
+  isExcludedFrom(softwareVersion: string | undefined): boolean {
+    return this.softwareVersion !== undefined && this.softwareVersion !== softwareVersion;
+  }
+
+  /**
+   * Begins the request, unless it is in quarantine or a suspect like it is in progress.
    *
    * @returns The refusal of a request that may not run now, or `undefined` if it has begun.
    */
   begin(): DaemonAnswer | undefined {
-    const { quarantine, digest } = this;
-    const standing = quarantine.stateOf(digest);
-    if (standing === 'quarantined') return this.refusal;
-    if (standing === 'suspect' && quarantine.isInFlight(digest)) {
-      const retryAfterSeconds = SUSPECT_RETRY_SECONDS;
-      return { status: 503, reason: 'suspect_under_way', retryAfterSeconds };
-    }
-    quarantine.begin(digest, this.onQuarantined);
-    return undefined;
+    const { quarantine, subjects, service } = this.options;
+    return match(quarantine.admit({ subjects, service }))
+      .with({ kind: 'admitted' }, ({ softwareVersion, isTrial = false }) => {
+        this.softwareVersion = softwareVersion;
+        this.isTrial = isTrial;
+        quarantine.begin(subjects, this.onVerdict);
+        return undefined;
+      })
+      .with({ kind: 'refused' }, () => this.refusal)
+      .with({ kind: 'busy' }, () => ({
+        status: 503,
+        reason: 'suspect_under_way',
+        retryAfterSeconds: SUSPECT_RETRY_SECONDS,
+      }))
+      .exhaustive();
   }
 
   /** @returns The refusal of a request in quarantine that no runner has received. */
   get refusal(): DaemonAnswer {
-    const retryAfterSeconds = this.quarantine.retryAfterSeconds(this.digest);
+    const { quarantine, subjects } = this.options;
+    const retryAfterSeconds = quarantine.retryAfterSeconds(subjects);
     return { status: 503, reason: 'quarantined', retryAfterSeconds };
   }
 
   /** Records the end of the request. */
   end(): void {
-    this.quarantine.end(this.digest, this.onQuarantined);
+    this.options.quarantine.end(this.options.subjects, this.onVerdict);
   }
 
   /**
    * Records a complete answer, which shows that the request did not crash the runner.
    *
+   * @param attempt - attempt that was answered.
    * @param status - status code of the answer.
    */
-  answered(status: number): void {
-    if (status !== GATEWAY_TIMEOUT) this.quarantine.answered(this.digest);
+  answered({ runner }: RunnerAttempt, status: number): void {
+    if (status === GATEWAY_TIMEOUT) return;
+    this.options.quarantine.answered(this.options.subjects, runner.answeringVersion);
+  }
+
+  /**
+   * Records data of a stream.
+   *
+   * @param attempt - attempt that received it.
+   * @param now - monotonic ms.
+   */
+  streamed(attempt: RunnerAttempt, now: number): void {
+    if (this.streaming?.attempt !== attempt) this.streaming = { attempt, since: now };
+    this.recordSoundStream(now);
   }
 
   /**
@@ -94,7 +143,8 @@
    * @param attempt - cancelled attempt.
    */
   abandoned({ runner, startedAt }: RunnerAttempt): void {
-    this.quarantine.abandoned(runner, { digest: this.digest, startedAt });
+    const { quarantine, subjects } = this.options;
+    quarantine.abandoned(runner, { subjects, startedAt });
   }
 
   /**
@@ -102,10 +152,28 @@
    *
    * @param attempt - attempt that failed.
    * @param failure - kind of failure.
+   * @param now - monotonic ms.
    */
-  failed({ runner, startedAt }: RunnerAttempt, failure: AttemptFailure): void {
-    const { quarantine, digest } = this;
-    if (failure === 'broken') quarantine.broke(runner, { digest, startedAt });
+  failed(attempt: RunnerAttempt, failure: AttemptFailure, now: number): void {
+    const { quarantine, subjects } = this.options;
+    const { runner, startedAt } = attempt;
+    if (this.streaming?.attempt === attempt) this.recordSoundStream(now);
+    if (failure === 'broken') quarantine.broke(runner, { subjects, startedAt });
     if (failure === 'not_connected') quarantine.refused(runner);
   }
+
+  private readonly onVerdict = (): void => {
+    const { quarantine, subjects, active, onQuarantined } = this.options;
+    const versions = [...active].map(({ runner }) => runner.softwareVersion);
+    if (!this.isTrial && quarantine.isBlocked(subjects, versions)) onQuarantined();
+  };
+
+  /** The request as a whole may still crash the runner later on. */
+  private recordSoundStream(now: number): void {
+    const { streaming, parts } = this;
+    if (!streaming || this.isStreamSound || parts.length === 0) return;
+    if (now - streaming.since < SOUND_STREAM_MILLISECONDS) return;
+    this.isStreamSound = true;
+    this.options.quarantine.answered(parts, streaming.attempt.runner.answeringVersion);
+  }
 }
--- a/src/forwarding/RequestParts.ts
+++ b/src/forwarding/RequestParts.ts
@@ -1,7 +1,7 @@
 /**
  * The parts of one forwarded request, each of which keeps a side of its state.
  */
-import { requestDigest } from '../quarantine/requestDigest.js';
+import { requestSubjects } from '../quarantine/requestSubjects.js';
 import { StreamVersionSession } from '../streamVersions/StreamVersionSession.js';
 import { ActiveAttempts } from './ActiveAttempts.js';
 import type { AnswerRelay } from './AnswerRelay.js';
@@ -80,11 +80,12 @@
       ...{ request, stream: this.stream },
       task: context.streamVersions,
     });
-    const digest = requestDigest({ ...request, body });
+    const subjects = requestSubjects({ ...request, body });
+    const [{ digest } = { digest: '' }] = subjects;
     this.report = new RequestReport({ request, context, digest });
     this.quarantine = new QuarantineSession({
       quarantine: context.quarantine,
-      digest,
+      ...{ subjects, service: request.service, active: this.active },
       onQuarantined: () => this.onQuarantined(),
     });
     const { tried, quarantine, report, active } = this;
--- a/src/forwarding/RequestReport.ts
+++ b/src/forwarding/RequestReport.ts
@@ -33,6 +33,8 @@
   readonly firstAnswerAt: number | undefined;
   /** Number of attempts. */
   readonly tried: number;
+  /** Parts of its prompt for which it was refused or broken off. */
+  readonly quarantinedParts?: string | undefined;
 }
 
 /** What is logged of a failed attempt besides its runner and the failure. */
@@ -133,6 +135,7 @@
     this.write(forwardingLogEvents.attemptFailed, {
       runner: attempt.runner.entry.id,
       digest: this.digest,
+      parts: this.request.sharedParts.join() || undefined,
       failure,
       attemptMilliseconds: Math.round(now - attempt.startedAt),
       // Time since the runner sent data for any request; a runner that still serves others is not unresponsive.
@@ -161,7 +164,7 @@
    *
    * @param end - how the request ended.
    */
-  ended({ event, outcome, status, firstAnswerAt, tried }: RequestEnd): void {
+  ended({ event, outcome, status, firstAnswerAt, tried, quarantinedParts }: RequestEnd): void {
     const { route, arrivedAt, clientAccount, configurationVersion } = this.request;
     const { clock, metrics } = this.context;
     metrics.requests.increment({ route: route.name, outcome });
@@ -180,6 +183,7 @@
       softwareVersion: this.versionOf(this.choice?.runner),
       choice: this.choice?.reason,
       parts: this.request.sharedParts.join() || undefined,
+      quarantinedParts,
       cacheSource: this.choice?.cacheSource?.entry.id,
       load: this.choice?.load,
       // Only the framing that does not prove the end of an answer is worth its bytes in a line of each request.
--- a/src/handover/testPeers.ts
+++ b/src/handover/testPeers.ts
@@ -165,8 +165,11 @@
   private contextWith(onBegin: (quarantine: () => void) => void): ForwardingContext {
     const { clock, log, task } = this;
     const quarantine: Partial<RequestQuarantine> = {
-      stateOf: () => 'sound',
+      admit: () => ({ kind: 'admitted' }),
+      isBlocked: () => true,
+      isSuspect: () => false,
       hasRepeatedCrashes: () => false,
+      quarantinedPartsOf: () => undefined,
       begin: (_, listener) => onBegin(listener),
       end: () => undefined,
       retryAfterSeconds: () => 1,
--- a/src/quarantine/CrashDetector.ts
+++ b/src/quarantine/CrashDetector.ts
@@ -10,14 +10,15 @@
 import type { Runner } from '../runners/Runner.js';
 import type { RunnerTable } from '../runners/RunnerTable.js';
 import type { Clock } from '../time/Clock.js';
-import type { RunnerCrash } from './quarantineTypes.js';
+import type { CrashSubject, RunnerCrash } from './quarantineTypes.js';
+import { hashOfVersion } from './requestSubjects.js';
 
 /** A runner's crash, or further requests interrupted by a crash that was already reported. */
 export interface DetectedCrash {
   readonly runner: Runner;
   readonly crash: RunnerCrash;
-  /** Digests of the interrupted requests, the one that began last first. */
-  readonly digests: readonly string[];
+  /** Subjects of the interrupted requests, those of the one that began last first. */
+  readonly subjects: readonly CrashSubject[];
   /** Whether this crash is reported for the first time. */
   readonly isFirst: boolean;
 }
@@ -38,7 +39,7 @@
 
 /** A request that was interrupted at a runner. */
 export interface InterruptedRequest {
-  readonly digest: string;
+  readonly subjects: readonly CrashSubject[];
   /** When it was sent to the runner, in monotonic ms. */
   readonly startedAt: number;
 }
@@ -237,8 +238,9 @@
 
   private report(confirmed: CrashCase): void {
     const { runner, at } = confirmed;
-    const crash = { life: murmurhash.v3(runner.entry.life), at };
-    const digests = confirmed.takeRequests().map(({ digest }) => digest);
-    this.options.onCrash({ runner, crash, digests, isFirst: confirmed.markReported() });
+    const versionHash = hashOfVersion(runner.softwareVersion);
+    const crash = { life: murmurhash.v3(runner.entry.life), at, versionHash };
+    const subjects = confirmed.takeRequests().flatMap((request) => request.subjects);
+    this.options.onCrash({ runner, crash, subjects, isFirst: confirmed.markReported() });
   }
 }
--- a/src/quarantine/CrashRecord.ts
+++ b/src/quarantine/CrashRecord.ts
@@ -1,10 +1,8 @@
 /**
- * Runner crashes that occurred while a given request was running there, and which of them still count against it.
+ * Runner crashes that occurred while requests with a given subject were running there, and which of them still count
+ * against it.
  */
-import type { CrashSummary, RequestState, RunnerCrash } from './quarantineTypes.js';
-
-/** Number of distinct crashes after which a request is sent to no more runners. */
-const QUARANTINE_CRASHES = 3;
+import type { CrashSubject, CrashSummary, RunnerCrash, VersionAnswer } from './quarantineTypes.js';
 
 /**
  * Two reports of the same incarnation at most this far apart are the same crash, in ms. Daemons notice one crash
@@ -12,65 +10,99 @@
  */
 const SAME_CRASH_MILLISECONDS = 1_000;
 
-/** Maximum number of crashes kept for a request; the oldest are dropped. */
-const MAXIMUM_CRASHES = 8;
+/** Maximum number of crashes kept for a subject; the oldest are dropped. */
+const MAXIMUM_CRASHES = 12;
+
+/** Maximum number of software versions whose answers are kept; those that answered last. */
+const MAXIMUM_VERSIONS = 4;
+
+/** An answer excuses a crash up to this long after it; in ms. */
+const TRUST_MILLISECONDS = 5_000;
 
 /**
- * An answer up to this long before a crash clears the request as an answer after the crash does; in ms.
+ * Crashes within this time of the first one that an answer excuses are excused with it, in ms: many runners may end
+ * for one reason. Without an answer since, later ones count, or a popular subject that begins to crash runners would be
+ * trusted for long.
  */
-const TRUST_MILLISECONDS = 5_000;
+const COMMON_CAUSE_MILLISECONDS = 1_000;
 
-/** Crashes of one request; see the comment of the module. */
+/**
+ * @param one - a crash.
+ * @param other - another report of a crash.
+ * @returns Whether both are the same crash.
+ */
+export function isSameCrash(one: RunnerCrash, other: RunnerCrash): boolean {
+  return one.life === other.life && Math.abs(one.at - other.at) <= SAME_CRASH_MILLISECONDS;
+}
+
+/** Crashes of one subject; see the comment of the module. */
 export class CrashRecord {
   readonly digest: string;
 
+  readonly part: string | undefined;
+
   private readonly crashes: RunnerCrash[] = [];
 
-  private clearedAt = Number.NEGATIVE_INFINITY;
+  private releasedAt = Number.NEGATIVE_INFINITY;
+
+  /** Up to when crashes are excused by answers, in monotonic ms, by the hash of the software version. */
+  private readonly excusedUntil = new Map<number, number>();
 
   /**
-   * @param digest - digest of the request.
+   * @param subject - the subject.
    */
-  constructor(digest: string) {
+  constructor({ digest, part }: CrashSubject) {
     this.digest = digest;
+    this.part = part;
   }
 
-  /** @returns Crashes since the request was last cleared, without those of overload. */
+  /** @returns Crashes since the subject was last answered or released, without those of overload. */
   get countedCrashes(): readonly RunnerCrash[] {
-    return this.crashes.filter(({ at, isOverload }) => at > this.clearedAt && !isOverload);
-  }
-
-  /** @returns The request's state, from the number of crashes that count. */
-  get state(): RequestState {
-    const { length } = this.countedCrashes;
-    if (length >= QUARANTINE_CRASHES) return 'quarantined';
-    return length > 0 ? 'suspect' : 'sound';
+    return this.crashes.filter(
+      (crash) => !crash.isOverload && crash.at > this.clearedUntil(crash.versionHash),
+    );
   }
 
   /** @returns When the record last changed, in monotonic ms. */
   get updatedAt(): number {
-    return Math.max(this.clearedAt, ...this.crashes.map(({ at }) => at));
+    const crashedAt = this.crashes.map(({ at }) => at);
+    return Math.max(this.releasedAt, ...this.excusedUntil.values(), ...crashedAt);
+  }
+
+  /**
+   * @param versionHash - hash of a software version.
+   * @returns Whether a crash of a runner of this version counts.
+   */
+  hasCrashedAt(versionHash: number): boolean {
+    return this.countedCrashes.some((crash) => (crash.versionHash ?? 0) === versionHash);
+  }
+
+  /**
+   * @param versionHash - hash of a software version.
+   * @returns Whether an answer of a runner of this version is known.
+   */
+  isExcusedAt(versionHash: number): boolean {
+    return this.excusedUntil.has(versionHash);
   }
 
   /**
    * Adds a crash, or moves a known one to the earlier of its two times. A crash that anybody knows to be one of overload
    * is one.
    *
-   * @param crash - crash of a runner on which the request was running.
+   * @param crash - crash of a runner on which a request with the subject was running.
    * @returns Whether the crash, or that it is one of overload, was unknown.
    */
   add(crash: RunnerCrash): boolean {
-    const known = this.crashes.findIndex(
-      ({ life, at }) => life === crash.life && Math.abs(at - crash.at) <= SAME_CRASH_MILLISECONDS,
-    );
+    const known = this.crashes.findIndex((one) => isSameCrash(one, crash));
     const before = this.crashes[known];
     if (before) {
       const isOverload = before.isOverload === true || crash.isOverload === true;
       const at = Math.min(before.at, crash.at);
-      this.crashes[known] = { life: crash.life, at, ...(isOverload && { isOverload }) };
+      this.crashes[known] = { ...before, at, ...(isOverload && { isOverload }) };
       return isOverload !== (before.isOverload === true);
     }
-    if (crash.at <= this.clearedAt && this.crashes.length >= MAXIMUM_CRASHES) return false;
+    const isCleared = crash.at <= this.clearedUntil(crash.versionHash);
+    if (isCleared && this.crashes.length >= MAXIMUM_CRASHES) return false;
     this.crashes.push(crash);
     this.crashes.sort((one, other) => one.at - other.at);
     if (this.crashes.length > MAXIMUM_CRASHES) this.crashes.shift();
@@ -80,30 +112,72 @@
   /**
    * Stops counting crashes up to a point in time.
    *
-   * @param at - when the request was answered or released, in monotonic ms.
+   * @param at - when the subject was released, in monotonic ms.
    * @returns Whether this changes which crashes count.
    */
   clear(at: number): boolean {
-    const before = this.countedCrashes.length;
-    this.clearedAt = Math.max(this.clearedAt, at);
-    return this.countedCrashes.length < before;
+    return this.changesCount(() => {
+      this.releasedAt = Math.max(this.releasedAt, at);
+    });
   }
 
   /**
-   * Stops counting crashes before an answer, and those shortly after it.
+   * Stops counting crashes of a software version up to a point in time.
    *
-   * @param answeredAt - when a runner last answered the request, in monotonic ms.
+   * @param answer - the version, and the time that another daemon has for it.
    * @returns Whether this changes which crashes count.
    */
-  answered(answeredAt: number): boolean {
-    const excused = this.countedCrashes.filter(({ at }) => at <= answeredAt + TRUST_MILLISECONDS);
-    return this.clear(Math.max(answeredAt, ...excused.map(({ at }) => at)));
+  excuse({ versionHash, at }: VersionAnswer): boolean {
+    return this.changesCount(() => this.excuseUntil(versionHash, at));
+  }
+
+  /**
+   * Stops counting crashes of a software version before an answer, and the first ones shortly after it.
+   *
+   * @param answer - the version, and when a runner of it last answered.
+   * @returns Whether this changes which crashes count.
+   */
+  answered({ versionHash, at }: VersionAnswer): boolean {
+    const excusedUntil = this.excusedUntil.get(versionHash) ?? Number.NEGATIVE_INFINITY;
+    // It has excused a crash already, and there was no answer since.
+    if (at <= excusedUntil - COMMON_CAUSE_MILLISECONDS) return false;
+    const later = this.countedCrashes
+      .filter((crash) => (crash.versionHash ?? 0) === versionHash)
+      .map((crash) => crash.at)
+      .filter((crashedAt) => crashedAt > at && crashedAt <= at + TRUST_MILLISECONDS);
+    const until = later.length > 0 ? Math.min(...later) + COMMON_CAUSE_MILLISECONDS : at;
+    return this.excuse({ versionHash, at: until });
   }
 
   /** @returns The form in which the record is sent to other daemons. */
   toSummary(): CrashSummary {
-    const { digest, crashes, clearedAt } = this;
-    const isCleared = Number.isFinite(clearedAt);
-    return { digest, crashes: [...crashes], clearedAt: isCleared ? clearedAt : undefined };
+    const { digest, part, crashes, releasedAt, excusedUntil } = this;
+    const answers = [...excusedUntil].map(([versionHash, at]) => ({ versionHash, at }));
+    return {
+      digest,
+      ...(part !== undefined && { part }),
+      crashes: [...crashes],
+      clearedAt: Number.isFinite(releasedAt) ? releasedAt : undefined,
+      ...(answers.length > 0 && { answers }),
+    };
+  }
+
+  private clearedUntil(versionHash = 0): number {
+    const excusedUntil = this.excusedUntil.get(versionHash) ?? Number.NEGATIVE_INFINITY;
+    return Math.max(this.releasedAt, excusedUntil);
+  }
+
+  private excuseUntil(versionHash: number, at: number): void {
+    const latest = Math.max(at, this.excusedUntil.get(versionHash) ?? at);
+    this.excusedUntil.delete(versionHash);
+    this.excusedUntil.set(versionHash, latest);
+    const [oldest = versionHash] = this.excusedUntil.keys();
+    if (this.excusedUntil.size > MAXIMUM_VERSIONS) this.excusedUntil.delete(oldest);
+  }
+
+  private changesCount(change: () => void): boolean {
+    const before = this.countedCrashes.length;
+    change();
+    return this.countedCrashes.length < before;
   }
 }
--- a/src/quarantine/CrashRelay.ts
+++ b/src/quarantine/CrashRelay.ts
@@ -48,10 +48,10 @@
 }
 
 /** Maximum number of records in a datagram of 1,400 bytes, with four crashes each. */
-const RECORDS_IN_DATAGRAM = 16;
+const RECORDS_IN_DATAGRAM = 8;
 
 /** Maximum number of datagrams sent to a recipient at once; network queues drop larger bursts. */
-const DATAGRAMS_AT_ONCE = 3;
+const DATAGRAMS_AT_ONCE = 6;
 
 /** Interval between comparisons with another daemon, in ms. */
 const EXCHANGE_MILLISECONDS = 1_000;
--- a/src/quarantine/QuarantineDecisions.ts
+++ b/src/quarantine/QuarantineDecisions.ts
@@ -1,39 +1,45 @@
 /**
  * Decides which requests are sent to no more runners because the runners that ran them have crashed.
  *
- * A crash counts against all requests that were running there. The one that causes crashes is told from the others by
- * the number of runners that crashed while running it before any runner answered it; the others are answered by the
- * next runner.
+ * A crash counts against all requests that were running there, and against the parts of their prompts. What causes
+ * crashes is told from the rest by the number of runners that crashed while running it before any runner answered it;
+ * the rest is answered by the next runner.
  */
 import murmurhash from 'murmurhash';
 
 import { CrashRecord } from './CrashRecord.js';
-import type { CrashSummary, RequestState, RunnerCrash } from './quarantineTypes.js';
+import { CrashVerdicts } from './CrashVerdicts.js';
+import type { CrashVerdictsOptions } from './CrashVerdicts.js';
+import type { CrashVerdict } from './explainCrashes.js';
+import type { CrashSubject, CrashSummary, RunnerCrash, SubjectState } from './quarantineTypes.js';
 import { RecentAnswers } from './RecentAnswers.js';
 import { RecentRejections } from './RecentRejections.js';
 
-/** Time after the last crash at which a quarantined request may be tried again, in ms. */
-export const QUARANTINE_MILLISECONDS = 86_400_000;
+/** Time after the last crash at which a quarantine ends, in ms. */
+const QUARANTINE_MILLISECONDS = 86_400_000;
 
-/** Time after which the crashes of a request that is not quarantined are forgotten, in ms. */
+/** Time after which the crashes of a subject that is not quarantined are forgotten, in ms. */
 const SUSPICION_MILLISECONDS = 3_600_000;
 
 /** Maximum number of records; those with the fewest crashes are dropped first. */
-const MAXIMUM_RECORDS = 1_024;
+const MAXIMUM_RECORDS = 2_048;
+
+/** Number of records that are left when some are dropped, so that this happens seldom. */
+const KEPT_RECORDS = 1_536;
 
 /**
- * Maximum number of requests that one crash makes suspect; among those with equal numbers of crashes, the ones that
+ * Maximum number of subjects that one crash makes suspect; among those with equal numbers of crashes, the ones that
  * began last are chosen.
  */
-const MAXIMUM_SUSPECTS = 32;
+const MAXIMUM_SUSPECTS = 48;
 
 /**
- * Number of crashes from which on a request is broadcast to daemons that have observed none of them.
+ * Number of crashes from which on a subject is broadcast to daemons that have observed none of them.
  */
 const MINIMUM_BROADCAST_CRASHES = 2;
 
 /**
- * @param news - crashes of a request.
+ * @param news - crashes of a subject.
  * @returns Whether daemons that have observed none of the crashes should know of them.
  */
 export function shouldBroadcast({ crashes }: CrashSummary): boolean {
@@ -41,22 +47,14 @@
 }
 
 /**
- * @param news - crashes of several requests.
- * @returns A hash of the digests; equal for equal sets of requests.
+ * @param news - crashes of several subjects.
+ * @returns A hash of the digests; equal for equal sets of subjects.
  */
-export function hashOfRequests(news: readonly CrashSummary[]): number {
+export function hashOfSubjects(news: readonly CrashSummary[]): number {
   const digests = news.map(({ digest }) => digest).sort();
   return murmurhash.v3(digests.join());
 }
 
-/** Called when the state of a request changes. */
-export type StateChangeListener = (digest: string, before: RequestState) => void;
-
-/** Options of a {@link QuarantineDecisions}. */
-export interface QuarantineDecisionsOptions {
-  onStateChange?: StateChangeListener;
-}
-
 /** Holds the crash records. */
 export class QuarantineDecisions {
   private readonly records = new Map<string, CrashRecord>();
@@ -65,7 +63,7 @@
 
   private readonly rejections = new RecentRejections();
 
-  private readonly onStateChange: StateChangeListener;
+  private readonly verdicts: CrashVerdicts;
 
   private cachedHash: number | undefined;
 
@@ -76,66 +74,84 @@
   private changed = new Map<string, 'seen' | 'told'>();
 
   /**
-   * @param options - the listener for changes.
+   * @param options - the listeners for changes.
    */
-  constructor({ onStateChange = () => undefined }: QuarantineDecisionsOptions = {}) {
-    this.onStateChange = onStateChange;
+  constructor(options: CrashVerdictsOptions = {}) {
+    this.verdicts = new CrashVerdicts(options);
   }
 
-  /** @returns Number of quarantined requests. */
+  /** @returns Number of quarantined subjects. */
   get quarantinedCount(): number {
-    return this.quarantined().length;
+    return this.verdicts.quarantined.size;
+  }
+
+  /** @returns Number of quarantined parts of prompts. */
+  get quarantinedPartCount(): number {
+    return this.quarantined().filter(({ part }) => part !== undefined).length;
   }
 
   /**
-   * @returns A hash of the quarantined requests; equal for daemons that have quarantined the same ones.
+   * @returns A hash of the quarantined subjects; equal for daemons that have quarantined the same ones.
    */
   get quarantinedHash(): number {
-    this.cachedHash ??= hashOfRequests(this.quarantined());
+    this.cachedHash ??= hashOfSubjects(this.quarantined());
     return this.cachedHash;
   }
 
   /**
-   * @param digest - digest of a request.
+   * @param digest - digest of a subject.
    * @returns Its state.
    */
-  stateOf(digest: string): RequestState {
-    return this.records.get(digest)?.state ?? 'sound';
+  stateOf(digest: string): SubjectState {
+    if (this.verdicts.quarantined.has(digest)) return 'quarantined';
+    return this.crashesOf(digest) > 0 ? 'suspect' : 'sound';
   }
 
   /**
-   * @param digest - digest of a request.
-   * @returns Number of crashes that count against it.
+   * @param digest - digest of a subject.
+   * @returns Number of crashes, or moments with crashes, that count against it and that nothing else explains.
    */
   crashesOf(digest: string): number {
-    return this.records.get(digest)?.countedCrashes.length ?? 0;
+    const record = this.records.get(digest);
+    return record ? this.verdicts.weightOf(record) : 0;
   }
 
   /**
-   * @param digest - digest of a quarantined request.
-   * @param now - monotonic ms.
-   * @returns Time until it may be tried again, in ms.
+   * @param subjects - subjects of a request.
+   * @returns Why the request must not run; `undefined` if it may.
    */
-  remainingMilliseconds(digest: string, now: number): number {
-    const touchedAt = this.records.get(digest)?.updatedAt ?? now;
-    return Math.max(0, touchedAt + QUARANTINE_MILLISECONDS - now);
+  verdictOn(subjects: readonly CrashSubject[]): CrashVerdict | undefined {
+    return this.verdicts.on(subjects);
+  }
+
+  /**
+   * @param digest - digest of a subject.
+   * @param versionHash - hash of a software version.
+   * @returns Whether runners of this version have answered the subject, and none has crashed since.
+   */
+  isAnsweredAt(digest: string, versionHash: number): boolean {
+    const record = this.records.get(digest);
+    if (record?.hasCrashedAt(versionHash)) return false;
+    return record?.isExcusedAt(versionHash) || this.answers.of(digest, versionHash) !== undefined;
   }
 
   /**
    * Records the crash of a runner on which requests of this daemon were running.
    *
-   * @param digests - digests of these requests, the one that began last first.
+   * @param subjects - subjects of these requests, those of the one that began last first.
    * @param crash - the crash.
    * @param now - monotonic ms.
    */
-  crashed(digests: readonly string[], crash: RunnerCrash, now: number): void {
-    const suspects = [...new Set(digests)]
-      .sort((one, other) => this.crashesOf(other) - this.crashesOf(one))
+  crashed(subjects: readonly CrashSubject[], crash: RunnerCrash, now: number): void {
+    const distinct = new Map(subjects.map((subject) => [subject.digest, subject]));
+    const suspects = [...distinct.values()]
+      .sort((one, other) => this.crashesOf(other.digest) - this.crashesOf(one.digest))
       .slice(0, MAXIMUM_SUSPECTS);
-    for (const digest of suspects) {
-      this.update({ digest, crashes: [crash], clearedAt: undefined }, 'seen', now);
+    for (const subject of suspects) {
+      this.update({ ...subject, crashes: [crash], clearedAt: undefined }, 'seen', now);
     }
     this.dropExcess(now);
+    this.refresh();
   }
 
   /**
@@ -148,38 +164,43 @@
   rejected(life: number, now: number): void {
     this.rejections.record(life, now);
     for (const record of this.records.values()) {
-      const before = record.state;
-      if (this.excuse(record)) this.recordChange(record, before, 'seen');
+      if (this.excuseOverload(record)) this.recordChange(record, 'seen');
     }
+    this.refresh();
   }
 
   /**
-   * Records that a runner has answered a request, which clears earlier crashes.
+   * Records that a runner has answered requests, which clears earlier crashes.
    *
-   * @param digest - digest of the request.
+   * @param digests - digests of their subjects.
    * @param now - monotonic ms.
+   * @param versionHash - hash of the version of the runner's software.
    */
-  answered(digest: string, now: number): void {
-    this.answers.record(digest, now);
-    const record = this.records.get(digest);
-    if (!record) return;
-    const before = record.state;
-    if (record.answered(now)) this.recordChange(record, before, 'seen');
+  answered(digests: readonly string[], now: number, versionHash = 0): void {
+    const answer = { versionHash, at: now };
+    for (const digest of digests) {
+      this.answers.record(digest, answer);
+      const record = this.records.get(digest);
+      if (record?.answered(answer)) this.recordChange(record, 'seen');
+    }
+    this.refresh();
   }
 
   /**
-   * Lets a request be sent to runners again.
+   * Lets requests with a subject be sent to runners again, and with those that cannot be told apart from it.
    *
-   * @param digest - digest of the request.
+   * @param digest - digest of the subject.
    * @param now - monotonic ms.
    * @returns Whether it was quarantined.
    */
   release(digest: string, now: number): boolean {
-    const record = this.records.get(digest);
-    if (!record) return false;
-    const before = record.state;
-    if (record.clear(now)) this.recordChange(record, before, 'seen');
-    return before === 'quarantined';
+    const group = this.verdicts.groupOf(digest);
+    for (const one of group) {
+      const record = this.records.get(one);
+      if (record?.clear(now)) this.recordChange(record, 'seen');
+    }
+    this.refresh();
+    return group.length > 0;
   }
 
   /**
@@ -191,6 +212,7 @@
   merge(news: readonly CrashSummary[], now: number): void {
     for (const one of news) this.update(one, 'told', now);
     this.dropExcess(now);
+    this.refresh();
   }
 
   /** @returns The records that all daemons should know, those with the most crashes first. */
@@ -201,15 +223,15 @@
       .filter(shouldBroadcast);
   }
 
-  /** @returns The records of quarantined requests. */
+  /** @returns The records of quarantined subjects. */
   quarantined(): CrashSummary[] {
-    return [...this.records.values()]
-      .filter(({ state: standing }) => standing === 'quarantined')
-      .map((record) => record.toSummary());
+    return [...this.verdicts.quarantined]
+      .map((digest) => this.summaryOf(digest))
+      .filter((summary) => summary !== undefined);
   }
 
   /**
-   * @param digest - digest of a request.
+   * @param digest - digest of a subject.
    * @returns Its record; `undefined` if there is none.
    */
   summaryOf(digest: string): CrashSummary | undefined {
@@ -232,61 +254,80 @@
    * @param now - monotonic ms.
    */
   expire(now: number): void {
-    for (const record of this.records.values()) this.forgetOld(record, now);
+    this.forgetAllOld(now);
+    this.refresh();
   }
 
-  private update(
-    { digest, crashes, clearedAt }: CrashSummary,
-    source: 'seen' | 'told',
-    now: number,
-  ) {
-    const record = this.records.get(digest) ?? new CrashRecord(digest);
-    const before = record.state;
-    const added = crashes.filter((crash) => record.add(crash)).length > 0;
-    const cleared = clearedAt !== undefined && record.clear(clearedAt);
-    if (added || cleared) {
+  private update(summary: CrashSummary, source: 'seen' | 'told', now: number): void {
+    const { digest, crashes, clearedAt, answers = [] } = summary;
+    const record = this.records.get(digest) ?? new CrashRecord(summary);
+    const hadCrashes = record.countedCrashes.length > 0;
+    for (const crash of crashes) this.verdicts.noteCrash(crash);
+    const isAdded = crashes.filter((crash) => record.add(crash)).length > 0;
+    const isReleased = clearedAt !== undefined && record.clear(clearedAt);
+    const isExcused = answers.filter((answer) => record.excuse(answer)).length > 0;
+    if (isAdded || isReleased || isExcused) {
       this.records.set(digest, record);
-      // This daemon may have seen an answer that the sender of the report does not know of.
-      const answeredAt = this.answers.of(digest);
-      const wasAnswered = answeredAt !== undefined && record.answered(answeredAt);
-      const isExcused = this.excuse(record);
-      this.recordChange(record, before, wasAnswered || isExcused ? 'seen' : source);
+      // This daemon may have seen an answer or an overload that the sender of the report does not know of.
+      const wasAnswered = this.applyAnswers(record);
+      const isOverload = this.excuseOverload(record);
+      // What this daemon has seen and excused at once is worth no message.
+      const isNews = source === 'told' || hadCrashes || record.countedCrashes.length > 0;
+      if (isNews) this.recordChange(record, wasAnswered || isOverload ? 'seen' : source);
     }
     this.forgetOld(record, now);
   }
 
+  /** @returns Whether an answer that this daemon has seen excuses a crash of the record. */
+  private applyAnswers(record: CrashRecord): boolean {
+    const versions = new Set(record.countedCrashes.map(({ versionHash = 0 }) => versionHash));
+    const changing = [...versions].filter((versionHash) => {
+      const at = this.answers.of(record.digest, versionHash);
+      return at !== undefined && record.answered({ versionHash, at });
+    });
+    return changing.length > 0;
+  }
+
   /** @returns Whether a crash of the record turned out to be one of overload. */
-  private excuse(record: CrashRecord): boolean {
+  private excuseOverload(record: CrashRecord): boolean {
     const excused = record.countedCrashes.filter((crash) => this.rejections.explain(crash));
     for (const crash of excused) record.add({ ...crash, isOverload: true });
     return excused.length > 0;
   }
 
-  private recordChange(record: CrashRecord, before: RequestState, source: 'seen' | 'told'): void {
-    const { digest, state: standing } = record;
-    this.cachedHash = undefined;
+  private recordChange(record: CrashRecord, source: 'seen' | 'told'): void {
+    const { digest } = record;
     if (this.changed.get(digest) !== 'seen') this.changed.set(digest, source);
-    if (standing !== before) this.onStateChange(digest, before);
+    this.verdicts.note(record);
+  }
+
+  private forgetAllOld(now: number): void {
+    for (const record of this.records.values()) this.forgetOld(record, now);
   }
 
   private forgetOld(record: CrashRecord, now: number): void {
-    const isQuarantined = record.state === 'quarantined';
+    const isQuarantined = this.verdicts.quarantined.has(record.digest);
     const life = isQuarantined ? QUARANTINE_MILLISECONDS : SUSPICION_MILLISECONDS;
-    if (now - record.updatedAt < life) return;
-    this.records.delete(record.digest);
-    this.cachedHash = undefined;
-    if (isQuarantined) this.onStateChange(record.digest, 'quarantined');
+    if (now - record.updatedAt >= life) this.forget(record.digest);
+  }
+
+  private forget(digest: string): void {
+    this.records.delete(digest);
+    this.verdicts.forget(digest);
   }
 
   private dropExcess(now: number): void {
-    this.expire(now);
     if (this.records.size <= MAXIMUM_RECORDS) return;
+    this.forgetAllOld(now);
     const fewestCrashesFirst = [...this.records.values()].sort(
       (one, other) =>
         one.countedCrashes.length - other.countedCrashes.length || one.updatedAt - other.updatedAt,
     );
-    const excess = fewestCrashesFirst.slice(0, this.records.size - MAXIMUM_RECORDS);
-    for (const { digest } of excess) this.records.delete(digest);
-    this.cachedHash = undefined;
+    const excess = fewestCrashesFirst.slice(0, Math.max(0, this.records.size - KEPT_RECORDS));
+    for (const { digest } of excess) this.forget(digest);
+  }
+
+  private refresh(): void {
+    if (this.verdicts.refresh()) this.cachedHash = undefined;
   }
 }
--- a/src/quarantine/QuarantineEndpoint.ts
+++ b/src/quarantine/QuarantineEndpoint.ts
@@ -1,5 +1,5 @@
 /**
- * HTTP endpoint of the quarantined requests: other daemons read the list, and operators read it and release requests.
+ * HTTP endpoint of what is quarantined: other daemons read the list, and operators read it and release entries.
  */
 import { Agent } from 'node:http';
 import type { IncomingMessage, ServerResponse } from 'node:http';
@@ -10,7 +10,7 @@
 import type { CrashSummary } from './quarantineTypes.js';
 import type { RequestQuarantine } from './RequestQuarantine.js';
 
-/** Path of the list; followed by a slash and a digest, of one request. */
+/** Path of the list; followed by a slash and a digest, of one entry. */
 export const QUARANTINE_PATH = '/quarantine';
 
 /**
@@ -59,7 +59,7 @@
   }
 
   /**
-   * Answers with the list, or releases one request from quarantine.
+   * Answers with the list, or releases one entry from quarantine.
    *
    * @param request - request of an operator.
    * @param response - the response to write.
--- a/src/quarantine/QuarantinePersistence.ts
+++ b/src/quarantine/QuarantinePersistence.ts
@@ -5,7 +5,7 @@
 import type { FleetStore } from '../sync/FleetStore.js';
 import type { Clock } from '../time/Clock.js';
 import { decodeDocument, encodeDocument } from './crashSummaryCodec.js';
-import { hashOfRequests } from './QuarantineDecisions.js';
+import { hashOfSubjects } from './QuarantineDecisions.js';
 import { quarantineLogEvents } from './quarantineFeature.js';
 import type { RequestQuarantine } from './RequestQuarantine.js';
 
@@ -70,7 +70,7 @@
     const offset = this.wallOffset;
     const news = decodeDocument(page, (wall) => Math.min(now, wall - offset));
     quarantine.merge(news, 'store');
-    this.storedHash = hashOfRequests(news);
+    this.storedHash = hashOfSubjects(news);
   }
 
   /** Writes the list if it has changed and this daemon writes for the fleet. */
--- a/src/quarantine/QuarantineTask.ts
+++ b/src/quarantine/QuarantineTask.ts
@@ -8,6 +8,7 @@
 import type { Log } from '../logging/Log.js';
 import type { MetricRegistry } from '../metrics/MetricRegistry.js';
 import type { FleetSocket } from '../news/FleetSocket.js';
+import { rendezvousPick } from '../routing/rendezvous.js';
 import type { RunnerTable } from '../runners/RunnerTable.js';
 import type { DaemonEntry, FleetStore } from '../sync/FleetStore.js';
 import type { Clock } from '../time/Clock.js';
@@ -37,6 +38,8 @@
   peers: () => readonly string[];
   /** Whether this daemon is the one that writes to the store for the fleet. */
   isWriter: () => boolean;
+  /** Returns the available daemons except this one. */
+  otherDaemons: () => readonly DaemonEntry[];
 }
 
 /** Owns the parts. */
@@ -63,12 +66,21 @@
       help: 'Runners that ended while they had requests of this daemon.',
     });
     const onChange = () => this.relay.sendChanges();
-    this.quarantine = new RequestQuarantine({ runners, clock, log, crashes, onChange });
+    this.quarantine = new RequestQuarantine({
+      ...{ runners, clock, log, crashes, onChange },
+      isTrialOwner: (key) => this.isTrialOwner(key),
+    });
     const { quarantine } = this;
     const { decisions } = quarantine;
     registry
       .gauge({ name: 'quarantined_requests', help: 'Requests that are sent to no runner.' })
-      .readFrom(() => decisions.quarantinedCount);
+      .readFrom(() => decisions.quarantinedCount - decisions.quarantinedPartCount);
+    registry
+      .gauge({
+        name: 'quarantined_parts',
+        help: 'Parts of prompts; requests that have one are sent to no runner.',
+      })
+      .readFrom(() => decisions.quarantinedPartCount);
     this.page = new QuarantineEndpoint({ quarantine, clock });
     this.persistence = new QuarantinePersistence({
       store,
@@ -134,6 +146,13 @@
     }
   }
 
+  /** One daemon tries a quarantined subject again, so that a trial ends one runner at most. */
+  private isTrialOwner(key: string): boolean {
+    const { daemon, otherDaemons } = this.options;
+    const named = [daemon, ...otherDaemons()].map(({ name }) => ({ id: name }));
+    return rendezvousPick(key, named)?.id === daemon.name;
+  }
+
   private async pull(): Promise<void> {
     const { peers, log } = this.options;
     const addresses = peers();
--- a/src/quarantine/RecentAnswers.ts
+++ b/src/quarantine/RecentAnswers.ts
@@ -1,32 +1,40 @@
 /**
- * Times at which requests were last answered by a runner: a request that was answered does not crash runners.
+ * Times at which runners of each software version last answered requests with a subject: what was answered does not crash
+ * runners.
  */
+import type { VersionAnswer } from './quarantineTypes.js';
 
-/** Maximum number of entries; holds some minutes of a daemon's requests. */
-const MAXIMUM_ENTRIES = 2_048;
+/** Maximum number of entries; holds some minutes of a daemon's requests with their parts. */
+const MAXIMUM_ENTRIES = 8_192;
+
+function keyOf(digest: string, versionHash: number): string {
+  return `${digest}@${versionHash}`;
+}
 
 /** Keeps the latest answers. */
 export class RecentAnswers {
-  /** Time of the last answer by digest, in monotonic ms; the oldest first. */
+  /** Time of the last answer by digest and version, in monotonic ms; the oldest first. */
   private readonly answeredAt = new Map<string, number>();
 
   /**
-   * @param digest - digest of a request that a runner has answered.
-   * @param now - monotonic ms.
+   * @param digest - digest of a subject.
+   * @param answer - the answer of a runner.
    */
-  record(digest: string, now: number): void {
-    this.answeredAt.delete(digest);
-    this.answeredAt.set(digest, now);
+  record(digest: string, { versionHash, at }: VersionAnswer): void {
+    const key = keyOf(digest, versionHash);
+    this.answeredAt.delete(key);
+    this.answeredAt.set(key, at);
     if (this.answeredAt.size <= MAXIMUM_ENTRIES) return;
     const [oldest] = this.answeredAt.keys();
     if (oldest !== undefined) this.answeredAt.delete(oldest);
   }
 
   /**
-   * @param digest - digest of a request.
-   * @returns When a runner last answered it, in monotonic ms; `undefined` if no answer is known.
+   * @param digest - digest of a subject.
+   * @param versionHash - hash of a software version.
+   * @returns When a runner of this version last answered it, in monotonic ms; `undefined` if no answer is known.
    */
-  of(digest: string): number | undefined {
-    return this.answeredAt.get(digest);
+  of(digest: string, versionHash: number): number | undefined {
+    return this.answeredAt.get(keyOf(digest, versionHash));
   }
 }
--- a/src/quarantine/RequestQuarantine.ts
+++ b/src/quarantine/RequestQuarantine.ts
@@ -1,38 +1,69 @@
 /**
- * Keeps a request that crashes runners from reaching more of them.
+ * Keeps requests that crash runners from reaching more of them.
  *
  * Without it, each arrival looks like a new request to each daemon: a single caller that repeats a request that
- * crashes runners takes down all runners of a small site in turn, with everything that runs there.
+ * crashes runners, or many whose prompts share a part that does, take down all runners of a small site in turn, with
+ * everything that runs there.
  */
 import murmurhash from 'murmurhash';
 
 import type { Log } from '../logging/Log.js';
 import type { Counter } from '../metrics/Counter.js';
 import type { Runner } from '../runners/Runner.js';
+import type { RunnerTable } from '../runners/RunnerTable.js';
 import type { Clock } from '../time/Clock.js';
-import type { InterruptedRequest, CrashDetectorOptions } from './CrashDetector.js';
+import type { DetectedCrash, InterruptedRequest, CrashDetectorOptions } from './CrashDetector.js';
 import { CrashDetector } from './CrashDetector.js';
+import type { CrashVerdict } from './explainCrashes.js';
 import { QuarantineDecisions } from './QuarantineDecisions.js';
 import { quarantineLogEvents } from './quarantineFeature.js';
-import type { CrashSummary, RequestState } from './quarantineTypes.js';
+import { nextTrialAt } from './nextTrialAt.js';
+import { QuarantineTrials } from './QuarantineTrials.js';
+import type { CrashSubject, CrashSummary, SubjectState } from './quarantineTypes.js';
+import { hashOfVersion } from './requestSubjects.js';
 
-/** Maximum number of digests in one log line. */
-const MAXIMUM_LOGGED_DIGESTS = 12;
+/** Maximum number of digests, and of parts, in one log line. */
+const MAXIMUM_LOGGED = 12;
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
-/** Called when an in-flight request is quarantined. */
+/** Minimum time until a caller of a quarantined request should come back, in seconds. */
+const MINIMUM_RETRY_SECONDS = 1;
+
+/** Called when an in-flight request may have to end because a verdict concerns one of its subjects. */
 export type QuarantineListener = () => void;
 
+/** A request as the quarantine sees it. */
+export interface QuarantineQuestion {
+  readonly subjects: readonly CrashSubject[];
+  readonly service: string;
+}
+
+/**
+ * Whether a request may run now. `admitted`: it may, at runners of the given software version if there is one;
+ * `refused`: runners have crashed while running it; `busy`: it is a suspect, and one like it is in flight.
+ */
+export type QuarantineAdmission =
+  | {
+      readonly kind: 'admitted';
+      readonly softwareVersion?: string | undefined;
+      /** Whether it is a trial, which goes on whatever is known of its subjects. */
+      readonly isTrial?: boolean;
+    }
+  | { readonly kind: 'refused' }
+  | { readonly kind: 'busy' };
+
 /** Options of a {@link RequestQuarantine}. */
 export interface RequestQuarantineOptions {
-  runners: CrashDetectorOptions['runners'];
+  runners: CrashDetectorOptions['runners'] & Pick<RunnerTable, 'readyOf'>;
   clock: Clock;
   log: Log;
   /** Counts the crashes that this daemon has detected. */
   crashes: Pick<Counter, 'increment'>;
   /** Called when a change has to be sent to other daemons. */
   onChange?: () => void;
+  /** Whether this daemon is the one that tries a quarantined subject again. */
+  isTrialOwner?: (digest: string) => boolean;
   probe?: CrashDetectorOptions['probe'];
   later?: CrashDetectorOptions['later'];
 }
@@ -45,97 +76,140 @@
 
   private readonly watch: CrashDetector;
 
+  private readonly trials: QuarantineTrials;
+
   /** The daemon whose records are being merged at the moment; `undefined` outside a merge. */
   private mergeSource: string | undefined;
 
-  /** Listeners of the in-flight requests, by digest. */
-  private readonly underWay = new Map<string, Set<QuarantineListener>>();
+  /** Listeners of the in-flight requests, by the digest of each of their subjects. */
+  private readonly inFlight = new Map<string, Set<QuarantineListener>>();
 
   /**
    * @param options - the runners, and the listener for changes.
    */
   constructor(options: RequestQuarantineOptions) {
-    const { runners, clock, probe, later } = options;
+    const { runners, clock, log, probe, later, isTrialOwner = () => true } = options;
     this.options = options;
     this.decisions = new QuarantineDecisions({
-      onStateChange: (digest, before) => this.handleStateChange(digest, before),
+      onQuarantined: (digest) => this.logQuarantined(digest),
+      onReleased: (digest) => log.write(quarantineLogEvents.requestReleased, this.namesOf(digest)),
+      onVerdict: (verdict) => this.notifyInFlight(verdict),
     });
+    const { decisions } = this;
+    this.trials = new QuarantineTrials({ decisions, runners, clock, log, isOwner: isTrialOwner });
     this.watch = new CrashDetector({
       runners,
       clock,
       ...(probe && { probe }),
       ...(later && { later }),
-      onCrash: ({ runner, crash, digests, isFirst }) => {
-        const now = clock.monotonicMilliseconds();
-        if (isFirst) options.crashes.increment();
-        options.log.write(quarantineLogEvents.runnerCrashed, {
-          runner: runner.entry.id,
-          life: crash.life,
-          milliseconds: Math.round(now - crash.at),
-          requests: digests.length,
-          digests: digests.slice(0, MAXIMUM_LOGGED_DIGESTS).join(),
-        });
-        this.decisions.crashed(digests, crash, now);
-        this.notifyChange();
-      },
+      onCrash: (seen) => this.handleCrash(seen),
     });
   }
 
   /**
-   * @param digest - digest of a request.
+   * @param digest - digest of a subject.
    * @returns Its state.
    */
-  stateOf(digest: string): RequestState {
+  stateOf(digest: string): SubjectState {
     return this.decisions.stateOf(digest);
   }
 
   /**
-   * @param digest - digest of a request.
+   * @param subjects - subjects of a request.
+   * @returns Whether runners have crashed while running it.
+   */
+  isSuspect(subjects: readonly CrashSubject[]): boolean {
+    return subjects.some(({ digest }) => this.decisions.stateOf(digest) !== 'sound');
+  }
+
+  /**
+   * @param subjects - subjects of a request.
    * @returns Whether more than one runner has crashed while running it.
    */
-  hasRepeatedCrashes(digest: string): boolean {
-    return this.decisions.crashesOf(digest) > 1;
+  hasRepeatedCrashes(subjects: readonly CrashSubject[]): boolean {
+    return subjects.some(({ digest }) => this.decisions.crashesOf(digest) > 1);
+  }
+
+  /**
+   * Decides whether a request may run. Suspects run one at a time, so that what crashes runners does not reach several of
+   * them at once.
+   *
+   * @param question - the request.
+   * @returns Whether it may run, and where.
+   */
+  admit({ subjects, service }: QuarantineQuestion): QuarantineAdmission {
+    const verdict = this.decisions.verdictOn(subjects);
+    if (!verdict) {
+      const isBusy = subjects.some((subject) => this.runsAlone(subject) && this.isRunning(subject));
+      return { kind: isBusy ? 'busy' : 'admitted' };
+    }
+    const isBusy = verdict.digests.some((digest) => this.inFlight.has(digest));
+    const exemption = this.trials.exemptionFrom(verdict, service, isBusy);
+    return exemption ? { kind: 'admitted', ...exemption } : { kind: 'refused' };
   }
 
   /**
-   * @param digest - digest of a quarantined request.
+   * @param subjects - subjects of a request in flight.
+   * @param softwareVersions - versions of the runners that are working on it.
+   * @returns Whether it has to end.
+   */
+  isBlocked(subjects: readonly CrashSubject[], softwareVersions: readonly string[]): boolean {
+    const verdict = this.decisions.verdictOn(subjects);
+    if (!verdict) return false;
+    if (softwareVersions.length === 0) return true;
+    return softwareVersions.some((version) => this.trials.hasCrashedAt(verdict, version));
+  }
+
+  /**
+   * @param subjects - subjects of a quarantined request.
    * @returns Value of the `Retry-After` header, in whole seconds.
    */
-  retryAfterSeconds(digest: string): number {
-    const remaining = this.decisions.remainingMilliseconds(digest, this.now);
-    return Math.ceil(remaining / MILLISECONDS_PER_SECOND);
+  retryAfterSeconds(subjects: readonly CrashSubject[]): number | undefined {
+    const verdict = this.decisions.verdictOn(subjects);
+    const remaining = verdict ? nextTrialAt(verdict.crashes) - this.now : 0;
+    if (!Number.isFinite(remaining)) return undefined;
+    return Math.max(MINIMUM_RETRY_SECONDS, Math.ceil(remaining / MILLISECONDS_PER_SECOND));
   }
 
   /**
-   * @param digest - digest of a request that has arrived.
-   * @returns Whether the same request is in flight at this daemon.
+   * @param subjects - subjects of a quarantined request.
+   * @returns Names of the parts of its prompt that are quarantined; `undefined` if the request is, as a whole.
    */
-  isInFlight(digest: string): boolean {
-    return this.underWay.has(digest);
+  quarantinedPartsOf(subjects: readonly CrashSubject[]): string | undefined {
+    const { digests = [] } = this.decisions.verdictOn(subjects) ?? {};
+    const parts = subjects
+      .filter(({ digest }) => digests.includes(digest))
+      .map(({ part }) => part)
+      .filter((part) => part !== undefined);
+    return parts.join() || undefined;
   }
 
   /**
    * Adds a request that is about to be sent to runners.
    *
-   * @param digest - its digest.
-   * @param listener - called when the request must be sent to no more runners.
+   * @param subjects - its subjects.
+   * @param listener - called when it may have to end.
    */
-  begin(digest: string, listener: QuarantineListener): void {
-    const listeners = this.underWay.get(digest) ?? new Set();
-    listeners.add(listener);
-    this.underWay.set(digest, listeners);
+  begin(subjects: readonly CrashSubject[], listener: QuarantineListener): void {
+    for (const { digest } of subjects) {
+      const listeners = this.inFlight.get(digest) ?? new Set();
+      listeners.add(listener);
+      this.inFlight.set(digest, listeners);
+    }
   }
 
   /**
    * Removes a request that has ended.
    *
-   * @param digest - its digest.
+   * @param subjects - its subjects.
    * @param listener - the one that was given to {@link begin}.
    */
-  end(digest: string, listener: QuarantineListener): void {
-    const listeners = this.underWay.get(digest);
-    listeners?.delete(listener);
-    if (listeners?.size === 0) this.underWay.delete(digest);
+  end(subjects: readonly CrashSubject[], listener: QuarantineListener): void {
+    for (const { digest } of subjects) {
+      const listeners = this.inFlight.get(digest);
+      listeners?.delete(listener);
+      if (listeners?.size === 0) this.inFlight.delete(digest);
+    }
   }
 
   /**
@@ -178,12 +252,14 @@
   }
 
   /**
-   * Records that a runner has answered a request completely.
+   * Records that a runner has answered.
    *
-   * @param digest - digest of the request.
+   * @param subjects - what the answer shows to be sound.
+   * @param softwareVersion - version of the runner's software.
    */
-  answered(digest: string): void {
-    this.decisions.answered(digest, this.now);
+  answered(subjects: readonly CrashSubject[], softwareVersion: string): void {
+    const digests = subjects.map(({ digest }) => digest);
+    this.decisions.answered(digests, this.now, hashOfVersion(softwareVersion));
     this.notifyChange();
   }
 
@@ -201,9 +277,9 @@
   }
 
   /**
-   * Releases a request for an operator.
+   * Releases a subject for an operator.
    *
-   * @param digest - digest of the request.
+   * @param digest - digest of the subject.
    * @returns Whether it was quarantined.
    */
   release(digest: string): boolean {
@@ -220,21 +296,57 @@
     this.options.onChange?.();
   }
 
-  private handleStateChange(digest: string, before: RequestState): void {
-    const { log } = this.options;
-    if (before === 'quarantined') {
-      log.write(quarantineLogEvents.requestReleased, { digest });
-      return;
-    }
-    if (this.decisions.stateOf(digest) !== 'quarantined') return;
+  private isRunning({ digest }: CrashSubject): boolean {
+    return this.inFlight.has(digest);
+  }
+
+  /**
+   * Whether requests with the subject run one at a time. A part that many requests share is beside most crashes, so that
+   * one crash says little about it.
+   */
+  private runsAlone({ digest, part }: CrashSubject): boolean {
+    const state = this.decisions.stateOf(digest);
+    if (state !== 'suspect' || part === undefined) return state !== 'sound';
+    return this.decisions.crashesOf(digest) > 1;
+  }
+
+  private handleCrash({ runner, crash, subjects, isFirst }: DetectedCrash): void {
+    const { crashes, log } = this.options;
+    const { now } = this;
+    const requests = subjects.filter(({ part }) => part === undefined);
+    const parts = new Set(subjects.map(({ part }) => part).filter((part) => part !== undefined));
+    if (isFirst) crashes.increment();
+    log.write(quarantineLogEvents.runnerCrashed, {
+      runner: runner.entry.id,
+      life: crash.life,
+      milliseconds: Math.round(now - crash.at),
+      requests: requests.length,
+      digests: requests
+        .slice(0, MAXIMUM_LOGGED)
+        .map(({ digest }) => digest)
+        .join(),
+      parts: [...parts].slice(0, MAXIMUM_LOGGED).join() || undefined,
+    });
+    this.decisions.crashed(subjects, crash, now);
+    this.notifyChange();
+  }
+
+  private namesOf(digest: string): Record<string, string | undefined> {
+    return { digest, part: this.decisions.summaryOf(digest)?.part };
+  }
+
+  private logQuarantined(digest: string): void {
     const crashes = this.decisions.summaryOf(digest)?.crashes ?? [];
-    log.write(quarantineLogEvents.requestQuarantined, {
-      digest,
+    this.options.log.write(quarantineLogEvents.requestQuarantined, {
+      ...this.namesOf(digest),
       toldBy: this.mergeSource,
       lives: crashes.map(({ life }) => life).join(),
       ages: crashes.map(({ at }) => Math.round(this.now - at)).join(),
-      underWay: this.underWay.get(digest)?.size ?? 0,
+      underWay: this.inFlight.get(digest)?.size ?? 0,
     });
-    for (const listener of [...(this.underWay.get(digest) ?? [])]) listener();
+  }
+
+  private notifyInFlight({ digests: [digest = ''] }: CrashVerdict): void {
+    for (const listener of [...(this.inFlight.get(digest) ?? [])]) listener();
   }
 }
--- a/src/quarantine/crashSummaryCodec.ts
+++ b/src/quarantine/crashSummaryCodec.ts
@@ -7,24 +7,31 @@
 
 import { CrashRecordSchema } from '../generated/baobabdock/v1/news_pb.js';
 import type { CrashRecord as CrashMessage } from '../generated/baobabdock/v1/news_pb.js';
-import type { CrashSummary, RunnerCrash } from './quarantineTypes.js';
+import type { CrashSummary, RunnerCrash, VersionAnswer } from './quarantineTypes.js';
 
 /**
- * Maximum number of crashes sent for a request: enough to quarantine it, and few enough for sixteen requests in a
- * datagram.
+ * Maximum number of crashes sent for a subject: enough to quarantine it, and few enough for eight subjects in a datagram.
  */
 const MAXIMUM_SENT_CRASHES = 4;
 
+/** Maximum number of software versions whose answers are sent; those that answered last. */
+const MAXIMUM_SENT_ANSWERS = 2;
+
 /** Converts between this daemon's monotonic clock and the times in a JSON document; both in ms. */
 export type TimeConversion = (milliseconds: number) => number;
 
 const recordSchema = z.object({
   digest: z.string().regex(/^[0-9a-f]{32}$/u),
+  part: z.string().optional(),
   /** Hash of the name of the runner's incarnation, and when it ended. */
   crashes: z.array(z.tuple([z.int().nonnegative(), z.number().nonnegative()])),
   /** Those of the crashes whose runners had to reject too many requests, by position. */
   overloads: z.array(z.int().nonnegative()).optional(),
+  /** Hashes of the software versions of the crashed runners, by position. */
+  versions: z.array(z.int().nonnegative()).optional(),
   clearedAt: z.number().nonnegative().optional(),
+  /** Hash of a software version, and up to when its crashes do not count. */
+  answers: z.array(z.tuple([z.int().nonnegative(), z.number().nonnegative()])).optional(),
 });
 
 const documentSchema = z.object({ requests: z.array(recordSchema) });
@@ -38,13 +45,23 @@
  * @param now - this daemon's monotonic time, in ms.
  * @returns The message.
  */
-export function toMessage({ digest, crashes, clearedAt }: CrashSummary, now: number): CrashMessage {
+export function toMessage(
+  { digest, part = '', crashes, clearedAt, answers = [] }: CrashSummary,
+  now: number,
+): CrashMessage {
   return create(CrashRecordSchema, {
     digest: Buffer.from(digest, 'hex'),
-    crashes: crashes
-      .slice(-MAXIMUM_SENT_CRASHES)
-      .map(({ life, at, isOverload }) => ({ life, ageMilliseconds: ageOf(at, now), isOverload })),
+    part,
+    crashes: crashes.slice(-MAXIMUM_SENT_CRASHES).map(({ at, versionHash = 0, ...crash }) => ({
+      ...crash,
+      ageMilliseconds: ageOf(at, now),
+      versionHash,
+    })),
     clearedAgeMilliseconds: clearedAt === undefined ? undefined : ageOf(clearedAt, now),
+    answers: answers.slice(-MAXIMUM_SENT_ANSWERS).map(({ versionHash, at }) => ({
+      versionHash,
+      ageMilliseconds: Math.round(now - at),
+    })),
   });
 }
 
@@ -54,21 +71,42 @@
   return positions.length > 0 ? positions : undefined;
 }
 
+/** @returns The optional fields of a crash that are not at their default. */
+function crashDetails(
+  versionHash: number,
+  isOverload: boolean,
+): Pick<RunnerCrash, 'versionHash' | 'isOverload'> {
+  return { ...(versionHash !== 0 && { versionHash }), ...(isOverload && { isOverload }) };
+}
+
+/** @returns Software versions of the crashed runners, by position; `undefined` if none has one. */
+function versionsAmong(crashes: readonly RunnerCrash[]): number[] | undefined {
+  const versions = crashes.map(({ versionHash = 0 }) => versionHash);
+  return versions.some((version) => version !== 0) ? versions : undefined;
+}
+
 /**
  * @param message - message of another daemon.
  * @param now - this daemon's monotonic time, in ms.
  * @returns The crashes that it reports.
  */
 export function fromMessage(message: CrashMessage, now: number): CrashSummary {
-  const { digest, crashes, clearedAgeMilliseconds } = message;
+  const { digest, part, crashes, clearedAgeMilliseconds, answers } = message;
   return {
     digest: Buffer.from(digest).toString('hex'),
-    crashes: crashes.map(({ life, ageMilliseconds, isOverload }) => ({
+    ...(part !== '' && { part }),
+    crashes: crashes.map(({ life, ageMilliseconds, versionHash, isOverload }) => ({
       life,
       at: now - ageMilliseconds,
-      ...(isOverload && { isOverload }),
+      ...crashDetails(versionHash, isOverload),
     })),
     clearedAt: clearedAgeMilliseconds === undefined ? undefined : now - clearedAgeMilliseconds,
+    ...(answers.length > 0 && {
+      answers: answers.map(({ versionHash, ageMilliseconds }) => ({
+        versionHash,
+        at: now - ageMilliseconds,
+      })),
+    }),
   };
 }
 
@@ -81,11 +119,14 @@
   news: readonly CrashSummary[],
   toDocumentTime: TimeConversion,
 ): string {
-  const requests = news.map(({ digest, crashes, clearedAt }) => ({
+  const requests = news.map(({ digest, part, crashes, clearedAt, answers }) => ({
     digest,
+    part,
     crashes: crashes.map(({ life, at }) => [life, toDocumentTime(at)]),
     overloads: overloadsAmong(crashes),
+    versions: versionsAmong(crashes),
     clearedAt: clearedAt === undefined ? undefined : toDocumentTime(clearedAt),
+    answers: answers?.map(({ versionHash, at }) => [versionHash, toDocumentTime(at)]),
   }));
   return JSON.stringify({ requests });
 }
@@ -98,13 +139,22 @@
  */
 export function decodeDocument(text: string, fromDocumentTime: TimeConversion): CrashSummary[] {
   const { requests } = documentSchema.parse(JSON.parse(text));
-  return requests.map(({ digest, crashes, overloads = [], clearedAt }) => ({
-    digest,
-    crashes: crashes.map(([life, time], index) => ({
-      life,
-      at: fromDocumentTime(time),
-      ...(overloads.includes(index) && { isOverload: true }),
-    })),
-    clearedAt: clearedAt === undefined ? undefined : fromDocumentTime(clearedAt),
-  }));
+  return requests.map(
+    ({ digest, part, crashes, overloads = [], versions, clearedAt, answers }) => ({
+      digest,
+      ...(part !== undefined && { part }),
+      crashes: crashes.map(([life, time], index) => ({
+        life,
+        at: fromDocumentTime(time),
+        ...crashDetails(versions?.[index] ?? 0, overloads.includes(index)),
+      })),
+      clearedAt: clearedAt === undefined ? undefined : fromDocumentTime(clearedAt),
+      ...(answers && {
+        answers: answers.map(([versionHash, time]): VersionAnswer => ({
+          versionHash,
+          at: fromDocumentTime(time),
+        })),
+      }),
+    }),
+  );
 }
--- /dev/null
+++ b/src/quarantine/explainCrashes.ts
@@ -0,0 +1,86 @@
+/**
+ * Finds what explains crashes of runners. A crash counts against everything that was running at the runner; what causes
+ * crashes is in more of them than what was beside it.
+ */
+import { isSameCrash } from './CrashRecord.js';
+import type { CrashSuspect } from './crashWeight.js';
+import type { RunnerCrash } from './quarantineTypes.js';
+
+/** Number of distinct crashes that have to be explained before anything is quarantined. */
+export const QUARANTINE_CRASHES = 3;
+
+/** Weighs the crashes of a possible cause. */
+export type CrashWeigher = (suspect: CrashSuspect) => number;
+
+/** Several crashes with what explains them. */
+export interface CrashVerdict {
+  /**
+   * Subjects that were running at each of the crashes. Several of them cannot be told apart until a request with only
+   * some of them is answered, or crashes a runner.
+   */
+  readonly digests: readonly string[];
+  readonly crashes: readonly RunnerCrash[];
+}
+
+function without(
+  crashes: readonly RunnerCrash[],
+  explained: readonly RunnerCrash[],
+): readonly RunnerCrash[] {
+  return crashes.filter((crash) => !explained.some((one) => isSameCrash(one, crash)));
+}
+
+interface WeighedSuspect extends CrashSuspect {
+  readonly weight: number;
+}
+
+function strongestOf(suspects: readonly WeighedSuspect[]): WeighedSuspect | undefined {
+  const [first, ...others] = suspects;
+  if (!first) return undefined;
+  return others.reduce((strongest, one) => {
+    const surplus = one.weight - strongest.weight || one.crashes.length - strongest.crashes.length;
+    return surplus > 0 || (surplus === 0 && one.digest < strongest.digest) ? one : strongest;
+  }, first);
+}
+
+/**
+ * Explains the crashes by as few subjects as possible, the one with the most weight first. What is left of a subject's
+ * crashes after that counts against it.
+ *
+ * @param suspects - the possible causes.
+ * @param weigh - weighs their crashes.
+ * @returns The subjects that are to be quarantined.
+ */
+export function explainCrashes(
+  suspects: readonly CrashSuspect[],
+  weigh: CrashWeigher,
+): readonly CrashVerdict[] {
+  const verdicts: CrashVerdict[] = [];
+  let open = suspects;
+  for (;;) {
+    const strongest = strongestOf(open.map((one) => ({ ...one, weight: weigh(one) })));
+    if (!strongest || strongest.weight < QUARANTINE_CRASHES) return verdicts;
+    const { crashes } = strongest;
+    const isEqual = (one: CrashSuspect) =>
+      one.crashes.length === crashes.length && without(one.crashes, crashes).length === 0;
+    const digests = open.filter(isEqual).map(({ digest }) => digest);
+    verdicts.push({ digests: digests.sort(), crashes });
+    open = open
+      .filter(({ digest }) => !digests.includes(digest))
+      .map((one) => ({ ...one, crashes: without(one.crashes, crashes) }));
+  }
+}
+
+/**
+ * @param verdicts - what has been explained.
+ * @param suspect - a possible cause.
+ * @returns The suspect with the crashes that nothing else explains.
+ */
+export function withUnexplained(
+  verdicts: readonly CrashVerdict[],
+  suspect: CrashSuspect,
+): CrashSuspect {
+  const crashes = verdicts
+    .filter(({ digests }) => !digests.includes(suspect.digest))
+    .reduce((left, verdict) => without(left, verdict.crashes), suspect.crashes);
+  return { ...suspect, crashes };
+}
--- a/src/quarantine/quarantineFeature.ts
+++ b/src/quarantine/quarantineFeature.ts
@@ -11,23 +11,23 @@
     number: 3100,
     name: 'quarantine.runner_crashed',
     level: 'warn',
-    text: 'A runner crashed while it had requests of this daemon; the digests identify them.',
+    text: 'A runner crashed while it had requests of this daemon; the digests identify them, the parts are those of their prompts.',
     operatorAction:
-      'Check the runner. A digest that appears with several runners identifies a request that crashes them.',
+      'Check the runner. A digest or part that appears with several runners identifies what crashes them.',
   }),
   requestQuarantined: defineLogEvent({
     number: 3101,
     name: 'quarantine.request_quarantined',
     level: 'error',
-    text: 'Several runners have crashed while running a request, and none has answered it: it is sent to no more runners.',
+    text: 'Several runners have crashed while running a request, or requests with a part of their prompts, and none has answered: no more runners get it.',
     operatorAction:
-      'Find its caller by the digest in log events 2601 and 2603. Once the cause is fixed, release it at the metrics address.',
+      'Find its callers by the digest or the part in log events 2601 and 2603. Once the cause is fixed, release it at the metrics address.',
   }),
   requestReleased: defineLogEvent({
     number: 3102,
     name: 'quarantine.request_released',
     level: 'info',
-    text: 'A request is no longer quarantined: it was answered or released, or its quarantine has expired.',
+    text: 'A request or part of prompts is no longer quarantined: it was answered or released, something else explains the crashes, or its quarantine has expired.',
     operatorAction: 'None.',
   }),
   keepingFailed: defineLogEvent({
@@ -37,6 +37,13 @@
     text: 'The list of quarantined requests could not be written to the store, or the stored list could not be read.',
     operatorAction: 'If it persists, check the store and which clients write to it.',
   }),
+  trialBegun: defineLogEvent({
+    number: 3105,
+    name: 'quarantine.trial_begun',
+    level: 'info',
+    text: 'A single request that is quarantined, or has a quarantined part, runs again to see whether runners still crash.',
+    operatorAction: 'None. If its runner crashes, a line 3100 follows.',
+  }),
   pullFailed: defineLogEvent({
     number: 3104,
     name: 'quarantine.pull_failed',
--- a/src/quarantine/requestDigest.ts
+++ b/src/quarantine/requestDigest.ts
@@ -7,7 +7,7 @@
  * Length in hexadecimal digits: half of a SHA-256 hash, long enough that two different requests do not collide by
  * chance.
  */
-const DIGEST_DIGITS = 32;
+export const DIGEST_DIGITS = 32;
 
 /** The parts of a request that are compared. */
 export interface ComparedRequest {
--- a/src/quarantine/testCrashFleet.ts
+++ b/src/quarantine/testCrashFleet.ts
@@ -8,13 +8,15 @@
 import type { HostAndPort } from '../http/parseAddress.js';
 import { SilentLog } from '../logging/Log.js';
 import { seededRandom } from '../random/seededRandom.js';
+import { rendezvousPick } from '../routing/rendezvous.js';
 import type { Runner } from '../runners/Runner.js';
 import { RunnerTable } from '../runners/RunnerTable.js';
 import type { DaemonEntry } from '../sync/FleetStore.js';
 import { ManualClock } from '../time/ManualClock.js';
 import { CrashRelay } from './CrashRelay.js';
-import type { RequestState } from './quarantineTypes.js';
+import type { CrashSubject } from './quarantineTypes.js';
 import { RequestQuarantine } from './RequestQuarantine.js';
+import { partSubject } from './requestSubjects.js';
 
 /** Options of a {@link TestCrashFleet}. */
 export interface TestCrashFleetOptions {
@@ -23,6 +25,8 @@
   seed: number;
   /** Share of datagrams that get lost, from 0 to 1. */
   loss?: number;
+  /** Software versions of the runners, in turn. */
+  versions?: readonly string[];
 }
 
 /**
@@ -33,9 +37,13 @@
 /** A request to the fleet. */
 export interface TestRequest {
   readonly digest: string;
+  /** Ids of the shared parts of its prompt. */
+  readonly parts?: readonly string[];
   /** Time from its arrival at a runner to its answer, or to the crash that it causes, in ms. */
   readonly milliseconds: number;
   readonly isFatal: boolean;
+  /** Software version whose runners alone it crashes. */
+  readonly fatalVersion?: string;
 }
 
 const SERVICE = 'chat';
@@ -44,22 +52,27 @@
 const DOWN_MILLISECONDS = 2_000;
 
 interface RunningRequest {
-  readonly digest: string;
+  readonly subjects: readonly CrashSubject[];
   /** Quarantine of the daemon that sent it. */
   readonly quarantine: RequestQuarantine;
   readonly startedAt: number;
   readonly end: (end: TestOutcome) => void;
-  /** Called when the daemon aborts the request. */
-  readonly stop: () => void;
+  /** Called when a verdict may concern the request. */
+  readonly onVerdict: () => void;
 }
 
 interface TestRunner {
   readonly id: string;
   birth: number;
+  softwareVersion: string;
   isUp: boolean;
   running: Set<RunningRequest>;
 }
 
+function subjectsOf({ digest, parts = [] }: TestRequest): readonly CrashSubject[] {
+  return [{ digest }, ...parts.map((part) => partSubject(SERVICE, part))];
+}
+
 type Handler = (message: Uint8Array) => void;
 
 /** One daemon of the fleet. */
@@ -92,6 +105,9 @@
   /** Time of each runner crash, in monotonic ms. */
   readonly crashes: number[] = [];
 
+  /** Crashes that a request caused, with the digests of its subjects. */
+  readonly fatalCrashes: { readonly at: number; readonly digests: readonly string[] }[] = [];
+
   readonly random: () => number;
 
   private readonly table = new RunnerTable();
@@ -107,11 +123,18 @@
   /**
    * @param options - size of the fleet, and the seed of the random numbers.
    */
-  constructor({ daemons, runners, seed, loss = 0.02 }: TestCrashFleetOptions) {
+  constructor({ daemons, runners, seed, loss = 0.02, versions = [''] }: TestCrashFleetOptions) {
     this.random = seededRandom(seed);
     this.loss = loss;
     for (let index = 0; index < runners; index += 1) {
-      const runner = { id: `runner-${index}`, birth: 1, isUp: true, running: new Set<never>() };
+      const softwareVersion = versions[index % versions.length] ?? '';
+      const runner = {
+        id: `runner-${index}`,
+        birth: 1,
+        isUp: true,
+        softwareVersion,
+        running: new Set<never>(),
+      };
       this.runners.push(runner);
       this.list(runner);
     }
@@ -146,6 +169,7 @@
     const isTeller = broadcastersOf(watchers).some(({ name }) => name === daemon.entry.name);
     const tellTo = isTeller ? others(listed) : [];
     const later = (call: () => void, milliseconds: number) => this.after(milliseconds, call);
+    const names = listed.map(({ name }) => ({ id: name }));
     daemon.relay?.stop();
     const quarantine = new RequestQuarantine({
       runners: table,
@@ -158,6 +182,7 @@
         ),
       later,
       onChange: () => daemon.relay.sendChanges(),
+      isTrialOwner: (key) => rendezvousPick(key, names)?.id === daemon.entry.name,
     });
     const relay = new CrashRelay({
       daemon: daemon.entry.name,
@@ -195,15 +220,17 @@
     end: (end: TestOutcome) => void = () => undefined,
   ): void {
     const { quarantine } = daemon;
-    const { digest } = request;
-    const standing: RequestState = quarantine.stateOf(digest);
-    const up = this.runners.filter(({ isUp }) => isUp);
-    const isBusy = standing === 'suspect' && quarantine.isInFlight(digest);
-    if (standing === 'quarantined' || isBusy || up.length === 0) {
+    const admission = quarantine.admit({ subjects: subjectsOf(request), service: SERVICE });
+    const version = admission.kind === 'admitted' ? admission.softwareVersion : undefined;
+    const up = this.runners.filter(
+      ({ isUp, softwareVersion }) => isUp && softwareVersion === (version ?? softwareVersion),
+    );
+    if (admission.kind !== 'admitted' || up.length === 0) {
       end('refused');
       return;
     }
-    this.run(request, daemon, this.anyOf(up), end);
+    const { isTrial = false } = admission;
+    this.run(request, daemon, this.anyOf(up), { isTrial, end });
   }
 
   /**
@@ -215,6 +242,12 @@
     for (const runner of this.runners) if (runner.isUp && this.random() < share) this.crash(runner);
   }
 
+  /** Crashes one of the runners, whatever runs there. */
+  crashOne(): void {
+    const up = this.runners.filter(({ isUp }) => isUp);
+    if (up.length > 0) this.crash(this.anyOf(up));
+  }
+
   /**
    * Advances virtual time.
    *
@@ -247,30 +280,38 @@
     request: TestRequest,
     daemon: TestCrashDaemon,
     runner: TestRunner,
-    end: (end: TestOutcome) => void,
+    { isTrial, end }: { isTrial: boolean; end: (end: TestOutcome) => void },
   ): void {
-    const { digest, milliseconds, isFatal } = request;
+    const { milliseconds, isFatal, fatalVersion = runner.softwareVersion } = request;
     const { quarantine } = daemon;
-    const running = { digest, quarantine, startedAt: this.now, end, stop: () => undefined as void };
+    const subjects = subjectsOf(request);
     const { running: all } = runner;
-    running.stop = () => {
-      if (!all.delete(running)) return;
-      quarantine.end(digest, running.stop);
-      end('refused');
+    const running: RunningRequest = {
+      ...{ subjects, quarantine, startedAt: this.now, end },
+      onVerdict: () => {
+        const { softwareVersion } = runner;
+        const isStopped = !isTrial && quarantine.isBlocked(subjects, [softwareVersion]);
+        if (!isStopped || !all.delete(running)) return;
+        quarantine.end(subjects, running.onVerdict);
+        end('refused');
+      },
     };
-    const { stop } = running;
-    quarantine.begin(digest, stop);
+    const { onVerdict } = running;
+    quarantine.begin(subjects, onVerdict);
     runner.running.add(running);
-    this.arrivals.set(digest, [...(this.arrivals.get(digest) ?? []), this.now]);
+    for (const { digest } of subjects) {
+      this.arrivals.set(digest, [...(this.arrivals.get(digest) ?? []), this.now]);
+    }
     this.after(milliseconds, () => {
       if (!runner.running.has(running)) return;
-      if (isFatal) {
+      if (isFatal && fatalVersion === runner.softwareVersion) {
+        this.fatalCrashes.push({ at: this.now, digests: subjects.map(({ digest }) => digest) });
         this.crash(runner);
         return;
       }
       runner.running.delete(running);
-      quarantine.end(digest, stop);
-      quarantine.answered(digest);
+      quarantine.end(subjects, onVerdict);
+      quarantine.answered(subjects, runner.softwareVersion);
       end('answered');
     });
   }
@@ -280,10 +321,10 @@
     const listed = this.table.get(runner.id);
     Object.assign(runner, { isUp: false, running: new Set() });
     this.crashes.push(this.now);
-    for (const { digest, quarantine, startedAt, end, stop } of broken) {
+    for (const { subjects, quarantine, startedAt, end, onVerdict } of broken) {
       this.after(ROUND_TRIP_MILLISECONDS, () => {
-        quarantine.end(digest, stop);
-        if (listed) quarantine.broke(listed, { digest, startedAt });
+        quarantine.end(subjects, onVerdict);
+        if (listed) quarantine.broke(listed, { subjects, startedAt });
         end('broken');
       });
     }
@@ -293,9 +334,16 @@
     });
   }
 
-  private list({ id, birth }: TestRunner): void {
+  private list({ id, birth, softwareVersion }: TestRunner): void {
     const place = { host: '10.0.0.1', port: 8_000, dataCentre: 'here' };
-    this.table.put({ id, life: `${id}@${birth}`, service: SERVICE, state: 'ready', ...place });
+    this.table.put({
+      id,
+      life: `${id}@${birth}`,
+      service: SERVICE,
+      state: 'ready',
+      softwareVersion,
+      ...place,
+    });
   }
 
   private accepts({ entry }: Runner): boolean {
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -156,6 +156,7 @@
       canReadMessages: () => knowledge.secret !== undefined,
       peers: () => this.peers.addresses(),
       isWriter: () => coordination.isFirst,
+      otherDaemons: () => coordination.otherAvailableDaemons(),
     });
     const isAllowedHost = (host: string) => this.peers.isAllowedHost(host);
     this.handOver = new HandOverParts({
