Ask other runners before the path to them counts as lost

Cause: four different runners that refuse in a row were taken for the loss of the daemon's own path, whichever others were up.

Change: up to 16 runners all over the list are probed at once; a single one that accepts keeps the path.

--- a/src/handover/HandOverParts.ts
+++ b/src/handover/HandOverParts.ts
@@ -57,6 +57,7 @@
     this.path = new RunnerPath({
       runnerCount: () => runners().length,
       onChange: (isLost, now) => this.reportChange(isLost, now),
+      confirm: (done) => this.monitor.confirmLoss(done),
     });
     const { path } = this;
     this.monitor = new RunnerPathMonitor({ path, runners, clock });
--- a/src/handover/RunnerPath.spec.ts
+++ b/src/handover/RunnerPath.spec.ts
@@ -60,6 +60,24 @@
     expect(path.isLost).toEqual(true);
   });
 
+  // Guards against a daemon that refuses what the runners that are left could serve, because several others are down.
+  it('is not lost by runners that are down while another one accepts a connection', () => {
+    const answers: ((isReached: boolean, now: number) => void)[] = [];
+    path = new RunnerPath({
+      runnerCount: () => RUNNERS,
+      onChange: (isLost) => changes.push(isLost),
+      confirm: (done) => answers.push(done),
+    });
+    fail('a', 'b', 'c', 'd', 'e', 'f', 'g');
+    expect([path.isLost, answers.length]).toEqual([false, 1]);
+    path.recordAccepted(5);
+    answers.shift()?.(true, 5);
+    expect(changes).toEqual([]);
+    fail('a', 'b', 'c', 'd');
+    answers.shift()?.(false, 90);
+    expect(changes).toEqual([true]);
+  });
+
   it('needs two runners to fail in a site with one', () => {
     path = new RunnerPath({ runnerCount: () => 1 });
     fail('a');
@@ -125,6 +143,14 @@
     expect(path.isLost).toEqual(true);
   });
 
+  it('probes runners all over the list before a path counts as lost', () => {
+    const results: boolean[] = [];
+    monitor.confirmLoss((isReached) => results.push(isReached));
+    result = 'refused';
+    monitor.confirmLoss((isReached) => results.push(isReached));
+    expect([results, new Set(probed).size]).toEqual([[true, false], RUNNERS]);
+  });
+
   // Guards against a daemon that goes on handing over after its own path is back.
   it('finds the path back at the next look', () => {
     result = 'refused';
--- a/src/handover/RunnerPath.ts
+++ b/src/handover/RunnerPath.ts
@@ -2,8 +2,8 @@
  * Whether this daemon reaches the runners at all, judged by the connections that it opens and the answers that it gets.
  *
  * A runner that has crashed or is unresponsive is one of many, and others answer in between. If several runners in a row
- * accept no connection and none is heard from meanwhile, the path from this daemon is lost, and another daemon may still
- * have one.
+ * accept no connection and none is heard from meanwhile, the path from this daemon may be lost, and another daemon may
+ * still have one. So may a part of the runners be down: others are asked before the path counts as lost.
  */
 
 /** Number of different runners that have to fail in a row; in a smaller site, all of them. */
@@ -21,6 +21,12 @@
   runnerCount: () => number;
   /** Called when the path is lost or back. */
   onChange?: (isLost: boolean, now: number) => void;
+  /**
+   * Finds out whether any other runner accepts a connection; without it, the failures in a row decide.
+   *
+   * @param done - called once with the result, and when it is known, in monotonic ms.
+   */
+  confirm?: (done: (isReached: boolean, now: number) => void) => void;
 }
 
 /** Counts failures and successes of connections to runners. */
@@ -30,6 +36,12 @@
   /** Incarnations of the runners that have failed since one was last heard from. */
   private readonly failed = new Set<string>();
 
+  /** When a runner last failed, monotonic ms. */
+  private failedAt = 0;
+
+  /** Whether other runners are being asked. */
+  private isConfirming = false;
+
   private lostAt: number | undefined;
 
   /** When the path was last found again, monotonic ms. */
@@ -42,7 +54,11 @@
    * @param options - the number of runners, and the listener.
    */
   constructor(options: RunnerPathOptions) {
-    this.options = { onChange: () => undefined, ...options };
+    this.options = {
+      onChange: () => undefined,
+      confirm: (done) => done(false, this.failedAt),
+      ...options,
+    };
   }
 
   /** @returns Whether this daemon reaches no runner. */
@@ -66,10 +82,15 @@
    */
   recordFailure(life: string, now: number): void {
     this.failed.add(life);
-    const listed = Math.max(MINIMUM_FAILED_RUNNERS, this.options.runnerCount());
-    if (this.isLost || this.failed.size < Math.min(FAILED_RUNNERS, listed)) return;
-    this.lostAt = now;
-    this.options.onChange(true, now);
+    this.failedAt = now;
+    if (this.isLost || this.isConfirming || !this.isInDoubt) return;
+    this.isConfirming = true;
+    this.options.confirm((isReached, confirmedAt) => {
+      this.isConfirming = false;
+      if (isReached || this.isLost || !this.isInDoubt) return;
+      this.lostAt = confirmedAt;
+      this.options.onChange(true, confirmedAt);
+    });
   }
 
   /**
@@ -103,6 +124,12 @@
     this.waitingSince ??= now;
   }
 
+  /** Whether so many runners have failed in a row that the path may be lost. */
+  private get isInDoubt(): boolean {
+    const listed = Math.max(MINIMUM_FAILED_RUNNERS, this.options.runnerCount());
+    return this.failed.size >= Math.min(FAILED_RUNNERS, listed);
+  }
+
   /**
    * @param now - monotonic ms.
    * @returns How long requests have been waiting while no runner was heard from, in ms; 0 if none is waiting.
--- a/src/handover/RunnerPathMonitor.ts
+++ b/src/handover/RunnerPathMonitor.ts
@@ -1,5 +1,6 @@
 /**
- * Probes runners when requests are waiting and no runner is heard from, and while the path to the runners is lost.
+ * Probes runners when requests are waiting and no runner is heard from, when several have failed in a row, and while the
+ * path to the runners is lost.
  */
 import { probeRunner } from '../forwarding/probeRunner.js';
 import type { ProbeResult } from '../forwarding/probeRunner.js';
@@ -19,6 +20,9 @@
 /** Number of further runners that are probed once a first one has not accepted a connection. */
 const PROBED_AFTER_FAILURE = 3;
 
+/** Number of runners that are probed before the path counts as lost; all of them in a smaller site. */
+const PROBED_TO_CONFIRM = 16;
+
 /** Options of a {@link RunnerPathMonitor}. */
 export interface RunnerPathMonitorOptions {
   path: RunnerPath;
@@ -69,6 +73,28 @@
     if (silence >= SILENCE_MILLISECONDS && !this.isProbingSilence) this.probeSilence();
   }
 
+  /**
+   * Probes runners all over the list, since those of one service stand together and may all be down.
+   *
+   * @param done - called once, with whether one has accepted a connection, and the time.
+   */
+  confirmLoss(done: (isReached: boolean, now: number) => void): void {
+    const pending = new Set(this.spreadRunners(PROBED_TO_CONFIRM));
+    let isDone = false;
+    const finish = (isReached: boolean) => {
+      if (isDone) return;
+      isDone = true;
+      done(isReached, this.options.clock.monotonicMilliseconds());
+    };
+    if (pending.size === 0) finish(false);
+    for (const runner of [...pending]) {
+      this.probe(runner, (isAccepted) => {
+        pending.delete(runner);
+        if (isAccepted || pending.size === 0) finish(isAccepted);
+      });
+    }
+  }
+
   private probeSilence(): void {
     const [first] = this.nextRunners(1);
     if (!first) return;
@@ -91,6 +117,18 @@
     });
   }
 
+  private spreadRunners(count: number): Runner[] {
+    const runners = this.options.runners();
+    const taken = Math.min(count, runners.length);
+    const from = this.position;
+    this.position += 1;
+    const step = runners.length / Math.max(1, taken);
+    return Array.from(
+      { length: taken },
+      (_, index) => runners[(from + Math.floor(index * step)) % runners.length] as Runner,
+    );
+  }
+
   private nextRunners(count: number): Runner[] {
     const runners = this.options.runners();
     const taken = Math.min(count, runners.length);
--- a/standIns/site/SiteRunner.ts
+++ b/standIns/site/SiteRunner.ts
@@ -113,6 +113,11 @@
     return this.address;
   }
 
+  /** @returns Whether it accepts connections. */
+  get isUp(): boolean {
+    return this.server.listening;
+  }
+
   /** Starts to listen. */
   async start(): Promise<void> {
     const { address, port } = await listen(this.server, { host: '127.0.0.1', port: 0 });
