Soak: a part of prompts that crashes runners, in requests of which no two are alike

Checked: no more than three run later than 3 s + 1 s after the fifth crash, and no sound request is refused as quarantined from 6 s + 1 s after the last crash on.

--- a/soak/RunBook.ts
+++ b/soak/RunBook.ts
@@ -14,6 +14,17 @@
   readonly target: string;
   readonly body: string;
   readonly account: string | undefined;
+  /** Ids of the parts of its prompt. */
+  readonly parts: readonly string[];
+}
+
+/**
+ * @param headers - head of a request.
+ * @returns Ids of the parts of its prompt.
+ */
+export function promptPartsOf(headers: ReceivedRequest['headers']): string[] {
+  const text = String(headers['prompt-prefix'] ?? '');
+  return text.split(',').map((part) => part.split(':', 1)[0] ?? '');
 }
 
 /** Keeps all runs. */
@@ -29,7 +40,8 @@
    */
   note({ id = '', target, body, headers }: ReceivedRequest, runner: string, from: string): void {
     const account = headers.tenant as string | undefined;
-    const run = { id, runner, at: performance.now(), from, target, body, account };
+    const parts = promptPartsOf(headers);
+    const run = { id, runner, at: performance.now(), from, target, body, account, parts };
     this.all.push(run);
     this.byId.set(id, [...this.of(id), run]);
   }
--- a/soak/SoakCallers.ts
+++ b/soak/SoakCallers.ts
@@ -21,6 +21,8 @@
   readonly daemon: number;
   readonly path: string;
   readonly body: string;
+  /** A part of its prompt that crashes runners. */
+  readonly part?: string | undefined;
   /** Monotonic ms. */
   readonly sentAt: number;
   readonly endedAt: number;
@@ -70,6 +72,8 @@
   readonly onData?: (() => void) | undefined;
   /** Body of a request that comes again; one of its own by default. */
   readonly body?: string | undefined;
+  /** A part of its prompt that other requests have. */
+  readonly part?: string | undefined;
   readonly takesUp?: BrokenStream | undefined;
 }
 
@@ -151,7 +155,7 @@
    * @param kind - of request.
    * @param path - of a request that looks for a configuration.
    * @param onData - called when the answer begins.
-   * @param body - of a request that comes again.
+   * @param shared - a body that comes again, and a part of its prompt.
    * @returns The request, once it is over.
    */
   async call(
@@ -159,9 +163,9 @@
     kind: CallKind,
     path = `/${kind}/x`,
     onData: () => void = () => undefined,
-    body?: string,
+    { body, part }: Pick<SoakRequest, 'body' | 'part'> = {},
   ): Promise<Call> {
-    const ended = await this.follow(this.send({ daemon, kind, path, onData, body }));
+    const ended = await this.follow(this.send({ daemon, kind, path, onData, body, part }));
     const takesUp = brokenStreamOf(ended);
     if (takesUp) {
       void this.follow(this.send({ daemon: this.choose(), kind, path, body: ended.body, takesUp }));
@@ -183,13 +187,16 @@
     path,
     onData,
     body: repeated,
+    part,
     takesUp,
   }: SoakRequest): Promise<Call> {
     this.sent += 1;
     const id = `call-${this.sent}`;
     const body = repeated ?? `body of ${id}`;
-    const call = { id, kind, daemon: index, path, body, takesUp, sentAt: performance.now() };
-    const prompt = `a${this.sent % PROMPTS}:2000,b${this.sent}:50`;
+    const sentAt = performance.now();
+    const call = { id, kind, daemon: index, path, body, part, takesUp, sentAt };
+    const shared = part === undefined ? '' : `${part}:100,`;
+    const prompt = `a${this.sent % PROMPTS}:2000,${shared}b${this.sent}:50`;
     const isStream = kind === 'chat' || kind === 'story';
     const headers = {
       'Attempt-Id': id,
--- a/soak/SoakSite.ts
+++ b/soak/SoakSite.ts
@@ -12,12 +12,13 @@
 import { FaultHistory } from './FaultHistory.js';
 import { DaemonLink } from '../standIns/link/DaemonLink.js';
 import { watchLateness } from '../standIns/link/watchLateness.js';
-import { RunBook } from './RunBook.js';
+import { promptPartsOf, RunBook } from './RunBook.js';
 import { SoakDaemon } from './SoakDaemon.js';
 import {
   CHANGE_BOUND_MILLISECONDS,
   EVENTS,
   FATAL_BODY,
+  FATAL_PART,
   MAXIMUM_ATTEMPTS,
   STOP_SECONDS,
   TIMEOUT_MILLISECONDS,
@@ -204,7 +205,9 @@
       workMilliseconds: WORK_MILLISECONDS,
       onRan: (request, from) => this.runs.note(request, id, from),
       ...(service === 'plain' && { slots: PLAIN_SLOTS }),
-      isFatal: ({ body }) => body.startsWith(FATAL_BODY),
+      isFatal: ({ body, headers }) =>
+        body.startsWith(FATAL_BODY) ||
+        promptPartsOf(headers).some((part) => part.startsWith(FATAL_PART)),
       onCrashed: () => this.crashed(runner),
       onRestarted: () => {
         void this.listAnew(runner);
--- a/soak/checks/StatementChecks.ts
+++ b/soak/checks/StatementChecks.ts
@@ -9,6 +9,8 @@
   CONTACT_MILLISECONDS,
   FATAL_BODY,
   FATAL_CRASHES,
+  FATAL_PART,
+  FATAL_PART_CRASHES,
   LATENESS_MILLISECONDS,
   LATE_FATAL_RUNS,
   WORK_MILLISECONDS,
@@ -47,23 +49,63 @@
     for (const body of new Set(fatal.map((run) => run.body))) {
       this.lookAtFatal(fatal.filter((run) => run.body === body));
     }
+    const parts = runs.all.flatMap((run) => run.parts);
+    for (const part of new Set(parts.filter((one) => one.startsWith(FATAL_PART)))) {
+      this.lookAtFatalPart(
+        part,
+        runs.all.filter((run) => run.parts.includes(part)),
+      );
+    }
+    this.lookAtSound(runs.all);
     this.lookAtLeaving();
   }
 
   private lookAtFatal(runs: readonly SoakRun[]): void {
-    const { calls, contact, violations } = this.options;
+    const { violations } = this.options;
     const third = runs[FATAL_CRASHES - 1];
     if (!third) return;
-    const known = third.at + WORK_MILLISECONDS + CONTACT_MILLISECONDS + LATENESS_MILLISECONDS;
-    const late = runs.filter(({ id, at }) => {
-      const call = calls.get(id);
-      return at > known && call !== undefined && contact.holds(call.daemon, at, at);
-    });
+    const late = this.runsLongAfter(third, runs);
     const told = () => `${third.body} ran ${runs.length} times, ${late.length} of them late`;
     const isKept = late.length <= LATE_FATAL_RUNS;
     violations.check('a request that crashes runners is kept from them', isKept, told, third.id);
   }
 
+  private lookAtFatalPart(part: string, runs: readonly SoakRun[]): void {
+    const { violations } = this.options;
+    const decisive = runs[FATAL_PART_CRASHES - 1];
+    if (!decisive) return;
+    const late = this.runsLongAfter(decisive, runs);
+    const told = () => `${part} ran ${runs.length} times, ${late.length} of them late`;
+    const isKept = late.length <= LATE_FATAL_RUNS;
+    violations.check('a part that crashes runners is kept from them', isKept, told, decisive.id);
+  }
+
+  /** Requests without a part that crashes runners, long after the last crash. */
+  private lookAtSound(runs: readonly SoakRun[]): void {
+    const { calls, violations } = this.options;
+    const crashes = runs.filter(
+      ({ body, parts }) =>
+        body.startsWith(FATAL_BODY) || parts.some((part) => part.startsWith(FATAL_PART)),
+    );
+    const unsettled = WORK_MILLISECONDS + 2 * CONTACT_MILLISECONDS + LATENESS_MILLISECONDS;
+    for (const { id, body, part, sentAt, answer } of calls.values()) {
+      if (part !== undefined || body.startsWith(FATAL_BODY)) continue;
+      const isSettled = !crashes.some(({ at }) => sentAt > at && sentAt < at + unsettled);
+      const isKept = !isSettled || !answer?.body.includes('quarantined');
+      violations.check('sound requests are not quarantined', isKept, () => `${id} was`, id);
+    }
+  }
+
+  /** Runs by daemons in touch later than all of them had to know of a crash. */
+  private runsLongAfter(crash: SoakRun, runs: readonly SoakRun[]): readonly SoakRun[] {
+    const { calls, contact } = this.options;
+    const known = crash.at + WORK_MILLISECONDS + CONTACT_MILLISECONDS + LATENESS_MILLISECONDS;
+    return runs.filter(({ id, at }) => {
+      const call = calls.get(id);
+      return at > known && call !== undefined && contact.holds(call.daemon, at, at);
+    });
+  }
+
   private lookAtLeaving(): void {
     const { runs, history, violations, calls } = this.options;
     const toldAt = this.toldLeaving();
--- a/soak/faults/faultPlan.ts
+++ b/soak/faults/faultPlan.ts
@@ -17,6 +17,7 @@
   EvacuatedPlace,
   FailingRunner,
   LostAnswers,
+  FatalPart,
   FatalRequest,
   RunnerCrash,
   RunnerLeaves,
@@ -93,6 +94,9 @@
 /** Time from one surge before brittle runners to the next, in ms. */
 const SURGE_PAUSES: readonly [number, number] = [7_000, 15_000];
 
+/** Time from one part that crashes runners to the next, in ms: some overlap. */
+const PART_PAUSES: readonly [number, number] = [5_000, 14_000];
+
 /** Plans faults of one kind, one after the other. */
 function planSeparately(
   draw: Draw,
@@ -137,5 +141,6 @@
   const paths = planSeparately(draw, seconds, PATH_PAUSES, () => new LostPath(draw));
   const surge = () => new BrittleRunnersInSurge(draw);
   const surges = planSeparately(draw, seconds, SURGE_PAUSES, surge);
-  return [...plan, ...statements, ...evacuations, ...restores, ...paths, ...surges];
+  const parts = planSeparately(draw, seconds, PART_PAUSES, () => new FatalPart(draw));
+  return [...plan, ...statements, ...evacuations, ...restores, ...paths, ...surges, ...parts];
 }
--- a/soak/soakBounds.ts
+++ b/soak/soakBounds.ts
@@ -38,6 +38,12 @@
 /** A request with such a body crashes each runner that runs it. */
 export const FATAL_BODY = 'fatal';
 
+/** A request with a part of its prompt that begins like this crashes each runner that runs it. */
+export const FATAL_PART = 'fa7a';
+
+/** Crashes after which no request with such a part is to run any more. */
+export const FATAL_PART_CRASHES = 5;
+
 /** Crashes after which a request is not to run any more. */
 export const FATAL_CRASHES = 3;
 
