Tell all daemons of a part only what more than one moment of crashes says

Cause: in a large fleet a part that runs everywhere is beside every crash; when a third of all runners ended at once, the daemons that tell everybody sent each such part to all, three times.

--- a/src/quarantine/CrashRelay.ts
+++ b/src/quarantine/CrashRelay.ts
@@ -17,7 +17,6 @@
 import type { Clock } from '../time/Clock.js';
 import { fromMessage, toMessage } from './crashSummaryCodec.js';
 import type { QuarantineDecisions } from './QuarantineDecisions.js';
-import { shouldBroadcast } from './QuarantineDecisions.js';
 import type { CrashSummary } from './quarantineTypes.js';
 
 /** Options of a {@link CrashRelay}. */
@@ -103,10 +102,9 @@
   private sendPending(waiting: readonly RepeatedItem[]): void {
     const { decisions, reportRecipients, broadcastRecipients } = this.options;
     const seen = waiting.filter(({ isSeen }) => isSeen).map(({ key }) => decisions.summaryOf(key));
-    const known = waiting.map(({ key }) => decisions.summaryOf(key));
     this.send(seen, reportRecipients());
     this.send(
-      known.filter((news) => news && shouldBroadcast(news)),
+      waiting.map(({ key }) => decisions.broadcastSummaryOf(key)),
       broadcastRecipients(),
     );
   }
--- a/src/quarantine/CrashVerdicts.ts
+++ b/src/quarantine/CrashVerdicts.ts
@@ -86,6 +86,15 @@
     return this.weigh(withUnexplained(this.verdicts, suspectOf(record)));
   }
 
+  /**
+   * @param record - record of a subject.
+   * @returns The weight of all its crashes, those that no longer count included.
+   */
+  weighAll(record: CrashRecord): number {
+    const { digest, part, crashes } = record.toSummary();
+    return this.weigh({ digest, part, crashes });
+  }
+
   /**
    * Notes a crash, possibly a known one. Verdicts in force stay as they are until one of their subjects changes.
    *
--- a/src/quarantine/QuarantineDecisions.ts
+++ b/src/quarantine/QuarantineDecisions.ts
@@ -34,18 +34,10 @@
 const MAXIMUM_SUSPECTS = 48;
 
 /**
- * Number of crashes from which on a subject is broadcast to daemons that have observed none of them.
+ * Weight of its crashes from which on a subject is broadcast to daemons that have observed none of them.
  */
 const MINIMUM_BROADCAST_CRASHES = 2;
 
-/**
- * @param news - crashes of a subject.
- * @returns Whether daemons that have observed none of the crashes should know of them.
- */
-export function shouldBroadcast({ crashes }: CrashSummary): boolean {
-  return crashes.length >= MINIMUM_BROADCAST_CRASHES;
-}
-
 /**
  * @param news - crashes of several subjects.
  * @returns A hash of the digests; equal for equal sets of subjects.
@@ -218,9 +210,18 @@
   /** @returns The records that all daemons should know, those with the most crashes first. */
   broadcastable(): CrashSummary[] {
     return [...this.records.values()]
+      .filter((record) => this.isForAll(record))
       .sort((one, other) => other.countedCrashes.length - one.countedCrashes.length)
-      .map((record) => record.toSummary())
-      .filter(shouldBroadcast);
+      .map((record) => record.toSummary());
+  }
+
+  /**
+   * @param digest - digest of a subject.
+   * @returns Its record, if daemons that have observed none of its crashes should know of them.
+   */
+  broadcastSummaryOf(digest: string): CrashSummary | undefined {
+    const record = this.records.get(digest);
+    return record && this.isForAll(record) ? record.toSummary() : undefined;
   }
 
   /** @returns The records of quarantined subjects. */
@@ -258,6 +259,11 @@
     this.refresh();
   }
 
+  /** Crashes of one moment alone are not, or each part that runs everywhere would be told when many runners end at once. */
+  private isForAll(record: CrashRecord): boolean {
+    return this.verdicts.weighAll(record) >= MINIMUM_BROADCAST_CRASHES;
+  }
+
   private update(summary: CrashSummary, source: 'seen' | 'told', now: number): void {
     const { digest, crashes, clearedAt, answers = [] } = summary;
     const record = this.records.get(digest) ?? new CrashRecord(summary);
