Refuse no request as not run by the quarantine when it may have run elsewhere

Cause: the refusal at the start of a request looked at no attempts of before. Now it is a 502 where the request may have run; the daemon that handed it over takes that for a failed attempt.

The test fails before (503 for both).

--- a/src/forwarding/ForwardedRequest.spec.ts
+++ b/src/forwarding/ForwardedRequest.spec.ts
@@ -51,6 +51,20 @@
     expect((await caller).startsWith('HTTP/1.1 502')).toEqual(true);
   });
 
+  it('is not refused as not run by the quarantine when it may have run at another daemon', async () => {
+    // Guards against a false "not run" to a request that was handed over twice.
+    test = await RequestUnderTest.open();
+    const statusAfter = (mayHaveRun: number) => {
+      const response = new ServerResponse(new IncomingMessage(new Socket()));
+      test.createRequest(response, undefined, { isCounted: true, mayHaveRun }).start();
+      return response.statusCode;
+    };
+    for (const kind of ['refused', 'busy']) {
+      mock.method(test.context.quarantine, 'admit', () => ({ kind }));
+      expect([statusAfter(1), statusAfter(0)]).toEqual([502, 503]);
+    }
+  });
+
   it('is not refused as not run while a runner may run it and a second one is looked for', async () => {
     // Guards against a false "not run": the daemon loses its path, and no other one helps, before the request is hedged.
     const { runner, caller } = await begin({ route: { kind: 'idempotent', resumable: false } });
--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -65,7 +65,7 @@
     }
     const refusal = this.quarantine.begin();
     if (refusal) {
-      this.endWith(refusal);
+      this.endWithRefusal(refusal);
       return;
     }
     if (this.versions.isUnknown) this.findVersion();
@@ -372,9 +372,14 @@
   }
 
   private endWithQuarantine(): void {
+    this.endWithRefusal(this.quarantine.refusal);
+  }
+
+  /** A request that may have run, at the daemon that handed it over perhaps, cannot be refused any more. */
+  private endWithRefusal(refusal: DaemonAnswer): void {
     const isElsewhere = this.handOver.isInProgress;
     const mayHaveRun = isElsewhere || this.active.size > 0 || this.tried.mayHaveRun > 0;
-    this.endWith(mayHaveRun ? { status: 502, reason: 'quarantined' } : this.quarantine.refusal);
+    this.endWith(mayHaveRun ? { status: 502, reason: refusal.reason } : refusal);
   }
 
   private end(event: EndEvent, outcome: string): void {
--- a/src/forwarding/testRequest.ts
+++ b/src/forwarding/testRequest.ts
@@ -26,6 +26,7 @@
 import { createForwardingMetrics } from './ForwardingMetrics.js';
 import type { ForwardingContext, TakenUpStream } from './forwardingTypes.js';
 import { LinkCheck } from './LinkCheck.js';
+import type { ForwardedRequestOptions } from './RequestParts.js';
 import { RunnerAgent } from './RunnerAgent.js';
 import { RunnerConnections } from './RunnerConnections.js';
 import { RunnerNotices } from './RunnerNotices.js';
@@ -296,9 +297,14 @@
   /**
    * @param response - response to the caller.
    * @param takesUp - stream that the caller takes up.
+   * @param before - what the daemon that handed the request over did for it.
    * @returns The request, which has not been started.
    */
-  createRequest(response: ServerResponse, takesUp?: TakenUpStream): ForwardedRequest {
+  createRequest(
+    response: ServerResponse,
+    takesUp?: TakenUpStream,
+    before?: ForwardedRequestOptions['before'],
+  ): ForwardedRequest {
     const relay = new AnswerRelay(response, () => true);
     const arrivedAt = this.clock.monotonicMilliseconds();
     const request = {
@@ -318,7 +324,14 @@
       deadlineAt: arrivedAt + DEADLINE_MILLISECONDS,
       connectionLimit: 10,
     };
-    return new ForwardedRequest({ request, body: undefined, relay, context: this.context });
+    const { context } = this;
+    return new ForwardedRequest({
+      request,
+      body: undefined,
+      relay,
+      context,
+      ...(before && { before }),
+    });
   }
 
   private call(port: number): Promise<string> {
