Count a crash once though its report waited for a daemon

Older than parts: reports of the same incarnation counted as one crash within 1 s only.

Now they do within 4 s, and reports that arrive in the moment in which a daemon finds that it has stood still are ignored; all are told again. Weighed: taking the incarnation alone (the store of some platforms names no start times, and their runners may keep their ids).

--- a/src/quarantine/CrashRecord.ts
+++ b/src/quarantine/CrashRecord.ts
@@ -5,10 +5,11 @@
 import type { CrashSubject, CrashSummary, RunnerCrash, VersionAnswer } from './quarantineTypes.js';
 
 /**
- * Two reports of the same incarnation at most this far apart are the same crash, in ms. Daemons notice one crash
- * within this time; a runner needs longer to start again under the same incarnation name.
+ * Two reports of the same incarnation at most this far apart are the same crash, in ms. Reports hold ages, so that one
+ * that is held up on the way makes the crash look later; a runner hardly starts again, under the same incarnation name,
+ * and crashes again within this time.
  */
-const SAME_CRASH_MILLISECONDS = 1_000;
+const SAME_CRASH_MILLISECONDS = 4_000;
 
 /** Maximum number of crashes kept for a subject; the oldest are dropped. */
 const MAXIMUM_CRASHES = 12;
--- a/src/quarantine/CrashRelay.ts
+++ b/src/quarantine/CrashRelay.ts
@@ -55,6 +55,12 @@
 /** Interval between comparisons with another daemon, in ms. */
 const EXCHANGE_MILLISECONDS = 1_000;
 
+/** A comparison that is late by more shows that this process stood still, in ms. */
+const LONGEST_DELAY_MILLISECONDS = 1_000;
+
+/** Messages that arrive within this time after a standstill may have waited for its end, in ms. */
+const STALE_MILLISECONDS = 500;
+
 /** Owns the timers. */
 export class CrashRelay {
   private readonly options: Required<CrashRelayOptions>;
@@ -63,6 +69,12 @@
 
   private isStopped = false;
 
+  /** When the last comparison was made, monotonic ms. */
+  private comparedAt = Number.NEGATIVE_INFINITY;
+
+  /** Until then messages are ignored, monotonic ms. */
+  private staleUntil = Number.NEGATIVE_INFINITY;
+
   /**
    * @param options - the decisions, and the recipients of reports.
    */
@@ -79,8 +91,10 @@
 
   /** Starts the periodic comparisons. */
   start(): void {
+    this.comparedAt = this.now;
     this.options.later(() => {
       if (this.isStopped) return;
+      if (this.hasStoodStill) this.staleUntil = this.now + STALE_MILLISECONDS;
       this.compareWithPeer();
       this.start();
     }, EXCHANGE_MILLISECONDS);
@@ -114,8 +128,8 @@
     recipients: readonly HostAndPort[],
     answerTo = '',
   ): void {
-    const { daemon, socket, clock, decisions } = this.options;
-    const now = clock.monotonicMilliseconds();
+    const { daemon, socket, decisions } = this.options;
+    const { now } = this;
     const known = news
       .filter((one) => one !== undefined)
       .sort((one, other) => other.crashes.length - one.crashes.length)
@@ -133,10 +147,22 @@
     }
   }
 
+  private get now(): number {
+    return this.options.clock.monotonicMilliseconds();
+  }
+
+  /**
+   * Whether this process has just stood still. What waited for it holds ages that are too small, so that crashes would be
+   * taken for later ones; it is told again.
+   */
+  private get hasStoodStill(): boolean {
+    return this.now - this.comparedAt > EXCHANGE_MILLISECONDS + LONGEST_DELAY_MILLISECONDS;
+  }
+
   private take({ daemon, records, answerTo, quarantined }: CrashReport): void {
-    const { decisions, clock, merge } = this.options;
-    if (daemon === this.options.daemon) return;
-    const now = clock.monotonicMilliseconds();
+    const { decisions, merge } = this.options;
+    const { now } = this;
+    if (daemon === this.options.daemon || this.hasStoodStill || now < this.staleUntil) return;
     merge(
       records.map((record) => fromMessage(record, now)),
       daemon,
@@ -150,9 +176,8 @@
    * off or was paused receives what it has missed.
    */
   private compareWithPeer(): void {
-    const { decisions, clock, canReadMessages, pull, reportRecipients, random, ownAddress } =
-      this.options;
-    decisions.expire(clock.monotonicMilliseconds());
+    const { decisions, canReadMessages, pull, reportRecipients, random, ownAddress } = this.options;
+    decisions.expire(this.now);
     if (!canReadMessages()) {
       pull();
       return;
