--- a/src/explanations/classifyLoss.spec.ts
+++ b/src/explanations/classifyLoss.spec.ts
@@ -119,6 +119,12 @@
     failures: [failed('not_connected', 'refuse')],
     expected: `not connected | ${UNKNOWN_REASON} | 503`,
   },
+  {
+    name: 'a request with a quarantined part',
+    number: 2601,
+    fields: { status: 503, outcome: 'quarantined', quarantinedParts: 'engine/5c1e07a2' },
+    expected: 'quarantined | runners crashed under a part of its prompt | 503',
+  },
   {
     name: 'a request that crashes runners',
     fields: { status: 503, outcome: 'quarantined', digest: 'f' },
--- a/src/explanations/classifyLoss.ts
+++ b/src/explanations/classifyLoss.ts
@@ -110,7 +110,13 @@
       cause: 'not resumed',
       detail: 'no stream from the second runner',
     }))
-    .with('quarantined', () => ({ cause: 'quarantined', detail: 'runners crashed under it' }))
+    .with('quarantined', () => ({
+      cause: 'quarantined',
+      detail:
+        fields.quarantinedParts === undefined
+          ? 'runners crashed under it'
+          : 'runners crashed under a part of its prompt',
+    }))
     .with('suspect_under_way', () => ({
       cause: 'quarantined',
       detail: 'the same request was under way',
--- a/src/explanations/explainOutcome.ts
+++ b/src/explanations/explainOutcome.ts
@@ -38,24 +38,29 @@
         'does not allow a retry, or its attempts or the retry budget were used up',
       ].join(' '),
     )
-    .with('quarantined', () => 'several runners have crashed while handling this request')
+    .with('quarantined', () => 'several runners have crashed while handling requests like this one')
     .with(
       'suspect_under_way',
       () =>
-        'a runner has crashed while handling this request, and the same request was already in progress',
+        'a runner has crashed while handling a request like this one, and another one was in progress',
     )
     .with('no_route', () => 'no route of the configuration in force matches its host and path')
     .with('unknown_key', () => 'its key belongs to no client account of the configuration in force')
     .otherwise((other) => String(other));
 }
 
+function describeParts(parts: unknown): string[] {
+  if (typeof parts !== 'string') return [];
+  return [`What they have in common is this part of their prompts: ${parts}; see log event 3101.`];
+}
+
 function describeEnd(requestLines: readonly LogLine[]): string[] {
   const end = requestLines.findLast(({ number }) =>
     [answered, notServed, callerLeft, rejected].some((event) => event.number === number),
   );
   if (!end)
     return ['No line shows its end: the daemon process ended first, or lines were left out.'];
-  const { status, outcome, milliseconds } = end.fields;
+  const { status, outcome, milliseconds, quarantinedParts } = end.fields;
   const after = milliseconds === undefined ? '' : ` after ${String(milliseconds)} ms`;
   return match(end.number)
     .with(answered.number, () => [
@@ -66,6 +71,7 @@
     ])
     .otherwise(() => [
       `The caller got status ${String(status)}${after}: ${describeOutcome(outcome)}.`,
+      ...describeParts(quarantinedParts),
     ]);
 }
 
