Stand-in link: pass on a reset that arrives together with data

Trace: the runner reset (cuts_plain); the daemon saw an orderly end, which ends such an answer. Cause: the link's process took the end that the event loop reports for a reset that arrives with data for an end, as RunnerAttempt did once. The daemon cannot know; nothing in it changes.

--- a/standIns/link/Flow.ts
+++ b/standIns/link/Flow.ts
@@ -38,6 +38,8 @@
   queue: LinkQueue;
   /** Whether this direction is cut. */
   isHeld: () => boolean;
+  /** Called when the source was reset. */
+  onReset: () => void;
 }
 
 /** Passes what one end sends, in order. */
@@ -56,7 +58,7 @@
   constructor(options: FlowOptions) {
     this.options = options;
     options.source.on('data', (bytes: Buffer) => this.take(bytes));
-    options.source.once('end', () => this.take(undefined));
+    options.source.once('end', () => this.handleEnd());
   }
 
   /** Passes what is due. */
@@ -79,6 +81,13 @@
     this.pieces.length = 0;
   }
 
+  /** The event loop reports a reset that arrives together with data as an ordinary end; only the peer's address is gone. */
+  private handleEnd(): void {
+    const { source, onReset } = this.options;
+    if (source.remoteAddress === undefined) onReset();
+    else this.take(undefined);
+  }
+
   private take(bytes: Buffer | undefined): void {
     if (this.isSilenced) return;
     this.pieces.push({ dueAt: this.options.queue.arrivalOf(bytes?.length ?? 0), bytes });
--- a/standIns/link/Link.ts
+++ b/standIns/link/Link.ts
@@ -180,8 +180,14 @@
     const far = connect({ ...parse(target), localAddress, allowHalfOpen: true, noDelay: true });
     const [there, back]: [LinkDirection, LinkDirection] =
       side === 'callers' ? ['in', 'out'] : ['out', 'in'];
-    const flows = [this.flow(near, far, side, there), this.flow(far, near, side, back)] as const;
-    const pipe: Pipe = { side, ends: [near, far], flows };
+    const pipe: Pipe = {
+      side,
+      ends: [near, far],
+      flows: [
+        this.flow(near, far, { side, direction: there, onReset: () => this.reset(pipe) }),
+        this.flow(far, near, { side, direction: back, onReset: () => this.reset(pipe) }),
+      ],
+    };
     this.pipes.add(pipe);
     for (const end of pipe.ends) {
       end.once('error', () => this.reset(pipe));
@@ -189,9 +195,13 @@
     }
   }
 
-  private flow(source: Socket, sink: Socket, side: LinkSide, direction: LinkDirection): Flow {
+  private flow(
+    source: Socket,
+    sink: Socket,
+    { side, direction, onReset }: { side: LinkSide; direction: LinkDirection; onReset: () => void },
+  ): Flow {
     const isHeld = () => this.cuts.has(`${side} ${direction}`);
-    return new Flow({ source, sink, queue: this.queues[direction], isHeld });
+    return new Flow({ source, sink, queue: this.queues[direction], isHeld, onReset });
   }
 
   /** An end that breaks off breaks the other one, unless the connection is to be silent. */
