Let requests run again whose prompt part was beside two crashes

Cause: the rule that a request which was at two crashes gets no second attempt was taken over to parts. It saves a crash of the one request in a dozen that is guilty, and cuts the others; the third crash comes with the next request anyway. The placement at the runner with the least load stays.

--- a/src/forwarding/QuarantineSession.ts
+++ b/src/forwarding/QuarantineSession.ts
@@ -57,11 +57,20 @@
     this.parts = options.subjects.filter(({ part }) => part !== undefined);
   }
 
-  /** @returns Whether more than one runner has crashed while it was running the request. */
+  /** @returns Whether more than one runner has crashed while it was running the request, or a part of its prompt. */
   get isRepeatedSuspect(): boolean {
     return this.options.quarantine.hasRepeatedCrashes(this.options.subjects);
   }
 
+  /**
+   * @returns Whether the request may run again after a runner has crashed while running it. A part of its prompt, which
+   * many requests share, is no reason against that: most of these are sound.
+   */
+  get mayRunAgain(): boolean {
+    const whole = this.options.subjects.filter(({ part }) => part === undefined);
+    return !this.options.quarantine.hasRepeatedCrashes(whole);
+  }
+
   /** @returns Whether the request may be hedged, which only requests that are not suspects may. */
   get mayHedge(): boolean {
     return !this.options.quarantine.isSuspect(this.options.subjects);
--- a/src/forwarding/RequestRetries.ts
+++ b/src/forwarding/RequestRetries.ts
@@ -48,7 +48,7 @@
       notRun: tried.notRun,
       maximumAttempts,
       hasFallback,
-      isSuspect: quarantine.isRepeatedSuspect,
+      isSuspect: !quarantine.mayRunAgain,
       remainingMilliseconds: deadlineAt - this.now,
       takeBudget: () => this.takeBudget(),
     });
