--- a/src/forwarding/QuarantineSession.ts
+++ b/src/forwarding/QuarantineSession.ts
@@ -4,8 +4,9 @@
  */
 import { match } from 'ts-pattern';
 
+import type { QuarantineListener } from '../quarantine/InFlightSubjects.js';
 import type { CrashSubject } from '../quarantine/quarantineTypes.js';
-import type { QuarantineListener, RequestQuarantine } from '../quarantine/RequestQuarantine.js';
+import type { RequestQuarantine } from '../quarantine/RequestQuarantine.js';
 import type { DaemonAnswer } from './AnswerRelay.js';
 import type { AttemptFailure, RunnerAttempt } from './RunnerAttempt.js';
 
--- a/src/quarantine/CrashRecord.ts
+++ b/src/quarantine/CrashRecord.ts
@@ -22,8 +22,8 @@
 
 /**
  * Crashes within this time of the first one that an answer excuses are excused with it, in ms: many runners may end
- * for one reason. Without an answer since, later ones count, or a popular subject that begins to crash runners would be
- * trusted for long.
+ * for one reason. Later ones count unless there was another answer, or a popular subject that begins to crash runners
+ * would be trusted for long.
  */
 const COMMON_CAUSE_MILLISECONDS = 1_000;
 
--- a/src/quarantine/RequestQuarantine.ts
+++ b/src/quarantine/RequestQuarantine.ts
@@ -14,7 +14,8 @@
 import type { Clock } from '../time/Clock.js';
 import type { DetectedCrash, InterruptedRequest, CrashDetectorOptions } from './CrashDetector.js';
 import { CrashDetector } from './CrashDetector.js';
-import type { CrashVerdict } from './explainCrashes.js';
+import { InFlightSubjects } from './InFlightSubjects.js';
+import type { QuarantineListener } from './InFlightSubjects.js';
 import { QuarantineDecisions } from './QuarantineDecisions.js';
 import { quarantineLogEvents } from './quarantineFeature.js';
 import { nextTrialAt } from './nextTrialAt.js';
@@ -30,9 +31,6 @@
 /** Minimum time until a caller of a quarantined request should come back, in seconds. */
 const MINIMUM_RETRY_SECONDS = 1;
 
-/** Called when an in-flight request may have to end because a verdict concerns one of its subjects. */
-export type QuarantineListener = () => void;
-
 /** A request as the quarantine sees it. */
 export interface QuarantineQuestion {
   readonly subjects: readonly CrashSubject[];
@@ -81,8 +79,7 @@
   /** The daemon whose records are being merged at the moment; `undefined` outside a merge. */
   private mergeSource: string | undefined;
 
-  /** Listeners of the in-flight requests, by the digest of each of their subjects. */
-  private readonly inFlight = new Map<string, Set<QuarantineListener>>();
+  private readonly inFlight = new InFlightSubjects();
 
   /**
    * @param options - the runners, and the listener for changes.
@@ -93,7 +90,7 @@
     this.decisions = new QuarantineDecisions({
       onQuarantined: (digest) => this.logQuarantined(digest),
       onReleased: (digest) => log.write(quarantineLogEvents.requestReleased, this.namesOf(digest)),
-      onVerdict: (verdict) => this.notifyInFlight(verdict),
+      onVerdict: ({ digests: [digest = ''] }) => this.inFlight.notify(digest),
     });
     const { decisions } = this;
     this.trials = new QuarantineTrials({ decisions, runners, clock, log, isOwner: isTrialOwner });
@@ -140,10 +137,12 @@
   admit({ subjects, service }: QuarantineQuestion): QuarantineAdmission {
     const verdict = this.decisions.verdictOn(subjects);
     if (!verdict) {
-      const isBusy = subjects.some((subject) => this.runsAlone(subject) && this.isRunning(subject));
+      const isBusy = subjects.some(
+        (subject) => this.runsAlone(subject) && this.inFlight.countOf(subject.digest) > 0,
+      );
       return { kind: isBusy ? 'busy' : 'admitted' };
     }
-    const isBusy = verdict.digests.some((digest) => this.inFlight.has(digest));
+    const isBusy = verdict.digests.some((digest) => this.inFlight.countOf(digest) > 0);
     const exemption = this.trials.exemptionFrom(verdict, service, isBusy);
     return exemption ? { kind: 'admitted', ...exemption } : { kind: 'refused' };
   }
@@ -191,11 +190,7 @@
    * @param listener - called when it may have to end.
    */
   begin(subjects: readonly CrashSubject[], listener: QuarantineListener): void {
-    for (const { digest } of subjects) {
-      const listeners = this.inFlight.get(digest) ?? new Set();
-      listeners.add(listener);
-      this.inFlight.set(digest, listeners);
-    }
+    this.inFlight.add(subjects, listener);
   }
 
   /**
@@ -205,11 +200,7 @@
    * @param listener - the one that was given to {@link begin}.
    */
   end(subjects: readonly CrashSubject[], listener: QuarantineListener): void {
-    for (const { digest } of subjects) {
-      const listeners = this.inFlight.get(digest);
-      listeners?.delete(listener);
-      if (listeners?.size === 0) this.inFlight.delete(digest);
-    }
+    this.inFlight.delete(subjects, listener);
   }
 
   /**
@@ -296,10 +287,6 @@
     this.options.onChange?.();
   }
 
-  private isRunning({ digest }: CrashSubject): boolean {
-    return this.inFlight.has(digest);
-  }
-
   /**
    * Whether requests with the subject run one at a time. A part that many requests share is beside most crashes, so that
    * one crash says little about it.
@@ -342,11 +329,7 @@
       toldBy: this.mergeSource,
       lives: crashes.map(({ life }) => life).join(),
       ages: crashes.map(({ at }) => Math.round(this.now - at)).join(),
-      underWay: this.inFlight.get(digest)?.size ?? 0,
+      underWay: this.inFlight.countOf(digest),
     });
   }
-
-  private notifyInFlight({ digests: [digest = ''] }: CrashVerdict): void {
-    for (const listener of [...(this.inFlight.get(digest) ?? [])]) listener();
-  }
 }
