--- a/src/forwarding/QuarantineSession.spec.ts
+++ b/src/forwarding/QuarantineSession.spec.ts
@@ -24,23 +24,28 @@
   let clock: ManualClock;
   let quarantine: RequestQuarantine;
 
+  /** Digests of the requests that had to end. */
+  let ended: string[];
+
   beforeEach(() => {
     clock = new ManualClock({ monotonicMilliseconds: 10_000 });
+    ended = [];
     const crashes = { increment: () => undefined };
     const log = new SilentLog();
     quarantine = new RequestQuarantine({ runners: new RunnerTable(), clock, log, crashes });
   });
 
   function sessionOf(...subjects: CrashSubject[]): QuarantineSession {
-    const onQuarantined = () => undefined;
+    const active = new Set([ATTEMPT]);
+    const onQuarantined = () => ended.push(subjects[0]?.digest ?? '');
     return new QuarantineSession({
-      ...{ quarantine, subjects, service: 'chat', active: new Set(), onQuarantined },
+      ...{ quarantine, subjects, service: 'chat', active, onQuarantined },
     });
   }
 
-  function crash(life: number): void {
+  function crash(life: number, subjects: CrashSubject[] = [WHOLE, PART]): void {
     const now = clock.monotonicMilliseconds();
-    quarantine.decisions.crashed([WHOLE, PART], { life, at: now }, now);
+    quarantine.decisions.crashed(subjects, { life, at: now }, now);
     clock.advance(200);
   }
 
@@ -65,6 +70,17 @@
     expect(quarantine.decisions.crashesOf(WHOLE.digest)).toEqual(1);
   });
 
+  // Guards against streams that are cut for a part that their runners have already answered on.
+  it('ends requests with a part that is quarantined, but for streams that have begun', () => {
+    const [waiting, streaming] = [sessionOf(OTHER, PART), sessionOf(WHOLE, PART)];
+    for (const session of [waiting, streaming]) session.begin();
+    streaming.streamed(ATTEMPT, clock.monotonicMilliseconds());
+    for (const life of [1, 2, 3]) crash(life, [PART]);
+    expect(ended).toEqual([OTHER.digest]);
+    for (const life of [4, 5, 6]) crash(life, [WHOLE]);
+    expect(ended).toEqual([OTHER.digest, WHOLE.digest]);
+  });
+
   it('does not clear the parts of a stream that breaks off sooner', () => {
     const session = sessionOf(WHOLE, PART);
     session.streamed(ATTEMPT, clock.monotonicMilliseconds());
--- a/src/forwarding/QuarantineSession.ts
+++ b/src/forwarding/QuarantineSession.ts
@@ -175,9 +175,19 @@
   private readonly onVerdict = (): void => {
     const { quarantine, subjects, active, onQuarantined } = this.options;
     const versions = [...active].map(({ runner }) => runner.softwareVersion);
-    if (!this.isTrial && quarantine.isBlocked(subjects, versions)) onQuarantined();
+    if (this.isTrial || this.hasPassedParts || !quarantine.isBlocked(subjects, versions)) return;
+    onQuarantined();
   };
 
+  /** Whether the runner already answers on the parts of the prompt, so that only the request as a whole may crash it. */
+  private get hasPassedParts(): boolean {
+    const { quarantine, subjects, active } = this.options;
+    if (!this.streaming || !active.has(this.streaming.attempt)) return false;
+    return subjects.every(
+      ({ digest, part }) => part !== undefined || quarantine.stateOf(digest) !== 'quarantined',
+    );
+  }
+
   /** The request as a whole may still crash the runner later on. */
   private recordSoundStream(now: number): void {
     const { streaming, parts } = this;
