--- a/src/quarantine/CrashVerdicts.ts
+++ b/src/quarantine/CrashVerdicts.ts
@@ -64,7 +64,7 @@
    * @param subjects - subjects of a request.
    * @returns Why the request must not run; `undefined` if it may.
    */
-  on(subjects: readonly CrashSubject[]): CrashVerdict | undefined {
+  against(subjects: readonly CrashSubject[]): CrashVerdict | undefined {
     if (this.verdicts.length === 0) return undefined;
     const held = new Set(subjects.map(({ digest }) => digest));
     return this.verdicts.find(({ digests }) => digests.every((digest) => held.has(digest)));
--- a/src/quarantine/QuarantineDecisions.ts
+++ b/src/quarantine/QuarantineDecisions.ts
@@ -113,7 +113,7 @@
    * @returns Why the request must not run; `undefined` if it may.
    */
   verdictOn(subjects: readonly CrashSubject[]): CrashVerdict | undefined {
-    return this.verdicts.on(subjects);
+    return this.verdicts.against(subjects);
   }
 
   /**
