--- a/demo/DemoSite.ts
+++ b/demo/DemoSite.ts
@@ -1,5 +1,5 @@
 /**
- * The site of the demo: its daemons as processes, and what their directories say.
+ * The site of the demo: its daemons as processes, and the answers of their directories.
  */
 import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
@@ -10,26 +10,26 @@
 import { SiteProcess } from '../standIns/site/SiteProcess.js';
 import { StandInSite } from '../standIns/site/StandInSite.js';
 
-const RUNNERS_A_SERVICE = 4;
+const RUNNERS_PER_SERVICE = 4;
 
-/** Between questions to the directory, in ms. */
+/** Interval between requests to the directory, in ms. */
 const RESOLVE_MILLISECONDS = 200;
 
-/** Between looks whether a dead daemon is still named, in ms. */
-const LOOK_MILLISECONDS = 50;
+/** Interval between checks whether a killed daemon is still listed, in ms. */
+const CHECK_MILLISECONDS = 50;
 
-/** Within which changes have to be in force, in ms. */
+/** Time within which changes have to be in force, in ms. */
 const CHANGE_BOUND_MILLISECONDS = 2_000;
 
-/** Starts and ends everything. */
+/** Starts and stops the store, the runners and the daemons. */
 export class DemoSite {
   readonly site = new StandInSite({ changeBoundMilliseconds: CHANGE_BOUND_MILLISECONDS });
 
-  /** Where callers connect, as the directory has told them last. */
+  /** Caller addresses of the last answer of a directory. */
   addresses: readonly string[] = [];
 
-  /** Daemons that the demo has not ended. */
-  readonly living = new Set<SiteProcess>();
+  /** Daemons that the demo has neither stopped nor killed. */
+  readonly running = new Set<SiteProcess>();
 
   private readonly daemons: SiteProcess[] = [];
 
@@ -38,12 +38,12 @@
   private timer: NodeJS.Timeout | undefined;
 
   /**
-   * @param count - of daemons.
+   * @param count - number of daemons.
    */
   async start(count: number): Promise<void> {
     const program = buildDaemon(this.folder);
     await this.site.start();
-    for (let index = 0; index < RUNNERS_A_SERVICE; index += 1) {
+    for (let index = 0; index < RUNNERS_PER_SERVICE; index += 1) {
       await this.site.addRunner({ id: `plain-${index}`, service: 'plain', workMilliseconds: 15 });
       await this.site.addRunner({
         id: `engine-${index}`,
@@ -55,18 +55,18 @@
       const settings = await this.site.settingsOf(`daemon-${index}`);
       const daemon = new SiteProcess({ settings, folder: this.folder, program });
       this.daemons.push(daemon);
-      this.living.add(daemon);
+      this.running.add(daemon);
       daemon.start();
     }
     for (const daemon of this.daemons) await this.site.until(() => daemon.isReady());
-    await this.site.until(() => this.isNamedByAll(count));
+    await this.site.until(() => this.areAllListed(count));
     this.timer = setInterval(() => {
       void this.resolve();
     }, RESOLVE_MILLISECONDS);
     await this.resolve();
   }
 
-  /** Ends everything. */
+  /** Stops all parts and removes their files. */
   async stop(): Promise<void> {
     clearInterval(this.timer);
     await Promise.all(this.daemons.map((daemon) => daemon.kill()));
@@ -75,49 +75,49 @@
   }
 
   /**
-   * @param index - of a daemon.
-   * @returns The daemon, which counts as ended from now on.
+   * @param index - index of a daemon that is about to be stopped or killed.
+   * @returns The daemon, which no longer counts as running.
    */
-  take(index: number): SiteProcess {
+  remove(index: number): SiteProcess {
     const daemon = this.daemons[index] as SiteProcess;
-    this.living.delete(daemon);
+    this.running.delete(daemon);
     return daemon;
   }
 
   /**
-   * @param dead - a daemon that has just been killed.
-   * @param longest - how long it is waited for, in ms.
-   * @returns How long any living daemon's directory went on to name it, in ms.
+   * @param killed - a daemon that has just been killed.
+   * @param observed - how long the directories are observed, in ms.
+   * @returns Time until no directory of a running daemon listed it any more, in ms.
    */
-  async namedFor(dead: SiteProcess, longest: number): Promise<number> {
+  async millisecondsListed(killed: SiteProcess, observed: number): Promise<number> {
     const since = performance.now();
-    let lastNamed = since;
-    while (performance.now() - since < longest) {
-      if (await this.isNamed(dead)) lastNamed = performance.now();
+    let lastListedAt = since;
+    while (performance.now() - since < observed) {
+      if (await this.isListed(killed)) lastListedAt = performance.now();
       await new Promise((done) => {
-        setTimeout(done, LOOK_MILLISECONDS);
+        setTimeout(done, CHECK_MILLISECONDS);
       });
     }
-    return Math.round(lastNamed - since);
+    return Math.round(lastListedAt - since);
   }
 
-  private async isNamed({ settings }: SiteProcess): Promise<boolean> {
+  private async isListed({ settings }: SiteProcess): Promise<boolean> {
     const answers = await this.askAll();
     return answers.some((answer) => answer.includes(settings.addresses.callers));
   }
 
-  private async isNamedByAll(count: number): Promise<boolean> {
+  private async areAllListed(count: number): Promise<boolean> {
     const answers = await this.askAll();
     return answers.every((answer) => answer.length === count);
   }
 
   private askAll(): Promise<(readonly string[])[]> {
-    return Promise.all([...this.living].map(({ settings }) => askDirectory(settings)));
+    return Promise.all([...this.running].map(({ settings }) => askDirectory(settings)));
   }
 
-  /** Callers keep what they know while nobody answers. */
+  /** Keeps the addresses of the last answer while no directory answers. */
   private async resolve(): Promise<void> {
-    for (const { settings } of this.living) {
+    for (const { settings } of this.running) {
       const addresses = await askDirectory(settings);
       if (addresses.length === 0) continue;
       this.addresses = addresses;
--- a/demo/SiteDemoCommand.ts
+++ b/demo/SiteDemoCommand.ts
@@ -1,5 +1,6 @@
 /**
- * Under load a runner dies, a daemon is stopped as planned, another is killed, and the configuration changes.
+ * Runs a site under load while a runner crashes, a daemon is stopped as planned, another is killed, and the configuration
+ * changes.
  */
 import { Option } from 'clipanion';
 
@@ -10,37 +11,37 @@
 import { siteConfiguration } from '../standIns/site/StandInSite.js';
 import { DemoSite } from './DemoSite.js';
 
-/** One is stopped, one is killed, and one has to be left. */
+/** One daemon is stopped, one is killed, and one has to stay. */
 const FEWEST_DAEMONS = 3;
 
-/** More of them do not fit into a usual machine. */
+/** More daemons do not fit into the memory of a usual machine. */
 const MOST_DAEMONS = 100;
 
-/** A killed daemon is looked for until the end, and its lease would end after nine seconds. */
+/** The directories are checked for the killed daemon until the end; its lease alone would end after nine seconds. */
 const FEWEST_SECONDS = 10;
 
 const MOST_SECONDS = 600;
 
-/** Requests a second. */
+/** Requests per second. */
 const RATE = 40;
 
-/** When the troubles come, as shares of the time. */
-const RUNNER_DIES_AT = 0.2;
+/** Times of the faults, as shares of the whole time. */
+const RUNNER_CRASHES_AT = 0.2;
 const DAEMON_STOPS_AT = 0.35;
 const DAEMON_KILLED_AT = 0.6;
 const CONFIGURATION_AT = 0.75;
 
-/** What dies in the middle of requests costs some of them; planned work costs none. */
+/** A crash interrupts the requests in progress; a planned stop does not. */
 const MINIMUM_SERVED_SHARE = 0.95;
 
-/** A killed daemon is out of all answers of the directory within this time, in ms: the promise of docs/PROMISES.md. */
-const DIRECTORY_AIM_MILLISECONDS = 3_000;
+/** Maximum time for which directories may list a killed daemon, in ms; see docs/PROMISES.md. */
+const MAXIMUM_LISTED_MILLISECONDS = 3_000;
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
 const OK = 200;
 
-/** Plays the site and judges what callers got. */
+/** Runs the demo and checks the answers that callers received. */
 export class SiteDemoCommand extends ProgramCommand {
   static override usage = ProgramCommand.Usage({
     description: 'play a site whose parts die',
@@ -79,22 +80,22 @@
   }
 
   private async play(demo: DemoSite, seconds: number): Promise<number> {
-    const named = this.plan(demo, seconds);
+    const listed = this.scheduleFaults(demo, seconds);
     const addresses = () => demo.addresses;
     const result = await runSiteLoad({ addresses, rate: RATE, seconds });
     this.print(JSON.stringify(result));
     const share = (result.statuses[OK] ?? 0) / result.sent;
     const isServed = share >= MINIMUM_SERVED_SHARE;
     this.print(`${(share * 100).toFixed(1)} % served${isServed ? '' : ': too few'}`);
-    const milliseconds = await named;
-    const isOut = milliseconds <= DIRECTORY_AIM_MILLISECONDS;
-    const verdict = isOut ? '' : `, and may be for ${DIRECTORY_AIM_MILLISECONDS} ms at most`;
+    const milliseconds = await listed;
+    const isOut = milliseconds <= MAXIMUM_LISTED_MILLISECONDS;
+    const verdict = isOut ? '' : `, and may be for ${MAXIMUM_LISTED_MILLISECONDS} ms at most`;
     this.print(`the directory named the killed daemon for ${milliseconds} ms${verdict}`);
     return isServed && isOut ? EXIT_SUCCESS : EXIT_FAILURE;
   }
 
-  /** @returns For how long the killed daemon is named, in ms. */
-  private plan(demo: DemoSite, seconds: number): Promise<number> {
+  /** @returns Time until no directory lists the killed daemon any more, in ms. */
+  private scheduleFaults(demo: DemoSite, seconds: number): Promise<number> {
     const { site } = demo;
     const length = seconds * MILLISECONDS_PER_SECOND;
     const at = (share: number, text: string, act: () => void) =>
@@ -102,16 +103,16 @@
         this.print(text);
         act();
       }, share * length);
-    at(RUNNER_DIES_AT, 'a runner dies', () => site.runners[0]?.stop());
-    at(DAEMON_STOPS_AT, 'daemon-0 is stopped as planned', () => demo.take(0).signal('SIGTERM'));
+    at(RUNNER_CRASHES_AT, 'a runner dies', () => site.runners[0]?.stop());
+    at(DAEMON_STOPS_AT, 'daemon-0 is stopped as planned', () => demo.remove(0).signal('SIGTERM'));
     at(CONFIGURATION_AT, 'the configuration changes', () => {
       site.store.write('op/config', siteConfiguration(2));
     });
     return new Promise((done) => {
       at(DAEMON_KILLED_AT, 'daemon-1 is killed', () => {
-        const killed = demo.take(1);
+        const killed = demo.remove(1);
         killed.signal('SIGKILL');
-        done(demo.namedFor(killed, (1 - DAEMON_KILLED_AT) * length));
+        done(demo.millisecondsListed(killed, (1 - DAEMON_KILLED_AT) * length));
       });
     });
   }
--- a/demo/Story.ts
+++ b/demo/Story.ts
@@ -1,33 +1,33 @@
 /**
- * What the demo prints: a line for each thing that happened, and a failure when it was not what it had to be.
+ * Output of the demo: one line for each event and for each check.
  */
 
-/** Prints the story and keeps count of what went wrong. */
+/** Prints the lines and counts the failed checks. */
 export class Story {
   private failed = 0;
 
-  /** @returns Checks that failed. */
+  /** @returns Number of failed checks. */
   get failures(): number {
     return this.failed;
   }
 
   /**
-   * @param title - of what comes next.
+   * @param title - title of the next section.
    */
   chapter(title: string): void {
     process.stdout.write(`\n${title}\n`);
   }
 
   /**
-   * @param line - what happened.
+   * @param line - description of an event.
    */
   tell(line: string): void {
     process.stdout.write(`  ${line}\n`);
   }
 
   /**
-   * @param holds - whether it is as it has to be.
-   * @param line - what was expected and what was seen.
+   * @param holds - whether the check succeeded.
+   * @param line - the expectation and the result.
    */
   check(holds: boolean, line: string): void {
     if (!holds) this.failed += 1;
--- a/demo/demo.ts
+++ b/demo/demo.ts
@@ -1,6 +1,6 @@
 /**
- * The main job in a minute: both firms' chats and a handover on separate processes, while a daemon and a
- * runner are killed. `npm run demo [-- --binary dist/baobabdock --logs DIRECTORY]`.
+ * Shows the main features within a minute, with separate processes: a chat of one firm and a handover of the other, while
+ * a daemon and a runner are killed. `npm run demo [-- --binary dist/baobabdock --logs DIRECTORY]`.
  */
 import { parseArgs } from 'node:util';
 
@@ -11,7 +11,7 @@
 import { startTwoFirms, waitForGates } from '../standIns/fleet/twoFirms.js';
 import { Story } from './Story.js';
 
-/** An opening as long as a catalogue page, so that a cached prefix shows. */
+/** Prompt text that is long enough for a cached prefix to be noticeable. */
 const CATALOGUE = 'Glazed stoneware, 60 x 60, matt, frost-proof, R10. '.repeat(80);
 
 const OPENING = [
@@ -30,17 +30,17 @@
   return `status ${status} by ${entry}, runner ${runner}, ${cachedTokens} tokens cached, ${ending}`;
 }
 
-/** One showroom's conversation, as the demo plays it. */
+/** The chat of one caller. */
 class Showroom {
   private readonly client: CallerClient;
 
   private entries: readonly string[] = [];
 
   /**
-   * @param story - where it is told.
-   * @param model - whom it talks to.
-   * @param chat - name of the conversation.
-   * @param options - where to start and as whom.
+   * @param story - output of the demo.
+   * @param model - name of the model.
+   * @param chat - name of the chat.
+   * @param options - addresses of daemons, and the key of the client account.
    */
   constructor(
     private readonly story: Story,
@@ -51,14 +51,14 @@
     this.client = new CallerClient(options);
   }
 
-  /** Asks which addresses to use, and keeps the answer. */
+  /** Asks which addresses to use, and keeps them for the next requests. */
   async locate(): Promise<void> {
     this.entries = await this.client.locate(`model=${this.model}&chat=${this.chat}`);
     this.story.tell(`${this.chat}: locate says ${this.entries.join(', ')}`);
   }
 
   /**
-   * @param messages - the conversation so far.
+   * @param messages - messages of the chat so far.
    * @returns The answer.
    */
   async ask(messages: typeof OPENING): Promise<CallResult> {
--- a/demo/siteDemo.ts
+++ b/demo/siteDemo.ts
@@ -1,5 +1,5 @@
 /**
- * A site on a platform in half a minute: daemons as processes before stand-ins of a store and of runners.
+ * Demo of a site on a platform, half a minute long: daemons as processes, with stand-ins for the store and the runners.
  * `npm run demo:site [-- --daemons 20 --seconds 20]`.
  */
 import { createProgram } from '../src/commands/createProgram.js';
