--- a/tools/buildPlatform.ts
+++ b/tools/buildPlatform.ts
@@ -9,13 +9,13 @@
 import { build } from 'esbuild';
 import type { BuildOptions, Plugin } from 'esbuild';
 
-/** The folder that is written to: the first argument, or where the deployment looks for it. */
+/** Output folder: the first argument, or the one that the deployment uses. */
 const OUTPUT = process.argv[2] ?? 'target';
 
-/** Compiled code is good only for the options with which the runtime was started; see deploy/system.toml. */
+/** Options of the runtime; compiled code is valid only for those that it was created with, see deploy/system.toml. */
 const RUNTIME_OPTIONS = ['--max-old-space-size=160', '--max-semi-space-size=1', '--v8-pool-size=0'];
 
-/** Loopback ports that a warm-up listens on; 0 takes any. */
+/** Loopback ports of the warm-up run; 0 means any free port. */
 const WARM_UP_SETTINGS = `
 router:
   name: "warm-up"
@@ -31,7 +31,7 @@
   store: "127.0.0.1:1"
 `;
 
-/** What libraries load and the daemon never uses: 0.4 of 1.2 MB, which each start would read and keep. */
+/** Modules that libraries load and the daemon never uses: 0.4 of 1.2 MB, which each process would keep in memory. */
 const UNUSED: readonly {
   readonly importer: RegExp;
   readonly path: RegExp;
@@ -62,7 +62,7 @@
   },
 };
 
-/** The runtime's own wrapper of a module, in the file itself: adding it at the start would copy the whole text. */
+/** The runtime's module wrapper, written into the file: adding it at each start would copy the whole text. */
 const MODULE_WRAPPER = {
   banner: { js: '(function (exports, require, module, __filename, __dirname) {' },
   footer: { js: '})' },
--- a/tools/chartFiles.ts
+++ b/tools/chartFiles.ts
@@ -6,9 +6,9 @@
 
 import type { ChartDefinition } from '../src/charts/chartTypes.js';
 
-/** A chart with the file it stands in. */
+/** A chart and its file. */
 export interface ChartFile {
-  /** Relative to the root. */
+  /** Path relative to the root. */
   readonly path: string;
   readonly chart: ChartDefinition;
 }
--- a/tools/generatedPages.ts
+++ b/tools/generatedPages.ts
@@ -10,11 +10,11 @@
 import { formatSettingsReference } from '../src/settings/settingsReference.js';
 import { readChartFiles } from './chartFiles.js';
 
-/** One page. */
+/** A generated page. */
 export interface GeneratedPage {
-  /** Relative to the root. */
+  /** Path relative to the root. */
   readonly path: string;
-  /** As the formatter leaves it. */
+  /** Formatted content. */
   readonly content: string;
 }
 
@@ -35,7 +35,7 @@
 /**
  * Generates all pages.
  *
- * @returns The pages as they have to be.
+ * @returns The pages with their expected content.
  */
 export async function generatePages(): Promise<GeneratedPage[]> {
   const drafts = [
--- a/tools/knownRed.ts
+++ b/tools/knownRed.ts
@@ -3,14 +3,14 @@
  */
 import { existsSync, readFileSync } from 'node:fs';
 
-/** More known faults than this mean that the project does not work. */
+/** Maximum number of entries; with more known faults the project counts as broken. */
 export const MAXIMUM_KNOWN_RED = 3;
 
 const SEPARATOR = '|';
 
 /** A test that failed. */
 export interface FailedTest {
-  /** Relative to the root. */
+  /** Path relative to the root. */
   readonly file: string;
   readonly name: string;
 }
@@ -22,10 +22,10 @@
   readonly line: string;
 }
 
-/** What a run means. */
+/** Result of a test run. */
 export interface Verdict {
   readonly passed: boolean;
-  /** To be printed after the runner's own summary. */
+  /** Lines to print after the summary of the test runner. */
   readonly lines: readonly string[];
 }
 
--- a/tools/runTests.ts
+++ b/tools/runTests.ts
@@ -15,10 +15,10 @@
 
 const FOLDERS = ['src', 'platform', 'standIns', 'measure', 'tools', 'demo', 'tests', 'soak'];
 
-/** Leaves room on a shared machine; several specs start real sockets. */
+/** Number of concurrent processes; leaves room on a shared machine, since several specs use real sockets. */
 const CONCURRENCY = 4;
 
-/** Specs that take the processor away from all others; they run by themselves, after these. */
+/** Specs that use all processors; they run alone, after all others. */
 const ALONE: ReadonlySet<string> = new Set(['tests/busyMachine.spec.ts']);
 
 /** A spec that hangs would otherwise hang CI, which then shows no verdict at all. */
