--- a/standIns/site/callSite.ts
+++ b/standIns/site/callSite.ts
@@ -61,18 +61,22 @@
     request.once('error', fail);
     request.once('response', (response) => {
       const chunks: Buffer[] = [];
+      let hasLeft = false;
       response.on('error', () => undefined);
       response.on('data', (chunk: Buffer) => {
         if (chunks.length === 0) onData();
         chunks.push(chunk);
-        if (leaves(Buffer.concat(chunks).toString())) response.destroy();
+        if (!leaves(Buffer.concat(chunks).toString())) return;
+        hasLeft = true;
+        response.destroy();
       });
       response.once('close', () =>
         done({
           status: response.statusCode ?? 0,
           headers: response.headers,
           body: Buffer.concat(chunks).toString(),
-          isComplete: response.complete,
+          // The rest of the answer may have been read with the part after which the caller leaves.
+          isComplete: response.complete && !hasLeft,
         }),
       );
     });
