Crash reports: use the detector of pauses that is there

CrashRelay measured by itself whether its process had stood still. PauseDetector does that, with messages that are read before the first timer included. The tests of the relay are unchanged.

--- a/src/quarantine/CrashRelay.ts
+++ b/src/quarantine/CrashRelay.ts
@@ -14,6 +14,7 @@
 import type { FleetSocket } from '../news/FleetSocket.js';
 import { MessageRepeater } from '../news/MessageRepeater.js';
 import type { CallScheduler, RepeatedItem } from '../news/MessageRepeater.js';
+import { PauseDetector } from '../requests/PauseDetector.js';
 import type { Clock } from '../time/Clock.js';
 import { fromMessage, toMessage } from './crashSummaryCodec.js';
 import type { QuarantineDecisions } from './QuarantineDecisions.js';
@@ -55,9 +56,6 @@
 /** Interval between comparisons with another daemon, in ms. */
 const EXCHANGE_MILLISECONDS = 1_000;
 
-/** A comparison that is late by more shows that this process stood still, in ms. */
-const LONGEST_DELAY_MILLISECONDS = 1_000;
-
 /** Messages that arrive within this time after a standstill may have waited for its end, in ms. */
 const STALE_MILLISECONDS = 500;
 
@@ -69,11 +67,10 @@
 
   private isStopped = false;
 
-  /** When the last comparison was made, monotonic ms. */
-  private comparedAt = Number.NEGATIVE_INFINITY;
-
-  /** Until then messages are ignored, monotonic ms. */
-  private staleUntil = Number.NEGATIVE_INFINITY;
+  private readonly pauses = new PauseDetector({
+    heartbeatMilliseconds: EXCHANGE_MILLISECONDS,
+    settleMilliseconds: STALE_MILLISECONDS,
+  });
 
   /**
    * @param options - the decisions, and the recipients of reports.
@@ -91,10 +88,9 @@
 
   /** Starts the periodic comparisons. */
   start(): void {
-    this.comparedAt = this.now;
+    this.pauses.recordHeartbeat(this.now);
     this.options.later(() => {
       if (this.isStopped) return;
-      if (this.hasStoodStill) this.staleUntil = this.now + STALE_MILLISECONDS;
       this.compareWithPeer();
       this.start();
     }, EXCHANGE_MILLISECONDS);
@@ -151,18 +147,12 @@
     return this.options.clock.monotonicMilliseconds();
   }
 
-  /**
-   * Whether this process has just stood still. What waited for it holds ages that are too small, so that crashes would be
-   * taken for later ones; it is told again.
-   */
-  private get hasStoodStill(): boolean {
-    return this.now - this.comparedAt > EXCHANGE_MILLISECONDS + LONGEST_DELAY_MILLISECONDS;
-  }
-
   private take({ daemon, records, answerTo, quarantined }: CrashReport): void {
     const { decisions, merge } = this.options;
     const { now } = this;
-    if (daemon === this.options.daemon || this.hasStoodStill || now < this.staleUntil) return;
+    if (daemon === this.options.daemon) return;
+    // The ages in what waited for this process are too small, so that its crashes would count again; it is told again.
+    if (this.pauses.possibleDelay(now) > 0) return;
     merge(
       records.map((record) => fromMessage(record, now)),
       daemon,
