Path to the runners: the last failure is the time of its loss

The confirmation carried a time that the recorded failures have already, and confirmLoss kept a flag beside the set of pending probes that says the same. Signatures of callbacks in the spec follow; its assertions are unchanged.

--- a/src/handover/RunnerPath.spec.ts
+++ b/src/handover/RunnerPath.spec.ts
@@ -62,7 +62,7 @@
 
   // Guards against a daemon that refuses what the runners that are left could serve, because several others are down.
   it('is not lost by runners that are down while another one accepts a connection', () => {
-    const answers: ((isReached: boolean, now: number) => void)[] = [];
+    const answers: ((isReached: boolean) => void)[] = [];
     path = new RunnerPath({
       runnerCount: () => RUNNERS,
       onChange: (isLost) => changes.push(isLost),
@@ -71,10 +71,10 @@
     fail('a', 'b', 'c', 'd', 'e', 'f', 'g');
     expect([path.isLost, answers.length]).toEqual([false, 1]);
     path.recordAccepted(5);
-    answers.shift()?.(true, 5);
+    answers.shift()?.(true);
     expect(changes).toEqual([]);
     fail('a', 'b', 'c', 'd');
-    answers.shift()?.(false, 90);
+    answers.shift()?.(false);
     expect(changes).toEqual([true]);
   });
 
--- a/src/handover/RunnerPath.ts
+++ b/src/handover/RunnerPath.ts
@@ -24,9 +24,9 @@
   /**
    * Finds out whether any other runner accepts a connection; without it, the failures in a row decide.
    *
-   * @param done - called once with the result, and when it is known, in monotonic ms.
+   * @param done - called once with the result, after the failures that it comes from have been recorded.
    */
-  confirm?: (done: (isReached: boolean, now: number) => void) => void;
+  confirm?: (done: (isReached: boolean) => void) => void;
 }
 
 /** Counts failures and successes of connections to runners. */
@@ -54,11 +54,7 @@
    * @param options - the number of runners, and the listener.
    */
   constructor(options: RunnerPathOptions) {
-    this.options = {
-      onChange: () => undefined,
-      confirm: (done) => done(false, this.failedAt),
-      ...options,
-    };
+    this.options = { onChange: () => undefined, confirm: (done) => done(false), ...options };
   }
 
   /** @returns Whether this daemon reaches no runner. */
@@ -85,11 +81,11 @@
     this.failedAt = now;
     if (this.isLost || this.isConfirming || !this.isInDoubt) return;
     this.isConfirming = true;
-    this.options.confirm((isReached, confirmedAt) => {
+    this.options.confirm((isReached) => {
       this.isConfirming = false;
       if (isReached || this.isLost || !this.isInDoubt) return;
-      this.lostAt = confirmedAt;
-      this.options.onChange(true, confirmedAt);
+      this.lostAt = this.failedAt;
+      this.options.onChange(true, this.failedAt);
     });
   }
 
--- a/src/handover/RunnerPathMonitor.ts
+++ b/src/handover/RunnerPathMonitor.ts
@@ -76,21 +76,17 @@
   /**
    * Probes runners all over the list, since those of one service stand together and may all be down.
    *
-   * @param done - called once, with whether one has accepted a connection, and the time.
+   * @param done - called once, with whether one has accepted a connection.
    */
-  confirmLoss(done: (isReached: boolean, now: number) => void): void {
-    const pending = new Set(this.spreadRunners(PROBED_TO_CONFIRM));
-    let isDone = false;
-    const finish = (isReached: boolean) => {
-      if (isDone) return;
-      isDone = true;
-      done(isReached, this.options.clock.monotonicMilliseconds());
-    };
-    if (pending.size === 0) finish(false);
-    for (const runner of [...pending]) {
+  confirmLoss(done: (isReached: boolean) => void): void {
+    const probed = this.spreadRunners(PROBED_TO_CONFIRM);
+    const pending = new Set(probed);
+    if (pending.size === 0) done(false);
+    for (const runner of probed) {
       this.probe(runner, (isAccepted) => {
-        pending.delete(runner);
-        if (isAccepted || pending.size === 0) finish(isAccepted);
+        if (!pending.delete(runner)) return;
+        if (isAccepted) pending.clear();
+        if (pending.size === 0) done(isAccepted);
       });
     }
   }
