Quarantine: subjects as a request and its parts, names of parts in one place

- A request's subjects are typed as the request and its parts, so that nobody filters them apart again or needs a digest for an empty list.
- Which parts are quarantined was computed at the end of every request; now only where one was refused or broken off for it.
- The version that a request is held to stood twice in ForwardedRequest.
No change of behaviour; the assertions of the tests are unchanged.

--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -198,6 +198,11 @@
     return this.relay.hasHead && this.stream.lastEventId === undefined;
   }
 
+  /** Version at which alone the request may run; any if `undefined`. */
+  private get softwareVersion(): string | undefined {
+    return this.stream.softwareVersion ?? this.quarantine.softwareVersion;
+  }
+
   private verdictOn(attempt: RunnerAttempt, failure: AttemptFailure): AttemptVerdict {
     // The caller already has the beginning of this answer, and another runner's answer cannot continue it.
     if (this.bufferedAnswers.isPassing(attempt)) return { verdict: 'cut' };
@@ -214,9 +219,9 @@
     const sharedParts = this.quarantine.isRepeatedSuspect ? [] : this.request.sharedParts;
     const tried = this.tried.excluded;
     const now = this.now();
-    const softwareVersion = this.stream.softwareVersion ?? this.quarantine.softwareVersion;
+    const { softwareVersion } = this;
     if (this.quarantine.isExcludedFrom(softwareVersion)) {
-      this.endWithQuarantine();
+      this.endWithRefusal(this.quarantine.refusal);
       return;
     }
     const { needsVersion } = this.versions;
@@ -304,7 +309,7 @@
     if (this.answerFallback()) return;
     const now = this.now();
     const isLate = now >= this.request.deadlineAt;
-    const softwareVersion = this.stream.softwareVersion ?? this.quarantine.softwareVersion;
+    const { softwareVersion } = this;
     const unavailability = this.context.unavailabilityOf({ ...this.request, softwareVersion }, now);
     this.endWith(daemonAnswerFor({ verdict, failure, isLate, unavailability }));
   }
@@ -368,10 +373,6 @@
   /** Ends a request that was put into quarantine; cancelling it may save the runner that is working on it. */
   protected override onQuarantined(): void {
     if (this.relay.isDone) return;
-    this.endWithQuarantine();
-  }
-
-  private endWithQuarantine(): void {
     this.endWithRefusal(this.quarantine.refusal);
   }
 
@@ -386,10 +387,9 @@
     this.quarantine.end();
     this.versions.end();
     const { firstAnswerAt, tried, relay } = this;
-    const { quarantinedParts } = this.quarantine;
     this.report.ended({
       ...{ event, outcome, status: relay.status, firstAnswerAt, tried: tried.count },
-      quarantinedParts: outcome === 'quarantined' ? quarantinedParts : undefined,
+      quarantinedParts: outcome === 'quarantined' ? this.quarantine.quarantinedParts : undefined,
     });
   }
 
--- a/src/forwarding/QuarantineSession.spec.ts
+++ b/src/forwarding/QuarantineSession.spec.ts
@@ -4,6 +4,7 @@
 
 import { SilentLog } from '../logging/Log.js';
 import { partSubject } from '../quarantine/requestSubjects.js';
+import type { RequestSubjects } from '../quarantine/requestSubjects.js';
 import type { CrashSubject } from '../quarantine/quarantineTypes.js';
 import { RequestQuarantine } from '../quarantine/RequestQuarantine.js';
 import { Runner } from '../runners/Runner.js';
@@ -35,9 +36,9 @@
     quarantine = new RequestQuarantine({ runners: new RunnerTable(), clock, log, crashes });
   });
 
-  function sessionOf(...subjects: CrashSubject[]): QuarantineSession {
+  function sessionOf(...subjects: RequestSubjects): QuarantineSession {
     const active = new Set([ATTEMPT]);
-    const onQuarantined = () => ended.push(subjects[0]?.digest ?? '');
+    const onQuarantined = () => ended.push(subjects[0].digest);
     return new QuarantineSession({
       ...{ quarantine, subjects, service: 'chat', active, onQuarantined },
     });
--- a/src/forwarding/QuarantineSession.ts
+++ b/src/forwarding/QuarantineSession.ts
@@ -7,6 +7,7 @@
 import type { QuarantineListener } from '../quarantine/InFlightSubjects.js';
 import type { CrashSubject } from '../quarantine/quarantineTypes.js';
 import type { RequestQuarantine } from '../quarantine/RequestQuarantine.js';
+import type { RequestSubjects } from '../quarantine/requestSubjects.js';
 import type { DaemonAnswer } from './AnswerRelay.js';
 import type { AttemptFailure, RunnerAttempt } from './RunnerAttempt.js';
 
@@ -23,8 +24,7 @@
 /** Options of a {@link QuarantineSession}. */
 export interface QuarantineSessionOptions {
   quarantine: RequestQuarantine;
-  /** The request as a whole, then the shared parts of its prompt. */
-  subjects: readonly CrashSubject[];
+  subjects: RequestSubjects;
   service: string;
   /** Attempts in progress. */
   active: ReadonlySet<RunnerAttempt>;
@@ -39,6 +39,8 @@
 
   private readonly options: QuarantineSessionOptions;
 
+  private readonly whole: CrashSubject;
+
   private readonly parts: readonly CrashSubject[];
 
   /** Whether the request was let through to see whether runners still crash. */
@@ -55,7 +57,7 @@
    */
   constructor(options: QuarantineSessionOptions) {
     this.options = options;
-    this.parts = options.subjects.filter(({ part }) => part !== undefined);
+    [this.whole, ...this.parts] = options.subjects;
   }
 
   /** @returns Whether more than one runner has crashed while it was running the request, or a part of its prompt. */
@@ -68,8 +70,7 @@
    * many requests share, is no reason against that: most of these are sound.
    */
   get mayRunAgain(): boolean {
-    const whole = this.options.subjects.filter(({ part }) => part === undefined);
-    return !this.options.quarantine.hasRepeatedCrashes(whole);
+    return !this.options.quarantine.hasRepeatedCrashes([this.whole]);
   }
 
   /** @returns Whether the request may be hedged, which only requests that are not suspects may. */
@@ -181,11 +182,9 @@
 
   /** Whether the runner already answers on the parts of the prompt, so that only the request as a whole may crash it. */
   private get hasPassedParts(): boolean {
-    const { quarantine, subjects, active } = this.options;
+    const { quarantine, active } = this.options;
     if (!this.streaming || !active.has(this.streaming.attempt)) return false;
-    return subjects.every(
-      ({ digest, part }) => part !== undefined || quarantine.stateOf(digest) !== 'quarantined',
-    );
+    return quarantine.stateOf(this.whole.digest) !== 'quarantined';
   }
 
   /** The request as a whole may still crash the runner later on. */
--- a/src/forwarding/RequestParts.ts
+++ b/src/forwarding/RequestParts.ts
@@ -81,7 +81,7 @@
       task: context.streamVersions,
     });
     const subjects = requestSubjects({ ...request, body });
-    const [{ digest } = { digest: '' }] = subjects;
+    const [{ digest }] = subjects;
     this.report = new RequestReport({ request, context, digest });
     this.quarantine = new QuarantineSession({
       quarantine: context.quarantine,
--- a/src/quarantine/QuarantineTrials.ts
+++ b/src/quarantine/QuarantineTrials.ts
@@ -9,7 +9,7 @@
 import type { QuarantineDecisions } from './QuarantineDecisions.js';
 import { quarantineLogEvents } from './quarantineFeature.js';
 import { nextTrialAt, TRIAL_GAP_MILLISECONDS } from './nextTrialAt.js';
-import { hashOfVersion } from './requestSubjects.js';
+import { hashOfVersion, namesOfParts } from './requestSubjects.js';
 
 /** Where a quarantined request may run. */
 export interface QuarantineExemption {
@@ -103,11 +103,8 @@
     begunAt.set(key, now);
     const [oldest = key] = begunAt.keys();
     if (begunAt.size > MAXIMUM_TRIALS) begunAt.delete(oldest);
-    const parts = digests.map((digest) => decisions.summaryOf(digest)?.part);
-    log.write(quarantineLogEvents.trialBegun, {
-      digests: key,
-      parts: parts.filter((part) => part !== undefined).join() || undefined,
-    });
+    const parts = namesOfParts(digests.map((digest) => decisions.summaryOf(digest)));
+    log.write(quarantineLogEvents.trialBegun, { digests: key, parts });
     return true;
   }
 }
--- a/src/quarantine/RequestQuarantine.ts
+++ b/src/quarantine/RequestQuarantine.ts
@@ -21,7 +21,7 @@
 import { nextTrialAt } from './nextTrialAt.js';
 import { QuarantineTrials } from './QuarantineTrials.js';
 import type { CrashSubject, CrashSummary, SubjectState } from './quarantineTypes.js';
-import { hashOfVersion } from './requestSubjects.js';
+import { hashOfVersion, namesOfParts } from './requestSubjects.js';
 
 /** Maximum number of digests, and of parts, in one log line. */
 const MAXIMUM_LOGGED = 12;
@@ -176,11 +176,7 @@
    */
   quarantinedPartsOf(subjects: readonly CrashSubject[]): string | undefined {
     const { digests = [] } = this.decisions.verdictOn(subjects) ?? {};
-    const parts = subjects
-      .filter(({ digest }) => digests.includes(digest))
-      .map(({ part }) => part)
-      .filter((part) => part !== undefined);
-    return parts.join() || undefined;
+    return namesOfParts(subjects.filter(({ digest }) => digests.includes(digest)));
   }
 
   /**
@@ -301,7 +297,6 @@
     const { crashes, log } = this.options;
     const { now } = this;
     const requests = subjects.filter(({ part }) => part === undefined);
-    const parts = new Set(subjects.map(({ part }) => part).filter((part) => part !== undefined));
     if (isFirst) crashes.increment();
     log.write(quarantineLogEvents.runnerCrashed, {
       runner: runner.entry.id,
@@ -312,7 +307,7 @@
         .slice(0, MAXIMUM_LOGGED)
         .map(({ digest }) => digest)
         .join(),
-      parts: [...parts].slice(0, MAXIMUM_LOGGED).join() || undefined,
+      parts: namesOfParts(subjects, MAXIMUM_LOGGED),
     });
     this.decisions.crashed(subjects, crash, now);
     this.notifyChange();
--- a/src/quarantine/requestSubjects.ts
+++ b/src/quarantine/requestSubjects.ts
@@ -34,19 +34,35 @@
   return { digest, part: `${service}/${id}`.slice(0, MAXIMUM_NAME_LENGTH) };
 }
 
+/** The request as a whole, then the shared parts of its prompt. */
+export type RequestSubjects = readonly [CrashSubject, ...CrashSubject[]];
+
 /**
  * @param request - a completely received request.
- * @returns The request as a whole, then the shared parts of its prompt.
+ * @returns What a crash under it may be due to.
  */
 export function requestSubjects({
   service,
   sharedParts,
   ...request
-}: PromptedRequest): readonly CrashSubject[] {
+}: PromptedRequest): RequestSubjects {
   const parts = [...new Set(sharedParts)].slice(0, MAXIMUM_PARTS);
   return [{ digest: requestDigest(request) }, ...parts.map((part) => partSubject(service, part))];
 }
 
+/**
+ * @param subjects - subjects of any requests; those without a record may be missing.
+ * @param maximum - maximum number of names.
+ * @returns Names of the parts among them, for the log; `undefined` if there are none.
+ */
+export function namesOfParts(
+  subjects: readonly (CrashSubject | undefined)[],
+  maximum = Number.POSITIVE_INFINITY,
+): string | undefined {
+  const names = subjects.map((subject) => subject?.part).filter((part) => part !== undefined);
+  return [...new Set(names)].slice(0, maximum).join() || undefined;
+}
+
 /**
  * @param softwareVersion - version of a runner's software; empty if it has none.
  * @returns Its hash, as crash records hold it.
