--- a/src/quarantine/CrashDetector.ts
+++ b/src/quarantine/CrashDetector.ts
@@ -5,6 +5,7 @@
  */
 import murmurhash from 'murmurhash';
 
+import { setLatest } from '../collections/setLatest.js';
 import { probeRunner } from '../forwarding/probeRunner.js';
 import type { ProbeResult } from '../forwarding/probeRunner.js';
 import type { Runner } from '../runners/Runner.js';
@@ -164,11 +165,7 @@
       this.recentOf(this.abandonedRequests, runner) ??
       new CrashCase(runner, this.options.clock.monotonicMilliseconds());
     kept.add(request);
-    this.abandonedRequests.delete(life);
-    this.abandonedRequests.set(life, kept);
-    const [oldest = life] = this.abandonedRequests.keys();
-    if (this.abandonedRequests.size > MAXIMUM_ABANDONED_RUNNERS)
-      this.abandonedRequests.delete(oldest);
+    setLatest(this.abandonedRequests, life, kept, MAXIMUM_ABANDONED_RUNNERS);
   }
 
   /** @returns Whether the runner has an open case, to which the request was added. */
--- a/src/quarantine/CrashRecord.ts
+++ b/src/quarantine/CrashRecord.ts
@@ -2,6 +2,7 @@
  * Runner crashes that occurred while requests with a given subject were running there, and which of them still count
  * against it.
  */
+import { setLatest } from '../collections/setLatest.js';
 import type { CrashSubject, CrashSummary, RunnerCrash, VersionAnswer } from './quarantineTypes.js';
 
 /**
@@ -170,10 +171,7 @@
 
   private excuseUntil(versionHash: number, at: number): void {
     const latest = Math.max(at, this.excusedUntil.get(versionHash) ?? at);
-    this.excusedUntil.delete(versionHash);
-    this.excusedUntil.set(versionHash, latest);
-    const [oldest = versionHash] = this.excusedUntil.keys();
-    if (this.excusedUntil.size > MAXIMUM_VERSIONS) this.excusedUntil.delete(oldest);
+    setLatest(this.excusedUntil, versionHash, latest, MAXIMUM_VERSIONS);
   }
 
   private changesCount(change: () => void): boolean {
--- a/src/quarantine/QuarantineTrials.ts
+++ b/src/quarantine/QuarantineTrials.ts
@@ -2,6 +2,7 @@
  * Lets quarantined requests run where they may be sound: at a software version that answers them, and, one at a time, to
  * see whether runners still crash.
  */
+import { setLatest } from '../collections/setLatest.js';
 import type { Log } from '../logging/Log.js';
 import type { RunnerTable } from '../runners/RunnerTable.js';
 import type { Clock } from '../time/Clock.js';
@@ -99,10 +100,7 @@
     const key = digests.join();
     const before = begunAt.get(key) ?? Number.NEGATIVE_INFINITY;
     if (!isOwner(key) || now - before < TRIAL_GAP_MILLISECONDS) return false;
-    begunAt.delete(key);
-    begunAt.set(key, now);
-    const [oldest = key] = begunAt.keys();
-    if (begunAt.size > MAXIMUM_TRIALS) begunAt.delete(oldest);
+    setLatest(begunAt, key, now, MAXIMUM_TRIALS);
     const parts = namesOfParts(digests.map((digest) => decisions.summaryOf(digest)));
     log.write(quarantineLogEvents.trialBegun, { digests: key, parts });
     return true;
--- a/src/quarantine/RecentAnswers.ts
+++ b/src/quarantine/RecentAnswers.ts
@@ -2,6 +2,7 @@
  * Times at which runners of each software version last answered requests with a subject: what was answered does not crash
  * runners.
  */
+import { setLatest } from '../collections/setLatest.js';
 import type { VersionAnswer } from './quarantineTypes.js';
 
 /** Maximum number of entries; holds some minutes of a daemon's requests with their parts. */
@@ -21,12 +22,7 @@
    * @param answer - the answer of a runner.
    */
   record(digest: string, { versionHash, at }: VersionAnswer): void {
-    const key = keyOf(digest, versionHash);
-    this.answeredAt.delete(key);
-    this.answeredAt.set(key, at);
-    if (this.answeredAt.size <= MAXIMUM_ENTRIES) return;
-    const [oldest] = this.answeredAt.keys();
-    if (oldest !== undefined) this.answeredAt.delete(oldest);
+    setLatest(this.answeredAt, keyOf(digest, versionHash), at, MAXIMUM_ENTRIES);
   }
 
   /**
--- a/src/quarantine/RecentRejections.ts
+++ b/src/quarantine/RecentRejections.ts
@@ -5,6 +5,7 @@
  * What fails without it: the most frequent requests are at each runner that crashes of overload, are quarantined, and are
  * refused by the whole fleet from then on.
  */
+import { setLatest } from '../collections/setLatest.js';
 import type { RunnerCrash } from './quarantineTypes.js';
 
 /**
@@ -26,10 +27,7 @@
    * @param now - monotonic ms.
    */
   record(life: number, now: number): void {
-    this.rejectedAt.delete(life);
-    this.rejectedAt.set(life, now);
-    const [oldest = life] = this.rejectedAt.keys();
-    if (this.rejectedAt.size > MAXIMUM_LIVES) this.rejectedAt.delete(oldest);
+    setLatest(this.rejectedAt, life, now, MAXIMUM_LIVES);
   }
 
   /**
--- a/src/requests/RetryBudget.ts
+++ b/src/requests/RetryBudget.ts
@@ -8,6 +8,7 @@
  * ratio) × requests + burst for each account and each pool. The budget does not depend on time,
  * so the limit holds for any period.
  */
+import { setLatest } from '../collections/setLatest.js';
 
 /** Options of a {@link RetryBudget}. */
 export interface RetryBudgetOptions {
@@ -104,10 +105,6 @@
   }
 
   private setLevel(key: string, level: number): void {
-    this.buckets.delete(key);
-    this.buckets.set(key, level);
-    if (this.buckets.size <= this.maximumBuckets) return;
-    const [oldest] = this.buckets.keys();
-    if (oldest !== undefined) this.buckets.delete(oldest);
+    setLatest(this.buckets, key, level, this.maximumBuckets);
   }
 }
