Soak and tests: one reading of prompt parts, of fatal requests and of a constant rate

- The parts of a prompt were read by the soak and by a test alike; the stand-in site has the one reading (independent of the daemon's own).
- Which requests crash runners stood four times in the soak's site and checks.
- Both new tests sent requests at a constant rate by a loop of their own.
Assertions and bounds are unchanged.

--- a/soak/RunBook.ts
+++ b/soak/RunBook.ts
@@ -1,6 +1,7 @@
 /**
  * What the runners ran.
  */
+import { promptPartsOf } from '../standIns/site/promptParts.js';
 import type { ReceivedRequest } from '../standIns/site/siteRunnerTypes.js';
 
 /** A request that a runner began to run. */
@@ -18,15 +19,6 @@
   readonly parts: readonly string[];
 }
 
-/**
- * @param headers - head of a request.
- * @returns Ids of the parts of its prompt.
- */
-export function promptPartsOf(headers: ReceivedRequest['headers']): string[] {
-  const text = String(headers['prompt-prefix'] ?? '');
-  return text.split(',').map((part) => part.split(':', 1)[0] ?? '');
-}
-
 /** Keeps all runs. */
 export class RunBook {
   readonly all: SoakRun[] = [];
--- a/soak/SoakCallers.ts
+++ b/soak/SoakCallers.ts
@@ -21,8 +21,8 @@
   readonly daemon: number;
   readonly path: string;
   readonly body: string;
-  /** A part of its prompt that crashes runners. */
-  readonly part?: string | undefined;
+  /** Parts of its prompt that it was given; others are its own. */
+  readonly parts: readonly string[];
   /** Monotonic ms. */
   readonly sentAt: number;
   readonly endedAt: number;
@@ -194,9 +194,10 @@
     const id = `call-${this.sent}`;
     const body = repeated ?? `body of ${id}`;
     const sentAt = performance.now();
-    const call = { id, kind, daemon: index, path, body, part, takesUp, sentAt };
-    const shared = part === undefined ? '' : `${part}:100,`;
-    const prompt = `a${this.sent % PROMPTS}:2000,${shared}b${this.sent}:50`;
+    const parts = part === undefined ? [] : [part];
+    const call = { id, kind, daemon: index, path, body, parts, takesUp, sentAt };
+    const given = parts.map((one) => `${one}:100,`).join('');
+    const prompt = `a${this.sent % PROMPTS}:2000,${given}b${this.sent}:50`;
     const isStream = kind === 'chat' || kind === 'story';
     const headers = {
       'Attempt-Id': id,
--- a/soak/SoakSite.ts
+++ b/soak/SoakSite.ts
@@ -4,6 +4,7 @@
 import type { IncomingMessage } from 'node:http';
 
 import type { RouterSettings } from '../src/router/routerFeature.js';
+import { promptPartsOf } from '../standIns/site/promptParts.js';
 import { SiteProcess } from '../standIns/site/SiteProcess.js';
 import { SiteRunner } from '../standIns/site/SiteRunner.js';
 import type { Brittleness } from '../standIns/site/siteRunnerTypes.js';
@@ -12,13 +13,12 @@
 import { FaultHistory } from './FaultHistory.js';
 import { DaemonLink } from '../standIns/link/DaemonLink.js';
 import { watchLateness } from '../standIns/link/watchLateness.js';
-import { promptPartsOf, RunBook } from './RunBook.js';
+import { RunBook } from './RunBook.js';
 import { SoakDaemon } from './SoakDaemon.js';
 import {
   CHANGE_BOUND_MILLISECONDS,
   EVENTS,
-  FATAL_BODY,
-  FATAL_PART,
+  isFatal,
   MAXIMUM_ATTEMPTS,
   STOP_SECONDS,
   TIMEOUT_MILLISECONDS,
@@ -205,9 +205,7 @@
       workMilliseconds: WORK_MILLISECONDS,
       onRan: (request, from) => this.runs.note(request, id, from),
       ...(service === 'plain' && { slots: PLAIN_SLOTS }),
-      isFatal: ({ body, headers }) =>
-        body.startsWith(FATAL_BODY) ||
-        promptPartsOf(headers).some((part) => part.startsWith(FATAL_PART)),
+      isFatal: ({ body, headers }) => isFatal({ body, parts: promptPartsOf(headers) }),
       onCrashed: () => this.crashed(runner),
       onRestarted: () => {
         void this.listAnew(runner);
--- a/soak/checks/AnswerChecks.spec.ts
+++ b/soak/checks/AnswerChecks.spec.ts
@@ -32,6 +32,7 @@
     kind: 'chat',
     daemon: 0,
     path: '/chat/x',
+    parts: [],
     body: 'body',
     sentAt: SENT_AT,
     endedAt: SENT_AT + 100,
--- a/soak/checks/PathChecks.ts
+++ b/soak/checks/PathChecks.ts
@@ -3,7 +3,7 @@
  */
 import type { FaultHistory, PlayedFault } from '../FaultHistory.js';
 import type { Call } from '../SoakCallers.js';
-import { CONTACT_MILLISECONDS, FATAL_BODY } from '../soakBounds.js';
+import { CONTACT_MILLISECONDS, isFatal } from '../soakBounds.js';
 import type { Contact } from './Contact.js';
 import type { Violations } from './Violations.js';
 
@@ -67,8 +67,7 @@
   private isCounted(call: Call): boolean {
     const { contact, daemons } = this.options;
     // What crashes runners is refused everywhere.
-    const isFatal = call.part !== undefined || call.body.startsWith(FATAL_BODY);
-    if (isFatal || call.kind === 'look') return false;
+    if (isFatal(call) || call.kind === 'look') return false;
     if (!contact.holds(call.daemon, call.sentAt, call.endedAt)) return false;
     const indexes = Array.from({ length: daemons }, (_, index) => index);
     const isLong = ({ from }: PlayedFault) => call.sentAt >= from + CONTACT_MILLISECONDS;
--- a/soak/checks/StatementChecks.ts
+++ b/soak/checks/StatementChecks.ts
@@ -9,8 +9,9 @@
   CONTACT_MILLISECONDS,
   FATAL_BODY,
   FATAL_CRASHES,
-  FATAL_PART,
   FATAL_PART_CRASHES,
+  isFatal,
+  isFatalPart,
   LATENESS_MILLISECONDS,
   LATE_FATAL_RUNS,
   WORK_MILLISECONDS,
@@ -50,7 +51,7 @@
       this.lookAtFatal(fatal.filter((run) => run.body === body));
     }
     const parts = runs.all.flatMap((run) => run.parts);
-    for (const part of new Set(parts.filter((one) => one.startsWith(FATAL_PART)))) {
+    for (const part of new Set(parts.filter(isFatalPart))) {
       this.lookAtFatalPart(
         part,
         runs.all.filter((run) => run.parts.includes(part)),
@@ -83,13 +84,11 @@
   /** Requests without a part that crashes runners, long after the last crash. */
   private lookAtSound(runs: readonly SoakRun[]): void {
     const { calls, violations } = this.options;
-    const crashes = runs.filter(
-      ({ body, parts }) =>
-        body.startsWith(FATAL_BODY) || parts.some((part) => part.startsWith(FATAL_PART)),
-    );
+    const crashes = runs.filter(isFatal);
     const unsettled = WORK_MILLISECONDS + 2 * CONTACT_MILLISECONDS + LATENESS_MILLISECONDS;
-    for (const { id, body, part, sentAt, answer } of calls.values()) {
-      if (part !== undefined || body.startsWith(FATAL_BODY)) continue;
+    for (const call of calls.values()) {
+      if (isFatal(call)) continue;
+      const { id, sentAt, answer } = call;
       const isSettled = !crashes.some(({ at }) => sentAt > at && sentAt < at + unsettled);
       const isKept = !isSettled || !answer?.body.includes('quarantined');
       violations.check('sound requests are not quarantined', isKept, () => `${id} was`, id);
--- a/soak/checks/VersionChecks.spec.ts
+++ b/soak/checks/VersionChecks.spec.ts
@@ -12,7 +12,8 @@
 function callOf(id: string, status: number, version: string, takesUp?: BrokenStream): Call {
   const body = `id: 1\ndata: token 1 for ${id} by ${version}\n\n`;
   return {
-    ...{ id, kind: 'chat', daemon: 0, path: '/chat/x', body: 'body', sentAt: 0, endedAt: 1 },
+    ...{ id, kind: 'chat', daemon: 0, path: '/chat/x', body: 'body', parts: [] },
+    ...{ sentAt: 0, endedAt: 1 },
     answer: { status, headers: {}, body: status === 200 ? body : '', isComplete: true },
     failure: undefined,
     takesUp,
--- a/soak/faults/runnerFaults.ts
+++ b/soak/faults/runnerFaults.ts
@@ -6,6 +6,7 @@
 import type { SiteRunner } from '../../standIns/site/SiteRunner.js';
 import type { RunnerBehaviour } from '../../standIns/site/siteRunnerTypes.js';
 import { SOFTWARE_VERSIONS } from '../SoakSite.js';
+import type { SoakCallers } from '../SoakCallers.js';
 import type { SoakDaemon } from '../SoakDaemon.js';
 import type { SoakService } from '../SoakSite.js';
 import {
@@ -116,55 +117,55 @@
 /** Beside all that a request may crash before it is kept from them, streams need runners to go on at. */
 const RUNNERS_BESIDE_FATAL = 4;
 
-/** @returns One of the daemons that run, in turn. */
-function runningDaemon({ daemons }: FaultGround['site'], turn: number): SoakDaemon | undefined {
-  const running = daemons.filter(({ isUp }) => isUp);
-  return running[turn % running.length];
-}
-
-/** A request that crashes each runner that runs it, and comes again at all daemons in turn. */
-export class FatalRequest extends Fault {
-  private readonly repeats = this.draw.between(8, 30);
+/** Requests that crash each runner that runs them, sent to all daemons in turn. */
+abstract class FatalRequests extends Fault {
+  protected abstract readonly repeats: number;
 
-  private readonly pause = this.draw.between(50, 300);
+  /** Time from one request to the next, in ms. */
+  protected abstract readonly pause: number;
 
-  private readonly body = `${FATAL_BODY} ${this.draw.random()}`;
+  /** Sends the next request. */
+  protected abstract send(callers: SoakCallers, daemon: SoakDaemon): Promise<unknown>;
 
   override async play({ site, callers }: FaultGround): Promise<void> {
-    const { body } = this;
     for (let added = 0; added < RUNNERS_BESIDE_FATAL; added += 1) await site.addRunner('engine');
     await wait(CHANGE_BOUND_MILLISECONDS);
     const calls: Promise<unknown>[] = [];
     for (let sent = 0; sent < this.repeats; sent += 1) {
-      const daemon = runningDaemon(site, sent);
-      if (daemon) calls.push(callers.call(daemon, 'story', undefined, undefined, { body }));
+      const running = site.daemons.filter(({ isUp }) => isUp);
+      const daemon = running[sent % running.length];
+      if (daemon) calls.push(this.send(callers, daemon));
       await wait(this.pause);
     }
     await Promise.all(calls);
   }
 }
 
-/** A part of prompts that crashes each runner that runs it, in requests of which no two are alike, at all daemons in turn. */
-export class FatalPart extends Fault {
-  private readonly repeats = this.draw.between(20, 50);
+/** A request that comes again. */
+export class FatalRequest extends FatalRequests {
+  protected override readonly repeats = this.draw.between(8, 30);
+
+  protected override readonly pause = this.draw.between(50, 300);
+
+  private readonly body = `${FATAL_BODY} ${this.draw.random()}`;
+
+  protected override send(callers: SoakCallers, daemon: SoakDaemon): Promise<unknown> {
+    return callers.call(daemon, 'story', undefined, undefined, { body: this.body });
+  }
+}
+
+/** Requests of which no two are alike, with the same part in their prompts. */
+export class FatalPart extends FatalRequests {
+  protected override readonly repeats = this.draw.between(20, 50);
 
-  private readonly pause = this.draw.between(80, 400);
+  protected override readonly pause = this.draw.between(80, 400);
 
   private readonly kind = this.draw.one(['chat', 'story'] as const);
 
   private readonly part = `${FATAL_PART}${this.draw.between(1, 1e9).toString(16)}`;
 
-  override async play({ site, callers }: FaultGround): Promise<void> {
-    const { kind, part } = this;
-    for (let added = 0; added < RUNNERS_BESIDE_FATAL; added += 1) await site.addRunner('engine');
-    await wait(CHANGE_BOUND_MILLISECONDS);
-    const calls: Promise<unknown>[] = [];
-    for (let sent = 0; sent < this.repeats; sent += 1) {
-      const daemon = runningDaemon(site, sent);
-      if (daemon) calls.push(callers.call(daemon, kind, undefined, undefined, { part }));
-      await wait(this.pause);
-    }
-    await Promise.all(calls);
+  protected override send(callers: SoakCallers, daemon: SoakDaemon): Promise<unknown> {
+    return callers.call(daemon, this.kind, undefined, undefined, { part: this.part });
   }
 }
 
--- a/soak/soakBounds.ts
+++ b/soak/soakBounds.ts
@@ -41,6 +41,22 @@
 /** A request with a part of its prompt that begins like this crashes each runner that runs it. */
 export const FATAL_PART = 'fa7a';
 
+/**
+ * @param part - id of a part of a prompt.
+ * @returns Whether it crashes runners.
+ */
+export function isFatalPart(part: string): boolean {
+  return part.startsWith(FATAL_PART);
+}
+
+/**
+ * @param request - body and parts of a request.
+ * @returns Whether it crashes each runner that runs it.
+ */
+export function isFatal({ body, parts }: { body: string; parts: readonly string[] }): boolean {
+  return body.startsWith(FATAL_BODY) || parts.some(isFatalPart);
+}
+
 /** Crashes after which no request with such a part is to run any more. */
 export const FATAL_PART_CRASHES = 5;
 
--- a/tests/fatalPromptParts.spec.ts
+++ b/tests/fatalPromptParts.spec.ts
@@ -8,6 +8,8 @@
 import { expect } from 'earl';
 
 import { callSite } from '../standIns/site/callSite.js';
+import { promptPartsOf } from '../standIns/site/promptParts.js';
+import { sendAtRate } from '../standIns/site/sendAtRate.js';
 import { StandInSite } from '../standIns/site/StandInSite.js';
 import type { SiteDaemon } from '../standIns/site/StandInSite.js';
 import type { ReceivedRequest } from '../standIns/site/siteRunnerTypes.js';
@@ -91,11 +93,6 @@
   readonly parts: readonly string[];
 }
 
-function sharedPartsOf({ headers }: ReceivedRequest): string[] {
-  const text = String(headers['prompt-prefix'] ?? '');
-  return text.split(',').map((part) => part.split(':', 1)[0] ?? '');
-}
-
 function servedShare(requests: readonly Ended[]): number {
   return requests.filter(({ isServed }) => isServed).length / requests.length;
 }
@@ -121,7 +118,7 @@
     site = new StandInSite({ changeBoundMilliseconds: 500, pollMilliseconds: 2 });
     await site.start();
     const fatalPartOf = (request: ReceivedRequest) =>
-      sharedPartsOf(request).find((part) => fatalParts.includes(part));
+      promptPartsOf(request.headers).find((part) => fatalParts.includes(part));
     for (let index = 0; index < RUNNERS; index += 1) {
       await site.addRunner({
         id: `engine-${index}`,
@@ -181,14 +178,7 @@
     from: number,
     call: (number: number) => Promise<unknown>,
   ): Promise<void> {
-    const calls: Promise<unknown>[] = [];
-    for (let number = 0; ; number += 1) {
-      const at = from + (number * 1_000) / perSecond;
-      if (at > PLAYED_MILLISECONDS) break;
-      await site.until(() => now() >= at);
-      calls.push(call(number));
-    }
-    await Promise.all(calls);
+    await sendAtRate({ site, now, perSecond, from, until: PLAYED_MILLISECONDS }, call);
   }
 
   async function play({ path, fatalParts, partsOf, companion }: Play): Promise<void> {
--- a/tests/runnersDown.spec.ts
+++ b/tests/runnersDown.spec.ts
@@ -7,6 +7,7 @@
 import { expect } from 'earl';
 
 import { callSite } from '../standIns/site/callSite.js';
+import { sendAtRate } from '../standIns/site/sendAtRate.js';
 import { StandInSite } from '../standIns/site/StandInSite.js';
 
 const DAEMONS = 6;
@@ -71,15 +72,10 @@
       const outcome = answer.status === 200 && answer.isComplete ? 'served' : answer.body;
       outcomes.set(outcome, (outcomes.get(outcome) ?? 0) + 1);
     };
-    const calls: Promise<void>[] = [];
-    for (let number = 0; ; number += 1) {
-      const at = (number * 1_000) / REQUESTS_PER_SECOND;
-      if (at > PLAYED_MILLISECONDS) break;
-      await site.until(() => performance.now() - startedAt >= at);
-      calls.push(send(number));
-    }
+    const now = () => performance.now() - startedAt;
+    const load = { site, now, perSecond: REQUESTS_PER_SECOND, until: PLAYED_MILLISECONDS };
+    await sendAtRate(load, send);
     clearInterval(crashes);
-    await Promise.all(calls);
     const refused = [...outcomes].filter(([outcome]) => outcome.includes('no_path'));
     expect(refused).toEqual([]);
   });
