Soak: requests of a surge begin at independent times, at daemons drawn by chance

Cause: the surge sent three requests at the same moment every 10 ms. Plain runners are full then, and one to two of the three find room. The request at the daemon with a path is there at once; those that are handed over come 3 to 5 ms later, so that it is always the first. Traced with each counted call printed: all refusals are 'full', from the daemon with the path. Ruled out: refusals by the cut daemon itself (their answers take a hand-over's time), a limit for handed over requests (the same admission), a load that makes processes late.

--- a/soak/faults/Fault.ts
+++ b/soak/faults/Fault.ts
@@ -44,6 +44,14 @@
     return Math.round(from + this.random() * (to - from));
   }
 
+  /**
+   * @param mean - of the gaps.
+   * @returns A gap between events that are independent of each other.
+   */
+  gap(mean: number): number {
+    return -Math.log(1 - this.random()) * mean;
+  }
+
   /**
    * @param choices - at least one.
    * @returns One of them.
--- a/soak/faults/runnerFaults.ts
+++ b/soak/faults/runnerFaults.ts
@@ -3,6 +3,7 @@
  */
 import { setTimeout as wait } from 'node:timers/promises';
 
+import { seededRandom } from '../../src/random/seededRandom.js';
 import type { SiteRunner } from '../../standIns/site/SiteRunner.js';
 import type { RunnerBehaviour } from '../../standIns/site/siteRunnerTypes.js';
 import { SOFTWARE_VERSIONS } from '../SoakSite.js';
@@ -16,7 +17,7 @@
   TIMEOUT_MILLISECONDS,
 } from '../soakBounds.js';
 import type { FaultGround } from './Fault.js';
-import { Fault } from './Fault.js';
+import { Draw, Fault } from './Fault.js';
 
 const SERVICES: readonly SoakService[] = ['plain', 'engine'];
 
@@ -255,15 +256,15 @@
 
 const BRITTLE = { limit: 3, waiting: 2 };
 
-/** Requests of a surge that begin at the same moment, and the time to the next ones, in ms. */
-const SURGE_REQUESTS = 3;
-const SURGE_PAUSE_MILLISECONDS = 10;
+/** Mean time from one request of a surge to the next, in ms. */
+const SURGE_GAP_MILLISECONDS = 10 / 3;
 
 /** Plain runners that crash when they reject more than a few requests a second, and a surge of requests for them. */
 export class BrittleRunnersInSurge extends Fault {
   private readonly milliseconds = this.draw.between(1_000, 2_500);
 
-  override async play({ site, callers, violations }: FaultGround): Promise<void> {
+  override async play(ground: FaultGround): Promise<void> {
+    const { site, violations } = ground;
     const text = `plain runners are brittle, with a surge of ${this.milliseconds} ms`;
     const over = site.history.begin({ kind: 'runner', runner: '', text });
     site.makePlainRunnersBrittle(BRITTLE);
@@ -271,7 +272,7 @@
     const runners = site.makePlainRunnersBrittle(BRITTLE);
     const crashes = () => runners.reduce((sum, runner) => sum + runner.crashes, 0);
     const before = crashes();
-    await this.surge(site, callers);
+    await this.surge(ground);
     const allowed = 2 + runners.length / 10;
     const fallen = crashes() - before;
     const told = () => `${fallen} of ${runners.length} brittle runners crashed`;
@@ -280,18 +281,19 @@
     over();
   }
 
-  private async surge(
-    { daemons }: FaultGround['site'],
-    callers: FaultGround['callers'],
-  ): Promise<void> {
+  /**
+   * Times and daemons are independent of each other: of requests that begin at the same moment, those of daemons that reach
+   * the runners themselves would always be the first to find room there.
+   */
+  private async surge(ground: FaultGround): Promise<void> {
+    const { site, callers } = ground;
     const calls: Promise<unknown>[] = [];
-    const until = performance.now() + this.milliseconds;
-    while (performance.now() < until) {
-      for (let sent = 0; sent < SURGE_REQUESTS; sent += 1) {
-        const daemon = daemons[calls.length % daemons.length];
-        if (daemon) calls.push(callers.call(daemon, 'read'));
-      }
-      await wait(SURGE_PAUSE_MILLISECONDS);
+    const startedAt = performance.now();
+    // Apart from the other draws, so that the faults after this one do not depend on how many requests there are.
+    const draw = new Draw(seededRandom(this.milliseconds), site.daemons.length);
+    for (let at = 0; at < this.milliseconds; at += draw.gap(SURGE_GAP_MILLISECONDS)) {
+      await wait(startedAt + at - performance.now());
+      calls.push(callers.call(this.daemonOf(ground, draw.daemon()), 'read'));
     }
     await Promise.all(calls);
   }
