Hand-over: a request goes on at no runner that has failed it for another daemon

Cause: the message of a hand-over has the number of attempts that may have run, and no runner; a broken answer does not say which runner it was. Each daemon excludes what it has tried itself. A runner that holds the prompt's parts is the best choice of all daemons, so the next one often chooses it again.

Change: the message tells the incarnations that may have run the request, and so do the head of a stream and the error after a break. Messages of daemons of an earlier version lack the list, and theirs ignore it.

--- a/src/forwarding/AnswerRelay.ts
+++ b/src/forwarding/AnswerRelay.ts
@@ -3,7 +3,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import { VERSION_HEADER } from '../handover/handOverHeaders.js';
+import { HEADERS_BETWEEN_DAEMONS } from '../handover/handOverHeaders.js';
 import { passingHeaders } from './forwardedHeaders.js';
 
 /** An error answer that the daemon generates; it never has a runner's signature. */
@@ -25,9 +25,6 @@
 /** Supplies an answer: an attempt at a runner, or a request that was handed over to another daemon. */
 export type AnswerSource = object;
 
-/** Headers of answers between daemons, which callers do not get. */
-const HEADERS_BETWEEN_DAEMONS: ReadonlySet<string> = new Set([VERSION_HEADER]);
-
 const BAD_GATEWAY = 502;
 
 /** Response to one caller. */
--- a/src/forwarding/ForwardedRequest.spec.ts
+++ b/src/forwarding/ForwardedRequest.spec.ts
@@ -8,6 +8,7 @@
 import type { ForwardedRequest } from './ForwardedRequest.js';
 import { forwardingLogEvents } from './forwardingFeature.js';
 import type { RequestUnderTestOptions } from './testRequest.js';
+import { TriedRunners } from './TriedRunners.js';
 import {
   DEADLINE_MILLISECONDS,
   eventOf,
@@ -56,7 +57,8 @@
     test = await RequestUnderTest.open();
     const statusAfter = (mayHaveRun: number) => {
       const response = new ServerResponse(new IncomingMessage(new Socket()));
-      test.createRequest(response, undefined, { isCounted: true, mayHaveRun }).start();
+      const tried = new TriedRunners({ mayHaveRun });
+      test.createRequest(response, undefined, { isCounted: true, tried }).start();
       return response.statusCode;
     };
     for (const kind of ['refused', 'busy']) {
--- a/src/forwarding/RequestParts.ts
+++ b/src/forwarding/RequestParts.ts
@@ -28,7 +28,8 @@
    */
   before?: {
     readonly isCounted: boolean;
-    readonly mayHaveRun: number;
+    /** Runners that it went to from there. */
+    readonly tried: TriedRunners;
     /** Version at which a stream goes on; any if it is missing. */
     readonly softwareVersion?: string | undefined;
   };
@@ -46,7 +47,7 @@
 
   protected readonly active = new ActiveAttempts();
 
-  protected readonly tried = new TriedRunners();
+  protected readonly tried: TriedRunners;
 
   protected readonly bufferedAnswers: BufferedAnswers;
 
@@ -73,6 +74,7 @@
     this.body = body;
     this.relay = relay;
     this.context = context;
+    this.tried = before?.tried ?? new TriedRunners();
     this.bufferedAnswers = new BufferedAnswers(relay);
     this.stream = new StreamedAnswer(relay);
     if (before?.softwareVersion !== undefined) this.stream.bindTo(before.softwareVersion);
@@ -95,10 +97,9 @@
     });
     this.retries = new RequestRetries({
       ...{ request, context, tried, quarantine, report },
-      ...(before && { maximumAttempts: before.mayHaveRun + 1 }),
+      ...(before && { maximumAttempts: tried.mayHaveRun + 1 }),
     });
     this.outcomes = new RunnerOutcomes({ context, report });
-    tried.mayHaveRun = before?.mayHaveRun ?? 0;
   }
 
   /** Called when the request has been put into quarantine. */
--- a/src/forwarding/TriedRunners.ts
+++ b/src/forwarding/TriedRunners.ts
@@ -14,10 +14,16 @@
 /** Maximum connect timeout, in ms; also the longest time until a recovered network link is noticed. */
 const MAXIMUM_CONNECT_MILLISECONDS = 720;
 
+/** Attempts of another daemon. */
+export interface TriedElsewhere {
+  readonly mayHaveRun: number;
+  readonly lives: readonly string[];
+}
+
 /** Attempts of one request, by the incarnations of the runners. */
 export class TriedRunners {
   /** Number of failed attempts that may have run. */
-  mayHaveRun = 0;
+  mayHaveRun: number;
 
   /** Number of attempts that reached no runner or were refused. */
   notRun = 0;
@@ -43,9 +49,25 @@
   /** Incarnations that did not accept a connection in time; they are tried again if no other runner is left. */
   private readonly unreached = new Set<string>();
 
+  /** Incarnations that may have run the request, or may be running it. */
+  private readonly mayRunAt = new Set<string>();
+
   /** Number of connect timeouts since the request may have run. */
   private timeoutsAfterRun = 0;
 
+  /**
+   * @param elsewhere - what another daemon did for the request: attempts that may have run, and incarnations of runners.
+   */
+  constructor({ mayHaveRun = 0, lives = [] }: Partial<TriedElsewhere> = {}) {
+    this.mayHaveRun = mayHaveRun;
+    this.recordElsewhere(lives);
+  }
+
+  /** @returns Incarnations of runners that may have run the request, or may be running it, here or for another daemon. */
+  get lives(): readonly string[] {
+    return [...this.mayRunAt];
+  }
+
   /** @returns Incarnations of runners that the next attempt must not use. */
   get excluded(): ReadonlySet<string> {
     return new Set([...this.asked, ...this.unreached]);
@@ -74,6 +96,7 @@
   recordAttempt(life: string): void {
     this.count += 1;
     this.asked.add(life);
+    this.mayRunAt.add(life);
   }
 
   /**
@@ -84,8 +107,11 @@
    */
   recordFailure(life: string, failure: AttemptFailure): void {
     if (failure === 'broken') this.needsNewConnection = true;
-    if (NOT_RUN.has(failure)) this.notRun += 1;
-    else this.mayHaveRun += 1;
+    if (NOT_RUN.has(failure)) {
+      this.notRun += 1;
+      // Another daemon may reach it.
+      this.mayRunAt.delete(life);
+    } else this.mayHaveRun += 1;
     this.isUnreached = failure === 'not_connected' || failure === 'connect_timeout';
     if (failure !== 'connect_timeout') return;
     if (this.mayHaveRun > 0) this.timeoutsAfterRun += 1;
@@ -93,6 +119,18 @@
     this.unreached.add(life);
   }
 
+  /**
+   * Records runners that may have run the request for another daemon.
+   *
+   * @param lives - their incarnations.
+   */
+  recordElsewhere(lives: readonly string[]): void {
+    for (const life of lives) {
+      this.asked.add(life);
+      this.mayRunAt.add(life);
+    }
+  }
+
   /** Records that a daemon took the request over and broke off, so that it may have run there. */
   recordLostHandOver(): void {
     this.mayHaveRun += 1;
--- a/src/handover/HandOverServer.ts
+++ b/src/handover/HandOverServer.ts
@@ -7,6 +7,7 @@
 import { ForwardedRequest } from '../forwarding/ForwardedRequest.js';
 import { forwardingLogEvents } from '../forwarding/forwardingFeature.js';
 import type { ForwardingContext } from '../forwarding/forwardingTypes.js';
+import { TriedRunners } from '../forwarding/TriedRunners.js';
 import { REFUSED_HEADER } from './handOverHeaders.js';
 import { decodeHandOver, HandOverError } from './handOverMessage.js';
 import type { ReceivedHandOver } from './handOverMessage.js';
@@ -127,12 +128,13 @@
   private forward({ handOver, body }: ReceivedHandOver, response: ServerResponse): void {
     const { context } = this;
     const { sender, remainingMilliseconds, isCounted, mayHaveRun, softwareVersion } = handOver;
+    const tried = new TriedRunners({ mayHaveRun, lives: handOver.tried ?? [] });
     const arrivedAt = context.clock.monotonicMilliseconds();
     const deadlineAt = arrivedAt + remainingMilliseconds;
     const request = { ...handOver.request, arrivedAt, deadlineAt };
-    const relay = new TakenOverRelay(response, () => context.stopPhase() !== 'serving');
+    const relay = new TakenOverRelay(response, () => context.stopPhase() !== 'serving', tried);
     context.log.write(forwardingLogEvents.takenOver, { request: request.id, from: sender });
-    const before = { isCounted, mayHaveRun, softwareVersion };
+    const before = { isCounted, tried, softwareVersion };
     const forwarded = new ForwardedRequest({ request, body, relay, context, before });
     response.once('close', () => forwarded.callerLeft());
     forwarded.start();
--- a/src/handover/HandOverSession.ts
+++ b/src/handover/HandOverSession.ts
@@ -73,11 +73,10 @@
     if (!task) return;
     this.current = new HandedOverRequest({
       ...options,
-      ...{ request, stream, task, clock },
+      ...{ request, stream, task, clock, tried },
       resumesAfter: () => stream.lastEventId,
       names: protocol.names,
       isCounted: true,
-      mayHaveRun: () => tried.mayHaveRun,
       isWanted,
       onEnd: (end) => this.handleEnd(end),
     });
--- a/src/handover/HandedOverRequest.spec.ts
+++ b/src/handover/HandedOverRequest.spec.ts
@@ -4,8 +4,11 @@
 import { expect } from 'earl';
 
 import {
+  BROKEN_HEADER,
   FULL_HEADER,
   REFUSED_HEADER,
+  TRIED_HEADER,
+  triedHeaderFor,
   UNREACHED_HEADER,
   VERSION_HEADER,
 } from './handOverHeaders.js';
@@ -88,6 +91,33 @@
     expect(peers.taken[1]?.received.handOver.softwareVersion).toEqual('v1.1');
   });
 
+  // Guards against a stream that goes on at the runner that broke it off, of which only the daemon in between knew.
+  it('learns the runners that the daemon in between has tried, and tells the next one', async () => {
+    await peers.add('one', {
+      answer: (_, response) => {
+        response.writeHead(200, { ...STREAM, [TRIED_HEADER]: triedHeaderFor(['a/1', 'b,2']) });
+        response.write(eventOf(1), () => response.destroy());
+      },
+    });
+    const { text } = await peers.handOver('stream');
+    expect(text.toLowerCase().includes(TRIED_HEADER)).toEqual(false);
+    await peers.handOver('stream', '1');
+    const told = peers.taken.map(({ received }) => received.handOver.tried);
+    expect(told).toEqual([[], ['a/1', 'b,2']]);
+  });
+
+  // Guards against a request that is repeated at a runner that has broken off before its answer began.
+  it('learns the runner at which it broke off', async () => {
+    await peers.add('one', {
+      answer: (_, response) => {
+        const headers = { [BROKEN_HEADER]: 'broken', [TRIED_HEADER]: triedHeaderFor(['a/1']) };
+        response.writeHead(502, headers).end('{}');
+      },
+    });
+    expect((await peers.handOver('idempotent')).end).toEqual('lost');
+    expect(peers.tried.lives).toEqual(['a/1']);
+  });
+
   // Guards against a daemon that is frozen, and reads later what was sent to it.
   it('is not sent to a daemon that does not confirm', async () => {
     await peers.add('frozen', { confirm: () => undefined, answer: answerPlainly });
--- a/src/handover/HandedOverRequest.ts
+++ b/src/handover/HandedOverRequest.ts
@@ -13,6 +13,7 @@
 import { forwardingLogEvents } from '../forwarding/forwardingFeature.js';
 import type { AdmittedRequest } from '../forwarding/forwardingTypes.js';
 import type { HeaderNames } from '../forwarding/RunnerProtocol.js';
+import type { TriedRunners } from '../forwarding/TriedRunners.js';
 import { isEventStream } from '../forwarding/StreamedAnswer.js';
 import type { StreamedAnswer } from '../forwarding/StreamedAnswer.js';
 import type { DaemonEntry } from '../sync/FleetStore.js';
@@ -22,6 +23,7 @@
   FULL_HEADER,
   REFUSED_HEADER,
   runnerVersionIn,
+  triedRunnersIn,
   UNREACHED_HEADER,
 } from './handOverHeaders.js';
 import { encodeHandOver } from './handOverMessage.js';
@@ -67,8 +69,8 @@
   names: Pick<HeaderNames, 'lastEventId' | 'signature'>;
   /** Whether this daemon has counted the request in its retry budget. */
   isCounted: boolean;
-  /** Returns the number of attempts that may have run. */
-  mayHaveRun: () => number;
+  /** Runners that the request was sent to. */
+  tried: Pick<TriedRunners, 'lives' | 'mayHaveRun' | 'recordElsewhere'>;
   /** Called when a daemon would take the request; returns whether it still has to be handed over. */
   isWanted: () => boolean;
   /** Called once, unless the request is cancelled. */
@@ -162,6 +164,7 @@
       this.handleUnreached(answer, offer.peer);
       return;
     }
+    this.options.tried.recordElsewhere(triedRunnersIn(answer.headers));
     if (answer.headers[BROKEN_HEADER] !== undefined) {
       answer.resume();
       this.lose(offer);
@@ -237,7 +240,7 @@
   }
 
   private messageFor(secret: string): Buffer {
-    const { task, request, body, clock, names, isCounted } = this.options;
+    const { task, request, body, clock, names, isCounted, tried } = this.options;
     const resumesAfter = this.options.resumesAfter();
     const { arrivedAt, deadlineAt, ...admitted } = request;
     const headers =
@@ -249,7 +252,8 @@
       request: { ...admitted, headers },
       remainingMilliseconds: deadlineAt - clock.monotonicMilliseconds(),
       isCounted,
-      mayHaveRun: this.options.mayHaveRun(),
+      mayHaveRun: tried.mayHaveRun,
+      tried: tried.lives,
       softwareVersion: this.options.stream.softwareVersion,
       hasBody: body !== undefined,
     };
@@ -257,12 +261,12 @@
   }
 
   private report({ name }: DaemonEntry): void {
-    const { task, request, mayHaveRun } = this.options;
+    const { task, request, tried } = this.options;
     const fields = {
       request: request.id,
       to: name,
       asked: this.asked.size,
-      mayHaveRun: mayHaveRun(),
+      mayHaveRun: tried.mayHaveRun,
     };
     task.log.write(forwardingLogEvents.handedOver, fields);
   }
--- a/src/handover/TakenOverRelay.spec.ts
+++ b/src/handover/TakenOverRelay.spec.ts
@@ -5,14 +5,16 @@
 
 import { expect } from 'earl';
 
+import { TriedRunners } from '../forwarding/TriedRunners.js';
 import type { DaemonAnswer } from '../forwarding/AnswerRelay.js';
-import { BROKEN_HEADER, UNREACHED_HEADER } from './handOverHeaders.js';
+import { BROKEN_HEADER, triedRunnersIn, UNREACHED_HEADER } from './handOverHeaders.js';
 import { TakenOverRelay } from './TakenOverRelay.js';
 
 /** Sends an error to another daemon and returns its headers. */
 async function headersOf(own: DaemonAnswer): Promise<IncomingHttpHeaders> {
   const server = createServer((_, response) => {
-    new TakenOverRelay(response, () => true).sendDaemonAnswer(own);
+    const tried = new TriedRunners({ lives: ['a/1'] });
+    new TakenOverRelay(response, () => true, tried).sendDaemonAnswer(own);
   });
   await new Promise<void>((done) => {
     server.listen(0, '127.0.0.1', done);
@@ -44,6 +46,7 @@
   it('says that the request may have run', async () => {
     const headers = await headersOf({ status: 502, reason: 'broken' });
     expect(headers[BROKEN_HEADER]).toEqual('broken');
+    expect(triedRunnersIn(headers)).toEqual(['a/1']);
   });
 
   it('says neither of a refusal that holds at any daemon', async () => {
--- a/src/handover/TakenOverRelay.ts
+++ b/src/handover/TakenOverRelay.ts
@@ -6,7 +6,15 @@
 
 import type { DaemonAnswer } from '../forwarding/AnswerRelay.js';
 import { AnswerRelay } from '../forwarding/AnswerRelay.js';
-import { BROKEN_HEADER, FULL_HEADER, UNREACHED_HEADER, VERSION_HEADER } from './handOverHeaders.js';
+import type { TriedRunners } from '../forwarding/TriedRunners.js';
+import {
+  BROKEN_HEADER,
+  FULL_HEADER,
+  TRIED_HEADER,
+  triedHeaderFor,
+  UNREACHED_HEADER,
+  VERSION_HEADER,
+} from './handOverHeaders.js';
 
 const BAD_GATEWAY = 502;
 
@@ -26,13 +34,17 @@
 export class TakenOverRelay extends AnswerRelay {
   private readonly answer: ServerResponse;
 
+  private readonly tried: Pick<TriedRunners, 'lives'>;
+
   /**
    * @param answer - response to the other daemon.
    * @param closes - returns whether the connection should be closed after this answer.
+   * @param tried - runners that get the request.
    */
-  constructor(answer: ServerResponse, closes: () => boolean) {
+  constructor(answer: ServerResponse, closes: () => boolean, tried: Pick<TriedRunners, 'lives'>) {
     super(answer, closes);
     this.answer = answer;
+    this.tried = tried;
   }
 
   override sendDaemonAnswer(own: DaemonAnswer): void {
@@ -41,17 +53,28 @@
   }
 
   override begin(answer: IncomingMessage, softwareVersion?: string): void {
-    if (softwareVersion !== undefined && !this.hasHead && !this.isDone) {
-      this.answer.setHeader(VERSION_HEADER, encodeURIComponent(softwareVersion));
+    if (!this.hasHead && !this.isDone) {
+      if (softwareVersion !== undefined) {
+        this.answer.setHeader(VERSION_HEADER, encodeURIComponent(softwareVersion));
+      }
+      this.tellTried();
     }
     super.begin(answer);
   }
 
+  /** The other daemon may have to go on, at a runner that has not failed the request. */
+  private tellTried(): void {
+    this.answer.setHeader(TRIED_HEADER, triedHeaderFor(this.tried.lives));
+  }
+
   /** A request that may have run elsewhere before cannot be refused any more, but may have reached nobody here. */
   private mark({ status, reason }: DaemonAnswer): void {
     if (status !== UNAVAILABLE && status !== BAD_GATEWAY) return;
     if (UNREACHED_REASONS.has(reason)) this.answer.setHeader(UNREACHED_HEADER, reason);
     else if (FULL_REASONS.has(reason)) this.answer.setHeader(FULL_HEADER, reason);
-    else if (status === BAD_GATEWAY) this.answer.setHeader(BROKEN_HEADER, reason);
+    else if (status === BAD_GATEWAY) {
+      this.answer.setHeader(BROKEN_HEADER, reason);
+      this.tellTried();
+    }
   }
 }
--- a/src/handover/handOverHeaders.ts
+++ b/src/handover/handOverHeaders.ts
@@ -21,6 +21,29 @@
 /** Software version of the runner that began the stream of an answer, URI-encoded. */
 export const VERSION_HEADER = 'handover-version';
 
+/** Incarnations of the runners that may have run the request, URI-encoded and separated by commas. */
+export const TRIED_HEADER = 'handover-tried';
+
+/** Headers of answers between daemons that callers do not get. */
+export const HEADERS_BETWEEN_DAEMONS: ReadonlySet<string> = new Set([VERSION_HEADER, TRIED_HEADER]);
+
+/**
+ * @param lives - incarnations of runners.
+ * @returns The value of the header that tells of them.
+ */
+export function triedHeaderFor(lives: readonly string[]): string {
+  return lives.map(encodeURIComponent).join(',');
+}
+
+/**
+ * @param headers - headers of another daemon's answer.
+ * @returns Incarnations of the runners that may have run the request, as far as the other daemon tells.
+ */
+export function triedRunnersIn(headers: IncomingHttpHeaders): string[] {
+  const text = headers[TRIED_HEADER];
+  return typeof text === 'string' && text !== '' ? text.split(',').map(decodeURIComponent) : [];
+}
+
 /**
  * @param headers - headers of another daemon's answer.
  * @returns Software version of the runner; `undefined` if the other daemon does not tell.
--- a/src/handover/handOverMessage.ts
+++ b/src/handover/handOverMessage.ts
@@ -20,6 +20,8 @@
   readonly isCounted: boolean;
   /** Number of attempts that may have run. */
   readonly mayHaveRun: number;
+  /** Incarnations of the runners that may have run the request; missing in messages of earlier versions. */
+  readonly tried?: readonly string[];
   /** Software version at which a stream goes on; any if it is missing. */
   readonly softwareVersion?: string | undefined;
   /** Whether the caller sent a body, which may be empty. */
--- a/src/handover/testPeers.ts
+++ b/src/handover/testPeers.ts
@@ -14,6 +14,7 @@
 import type { AdmittedRequest, ForwardingContext } from '../forwarding/forwardingTypes.js';
 import { SharedRetryBudget } from '../forwarding/SharedRetryBudget.js';
 import { StreamedAnswer } from '../forwarding/StreamedAnswer.js';
+import { TriedRunners } from '../forwarding/TriedRunners.js';
 import { TestProtocol } from '../forwarding/testProtocol.js';
 import { MetricRegistry } from '../metrics/MetricRegistry.js';
 import type { RequestQuarantine } from '../quarantine/RequestQuarantine.js';
@@ -70,6 +71,9 @@
   /** Requests that the daemons have read, with their names, in order. */
   readonly taken: { readonly by: string; readonly received: ReceivedHandOver }[] = [];
 
+  /** Runners that the requests were sent to. */
+  readonly tried = new TriedRunners();
+
   private readonly daemons: DaemonEntry[] = [];
 
   private readonly servers: Server[] = [];
@@ -210,7 +214,7 @@
       stream,
       names: { lastEventId: 'last-event', signature: 'signature' },
       isCounted: true,
-      mayHaveRun: () => 0,
+      tried: this.tried,
     });
   }
 
--- a/tests/handOver.spec.ts
+++ b/tests/handOver.spec.ts
@@ -18,6 +18,8 @@
 
 const RUNNERS = 4;
 
+const STREAMS = 20;
+
 /** Within this time a daemon has found out that its path is lost, in ms. */
 const NOTICED_MILLISECONDS = 2_000;
 
@@ -55,7 +57,8 @@
 
   beforeEach(async () => {
     log = new MemoryLog();
-    site = new StandInSite({ log, changeBoundMilliseconds: 1_000, hasLinks: true });
+    const retryRatio = 2;
+    site = new StandInSite({ log, changeBoundMilliseconds: 1_000, hasLinks: true, retryRatio });
     await site.start();
     for (let index = 0; index < RUNNERS; index += 1) {
       await site.addRunner({ id: `plain-${index}`, service: 'plain' });
@@ -135,6 +138,21 @@
     expect(site.runners.flatMap(({ ran }) => ran).length).toEqual(1);
   });
 
+  // Guards against a stream that breaks off at a runner, and goes on there because another daemon had chosen that runner.
+  it('has a stream go on at a runner that has not failed it before', async () => {
+    await sever(daemonAt(0));
+    for (const runner of site.runners) runner.behaviour = 'cuts_stream';
+    const runs: number[] = [];
+    for (let index = 0; index < STREAMS; index += 1) {
+      const id = `stream-${index}`;
+      await call(daemonAt(0), '/chat/x', { 'Attempt-Id': id, 'Prompt-Prefix': `${id}:80` });
+      const runsAt = site.runners.map(({ ran }) => ran.filter((run) => run.id === id).length);
+      runs.push(Math.max(...runsAt));
+      expect(runsAt.reduce((sum, count) => sum + count)).toEqual(2);
+    }
+    expect(runs).toEqual(runs.map(() => 1));
+  });
+
   it('serves itself again when its path is back', async () => {
     await sever(daemonAt(0));
     site.links?.rejoin('daemon-0');
