Soak: a crash excuses a request that its runner had not read yet

The excuse counts the faults of the runners that noted one.

A daemon's word alone excuses nothing: a fault of that runner has to be on meanwhile, and two of them in all, as before. Specs for both.

--- a/soak/checks/AnswerChecks.spec.ts
+++ b/soak/checks/AnswerChecks.spec.ts
@@ -197,6 +197,23 @@
     expect(brokenBy(CUT)).toEqual(['an answer or a refusal']);
   });
 
+  it('excuses by crashes of two runners, one of which had not read the request yet', () => {
+    const crashOf = (runner: string) => fault('runner', ...during, { runner });
+    const brokenWith = (...brokenAt: readonly string[]) => {
+      const brokenAttempts = () => new Map([['call-1', brokenAt]]);
+      const excuses = new Excuses({ history, runs, daemons: [] });
+      checks = new AnswerChecks({ runs, excuses, violations, brokenAttempts });
+      violations.all.length = 0;
+      return brokenBy(CUT);
+    };
+    runAt('engine-1');
+    crashOf('engine-1');
+    expect(brokenWith('engine-1', 'engine-2')).toEqual(['an answer or a refusal']);
+    crashOf('engine-2');
+    expect(brokenWith('engine-1')).toEqual(['an answer or a refusal']);
+    expect(brokenWith('engine-1', 'engine-2')).toEqual([]);
+  });
+
   it('excuses by lost paths of all daemons, and not of all but one', () => {
     const daemons = [0, 1].map((index) => ({ index, link: { ownHost: '' } }) as SoakDaemon);
     checks = new AnswerChecks({
--- a/soak/checks/Excuses.ts
+++ b/soak/checks/Excuses.ts
@@ -62,13 +62,15 @@
 
   /**
    * @param call - whose answer broke off.
+   * @param brokenAt - ids of runners at which daemons say that it broke off; one that crashes does not note what it has
+   * not read yet.
    * @returns Whether that may be.
    */
-  ofCutAnswer(call: Call): boolean {
+  ofCutAnswer(call: Call, brokenAt: readonly string[] = []): boolean {
     if (this.wasKilled(call) || this.touched(call, LOSSES, 'callers')) return true;
     if (this.isPastDeadline(call) || this.isPastStop(call)) return true;
     if (this.hadNoPathLeft(call)) return true;
-    return this.breaksOf(call) >= (call.kind === 'chat' ? MAXIMUM_ATTEMPTS : 1);
+    return this.breaksOf(call, brokenAt) >= (call.kind === 'chat' ? MAXIMUM_ATTEMPTS : 1);
   }
 
   /**
@@ -146,8 +148,9 @@
    * How often a runner, or the way to it, broke a request off; a cut lasts, and leaves nowhere to go on. A daemon whose path
    * is lost may send on connections that hang until it is in contact again.
    */
-  private breaksOf(call: Call): number {
-    const runners = new Set(this.options.runs.of(call.id).map(({ runner }) => runner));
+  private breaksOf(call: Call, brokenAt: readonly string[]): number {
+    const ran = this.options.runs.of(call.id).map(({ runner }) => runner);
+    const runners = new Set([...ran, ...brokenAt]);
     const broken = this.during(call, ['runner']).filter(({ runner = '' }) => runners.has(runner));
     const links = this.during(call, LOSSES).filter(
       ({ daemon, sides = [] }) => this.concerns(call, daemon) && sides.includes('runners'),
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -8,6 +8,7 @@
 
 import { seededRandom } from '../src/random/seededRandom.js';
 import { AnswerChecks } from './checks/AnswerChecks.js';
+import { brokenAttemptsIn } from './checks/brokenAttempts.js';
 import { ConfigurationChecks } from './checks/ConfigurationChecks.js';
 import { Contact } from './checks/Contact.js';
 import { DrainChecks } from './checks/DrainChecks.js';
@@ -50,7 +51,8 @@
   const violations = new Violations();
   const excuses = new Excuses({ history, runs, daemons });
   const contact = new Contact(history, daemons);
-  const answers = new AnswerChecks({ runs, excuses, violations });
+  const brokenAttempts = () => brokenAttemptsIn(daemons);
+  const answers = new AnswerChecks({ runs, excuses, violations, brokenAttempts });
   const drains = new DrainChecks({ runs, contact, violations, calls: answers.calls });
   const { calls } = answers;
   const statements = new StatementChecks({ runs, history, contact, violations, calls });
