--- a/soak/FaultHistory.ts
+++ b/soak/FaultHistory.ts
@@ -1,13 +1,13 @@
 /**
- * Which faults were on when: what a failed check prints, and what may excuse a request.
+ * Records which faults were active when. Failed checks print them, and they may excuse a request.
  */
 import type { LinkSide } from '../standIns/link/linkTypes.js';
 
 /**
- * What a fault does to those it touches: `stall` delays, `break` resets connections, `silence` leaves open ones dead,
- * `cut` holds back all of them in one direction, `kill`, `stop` (planned) and `pause` concern a process, `runner` is a
- * runner that breaks off or ends, `store` a store that misbehaves,
- * `path` a daemon that reaches no runner. A `configuration` is no fault, and told with them.
+ * Effect of a fault. `stall`: delays; `break`: connections are reset; `silence`: open connections carry nothing any more;
+ * `cut`: all traffic in one direction is held back; `kill`, `stop` (planned), `pause`: of a process; `runner`: a runner
+ * breaks requests off or ends; `store`: the store misbehaves; `path`: a daemon reaches no runner. A `configuration` is not a
+ * fault, but is listed with them.
  */
 export type FaultKind =
   | 'stall'
@@ -23,33 +23,33 @@
   | 'store'
   | 'configuration';
 
-/** What a fault touches. */
+/** A fault, and the parts that it affects. */
 export interface FaultRecord {
   readonly kind: FaultKind;
-  /** What is done, with its figures. */
+  /** Description for the report. */
   readonly text: string;
-  /** The daemon, or all of them. */
+  /** Position of the affected daemon; all daemons if left out. */
   readonly daemon?: number;
-  /** Sides of the daemon's link. */
+  /** Affected sides of the daemon's link. */
   readonly sides?: readonly LinkSide[];
   readonly runner?: string;
 }
 
-/** A fault with its times, monotonic ms. */
+/** A fault with its start and end, in monotonic ms. */
 export interface PlayedFault extends FaultRecord {
   readonly from: number;
   to: number;
 }
 
-/** Keeps what was played. */
+/** Keeps all faults of one soak. */
 export class FaultHistory {
   readonly played: PlayedFault[] = [];
 
   private readonly startedAt = performance.now();
 
   /**
-   * @param record - a fault that begins now.
-   * @returns To be called when it ends.
+   * @param record - a fault that starts now.
+   * @returns A function to be called when it ends.
    */
   begin(record: FaultRecord): () => void {
     const played = { ...record, from: performance.now(), to: Number.POSITIVE_INFINITY };
@@ -60,10 +60,11 @@
   }
 
   /**
-   * The soak's own threads stand still where the machine is busy: what they carry is late then, as through a fault.
+   * Records that a thread of the soak itself was delayed because the machine is busy. The traffic that it carries is late, as
+   * in a fault.
    *
-   * @param milliseconds - that a thread was late, until now.
-   * @param daemon - whose link it carries; all of them where it is the thread of the stand-ins.
+   * @param milliseconds - length of the delay, which ends now.
+   * @param daemon - daemon whose link the thread carries; left out for the thread of the stand-ins, which affects all.
    */
   noteLateness(milliseconds: number, daemon?: number): void {
     const to = performance.now();
@@ -74,10 +75,10 @@
   }
 
   /**
-   * @param kinds - of faults.
-   * @param from - monotonic ms.
-   * @param to - monotonic ms.
-   * @returns Those that were on at any moment from one to the other.
+   * @param kinds - kinds of faults.
+   * @param from - start of the period, monotonic ms.
+   * @param to - end of the period, monotonic ms.
+   * @returns The faults that were active at any time within the period.
    */
   during(kinds: readonly FaultKind[], from: number, to: number): PlayedFault[] {
     return this.played.filter(
@@ -85,14 +86,14 @@
     );
   }
 
-  /** @returns One line for each fault, with its times since the start in ms. */
+  /** @returns One line for each fault, with its start and end in ms since the start of the soak. */
   lines(): string[] {
     return this.played.map(({ from, to, text }) => `${this.at(from)} to ${this.at(to)}: ${text}`);
   }
 
   /**
-   * @param moment - monotonic ms.
-   * @returns It since the start of the soak.
+   * @param moment - a time, monotonic ms.
+   * @returns The time since the start of the soak, as text.
    */
   at(moment: number): string {
     const isOver = Number.isFinite(moment);
--- a/soak/RunBook.ts
+++ b/soak/RunBook.ts
@@ -1,21 +1,21 @@
 /**
- * What the runners ran.
+ * Records the requests that the runners have run.
  */
 import { promptPartsOf } from '../standIns/site/promptParts.js';
 import type { ReceivedRequest } from '../standIns/site/siteRunnerTypes.js';
 
-/** A request that a runner began to run. */
+/** A request that a runner has started to run. */
 export interface SoakRun {
   readonly id: string;
   readonly runner: string;
-  /** Monotonic ms. */
+  /** When it started, monotonic ms. */
   readonly at: number;
-  /** IP number of the link that it came through. */
+  /** IP address of the link that the request arrived through. */
   readonly from: string;
   readonly target: string;
   readonly body: string;
   readonly account: string | undefined;
-  /** Ids of the parts of its prompt. */
+  /** Ids of the parts of the prompt. */
   readonly parts: readonly string[];
 }
 
@@ -26,9 +26,9 @@
   private readonly byId = new Map<string, SoakRun[]>();
 
   /**
-   * @param request - that began to run.
-   * @param runner - id of the runner.
-   * @param from - IP number that it came from.
+   * @param request - the request.
+   * @param runner - id of the runner that runs it.
+   * @param from - IP address that it arrived from.
    */
   note({ id = '', target, body, headers }: ReceivedRequest, runner: string, from: string): void {
     const account = headers.tenant as string | undefined;
@@ -39,8 +39,8 @@
   }
 
   /**
-   * @param id - of a request.
-   * @returns Its runs.
+   * @param id - id of a request.
+   * @returns The runs of the request.
    */
   of(id: string): readonly SoakRun[] {
     return this.byId.get(id) ?? [];
--- a/soak/SoakCallers.ts
+++ b/soak/SoakCallers.ts
@@ -1,5 +1,5 @@
 /**
- * Callers of the soak: requests of all kinds at a steady rate, on connections that they keep.
+ * Callers of the soak: send requests of all kinds at a constant rate, on connections that are kept open.
  */
 import { Agent } from 'node:http';
 
@@ -11,28 +11,28 @@
 
 const OK = 200;
 
-/** What a request is for; `look` finds out which configuration is in force. */
+/** Kind of request; `look` finds out which configuration is in force. */
 export type CallKind = 'read' | 'order' | 'chat' | 'story' | 'look';
 
-/** One request with what its caller got. */
+/** One request with the answer that its caller received. */
 export interface Call {
   readonly id: string;
   readonly kind: CallKind;
   readonly daemon: number;
   readonly path: string;
   readonly body: string;
-  /** Parts of its prompt that it was given; others are its own. */
+  /** Parts of its prompt that the soak has chosen, without those that every request has. */
   readonly parts: readonly string[];
   /** Monotonic ms. */
   readonly sentAt: number;
   readonly endedAt: number;
-  /** What the caller got, also where it broke off. */
+  /** Answer that the caller received, possibly truncated. */
   readonly answer: SiteAnswer | undefined;
-  /** The error's code where no answer began. */
+  /** Code of the error if no answer began. */
   readonly failure: string | undefined;
-  /** The stream that broke off and goes on with this request. */
+  /** The broken stream that this request resumes. */
   readonly takesUp?: BrokenStream | undefined;
-  /** Whether its caller broke the connection off after some events, to take the stream up again. */
+  /** Whether the caller closed the connection after some events, to resume the stream elsewhere. */
   readonly hasLeft?: boolean;
 }
 
@@ -40,13 +40,13 @@
 export interface BrokenStream {
   /** Id of the request that brought the first event. */
   readonly first: string;
-  /** Number of events that the caller has. */
+  /** Number of events that the caller has received. */
   readonly events: number;
 }
 
 /**
- * @param call - that is over.
- * @returns The stream that its caller takes up again; `undefined` if there is none.
+ * @param call - a request that has ended.
+ * @returns The stream that its caller has to resume; `undefined` if there is none.
  */
 export function brokenStreamOf({ id, kind, answer, takesUp }: Call): BrokenStream | undefined {
   if (kind !== 'chat' || takesUp || answer?.status !== OK || answer.isComplete) return undefined;
@@ -58,9 +58,9 @@
 export interface SoakCallersOptions {
   daemons: readonly SoakDaemon[];
   random: () => number;
-  /** Requests a second. */
+  /** Requests per second. */
   rate: number;
-  /** Told of each request that is over. */
+  /** Called with each request that has ended. */
   onEnd: (call: Call) => void;
 }
 
@@ -70,31 +70,31 @@
   readonly path: string;
   /** Called when the answer begins. */
   readonly onData?: (() => void) | undefined;
-  /** Body of a request that comes again; one of its own by default. */
+  /** Body that several requests have in common; a unique one by default. */
   readonly body?: string | undefined;
-  /** A part of its prompt that other requests have. */
+  /** Part of its prompt that several requests have in common. */
   readonly part?: string | undefined;
   readonly takesUp?: BrokenStream | undefined;
 }
 
-/** Callers hear nothing for longer than any daemon may take, in ms. */
+/** Time without an answer after which a caller gives up, in ms; longer than any daemon may take. */
 const GIVE_UP_MILLISECONDS = 20_000;
 
 const RESOLVE_MILLISECONDS = 300;
 const MILLISECONDS_PER_SECOND = 1_000;
 
-/** These callers keep to a daemon until its process is gone, whatever the directory says. */
+/** Share of the requests that go to any running daemon, even if the directory no longer lists it. */
 const LOYAL_SHARE = 0.25;
 
-/** Callers reuse connections that have been idle for up to four fifths of the limit of `siteConfiguration`, in ms. */
+/** Idle time after which callers close a connection, in ms; four fifths of the limit in `siteConfiguration`. */
 const LONGEST_IDLE_MILLISECONDS = 12_000;
 
-/** Share of the chats whose callers lose them and take them up at another daemon. */
+/** Share of the chats whose callers close the connection and resume the stream at a daemon of their choice. */
 const LEAVING_SHARE = 0.05;
 
 const EVENTS_BEFORE_LEAVING = 5;
 
-/** Shares of the kinds, summed up. */
+/** Cumulative shares of the kinds of requests. */
 const KINDS: readonly (readonly [CallKind, number])[] = [
   ['chat', 0.45],
   ['order', 0.7],
@@ -104,10 +104,10 @@
 
 const PROMPTS = 20;
 
-/** The error of a caller who heard nothing. */
+/** Error of a caller that received nothing. */
 export const NOTHING_HEARD = 'nothing_heard';
 
-/** Sends requests, and tells of each when it is over. */
+/** Sends requests, and reports each one when it has ended. */
 export class SoakCallers {
   readonly pending = new Set<Promise<Call>>();
 
@@ -122,13 +122,13 @@
   private timers: NodeJS.Timeout[] = [];
 
   /**
-   * @param options - whom they call, and how often.
+   * @param options - the daemons, and the rate of requests.
    */
   constructor(options: SoakCallersOptions) {
     this.options = options;
   }
 
-  /** Sends requests from now on. */
+  /** Starts to send requests. */
   async start(): Promise<void> {
     await this.resolve();
     const resolve = () => {
@@ -143,7 +143,7 @@
     ];
   }
 
-  /** @returns Once all requests are over. */
+  /** @returns Resolves when all requests have ended. */
   async stop(): Promise<void> {
     for (const timer of this.timers) clearInterval(timer);
     while (this.pending.size > 0) await Promise.all(this.pending);
@@ -151,12 +151,12 @@
   }
 
   /**
-   * @param daemon - that gets the request.
-   * @param kind - of request.
-   * @param path - of a request that looks for a configuration.
+   * @param daemon - daemon that the request is sent to.
+   * @param kind - kind of request.
+   * @param path - its path, if it looks for a configuration.
    * @param onData - called when the answer begins.
-   * @param shared - a body that comes again, and a part of its prompt.
-   * @returns The request, once it is over.
+   * @param shared - body and part of the prompt that several requests have in common.
+   * @returns The request, when it has ended.
    */
   async call(
     daemon: SoakDaemon,
@@ -253,7 +253,7 @@
     return among[Math.floor(random() * among.length)] as SoakDaemon;
   }
 
-  /** Asks the daemons where to connect, until one says so. */
+  /** Asks one daemon after the other for the addresses in the directory, until one answers. */
   private async resolve(): Promise<void> {
     for (const { isUp, process } of this.options.daemons) {
       if (!isUp) continue;
--- a/soak/SoakDaemon.ts
+++ b/soak/SoakDaemon.ts
@@ -1,11 +1,11 @@
 /**
- * One daemon of the soak: its process, its link, and the times of its lives.
+ * One daemon of the soak: its process, its link, and when its processes ran.
  */
 import type { SiteProcess } from '../standIns/site/SiteProcess.js';
 import type { FaultHistory } from './FaultHistory.js';
 import type { DaemonLink } from '../standIns/link/DaemonLink.js';
 
-/** One process, with monotonic ms; those to come are infinite. */
+/** One process; times are monotonic ms, infinite if they are in the future. */
 export interface DaemonLife {
   readonly startedAt: number;
   readyAt: number;
@@ -21,12 +21,12 @@
   index: number;
   process: SiteProcess;
   link: DaemonLink;
-  /** Where the link takes callers. */
+  /** Address at which the link accepts callers. */
   callersAddress: string;
   history: FaultHistory;
 }
 
-/** Starts and ends the process, one thing after the other. */
+/** Starts and ends the process, one operation at a time. */
 export class SoakDaemon {
   readonly index: number;
 
@@ -38,7 +38,7 @@
 
   readonly lives: DaemonLife[] = [];
 
-  /** What went wrong with the process itself. */
+  /** Failures of the process itself. */
   readonly complaints: string[] = [];
 
   private readonly history: FaultHistory;
@@ -46,7 +46,7 @@
   private restarting: Promise<void> | undefined;
 
   /**
-   * @param options - the parts.
+   * @param options - process and link.
    */
   constructor({ index, process, link, callersAddress, history }: SoakDaemonOptions) {
     this.index = index;
@@ -56,26 +56,26 @@
     this.history = history;
   }
 
-  /** @returns Its present or last life. */
+  /** @returns The current process, or the last one. */
   get life(): DaemonLife | undefined {
     return this.lives.at(-1);
   }
 
-  /** @returns Whether callers may use it. */
+  /** @returns Whether the daemon is ready for callers. */
   get isUp(): boolean {
     return Number.isFinite(this.life?.readyAt) && !Number.isFinite(this.life?.endedAt);
   }
 
   /**
-   * @param from - monotonic ms.
-   * @param to - monotonic ms.
-   * @returns Whether one process was ready all the while.
+   * @param from - start of the period, monotonic ms.
+   * @param to - end of the period, monotonic ms.
+   * @returns Whether a single process was ready throughout the period.
    */
   wasUp(from: number, to: number): boolean {
     return this.lives.some(({ readyAt, endedAt }) => readyAt <= from && endedAt >= to);
   }
 
-  /** Starts the process, and waits until it is ready or has ended. */
+  /** Starts the process and waits until it is ready or has ended. */
   async start(): Promise<void> {
     const life = {
       startedAt: performance.now(),
@@ -95,10 +95,10 @@
   }
 
   /**
-   * Ends the process and starts it again with the same settings; does nothing while that is being done already.
+   * Ends the process and starts it again with the same settings; does nothing if a restart is in progress.
    *
-   * @param signal - that ends it.
-   * @param downMilliseconds - until the next start.
+   * @param signal - signal that ends it.
+   * @param downMilliseconds - time until it is started again.
    */
   async restart(signal: 'SIGTERM' | 'SIGKILL', downMilliseconds: number): Promise<void> {
     this.restarting ??= this.endAndStart(signal, downMilliseconds).finally(() => {
@@ -107,7 +107,7 @@
     await this.restarting;
   }
 
-  /** Ends the process for good. */
+  /** Ends the process; it is not started again. */
   async stop(): Promise<void> {
     if (this.life) this.life.isEnding = true;
     await this.process.kill();
--- a/soak/SoakSite.ts
+++ b/soak/SoakSite.ts
@@ -1,5 +1,5 @@
 /**
- * The site of one soak: a store, runners, and daemons as processes, each behind a link of its own.
+ * Environment of one soak: a store, runners, and daemons as processes, each with its own link to everything else.
  */
 import type { IncomingMessage } from 'node:http';
 
@@ -30,42 +30,41 @@
 
 const EVENT_MILLISECONDS = 40;
 
-/** Requests that a plain runner works on at the same time; a surge fills them. */
+/** Requests that a plain runner handles at the same time; few enough that a load spike uses them up. */
 const PLAIN_SLOTS = 4;
 
 /**
- * Answers of two of so many runners have neither a length nor chunks. Runners are added in turn for the two services, so
- * both have some.
+ * Of this number of runners, two send answers with neither a length nor chunks. Runners are added for both services in
+ * turn, so both have some.
  */
 const UNFRAMED_EVERY = 4;
 
-/** Half of the runners have each; what two versions write does not fit together. */
+/** Software versions of the runners, half of them each; a stream must not hold events of both. */
 export const SOFTWARE_VERSIONS = ['v1', 'v1.1'] as const;
 
-/** Of the large configurations. */
+/** Number of routes of a large configuration. */
 const LARGE_ROUTES = 1_400;
 
 /**
- * Each runner writes its entry again this often, in ms. A daemon that has learnt of a runner from another one, with the
- * address of the other's link, then gets the address of its own link.
+ * Interval at which each runner writes its entry again, in ms. A daemon that knows a runner from another daemon has the
+ * address at the other one's link until then.
  */
 const HEARTBEAT_MILLISECONDS = 1_200;
 
-/** Fewer runners of a service would leave a broken stream nowhere to go on; the same holds for a software version. */
+/** Minimum number of runners of a service and of a software version; with fewer, a broken stream could not be resumed. */
 const FEWEST_RUNNERS = 3;
 
-/** Model runners beyond those of other services, so that each software version has enough. */
+/** Additional model runners, so that each software version has enough. */
 const MORE_ENGINES = 4;
 
 /**
- * What retries are allowed is not what the soak is about: a link that resets breaks more streams in a second than
- * the fleet may send once more by its default. Each request earns the one retry that it may need.
+ * Retries earned by each request. A link that is reset breaks more streams in a second than the default budget allows to
+ * retry, and the soak does not test the budget.
  */
 const RETRY_BUDGET = { ratio: 2, allowance: 2_000, windowSeconds: 10 };
 
 /**
- * Requests of these may run once, whatever number of attempts their routes allow: with one attempt no retry would
- * show that they must not be repeated.
+ * Routes whose requests may run once. They allow several attempts nevertheless; otherwise a wrong retry would not show.
  */
 const ONCE_ROUTES = [
   { name: 'order', kind: 'non_idempotent', service: 'plain', max_attempts: MAXIMUM_ATTEMPTS },
@@ -82,20 +81,20 @@
 export interface SoakSiteOptions {
   daemons: number;
   runnersOfService: number;
-  /** Where settings files are written. */
+  /** Folder for settings files. */
   folder: string;
-  /** Arguments of the runtime. */
+  /** Arguments of the Node.js runtime: its options and the built daemon. */
   program: readonly string[];
 }
 
 /** A configuration that the store has acknowledged. */
 export interface AcknowledgedVersion {
   readonly version: number;
-  /** Monotonic ms. */
+  /** When it was acknowledged, monotonic ms. */
   readonly at: number;
 }
 
-/** Starts, changes and ends the parts. */
+/** Starts, changes and ends the parts of the environment. */
 export class SoakSite {
   readonly stand = new StandInSite({ changeBoundMilliseconds: CHANGE_BOUND_MILLISECONDS });
 
@@ -105,18 +104,18 @@
 
   readonly daemons: SoakDaemon[] = [];
 
-  /** In the order of their acknowledgement. */
+  /** Configurations, in the order of their acknowledgement. */
   readonly versions: AcknowledgedVersion[] = [];
 
-  /** Runners that neither crashed nor left, by id. */
+  /** Runners that have neither crashed nor left, by id. */
   readonly runners = new Map<string, SiteRunner>();
 
-  /** Where each link takes connections for a runner: by IP number of the link and id of the runner. */
+  /** Addresses at which links accept connections to runners, by IP address of the link and id of the runner. */
   private readonly paths = new Map<string, string>();
 
   private readonly options: SoakSiteOptions;
 
-  /** What all plain runners say of themselves, also those that come. */
+  /** Brittleness that all plain runners announce, including those added later. */
   private brittleness: Brittleness | undefined;
 
   private nextRunner = 0;
@@ -126,7 +125,7 @@
   private heartbeat: NodeJS.Timeout | undefined;
 
   /**
-   * @param options - sizes and program.
+   * @param options - sizes, and the program of the daemons.
    */
   constructor(options: SoakSiteOptions) {
     this.options = options;
@@ -165,9 +164,9 @@
   }
 
   /**
-   * Each version keeps a route for each version so far, and has one that no other has.
+   * Puts another version of the configuration into force. It has a route for each version so far, and one that is its own.
    *
-   * @param isLarge - whether it has many routes besides.
+   * @param isLarge - whether it has many other routes as well.
    */
   changeConfiguration(isLarge: boolean): void {
     const version = this.versions.length + 2;
@@ -186,9 +185,9 @@
   }
 
   /**
-   * @param service - that it serves.
-   * @param dataCentre - where it is.
-   * @returns A runner that is listed, at each daemon by an address of its link.
+   * @param service - service of the runner.
+   * @param dataCentre - data centre of the runner.
+   * @returns A new runner, listed for each daemon with an address of the daemon's link.
    */
   async addRunner(service: SoakService, dataCentre = 'here'): Promise<SiteRunner> {
     this.nextRunner += 1;
@@ -220,7 +219,7 @@
   }
 
   /**
-   * @param brittleness - what plain runners say from now on; `undefined` ends it.
+   * @param brittleness - brittleness that plain runners announce from now on; `undefined` for none.
    * @returns The plain runners.
    */
   makePlainRunnersBrittle(brittleness: Brittleness | undefined): SiteRunner[] {
@@ -230,7 +229,7 @@
     return runners;
   }
 
-  /** Its host refuses connections from now on; what it had is cut within the longest time of a request. */
+  /** The host of the runner refuses connections from now on; open ones are closed after the longest time of a request. */
   private crashed(runner: SiteRunner): void {
     const text = `${runner.id} crashes at a request`;
     const over = this.history.begin({ kind: 'runner', runner: runner.id, text });
@@ -254,22 +253,22 @@
   }
 
   /**
-   * @param runner - that writes its entry.
-   * @param state - what it says of itself.
+   * @param runner - runner that writes its entry.
+   * @param state - state in the entry.
    */
   list(runner: SiteRunner, state: 'ready' | 'draining' = 'ready'): void {
     this.stand.store.write(`servers/${runner.id}`, runner.entry(state));
   }
 
   /**
-   * @param runner - whose entry is removed.
+   * @param runner - runner whose entry is removed.
    */
   unlist(runner: SiteRunner): void {
     this.stand.store.write(`servers/${runner.id}`, undefined);
   }
 
   /**
-   * @param runner - that ends at once, and refuses connections.
+   * @param runner - runner that ends at once and refuses connections.
    */
   endRunner(runner: SiteRunner): void {
     this.runners.delete(runner.id);
@@ -278,17 +277,17 @@
   }
 
   /**
-   * @param service - that they serve.
-   * @returns Its runners that neither crashed nor left.
+   * @param service - a service.
+   * @returns The runners of the service that have neither crashed nor left.
    */
   runnersOf(service: SoakService): SiteRunner[] {
     return [...this.runners.values()].filter(({ id }) => id.startsWith(service));
   }
 
   /**
-   * @param service - of the runner.
-   * @param choice - from 0 up to 1.
-   * @returns A runner that may be taken away, if enough of them are there.
+   * @param service - service of the runner.
+   * @param choice - random number from 0 up to 1.
+   * @returns A runner that may be removed; `undefined` if too few would be left.
    */
   spareRunner(service: SoakService, choice: number): SiteRunner | undefined {
     const all = this.runnersOf(service);
@@ -299,7 +298,7 @@
     return those[Math.floor(choice * those.length)];
   }
 
-  /** The software version that fewer model runners have. */
+  /** Software version with the fewest model runners. */
   private get rarerVersion(): string {
     const engines = this.runnersOf('engine');
     const [first, second] = SOFTWARE_VERSIONS;
@@ -324,7 +323,7 @@
     this.daemons.push(new SoakDaemon({ index, process, link, callersAddress, history }));
   }
 
-  /** A daemon sees each runner at the address of its own link, so that a fault can touch one daemon only. */
+  /** Each daemon has its own address for each runner, at its own link, so that a fault can affect a single daemon. */
   private seenAs(item: StoreItem, { socket }: IncomingMessage): StoreItem {
     const [, id] = /^servers\/(.+)$/u.exec(item.key) ?? [];
     const address = this.paths.get(`${socket.remoteAddress} ${id}`);
--- a/soak/checks/AnswerChecks.ts
+++ b/soak/checks/AnswerChecks.ts
@@ -1,5 +1,5 @@
 /**
- * What callers are promised of each answer, and runners of each run.
+ * Checks the promises on each answer to a caller, and on each run at a runner.
  */
 import { MAXIMUM_ATTEMPTS, EVENTS } from '../soakBounds.js';
 import type { RunBook } from '../RunBook.js';
@@ -12,10 +12,10 @@
 const NOT_FOUND = 404;
 const SERVER_ERROR = 500;
 
-/** These say "not run". */
+/** Status codes that mean "not run". */
 const NOT_RUN: readonly number[] = [503, 429, 408, 421];
 
-/** What a daemon may answer by itself to a request that is in order. */
+/** Status codes that a daemon may generate for a valid request. */
 const OWN_FAILURES: readonly number[] = [...NOT_RUN, 502, 504];
 
 /** Version of the runner at the end of an event; see `VersionChecks`. */
@@ -31,7 +31,7 @@
   story: 1,
 };
 
-/** What a caller gets of a stream that is whole, without the versions of the runners. */
+/** Complete body of a stream, without the versions of the runners. */
 function wholeStream({ id, takesUp }: Call): string {
   const numbers = Array.from({ length: EVENTS }, (_, index) => index + 1);
   return numbers
@@ -57,28 +57,28 @@
   runs: RunBook;
   excuses: Excuses;
   violations: Violations;
-  /** Returns the ids of the runners at which daemons say that each request broke off; called in the end. */
+  /** Returns the broken attempts from the logs of the daemons; called after all requests have ended. */
   brokenAttempts?: () => BrokenAttempts;
 }
 
-/** Looks at each request when it is over, and at all runs in the end. */
+/** Checks each request when it has ended, and all runs at the end. */
 export class AnswerChecks {
   readonly calls = new Map<string, Call>();
 
   private readonly options: Required<AnswerChecksOptions>;
 
-  /** Requests without a whole answer that nothing excuses but what daemons say of them, perhaps. */
+  /** Requests without a complete answer that nothing excuses so far; the logs of the daemons may. */
   private readonly unexcused: Call[] = [];
 
   /**
-   * @param options - what is known besides.
+   * @param options - runs, excuses and violations.
    */
   constructor(options: AnswerChecksOptions) {
     this.options = { brokenAttempts: () => new Map(), ...options };
   }
 
   /**
-   * @param call - that is over.
+   * @param call - a request that has ended.
    */
   look(call: Call): void {
     this.calls.set(call.id, call);
@@ -99,7 +99,7 @@
     else this.lookAtFailure(call);
   }
 
-  /** Looks at all runs; no request may be under way. */
+  /** Checks all runs; no request may be in progress. */
   lookAtRuns(): void {
     const { runs, violations } = this.options;
     for (const { id, target, body, account, runner } of runs.all) {
--- a/soak/checks/ConfigurationChecks.ts
+++ b/soak/checks/ConfigurationChecks.ts
@@ -1,7 +1,7 @@
 /**
- * What is promised of configurations: in force within the bound at daemons in touch, and never an older one again.
+ * Checks the promises on configurations: in force within the bound at connected daemons, and never an older one again.
  *
- * Each version keeps a route `since-N` of each version so far, and has a route `only-N` that no other version has.
+ * Each version has a route `since-N` for each version N so far, and a route `only-N` that no other version has.
  */
 import type { Call, SoakCallers } from '../SoakCallers.js';
 import type { SoakDaemon } from '../SoakDaemon.js';
@@ -13,10 +13,10 @@
 const OK = 200;
 const NOT_FOUND = 404;
 
-/** Between two looks at a daemon, in ms. */
+/** Interval between two checks of a daemon, in ms. */
 const LOOK_MILLISECONDS = 250;
 
-/** Requests on several connections may overtake each other by as much, in ms. */
+/** Time by which requests on different connections may overtake each other, in ms. */
 const OVERTAKING_MILLISECONDS = 250;
 
 const IN_FORCE = 'configurations are in force in time';
@@ -34,24 +34,24 @@
   readonly at: number;
 }
 
-/** Sends requests that tell versions apart, and looks at the answers. */
+/** Sends requests whose answers depend on the version, and checks the answers. */
 export class ConfigurationChecks {
   private readonly options: ConfigurationChecksOptions;
 
-  /** The newest version whose effect was seen, by the life of a daemon. */
+  /** Newest version that was seen in force, by process of a daemon. */
   private readonly newest = new WeakMap<object, Seen>();
 
   private timer: NodeJS.Timeout | undefined;
 
   /**
-   * @param options - where to look.
+   * @param options - environment, contact and violations.
    */
   constructor(options: ConfigurationChecksOptions) {
     this.options = options;
   }
 
   /**
-   * @param callers - that send the requests.
+   * @param callers - callers that send the requests.
    */
   start(callers: SoakCallers): void {
     const lookAtAll = () => {
@@ -60,7 +60,7 @@
     this.timer = setInterval(lookAtAll, LOOK_MILLISECONDS);
   }
 
-  /** Looks no more. */
+  /** Ends the checks. */
   stop(): void {
     clearInterval(this.timer);
   }
@@ -77,7 +77,7 @@
     void callers.call(daemon, 'look', `/only-${version - 1}/`).then(take(false, version - 1));
   }
 
-  /** A route of the newest version has to be there, and the one of the version before must not. */
+  /** The route of the newest version has to exist, and the one of the version before must not. */
   private lookAtBound(
     { id, daemon, answer, sentAt, endedAt }: Call,
     isOfNew: boolean,
--- a/soak/checks/Contact.ts
+++ b/soak/checks/Contact.ts
@@ -1,11 +1,11 @@
 /**
- * Which daemons are in touch: promises with a bound in time hold for these.
+ * Determines which daemons are connected to all others; promises with a time bound hold for these only.
  */
 import type { FaultHistory, FaultKind } from '../FaultHistory.js';
 import type { SoakDaemon } from '../SoakDaemon.js';
 import { CONTACT_MILLISECONDS } from '../soakBounds.js';
 
-/** A reload of settings and a runner's end touch no daemon. */
+/** Faults that may disconnect a daemon; a reload of settings and the end of a runner do not. */
 const TOUCHING: readonly FaultKind[] = [
   'stall',
   'break',
@@ -17,7 +17,7 @@
   'store',
 ];
 
-/** Looks at the faults of the time before. */
+/** Answers from the faults of the preceding seconds. */
 export class Contact {
   private readonly history: FaultHistory;
 
@@ -33,10 +33,10 @@
   }
 
   /**
-   * @param index - of a daemon.
-   * @param from - monotonic ms.
-   * @param to - monotonic ms.
-   * @returns Whether its process ran and no fault touched it, its link or the store, from some time before on.
+   * @param index - position of a daemon.
+   * @param from - start of the period, monotonic ms.
+   * @param to - end of the period, monotonic ms.
+   * @returns Whether its process ran and no fault affected it, its link or the store, from some time before the period on.
    */
   holds(index: number, from: number, to: number): boolean {
     const since = from - CONTACT_MILLISECONDS;
--- a/soak/checks/DrainChecks.ts
+++ b/soak/checks/DrainChecks.ts
@@ -1,5 +1,5 @@
 /**
- * What is promised of runners that leave or are evacuated: nothing new once the bound has passed.
+ * Checks that runners that leave or are evacuated get no new requests after the bound.
  */
 import type { RunBook } from '../RunBook.js';
 import type { Call } from '../SoakCallers.js';
@@ -16,22 +16,22 @@
   calls: ReadonlyMap<string, Call>;
 }
 
-/** Remembers who leaves. */
+/** Records which runners leave, and checks their runs. */
 export class DrainChecks {
   private readonly options: DrainChecksOptions;
 
-  /** When the store acknowledged that it leaves, and that it is back; monotonic ms, by id. */
+  /** When the store acknowledged that a runner leaves, and that it is back; monotonic ms, by id. */
   private readonly leaving = new Map<string, { readonly at: number; backAt: number }>();
 
   /**
-   * @param options - runs and callers' requests.
+   * @param options - runs and requests of callers.
    */
   constructor(options: DrainChecksOptions) {
     this.options = options;
   }
 
   /**
-   * @param runner - id of a runner that says from now on that it is draining, or is not listed any more.
+   * @param runner - id of a runner that is draining or no longer listed from now on.
    */
   leaves(runner: string): void {
     this.leaving.set(runner, { at: performance.now(), backAt: Number.POSITIVE_INFINITY });
@@ -45,7 +45,7 @@
     if (left) left.backAt = performance.now();
   }
 
-  /** Looks at all runs of the runners that left. */
+  /** Checks all runs of the runners that have left. */
   look(): void {
     const { runs, calls, contact, violations } = this.options;
     for (const { id, runner, at } of runs.all) {
--- a/soak/checks/Excuses.ts
+++ b/soak/checks/Excuses.ts
@@ -1,5 +1,5 @@
 /**
- * Which faults excuse a request without a whole answer. Nothing else does, and delays never do.
+ * Determines whether faults excuse a request without a complete answer. Nothing else excuses it, and delays never do.
  */
 import type { FaultHistory, FaultKind } from '../FaultHistory.js';
 import type { LinkSide } from '../../standIns/link/linkTypes.js';
@@ -16,7 +16,7 @@
   TIMEOUT_MILLISECONDS,
 } from '../soakBounds.js';
 
-/** Faults in which a link loses what it carries. */
+/** Faults in which a link loses data. */
 const LOSSES: readonly FaultKind[] = ['break', 'silence', 'cut'];
 
 /** Faults that delay a daemon or its link. */
@@ -24,7 +24,7 @@
 
 const STOP_MILLISECONDS = STOP_SECONDS * 1_000;
 
-/** Timers may be early by a rounding. */
+/** Time by which timers may be early, in ms. */
 const ROUNDING_MILLISECONDS = 5;
 
 /** Options of {@link Excuses}. */
@@ -34,7 +34,7 @@
   daemons: readonly SoakDaemon[];
 }
 
-/** Looks at what was on while a request was under way. */
+/** Looks up the faults that were active during a request. */
 export class Excuses {
   private readonly options: ExcusesOptions;
 
@@ -46,9 +46,9 @@
   }
 
   /**
-   * @param call - whose connection ended, or stayed silent, before an answer began.
-   * @returns Whether its daemon or its caller's connection was lost, or the daemon had stopped reading, or was at the end of
-   * a stop while its way to the runners was lost.
+   * @param call - a request whose connection ended, or stayed silent, before an answer began.
+   * @returns Whether its daemon or the connection to it was lost, or the daemon no longer read requests, or was at the end
+   * of a stop and had lost its path to the runners.
    */
   ofNoAnswer(call: Call): boolean {
     if (this.wasKilled(call) || this.touched(call, LOSSES, 'callers')) return true;
@@ -61,10 +61,10 @@
   }
 
   /**
-   * @param call - whose answer broke off.
-   * @param brokenAt - ids of runners at which daemons say that it broke off; one that crashes does not note what it has
-   * not read yet.
-   * @returns Whether that may be.
+   * @param call - a request whose answer is truncated.
+   * @param brokenAt - ids of the runners whose attempts broke off according to the daemons; a runner that crashes records
+   * no request that it has not read yet.
+   * @returns Whether faults excuse it.
    */
   ofCutAnswer(call: Call, brokenAt: readonly string[] = []): boolean {
     if (this.wasKilled(call) || this.touched(call, LOSSES, 'callers')) return true;
@@ -74,8 +74,8 @@
   }
 
   /**
-   * @param call - any.
-   * @returns Within which an answer is due after it was sent, in ms.
+   * @param call - a request.
+   * @returns Maximum time until its answer, in ms.
    */
   limitOf(call: Call): number {
     const delays = this.during(call, DELAYS).filter((fault) => this.concerns(call, fault.daemon));
@@ -83,7 +83,7 @@
       const within = Math.min(to, call.endedAt) - Math.max(from, call.sentAt);
       return total + Math.max(0, within);
     }, 0);
-    // What a slow link has gathered comes out after the fault.
+    // A slow link delivers the data that it has queued after the fault.
     return TIMEOUT_MILLISECONDS + LATENESS_MILLISECONDS + 2 * sum;
   }
 
@@ -96,8 +96,7 @@
   }
 
   /**
-   * Daemons that learn of a runner from each other, while the store turns them away, use an address of the other's
-   * link.
+   * A daemon that knows a runner from another daemon, because the store rejects it, uses an address of the other one's link.
    */
   private linksOf({ daemon, id }: Call): ReadonlySet<number> {
     const { runs, daemons } = this.options;
@@ -112,12 +111,12 @@
     );
   }
 
-  /** A kill is on until the next process is ready: before that it does not listen. */
+  /** A kill lasts until the next process is ready; before that, nothing listens. */
   private wasKilled(call: Call): boolean {
     return this.during(call, ['kill']).some(({ daemon }) => daemon === call.daemon);
   }
 
-  /** A stopping daemon closes its port, and what is sent then is not read: nothing may have run. */
+  /** A stopping daemon closes its port and reads no further requests, so nothing may have run. */
   private wasUnread(call: Call): boolean {
     if (call.failure === undefined || this.options.runs.of(call.id).length > 0) return false;
     const closingAfter = STOP_MILLISECONDS * CLOSING_SHARE;
@@ -126,7 +125,7 @@
     );
   }
 
-  /** While all daemons lose their paths to the runners, no other one can go on with what one has lost. */
+  /** If all daemons have lost their paths to the runners, none can resume a request. */
   private hadNoPathLeft(call: Call): boolean {
     const { daemons } = this.options;
     const cut = new Set(this.during(call, ['path']).map(({ daemon }) => daemon));
@@ -145,8 +144,8 @@
   }
 
   /**
-   * How often a runner, or the way to it, broke a request off; a cut lasts, and leaves nowhere to go on. A daemon whose path
-   * is lost may send on connections that hang until it is in contact again.
+   * Number of times that a runner, or the path to it, broke a request off. A cut counts as all attempts, because it lasts
+   * until none is left. A daemon that has lost its path may use connections that hang until it is connected again.
    */
   private breaksOf(call: Call, brokenAt: readonly string[]): number {
     const ran = this.options.runs.of(call.id).map(({ runner }) => runner);
@@ -159,7 +158,7 @@
       ({ daemon, from }) =>
         this.concerns(call, daemon) && call.sentAt < from + CONTACT_MILLISECONDS,
     );
-    // Its own daemon's kill is another excuse; here it is that of one which has taken the request over.
+    // The kill of a daemon that has taken the request over; that of its own daemon is another excuse.
     const kills = this.during(call, ['kill']).filter(({ daemon }) => this.concerns(call, daemon));
     const cuts = links.filter(({ kind }) => kind === 'cut').length;
     const breaks = broken.length + links.length + lost.length + kills.length;
--- a/soak/checks/PathChecks.ts
+++ b/soak/checks/PathChecks.ts
@@ -1,5 +1,5 @@
 /**
- * What callers are promised of daemons that reach no runner while others do.
+ * Checks the promises on daemons that reach no runner while others do.
  */
 import type { FaultHistory, PlayedFault } from '../FaultHistory.js';
 import type { Call } from '../SoakCallers.js';
@@ -9,14 +9,14 @@
 
 const OK = 200;
 
-/** First tries at cut daemons are served at least this share as often as those at the others. */
+/** Minimum ratio of the served share of first tries at daemons without a path to that at the others. */
 const SERVED_SHARE = 2 / 3;
 
-/** Failures that are allowed in any case, and as a share of all first tries. */
+/** Number of failures that are always allowed, and additional ones as a share of all first tries. */
 const ALLOWED_FAILURES = 10;
 const ALLOWED_FAILURE_SHARE = 1 / 50;
 
-/** Standard errors by which the two shares have to differ: a few dozen requests differ by chance. */
+/** Standard errors by which the two shares have to differ; the shares of a few dozen requests differ by chance. */
 const STANDARD_ERRORS = 3;
 
 /** Options of {@link PathChecks}. */
@@ -25,7 +25,7 @@
   contact: Contact;
   violations: Violations;
   calls: ReadonlyMap<string, Call>;
-  /** How many daemons there are. */
+  /** Number of daemons. */
   daemons: number;
 }
 
@@ -34,7 +34,7 @@
   served: number;
 }
 
-/** @returns Whether equal service at both gives a difference like this one less than twice in a thousand times. */
+/** @returns Whether the difference is significant: with equal service, it occurs less than twice in a thousand times. */
 function isBeyondChance(cut: Tally, others: Tally): boolean {
   const share = (cut.served + others.served) / (cut.sent + others.sent);
   const error = Math.sqrt(share * (1 - share) * (1 / cut.sent + 1 / others.sent));
@@ -46,18 +46,18 @@
   private readonly options: PathChecksOptions;
 
   /**
-   * @param options - faults and calls.
+   * @param options - faults and requests.
    */
   constructor(options: PathChecksOptions) {
     this.options = options;
   }
 
-  /** Looks at all calls; none may be under way. */
+  /** Checks all requests; none may be in progress. */
   look(): void {
     const cut: Tally = { sent: 0, served: 0 };
     const others: Tally = { sent: 0, served: 0 };
     for (const call of this.options.calls.values()) {
-      // A stream that is taken up again is no first try.
+      // A resumed stream is not a first try.
       if (call.takesUp || !this.isCounted(call)) continue;
       const tally = this.cutsOf(call.daemon, call).length > 0 ? cut : others;
       tally.sent += 1;
@@ -76,10 +76,10 @@
     violations.figures.push(`served ${told()}`);
   }
 
-  /** Requests count while paths are lost, from the time of contact on, if another daemon in touch has one. */
+  /** Requests count while paths have been lost for some time, if another connected daemon has one. */
   private isCounted(call: Call): boolean {
     const { contact, daemons } = this.options;
-    // What crashes runners is refused everywhere.
+    // Requests that crash runners are refused everywhere.
     if (isFatal(call) || call.kind === 'look') return false;
     if (!contact.holds(call.daemon, call.sentAt, call.endedAt)) return false;
     const indexes = Array.from({ length: daemons }, (_, index) => index);
--- a/soak/checks/StatementChecks.ts
+++ b/soak/checks/StatementChecks.ts
@@ -1,5 +1,5 @@
 /**
- * What is promised of requests that crash runners, and of runners whose answers say that they leave.
+ * Checks the promises on requests that crash runners, and on runners that announce in their answers that they leave.
  */
 import type { FaultHistory, FaultKind } from '../FaultHistory.js';
 import type { RunBook, SoakRun } from '../RunBook.js';
@@ -19,7 +19,7 @@
 import type { Contact } from './Contact.js';
 import type { Violations } from './Violations.js';
 
-/** A daemon that has started again, or stood still, need not know what it has passed on before. */
+/** Faults after which a daemon may no longer know an announcement that it has forwarded. */
 const FORGETTING: readonly FaultKind[] = ['kill', 'stop', 'pause'];
 
 /** Options of {@link StatementChecks}. */
@@ -32,18 +32,18 @@
   calls: ReadonlyMap<string, Call>;
 }
 
-/** Looks at all runs in the end. */
+/** Checks all runs at the end. */
 export class StatementChecks {
   private readonly options: StatementChecksOptions;
 
   /**
-   * @param options - runs and callers' requests.
+   * @param options - runs, faults and requests of callers.
    */
   constructor(options: StatementChecksOptions) {
     this.options = options;
   }
 
-  /** No request may be under way. */
+  /** Checks all runs; no request may be in progress. */
   look(): void {
     const { runs } = this.options;
     const fatal = runs.all.filter(({ body }) => body.startsWith(FATAL_BODY));
@@ -81,7 +81,7 @@
     violations.check('a part that crashes runners is kept from them', isKept, told, decisive.id);
   }
 
-  /** Requests without a part that crashes runners, long after the last crash. */
+  /** Checks requests without a fatal part, long after the last crash. */
   private lookAtSound(runs: readonly SoakRun[]): void {
     const { calls, violations } = this.options;
     const crashes = runs.filter(isFatal);
@@ -95,7 +95,7 @@
     }
   }
 
-  /** Runs by daemons in touch later than all of them had to know of a crash. */
+  /** @returns Runs by connected daemons after all of them had time to learn of a crash. */
   private runsLongAfter(crash: SoakRun, runs: readonly SoakRun[]): readonly SoakRun[] {
     const { calls, contact } = this.options;
     const known = crash.at + WORK_MILLISECONDS + CONTACT_MILLISECONDS + LATENESS_MILLISECONDS;
@@ -122,7 +122,7 @@
     }
   }
 
-  /** When a daemon first passed on that a runner leaves, monotonic ms, by both. */
+  /** When a daemon first forwarded the announcement that a runner leaves, monotonic ms, by daemon and runner. */
   private toldLeaving(): Map<string, number> {
     const toldAt = new Map<string, number>();
     for (const { daemon, answer, endedAt } of this.options.calls.values()) {
--- a/soak/checks/VersionChecks.ts
+++ b/soak/checks/VersionChecks.ts
@@ -1,5 +1,5 @@
 /**
- * What callers are promised of streams while runners of several software versions serve.
+ * Checks the promises on streams while runners of several software versions serve.
  */
 import type { SiteRunner } from '../../standIns/site/SiteRunner.js';
 import type { Call } from '../SoakCallers.js';
@@ -8,14 +8,14 @@
 
 const OK = 200;
 
-/** Streams that may hold events of two versions: it is not known at once that a runner has started again. */
+/** Number of streams that may hold events of two versions, because a restart of a runner is not known at once. */
 const ALLOWED_MIXED = 2;
 
-/** Of so many streams that are taken up, at least half as many go on as new ones begin, which all do. */
+/** Minimum number of resumed streams for a check; at least half of them have to continue. */
 const COUNTED_TAKE_UPS = 12;
 const LEAST_SHARE = 0.5;
 
-/** Runners of a version that have to serve for its streams to go on. */
+/** Number of runners of a version that have to serve for its streams to continue. */
 const LEAST_RUNNERS = 2;
 
 /** Options of {@link VersionChecks}. */
@@ -23,7 +23,7 @@
   contact: Contact;
   violations: Violations;
   calls: ReadonlyMap<string, Call>;
-  /** Model runners that neither crashed nor left. */
+  /** Returns the model runners that have neither crashed nor left. */
   engines: () => readonly Pick<SiteRunner, 'version'>[];
 }
 
@@ -32,7 +32,7 @@
   return new Set([...found].map(([, version]) => version ?? ''));
 }
 
-/** Looks at each stream that is taken up when that is over, and at all streams in the end. */
+/** Checks each resumed stream when it has ended, and all streams at the end. */
 export class VersionChecks {
   private readonly options: VersionChecksOptions;
 
@@ -41,14 +41,14 @@
   private wentOn = 0;
 
   /**
-   * @param options - faults, calls and runners.
+   * @param options - faults, requests and runners.
    */
   constructor(options: VersionChecksOptions) {
     this.options = options;
   }
 
   /**
-   * @param call - that is over.
+   * @param call - a request that has ended.
    */
   look(call: Call): void {
     const { contact, calls, engines } = this.options;
@@ -61,7 +61,7 @@
     this.wentOn += Number(call.answer?.status === OK);
   }
 
-  /** Looks at all streams; none may be under way. */
+  /** Checks all streams; none may be in progress. */
   lookAtAll(): void {
     const { calls, violations } = this.options;
     const mixed = [...calls.values()].filter((call) => {
--- a/soak/checks/Violations.ts
+++ b/soak/checks/Violations.ts
@@ -1,36 +1,36 @@
 /**
- * Promises that were broken in a run of the soak.
+ * Promises that were broken in a soak.
  */
 
-/** One of them. */
+/** One broken promise. */
 export interface Violation {
-  /** Which promise. */
+  /** Name of the promise. */
   readonly promise: string;
-  /** What was seen. */
+  /** What was observed. */
   readonly text: string;
-  /** The request, where there is one. */
+  /** Id of the request, if it concerns one. */
   readonly request?: string;
-  /** Monotonic ms. */
+  /** When it was found, monotonic ms. */
   readonly at: number;
 }
 
-/** Collects them, and counts what was looked at: a check that never had anything to look at proves nothing. */
+/** Collects violations and counts the checks; a promise that was never checked is not proved. */
 export class Violations {
   readonly all: Violation[] = [];
 
   readonly looked = new Map<string, number>();
 
-  /** Figures too small to judge in one play, which can be added up over many. */
+  /** Figures for the report that are too small to judge in one soak, but can be added up over many. */
   readonly figures: string[] = [];
 
-  /** Requests that a fault excused from a promise. */
+  /** Number of requests that a fault excused from a promise. */
   excused = 0;
 
   /**
-   * @param promise - that was looked at.
+   * @param promise - name of the promise that was checked.
    * @param holds - whether it is kept.
-   * @param text - what was seen.
-   * @param request - the request's id, where there is one.
+   * @param text - returns what was observed.
+   * @param request - id of the request, if it concerns one.
    */
   check(promise: string, holds: boolean, text: () => string, request?: string): void {
     this.looked.set(promise, (this.looked.get(promise) ?? 0) + 1);
--- a/soak/checks/brokenAttempts.ts
+++ b/soak/checks/brokenAttempts.ts
@@ -1,19 +1,19 @@
 /**
- * Where requests broke off, as daemons say in their logs.
+ * Finds the attempts at runners that broke off, in the logs of the daemons.
  */
 import { parseLogLine } from '../../src/explanations/logLine.js';
 import { forwardingLogEvents } from '../../src/forwarding/forwardingFeature.js';
 import type { SoakDaemon } from '../SoakDaemon.js';
 
-/** Ids of runners, by the id of the request that broke off there. */
+/** Ids of the runners whose attempts broke off, by id of the request. */
 export type BrokenAttempts = ReadonlyMap<string, readonly string[]>;
 
-/** An attempt of which it is not known whether it has run. */
+/** Failure of an attempt that may have run. */
 const BROKEN = 'broken';
 
 /**
- * @param daemons - whose logs are read.
- * @returns The attempts that broke off.
+ * @param daemons - daemons whose logs are read.
+ * @returns The broken attempts.
  */
 export function brokenAttemptsIn(
   daemons: readonly { readonly process: Pick<SoakDaemon['process'], 'log'> }[],
--- a/soak/checks/recovery.ts
+++ b/soak/checks/recovery.ts
@@ -1,5 +1,5 @@
 /**
- * What is promised of the time after all faults: the fleet serves again.
+ * Checks that the fleet serves again after all faults.
  */
 import type { SoakCallers } from '../SoakCallers.js';
 import type { SoakDaemon } from '../SoakDaemon.js';
@@ -8,7 +8,7 @@
 
 const OK = 200;
 
-/** Of each kind, at the same time; a single one that is served may be chance. */
+/** Number of requests of each kind in one round; a single one may be served by chance. */
 const REQUESTS = 4;
 
 const POLL_MILLISECONDS = 250;
@@ -38,9 +38,9 @@
 }
 
 /**
- * @param daemons - that nothing troubles any more.
- * @param callers - that send the requests.
- * @param violations - told of daemons that do not serve whole rounds of requests.
+ * @param daemons - the daemons, which no fault affects any more.
+ * @param callers - callers that send the requests.
+ * @param violations - records the daemons that do not serve a complete round of requests.
  */
 export async function checkRecovery(
   daemons: readonly SoakDaemon[],
--- a/soak/faults/ConfigurationSeries.ts
+++ b/soak/faults/ConfigurationSeries.ts
@@ -1,12 +1,12 @@
 /**
- * Changes of the configuration, one soon after the other.
+ * Changes the configuration several times within a short time.
  */
 import { setTimeout as wait } from 'node:timers/promises';
 
 import type { FaultGround } from './Fault.js';
 import { Fault } from './Fault.js';
 
-/** Large ones take a while to send and to read. */
+/** Large configurations take a while to send and to read. */
 export class ConfigurationSeries extends Fault {
   private readonly areLarge: readonly boolean[] = Array.from(
     { length: this.draw.between(1, 3) },
--- a/soak/faults/Fault.ts
+++ b/soak/faults/Fault.ts
@@ -1,6 +1,6 @@
 /**
- * One trouble that the soak makes. All that is chosen by chance is drawn when it is made, so that a seed gives the
- * same faults each time.
+ * Base class of the faults that the soak injects. Each draws its random numbers when it is created, so that a seed gives
+ * the same faults each time.
  */
 import { setTimeout as wait } from 'node:timers/promises';
 
@@ -11,7 +11,7 @@
 import type { SoakDaemon } from '../SoakDaemon.js';
 import type { SoakSite } from '../SoakSite.js';
 
-/** What faults work on. */
+/** Parts of the soak that faults act on. */
 export interface FaultGround {
   readonly site: SoakSite;
   readonly callers: SoakCallers;
@@ -19,62 +19,62 @@
   readonly violations: Violations;
 }
 
-/** Draws what a fault needs. */
+/** Random choices for faults. */
 export class Draw {
   /**
-   * @param random - gives numbers from 0 up to 1.
-   * @param daemons - how many there are.
+   * @param random - returns random numbers from 0 up to 1.
+   * @param daemons - number of daemons.
    */
   constructor(
     readonly random: () => number,
     readonly daemons: number,
   ) {}
 
-  /** @returns The index of a daemon. */
+  /** @returns Position of a random daemon. */
   daemon(): number {
     return Math.floor(this.random() * this.daemons);
   }
 
   /**
-   * @param from - the least.
-   * @param to - the most.
-   * @returns A whole number between them.
+   * @param from - minimum.
+   * @param to - maximum.
+   * @returns A random whole number between them.
    */
   between(from: number, to: number): number {
     return Math.round(from + this.random() * (to - from));
   }
 
   /**
-   * @param mean - of the gaps.
-   * @returns A gap between events that are independent of each other.
+   * @param mean - mean time between events.
+   * @returns A random time between two events that are independent of each other.
    */
   gap(mean: number): number {
     return -Math.log(1 - this.random()) * mean;
   }
 
   /**
-   * @param choices - at least one.
-   * @returns One of them.
+   * @param choices - at least one value.
+   * @returns One of them, at random.
    */
   one<T>(choices: readonly T[]): T {
     return choices[Math.floor(this.random() * choices.length)] as T;
   }
 }
 
-/** A trouble with a beginning and an end. */
+/** A fault with a start and an end. */
 export abstract class Fault {
   /**
-   * @param draw - gives what is left to chance.
+   * @param draw - random choices.
    */
   constructor(protected readonly draw: Draw) {}
 
   /**
-   * @param ground - what it troubles.
-   * @returns Once it is over.
+   * @param ground - parts of the soak that it acts on.
+   * @returns Resolves when the fault has ended.
    */
   abstract play(ground: FaultGround): Promise<void>;
 
-  /** Keeps a record open for as long as the fault is on. */
+  /** Records a fault for as long as it lasts. */
   protected async last(
     { site }: FaultGround,
     record: FaultRecord,
--- a/soak/faults/faultPlan.ts
+++ b/soak/faults/faultPlan.ts
@@ -1,5 +1,5 @@
 /**
- * Which faults come when, from a seed.
+ * Plans which faults start when, from a seed.
  */
 import { ConfigurationSeries } from './ConfigurationSeries.js';
 import type { Draw, Fault } from './Fault.js';
@@ -26,7 +26,7 @@
 } from './runnerFaults.js';
 import { DroppedHistory, FailingStore, RestoredStore } from './storeFaults.js';
 
-/** A fault and when it begins, in ms after the start. */
+/** A fault and when it starts, in ms since the start of the soak. */
 export interface PlannedFault {
   readonly at: number;
   readonly fault: Fault;
@@ -34,7 +34,7 @@
 
 type FaultClass = new (draw: Draw) => Fault;
 
-/** A class that stands twice comes twice as often. */
+/** Classes of faults; one that is listed twice is drawn twice as often. */
 const CLASSES: readonly FaultClass[] = [
   FilledLink,
   SlowLink,
@@ -62,42 +62,42 @@
   ConfigurationSeries,
 ];
 
-/** A quiet beginning, in which every caller is served; in ms. */
+/** Time until the first fault, in ms; until then every caller is served. */
 const FIRST_MILLISECONDS = 1_000;
 
-/** The streams of the filled link are whole by then; in ms. */
+/** Time until answers are lost, in ms; the streams through the filled link are complete by then. */
 const LOST_ANSWERS_MILLISECONDS = 5_000;
 
-/** The first filled link is over by then; others come on top of each other, in ms. */
+/** Time until the series of overlapping faults, in ms; the filled link has recovered by then. */
 const SERIES_MILLISECONDS = 6_000;
 
-/** Time from one series to the next, in ms. */
+/** Bounds of the time from one series to the next, in ms. */
 const PAUSES: readonly [number, number] = [500, 4_000];
 
-/** Time from one fault of a series to the next, in ms. */
+/** Bounds of the time from one fault of a series to the next, in ms. */
 const STEPS: readonly [number, number] = [0, 700];
 
 const LONGEST_SERIES = 4;
 
-/** Time from one of these faults to the next, in ms: each takes runners away for a while. */
+/** Bounds of the time from one fatal request or announced leave to the next, in ms; each removes runners for a while. */
 const STATEMENT_PAUSES: readonly [number, number] = [3_000, 9_000];
 
-/** Time from one evacuation to the next, in ms. */
+/** Bounds of the time from one evacuation to the next, in ms. */
 const EVACUATION_PAUSES: readonly [number, number] = [4_000, 12_000];
 
-/** Time from one restore of the store to the next, in ms: some come while the one before is still being followed. */
+/** Bounds of the time from one restore of the store to the next, in ms; some overlap. */
 const RESTORE_PAUSES: readonly [number, number] = [1_000, 9_000];
 
-/** Time from one loss of paths to the next, in ms: some overlap. */
+/** Bounds of the time from one loss of paths to the next, in ms; some overlap. */
 const PATH_PAUSES: readonly [number, number] = [4_000, 12_000];
 
-/** Time from one surge before brittle runners to the next, in ms. */
+/** Bounds of the time from one load spike at brittle runners to the next, in ms. */
 const SURGE_PAUSES: readonly [number, number] = [7_000, 15_000];
 
-/** Time from one part that crashes runners to the next, in ms: some overlap. */
+/** Bounds of the time from one fatal prompt part to the next, in ms; some overlap. */
 const PART_PAUSES: readonly [number, number] = [5_000, 14_000];
 
-/** Plans faults of one kind, one after the other. */
+/** Plans faults of one kind, independently of other kinds. */
 function planSeparately(
   draw: Draw,
   seconds: number,
@@ -114,9 +114,9 @@
 }
 
 /**
- * @param draw - gives everything.
- * @param seconds - in which faults begin.
- * @returns A filled link that nothing else troubles, lost answers, then faults in series.
+ * @param draw - random choices.
+ * @param seconds - duration in which faults start.
+ * @returns A filled link on its own, lost answers, then series of faults.
  */
 export function planFaults(draw: Draw, seconds: number): PlannedFault[] {
   const plan: PlannedFault[] = [
@@ -131,7 +131,7 @@
     }
     at += draw.between(...PAUSES);
   }
-  // Each kind is drawn after the ones before it, whose faults stay the same for a seed.
+  // A new kind is drawn last, so that the faults of the kinds before it stay the same for each seed.
   const statement = () => new (draw.one([FatalRequest, RunnerSaysItLeaves]))(draw);
   const statements = planSeparately(draw, seconds, STATEMENT_PAUSES, statement);
   const evacuation = () => new EvacuatedPlace(draw);
--- a/soak/faults/linkFaults.ts
+++ b/soak/faults/linkFaults.ts
@@ -1,5 +1,5 @@
 /**
- * Troubles of one daemon's link.
+ * Faults of the link of one daemon.
  */
 import { setTimeout as wait } from 'node:timers/promises';
 
@@ -22,12 +22,12 @@
 
 const BYTES_PER_MEGABIT = 125_000;
 
-/** Kept connections that are silent are used until somebody's patience ends; in ms. */
+/** Duration of silent connections, in ms; until then they are used, and requests on them time out. */
 const SILENCE_NOTICED_MILLISECONDS = 6_000;
 
 /**
- * A link that is filled: what runners send and new connections arrive late, though the runners are sound. Streams
- * through it must come whole.
+ * Fills a link with traffic: data of runners and new connections are late although the runners are sound. Streams through
+ * it have to be complete.
  */
 export class FilledLink extends Fault {
   private readonly index = this.draw.daemon();
@@ -51,7 +51,7 @@
     await Promise.all(calls);
   }
 
-  /** Resolves when the stream's first bytes are there, or it is over without any. */
+  /** Resolves when the first bytes of the stream have arrived, or it has ended without any. */
   private beginStream(ground: FaultGround, calls: Promise<unknown>[]): Promise<void> {
     const daemon = this.daemonOf(ground, this.index);
     return new Promise((done) => {
@@ -62,7 +62,7 @@
   }
 }
 
-/** A link with little bandwidth, or a long delay; a large configuration fills it. */
+/** Limits the bandwidth of a link or delays its traffic; a large configuration fills it. */
 export class SlowLink extends Fault {
   private readonly index = this.draw.daemon();
 
@@ -83,7 +83,7 @@
   }
 }
 
-/** Open connections are reset, some times in a row. */
+/** Resets the open connections, several times in a row. */
 export class LinkReset extends Fault {
   private readonly index = this.draw.daemon();
 
@@ -99,13 +99,13 @@
     const text = `connections of daemon-${index} are reset: ${sides.join(', ')}`;
     for (let time = 0; time < times; time += 1) {
       const record = { kind: 'break', daemon: index, sides, text } as const;
-      // Both ends hear of it once the link's thread has come to it.
+      // Both ends notice when the thread of the link has done it.
       await this.last(ground, record, pauseMilliseconds, { begin: () => link.reset(sides) });
     }
   }
 }
 
-/** Open connections go dead without a sign; new ones work. */
+/** Silences the open connections without closing them; new ones work. */
 export class SilencedLink extends Fault {
   private readonly index = this.draw.daemon();
 
@@ -122,7 +122,7 @@
   }
 }
 
-/** Nothing passes in one direction for a while; it comes afterwards. */
+/** Holds back all traffic in one direction for a while, and delivers it afterwards. */
 export class OneWayCut extends Fault {
   private readonly index = this.draw.daemon();
 
@@ -142,7 +142,7 @@
   }
 }
 
-/** Daemons lose their path to all runners; callers, the store and the other daemons still reach them. */
+/** Cuts daemons off from all runners; callers, the store and the other daemons still reach them. */
 export class LostPath extends Fault {
   private readonly first = this.draw.daemon();
 
--- a/soak/faults/processFaults.ts
+++ b/soak/faults/processFaults.ts
@@ -1,5 +1,5 @@
 /**
- * Troubles of daemons' processes, by signals.
+ * Faults of the processes of daemons, caused by signals.
  */
 import type { FaultGround } from './Fault.js';
 import { Fault } from './Fault.js';
@@ -8,7 +8,7 @@
 
 const BETWEEN_MILLISECONDS = 200;
 
-/** Planned stops and starts, one daemon after the other. */
+/** Stops and starts one daemon after the other, as planned work. */
 export class RollingRestart extends Fault {
   private readonly first = this.draw.daemon();
 
@@ -25,7 +25,7 @@
   }
 }
 
-/** One daemon is killed and starts again; at times all of them. */
+/** Kills one daemon, or sometimes all of them, and starts them again. */
 export class Kill extends Fault {
   private readonly indexes: readonly number[] =
     this.draw.random() < LOSS_OF_ALL_SHARE
@@ -41,7 +41,7 @@
   }
 }
 
-/** A process stands still and goes on, some times in a row. */
+/** Suspends a process and resumes it, several times in a row. */
 export class Pause extends Fault {
   private readonly index = this.draw.daemon();
 
@@ -58,7 +58,7 @@
         begin: () => process.signal('SIGSTOP'),
         end: () => process.signal('SIGCONT'),
       });
-      // Between two pauses what has waited is done.
+      // Between two pauses, the process handles the requests that have waited.
       await this.last(ground, { kind: 'pause', daemon: index, text }, BETWEEN_MILLISECONDS, {
         begin: () => undefined,
       });
@@ -66,7 +66,7 @@
   }
 }
 
-/** Settings change and are read again. */
+/** Changes the settings of a daemon and has it read them again. */
 export class Reload extends Fault {
   private readonly index = this.draw.daemon();
 
@@ -75,7 +75,7 @@
   override async play(ground: FaultGround): Promise<void> {
     const { index, directoryLifeSeconds } = this;
     const daemon = this.daemonOf(ground, index);
-    // A process that has not loaded its program yet has no handler, and the signal ends it.
+    // Until the program is loaded, there is no handler, and the signal would end the process.
     if (!daemon.isUp) return;
     const { process } = daemon;
     const text = `daemon-${index} reads its settings again`;
--- a/soak/faults/runnerFaults.ts
+++ b/soak/faults/runnerFaults.ts
@@ -1,5 +1,5 @@
 /**
- * Troubles of runners, and their planned leaving.
+ * Faults of runners, and their planned leaving.
  */
 import { setTimeout as wait } from 'node:timers/promises';
 
@@ -21,10 +21,10 @@
 
 const SERVICES: readonly SoakService[] = ['plain', 'engine'];
 
-/** A runner's entry is found to be wrong this much later, in ms. */
+/** Time until the entry of a crashed runner is removed, in ms. */
 const UNLISTED_AFTER_MILLISECONDS = 3_000;
 
-/** What runners of a service do wrong. */
+/** Faulty behaviours of the runners of each service. */
 const BEHAVIOURS: Readonly<Record<SoakService, readonly RunnerBehaviour[]>> = {
   plain: ['loses_answer', 'cuts_plain', 'refuses', 'fails'],
   engine: ['cuts_stream', 'loses_answer', 'refuses', 'ends_stream_early'],
@@ -41,12 +41,12 @@
   Object.assign(runner, { behaviour });
   await wait(milliseconds);
   Object.assign(runner, { behaviour: 'answers' });
-  // A stream that began meanwhile is cut later.
+  // A stream that began during the fault is cut later.
   await wait(TIMEOUT_MILLISECONDS);
   over();
 }
 
-/** A runner that misbehaves for a while. */
+/** Makes a runner misbehave for a while. */
 export class FailingRunner extends Fault {
   private readonly service = this.draw.one(SERVICES);
 
@@ -62,7 +62,7 @@
   }
 }
 
-/** All runners run what they get and lose the answers, for a moment: what may run once must not run again. */
+/** Makes all runners lose their answers for a moment, after running the requests; what may run once must not be repeated. */
 export class LostAnswers extends Fault {
   private readonly milliseconds = this.draw.between(300, 600);
 
@@ -74,7 +74,7 @@
   }
 }
 
-/** A runner ends without a word; its entry stays for a while, and another one comes. */
+/** Ends a runner without notice; its entry stays for a while, and another runner starts. */
 export class RunnerCrash extends Fault {
   private readonly service: SoakService = this.draw.one(SERVICES);
 
@@ -93,7 +93,7 @@
   }
 }
 
-/** A runner starts again under its id, at the other software version, and knows nothing. */
+/** Restarts a runner under its id, without state and at the other software version. */
 export class RunnerRestart extends Fault {
   private readonly service: SoakService = this.draw.one(SERVICES);
 
@@ -115,10 +115,10 @@
   }
 }
 
-/** Beside all that a request may crash before it is kept from them, streams need runners to go on at. */
+/** Additional runners, so that streams can be resumed in spite of the crashes before a request is quarantined. */
 const RUNNERS_BESIDE_FATAL = 4;
 
-/** Requests that crash each runner that runs them, sent to all daemons in turn. */
+/** Sends requests that crash each runner that runs them, to all daemons in turn. */
 abstract class FatalRequests extends Fault {
   protected abstract readonly repeats: number;
 
@@ -142,7 +142,7 @@
   }
 }
 
-/** A request that comes again. */
+/** Sends the same fatal request again and again. */
 export class FatalRequest extends FatalRequests {
   protected override readonly repeats = this.draw.between(8, 30);
 
@@ -155,7 +155,7 @@
   }
 }
 
-/** Requests of which no two are alike, with the same part in their prompts. */
+/** Sends different requests with the same fatal part in their prompts. */
 export class FatalPart extends FatalRequests {
   protected override readonly repeats = this.draw.between(20, 50);
 
@@ -170,7 +170,7 @@
   }
 }
 
-/** A runner says in its answers that it leaves, while the store lists it as before; it ends when it is idle. */
+/** A runner announces in its answers that it leaves, while the store lists it as before; it ends when it is idle. */
 export class RunnerSaysItLeaves extends Fault {
   private readonly service: SoakService = this.draw.one(SERVICES);
 
@@ -194,7 +194,7 @@
   }
 }
 
-/** Operators evacuate a data centre, wait until nothing new may come there, and take it back. */
+/** Evacuates a data centre, waits until no new request may arrive there, and ends the evacuation. */
 export class EvacuatedPlace extends Fault {
   private readonly service: SoakService = this.draw.one(SERVICES);
 
@@ -223,7 +223,7 @@
   }
 }
 
-/** A runner drains, or is just unlisted, serves on for the bound, and ends when it is idle. */
+/** A runner drains, or its entry is removed; it continues to serve for the bound, and ends when it is idle. */
 export class RunnerLeaves extends Fault {
   private readonly service: SoakService = this.draw.one(SERVICES);
 
@@ -251,15 +251,15 @@
   }
 }
 
-/** Plain runners say this long before that they will keep a short queue, in ms. */
+/** Time from the announcement that plain runners are brittle until they limit their queues, in ms. */
 const BRITTLE_NOTICE_MILLISECONDS = 3_000;
 
 const BRITTLE = { limit: 3, waiting: 2 };
 
-/** Mean time from one request of a surge to the next, in ms. */
+/** Mean time between two requests of the load spike, in ms. */
 const SURGE_GAP_MILLISECONDS = 10 / 3;
 
-/** Plain runners that crash when they reject more than a few requests a second, and a surge of requests for them. */
+/** Makes plain runners crash when they reject more than a few requests per second, and sends them a load spike. */
 export class BrittleRunnersInSurge extends Fault {
   private readonly milliseconds = this.draw.between(1_000, 2_500);
 
@@ -282,14 +282,14 @@
   }
 
   /**
-   * Times and daemons are independent of each other: of requests that begin at the same moment, those of daemons that reach
-   * the runners themselves would always be the first to find room there.
+   * Requests start at independent times, at random daemons. If several started at the same moment, those at daemons with a
+   * path would always be the first to reach the runners, and get all free slots.
    */
   private async surge(ground: FaultGround): Promise<void> {
     const { site, callers } = ground;
     const calls: Promise<unknown>[] = [];
     const startedAt = performance.now();
-    // Apart from the other draws, so that the faults after this one do not depend on how many requests there are.
+    // A generator of its own, so that the faults drawn later do not depend on the number of requests.
     const draw = new Draw(seededRandom(this.milliseconds), site.daemons.length);
     for (let at = 0; at < this.milliseconds; at += draw.gap(SURGE_GAP_MILLISECONDS)) {
       await wait(startedAt + at - performance.now());
--- a/soak/faults/storeFaults.ts
+++ b/soak/faults/storeFaults.ts
@@ -1,5 +1,5 @@
 /**
- * Troubles of the store.
+ * Faults of the store.
  */
 import { setTimeout as wait } from 'node:timers/promises';
 
@@ -12,7 +12,7 @@
 
 const ALL_SHARE = 0.5;
 
-/** The store fails all daemons, or one of them. */
+/** Makes the store fail for all daemons, or for one of them. */
 export class FailingStore extends Fault {
   private readonly fault: StoreFault = this.draw.one([
     'busy',
@@ -49,7 +49,7 @@
   }
 }
 
-/** The store forgets what has changed: who follows it has to read everything again. */
+/** Makes the store drop its history, so that daemons have to read everything again. */
 export class DroppedHistory extends Fault {
   override async play(ground: FaultGround): Promise<void> {
     await this.last(ground, { kind: 'store', text: 'the store drops its history' }, 0, {
@@ -61,8 +61,9 @@
 const HEARTBEAT_MILLISECONDS = 400;
 
 /**
- * The store is away for a moment and comes back from an older copy; runners and operators write again what it lacks. Once
- * daemons are in touch again, while revisions are still below those of before, a runner leaves and a change is made.
+ * Stops the store for a moment and restores it from an older copy; runners and operators write the missing entries again.
+ * When daemons are connected again, while revisions are still lower than before, a runner leaves and the configuration
+ * changes.
  */
 export class RestoredStore extends Fault {
   private readonly copyMilliseconds = this.draw.between(500, 4_000);
--- a/soak/report.ts
+++ b/soak/report.ts
@@ -1,5 +1,5 @@
 /**
- * What a soak tells: a verdict, and for each broken promise what led to it.
+ * Report of a soak: the verdict, and for each broken promise the events that led to it.
  */
 import { mkdirSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
@@ -11,7 +11,7 @@
 import type { Violation } from './checks/Violations.js';
 import type { SoakResult } from './runSoak.js';
 
-/** Later ones mostly follow from the first. */
+/** Maximum number of violations in the report; later ones mostly follow from the first. */
 const TOLD = 3;
 
 function logLinesOf({ site }: SoakResult): LogLine[] {
@@ -44,8 +44,8 @@
 }
 
 /**
- * @param result - of a soak.
- * @param folder - where the log of each daemon is written.
+ * @param result - result of a soak.
+ * @param folder - folder that the log of each daemon is written to.
  */
 export function writeLogs({ site }: SoakResult, folder: string): void {
   mkdirSync(folder, { recursive: true });
@@ -55,9 +55,9 @@
 }
 
 /**
- * @param seed - that was played.
- * @param result - what came of it.
- * @returns Lines for a person.
+ * @param seed - seed of the soak.
+ * @param result - its result.
+ * @returns The lines of the report.
  */
 export function reportLines(seed: number, result: SoakResult): string[] {
   const { violations, site } = result;
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -1,5 +1,5 @@
 /**
- * One soak: a fleet of processes under load, faults from a seed, and what became of the promises.
+ * One soak: runs a fleet of processes under load, injects faults from a seed, and checks the promises.
  */
 import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
@@ -28,19 +28,19 @@
 /** Options of {@link runSoak}. */
 export interface SoakOptions {
   seed: number;
-  /** In which faults begin. */
+  /** Duration in which faults start. */
   seconds: number;
-  /** Arguments of the runtime: its options and the built daemon. */
+  /** Arguments of the Node.js runtime: its options and the built daemon. */
   program: readonly string[];
   daemons?: number;
   runnersOfService?: number;
-  /** Requests a second. */
+  /** Requests per second. */
   rate?: number;
-  /** What is played; a plan from the seed where missing. */
+  /** Creates the plan of faults; by default, it is drawn from the seed. */
   plan?: (draw: Draw, seconds: number) => PlannedFault[];
 }
 
-/** What came of it. */
+/** Result of a soak. */
 export interface SoakResult {
   readonly site: SoakSite;
   readonly violations: Violations;
@@ -105,8 +105,8 @@
 }
 
 /**
- * @param options - seed, time and sizes.
- * @returns What was seen, once all that was started has ended.
+ * @param options - seed, duration and sizes.
+ * @returns The violations that were found, when everything that was started has ended.
  */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const { program, daemons = 4, runnersOfService = 4 } = options;
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -1,6 +1,7 @@
 /**
- * Soaks a fleet of real processes in faults. `npm run soak -- --seed 7` plays one seed, `--seeds 50` as many from the
- * first one on; `--seconds`, `--daemons`, `--runners` (of each service) and `--rate` (requests a second) set the size; `--logs FOLDER` keeps the daemons' logs.
+ * Runs a fleet of real processes under load and faults. `npm run soak -- --seed 7` plays one seed, `--seeds 50` as many,
+ * starting with that one; `--seconds`, `--daemons`, `--runners` (of each service) and `--rate` (requests per second) set the
+ * size; `--logs FOLDER` keeps the logs of the daemons.
  */
 import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
--- a/soak/soakBounds.ts
+++ b/soak/soakBounds.ts
@@ -1,49 +1,49 @@
 /**
- * The times and sizes that the soak's checks rest on.
+ * Times and sizes used by the checks of the soak.
  */
 
-/** In force within this time after the store's acknowledgement, as on the users' platform; in ms. */
+/** Time within which a change is in force after the store has acknowledged it, in ms; as on the users' platform. */
 export const CHANGE_BOUND_MILLISECONDS = 2_000;
 
-/** Processes and timers of a busy machine are late by some hundred ms. */
+/** Allowance for processes and timers that are late on a busy machine, in ms. */
 export const LATENESS_MILLISECONDS = 1_000;
 
-/** A daemon that nothing has touched for this long has no excuse of having been out of touch; in ms. */
+/** Time without a fault after which a daemon counts as connected to all others, in ms. */
 export const CONTACT_MILLISECONDS = 3_000;
 
-/** Time that a planned stop may take. */
+/** Maximum duration of a planned stop. */
 export const STOP_SECONDS = 5;
 
-/** From then on a stopping daemon refuses, and closes what is idle; see `runPlannedStop`. */
+/** Share of the stop after which a daemon refuses requests and closes idle connections; see `runPlannedStop`. */
 export const CLOSING_SHARE = 0.35;
 
-/** From then on it cuts what is not complete; see `runPlannedStop`. */
+/** Share of the stop after which it cuts incomplete answers; see `runPlannedStop`. */
 export const CUTTING_SHARE = 0.93;
 
-/** Of each route of the stand-in's configuration, in ms. */
+/** Timeout of each route of the stand-in's configuration, in ms. */
 export const TIMEOUT_MILLISECONDS = 5_000;
 
-/** The fleet serves again this long after the last fault, as on the users' platform; in ms. */
+/** Time after the last fault within which the fleet serves again, in ms; as on the users' platform. */
 export const RECOVERY_MILLISECONDS = 12_000;
 
-/** Events of each stream; with 40 ms between them it lasts 1.6 s. */
+/** Number of events of each stream; with 40 ms between events, a stream takes 1.6 s. */
 export const EVENTS = 40;
 
-/** Runners that may run one request; see `siteConfiguration`. */
+/** Maximum number of runners that may run one request; see `siteConfiguration`. */
 export const MAXIMUM_ATTEMPTS = 2;
 
-/** Before a plain answer, and before a crash; long enough that faults meet plain requests under way; in ms. */
+/** Time until a plain answer, or a crash, in ms; long enough for faults to hit plain requests in progress. */
 export const WORK_MILLISECONDS = 80;
 
-/** A request with such a body crashes each runner that runs it. */
+/** Beginning of the bodies of requests that crash each runner that runs them. */
 export const FATAL_BODY = 'fatal';
 
-/** A request with a part of its prompt that begins like this crashes each runner that runs it. */
+/** Beginning of the ids of prompt parts that crash each runner that runs a request with them. */
 export const FATAL_PART = 'fa7a';
 
 /**
  * @param part - id of a part of a prompt.
- * @returns Whether it crashes runners.
+ * @returns Whether requests with the part crash runners.
  */
 export function isFatalPart(part: string): boolean {
   return part.startsWith(FATAL_PART);
@@ -57,11 +57,11 @@
   return body.startsWith(FATAL_BODY) || parts.some(isFatalPart);
 }
 
-/** Crashes after which no request with such a part is to run any more. */
+/** Number of crashes after which no request with a fatal part may run any more. */
 export const FATAL_PART_CRASHES = 5;
 
-/** Crashes after which a request is not to run any more. */
+/** Number of crashes after which a fatal request may not run any more. */
 export const FATAL_CRASHES = 3;
 
-/** Runs that are allowed once all daemons had the time to know, in all. */
+/** Number of runs that are allowed in total after all daemons had time to learn of the crashes. */
 export const LATE_FATAL_RUNS = 3;
