--- a/soak/RunBook.ts
+++ b/soak/RunRecords.ts
@@ -20,7 +20,7 @@
 }
 
 /** Keeps all runs. */
-export class RunBook {
+export class RunRecords {
   readonly all: SoakRun[] = [];
 
   private readonly byId = new Map<string, SoakRun[]>();
@@ -30,7 +30,7 @@
    * @param runner - id of the runner that runs it.
    * @param from - IP address that it arrived from.
    */
-  note({ id = '', target, body, headers }: ReceivedRequest, runner: string, from: string): void {
+  add({ id = '', target, body, headers }: ReceivedRequest, runner: string, from: string): void {
     const account = headers.tenant as string | undefined;
     const parts = promptPartsOf(headers);
     const run = { id, runner, at: performance.now(), from, target, body, account, parts };
--- a/soak/SoakSite.ts
+++ b/soak/SoakSite.ts
@@ -13,7 +13,7 @@
 import { FaultHistory } from './FaultHistory.js';
 import { DaemonLink } from '../standIns/link/DaemonLink.js';
 import { watchLateness } from '../standIns/link/watchLateness.js';
-import { RunBook } from './RunBook.js';
+import { RunRecords } from './RunRecords.js';
 import { SoakDaemon } from './SoakDaemon.js';
 import {
   CHANGE_BOUND_MILLISECONDS,
@@ -100,7 +100,7 @@
 
   readonly history = new FaultHistory();
 
-  readonly runs = new RunBook();
+  readonly runs = new RunRecords();
 
   readonly daemons: SoakDaemon[] = [];
 
@@ -202,7 +202,7 @@
       events: EVENTS,
       eventMilliseconds: EVENT_MILLISECONDS,
       workMilliseconds: WORK_MILLISECONDS,
-      onRan: (request, from) => this.runs.note(request, id, from),
+      onRan: (request, from) => this.runs.add(request, id, from),
       ...(service === 'plain' && { slots: PLAIN_SLOTS }),
       isFatal: ({ body, headers }) => isFatal({ body, parts: promptPartsOf(headers) }),
       onCrashed: () => this.crashed(runner),
--- a/soak/checks/AnswerChecks.spec.ts
+++ b/soak/checks/AnswerChecks.spec.ts
@@ -5,7 +5,7 @@
 import type { SiteAnswer } from '../../standIns/site/callSite.js';
 import type { FaultKind } from '../FaultHistory.js';
 import { FaultHistory } from '../FaultHistory.js';
-import { RunBook } from '../RunBook.js';
+import { RunRecords } from '../RunRecords.js';
 import type { Call } from '../SoakCallers.js';
 import type { SoakDaemon } from '../SoakDaemon.js';
 import { EVENTS, STOP_SECONDS, TIMEOUT_MILLISECONDS } from '../soakBounds.js';
@@ -44,13 +44,13 @@
 
 describe('the checks of the soak', () => {
   let history: FaultHistory;
-  let runs: RunBook;
+  let runs: RunRecords;
   let violations: Violations;
   let checks: AnswerChecks;
 
   beforeEach(() => {
     history = new FaultHistory();
-    runs = new RunBook();
+    runs = new RunRecords();
     violations = new Violations();
     const excuses = new Excuses({ history, runs, daemons: [] });
     checks = new AnswerChecks({ runs, excuses, violations });
@@ -59,7 +59,7 @@
   function runAt(runner: string, changes: { id?: string; body?: string } = {}): void {
     const headers = { tenant: 'account-1' };
     const request = { id: 'call-1', method: 'POST', target: '/chat/x', body: 'body', headers };
-    runs.note({ ...request, ...changes }, runner, '127.0.1.1');
+    runs.add({ ...request, ...changes }, runner, '127.0.1.1');
   }
 
   function fault(kind: FaultKind, from: number, to: number, changes: object = {}): void {
@@ -67,8 +67,8 @@
   }
 
   function brokenBy(call: Call): string[] {
-    checks.look(call);
-    checks.lookAtRuns();
+    checks.checkAnswer(call);
+    checks.checkRuns();
     return violations.all.map(({ promise }) => promise);
   }
 
--- a/soak/checks/AnswerChecks.ts
+++ b/soak/checks/AnswerChecks.ts
@@ -2,7 +2,7 @@
  * Checks the promises on each answer to a caller, and on each run at a runner.
  */
 import { MAXIMUM_ATTEMPTS, EVENTS } from '../soakBounds.js';
-import type { RunBook } from '../RunBook.js';
+import type { RunRecords } from '../RunRecords.js';
 import type { Call, CallKind } from '../SoakCallers.js';
 import type { BrokenAttempts } from './brokenAttempts.js';
 import type { Excuses } from './Excuses.js';
@@ -54,7 +54,7 @@
 
 /** Options of {@link AnswerChecks}. */
 export interface AnswerChecksOptions {
-  runs: RunBook;
+  runs: RunRecords;
   excuses: Excuses;
   violations: Violations;
   /** Returns the broken attempts from the logs of the daemons; called after all requests have ended. */
@@ -80,7 +80,7 @@
   /**
    * @param call - a request that has ended.
    */
-  look(call: Call): void {
+  checkAnswer(call: Call): void {
     this.calls.set(call.id, call);
     const { answer } = call;
     const { excuses } = this.options;
@@ -95,23 +95,23 @@
       const took = call.endedAt - call.sentAt;
       this.check('an answer in time', took <= excuses.limitOf(call), call);
     }
-    if (answer.status === OK) this.lookAtSuccess(call);
-    else this.lookAtFailure(call);
+    if (answer.status === OK) this.checkSuccess(call);
+    else this.checkFailure(call);
   }
 
   /** Checks all runs; no request may be in progress. */
-  lookAtRuns(): void {
+  checkRuns(): void {
     const { runs, violations } = this.options;
     for (const { id, target, body, account, runner } of runs.all) {
       const call = this.calls.get(id);
       const isAsked = call?.path === target && call.body === body && account === ACCOUNT;
       violations.check('runs are asked for', isAsked, () => `${runner} ran ${target} ${body}`, id);
     }
-    for (const call of this.calls.values()) this.lookAtRunsOf(call);
-    this.lookAtUnexcused();
+    for (const call of this.calls.values()) this.checkRunsOf(call);
+    this.checkUnexcused();
   }
 
-  private lookAtUnexcused(): void {
+  private checkUnexcused(): void {
     if (this.unexcused.length === 0) return;
     const { excuses } = this.options;
     const broken = this.options.brokenAttempts();
@@ -126,7 +126,7 @@
     this.check('an answer or a refusal', holds, call);
   }
 
-  private lookAtRunsOf(call: Call): void {
+  private checkRunsOf(call: Call): void {
     const { runs, violations } = this.options;
     const runners = runs.of(call.id).map(({ runner }) => runner);
     const told = () => `${shortOf(call)}; ran at ${runners.join(', ')}`;
@@ -136,7 +136,7 @@
     violations.check('"not run" is true', runners.length === 0, told, call.id);
   }
 
-  private lookAtSuccess(call: Call): void {
+  private checkSuccess(call: Call): void {
     const { id, answer } = call;
     if (!answer) return;
     const { headers, body, isComplete } = answer;
@@ -149,7 +149,7 @@
     this.check('bodies are exact', isExact, call);
   }
 
-  private lookAtFailure(call: Call): void {
+  private checkFailure(call: Call): void {
     const { answer, kind } = call;
     if (!answer) return;
     const { status, headers } = answer;
--- a/soak/checks/DrainChecks.ts
+++ b/soak/checks/DrainChecks.ts
@@ -1,7 +1,7 @@
 /**
  * Checks that runners that leave or are evacuated get no new requests after the bound.
  */
-import type { RunBook } from '../RunBook.js';
+import type { RunRecords } from '../RunRecords.js';
 import type { Call } from '../SoakCallers.js';
 import { CHANGE_BOUND_MILLISECONDS, LATENESS_MILLISECONDS } from '../soakBounds.js';
 import type { Contact } from './Contact.js';
@@ -9,7 +9,7 @@
 
 /** Options of {@link DrainChecks}. */
 export interface DrainChecksOptions {
-  runs: RunBook;
+  runs: RunRecords;
   contact: Contact;
   violations: Violations;
   /** By id. */
@@ -46,7 +46,7 @@
   }
 
   /** Checks all runs of the runners that have left. */
-  look(): void {
+  checkAll(): void {
     const { runs, calls, contact, violations } = this.options;
     for (const { id, runner, at } of runs.all) {
       const left = this.leaving.get(runner);
--- a/soak/checks/Excuses.ts
+++ b/soak/checks/Excuses.ts
@@ -3,7 +3,7 @@
  */
 import type { FaultHistory, FaultKind } from '../FaultHistory.js';
 import type { LinkSide } from '../../standIns/link/linkTypes.js';
-import type { RunBook } from '../RunBook.js';
+import type { RunRecords } from '../RunRecords.js';
 import type { Call } from '../SoakCallers.js';
 import type { SoakDaemon } from '../SoakDaemon.js';
 import {
@@ -30,7 +30,7 @@
 /** Options of {@link Excuses}. */
 export interface ExcusesOptions {
   history: FaultHistory;
-  runs: RunBook;
+  runs: RunRecords;
   daemons: readonly SoakDaemon[];
 }
 
--- a/soak/checks/PathChecks.spec.ts
+++ b/soak/checks/PathChecks.spec.ts
@@ -39,7 +39,13 @@
   add(CUT_DAEMON, cut);
   add(OTHER_DAEMON, others);
   const contact: Pick<Contact, 'holds'> = { holds: () => true };
-  new PathChecks({ history, contact: contact as Contact, violations, calls, daemons: 2 }).look();
+  new PathChecks({
+    history,
+    contact: contact as Contact,
+    violations,
+    calls,
+    daemons: 2,
+  }).checkAll();
   return violations.all.map(({ text }) => text);
 }
 
--- a/soak/checks/PathChecks.ts
+++ b/soak/checks/PathChecks.ts
@@ -53,7 +53,7 @@
   }
 
   /** Checks all requests; none may be in progress. */
-  look(): void {
+  checkAll(): void {
     const cut: Tally = { sent: 0, served: 0 };
     const others: Tally = { sent: 0, served: 0 };
     for (const call of this.options.calls.values()) {
--- a/soak/checks/StatementChecks.ts
+++ b/soak/checks/StatementChecks.ts
@@ -2,7 +2,7 @@
  * Checks the promises on requests that crash runners, and on runners that announce in their answers that they leave.
  */
 import type { FaultHistory, FaultKind } from '../FaultHistory.js';
-import type { RunBook, SoakRun } from '../RunBook.js';
+import type { RunRecords, SoakRun } from '../RunRecords.js';
 import type { Call } from '../SoakCallers.js';
 import {
   CHANGE_BOUND_MILLISECONDS,
@@ -24,7 +24,7 @@
 
 /** Options of {@link StatementChecks}. */
 export interface StatementChecksOptions {
-  runs: RunBook;
+  runs: RunRecords;
   history: FaultHistory;
   contact: Contact;
   violations: Violations;
@@ -44,7 +44,7 @@
   }
 
   /** Checks all runs; no request may be in progress. */
-  look(): void {
+  checkAll(): void {
     const { runs } = this.options;
     const fatal = runs.all.filter(({ body }) => body.startsWith(FATAL_BODY));
     for (const body of new Set(fatal.map((run) => run.body))) {
--- a/soak/checks/VersionChecks.spec.ts
+++ b/soak/checks/VersionChecks.spec.ts
@@ -31,9 +31,9 @@
     const first = callOf(`call-${index}`, 200, 'v1');
     const second = callOf(`again-${index}`, status, version, { first: first.id, events: 1 });
     calls.set(first.id, first).set(second.id, second);
-    checks.look(second);
+    checks.checkAnswer(second);
   });
-  checks.lookAtAll();
+  checks.checkAll();
   return violations.all.map(({ promise }) => promise);
 }
 
--- a/soak/checks/VersionChecks.ts
+++ b/soak/checks/VersionChecks.ts
@@ -50,7 +50,7 @@
   /**
    * @param call - a request that has ended.
    */
-  look(call: Call): void {
+  checkAnswer(call: Call): void {
     const { contact, calls, engines } = this.options;
     const first = call.takesUp && calls.get(call.takesUp.first);
     if (!first || !contact.holds(call.daemon, call.sentAt, call.endedAt)) return;
@@ -62,7 +62,7 @@
   }
 
   /** Checks all streams; none may be in progress. */
-  lookAtAll(): void {
+  checkAll(): void {
     const { calls, violations } = this.options;
     const mixed = [...calls.values()].filter((call) => {
       const first = call.takesUp && calls.get(call.takesUp.first);
--- a/soak/checks/Violations.ts
+++ b/soak/checks/Violations.ts
@@ -18,7 +18,7 @@
 export class Violations {
   readonly all: Violation[] = [];
 
-  readonly looked = new Map<string, number>();
+  readonly checked = new Map<string, number>();
 
   /** Figures for the report that are too small to judge in one soak, but can be added up over many. */
   readonly figures: string[] = [];
@@ -33,7 +33,7 @@
    * @param request - id of the request, if it concerns one.
    */
   check(promise: string, holds: boolean, text: () => string, request?: string): void {
-    this.looked.set(promise, (this.looked.get(promise) ?? 0) + 1);
+    this.checked.set(promise, (this.checked.get(promise) ?? 0) + 1);
     if (holds) return;
     const at = performance.now();
     this.all.push({ promise, text: text(), at, ...(request !== undefined && { request }) });
--- a/soak/faults/ConfigurationSeries.ts
+++ b/soak/faults/ConfigurationSeries.ts
@@ -3,7 +3,7 @@
  */
 import { setTimeout as wait } from 'node:timers/promises';
 
-import type { FaultGround } from './Fault.js';
+import type { FaultContext } from './Fault.js';
 import { Fault } from './Fault.js';
 
 /** Large configurations take a while to send and to read. */
@@ -15,7 +15,7 @@
 
   private readonly pauseMilliseconds = this.draw.between(50, 1_500);
 
-  override async play({ site }: FaultGround): Promise<void> {
+  override async play({ site }: FaultContext): Promise<void> {
     for (const isLarge of this.areLarge) {
       site.changeConfiguration(isLarge);
       await wait(this.pauseMilliseconds);
--- a/soak/faults/Fault.ts
+++ b/soak/faults/Fault.ts
@@ -12,7 +12,7 @@
 import type { SoakSite } from '../SoakSite.js';
 
 /** Parts of the soak that faults act on. */
-export interface FaultGround {
+export interface FaultContext {
   readonly site: SoakSite;
   readonly callers: SoakCallers;
   readonly drains: DrainChecks;
@@ -72,11 +72,11 @@
    * @param ground - parts of the soak that it acts on.
    * @returns Resolves when the fault has ended.
    */
-  abstract play(ground: FaultGround): Promise<void>;
+  abstract play(ground: FaultContext): Promise<void>;
 
   /** Records a fault for as long as it lasts. */
   protected async last(
-    { site }: FaultGround,
+    { site }: FaultContext,
     record: FaultRecord,
     milliseconds: number,
     act: { begin: () => void; end?: () => void },
@@ -88,7 +88,7 @@
     over();
   }
 
-  protected daemonOf({ site }: FaultGround, index: number): SoakDaemon {
+  protected daemonOf({ site }: FaultContext, index: number): SoakDaemon {
     const daemon = site.daemons[index];
     if (!daemon) throw new Error(`there is no daemon ${index}`);
     return daemon;
--- a/soak/faults/linkFaults.ts
+++ b/soak/faults/linkFaults.ts
@@ -10,7 +10,7 @@
   LinkSide,
   Severance,
 } from '../../standIns/link/linkTypes.js';
-import type { FaultGround } from './Fault.js';
+import type { FaultContext } from './Fault.js';
 import { Fault } from './Fault.js';
 
 const SIDE_CHOICES: readonly (readonly LinkSide[])[] = [
@@ -36,7 +36,7 @@
 
   private readonly streams = this.draw.between(4, 8);
 
-  override async play(ground: FaultGround): Promise<void> {
+  override async play(ground: FaultContext): Promise<void> {
     const { index, milliseconds, streams } = this;
     const daemon = this.daemonOf(ground, index);
     if (!daemon.isUp) return;
@@ -52,7 +52,7 @@
   }
 
   /** Resolves when the first bytes of the stream have arrived, or it has ended without any. */
-  private beginStream(ground: FaultGround, calls: Promise<unknown>[]): Promise<void> {
+  private beginStream(ground: FaultContext, calls: Promise<unknown>[]): Promise<void> {
     const daemon = this.daemonOf(ground, this.index);
     return new Promise((done) => {
       const call = ground.callers.call(daemon, 'chat', '/chat/x', done);
@@ -73,7 +73,7 @@
     delayMilliseconds: this.draw.one([0, 5, 40, 150]),
   };
 
-  override async play(ground: FaultGround): Promise<void> {
+  override async play(ground: FaultContext): Promise<void> {
     const { index, milliseconds, pace } = this;
     const { link } = this.daemonOf(ground, index);
     const text = `the link of daemon-${index} is slow, ${JSON.stringify(pace)}`;
@@ -93,7 +93,7 @@
 
   private readonly pauseMilliseconds = this.draw.between(100, 800);
 
-  override async play(ground: FaultGround): Promise<void> {
+  override async play(ground: FaultContext): Promise<void> {
     const { index, sides, times, pauseMilliseconds } = this;
     const { link } = this.daemonOf(ground, index);
     const text = `connections of daemon-${index} are reset: ${sides.join(', ')}`;
@@ -111,7 +111,7 @@
 
   private readonly sides: readonly LinkSide[] = this.draw.one(SIDE_CHOICES);
 
-  override async play(ground: FaultGround): Promise<void> {
+  override async play(ground: FaultContext): Promise<void> {
     const { index, sides } = this;
     const { link } = this.daemonOf(ground, index);
     const text = `open connections of daemon-${index} go silent: ${sides.join(', ')}`;
@@ -132,7 +132,7 @@
 
   private readonly milliseconds = this.draw.between(300, 3_000);
 
-  override async play(ground: FaultGround): Promise<void> {
+  override async play(ground: FaultContext): Promise<void> {
     const { index, sides, direction, milliseconds } = this;
     const { link } = this.daemonOf(ground, index);
     const text = `the link of daemon-${index} is cut, ${direction}: ${sides.join(', ')}`;
@@ -152,7 +152,7 @@
 
   private readonly milliseconds = this.draw.between(4_500, 7_000);
 
-  override async play(ground: FaultGround): Promise<void> {
+  override async play(ground: FaultContext): Promise<void> {
     const { how, milliseconds } = this;
     const { history } = ground.site;
     const cut = Array.from({ length: this.count }, (_, offset) =>
--- a/soak/faults/processFaults.ts
+++ b/soak/faults/processFaults.ts
@@ -1,7 +1,7 @@
 /**
  * Faults of the processes of daemons, caused by signals.
  */
-import type { FaultGround } from './Fault.js';
+import type { FaultContext } from './Fault.js';
 import { Fault } from './Fault.js';
 
 const LOSS_OF_ALL_SHARE = 0.1;
@@ -16,7 +16,7 @@
 
   private readonly downMilliseconds = this.draw.between(0, 500);
 
-  override async play(ground: FaultGround): Promise<void> {
+  override async play(ground: FaultContext): Promise<void> {
     const { daemons } = ground.site;
     for (let step = 0; step < this.count; step += 1) {
       const daemon = this.daemonOf(ground, (this.first + step) % daemons.length);
@@ -34,7 +34,7 @@
 
   private readonly downMilliseconds = this.draw.between(0, 1_500);
 
-  override async play(ground: FaultGround): Promise<void> {
+  override async play(ground: FaultContext): Promise<void> {
     const restart = (index: number) =>
       this.daemonOf(ground, index).restart('SIGKILL', this.downMilliseconds);
     await Promise.all(this.indexes.map(restart));
@@ -49,7 +49,7 @@
 
   private readonly milliseconds = this.draw.between(100, 2_500);
 
-  override async play(ground: FaultGround): Promise<void> {
+  override async play(ground: FaultContext): Promise<void> {
     const { index, times, milliseconds } = this;
     const { process } = this.daemonOf(ground, index);
     const text = `daemon-${index} stands still for ${milliseconds} ms`;
@@ -72,7 +72,7 @@
 
   private readonly directoryLifeSeconds = this.draw.between(1, 3);
 
-  override async play(ground: FaultGround): Promise<void> {
+  override async play(ground: FaultContext): Promise<void> {
     const { index, directoryLifeSeconds } = this;
     const daemon = this.daemonOf(ground, index);
     // Until the program is loaded, there is no handler, and the signal would end the process.
--- a/soak/faults/runnerFaults.ts
+++ b/soak/faults/runnerFaults.ts
@@ -16,7 +16,7 @@
   FATAL_PART,
   TIMEOUT_MILLISECONDS,
 } from '../soakBounds.js';
-import type { FaultGround } from './Fault.js';
+import type { FaultContext } from './Fault.js';
 import { Draw, Fault } from './Fault.js';
 
 const SERVICES: readonly SoakService[] = ['plain', 'engine'];
@@ -31,7 +31,7 @@
 };
 
 async function misbehave(
-  { site }: FaultGround,
+  { site }: FaultContext,
   runner: SiteRunner,
   behaviour: RunnerBehaviour,
   milliseconds: number,
@@ -56,7 +56,7 @@
 
   private readonly milliseconds = this.draw.between(300, 2_000);
 
-  override async play(ground: FaultGround): Promise<void> {
+  override async play(ground: FaultContext): Promise<void> {
     const runner = ground.site.spareRunner(this.service, this.choice);
     if (runner) await misbehave(ground, runner, this.behaviour, this.milliseconds);
   }
@@ -66,7 +66,7 @@
 export class LostAnswers extends Fault {
   private readonly milliseconds = this.draw.between(300, 600);
 
-  override async play(ground: FaultGround): Promise<void> {
+  override async play(ground: FaultContext): Promise<void> {
     const runners = [...ground.site.runners.values()];
     const lose = (runner: SiteRunner) =>
       misbehave(ground, runner, 'loses_answer', this.milliseconds);
@@ -80,7 +80,7 @@
 
   private readonly choice = this.draw.random();
 
-  override async play(ground: FaultGround): Promise<void> {
+  override async play(ground: FaultContext): Promise<void> {
     const { site } = ground;
     const runner = site.spareRunner(this.service, this.choice);
     if (!runner) return;
@@ -99,7 +99,7 @@
 
   private readonly choice = this.draw.random();
 
-  override async play(ground: FaultGround): Promise<void> {
+  override async play(ground: FaultContext): Promise<void> {
     const { site } = ground;
     const runner = site.spareRunner(this.service, this.choice);
     if (!runner) return;
@@ -128,7 +128,7 @@
   /** Sends the next request. */
   protected abstract send(callers: SoakCallers, daemon: SoakDaemon): Promise<unknown>;
 
-  override async play({ site, callers }: FaultGround): Promise<void> {
+  override async play({ site, callers }: FaultContext): Promise<void> {
     for (let added = 0; added < RUNNERS_BESIDE_FATAL; added += 1) await site.addRunner('engine');
     await wait(CHANGE_BOUND_MILLISECONDS);
     const calls: Promise<unknown>[] = [];
@@ -176,7 +176,7 @@
 
   private readonly choice = this.draw.random();
 
-  override async play(ground: FaultGround): Promise<void> {
+  override async play(ground: FaultContext): Promise<void> {
     const { site } = ground;
     await site.addRunner(this.service);
     const runner = site.spareRunner(this.service, this.choice);
@@ -200,7 +200,7 @@
 
   private readonly milliseconds = this.draw.between(500, 4_000);
 
-  override async play(ground: FaultGround): Promise<void> {
+  override async play(ground: FaultContext): Promise<void> {
     const { site, drains } = ground;
     const dataCentre = `annex-of-${this.service}-${this.milliseconds}`;
     const runners = [
@@ -231,7 +231,7 @@
 
   private readonly saysSo = this.draw.random() < 0.5;
 
-  override async play(ground: FaultGround): Promise<void> {
+  override async play(ground: FaultContext): Promise<void> {
     const { site, drains } = ground;
     await site.addRunner(this.service);
     const runner = site.spareRunner(this.service, this.choice);
@@ -263,7 +263,7 @@
 export class BrittleRunnersInSurge extends Fault {
   private readonly milliseconds = this.draw.between(1_000, 2_500);
 
-  override async play(ground: FaultGround): Promise<void> {
+  override async play(ground: FaultContext): Promise<void> {
     const { site, violations } = ground;
     const text = `plain runners are brittle, with a surge of ${this.milliseconds} ms`;
     const over = site.history.begin({ kind: 'runner', runner: '', text });
@@ -285,7 +285,7 @@
    * Requests start at independent times, at random daemons. If several started at the same moment, those at daemons with a
    * path would always be the first to reach the runners, and get all free slots.
    */
-  private async surge(ground: FaultGround): Promise<void> {
+  private async surge(ground: FaultContext): Promise<void> {
     const { site, callers } = ground;
     const calls: Promise<unknown>[] = [];
     const startedAt = performance.now();
--- a/soak/faults/storeFaults.ts
+++ b/soak/faults/storeFaults.ts
@@ -6,7 +6,7 @@
 import type { StoreFault } from '../../standIns/site/StoreStandIn.js';
 import { CONTACT_MILLISECONDS } from '../soakBounds.js';
 import { ConfigurationSeries } from './ConfigurationSeries.js';
-import type { FaultGround } from './Fault.js';
+import type { FaultContext } from './Fault.js';
 import { Fault } from './Fault.js';
 import { RunnerLeaves } from './runnerFaults.js';
 
@@ -27,7 +27,7 @@
 
   private readonly milliseconds = this.draw.between(500, 4_000);
 
-  override async play(ground: FaultGround): Promise<void> {
+  override async play(ground: FaultContext): Promise<void> {
     const { fault, index, milliseconds } = this;
     const { store } = ground.site.stand;
     const host = index === undefined ? undefined : this.daemonOf(ground, index).link.ownHost;
@@ -51,7 +51,7 @@
 
 /** Makes the store drop its history, so that daemons have to read everything again. */
 export class DroppedHistory extends Fault {
-  override async play(ground: FaultGround): Promise<void> {
+  override async play(ground: FaultContext): Promise<void> {
     await this.last(ground, { kind: 'store', text: 'the store drops its history' }, 0, {
       begin: () => ground.site.stand.store.dropHistory(),
     });
@@ -80,7 +80,7 @@
 
   private readonly changes = new ConfigurationSeries(this.draw);
 
-  override async play(ground: FaultGround): Promise<void> {
+  override async play(ground: FaultContext): Promise<void> {
     const { store } = ground.site.stand;
     const copy = store.copy();
     for (let passed = 0; passed < this.copyMilliseconds; passed += HEARTBEAT_MILLISECONDS) {
--- a/soak/report.ts
+++ b/soak/report.ts
@@ -61,7 +61,7 @@
  */
 export function reportLines(seed: number, result: SoakResult): string[] {
   const { violations, site } = result;
-  const looked = [...violations.looked].map(([promise, times]) => `${promise} (${times})`);
+  const looked = [...violations.checked].map(([promise, times]) => `${promise} (${times})`);
   const figures = violations.figures.map((figure) => `; ${figure}`).join('');
   const verdict = violations.all.length === 0 ? 'kept' : `${violations.all.length} broken`;
   const summary = `seed ${seed}: ${verdict}, ${site.history.played.length} faults, ${violations.excused} requests excused; looked at ${looked.join(', ')}${figures}`;
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -83,8 +83,8 @@
   const planned = plan(new Draw(seededRandom(seed), daemons.length), seconds);
   const random = seededRandom(seed + 1);
   const onEnd = (call: Call) => {
-    answers.look(call);
-    versions.look(call);
+    answers.checkAnswer(call);
+    versions.checkAnswer(call);
   };
   const callers = new SoakCallers({ daemons, random, rate, onEnd });
   await callers.start();
@@ -93,11 +93,11 @@
   await checkRecovery(daemons, callers, violations);
   configurations.stop();
   await callers.stop();
-  answers.lookAtRuns();
-  drains.look();
-  statements.look();
-  paths.look();
-  versions.lookAtAll();
+  answers.checkRuns();
+  drains.checkAll();
+  statements.checkAll();
+  paths.checkAll();
+  versions.checkAll();
   for (const complaint of daemons.flatMap(({ complaints }) => complaints)) {
     violations.check('processes go on', false, () => complaint);
   }
--- a/soak/soak.spec.ts
+++ b/soak/soak.spec.ts
@@ -9,7 +9,7 @@
 import { expect } from 'earl';
 
 import { buildDaemon } from '../standIns/site/buildDaemon.js';
-import type { Draw, FaultGround } from './faults/Fault.js';
+import type { Draw, FaultContext } from './faults/Fault.js';
 import { Fault } from './faults/Fault.js';
 import { RestoredStore } from './faults/storeFaults.js';
 import { reportLines } from './report.js';
@@ -18,7 +18,7 @@
 
 /** Takes all kept connections to runners away at the same moment, also those that a retry would use. */
 class RunnersReset extends Fault {
-  override play({ site }: FaultGround): Promise<void> {
+  override play({ site }: FaultContext): Promise<void> {
     for (const { index, link } of site.daemons) {
       const text = `connections of daemon-${index} to runners are reset`;
       site.history.begin({ kind: 'break', daemon: index, sides: ['runners'], text })();
