--- a/measure/Measurement.ts
+++ b/measure/Measurement.ts
@@ -1,7 +1,7 @@
 /**
- * What a measurement gives to `npm run measure`.
+ * Type of the commands of `npm run measure`.
  */
 import type { CommandClass } from 'clipanion';
 
-/** A measurement is a command of the measuring program: its paths, options and help are clipanion's. */
+/** Class of a measurement; each is a clipanion command with its own paths, options and help. */
 export type Measurement = CommandClass;
--- a/measure/admission.ts
+++ b/measure/admission.ts
@@ -1,5 +1,5 @@
 /**
- * The admission measurement: what a surge costs others, and how well split limits hold.
+ * Measures how a load spike of one account affects the others, and how well limits hold that are divided among daemons.
  */
 import { Command, Option } from 'clipanion';
 
--- a/measure/cacheMoves.ts
+++ b/measure/cacheMoves.ts
@@ -1,5 +1,5 @@
 /**
- * The measurement of KV cache moves: what a planned leave and a hot chat cost with and without them.
+ * Measures what a planned leave and a hot chat cost with and without moving KV caches.
  */
 import { Command, Option } from 'clipanion';
 
@@ -14,7 +14,7 @@
 const SECONDS_BETWEEN_REQUESTS = [1, 5, 20];
 const SHARES_AT_THE_BOUND = [0.1, 0.3, 0.6];
 
-/** Tokens a second: the engine prefills so many, and says so or says what it generates. */
+/** Tokens per second that an engine prefills and generates. */
 const PREFILL_RATE = 10_000;
 const GENERATING_RATE = 1_800;
 
--- a/measure/control.ts
+++ b/measure/control.ts
@@ -1,5 +1,5 @@
 /**
- * The control measurement: what agreement costs, and how long it takes.
+ * Measures the traffic and the time that daemons need to agree.
  */
 import { Command, Option } from 'clipanion';
 
@@ -8,7 +8,7 @@
 
 const DEFAULT_SIZES = '8,130,390';
 
-/** Times in the table are seconds, bytes are sent bytes a second of one daemon. */
+/** Columns of the table; times are in seconds, bytes are those sent by one daemon per second. */
 const COLUMNS: readonly (readonly [keyof ControlResult, string])[] = [
   ['members', 'members'],
   ['joinedSeconds', 'joined s'],
@@ -86,7 +86,7 @@
     };
   }
 
-  /** One line for each figure, one column for each size: lines of a terminal are narrow. */
+  /** Prints one line for each figure and one column for each size, so that lines fit into a terminal. */
   private table(results: readonly ControlResult[]): string {
     const widest = Math.max(...COLUMNS.map(([, title]) => title.length));
     const lines = COLUMNS.map(([field, title]) => {
--- a/measure/controlHomes.ts
+++ b/measure/controlHomes.ts
@@ -1,12 +1,12 @@
 /**
- * The homes' part of the control measurement: what the homes of chats cost on the wire, and what reuse they give.
+ * Measures the traffic of chat homes, and the cache reuse that they give; a part of the control measurement.
  */
 import { Command, Option } from 'clipanion';
 
 import type { HomesResult, HomesRunOptions } from './control/measureHomes.js';
 import { measureHomes } from './control/measureHomes.js';
 
-/** Of a daemon at the largest fleet. */
+/** Requests per second of one daemon in the largest fleet. */
 const BUSY_REQUESTS = 19;
 
 const STANDARD: Omit<HomesRunOptions, 'daemons' | 'seconds' | 'seed' | 'sparing'> = {
@@ -17,7 +17,7 @@
   restarts: 1,
 };
 
-/** What is varied around the standard. */
+/** Variations of the standard options. */
 const VARIATIONS: readonly Partial<HomesRunOptions>[] = [
   {},
   { requestsPerSecond: 5 },
--- a/measure/decisionCost.ts
+++ b/measure/decisionCost.ts
@@ -1,5 +1,5 @@
 /**
- * The decision cost measurement: time of each decision and memory of a home, as the fleet grows.
+ * Measures the time of each decision and the memory of a chat home, as the fleet grows.
  */
 import { performance } from 'node:perf_hooks';
 import { setFlagsFromString } from 'node:v8';
@@ -14,17 +14,17 @@
 import { rendezvousPick } from '../src/routing/rendezvous.js';
 import { printRecords } from './routing/printRecords.js';
 
-/** One decision at one size. */
+/** Time of one decision at one size of the fleet. */
 interface CostResult {
   readonly measurement: 'decision-cost';
   readonly decision: string;
-  /** What grows. */
+  /** Quantity that grows. */
   readonly of: string;
   readonly size: number;
   readonly microseconds: number;
 }
 
-/** Memory of a home. */
+/** Memory of one chat home. */
 interface MemoryResult {
   readonly measurement: 'home-memory';
   readonly chats: number;
@@ -43,7 +43,7 @@
 const RUNNING_SIZES = [1, 40, 160];
 const RUNNERS_OF_CHAT = [1, 2, 8];
 
-/** The median of some blocks: one that the machine interrupted does not count. */
+/** @returns The median time of several blocks, so that an interruption by other processes does not count. */
 function microseconds(decide: (round: number) => void): number {
   const blocks: number[] = [];
   for (let block = 0; block < BLOCKS; block += 1) {
@@ -105,7 +105,7 @@
   };
 }
 
-/** Request, start, ten progress messages and end: all that a gate decides for one request. */
+/** All decisions of a gate for one request: admission, start, ten progress messages and end. */
 function gateCost(running: number): number {
   const gate = new GateDecisions({ maximumConcurrent: running + 1 });
   gate.decide(0, { kind: 'open', handedOver: [] });
--- a/measure/fleet.ts
+++ b/measure/fleet.ts
@@ -1,5 +1,5 @@
 /**
- * The fleet measurement: what a daemon costs as a real process, idle and under load.
+ * Measures the processor time and memory of a daemon as a real process, idle and under load.
  */
 import { Command, Option } from 'clipanion';
 
--- a/measure/measure.ts
+++ b/measure/measure.ts
@@ -1,7 +1,7 @@
 /**
- * `npm run measure`: drives the decision classes in virtual time and prints what they do.
+ * `npm run measure`: runs the decision classes in virtual time and prints the results.
  *
- * Without a name it runs the routing measurement. A new measurement adds its command to the list.
+ * Without a name, it runs the routing measurement. A new measurement adds its command to the list.
  */
 import { Builtins, Cli } from 'clipanion';
 
--- a/measure/plot.ts
+++ b/measure/plot.ts
@@ -1,7 +1,7 @@
 /**
- * `npm run plot`: draws the pictures of `docs/plots/` from the measured lines that are kept there.
+ * `npm run plot`: draws the diagrams in `docs/plots/` from the results in the same folder.
  *
- * New lines come from `npm run -s measure -- --json > docs/plots/routing.jsonl` and
+ * New results come from `npm run -s measure -- --json > docs/plots/routing.jsonl` and
  * `npm run -s measure -- control --json > docs/plots/control.jsonl`.
  */
 import { writeFileSync } from 'node:fs';
--- a/measure/requests.ts
+++ b/measure/requests.ts
@@ -1,5 +1,5 @@
 /**
- * The request measurement: what retries cost and gain, and what the decisions of a request cost.
+ * Measures the cost and gain of retries, and the cost of the decisions of a request.
  */
 import { Command, Option } from 'clipanion';
 
@@ -7,7 +7,7 @@
 
 const FAILURE_SHARES = [0, 0.01, 0.1, 0.14, 0.3, 1];
 
-/** Ratio and burst; the first line has no budget. */
+/** Ratio and burst of the retry budget; the first one is practically unlimited. */
 const BUDGETS: readonly (readonly [number, number])[] = [
   [1, 1_000_000],
   [0.1, 10],
--- a/measure/retryBudget.ts
+++ b/measure/retryBudget.ts
@@ -1,5 +1,5 @@
 /**
- * The retry budget measurement: what ways to keep a fleet's limit allow, and whether they keep it.
+ * Measures how many retries each way to enforce a fleet's limit allows, and whether it stays within the limit.
  */
 import { Command, Option } from 'clipanion';
 
@@ -19,7 +19,7 @@
 
 const FAILURES: readonly ServiceFailure[] = ['some', 'most', 'bursts'];
 
-/** Troubles that keep daemons, and those that end them. */
+/** Faults that leave daemons running, and faults that end them. */
 const TROUBLES: readonly FleetTrouble[] = [
   'none',
   'killed_together',
--- a/measure/routing.ts
+++ b/measure/routing.ts
@@ -1,5 +1,5 @@
 /**
- * The routing measurement: reuse against skew, by policy and bound, at two sizes of the fleet.
+ * Measures cache reuse and load imbalance, by policy and bound, at two sizes of the fleet.
  */
 import { Command, Option, UsageError } from 'clipanion';
 
@@ -9,7 +9,7 @@
 import { runAll } from './routing/runAll.js';
 import type { FinishedRun } from './routing/runAll.js';
 
-/** A column of the table: its title and what stands in it. */
+/** A column of the table: its title and its value for each result. */
 type Column = readonly [title: string, cell: (run: FinishedRun) => string];
 
 const percent = (share: number): string => `${(share * 100).toFixed(1)} %`;
--- a/measure/site.ts
+++ b/measure/site.ts
@@ -1,5 +1,5 @@
 /**
- * The measurement of a site: what a daemon that forwards directly costs as a process.
+ * Measures the processor time and memory of a daemon that forwards requests directly, as a real process.
  */
 import { Command, Option } from 'clipanion';
 
