--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -265,7 +265,7 @@
   }
 
   private handleNoRunner(): void {
-    if (!this.fallback && this.tried.readmitUnreached()) this.sendNext();
+    if (!this.fallback && this.tried.readmit()) this.sendNext();
     else if (this.handOver.mayHelp) this.beginHandOver();
     else this.giveUp(this.tried.mayHaveRun > 0 ? 'fail' : 'refuse');
   }
--- a/src/forwarding/TriedRunners.spec.ts
+++ b/src/forwarding/TriedRunners.spec.ts
@@ -17,4 +17,14 @@
     expect([...tried.excluded].sort()).toEqual(['answering', 'broken', 'elsewhere', 'unreached']);
     expect(tried.mayHaveRun).toEqual(2);
   });
+
+  // Guards against a service with one runner that no daemon uses again after the path of one daemon broke.
+  it('allows the runners of another daemon again, and none that has failed the request here', () => {
+    const tried = new TriedRunners({ mayHaveRun: 1, lives: ['elsewhere'] });
+    tried.recordAttempt('broken');
+    tried.recordFailure('broken', 'broken');
+    expect(tried.readmit()).toEqual(true);
+    expect([...tried.excluded]).toEqual(['broken']);
+    expect(tried.readmit()).toEqual(false);
+  });
 });
--- a/src/forwarding/TriedRunners.ts
+++ b/src/forwarding/TriedRunners.ts
@@ -49,6 +49,12 @@
   /** Incarnations that did not accept a connection in time; they are tried again if no other runner is left. */
   private readonly unreached = new Set<string>();
 
+  /**
+   * Incarnations that got the request from another daemon; they are tried again if no other runner is left, since what
+   * broke may have been the path of that daemon.
+   */
+  private readonly elsewhere = new Set<string>();
+
   /** Incarnations that may have run the request, or may be running it. */
   private readonly mayRunAt = new Set<string>();
 
@@ -70,7 +76,7 @@
 
   /** @returns Incarnations of runners that the next attempt must not use. */
   get excluded(): ReadonlySet<string> {
-    return new Set([...this.asked, ...this.unreached]);
+    return new Set([...this.asked, ...this.unreached, ...this.elsewhere]);
   }
 
   /**
@@ -126,7 +132,7 @@
    */
   recordElsewhere(lives: readonly string[]): void {
     for (const life of lives) {
-      this.asked.add(life);
+      this.elsewhere.add(life);
       this.mayRunAt.add(life);
     }
   }
@@ -138,13 +144,16 @@
   }
 
   /**
-   * Allows another attempt at the runners that did not accept a connection in time, if the request may have run.
+   * Allows another attempt at the runners that did not accept a connection in time, or got the request from another daemon,
+   * if the request may have run.
    *
    * @returns Whether there are such runners and the request may have run.
    */
-  readmitUnreached(): boolean {
-    const needsOne = this.mayHaveRun > 0 && this.unreached.size > 0;
-    if (needsOne) this.unreached.clear();
-    return needsOne;
+  readmit(): boolean {
+    const needsOne = this.mayHaveRun > 0 && this.unreached.size + this.elsewhere.size > 0;
+    if (!needsOne) return false;
+    this.unreached.clear();
+    this.elsewhere.clear();
+    return true;
   }
 }
--- a/tests/handOver.spec.ts
+++ b/tests/handOver.spec.ts
@@ -153,6 +153,22 @@
     expect(runs).toEqual(runs.map(() => 1));
   });
 
+  // Guards against a service with one runner that no daemon uses again, because the connection to one daemon broke.
+  it('has a stream go on at the runner that broke it off when there is no other one', async () => {
+    await sever(daemonAt(0));
+    const [only, ...others] = site.runners.filter(({ id }) => id.startsWith('engine'));
+    for (const runner of others) {
+      site.store.write(`servers/${runner.id}`, undefined);
+      runner.stop();
+    }
+    const knowsOne = ({ daemon }: SiteDaemon) =>
+      daemon.knowledge.runners.readyOf('engine').length === 1;
+    await site.until(() => site.daemons.every(knowsOne));
+    only!.behaviour = 'cuts_stream';
+    await call(daemonAt(0), '/chat/x', { 'Attempt-Id': 'alone', 'Prompt-Prefix': 'a:80' });
+    expect(only!.ran.filter(({ id }) => id === 'alone').length).toEqual(2);
+  });
+
   it('serves itself again when its path is back', async () => {
     await sever(daemonAt(0));
     site.links?.rejoin('daemon-0');
