Path to the runners: one way to pick runners from the list

spreadRunners and nextRunners picked from the same position with the same bounds, one in steps and one in a row. One method picks, each says how far the position moves. The picks are the same: with no more runners than asked for the step is 1, else their number over the count.

--- a/src/handover/RunnerPathMonitor.ts
+++ b/src/handover/RunnerPathMonitor.ts
@@ -115,24 +115,22 @@
 
   private spreadRunners(count: number): Runner[] {
     const runners = this.options.runners();
-    const taken = Math.min(count, runners.length);
-    const from = this.position;
+    const spread = this.runnersInSteps(count, Math.max(1, runners.length / count));
     this.position += 1;
-    const step = runners.length / Math.max(1, taken);
-    return Array.from(
-      { length: taken },
-      (_, index) => runners[(from + Math.floor(index * step)) % runners.length] as Runner,
-    );
+    return spread;
   }
 
   private nextRunners(count: number): Runner[] {
+    const next = this.runnersInSteps(count, 1);
+    this.position += next.length;
+    return next;
+  }
+
+  private runnersInSteps(count: number, step: number): Runner[] {
     const runners = this.options.runners();
-    const taken = Math.min(count, runners.length);
-    const from = this.position;
-    this.position += taken;
     return Array.from(
-      { length: taken },
-      (_, index) => runners[(from + index) % runners.length] as Runner,
+      { length: Math.min(count, runners.length) },
+      (_, index) => runners[(this.position + Math.floor(index * step)) % runners.length] as Runner,
     );
   }
 }
