--- a/src/forwarding/RequestReport.ts
+++ b/src/forwarding/RequestReport.ts
@@ -135,7 +135,7 @@
     this.write(forwardingLogEvents.attemptFailed, {
       runner: attempt.runner.entry.id,
       digest: this.digest,
-      parts: this.request.sharedParts.join() || undefined,
+      parts: this.parts,
       failure,
       attemptMilliseconds: Math.round(now - attempt.startedAt),
       // Time since the runner sent data for any request; a runner that still serves others is not unresponsive.
@@ -182,7 +182,7 @@
       runner: this.choice?.runner.entry.id,
       softwareVersion: this.versionOf(this.choice?.runner),
       choice: this.choice?.reason,
-      parts: this.request.sharedParts.join() || undefined,
+      parts: this.parts,
       quarantinedParts,
       cacheSource: this.choice?.cacheSource?.entry.id,
       load: this.choice?.load,
@@ -195,6 +195,11 @@
     });
   }
 
+  /** Ids of the parts of the prompt that other requests share. */
+  private get parts(): string | undefined {
+    return this.request.sharedParts.join() || undefined;
+  }
+
   /** Software version of a stream's runner, at which the stream has to go on. */
   private versionOf(runner: Runner | undefined): string | undefined {
     return this.request.route.kind === 'stream' ? runner?.entry.softwareVersion : undefined;
