Soak: one reading of the daemons' logs, one meaning of an answered request

- The excuse for crashes read the logs line by line beside the report, which has the product's own reading; both call it now.
- checkAnswered was given the verdict and the excuse, of which the verdict follows: it gets whether the answer is whole.
Specs of the checks are green with their assertions; one builds its daemons with a position, which the shared reading wants.

--- a/soak/checks/AnswerChecks.ts
+++ b/soak/checks/AnswerChecks.ts
@@ -88,7 +88,7 @@
     const mayLack = () =>
       call.hasLeft === true || (answer ? excuses.ofCutAnswer(call) : excuses.ofNoAnswer(call));
     const isExcused = !isWhole && mayLack();
-    if (isWhole || isExcused) this.checkAnswered(call, true, isExcused);
+    if (isWhole || isExcused) this.checkAnswered(call, isWhole, isExcused);
     else this.unexcused.push(call);
     if (!answer) return;
     if (isWhole) {
@@ -117,13 +117,13 @@
     const broken = this.options.brokenAttempts();
     for (const call of this.unexcused.splice(0)) {
       const isExcused = call.answer !== undefined && excuses.ofCutAnswer(call, broken.get(call.id));
-      this.checkAnswered(call, isExcused, isExcused);
+      this.checkAnswered(call, false, isExcused);
     }
   }
 
-  private checkAnswered(call: Call, holds: boolean, isExcused: boolean): void {
+  private checkAnswered(call: Call, isWhole: boolean, isExcused: boolean): void {
     if (isExcused) this.options.violations.excused += 1;
-    this.check('an answer or a refusal', holds, call);
+    this.check('an answer or a refusal', isWhole || isExcused, call);
   }
 
   private checkRunsOf(call: Call): void {
--- a/soak/checks/brokenAttempts.spec.ts
+++ b/soak/checks/brokenAttempts.spec.ts
@@ -21,7 +21,8 @@
       'no line of a log: forwarding.attempt_failed',
       lineOf({ ...attempt, runner: 'engine-4' }),
     ];
-    const daemons = [{ process: { log: first } }, { process: { log: others.join('') } }];
+    const logs = [first, others.join('')];
+    const daemons = logs.map((log, index) => ({ index, process: { log } }));
     expect([...brokenAttemptsIn(daemons)]).toEqual([['call-1', ['engine-1', 'engine-4']]]);
   });
 });
--- a/soak/checks/brokenAttempts.ts
+++ b/soak/checks/brokenAttempts.ts
@@ -1,9 +1,9 @@
 /**
  * Finds the attempts at runners that broke off, in the logs of the daemons.
  */
-import { parseLogLine } from '../../src/explanations/logLine.js';
 import { forwardingLogEvents } from '../../src/forwarding/forwardingFeature.js';
-import type { SoakDaemon } from '../SoakDaemon.js';
+import type { LoggedDaemon } from '../daemonLogs.js';
+import { logLinesOf } from '../daemonLogs.js';
 
 /** Ids of the runners whose attempts broke off, by id of the request. */
 export type BrokenAttempts = ReadonlyMap<string, readonly string[]>;
@@ -15,16 +15,11 @@
  * @param daemons - daemons whose logs are read.
  * @returns The broken attempts.
  */
-export function brokenAttemptsIn(
-  daemons: readonly { readonly process: Pick<SoakDaemon['process'], 'log'> }[],
-): BrokenAttempts {
-  const { number, name } = forwardingLogEvents.attemptFailed;
+export function brokenAttemptsIn(daemons: readonly LoggedDaemon[]): BrokenAttempts {
   const broken = new Map<string, string[]>();
-  const lines = daemons.flatMap(({ process }) => process.log.split('\n'));
-  for (const text of lines.filter((line) => line.includes(name))) {
-    const line = parseLogLine(text);
-    if (line?.number !== number || line.fields.failure !== BROKEN) continue;
-    const { request, runner } = line.fields;
+  for (const { number, fields } of logLinesOf(daemons)) {
+    const { failure, request, runner } = fields;
+    if (number !== forwardingLogEvents.attemptFailed.number || failure !== BROKEN) continue;
     if (typeof request !== 'string' || typeof runner !== 'string') continue;
     broken.set(request, [...(broken.get(request) ?? []), runner]);
   }
--- a/soak/report.ts
+++ b/soak/report.ts
@@ -4,23 +4,15 @@
 import { mkdirSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 
-import { parseLogLines } from '../src/explanations/logLine.js';
 import type { LogLine } from '../src/explanations/logLine.js';
 import { explainRequest } from '../src/explanations/explainRequest.js';
-import { Findings } from '../src/findings/Findings.js';
 import type { Violation } from './checks/Violations.js';
+import { logLinesOf } from './daemonLogs.js';
 import type { SoakResult } from './runSoak.js';
 
 /** Maximum number of violations in the report; later ones mostly follow from the first. */
 const TOLD = 3;
 
-function logLinesOf({ site }: SoakResult): LogLine[] {
-  const findings = new Findings();
-  return site.daemons.flatMap(({ process, index }) =>
-    parseLogLines(process.log, `daemon-${index}`, findings),
-  );
-}
-
 function storyLines({ site }: SoakResult, lines: readonly LogLine[], id: string): string[] {
   const story = explainRequest(id, lines);
   const toText = ({ time, daemon, event, fields }: LogLine) =>
@@ -66,7 +58,7 @@
   const verdict = violations.all.length === 0 ? 'kept' : `${violations.all.length} broken`;
   const summary = `seed ${seed}: ${verdict}, ${site.history.played.length} faults, ${violations.excused} requests excused; looked at ${looked.join(', ')}${figures}`;
   if (violations.all.length === 0) return [summary];
-  const lines = logLinesOf(result);
+  const lines = logLinesOf(site.daemons);
   const told = violations.all.slice(0, TOLD);
   return [
     summary,
