--- a/standIns/site/StandInSite.ts
+++ b/standIns/site/StandInSite.ts
@@ -238,6 +238,18 @@
     }
   }
 
+  /** Waits until all daemons are ready, know each other, and can read each other's messages. */
+  async untilConnected(): Promise<void> {
+    await this.until(() =>
+      this.daemons.every(
+        ({ daemon: { isReady, knowledge } }) =>
+          isReady &&
+          knowledge.daemons.size === this.daemons.length &&
+          knowledge.secret !== undefined,
+      ),
+    );
+  }
+
   /** Stops all parts. */
   async stop(): Promise<void> {
     this.store.faultFor({ fault: 'none' });
--- a/tests/fatalPromptParts.spec.ts
+++ b/tests/fatalPromptParts.spec.ts
@@ -11,7 +11,6 @@
 import { promptPartsOf } from '../standIns/site/promptParts.js';
 import { sendAtRate } from '../standIns/site/sendAtRate.js';
 import { StandInSite } from '../standIns/site/StandInSite.js';
-import type { SiteDaemon } from '../standIns/site/StandInSite.js';
 import type { ReceivedRequest } from '../standIns/site/siteRunnerTypes.js';
 
 const DAEMONS = 6;
@@ -137,11 +136,7 @@
       await site.addDaemon(`daemon-${index}`);
       agents.push(new Agent({ keepAlive: true }));
     }
-    const knowsAll = ({ daemon }: SiteDaemon) =>
-      daemon.isReady &&
-      daemon.knowledge.daemons.size === DAEMONS &&
-      daemon.knowledge.secret !== undefined;
-    await site.until(() => site.daemons.every(knowsAll));
+    await site.untilConnected();
     startedAt = performance.now();
   }
 
--- a/tests/fatalRequests.spec.ts
+++ b/tests/fatalRequests.spec.ts
@@ -59,14 +59,7 @@
     );
     await site.addRunner({ id: 'plain-1', service: 'plain' });
     for (let index = 0; index < DAEMONS; index += 1) await site.addDaemon(`daemon-${index}`);
-    await site.until(() =>
-      site.daemons.every(
-        ({ daemon }) => daemon.isReady && daemon.knowledge.daemons.size === DAEMONS,
-      ),
-    );
-    await site.until(() =>
-      site.daemons.every(({ daemon }) => daemon.knowledge.secret !== undefined),
-    );
+    await site.untilConnected();
   });
 
   afterEach(() => site.stop());
--- a/tests/handOver.spec.ts
+++ b/tests/handOver.spec.ts
@@ -65,11 +65,7 @@
       await site.addRunner({ id: `engine-${index}`, service: 'engine', eventMilliseconds: 30 });
     }
     for (let index = 0; index < DAEMONS; index += 1) await site.addDaemon(`daemon-${index}`);
-    const knowsAll = ({ daemon }: SiteDaemon) =>
-      daemon.isReady &&
-      daemon.knowledge.daemons.size === DAEMONS &&
-      daemon.knowledge.secret !== undefined;
-    await site.until(() => site.daemons.every(knowsAll));
+    await site.untilConnected();
   });
 
   afterEach(() => site.stop());
--- a/tests/leavingRunners.spec.ts
+++ b/tests/leavingRunners.spec.ts
@@ -41,14 +41,7 @@
     );
     [leaving] = runners as [SiteRunner];
     for (let index = 0; index < DAEMONS; index += 1) await site.addDaemon(`daemon-${index}`);
-    await site.until(() =>
-      site.daemons.every(
-        ({ daemon }) =>
-          daemon.isReady &&
-          daemon.knowledge.daemons.size === DAEMONS &&
-          daemon.knowledge.secret !== undefined,
-      ),
-    );
+    await site.untilConnected();
   });
 
   afterEach(() => site.stop());
