--- a/src/forwarding/ForwardingServer.ts
+++ b/src/forwarding/ForwardingServer.ts
@@ -8,6 +8,7 @@
 import { listen, takeOverPort } from '../http/listen.js';
 import type { HostAndPort } from '../http/parseAddress.js';
 import type { CallerLimits } from '../routes/routeTypes.js';
+import { storePositionOf } from '../sync/orderedRevision.js';
 import { admitRequest } from './admitRequest.js';
 import { AnswerRelay } from './AnswerRelay.js';
 import type { DaemonAnswer } from './AnswerRelay.js';
@@ -148,13 +149,19 @@
   ): void {
     const { status, reason } = own;
     relay.sendDaemonAnswer(own);
-    const { metrics, log, protocol, routes } = this.context;
+    const { metrics, log, protocol, routes, unreachedAnnouncement, clock } = this.context;
+    const newer = unreachedAnnouncement();
     metrics.requests.increment({ route: 'none', outcome: reason });
     log.write(forwardingLogEvents.rejected, {
       request: String(headers[protocol.names.requestId] ?? ''),
       outcome: reason,
       status,
       configurationVersion: routes()?.configuration.version,
+      ...(newer && {
+        newerRevision: storePositionOf(newer.revision).revision,
+        newerAt: newer.daemon,
+        newerMilliseconds: Math.round(clock.monotonicMilliseconds() - newer.at),
+      }),
     });
   }
 
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -11,6 +11,7 @@
 import type { RunnerSelector } from '../runners/RunnerSelector.js';
 import type { Unavailability } from '../runners/unavailability.js';
 import type { StreamVersionTask } from '../streamVersions/StreamVersionTask.js';
+import type { AnnouncedRevision } from '../sync/StoreFollower.js';
 import type { Clock } from '../time/Clock.js';
 import type { ForwardingMetrics } from './ForwardingMetrics.js';
 import type { LinkCheck } from './LinkCheck.js';
@@ -50,6 +51,8 @@
   readonly daemons: () => number;
   /** Whether the store is unresponsive, so that the first configuration may be delayed. */
   readonly isStoreSilent: () => boolean;
+  /** A newer state of the store that another daemon has announced and this one does not know yet. */
+  readonly unreachedAnnouncement: () => AnnouncedRevision | undefined;
   /** Current phase of a planned stop. */
   readonly stopPhase: () => StopPhase;
 }
--- a/src/forwarding/testRequest.ts
+++ b/src/forwarding/testRequest.ts
@@ -179,6 +179,7 @@
       routes: () => undefined,
       daemons: () => 1,
       isStoreSilent: () => false,
+      unreachedAnnouncement: () => undefined,
       stopPhase: () => 'serving',
     };
     mock.timers.enable({ apis: ['setTimeout'] });
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -178,7 +178,7 @@
       handOver: this.handOver.task,
       streamVersions: this.streamVersions,
       stopPhase: () => this.phase,
-      isStoreSilent: () => this.follower.isStoreUnresponsive,
+      follower: () => this.follower,
     });
     this.front = new ForwardingServer(context);
     this.listings = new ListingExchange({ knowledge, clock, isAllowedHost });
@@ -340,9 +340,9 @@
       log,
       changedAtRevision: () => knowledge.changedAtRevision,
       // In a fleet with coordinators, those broadcast the changes themselves, so that a bare revision needs no read.
-      onRevision: (revision) => {
+      onRevision: (revision, daemon) => {
         if (this.coordination.coordinators.length === 0)
-          this.follower.handleAnnouncedRevision(revision);
+          this.follower.handleAnnouncedRevision(revision, daemon);
       },
       others: () => this.coordination.reportRecipients(),
       daemons: () => knowledge.daemons.size,
--- a/src/router/createForwardingContext.ts
+++ b/src/router/createForwardingContext.ts
@@ -11,6 +11,7 @@
 import type { MetricRegistry } from '../metrics/MetricRegistry.js';
 import { unavailabilityOf } from '../runners/unavailability.js';
 import type { FleetKnowledge } from '../sync/FleetKnowledge.js';
+import type { StoreFollower } from '../sync/StoreFollower.js';
 import type { RouterSettings } from './routerFeature.js';
 
 /** Options of {@link createForwardingContext}. */
@@ -22,7 +23,6 @@
   | 'connections'
   | 'quarantine'
   | 'stopPhase'
-  | 'isStoreSilent'
   | 'handOver'
   | 'streamVersions'
 > {
@@ -31,6 +31,7 @@
   coordination: FleetCoordination;
   registry: MetricRegistry;
   path: RunnerPath;
+  follower: () => Pick<StoreFollower, 'isStoreUnresponsive' | 'unreachedAnnouncement'>;
 }
 
 /**
@@ -43,6 +44,7 @@
   coordination,
   registry,
   path,
+  follower,
   ...parts
 }: ForwardingContextOptions): ForwardingContext {
   const { clock, log, protocol } = parts;
@@ -101,5 +103,7 @@
         ...{ runners: knowledge.runners, admission, service, homeRegions, softwareVersion, now },
       }),
     routes: () => knowledge.routes,
+    isStoreSilent: () => follower().isStoreUnresponsive,
+    unreachedAnnouncement: () => follower().unreachedAnnouncement,
   };
 }
--- a/src/sync/PeerExchange.ts
+++ b/src/sync/PeerExchange.ts
@@ -251,8 +251,9 @@
     this.isPolling = true;
     try {
       const snapshot = await this.fetchSnapshot(address);
-      if (!knowledge.applyPeerSnapshot(snapshot, clock.monotonicMilliseconds())) return;
-      log.write(syncLogEvents.learntFromPeer, { address, ...revisionFields(snapshot.revision) });
+      const isNewer = knowledge.applyPeerSnapshot(snapshot, clock.monotonicMilliseconds());
+      const event = isNewer ? syncLogEvents.learntFromPeer : syncLogEvents.peerNotNewer;
+      log.write(event, { address, ...revisionFields(snapshot.revision) });
     } catch (error) {
       log.write(syncLogEvents.peerFailed, { address, error: (error as Error).message });
     } finally {
--- a/src/sync/StoreFollower.spec.ts
+++ b/src/sync/StoreFollower.spec.ts
@@ -69,16 +69,16 @@
     // Guards against a daemon that acts on a change up to a whole interval later than others: a runner begins to drain
     // just after this daemon has read the store, and another daemon reads that change first.
     const { store, pauses, follower } = await follow();
-    follower.handleAnnouncedRevision(9);
-    follower.handleAnnouncedRevision(10);
+    follower.handleAnnouncedRevision(9, 'daemon-2');
+    follower.handleAnnouncedRevision(10, 'daemon-2');
     await settle();
     expect(store.pendingReads.length).toEqual(1);
-    follower.handleAnnouncedRevision(12);
+    follower.handleAnnouncedRevision(12, 'daemon-2');
     await settle();
     expect(store.pendingReads.length).toEqual(2);
     store.pendingReads[1]?.answer({ revision: 11, facts: [] });
     await settle();
-    follower.handleAnnouncedRevision(12);
+    follower.handleAnnouncedRevision(12, 'daemon-2');
     await settle();
     expect([store.pendingReads.length, pauses.length]).toEqual([2, 2]);
   });
@@ -87,7 +87,7 @@
     // Guards against a daemon that acts on outdated knowledge for seconds because the store does not answer it, but
     // answers the others. Waiting for the timeout without an answer, 2.6 s, would take too long.
     const { store, clock, follower } = await follow();
-    follower.handleAnnouncedRevision(12);
+    follower.handleAnnouncedRevision(12, 'daemon-2');
     clock.advance(600);
     expect(follower.isStoreUnresponsive).toEqual(false);
     clock.advance(1);
--- a/src/sync/StoreFollower.ts
+++ b/src/sync/StoreFollower.ts
@@ -52,6 +52,15 @@
   random?: () => number;
 }
 
+/** A revision that another daemon has announced and this one has not reached. */
+export interface AnnouncedRevision {
+  readonly revision: number;
+  /** Name of the daemon that announced it first. */
+  readonly daemon: string;
+  /** When, monotonic ms. */
+  readonly at: number;
+}
+
 /** How long the store waits for a change in one read, in ms; see the module's comment. */
 const WATCH_WAIT_MILLISECONDS = 1_500;
 
@@ -95,8 +104,8 @@
 
   private failures = 0;
 
-  /** The newest revision that another daemon has announced, and when, monotonic ms. */
-  private announced: { readonly revision: number; readonly at: number } | undefined;
+  /** The newest revision that another daemon has announced. */
+  private announced: AnnouncedRevision | undefined;
 
   /** The pages of a full read in progress, merged. */
   private pages: StorePage | undefined;
@@ -133,6 +142,14 @@
     return this.failures > 0 || isBehind || now - this.lastAnswerAt > UNRESPONSIVE_MILLISECONDS;
   }
 
+  /** @returns The newest revision that another daemon has announced and this one has not reached, if there is one. */
+  get unreachedAnnouncement(): AnnouncedRevision | undefined {
+    const { announced } = this;
+    return announced && announced.revision > this.options.knowledge.revision
+      ? announced
+      : undefined;
+  }
+
   /** Follows the store until {@link stop}. */
   async run(): Promise<void> {
     while (!this.stopped) await this.step();
@@ -148,11 +165,12 @@
    * Handles a revision that another daemon has announced: reads changes at once if it is newer than what is known.
    *
    * @param revision - store revision of the change.
+   * @param daemon - name of the daemon that announced it.
    */
-  handleAnnouncedRevision(revision: number): void {
+  handleAnnouncedRevision(revision: number, daemon: string): void {
     const { knowledge, clock } = this.options;
     if (revision <= Math.max(knowledge.revision, this.announced?.revision ?? 0)) return;
-    this.announced = { revision, at: clock.monotonicMilliseconds() };
+    this.announced = { revision, daemon, at: clock.monotonicMilliseconds() };
     this.wake?.();
   }
 
--- a/src/sync/syncFeature.ts
+++ b/src/sync/syncFeature.ts
@@ -111,6 +111,14 @@
     operatorAction:
       'Write again what the copy lacks: the configuration and orders. Runners and daemons do so by themselves.',
   }),
+  peerNotNewer: defineLogEvent({
+    number: 2716,
+    name: 'sync.peer_not_newer',
+    level: 'info',
+    text: 'This daemon is behind the store or may be, and another daemon that it asked knows nothing newer.',
+    operatorAction:
+      'None; if it repeats while 2606 shows `newerRevision`, look for the daemon that announced the revision.',
+  }),
   daemonsChanged: defineLogEvent({
     number: 2710,
     name: 'sync.daemons_changed',
