--- a/standIns/site/SiteLinks.ts
+++ b/standIns/site/SiteLinks.ts
@@ -132,6 +132,15 @@
     return { ...item, value };
   }
 
+  /**
+   * @param names - names of daemons.
+   * @returns Whether a call comes from one of them.
+   */
+  comesFrom(names: readonly string[]): (request: IncomingMessage) => boolean {
+    const hosts = new Set(names.map((name) => this.links.get(name)?.ownHost));
+    return ({ socket }) => hosts.has(socket.remoteAddress);
+  }
+
   /** Closes all links. */
   async close(): Promise<void> {
     await Promise.all([...this.links.values()].map((link) => link.close()));
--- a/standIns/site/StoreStandIn.ts
+++ b/standIns/site/StoreStandIn.ts
@@ -131,12 +131,17 @@
   }
 
   /**
-   * @param fault - how calls are answered from now on; waiting watches are cut.
+   * @param fault - how calls are answered from now on. Waiting watches that it concerns are cut, or never answered if the
+   *   store is silent.
    */
   faultFor(fault: FaultFor): void {
     this.fault = fault;
+    const { fault: kind, concerns = () => true } = fault;
+    if (kind === 'none') return;
     for (const waiter of [...this.waiters]) {
-      if (fault.fault !== 'none') this.cut(waiter);
+      if (!concerns(waiter.response.req)) continue;
+      if (kind === 'silent') this.forget(waiter);
+      else this.cut(waiter);
     }
   }
 
@@ -301,9 +306,13 @@
     this.answer(response, 200, { events: seen, as_of: this.revision });
   }
 
-  private cut(waiter: Waiter): void {
+  private forget(waiter: Waiter): void {
     clearTimeout(waiter.timer);
     this.waiters.delete(waiter);
+  }
+
+  private cut(waiter: Waiter): void {
+    this.forget(waiter);
     waiter.response.destroy();
   }
 
