Catch-up: ask the daemons that announced a change, at once

Callers were refused by an older configuration at daemons that the store refuses. Cause: such a daemon asked one other daemon each 400 ms in a fixed turn; an announcement of a newer revision was kept without its sender, and only started a delay of .6 s. Daemons that are dead, or refused themselves, took their turns, so that the delay grew with the fleet.

Now a daemon asks those that have announced a newer revision, the latest first, and at once if its store has failed (otherwise .25 s later); a response that has not begun after 150 ms is not waited for. Without announcements it prefers a daemon that the store answered lately, then others in random order; one that did not answer comes last. A listing that is the same is not sent again. A daemon that the store has refused since its start gets the fleet's secret with the answer, and so hears announcements. A call to the store counts as unanswered .25 s after its time, not only 2.6 s after the last answer; for a full read that stays. The polling moved from PeerExchange to PeerCatchUp and PeerRanking.

The test of the announced revision asks for 250 ms in place of 600 ms now, which is stricter. Tests of the polling are the same, with the new part.

--- a/src/news/NewsTask.ts
+++ b/src/news/NewsTask.ts
@@ -29,7 +29,7 @@
   log: Log;
   /** Returns the store's revision of the latest known change that affects requests. */
   changedAtRevision: () => number;
-  /** Called with the latest such revision that any other daemon has reported, and the daemon whose message brought it. */
+  /** Called with the revision that another daemon has reported, and the name of that daemon. */
   onRevision: (revision: number, daemon: string) => void;
   /** Returns the addresses of the daemons to which the state is broadcast. */
   others: () => readonly HostAndPort[];
@@ -241,6 +241,6 @@
     if (loads.take(news, clock.monotonicMilliseconds())) onNews(news);
     for (const { key: parts, runner } of news.warm) warmPlaces.learn(parts, runner);
     this.receivedRevision = Math.max(this.receivedRevision, Number(news.revision));
-    onRevision(this.receivedRevision, news.daemon);
+    onRevision(Number(news.revision), news.daemon);
   }
 }
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -29,13 +29,14 @@
 import { FleetSecretProposer } from '../sync/FleetSecretProposer.js';
 import type { DaemonEntry, FleetStore } from '../sync/FleetStore.js';
 import { LISTING_PATH, ListingExchange } from '../sync/ListingExchange.js';
-import { PeerExchange } from '../sync/PeerExchange.js';
 import type { StoreFollower } from '../sync/StoreFollower.js';
 import { WarmPlacesWriter } from '../sync/WarmPlacesWriter.js';
 import type { Clock } from '../time/Clock.js';
 import { SystemClock } from '../time/SystemClock.js';
 import { CallerDirectory } from './CallerDirectory.js';
 import type { CallerLocation } from './CallerDirectory.js';
+import { createPeerParts } from './createPeerParts.js';
+import type { PeerParts } from './createPeerParts.js';
 import { createRunnerChoice } from './createRunnerChoice.js';
 import { createStoreFollower } from './createStoreFollower.js';
 import { createForwardingContext } from './createForwardingContext.js';
@@ -114,7 +115,7 @@
 
   private readonly registration: DaemonRegistration;
 
-  private readonly peers: PeerExchange;
+  private readonly peerParts: PeerParts;
 
   private readonly listings: ListingExchange;
 
@@ -139,7 +140,7 @@
     this.registry = new MetricRegistry({ clock });
     this.secret = new FleetSecretProposer({ store, clock, log });
     this.knowledge = new FleetKnowledge({ listener: this.createChangeHandler() });
-    const { name, addresses, seeds } = settings;
+    const { name } = settings;
     const gatherMilliseconds = GATHER_SHARE * Math.min(...settings.changeBoundsMilliseconds);
     this.entry = daemonEntryOf(settings);
     this.news = this.createNews();
@@ -154,11 +155,11 @@
       reportRecipients: () => coordination.reportRecipients(),
       broadcastRecipients: () => coordination.broadcastRecipients(),
       canReadMessages: () => knowledge.secret !== undefined,
-      peers: () => this.peers.addresses(),
+      peers: () => this.peerParts.peers.addresses(),
       isWriter: () => coordination.isFirst,
       otherDaemons: () => coordination.otherAvailableDaemons(),
     });
-    const isAllowedHost = (host: string) => this.peers.isAllowedHost(host);
+    const isAllowedHost = (host: string) => this.peerParts.peers.isAllowedHost(host);
     this.handOver = new HandOverParts({
       ...{ daemon: entry, clock, log, registry },
       runners: () => knowledge.runners.list(),
@@ -189,13 +190,8 @@
     });
     const isListed = () => knowledge.daemons.has(name);
     this.registration = new DaemonRegistration({ store, log, clock, daemon: entry, isListed });
-    this.peers = new PeerExchange({
-      knowledge,
-      clock,
-      log,
-      ownAddress: addresses.peers,
-      seeds,
-      aliveDaemons: () => coordination.otherAvailableDaemons(),
+    this.peerParts = createPeerParts({
+      ...{ settings, knowledge, clock, log, coordination, follower: this.follower },
       handlers: new Map([
         [
           LIVENESS_PATH,
@@ -205,7 +201,6 @@
         [LISTING_PATH, this.listings.handler],
         [HAND_OVER_PATH, this.handOver.handlerFor(context, isAllowedHost)],
       ]),
-      isStoreUnresponsive: () => this.follower.isStoreUnresponsive,
     });
     this.warmPlacesKeeper = new WarmPlacesWriter({
       store,
@@ -241,7 +236,7 @@
     const { addresses } = this.settings;
     const [, , , metricsServer] = await Promise.all([
       this.front.listen(listenAddress(addresses.callers), this.callerListener),
-      this.peers.listen(listenAddress(addresses.peers)),
+      this.peerParts.peers.listen(listenAddress(addresses.peers)),
       this.news.listen(listenAddress(addresses.news)),
       serveMetrics(
         this.registry,
@@ -251,6 +246,7 @@
     ]);
     this.metricsServer = metricsServer;
     void this.follower.run();
+    this.peerParts.catchUp.start();
     this.coordination.liveness.start();
     this.handOver.start();
     this.streamVersions.start();
@@ -289,7 +285,8 @@
     this.handOver.stop();
     this.streamVersions.stop();
     this.coordination.restartNotices.stop();
-    this.peers.close();
+    this.peerParts.catchUp.stop();
+    this.peerParts.peers.close();
     this.news.close();
     this.warmPlacesKeeper.stop();
     this.quarantineTask.stop();
@@ -317,7 +314,7 @@
     const options = { daemon: entry, knowledge, choice, admission, grants, store, clock, log };
     const calls = {
       readStore: (what: 'changes' | 'everything') => this.follower.readNow(what),
-      fetchConfiguration: (address: string) => this.peers.fetchConfiguration(address),
+      fetchConfiguration: (address: string) => this.peerParts.peers.fetchConfiguration(address),
       connections: this.connections,
       isLeaving: () => this.phase !== 'serving',
       longestPauseMilliseconds: () => this.news.longestPauseMilliseconds,
@@ -339,11 +336,7 @@
       clock,
       log,
       changedAtRevision: () => knowledge.changedAtRevision,
-      // In a fleet with coordinators, those broadcast the changes themselves, so that a bare revision needs no read.
-      onRevision: (revision, daemon) => {
-        if (this.coordination.coordinators.length === 0)
-          this.follower.handleAnnouncedRevision(revision, daemon);
-      },
+      onRevision: (revision, daemon) => this.peerParts.handleAnnouncement(revision, daemon),
       others: () => this.coordination.reportRecipients(),
       daemons: () => knowledge.daemons.size,
       secret: () => knowledge.secret,
--- a/src/sync/FleetKnowledge.ts
+++ b/src/sync/FleetKnowledge.ts
@@ -37,6 +37,9 @@
   /** The store revision of the latest change of the configuration, a runner or an evacuation that was applied. */
   changedAtRevision = 0;
 
+  /** The newest version of the configuration that any other daemon is known to have. */
+  toldVersion = 0;
+
   /** Recent changes, which are relayed to daemons that do not read the store. */
   readonly changeLog = new FleetChangeLog();
 
@@ -59,9 +62,7 @@
 
   private readonly unreadable: UnreadableEntries;
 
-  /**
-   * @param options - the listener for changes.
-   */
+  /** @param options - the listener for changes. */
   constructor({ listener }: FleetKnowledgeOptions) {
     this.listener = listener;
     this.unreadable = new UnreadableEntries((key, message) => listener.unreadable(key, message));
@@ -232,6 +233,8 @@
     this.recordStoreAnswer(now - (storeSilentMilliseconds ?? Number.POSITIVE_INFINITY));
     const newVersion =
       (configuration?.version ?? 0) > (this.routeTable?.configuration.version ?? 0);
+    this.secret ??= snapshot.secret;
+    this.toldVersion = Math.max(this.toldVersion, snapshot.configurationVersion ?? 0);
     this.listener.runnersLeaving(snapshot.leaving ?? []);
     if (configuration && newVersion) this.putConfiguration(configuration);
     if (revision <= this.revision) return newVersion;
@@ -298,6 +301,7 @@
       storeSilentMilliseconds: Math.round(this.listing.outages.silentMilliseconds(now)),
       daemons: this.daemonListing.registered,
       evacuated: this.evacuations.names,
+      secret: this.secret,
     };
   }
 
--- a/src/sync/PeerExchange.spec.ts
+++ b/src/sync/PeerExchange.spec.ts
@@ -6,7 +6,10 @@
 
 import { MemoryLog } from '../callers/testFakes.js';
 import { listen } from '../http/listen.js';
+import type { Log } from '../logging/Log.js';
 import { SystemClock } from '../time/SystemClock.js';
+import type { FleetKnowledge } from './FleetKnowledge.js';
+import { PeerCatchUp } from './PeerCatchUp.js';
 import { PeerExchange } from './PeerExchange.js';
 import { syncLogEvents } from './syncFeature.js';
 import { createTestKnowledge } from './testKnowledge.js';
@@ -14,6 +17,21 @@
 /** Delay of the first byte, in ms: longer than the timeout of other requests, shorter than that of a configuration. */
 const FIRST_BYTE_DELAY_MILLISECONDS = 500;
 
+/** Starts to ask other daemons all the time. */
+function startCatchUp(peers: PeerExchange, knowledge: FleetKnowledge, log: Log): PeerCatchUp {
+  const catchUp = new PeerCatchUp({
+    knowledge,
+    clock: new SystemClock(),
+    log,
+    addresses: () => peers.addresses(),
+    fetchKnowledge: (address, onResponse) => peers.fetchKnowledge(address, onResponse),
+    isStoreUnresponsive: () => true,
+    pollMilliseconds: 1,
+  });
+  catchUp.start();
+  return catchUp;
+}
+
 describe(PeerExchange.name, () => {
   it('waits for a configuration whose sender serves other daemons first', async () => {
     // Guards against daemons on links of 10 Mbit/s that read a large configuration from the store, where it is four times
@@ -27,10 +45,8 @@
     const receiver = new PeerExchange({
       knowledge: createTestKnowledge().knowledge,
       clock: new SystemClock(),
-      log: new MemoryLog(),
       ownAddress: '127.0.0.1:1',
       seeds: [],
-      isStoreUnresponsive: () => false,
     });
     const answer = receiver.fetchConfiguration(`127.0.0.1:${port}`).then(
       ({ version }) => version,
@@ -48,18 +64,16 @@
     const server = createServer((_request, response) => response.end(answers.shift() ?? '<html>'));
     const { address, port } = await listen(server, { host: '127.0.0.1', port: 0 });
     const log = new MemoryLog();
+    const { knowledge } = createTestKnowledge();
     const peers = new PeerExchange({
-      knowledge: createTestKnowledge().knowledge,
+      knowledge,
       clock: new SystemClock(),
-      log,
       ownAddress: '127.0.0.1:1',
       seeds: [`${address}:${port}`],
-      isStoreUnresponsive: () => true,
-      pollMilliseconds: 1,
     });
-    await peers.listen({ host: '127.0.0.1', port: 0 });
+    const catchUp = startCatchUp(peers, knowledge, log);
     while (log.fieldsOf(syncLogEvents.peerFailed).length < 5) await new Promise(setImmediate);
-    peers.close();
+    catchUp.stop();
     server.close();
     server.closeAllConnections();
     expect(answers).toEqual([]);
@@ -81,16 +95,13 @@
     const peers = new PeerExchange({
       knowledge,
       clock: new SystemClock(),
-      log,
       ownAddress: '127.0.0.1:2',
       seeds: [],
       aliveDaemons: () => daemons.slice(1),
-      isStoreUnresponsive: () => true,
-      pollMilliseconds: 1,
     });
-    await peers.listen({ host: '127.0.0.1', port: 0 });
+    const catchUp = startCatchUp(peers, knowledge, log);
     while (log.fieldsOf(syncLogEvents.peerFailed).length < 5) await new Promise(setImmediate);
-    peers.close();
+    catchUp.stop();
     answers.close();
     answers.closeAllConnections();
     const asked = new Set(log.fieldsOf(syncLogEvents.peerFailed).map((fields) => fields.address));
@@ -109,11 +120,7 @@
       idleTimeoutMilliseconds: 1,
     };
     knowledge.applyConfiguration({ version: 7, routes: [], services: [], limits });
-    const common = {
-      clock: new SystemClock(),
-      log: new MemoryLog(),
-      isStoreUnresponsive: () => false,
-    };
+    const common = { clock: new SystemClock() };
     const own = '127.0.0.1:1';
     const sender = new PeerExchange({ ...common, knowledge, ownAddress: own, seeds: [own] });
     const senderAddress = await sender.listen({ host: '127.0.0.1', port: 0 });
--- a/src/sync/PeerExchange.ts
+++ b/src/sync/PeerExchange.ts
@@ -1,7 +1,6 @@
 /**
- * Exchanges knowledge between daemons over HTTP while the store refuses some of them: a daemon that cannot read the store
- * polls the others and applies what is newer. Only hosts of daemons that are listed, or named in the settings, are
- * answered.
+ * Serves what this daemon knows to other daemons over HTTP, and requests what they know: a daemon that cannot read the
+ * store learns from the others. Only hosts of daemons that are listed, or named in the settings, are answered.
  *
  * The configuration is requested separately, once per version, and sent compressed. One of 1,360 routes has 360 kB; by
  * calculation, sending it uncompressed would occupy a link of 10 Mbit/s for half a second per version and delay every
@@ -16,47 +15,44 @@
 import { listen } from '../http/listen.js';
 import { parseAddress } from '../http/parseAddress.js';
 import type { HostAndPort } from '../http/parseAddress.js';
-import type { Log } from '../logging/Log.js';
 import type { Clock } from '../time/Clock.js';
-import { revisionFields } from './orderedRevision.js';
 import { requestPeer } from './requestPeer.js';
+import type { PeerRequest } from './requestPeer.js';
 import type { FleetKnowledge } from './FleetKnowledge.js';
 import type { DaemonEntry } from './FleetStore.js';
-import type { KnowledgeSnapshot } from './knowledgeTypes.js';
-import { syncLogEvents } from './syncFeature.js';
+import type { KnowledgeAnswer, UnchangedKnowledge } from './knowledgeTypes.js';
 
 /** Options of a {@link PeerExchange}. */
 export interface PeerExchangeOptions {
   knowledge: FleetKnowledge;
   clock: Clock;
-  log: Log;
   /** This daemon's own address for requests of other daemons. */
   ownAddress: string;
-  /** Addresses of daemons that are polled in addition to the listed ones, also before any is listed. */
+  /** Addresses of daemons that may be asked in addition to the listed ones, also before any is listed. */
   seeds: readonly string[];
-  /** Daemons to poll; by default all listed ones. Each dead daemon among them costs the time of a timeout. */
+  /** Daemons that may be asked; by default all listed ones. Each dead one among them costs the time of a timeout. */
   aliveDaemons?: () => readonly DaemonEntry[];
   /** Handlers of further paths, by path. They are called without a check of the requesting host. */
   handlers?: ReadonlyMap<string, RequestListener>;
-  /** Whether the store does not answer this daemon, so that it has to poll others. */
-  isStoreUnresponsive: () => boolean;
-  /** Interval between polls while the store does not answer, in ms. */
-  pollMilliseconds?: number;
+  /** Returns the time since the store last answered this daemon, in ms. */
+  readMilliseconds?: () => number;
 }
 
 const OK = 200;
 const FORBIDDEN = 403;
 const NOT_FOUND = 404;
 
-/** HTTP path of the snapshot: the listing, and the version of the configuration in force. */
+/**
+ * HTTP path of the snapshot: the listing, and the version of the configuration in force. The query tells what the asking
+ * daemon has, so that a large listing is not sent again and again.
+ */
 const KNOWLEDGE_PATH = '/knowledge';
+const DIGEST_PARAMETER = 'digest';
+const VERSION_PARAMETER = 'version';
 
 /** HTTP path of the configuration in force, compressed. */
 const CONFIGURATION_PATH = '/configuration';
 
-/** Default interval between polls while the store does not answer, in ms. */
-const POLL_MILLISECONDS = 400;
-
 /** How long a host may request data after it was last listed, in ms: longer than the store refuses a daemon. */
 const HOST_RETENTION_MILLISECONDS = 300_000;
 
@@ -82,13 +78,6 @@
 
   private readonly agent = new Agent({ keepAlive: false });
 
-  private timer: NodeJS.Timeout | undefined;
-
-  private nextPeer = 0;
-
-  /** Whether a poll is in progress. Only one runs at a time, since two would compete for bandwidth. */
-  private isPolling = false;
-
   /** The compressed configuration of the latest version that was requested. */
   private compressed: { readonly version: number; readonly bytes: Promise<Buffer> } | undefined;
 
@@ -102,7 +91,7 @@
   private readonly hostListedAt = new Map<string, number>();
 
   /**
-   * @param options - the knowledge to exchange, and the daemons to poll.
+   * @param options - the knowledge to exchange, and the daemons that may be asked.
    */
   constructor(options: PeerExchangeOptions) {
     this.options = options;
@@ -113,27 +102,22 @@
   }
 
   /**
-   * Starts the server and the polling.
+   * Starts the server.
    *
    * @param address - where to listen.
    * @returns The bound address, once requests are accepted.
    */
   listen(address: HostAndPort): Promise<AddressInfo> {
-    const { pollMilliseconds = POLL_MILLISECONDS } = this.options;
-    this.timer = setInterval(() => {
-      void this.poll();
-    }, pollMilliseconds);
     return listen(this.server, address);
   }
 
-  /** Stops the polling and the server. */
+  /** Stops the server. */
   close(): void {
-    clearInterval(this.timer);
     this.server.close();
     this.server.closeAllConnections();
   }
 
-  /** @returns Addresses of the daemons that may be polled. */
+  /** @returns Addresses of the daemons that may be asked. */
   addresses(): string[] {
     const { knowledge, ownAddress, seeds } = this.options;
     const { aliveDaemons = () => [...knowledge.daemons.values()] } = this.options;
@@ -142,30 +126,41 @@
   }
 
   /**
-   * Requests another daemon's snapshot, and its configuration if that is newer than the known one.
+   * Requests what another daemon knows, and its configuration if that is newer than the known one.
    *
    * @param address - the daemon's address for requests of other daemons.
-   * @returns The snapshot.
+   * @param onResponse - called when the last response begins.
+   * @returns What it knows.
    */
-  async fetchSnapshot(address: string): Promise<KnowledgeSnapshot> {
-    const answer = await this.request(address, KNOWLEDGE_PATH);
-    const snapshot = JSON.parse(answer.toString()) as KnowledgeSnapshot;
-    const known = this.options.knowledge.routes?.configuration.version ?? 0;
-    if ((snapshot.configurationVersion ?? 0) <= known) return snapshot;
-    return { ...snapshot, configuration: await this.fetchConfiguration(address) };
+  async fetchKnowledge(
+    address: string,
+    onResponse: () => void = () => undefined,
+  ): Promise<KnowledgeAnswer> {
+    const text = await this.request(address, this.knowledgePath);
+    const answer = JSON.parse(text.toString()) as KnowledgeAnswer;
+    const { configurationVersion = 0 } = 'isUnchanged' in answer ? {} : answer;
+    if (configurationVersion <= this.knownVersion) {
+      onResponse();
+      return answer;
+    }
+    return { ...answer, configuration: await this.fetchConfiguration(address, onResponse) };
   }
 
   /**
    * Requests the configuration that is in force in another daemon.
    *
    * @param address - the daemon's address for requests of other daemons.
+   * @param onResponse - called when the response begins.
    * @returns The configuration.
    */
-  async fetchConfiguration(address: string): Promise<RoutingConfiguration> {
+  async fetchConfiguration(
+    address: string,
+    onResponse?: () => void,
+  ): Promise<RoutingConfiguration> {
     const { gunzip } = await import('node:zlib');
-    const text = await promisify(gunzip)(
-      await this.request(address, CONFIGURATION_PATH, CONFIGURATION_TIMEOUT_MILLISECONDS),
-    );
+    const silenceMilliseconds = CONFIGURATION_TIMEOUT_MILLISECONDS;
+    const options = { silenceMilliseconds, ...(onResponse && { onResponse }) };
+    const text = await promisify(gunzip)(await this.request(address, CONFIGURATION_PATH, options));
     return JSON.parse(text.toString()) as RoutingConfiguration;
   }
 
@@ -199,10 +194,39 @@
       void this.answerConfiguration(response);
       return;
     }
+    const answer: KnowledgeAnswer = {
+      ...this.knowledgeFor(new URL(request.url ?? '', 'http://daemon').searchParams),
+      readMilliseconds: Math.round(this.options.readMilliseconds?.() ?? Number.POSITIVE_INFINITY),
+    };
+    response.writeHead(OK, { 'Content-Type': 'application/json' }).end(JSON.stringify(answer));
+  }
+
+  private get knownVersion(): number {
+    return this.options.knowledge.routes?.configuration.version ?? 0;
+  }
+
+  /** A daemon that lacks the secret asks for everything. */
+  private get knowledgePath(): string {
+    const { listingDigest, secret } = this.options.knowledge;
+    if (secret === undefined) return KNOWLEDGE_PATH;
+    const version = this.knownVersion;
+    return `${KNOWLEDGE_PATH}?${DIGEST_PARAMETER}=${listingDigest}&${VERSION_PARAMETER}=${version}`;
+  }
+
+  private knowledgeFor(query: URLSearchParams): KnowledgeAnswer {
     const { knowledge, clock } = this.options;
     const now = clock.monotonicMilliseconds();
-    const text = JSON.stringify(knowledge.snapshot(Number.POSITIVE_INFINITY, now));
-    response.writeHead(OK, { 'Content-Type': 'application/json' }).end(text);
+    const snapshot = knowledge.snapshot(Number.POSITIVE_INFINITY, now);
+    const { revision, storeSilentMilliseconds, lapsed, leaving, configurationVersion } = snapshot;
+    const isSame =
+      query.get(DIGEST_PARAMETER) === String(knowledge.listingDigest) &&
+      Number(query.get(VERSION_PARAMETER)) >= (configurationVersion ?? 0);
+    const isSettled = lapsed?.length === 0 && leaving?.length === 0;
+    if (!isSame || !isSettled) return snapshot;
+    const unchanged: UnchangedKnowledge = { isUnchanged: true, revision };
+    return storeSilentMilliseconds === undefined
+      ? unchanged
+      : { ...unchanged, storeSilentMilliseconds };
   }
 
   private async answerConfiguration(response: ServerResponse): Promise<void> {
@@ -239,33 +263,13 @@
     }
   }
 
-  /** Requests the snapshot of the next daemon in turn, if the store does not answer this one. */
-  private async poll(): Promise<void> {
-    const { knowledge, clock, log, isStoreUnresponsive } = this.options;
-    this.updateListedHosts();
-    if (!isStoreUnresponsive()) return;
-    const others = this.addresses();
-    if (others.length === 0 || this.isPolling) return;
-    const address = others[this.nextPeer % others.length] as string;
-    this.nextPeer += 1;
-    this.isPolling = true;
-    try {
-      const snapshot = await this.fetchSnapshot(address);
-      const isNewer = knowledge.applyPeerSnapshot(snapshot, clock.monotonicMilliseconds());
-      const event = isNewer ? syncLogEvents.learntFromPeer : syncLogEvents.peerNotNewer;
-      log.write(event, { address, ...revisionFields(snapshot.revision) });
-    } catch (error) {
-      log.write(syncLogEvents.peerFailed, { address, error: (error as Error).message });
-    } finally {
-      this.isPolling = false;
-    }
-  }
-
   private request(
     address: string,
     path: string,
-    silenceMilliseconds = RESPONSE_TIMEOUT_MILLISECONDS,
+    options: Partial<PeerRequest> = {},
   ): Promise<Buffer> {
-    return requestPeer({ address, path, silenceMilliseconds, agent: this.agent });
+    const { agent } = this;
+    const silenceMilliseconds = RESPONSE_TIMEOUT_MILLISECONDS;
+    return requestPeer({ address, path, silenceMilliseconds, agent, ...options });
   }
 }
--- a/src/sync/StoreFollower.spec.ts
+++ b/src/sync/StoreFollower.spec.ts
@@ -85,10 +85,10 @@
 
   it('reports the store as unresponsive if it does not show a revision that another daemon has announced', async () => {
     // Guards against a daemon that acts on outdated knowledge for seconds because the store does not answer it, but
-    // answers the others. Waiting for the timeout without an answer, 2.6 s, would take too long.
+    // answers the others. Waiting for the timeout of its call would take too long.
     const { store, clock, follower } = await follow();
     follower.handleAnnouncedRevision(12, 'daemon-2');
-    clock.advance(600);
+    clock.advance(250);
     expect(follower.isStoreUnresponsive).toEqual(false);
     clock.advance(1);
     expect(follower.isStoreUnresponsive).toEqual(true);
--- a/src/sync/StoreFollower.ts
+++ b/src/sync/StoreFollower.ts
@@ -82,14 +82,20 @@
 /** How often a daemon that gets relayed changes checks whether it still does, in ms. */
 const RELAY_CHECK_MILLISECONDS = 150;
 
-/** Time without an answer after which the store counts as unresponsive and other daemons are asked, in ms. */
-const UNRESPONSIVE_MILLISECONDS = 2_600;
+/**
+ * Time that an answer may take, in addition to the wait for a change, before the store counts as unresponsive and other
+ * daemons are asked, in ms. The slowest answer of a healthy store takes 240 ms.
+ */
+const ANSWER_MILLISECONDS = 250;
+
+/** The same for a page of a full read, in ms: many daemons may start at once, and a page is up to a megabyte. */
+const PAGE_MILLISECONDS = 2_600;
 
 /**
  * Time after which the store counts as unresponsive if it has not shown a change that another daemon has announced, in
- * ms: it may answer the others and not this one. The slowest answer of a healthy store takes 240 ms.
+ * ms: it may answer the others and not this one.
  */
-const BEHIND_MILLISECONDS = 600;
+export const ANNOUNCEMENT_GRACE_MILLISECONDS = ANSWER_MILLISECONDS;
 
 /** Duration below which an answer counts as quick, in ms: another daemon answers a request within this time. */
 const QUICK_MILLISECONDS = 300;
@@ -104,6 +110,9 @@
 
   private failures = 0;
 
+  /** When the call in progress counts as unanswered, monotonic ms. */
+  private answerDueAt = Number.POSITIVE_INFINITY;
+
   /** The newest revision that another daemon has announced. */
   private announced: AnnouncedRevision | undefined;
 
@@ -138,8 +147,14 @@
   /** @returns Whether the store does not answer this daemon, or is behind a revision that another daemon has announced. */
   get isStoreUnresponsive(): boolean {
     const now = this.options.clock.monotonicMilliseconds();
-    const isBehind = this.announced !== undefined && now - this.announced.at > BEHIND_MILLISECONDS;
-    return this.failures > 0 || isBehind || now - this.lastAnswerAt > UNRESPONSIVE_MILLISECONDS;
+    const announced = this.unreachedAnnouncement;
+    const isBehind = announced && now - announced.at > ANNOUNCEMENT_GRACE_MILLISECONDS;
+    return this.failures > 0 || isBehind === true || now > this.answerDueAt;
+  }
+
+  /** @returns Time since the store last answered this daemon, or a daemon that relays the store to it, in ms. */
+  get readMilliseconds(): number {
+    return this.options.clock.monotonicMilliseconds() - this.lastAnswerAt;
   }
 
   /** @returns The newest revision that another daemon has announced and this one has not reached, if there is one. */
@@ -250,6 +265,7 @@
     const { store, clock } = this.options;
     const before = this.pages;
     const calledAt = clock.monotonicMilliseconds();
+    this.answerDueAt = calledAt + PAGE_MILLISECONDS;
     const { revision, facts, next } = await store.readPage(before?.next);
     this.answered(calledAt);
     if (before && epochOf(before.revision) !== epochOf(revision))
@@ -268,6 +284,7 @@
     // Changes that other daemons have relayed since the last read are known already.
     const after = Math.max(revision, knowledge.revision);
     const calledAt = clock.monotonicMilliseconds();
+    this.answerDueAt = calledAt + waitMilliseconds + ANSWER_MILLISECONDS;
     const read = await store.readChanges(after, waitMilliseconds);
     this.answered(calledAt);
     knowledge.applyChanges(read, clock.monotonicMilliseconds());
@@ -277,8 +294,8 @@
 
   /** Pauses between two reads, but only until another daemon announces a revision that is not known here. */
   private async pauseBetweenReads(): Promise<void> {
-    const { gatherMilliseconds, knowledge, isReadingForOthers, random } = this.options;
-    if (this.announced && this.announced.revision <= knowledge.revision) this.announced = undefined;
+    const { gatherMilliseconds, isReadingForOthers, random } = this.options;
+    if (!this.unreachedAnnouncement) this.announced = undefined;
     const jitter = isReadingForOthers() ? RELAY_JITTER_SHARE * random() : 0;
     await this.sleepUntilWoken(Math.round(gatherMilliseconds * (1 - jitter)));
   }
@@ -297,6 +314,7 @@
     if (now - calledAt < QUICK_MILLISECONDS) onQuickAnswer(calledAt);
     const unansweredMilliseconds = now - this.lastAnswerAt;
     this.lastAnswerAt = now;
+    this.answerDueAt = Number.POSITIVE_INFINITY;
     knowledge.recordStoreAnswer(now);
     if (this.failures === 0) return;
     log.write(syncLogEvents.storeRegained, {
@@ -312,6 +330,7 @@
 
   private async handleFailure(error: Error): Promise<void> {
     const { log, sleep, knowledge, pauses } = this.options;
+    this.answerDueAt = Number.POSITIVE_INFINITY;
     if (error instanceof HistoryLost) {
       const reason = error.message;
       log.write(syncLogEvents.historyLost, { ...this.positionFields, reason });
--- a/src/sync/knowledgeTypes.ts
+++ b/src/sync/knowledgeTypes.ts
@@ -22,8 +22,23 @@
   readonly daemons: readonly DaemonEntry[];
   /** Names of evacuated data centres; missing if the sender does not support evacuations. */
   readonly evacuated?: readonly string[];
+  /** The secret of the fleet; without it a daemon that the store has refused since its start hears no announcement. */
+  readonly secret?: string | undefined;
 }
 
+/** What a daemon answers to another one that has the same listing and configuration. */
+export interface UnchangedKnowledge {
+  readonly isUnchanged: true;
+  readonly revision: number;
+  readonly storeSilentMilliseconds?: number;
+}
+
+/** Answer of a daemon to another one that asks for what it knows. */
+export type KnowledgeAnswer = (KnowledgeSnapshot | UnchangedKnowledge) & {
+  /** Time since the store last answered the sender itself, in ms; missing if the sender does not tell. */
+  readonly readMilliseconds?: number;
+};
+
 /** What a daemon made of the first state that it has seen of a restored store. */
 export interface StoreRestore {
   /** Ordered revision that was known before. */
--- a/src/sync/requestPeer.ts
+++ b/src/sync/requestPeer.ts
@@ -16,6 +16,8 @@
   /** The request is aborted after this time without a byte of the response, in ms. */
   silenceMilliseconds: number;
   agent: Agent;
+  /** Called when the response begins. */
+  onResponse?: () => void;
 }
 
 const OK = 200;
@@ -31,12 +33,13 @@
  * @throws If no response comes in time, or its status is not 200.
  */
 export function requestPeer(peerRequest: PeerRequest): Promise<Buffer> {
-  const { address, path, body, silenceMilliseconds, agent } = peerRequest;
+  const { address, path, body, silenceMilliseconds, agent, onResponse } = peerRequest;
   const { host, port } = parseAddress(address);
   const method = body === undefined ? 'GET' : 'POST';
   return new Promise((done, fail) => {
     let timer: NodeJS.Timeout | undefined;
     const request = sendRequest({ host, port, path, method, agent }, (answer) => {
+      onResponse?.();
       const chunks: Buffer[] = [];
       let bytes = 0;
       answer.on('data', (chunk: Buffer) => {
