Store: wait shorter for calls that may have been sent into a silence

Cause: a watch that was sent to a silent store was waited for until its end, 2.4 s, although the store answered other calls again, and the pause between retries reached .5 s at all daemons at the same moments. Each is a share of the bound of 2 s by itself, and nothing added them up.

Now a watch waits .5 s for a change (heartbeats of runners end it sooner, so that there are no more calls), a retry .1 s, and the backoff is reduced at random by up to a half.

--- a/src/sync/StoreFollower.ts
+++ b/src/sync/StoreFollower.ts
@@ -61,8 +61,14 @@
   readonly at: number;
 }
 
-/** How long the store waits for a change in one read, in ms; see the module's comment. */
-const WATCH_WAIT_MILLISECONDS = 1_500;
+/**
+ * How long the store waits for a change in one read, in ms. It also limits how long a call that was sent to a silent store
+ * is waited for after the store answers again.
+ */
+const WATCH_WAIT_MILLISECONDS = 500;
+
+/** The same wait after a failed call, in ms: until one is answered, changes since the last read are more than likely. */
+const RETRY_WAIT_MILLISECONDS = 100;
 
 /**
  * The same wait for a daemon that relays its reads, as a share of the pause between reads. It is shorter because the
@@ -97,6 +103,9 @@
  */
 export const ANNOUNCEMENT_GRACE_MILLISECONDS = ANSWER_MILLISECONDS;
 
+/** Random reduction of the backoff, as a share of it, so that daemons do not all call a store at once that is back. */
+const BACKOFF_JITTER_SHARE = 0.5;
+
 /** Duration below which an answer counts as quick, in ms: another daemon answers a request within this time. */
 const QUICK_MILLISECONDS = 300;
 
@@ -278,9 +287,11 @@
   private async readChanges(revision: number): Promise<void> {
     const { store, knowledge, clock, onRead, gatherMilliseconds, isReadingForOthers } =
       this.options;
-    const waitMilliseconds = isReadingForOthers()
+    const longestWait = isReadingForOthers()
       ? Math.round(gatherMilliseconds * RELAY_WATCH_SHARE)
       : WATCH_WAIT_MILLISECONDS;
+    const waitMilliseconds =
+      this.failures > 0 ? Math.min(longestWait, RETRY_WAIT_MILLISECONDS) : longestWait;
     // Changes that other daemons have relayed since the last read are known already.
     const after = Math.max(revision, knowledge.revision);
     const calledAt = clock.monotonicMilliseconds();
@@ -329,7 +340,7 @@
   }
 
   private async handleFailure(error: Error): Promise<void> {
-    const { log, sleep, knowledge, pauses } = this.options;
+    const { log, sleep, knowledge, pauses, random } = this.options;
     this.answerDueAt = Number.POSITIVE_INFINITY;
     if (error instanceof HistoryLost) {
       const reason = error.message;
@@ -344,6 +355,6 @@
     const { firstMilliseconds, longestMilliseconds } = pauses();
     const pause = Math.min(longestMilliseconds, firstMilliseconds * 2 ** this.failures);
     this.failures += 1;
-    await sleep(pause);
+    await sleep(Math.round(pause * (1 - BACKOFF_JITTER_SHARE * random())));
   }
 }
