Coordination: announce changes to all where no store reader broadcasts them

Callers of daemons that the store refuses in a large fleet were refused by an older configuration for up to 6.7 s. A configuration was fetched from the last daemon that had told it; after a failure it waited for the next broadcast.

Now a daemon that has lost the readers' broadcasts announces a change that it reads itself to all, after a random delay of up to .15 s unless another one is first; who is out of the readers' reach asks it. The version goes with the announcement. A change in one datagram is broadcast twice. An equal listing is not sent again with a newer configuration.

Tried and dropped: that daemon broadcasts what it read in the readers' place. It can't tell an outage of the store from entries that are gone, and told all daemons so: src/coordination/leavingRunners.spec.ts lost 54 of its runners.

--- a/src/coordination/FleetCoordination.ts
+++ b/src/coordination/FleetCoordination.ts
@@ -15,7 +15,6 @@
 import type { BrittleService } from '../runners/BrittleRunners.js';
 import type { RunnerAdmission } from '../runners/RunnerAdmission.js';
 import type { RunnerChoice } from '../runners/RunnerChoice.js';
-import type { RoutingConfiguration } from '../routes/routeTypes.js';
 import type { FleetKnowledge } from '../sync/FleetKnowledge.js';
 import type { DaemonEntry, FleetStore } from '../sync/FleetStore.js';
 import type { StoreBackoff } from '../sync/StoreFollower.js';
@@ -23,6 +22,7 @@
 import { RestartNotices } from '../streamVersions/RestartNotices.js';
 import type { Clock } from '../time/Clock.js';
 import { ChoiceServer } from './ChoiceServer.js';
+import type { FetchConfiguration } from './ConfigurationFetcher.js';
 import { CoordinatedSelector } from './CoordinatedSelector.js';
 import { coordinatorsAmong, storeReadersOf, broadcastersOf, monitorsOf } from './daemonRoles.js';
 import type { GrantLedger } from './GrantLedger.js';
@@ -46,7 +46,7 @@
   /** Reads the store once: the changes since the last read, or everything. */
   readStore: (what: 'changes' | 'everything') => void;
   /** Fetches the configuration of another daemon. */
-  fetchConfiguration: (peerAddress: string) => Promise<RoutingConfiguration>;
+  fetchConfiguration: FetchConfiguration;
   /** Connections to runners; those to a leaving runner are released once their requests have ended. */
   connections: Pick<RunnerConnections, 'release'>;
   /** Whether this daemon is shutting down as planned. */
@@ -227,6 +227,18 @@
     return this.addressesOfOthers(monitors.length > 0 ? monitors : knowledge.daemons.values());
   }
 
+  /**
+   * Returns the recipients of an announcement that the store has changed. In a large fleet the store readers tell
+   * everybody, unless none of them does.
+   *
+   * @returns Addresses of the recipients.
+   */
+  announcementRecipients(): HostAndPort[] {
+    const { knowledge } = this.options;
+    if (!this.relay.isLost) return this.reportRecipients();
+    return this.addressesOfOthers(knowledge.daemons.values());
+  }
+
   /**
    * Returns the recipients of what other daemons have reported to this one.
    *
--- a/src/coordination/StoreRelay.ts
+++ b/src/coordination/StoreRelay.ts
@@ -14,13 +14,13 @@
 import type { Log } from '../logging/Log.js';
 import type { FleetSocket } from '../news/FleetSocket.js';
 import type { LoggedChange } from '../sync/FleetChangeLog.js';
-import type { RoutingConfiguration } from '../routes/routeTypes.js';
 import type { BrittleService } from '../runners/BrittleRunners.js';
 import type { FleetKnowledge } from '../sync/FleetKnowledge.js';
 import type { FleetStore, StoreFact } from '../sync/FleetStore.js';
 import { epochOf, revisionFields } from '../sync/orderedRevision.js';
-import { syncLogEvents } from '../sync/syncFeature.js';
 import type { Clock } from '../time/Clock.js';
+import { ConfigurationFetcher } from './ConfigurationFetcher.js';
+import type { FetchConfiguration } from './ConfigurationFetcher.js';
 import { coordinationLogEvents } from './coordinationFeature.js';
 
 /** Options of a {@link StoreRelay}. */
@@ -49,15 +49,15 @@
   /** Reads the store once: the changes since the last read, or everything. */
   readStore: (what: 'changes' | 'everything') => void;
   /** Fetches the configuration of another daemon. */
-  fetchConfiguration: (peerAddress: string) => Promise<RoutingConfiguration>;
+  fetchConfiguration: FetchConfiguration;
   /** How long a broadcast counts as current, in ms. */
   freshMilliseconds: number;
   /**
    * Shortest time between two reads of the configuration, in ms: versions may change faster than is worth following.
    */
   configurationMilliseconds: number;
-  /** Schedules a call; replaced by tests. */
-  later?: (call: () => void, milliseconds: number) => void;
+  /** Schedules a call after a delay in ms; replaced by tests. */
+  later?: (call: () => void, milliseconds: number) => unknown;
 }
 
 /**
@@ -84,6 +84,12 @@
  */
 const CATCH_UP_MILLISECONDS = 400;
 
+/**
+ * Delay after which a change in one datagram is broadcast once more, in ms. For a daemon that has lost the datagram, the
+ * broadcast after the next read may be too late.
+ */
+const REPEAT_MILLISECONDS = 100;
+
 /** The content of one datagram. */
 interface BroadcastPart {
   readonly since: number;
@@ -134,29 +140,33 @@
   /** Consecutive broadcasts of each store reader with a different digest, by its name. */
   private readonly differences = new Map<string, number>();
 
-  /** The newest configuration version in any broadcast, and the daemon that sent the latest one. */
-  private toldVersion = 0;
-
-  private toldBy = '';
+  private lastCatchUpAt = Number.NEGATIVE_INFINITY;
 
-  private isReadingConfiguration = false;
+  private readonly configurations: ConfigurationFetcher;
 
-  private lastCatchUpAt = Number.NEGATIVE_INFINITY;
+  /** Whether broadcasts have failed to arrive, and none has confirmed this daemon's listing since. */
+  private hasLostReaders = false;
 
-  private configurationReadAt = Number.NEGATIVE_INFINITY;
+  /** The newest change and configuration in the latest broadcast. */
+  private broadcastState = '';
 
   /**
    * @param options - the fleet state, the store and the recipients of broadcasts.
    */
   constructor(options: StoreRelayOptions) {
     this.options = {
-      later: setTimeout,
+      later: (call, milliseconds) => setTimeout(call, milliseconds).unref(),
       onMessage: () => undefined,
       onBroadcast: () => undefined,
       brittle: () => [],
       onBrittle: () => undefined,
       ...options,
     };
+    const { knowledge, store, clock, log, fetchConfiguration, later } = this.options;
+    this.configurations = new ConfigurationFetcher({
+      ...{ knowledge, store, clock, log, fetchConfiguration, later },
+      intervalMilliseconds: options.configurationMilliseconds,
+    });
     options.socket.handle(MessageKind.STORE_CHANGES, (message) =>
       this.handleBroadcast(fromBinary(StoreChangesSchema, message)),
     );
@@ -167,6 +177,7 @@
     const { clock, freshMilliseconds, isReader, log } = this.options;
     const age = clock.monotonicMilliseconds() - this.confirmedAt;
     const isFresh = !isReader() && age < freshMilliseconds;
+    if (this.wasFresh && !isFresh) this.hasLostReaders = true;
     if (isFresh !== this.wasFresh) {
       const { relayFound, relayLost } = coordinationLogEvents;
       log.write(isFresh ? relayFound : relayLost, { ageMilliseconds: Math.round(age) });
@@ -175,15 +186,33 @@
     return isFresh;
   }
 
+  /**
+   * @returns Whether the store readers have failed to broadcast since their broadcasts last confirmed this daemon's
+   *   listing: the store may refuse all of them, or they may have died a moment ago.
+   */
+  get isLost(): boolean {
+    return this.hasLostReaders && !this.isFresh;
+  }
+
+  /**
+   * Handles the version of the configuration that another daemon has.
+   *
+   * @param daemon - the daemon's name.
+   * @param version - the version.
+   */
+  handleVersion(daemon: string, version: number): void {
+    this.configurations.handleTold(daemon, version);
+  }
+
   /** Notes that this daemon's listing is as current as the store readers' listing. */
   confirmListing(): void {
     this.confirmedAt = this.options.clock.monotonicMilliseconds();
   }
 
-  /** Handles a completed read of the store: a store reader broadcasts the changes. */
+  /** Handles a completed read of the store: a store reader broadcasts the changes, or a daemon in its place. */
   handleStoreRead(): void {
     const { isReader, hasReaders } = this.options;
-    this.followConfiguration();
+    this.configurations.follow();
     if (isReader()) this.broadcast();
     else if (hasReaders()) this.confirmListing();
   }
@@ -192,6 +221,11 @@
     const { knowledge, clock } = this.options;
     const { sinceRevision, changes } = knowledge.changeLog.recent(clock.monotonicMilliseconds());
     const parts = partsOf(changes, sinceRevision);
+    const state = `${changes.at(-1)?.revision} ${knowledge.routes?.configuration.version}`;
+    const hasNews = state !== this.broadcastState;
+    this.broadcastState = state;
+    if (hasNews && parts.length <= 1)
+      this.options.later(() => this.broadcast(), REPEAT_MILLISECONDS);
     const last = parts.pop() ?? { since: sinceRevision, changes: [] };
     const { revision, listingDigest: digest } = knowledge;
     this.sendPaced([...parts, { ...last, revision, digest }]);
@@ -226,9 +260,7 @@
     }
     // Before its own first read a daemon has no listing that changes could be applied to.
     if (message.daemon === daemon || knowledge.revision === 0) return;
-    this.toldVersion = Math.max(this.toldVersion, Number(message.configurationVersion));
-    this.toldBy = message.daemon;
-    this.followConfiguration();
+    this.configurations.handleTold(message.daemon, Number(message.configurationVersion));
     const now = clock.monotonicMilliseconds();
     // A store reader broadcasts right after its own read, so the store has just answered.
     knowledge.recordStoreAnswer(now);
@@ -258,12 +290,17 @@
   private compareOlder(revision: number, digest: number | undefined, now: number): void {
     const { knowledge } = this.options;
     if (epochOf(revision) < epochOf(knowledge.revision)) return;
-    if (knowledge.listingDigest === digest) this.confirmedAt = now;
+    if (knowledge.listingDigest === digest) this.recordConfirmed(now);
+  }
+
+  private recordConfirmed(now: number): void {
+    this.confirmedAt = now;
+    this.hasLostReaders = false;
   }
 
   private compare(coordinator: string, digest: number, now: number): void {
     if (this.options.knowledge.listingDigest === digest) {
-      this.confirmedAt = now;
+      this.recordConfirmed(now);
       this.consecutiveDifferences = 0;
       this.differences.delete(coordinator);
       return;
@@ -287,50 +324,4 @@
     log.write(coordinationLogEvents.listingDiffers, fields);
     readStore(what);
   }
-
-  /**
-   * Fetches a newer configuration from the daemon that announced it, or from the store where that fails.
-   *
-   * What goes wrong without it: a daemon learns from a broadcast that the store has reached some revision, and from
-   * then on reads only later changes. A configuration version written before that revision would never be in force
-   * there, so it is fetched until it is known.
-   */
-  private followConfiguration(): void {
-    const { knowledge, clock, configurationMilliseconds } = this.options;
-    const known = knowledge.routes?.configuration.version ?? 0;
-    const now = clock.monotonicMilliseconds();
-    const isDue = now - this.configurationReadAt >= configurationMilliseconds;
-    if (this.toldVersion <= known || !isDue || this.isReadingConfiguration) return;
-    this.configurationReadAt = now;
-    this.isReadingConfiguration = true;
-    void this.readConfiguration().finally(() => {
-      this.isReadingConfiguration = false;
-    });
-  }
-
-  private async readConfiguration(): Promise<void> {
-    const { knowledge, log, store, fetchConfiguration } = this.options;
-    const address = knowledge.daemons.get(this.toldBy)?.peerAddress;
-    try {
-      if (address === undefined)
-        throw new Error('the daemon that announced the configuration is not listed');
-      knowledge.applyConfiguration(await fetchConfiguration(address));
-    } catch (error) {
-      log.write(syncLogEvents.peerFailed, { address, error: (error as Error).message });
-      await this.readConfigurationFromStore(store);
-    }
-  }
-
-  private async readConfigurationFromStore(
-    store: Pick<FleetStore, 'readConfiguration'>,
-  ): Promise<void> {
-    const { knowledge, log } = this.options;
-    try {
-      const configuration = await store.readConfiguration();
-      if (configuration) knowledge.applyConfiguration(configuration);
-    } catch (error) {
-      const fields = { error: (error as Error).message, during: 'configuration' };
-      log.write(syncLogEvents.storeLost, fields);
-    }
-  }
 }
--- a/src/news/NewsTask.spec.ts
+++ b/src/news/NewsTask.spec.ts
@@ -47,7 +47,7 @@
       registry,
       log: new MemoryLog(),
       changedAtRevision: () => revision,
-      onRevision: (newer) => receivedRevisions.push(newer),
+      onNews: ({ revision: newer }) => receivedRevisions.push(Number(newer)),
       others: () => [other.address()].map(({ port }) => ({ host: HOST, port })),
       secret: () => SECRET,
     });
--- a/src/news/NewsTask.ts
+++ b/src/news/NewsTask.ts
@@ -29,8 +29,13 @@
   log: Log;
   /** Returns the store's revision of the latest known change that affects requests. */
   changedAtRevision: () => number;
-  /** Called with the revision that another daemon has reported, and the name of that daemon. */
-  onRevision: (revision: number, daemon: string) => void;
+  /** Returns the version of the configuration in force. */
+  configurationVersion?: () => number;
+  /**
+   * Returns the addresses of the daemons to which a change is announced at once, by default the recipients of all
+   * messages. To many others the announcement is delayed at random, so that only the first daemons make it.
+   */
+  announcementRecipients?: () => readonly HostAndPort[];
   /** Returns the addresses of the daemons to which the state is broadcast. */
   others: () => readonly HostAndPort[];
   /**
@@ -51,6 +56,10 @@
   registry: MetricRegistry;
   /** Called with each new message of another daemon. */
   onNews?: (news: DaemonNews) => void;
+  /** Schedules a call after a delay in ms; replaced by tests. */
+  later?: (call: () => void, milliseconds: number) => unknown;
+  /** Returns random numbers from 0 up to 1; replaced by tests. */
+  random?: () => number;
 }
 
 /**
@@ -90,6 +99,9 @@
  */
 const MAXIMUM_WAITING_WARM = 400;
 
+/** Longest random delay of an announcement to more recipients than report to each other, in ms. */
+const ANNOUNCEMENT_MILLISECONDS = 150;
+
 /**
  * Number of possible incarnation numbers: two incarnations of a daemon get the same one once in this many restarts.
  */
@@ -131,6 +143,10 @@
       hasNoPath: () => false,
       brittle: () => [],
       onNews: () => undefined,
+      configurationVersion: () => 0,
+      announcementRecipients: options.others,
+      later: (call, milliseconds) => setTimeout(call, milliseconds).unref(),
+      random: Math.random,
       ...options,
     };
     const sentBytes = options.registry.counter({
@@ -178,7 +194,13 @@
     const revision = this.options.changedAtRevision();
     if (revision <= Math.max(this.receivedRevision, this.reportedRevision)) return;
     this.reportedRevision = revision;
+    const { announcementRecipients, others, later, random } = this.options;
+    const recipients = announcementRecipients();
     this.send();
+    if (recipients.length <= others().length) return;
+    later(() => {
+      if (revision > this.receivedRevision) this.sendTo(recipients);
+    }, random() * ANNOUNCEMENT_MILLISECONDS);
   }
 
   /** Stops sending and receiving. */
@@ -209,38 +231,49 @@
   }
 
   private send(): void {
-    const { daemon, runners, others, secret, clock, changedAtRevision } = this.options;
+    const { others, secret, clock, changedAtRevision } = this.options;
     const now = clock.monotonicMilliseconds();
     this.options.loads.expire(now);
     if (secret() === undefined) return;
-    const busy = runners.list().filter(({ inFlight }) => inFlight > 0);
-    const loads = busy.map(({ entry, inFlight }) => ({ runner: entry.life, requests: inFlight }));
-    const grants = this.options.countedGrants();
-    const isLeaving = this.options.isLeaving();
-    const hasNoPath = this.options.hasNoPath();
-    const brittle = [...this.options.brittle()];
-    const flags = [isLeaving, hasNoPath, brittle];
-    const content = JSON.stringify([loads, changedAtRevision(), grants, flags]);
+    const content = JSON.stringify([this.state, changedAtRevision()]);
     const isDue = now - this.lastSentAt >= REPEAT_MILLISECONDS - TIMER_SLACK_MILLISECONDS;
     if (content === this.lastSent && this.waitingWarm.length === 0 && !isDue) return;
     this.lastSent = content;
     this.lastSentAt = now;
+    this.sendTo(others());
+  }
+
+  private sendTo(recipients: readonly HostAndPort[]): void {
+    const { daemon, changedAtRevision, configurationVersion } = this.options;
     this.number += 1;
     const warm = this.waitingWarm.splice(0, MAXIMUM_WARM);
-    const { life, number } = this;
-    const revision = BigInt(changedAtRevision());
-    const state = { loads, warm, revision, grants, isLeaving, hasNoPath, brittle };
-    const news = create(DaemonNewsSchema, { daemon, life, number, ...state });
-    this.socket.send(MessageKind.UNSPECIFIED, toBinary(DaemonNewsSchema, news), others());
+    const news = create(DaemonNewsSchema, {
+      ...{ daemon, life: this.life, number: this.number, warm, ...this.state },
+      revision: BigInt(changedAtRevision()),
+      configurationVersion: BigInt(configurationVersion()),
+    });
+    this.socket.send(MessageKind.UNSPECIFIED, toBinary(DaemonNewsSchema, news), recipients);
+  }
+
+  /** What this daemon has at runners, and what it knows of them and of itself. */
+  private get state() {
+    const { runners, countedGrants, isLeaving, hasNoPath, brittle } = this.options;
+    const busy = runners.list().filter(({ inFlight }) => inFlight > 0);
+    return {
+      loads: busy.map(({ entry, inFlight }) => ({ runner: entry.life, requests: inFlight })),
+      grants: countedGrants(),
+      isLeaving: isLeaving(),
+      hasNoPath: hasNoPath(),
+      brittle: [...brittle()],
+    };
   }
 
   private receive(message: Uint8Array): void {
-    const { loads, warmPlaces, clock, daemon, onRevision, onNews } = this.options;
+    const { loads, warmPlaces, clock, daemon, onNews } = this.options;
     const news = fromBinary(DaemonNewsSchema, message);
     if (news.daemon === daemon) return;
+    this.receivedRevision = Math.max(this.receivedRevision, Number(news.revision));
     if (loads.take(news, clock.monotonicMilliseconds())) onNews(news);
     for (const { key: parts, runner } of news.warm) warmPlaces.learn(parts, runner);
-    this.receivedRevision = Math.max(this.receivedRevision, Number(news.revision));
-    onRevision(Number(news.revision), news.daemon);
   }
 }
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -314,7 +314,8 @@
     const options = { daemon: entry, knowledge, choice, admission, grants, store, clock, log };
     const calls = {
       readStore: (what: 'changes' | 'everything') => this.follower.readNow(what),
-      fetchConfiguration: (address: string) => this.peerParts.peers.fetchConfiguration(address),
+      fetchConfiguration: (address: string, onResponse?: () => void) =>
+        this.peerParts.peers.fetchConfiguration(address, onResponse),
       connections: this.connections,
       isLeaving: () => this.phase !== 'serving',
       longestPauseMilliseconds: () => this.news.longestPauseMilliseconds,
@@ -336,7 +337,8 @@
       clock,
       log,
       changedAtRevision: () => knowledge.changedAtRevision,
-      onRevision: (revision, daemon) => this.peerParts.handleAnnouncement(revision, daemon),
+      configurationVersion: () => knowledge.routes?.configuration.version ?? 0,
+      announcementRecipients: () => this.coordination.announcementRecipients(),
       others: () => this.coordination.reportRecipients(),
       daemons: () => knowledge.daemons.size,
       secret: () => knowledge.secret,
@@ -344,7 +346,10 @@
       hasNoPath: () => this.handOver.path.isLost,
       brittle: () => this.coordination.brittleServices(),
       countedGrants: () => this.coordination.selector.countedGrants(),
-      onNews: (news) => this.coordination.handleNews(news),
+      onNews: (news) => {
+        this.coordination.handleNews(news);
+        this.peerParts.handleAnnouncement(news);
+      },
     });
   }
 
--- a/src/router/createPeerParts.ts
+++ b/src/router/createPeerParts.ts
@@ -4,6 +4,7 @@
 import type { RequestListener } from 'node:http';
 
 import type { FleetCoordination } from '../coordination/FleetCoordination.js';
+import type { DaemonNews } from '../generated/baobabdock/v1/news_pb.js';
 import type { Log } from '../logging/Log.js';
 import type { FleetKnowledge } from '../sync/FleetKnowledge.js';
 import { PeerCatchUp } from '../sync/PeerCatchUp.js';
@@ -28,8 +29,8 @@
 export interface PeerParts {
   readonly peers: PeerExchange;
   readonly catchUp: PeerCatchUp;
-  /** Handles an ordered revision that the daemon of the given name has announced. */
-  readonly handleAnnouncement: (revision: number, daemon: string) => void;
+  /** Handles the revision and the version that another daemon has announced. */
+  readonly handleAnnouncement: (news: DaemonNews) => void;
 }
 
 /**
@@ -61,9 +62,12 @@
     fetchKnowledge: (address, onResponse) => peers.fetchKnowledge(address, onResponse),
     isStoreUnresponsive: () => follower.isStoreUnresponsive,
   });
-  const handleAnnouncement = (revision: number, daemon: string) => {
-    // In a fleet with coordinators, those broadcast the changes themselves, so that a bare revision needs no read.
-    if (coordination.coordinators.length > 0) return;
+  const handleAnnouncement = ({ daemon, ...news }: DaemonNews) => {
+    // Store readers broadcast the changes themselves, so that a bare revision needs no read.
+    const hasReaders = coordination.coordinators.length > 0;
+    if (hasReaders && coordination.relay.isFresh) return;
+    if (hasReaders) coordination.relay.handleVersion(daemon, Number(news.configurationVersion));
+    const revision = Number(news.revision);
     follower.handleAnnouncedRevision(revision, daemon);
     const address = knowledge.daemons.get(daemon)?.peerAddress;
     if (address !== undefined) catchUp.handleAnnouncement(revision, address);
--- a/src/sync/PeerExchange.ts
+++ b/src/sync/PeerExchange.ts
@@ -20,7 +20,7 @@
 import type { PeerRequest } from './requestPeer.js';
 import type { FleetKnowledge } from './FleetKnowledge.js';
 import type { DaemonEntry } from './FleetStore.js';
-import type { KnowledgeAnswer, UnchangedKnowledge } from './knowledgeTypes.js';
+import type { KnowledgeAnswer } from './knowledgeTypes.js';
 
 /** Options of a {@link PeerExchange}. */
 export interface PeerExchangeOptions {
@@ -43,12 +43,11 @@
 const NOT_FOUND = 404;
 
 /**
- * HTTP path of the snapshot: the listing, and the version of the configuration in force. The query tells what the asking
- * daemon has, so that a large listing is not sent again and again.
+ * HTTP path of the snapshot: the listing, and the version of the configuration in force. The query has the
+ * digest of the asking daemon's listing, so that a large listing is not sent again and again.
  */
 const KNOWLEDGE_PATH = '/knowledge';
 const DIGEST_PARAMETER = 'digest';
-const VERSION_PARAMETER = 'version';
 
 /** HTTP path of the configuration in force, compressed. */
 const CONFIGURATION_PATH = '/configuration';
@@ -138,8 +137,7 @@
   ): Promise<KnowledgeAnswer> {
     const text = await this.request(address, this.knowledgePath);
     const answer = JSON.parse(text.toString()) as KnowledgeAnswer;
-    const { configurationVersion = 0 } = 'isUnchanged' in answer ? {} : answer;
-    if (configurationVersion <= this.knownVersion) {
+    if ((answer.configurationVersion ?? 0) <= this.knownVersion) {
       onResponse();
       return answer;
     }
@@ -209,8 +207,7 @@
   private get knowledgePath(): string {
     const { listingDigest, secret } = this.options.knowledge;
     if (secret === undefined) return KNOWLEDGE_PATH;
-    const version = this.knownVersion;
-    return `${KNOWLEDGE_PATH}?${DIGEST_PARAMETER}=${listingDigest}&${VERSION_PARAMETER}=${version}`;
+    return `${KNOWLEDGE_PATH}?${DIGEST_PARAMETER}=${listingDigest}`;
   }
 
   private knowledgeFor(query: URLSearchParams): KnowledgeAnswer {
@@ -218,15 +215,11 @@
     const now = clock.monotonicMilliseconds();
     const snapshot = knowledge.snapshot(Number.POSITIVE_INFINITY, now);
     const { revision, storeSilentMilliseconds, lapsed, leaving, configurationVersion } = snapshot;
-    const isSame =
-      query.get(DIGEST_PARAMETER) === String(knowledge.listingDigest) &&
-      Number(query.get(VERSION_PARAMETER)) >= (configurationVersion ?? 0);
+    const isSame = query.get(DIGEST_PARAMETER) === String(knowledge.listingDigest);
     const isSettled = lapsed?.length === 0 && leaving?.length === 0;
     if (!isSame || !isSettled) return snapshot;
-    const unchanged: UnchangedKnowledge = { isUnchanged: true, revision };
-    return storeSilentMilliseconds === undefined
-      ? unchanged
-      : { ...unchanged, storeSilentMilliseconds };
+    const state = { configurationVersion, storeSilentMilliseconds };
+    return { isUnchanged: true, revision, ...state };
   }
 
   private async answerConfiguration(response: ServerResponse): Promise<void> {
--- a/src/sync/applyPeerAnswer.ts
+++ b/src/sync/applyPeerAnswer.ts
@@ -8,7 +8,7 @@
  * Applies an answer as far as it is newer.
  *
  * @param knowledge - of this daemon.
- * @param answer - the other daemon's snapshot, or that it knows the same.
+ * @param answer - the other daemon's snapshot, or that it has the same listing.
  * @param now - monotonic milliseconds.
  * @returns Whether anything was newer.
  */
@@ -18,8 +18,10 @@
   now: number,
 ): boolean {
   if (!('isUnchanged' in answer)) return knowledge.applyPeerSnapshot(answer, now);
-  const { revision, storeSilentMilliseconds = Number.POSITIVE_INFINITY } = answer;
-  knowledge.recordStoreAnswer(now - storeSilentMilliseconds);
+  const { revision, configuration, storeSilentMilliseconds } = answer;
+  knowledge.recordStoreAnswer(now - (storeSilentMilliseconds ?? Number.POSITIVE_INFINITY));
+  const knownVersion = knowledge.routes?.configuration.version ?? 0;
+  if (configuration) knowledge.applyConfiguration(configuration);
   if (revision > knowledge.revision) knowledge.applyChanges({ revision, facts: [] }, now);
-  return false;
+  return (configuration?.version ?? 0) > knownVersion;
 }
--- a/src/sync/knowledgeTypes.ts
+++ b/src/sync/knowledgeTypes.ts
@@ -18,7 +18,7 @@
   /** Incarnations of the runners that have announced that they leave, whatever their entries say. */
   readonly leaving?: readonly string[];
   /** Time since the latest answer of the store to any daemon that the sender knows of, in ms. */
-  readonly storeSilentMilliseconds?: number;
+  readonly storeSilentMilliseconds?: number | undefined;
   readonly daemons: readonly DaemonEntry[];
   /** Names of evacuated data centres; missing if the sender does not support evacuations. */
   readonly evacuated?: readonly string[];
@@ -26,15 +26,16 @@
   readonly secret?: string | undefined;
 }
 
-/** What a daemon answers to another one that has the same listing and configuration. */
-export interface UnchangedKnowledge {
+/** What a daemon answers to another one that has the same listing. */
+export interface UnchangedListing extends Pick<
+  KnowledgeSnapshot,
+  'revision' | 'configuration' | 'configurationVersion' | 'storeSilentMilliseconds'
+> {
   readonly isUnchanged: true;
-  readonly revision: number;
-  readonly storeSilentMilliseconds?: number;
 }
 
 /** Answer of a daemon to another one that asks for what it knows. */
-export type KnowledgeAnswer = (KnowledgeSnapshot | UnchangedKnowledge) & {
+export type KnowledgeAnswer = (KnowledgeSnapshot | UnchangedListing) & {
   /** Time since the store last answered the sender itself, in ms; missing if the sender does not tell. */
   readonly readMilliseconds?: number;
 };
