--- a/src/news/NewsTask.ts
+++ b/src/news/NewsTask.ts
@@ -56,6 +56,8 @@
   registry: MetricRegistry;
   /** Called with each new message of another daemon. */
   onNews?: (news: DaemonNews) => void;
+  /** Sends and receives the datagrams; replaced by tests. */
+  socket?: FleetSocket;
   /** Schedules a call after a delay in ms; replaced by tests. */
   later?: (call: () => void, milliseconds: number) => unknown;
   /** Returns random numbers from 0 up to 1; replaced by tests. */
@@ -112,13 +114,13 @@
   /** The socket; it also carries the other kinds of messages between daemons. */
   readonly socket: FleetSocket;
 
-  private readonly options: Required<NewsTaskOptions>;
+  private readonly options: Required<Omit<NewsTaskOptions, 'socket'>>;
 
   private readonly life = randomInt(INCARNATION_NUMBERS);
 
   private readonly waitingWarm: MessageInitShape<typeof WarmPartSchema>[] = [];
 
-  private timer: NodeJS.Timeout | undefined;
+  private isClosed = false;
 
   private number = 0;
 
@@ -154,7 +156,7 @@
       help: 'Bytes of datagrams sent to other daemons, by kind of message.',
       labels: ['kind'] as const,
     });
-    this.socket = new FleetSocket({ ...options, sentBytes });
+    this.socket = options.socket ?? new FleetSocket({ ...options, sentBytes });
     this.socket.handle(MessageKind.UNSPECIFIED, (message) => this.receive(message));
   }
 
@@ -205,7 +207,7 @@
 
   /** Stops sending and receiving. */
   close(): void {
-    clearTimeout(this.timer);
+    this.isClosed = true;
     this.socket.close();
   }
 
@@ -224,7 +226,8 @@
   }
 
   private schedule(): void {
-    this.timer = setTimeout(() => {
+    this.options.later(() => {
+      if (this.isClosed) return;
       this.send();
       this.schedule();
     }, this.intervalMilliseconds);
--- a/src/sync/testKnowledge.ts
+++ b/src/sync/testKnowledge.ts
@@ -3,8 +3,11 @@
  */
 import { FleetKnowledge } from './FleetKnowledge.js';
 
-/** @returns Empty knowledge, the ids of dropped runners, and the keys reported as unreadable. */
-export function createTestKnowledge() {
+/**
+ * @param onUpdate - called after each update.
+ * @returns Empty knowledge, the ids of dropped runners, and the keys reported as unreadable.
+ */
+export function createTestKnowledge(onUpdate: () => void = () => undefined) {
   const gone: string[] = [];
   const unreadable: string[] = [];
   const knowledge = new FleetKnowledge({
@@ -20,7 +23,7 @@
       quarantineSaved: () => undefined,
       outdatedRead: () => undefined,
       storeRestored: () => undefined,
-      updated: () => undefined,
+      updated: onUpdate,
       unreadable: (key) => unreadable.push(key),
     },
   });
--- a/src/sync/testStore.ts
+++ b/src/sync/testStore.ts
@@ -22,7 +22,7 @@
     return this.holdRead(undefined, from);
   }
 
-  override readChanges(after: number): Promise<StoreRead> {
+  override readChanges(after: number, _waitMilliseconds?: number): Promise<StoreRead> {
     return this.holdRead(after);
   }
 
