--- a/tests/refusedDaemons.spec.ts
+++ b/tests/refusedDaemons.spec.ts
@@ -24,6 +24,8 @@
 
 const VERSIONS = 8;
 
+const BETWEEN_RETURNS_MILLISECONDS = 700;
+
 /** How long before its return from a silence the store takes a new version, in ms. */
 const WRITTEN_BEFORE_RETURN_MILLISECONDS = 100;
 
@@ -117,6 +119,15 @@
     changes.push({ version, acknowledgedAt: performance.now(), delays: new Map() });
   }
 
+  async function changeAfterTwoReturns(): Promise<void> {
+    const copy = site.store.copy();
+    await wait(BETWEEN_VERSIONS_MILLISECONDS);
+    site.store.restore(copy);
+    await wait(BETWEEN_RETURNS_MILLISECONDS);
+    site.store.restore(copy);
+    change();
+  }
+
   const fleets = [
     { daemons: 6, refused: 5, fault: 'silent' },
     { daemons: 9, refused: 3, fault: 'silent' },
@@ -152,6 +163,18 @@
     expect(await late()).toEqual([]);
   });
 
+  for (const daemons of [6, 20]) {
+    // Guards against daemons that are still following the first return of a store when it returns again.
+    it(`are in force at ${daemons} daemons after two returns from an older copy within a second`, async () => {
+      await start(daemons);
+      for (let count = 0; count < 3; count += 1) {
+        await changeAfterTwoReturns();
+        await wait(BOUND_MILLISECONDS + 500);
+      }
+      expect(await late()).toEqual([]);
+    });
+  }
+
   for (const daemons of [9, 20]) {
     // Guards against daemons that wait for the answer to a call sent into a silence although the store answers again.
     it(`are in force at ${daemons} daemons after a silence of the store`, async () => {
