Catch-up: a daemon that does not tell its last read is not taken for one that follows the store

Found by reading the diff: an unknown time became null in JSON, which compares as 0. Only parts without the option were concerned, which are tests.

--- a/src/coordination/StoreRelay.ts
+++ b/src/coordination/StoreRelay.ts
@@ -209,7 +209,7 @@
     this.confirmedAt = this.options.clock.monotonicMilliseconds();
   }
 
-  /** Handles a completed read of the store: a store reader broadcasts the changes, or a daemon in its place. */
+  /** Handles a completed read of the store: a store reader broadcasts the changes. */
   handleStoreRead(): void {
     const { isReader, hasReaders } = this.options;
     this.configurations.follow();
--- a/src/sync/PeerExchange.ts
+++ b/src/sync/PeerExchange.ts
@@ -192,9 +192,10 @@
       void this.answerConfiguration(response);
       return;
     }
+    const { readMilliseconds } = this.options;
     const answer: KnowledgeAnswer = {
       ...this.knowledgeFor(new URL(request.url ?? '', 'http://daemon').searchParams),
-      readMilliseconds: Math.round(this.options.readMilliseconds?.() ?? Number.POSITIVE_INFINITY),
+      ...(readMilliseconds && { readMilliseconds: Math.round(readMilliseconds()) }),
     };
     response.writeHead(OK, { 'Content-Type': 'application/json' }).end(JSON.stringify(answer));
   }
