Coordination: a version that another daemon announces is fetched while the readers' last broadcast still counts

A daemon passed over the announcement of another one because the store readers' last broadcast was less than 1.2 s old, and then only polled: with all three readers refused, 2 of 20 daemons had a version in force after 2,148 and 2,153 ms, in one of three runs of tests/refusedDaemons.spec.ts. By reading, not by a trace of that run. After the change that test is green in one run by itself.

--- a/src/coordination/testChangeFleet.ts
+++ b/src/coordination/testChangeFleet.ts
@@ -164,8 +164,8 @@
       daemons: () => fleet.daemons.length,
       secret: () => 'secret',
       onNews: ({ daemon, revision, configurationVersion }) => {
-        if (fleet.hasReaders && relay.isFresh) return;
         if (fleet.hasReaders) relay.handleVersion(daemon, Number(configurationVersion));
+        if (fleet.hasReaders && relay.isFresh) return;
         this.follower.handleAnnouncedRevision(Number(revision), daemon);
         catchUp.handleAnnouncement(Number(revision), fleet.addressOf(daemon));
       },
--- a/src/router/createPeerParts.ts
+++ b/src/router/createPeerParts.ts
@@ -65,8 +65,8 @@
   const handleAnnouncement = ({ daemon, ...news }: DaemonNews) => {
     // Store readers broadcast the changes themselves, so that a bare revision needs no read.
     const hasReaders = coordination.coordinators.length > 0;
-    if (hasReaders && coordination.relay.isFresh) return;
     if (hasReaders) coordination.relay.handleVersion(daemon, Number(news.configurationVersion));
+    if (hasReaders && coordination.relay.isFresh) return;
     const revision = Number(news.revision);
     follower.handleAnnouncedRevision(revision, daemon);
     const address = knowledge.daemons.get(daemon)?.peerAddress;
