Test: thirteen of twenty daemons without a path, at 200 requests a second, as processes

So the row tested daemons that get a twentieth of a core each, which no fault of a path causes; a daemon has a process of its own in every deployment.

tests/busyMachine.spec.ts starts its processes with the same class; green.

--- a/tests/busyMachine.spec.ts
+++ b/tests/busyMachine.spec.ts
@@ -1,19 +1,16 @@
 /**
  * Daemons as processes on a machine that is short of processor time for some seconds, before brittle runners.
  */
-import { mkdtempSync, rmSync } from 'node:fs';
 import { Agent } from 'node:http';
-import { cpus, tmpdir } from 'node:os';
-import { join } from 'node:path';
+import { cpus } from 'node:os';
 import { after, afterEach, before, describe, it } from 'node:test';
 
 import { expect } from 'earl';
 
 import { BusyMachine } from '../standIns/BusyMachine.js';
-import { buildDaemon } from '../standIns/site/buildDaemon.js';
 import { callSite } from '../standIns/site/callSite.js';
 import type { SiteAnswer } from '../standIns/site/callSite.js';
-import { SiteProcess } from '../standIns/site/SiteProcess.js';
+import { SiteProcesses } from '../standIns/site/SiteProcesses.js';
 import { StandInSite } from '../standIns/site/StandInSite.js';
 
 const DAEMONS = 20;
@@ -50,23 +47,20 @@
 describe('a fleet before brittle runners', () => {
   const machine = new BusyMachine();
   const agents: Agent[] = [];
-  let folder: string;
-  let program: string[];
   let site: StandInSite;
-  let processes: SiteProcess[] = [];
+  let processes: SiteProcesses;
   let servedAt: number[];
 
   before(() => {
-    folder = mkdtempSync(join(tmpdir(), 'baobabdock-'));
-    program = buildDaemon(folder);
+    processes = new SiteProcesses();
   });
 
-  after(() => rmSync(folder, { recursive: true }));
+  after(() => processes.remove());
 
   afterEach(async () => {
     machine.end();
     for (const agent of agents.splice(0)) agent.destroy();
-    await Promise.all(processes.map((one) => one.kill()));
+    await processes.kill();
     await site.stop();
   });
 
@@ -83,14 +77,8 @@
         downMilliseconds: 3_000,
       });
     }
-    processes = [];
     servedAt = [];
-    for (let index = 0; index < DAEMONS; index += 1) {
-      const settings = await site.settingsOf(`daemon-${index}`);
-      processes.push(new SiteProcess({ settings, folder, program }));
-    }
-    for (const one of processes) one.start();
-    for (const one of processes) await site.until(() => one.isReady());
+    await processes.start(site, DAEMONS);
   }
 
   function recordAnswer({ status }: SiteAnswer): void {
@@ -99,7 +87,7 @@
 
   /** Sends requests at a steady rate to all daemons in turn. */
   async function callUntil(isOver: () => boolean): Promise<void> {
-    const ends = processes.map(({ settings }) => {
+    const ends = processes.all.map(({ settings }) => {
       const agent = new Agent({ keepAlive: true });
       agents.push(agent);
       return { address: settings.addresses.callers, agent };
--- a/tests/daemonsWithoutRunners.spec.ts
+++ b/tests/daemonsWithoutRunners.spec.ts
@@ -2,15 +2,17 @@
  * Daemons that lose their path to all runners, while callers, the store and the other daemons still reach them.
  */
 import { Agent } from 'node:http';
-import { afterEach, describe, it } from 'node:test';
+import { after, afterEach, before, describe, it } from 'node:test';
 
 import { expect } from 'earl';
 
 import { MemoryLog } from '../src/callers/testFakes.js';
 import { callSite } from '../standIns/site/callSite.js';
+import { SiteProcesses } from '../standIns/site/SiteProcesses.js';
 import { StandInSite } from '../standIns/site/StandInSite.js';
 import type { SiteDaemon } from '../standIns/site/StandInSite.js';
 import type { Severance } from '../standIns/link/linkTypes.js';
+import type { RouterSettings } from '../src/router/routerFeature.js';
 
 /** How long all daemons work before the cut, in ms. */
 const QUIET_MILLISECONDS = 1_000;
@@ -21,7 +23,7 @@
 /** How long requests are counted after that, in ms. */
 const COUNTED_MILLISECONDS = 2_000;
 
-/** Requests to all daemons together, per second; all of them run in this process. */
+/** Requests to all daemons together, per second. */
 const REQUESTS_PER_SECOND = 60;
 const MANY_REQUESTS_PER_SECOND = 200;
 
@@ -49,19 +51,42 @@
   return isKept ? '' : seen;
 }
 
-for (const { daemons, cut, rate = REQUESTS_PER_SECOND } of [
+for (const { daemons, cut, rate = REQUESTS_PER_SECOND, inProcesses = false } of [
   { daemons: 6, cut: 4 },
   { daemons: 20, cut: 13 },
   { daemons: 6, cut: 4, rate: MANY_REQUESTS_PER_SECOND },
-  { daemons: 20, cut: 13, rate: MANY_REQUESTS_PER_SECOND },
+  // One event loop for all of them is busy all the time at this rate, also before any path is lost.
+  { daemons: 20, cut: 13, rate: MANY_REQUESTS_PER_SECOND, inProcesses: true },
 ]) {
   const many = rate === REQUESTS_PER_SECOND ? '' : ', with many requests';
 
   describe(`${cut} of ${daemons} daemons without a path to the runners${many}`, () => {
     let site: StandInSite;
     let log: MemoryLog;
+    let settings: readonly RouterSettings[];
+    let processes: SiteProcesses | undefined;
     const agents: Agent[] = [];
 
+    before(() => {
+      if (inProcesses) processes = new SiteProcesses();
+    });
+
+    after(() => processes?.remove());
+
+    /** Starts all daemons in this process. */
+    async function startDaemons(): Promise<void> {
+      for (let index = 0; index < daemons; index += 1) await site.addDaemon(`daemon-${index}`);
+      const knowsAll = ({ daemon }: SiteDaemon) =>
+        daemon.isReady && daemon.knowledge.daemons.size === daemons;
+      await site.until(() => site.daemons.every(knowsAll));
+      settings = site.daemons.map((daemon) => daemon.settings);
+    }
+
+    async function startProcesses(started: SiteProcesses): Promise<void> {
+      await started.start(site, daemons);
+      settings = started.all.map((one) => one.settings);
+    }
+
     async function start(): Promise<void> {
       log = new MemoryLog();
       site = new StandInSite({
@@ -75,14 +100,12 @@
         await site.addRunner({ id: `plain-${index}`, service: 'plain', workMilliseconds: 10 });
         await site.addRunner({ id: `engine-${index}`, service: 'engine', eventMilliseconds: 10 });
       }
-      for (let index = 0; index < daemons; index += 1) await site.addDaemon(`daemon-${index}`);
-      const knowsAll = ({ daemon }: SiteDaemon) =>
-        daemon.isReady && daemon.knowledge.daemons.size === daemons;
-      await site.until(() => site.daemons.every(knowsAll));
+      await (processes ? startProcesses(processes) : startDaemons());
     }
 
     afterEach(async () => {
       for (const agent of agents.splice(0)) agent.destroy();
+      await processes?.kill();
       await site.stop();
     });
 
@@ -94,7 +117,7 @@
     /** Callers keep their daemon and their connections, and do not repeat what failed. */
     async function callUntil(
       isOver: () => boolean,
-      { settings }: SiteDaemon,
+      { addresses: { callers: address } }: RouterSettings,
       tally: (isServed: boolean, sentAt: number) => void,
     ): Promise<void> {
       const agent = new Agent({ keepAlive: true });
@@ -107,7 +130,6 @@
           'Deadline-Ms': String(DEADLINE_MILLISECONDS),
           ...(isStream && { 'Prompt-Prefix': `a${count}:80,b${count}:20` }),
         };
-        const { callers: address } = settings.addresses;
         const sentAt = performance.now();
         const call = callSite({ address, path, headers, agent, method: 'POST' }).then(
           ({ status, isComplete }) => tally(status === 200 && isComplete, sentAt),
@@ -128,16 +150,16 @@
         others: { sent: 0, served: 0 },
       };
       const isOver = () => performance.now() > countedFrom + COUNTED_MILLISECONDS;
-      const calls = site.daemons.map((daemon, index) => {
+      const calls = settings.map((one, index) => {
         const sum = tallies[index < cut ? 'cut' : 'others'];
-        return callUntil(isOver, daemon, (isServed, sentAt) => {
+        return callUntil(isOver, one, (isServed, sentAt) => {
           if (sentAt < countedFrom) return;
           sum.sent += 1;
           sum.served += isServed ? 1 : 0;
         });
       });
       await site.until(() => performance.now() > cutAt);
-      for (const { settings } of site.daemons.slice(0, cut)) site.links?.sever(settings.name, how);
+      for (const { name } of settings.slice(0, cut)) site.links?.sever(name, how);
       await Promise.all(calls);
       return complaintOf(tallies);
     }
