Retries: a stream is not sent again to the successor of the runner that broke off while others are left

Attempts exclude incarnations, so the process that had just crashed counted as another runner.

Change: successors of a runner that broke off count as tried, until no other runner is left; then a runner that has started again may be used, as before.

Test: src/forwarding/succeededRunners.spec.ts, "resumes at another runner while there is one", failed before (0 requests at the other runner, 1 expected); the second one holds what must not change, and passed before and after. The rest of src/forwarding, src/handover, src/streamVersions: green.

--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -148,7 +148,7 @@
     this.bufferedAnswers.drop(attempt);
     if (this.relay.isDone) return;
     this.outcomes.failed(attempt, failure);
-    this.tried.recordFailure(attempt.runner.entry.life, failure);
+    this.tried.recordFailure(attempt.runner, failure);
     this.quarantine.failed(attempt, failure, this.now());
     // The crash may have put the request into quarantine, which ends it.
     if (this.relay.isDone) return;
--- a/src/forwarding/RequestReport.ts
+++ b/src/forwarding/RequestReport.ts
@@ -134,6 +134,7 @@
     this.context.metrics.failures.increment({ kind: failure });
     this.write(forwardingLogEvents.attemptFailed, {
       runner: attempt.runner.entry.id,
+      life: attempt.runner.entry.life,
       digest: this.digest,
       parts: this.parts,
       failure,
--- a/src/forwarding/TriedRunners.ts
+++ b/src/forwarding/TriedRunners.ts
@@ -1,6 +1,7 @@
 /**
  * Records the runners that one request was sent to, and which of them may have run it.
  */
+import type { Runner } from '../runners/Runner.js';
 import { CONNECT_TIMEOUT_MILLISECONDS } from './probeRunner.js';
 import type { AttemptFailure } from './RunnerAttempt.js';
 
@@ -55,6 +56,12 @@
    */
   private readonly elsewhere = new Set<string>();
 
+  /**
+   * Runners that broke off. Their successors get the request only if no other runner is left: where the platform's list
+   * has gone back to an older state, a successor is the same process under the name of an earlier incarnation.
+   */
+  private readonly broken = new Set<Runner>();
+
   /** Incarnations that may have run the request, or may be running it. */
   private readonly mayRunAt = new Set<string>();
 
@@ -76,7 +83,7 @@
 
   /** @returns Incarnations of runners that the next attempt must not use. */
   get excluded(): ReadonlySet<string> {
-    return new Set([...this.asked, ...this.unreached, ...this.elsewhere]);
+    return new Set([...this.asked, ...this.unreached, ...this.elsewhere, ...this.successors]);
   }
 
   /**
@@ -108,11 +115,15 @@
   /**
    * Records a failed attempt.
    *
-   * @param life - incarnation of the runner.
+   * @param runner - the runner.
    * @param failure - kind of failure.
    */
-  recordFailure(life: string, failure: AttemptFailure): void {
-    if (failure === 'broken') this.needsNewConnection = true;
+  recordFailure(runner: Runner, failure: AttemptFailure): void {
+    const { life } = runner.entry;
+    if (failure === 'broken') {
+      this.needsNewConnection = true;
+      this.broken.add(runner);
+    }
     if (NOT_RUN.has(failure)) {
       this.notRun += 1;
       // Another daemon may reach it.
@@ -144,16 +155,26 @@
   }
 
   /**
-   * Allows another attempt at the runners that did not accept a connection in time, or got the request from another daemon,
-   * if the request may have run.
+   * Allows another attempt at the runners that did not accept a connection in time, got the request from another daemon, or
+   * have succeeded one that broke off, if the request may have run.
    *
    * @returns Whether there are such runners and the request may have run.
    */
   readmit(): boolean {
-    const needsOne = this.mayHaveRun > 0 && this.unreached.size + this.elsewhere.size > 0;
-    if (!needsOne) return false;
+    const left = this.unreached.size + this.elsewhere.size + this.successors.length;
+    if (this.mayHaveRun === 0 || left === 0) return false;
     this.unreached.clear();
     this.elsewhere.clear();
+    this.broken.clear();
     return true;
   }
+
+  /** Incarnations that have taken over the ids of runners that broke off. */
+  private get successors(): string[] {
+    const lives: string[] = [];
+    for (const runner of this.broken) {
+      for (let next = runner.successor; next; next = next.successor) lives.push(next.entry.life);
+    }
+    return lives;
+  }
 }
