Quarantine: no request is blamed for crashes that a part of other prompts explains better

Cause: crashes of a part count once a moment (100 ms), so that four crashes within .3 s weigh two; those of a request count each. So a request at three of the four weighs more than the part that was at all of them, and is blamed; the part's crashes then count as explained, and it goes on. Seen in virtual time: stream at 2,153, 2,333 and 2,423 ms, the part at 2,153, 2,242, 2,332 and 2,422, known to all daemons, the stream refused until the end of the play.

Change: a request is not blamed while a part was at all of its crashes and at others; a crash younger than 300 ms, the time of two repetitions of a report, need not be among the known ones of the part yet. A request that the part of other prompts explains may run again. One that nothing else explains is blamed at its third crash, as before.

Tried and dropped: MessageRepeater sends a new report after 20 ms in place of up to 150 ms while an older one waits to be repeated.

--- a/src/forwarding/QuarantineSession.ts
+++ b/src/forwarding/QuarantineSession.ts
@@ -65,12 +65,9 @@
     return this.options.quarantine.hasRepeatedCrashes(this.options.subjects);
   }
 
-  /**
-   * @returns Whether the request may run again after a runner has crashed while running it. A part of its prompt, which
-   * many requests share, is no reason against that: most of these are sound.
-   */
+  /** @returns Whether the request may run again after a runner has crashed while running it. */
   get mayRunAgain(): boolean {
-    return !this.options.quarantine.hasRepeatedCrashes([this.whole]);
+    return this.options.quarantine.mayRunAgain(this.options.subjects);
   }
 
   /** @returns Whether the request may be hedged, which only requests that are not suspects may. */
--- a/src/quarantine/CrashVerdicts.ts
+++ b/src/quarantine/CrashVerdicts.ts
@@ -5,7 +5,12 @@
 import { CrashMoments } from './CrashMoments.js';
 import { crashWeight } from './crashWeight.js';
 import type { CrashSuspect } from './crashWeight.js';
-import { explainCrashes, QUARANTINE_CRASHES, withUnexplained } from './explainCrashes.js';
+import {
+  awaitsReports,
+  explainCrashes,
+  isExplainedByPart,
+  withUnexplained,
+} from './explainCrashes.js';
 import type { CrashVerdict } from './explainCrashes.js';
 import type { CrashSubject, RunnerCrash } from './quarantineTypes.js';
 
@@ -31,8 +36,8 @@
 export class CrashVerdicts {
   private readonly options: Required<CrashVerdictsOptions>;
 
-  /** Records with enough crashes for a quarantine. */
-  private readonly candidates = new Map<string, CrashRecord>();
+  /** Records with more than one crash; some of these may be of one moment. */
+  private readonly repeated = new Map<string, CrashRecord>();
 
   private readonly moments = new CrashMoments();
 
@@ -40,7 +45,7 @@
 
   private digests: ReadonlySet<string> = new Set();
 
-  /** Whether a candidate has changed since the verdicts were last computed. */
+  /** Whether the verdicts have to be computed again, because records have changed or reports were awaited. */
   private isStale = false;
 
   /**
@@ -86,6 +91,17 @@
     return this.weigh(withUnexplained(this.verdicts, suspectOf(record)));
   }
 
+  /**
+   * @param record - record of a request.
+   * @param parts - digests of the parts of its prompt.
+   * @param now - monotonic ms.
+   * @returns Whether a part of other prompts explains its crashes better.
+   */
+  isExplainedElsewhere(record: CrashRecord, parts: ReadonlySet<string>, now: number): boolean {
+    const others = [...this.repeated.values()].filter(({ digest }) => !parts.has(digest));
+    return isExplainedByPart(suspectOf(record), others.map(suspectOf), now);
+  }
+
   /**
    * @param record - record of a subject.
    * @returns The weight of all its crashes, those that no longer count included.
@@ -111,29 +127,32 @@
    */
   note(record: CrashRecord): void {
     const { digest } = record;
-    const isCandidate = this.weigh(suspectOf(record)) >= QUARANTINE_CRASHES;
-    if (isCandidate || this.candidates.has(digest)) this.isStale = true;
-    if (isCandidate) this.candidates.set(digest, record);
-    else this.candidates.delete(digest);
+    const isRepeated = record.countedCrashes.length > 1;
+    if (isRepeated || this.repeated.has(digest)) this.isStale = true;
+    if (isRepeated) this.repeated.set(digest, record);
+    else this.repeated.delete(digest);
   }
 
   /**
    * @param digest - digest of a subject whose record was dropped.
    */
   forget(digest: string): void {
-    if (this.candidates.delete(digest)) this.isStale = true;
+    if (this.repeated.delete(digest)) this.isStale = true;
   }
 
   /**
    * Computes the verdicts again if records have changed, and tells the listeners.
    *
+   * @param now - monotonic ms.
    * @returns Whether they were computed.
    */
-  refresh(): boolean {
+  refresh(now: number): boolean {
     if (!this.isStale) return false;
-    this.isStale = false;
     const before = { verdicts: this.verdicts, digests: this.digests };
-    this.verdicts = explainCrashes([...this.candidates.values()].map(suspectOf), this.weigh);
+    const { weigh } = this;
+    const suspects = [...this.repeated.values()].map(suspectOf);
+    this.verdicts = explainCrashes(suspects, { weigh, now });
+    this.isStale = suspects.some((one) => awaitsReports(one, now));
     this.digests = new Set(this.verdicts.flatMap(({ digests }) => digests));
     this.tell(before.digests, new Set(before.verdicts.map(keyOf)));
     return true;
--- a/src/quarantine/QuarantineDecisions.ts
+++ b/src/quarantine/QuarantineDecisions.ts
@@ -108,6 +108,18 @@
     return record ? this.verdicts.weightOf(record) : 0;
   }
 
+  /**
+   * @param subjects - subjects of a request: the whole, and the parts of its prompt.
+   * @param now - monotonic ms.
+   * @returns Whether a part of other prompts explains the crashes that count against the whole.
+   */
+  isExplainedElsewhere([whole, ...parts]: readonly CrashSubject[], now: number): boolean {
+    const record = whole && this.records.get(whole.digest);
+    if (!record) return false;
+    const digests = new Set(parts.map(({ digest }) => digest));
+    return this.verdicts.isExplainedElsewhere(record, digests, now);
+  }
+
   /**
    * @param subjects - subjects of a request.
    * @returns Why the request must not run; `undefined` if it may.
@@ -143,7 +155,7 @@
       this.update({ ...subject, crashes: [crash], clearedAt: undefined }, 'seen', now);
     }
     this.dropExcess(now);
-    this.refresh();
+    this.refresh(now);
   }
 
   /**
@@ -158,7 +170,7 @@
     for (const record of this.records.values()) {
       if (this.excuseOverload(record)) this.recordChange(record, 'seen');
     }
-    this.refresh();
+    this.refresh(now);
   }
 
   /**
@@ -175,7 +187,7 @@
       const record = this.records.get(digest);
       if (record?.answered(answer)) this.recordChange(record, 'seen');
     }
-    this.refresh();
+    this.refresh(now);
   }
 
   /**
@@ -191,7 +203,7 @@
       const record = this.records.get(one);
       if (record?.clear(now)) this.recordChange(record, 'seen');
     }
-    this.refresh();
+    this.refresh(now);
     return group.length > 0;
   }
 
@@ -204,7 +216,7 @@
   merge(news: readonly CrashSummary[], now: number): void {
     for (const one of news) this.update(one, 'told', now);
     this.dropExcess(now);
-    this.refresh();
+    this.refresh(now);
   }
 
   /** @returns The records that all daemons should know, those with the most crashes first. */
@@ -256,7 +268,7 @@
    */
   expire(now: number): void {
     this.forgetAllOld(now);
-    this.refresh();
+    this.refresh(now);
   }
 
   /** Crashes of one moment alone are not, or each part that runs everywhere would be told when many runners end at once. */
@@ -333,7 +345,7 @@
     for (const { digest } of excess) this.forget(digest);
   }
 
-  private refresh(): void {
-    if (this.verdicts.refresh()) this.cachedHash = undefined;
+  private refresh(now: number): void {
+    if (this.verdicts.refresh(now)) this.cachedHash = undefined;
   }
 }
--- a/src/quarantine/RequestQuarantine.ts
+++ b/src/quarantine/RequestQuarantine.ts
@@ -127,6 +127,17 @@
     return subjects.some(({ digest }) => this.decisions.crashesOf(digest) > 1);
   }
 
+  /**
+   * @param subjects - subjects of a request.
+   * @returns Whether it may run again after a runner has crashed while running it: none, or only one, has, or a part of
+   * other prompts explains the crashes. A part of its own prompt, which many requests share, is no reason against that:
+   * most of these are sound.
+   */
+  mayRunAgain(subjects: readonly CrashSubject[]): boolean {
+    const hasRepeated = this.hasRepeatedCrashes(subjects.slice(0, 1));
+    return !hasRepeated || this.decisions.isExplainedElsewhere(subjects, this.now);
+  }
+
   /**
    * Decides whether a request may run. Suspects run one at a time, so that what crashes runners does not reach several of
    * them at once.
--- a/src/quarantine/explainCrashes.spec.ts
+++ b/src/quarantine/explainCrashes.spec.ts
@@ -17,10 +17,11 @@
   return { ...part(digest, ...lives), part: undefined };
 }
 
-function explain(suspects: readonly CrashSuspect[]): string[] {
+function explain(suspects: readonly CrashSuspect[], now = Number.POSITIVE_INFINITY): string[] {
   const moments = new CrashMoments();
   for (const { crashes } of suspects) for (const crash of crashes) moments.add(crash);
-  const verdicts = explainCrashes(suspects, (suspect) => crashWeight(suspect, moments));
+  const weigh = (suspect: CrashSuspect) => crashWeight(suspect, moments);
+  const verdicts = explainCrashes(suspects, { weigh, now });
   return verdicts.map(({ digests }) => digests.join('+'));
 }
 
@@ -42,6 +43,37 @@
     expect(explain([part('a', 1, 2), request('r', 1, 2)])).toEqual([]);
   });
 
+  describe('that a part and a request beside it were at, within half a second', () => {
+    const at = (life: number, time: number) => ({ life, at: time });
+    const suspect = (digest: string, crashes: CrashSuspect['crashes'], name?: string) => ({
+      ...{ digest, part: name, crashes },
+    });
+    const known = [at(1, 2_150), at(2, 2_240), at(3, 2_330)];
+    const latest = at(4, 2_420);
+
+    // Guards against a sound stream that is refused for a minute because each of its crashes counts.
+    it('does not blame the request, though several crashes of the part are of one moment', () => {
+      const beside = suspect('r', [at(1, 2_150), at(3, 2_330), latest]);
+      expect(explain([suspect('a', [...known, latest], 'chat/a'), beside])).toEqual([]);
+    });
+
+    // Guards against a verdict on a sound stream before the reports of its last crash are there.
+    it('waits for the reports of the last crash, and no longer', () => {
+      const suspects = [
+        suspect('a', known, 'chat/a'),
+        suspect('r', [at(1, 2_150), at(3, 2_330), latest]),
+      ];
+      expect(explain(suspects, 2_700)).toEqual([]);
+      expect(explain(suspects, 2_800)).toEqual(['r']);
+    });
+
+    it('does not wait for a request that was at all crashes of the part', () => {
+      const crashes = known.slice(0, 2);
+      const suspects = [suspect('a', crashes, 'chat/a'), suspect('r', [...crashes, latest])];
+      expect(explain(suspects, 2_430)).toEqual(['r']);
+    });
+  });
+
   // Guards against sound parts that are blamed because many runners ended at one moment.
   it('counts crashes at the same moment once against a part, and not at all where most were elsewhere', () => {
     const moments = new CrashMoments();
--- a/src/quarantine/explainCrashes.ts
+++ b/src/quarantine/explainCrashes.ts
@@ -12,6 +12,13 @@
 /** Weighs the crashes of a possible cause. */
 export type CrashWeigher = (suspect: CrashSuspect) => number;
 
+/** What decides between possible causes. */
+export interface CrashScale {
+  readonly weigh: CrashWeigher;
+  /** Monotonic ms. */
+  readonly now: number;
+}
+
 /** Several crashes with what explains them. */
 export interface CrashVerdict {
   /**
@@ -33,6 +40,37 @@
   readonly weight: number;
 }
 
+/** How long reports of a crash may be on their way, in ms. */
+const REPORT_MILLISECONDS = 300;
+
+/** @returns The crashes of which everything is known that was running there. */
+function settledOf(crashes: readonly RunnerCrash[], now: number): readonly RunnerCrash[] {
+  return crashes.filter(({ at }) => now - at >= REPORT_MILLISECONDS);
+}
+
+/**
+ * @param suspect - a possible cause.
+ * @param others - other ones.
+ * @param now - monotonic ms.
+ * @returns Whether a part of prompts was at all settled crashes of the suspect, and at others. It
+ * explains them better, also while it weighs less because several of its crashes are of one moment.
+ */
+export function isExplainedByPart(
+  { digest, crashes }: CrashSuspect,
+  others: readonly CrashSuspect[],
+  now: number,
+): boolean {
+  const settled = settledOf(crashes, now);
+  return others.some(
+    (other) =>
+      other.part !== undefined &&
+      other.digest !== digest &&
+      other.crashes.length >= crashes.length &&
+      without(settled, other.crashes).length === 0 &&
+      without(other.crashes, crashes).length > 0,
+  );
+}
+
 function strongestOf(suspects: readonly WeighedSuspect[]): WeighedSuspect | undefined {
   const [first, ...others] = suspects;
   if (!first) return undefined;
@@ -42,23 +80,42 @@
   }, first);
 }
 
+/**
+ * @param suspect - a possible cause.
+ * @param now - monotonic ms.
+ * @returns Whether reports that explain its crashes otherwise may still be on their way.
+ */
+export function awaitsReports({ crashes }: CrashSuspect, now: number): boolean {
+  return crashes.length >= QUARANTINE_CRASHES && settledOf(crashes, now).length < crashes.length;
+}
+
+function candidatesAmong(
+  suspects: readonly CrashSuspect[],
+  { weigh, now }: CrashScale,
+): readonly WeighedSuspect[] {
+  return suspects
+    .filter(({ crashes }) => crashes.length >= QUARANTINE_CRASHES)
+    .map((one) => ({ ...one, weight: weigh(one) }))
+    .filter((one) => one.weight >= QUARANTINE_CRASHES && !isExplainedByPart(one, suspects, now));
+}
+
 /**
  * Explains the crashes by as few subjects as possible, the one with the most weight first. What is left of a subject's
  * crashes after that counts against it.
  *
  * @param suspects - the possible causes.
- * @param weigh - weighs their crashes.
+ * @param scale - weighs their crashes.
  * @returns The subjects that are to be quarantined.
  */
 export function explainCrashes(
   suspects: readonly CrashSuspect[],
-  weigh: CrashWeigher,
+  scale: CrashScale,
 ): readonly CrashVerdict[] {
   const verdicts: CrashVerdict[] = [];
   let open = suspects;
   for (;;) {
-    const strongest = strongestOf(open.map((one) => ({ ...one, weight: weigh(one) })));
-    if (!strongest || strongest.weight < QUARANTINE_CRASHES) return verdicts;
+    const strongest = strongestOf(candidatesAmong(open, scale));
+    if (!strongest) return verdicts;
     const { crashes } = strongest;
     const isEqual = (one: CrashSuspect) =>
       one.crashes.length === crashes.length && without(one.crashes, crashes).length === 0;
--- a/src/quarantine/testCrashFleet.ts
+++ b/src/quarantine/testCrashFleet.ts
@@ -69,7 +69,11 @@
   running: Set<RunningRequest>;
 }
 
-function subjectsOf({ digest, parts = [] }: TestRequest): readonly CrashSubject[] {
+/**
+ * @param request - a request.
+ * @returns What its crashes count against.
+ */
+export function subjectsOf({ digest, parts = [] }: TestRequest): readonly CrashSubject[] {
   return [{ digest }, ...parts.map((part) => partSubject(SERVICE, part))];
 }
 
