--- a/src/quarantine/CrashVerdicts.ts
+++ b/src/quarantine/CrashVerdicts.ts
@@ -6,9 +6,9 @@
 import { crashWeight } from './crashWeight.js';
 import type { CrashSuspect } from './crashWeight.js';
 import {
-  awaitsReports,
   explainCrashes,
   isExplainedByPart,
+  nextSettledAt,
   withUnexplained,
 } from './explainCrashes.js';
 import type { CrashVerdict } from './explainCrashes.js';
@@ -45,9 +45,12 @@
 
   private digests: ReadonlySet<string> = new Set();
 
-  /** Whether the verdicts have to be computed again, because records have changed or reports were awaited. */
+  /** Whether a record has changed since the verdicts were last computed. */
   private isStale = false;
 
+  /** When reports that the verdicts wait for have arrived or are lost, in monotonic ms. */
+  private reviewAt = Number.POSITIVE_INFINITY;
+
   /**
    * @param options - the listeners.
    */
@@ -141,18 +144,19 @@
   }
 
   /**
-   * Computes the verdicts again if records have changed, and tells the listeners.
+   * Computes the verdicts again if records have changed or enough time has passed, and tells the listeners.
    *
    * @param now - monotonic ms.
    * @returns Whether they were computed.
    */
   refresh(now: number): boolean {
-    if (!this.isStale) return false;
+    if (!this.isStale && now < this.reviewAt) return false;
     const before = { verdicts: this.verdicts, digests: this.digests };
     const { weigh } = this;
     const suspects = [...this.repeated.values()].map(suspectOf);
     this.verdicts = explainCrashes(suspects, { weigh, now });
-    this.isStale = suspects.some((one) => awaitsReports(one, now));
+    this.isStale = false;
+    this.reviewAt = nextSettledAt(suspects, now);
     this.digests = new Set(this.verdicts.flatMap(({ digests }) => digests));
     this.tell(before.digests, new Set(before.verdicts.map(keyOf)));
     return true;
--- a/src/quarantine/explainCrashes.ts
+++ b/src/quarantine/explainCrashes.ts
@@ -43,28 +43,42 @@
 /** How long reports of a crash may be on their way, in ms. */
 const REPORT_MILLISECONDS = 300;
 
-/** @returns The crashes of which everything is known that was running there. */
+/** @returns The crashes whose reports have arrived, or are lost. */
 function settledOf(crashes: readonly RunnerCrash[], now: number): readonly RunnerCrash[] {
   return crashes.filter(({ at }) => now - at >= REPORT_MILLISECONDS);
 }
 
 /**
+ * @param suspects - possible causes.
+ * @param now - monotonic ms.
+ * @returns When the next of their crashes settles, in monotonic ms; infinite if all have.
+ */
+export function nextSettledAt(suspects: readonly CrashSuspect[], now: number): number {
+  const settledAt = suspects.flatMap(({ crashes }) =>
+    crashes.map(({ at }) => at + REPORT_MILLISECONDS).filter((at) => at > now),
+  );
+  return settledAt.reduce((first, at) => Math.min(first, at), Number.POSITIVE_INFINITY);
+}
+
+/**
+ * Tells whether a part of prompts was at all crashes of a request, save those whose reports may be on their way, and at
+ * others. It explains them better, also where it weighs less because several of its crashes are of one moment.
+ *
  * @param suspect - a possible cause.
  * @param others - other ones.
  * @param now - monotonic ms.
- * @returns Whether a part of prompts was at all settled crashes of the suspect, and at others. It
- * explains them better, also while it weighs less because several of its crashes are of one moment.
+ * @returns Whether the suspect is a request, and there is such a part.
  */
 export function isExplainedByPart(
-  { digest, crashes }: CrashSuspect,
+  { part, crashes }: CrashSuspect,
   others: readonly CrashSuspect[],
   now: number,
 ): boolean {
+  if (part !== undefined) return false;
   const settled = settledOf(crashes, now);
   return others.some(
     (other) =>
       other.part !== undefined &&
-      other.digest !== digest &&
       other.crashes.length >= crashes.length &&
       without(settled, other.crashes).length === 0 &&
       without(other.crashes, crashes).length > 0,
@@ -80,15 +94,6 @@
   }, first);
 }
 
-/**
- * @param suspect - a possible cause.
- * @param now - monotonic ms.
- * @returns Whether reports that explain its crashes otherwise may still be on their way.
- */
-export function awaitsReports({ crashes }: CrashSuspect, now: number): boolean {
-  return crashes.length >= QUARANTINE_CRASHES && settledOf(crashes, now).length < crashes.length;
-}
-
 function candidatesAmong(
   suspects: readonly CrashSuspect[],
   { weigh, now }: CrashScale,
