Test runner: specs with twenty daemons as processes run one at a time, after the others

Change: both join tests/busyMachine.spec.ts among those that run alone, one at a time. Checks, bounds and loads are as they were.

--- a/tools/runTests.ts
+++ b/tools/runTests.ts
@@ -18,8 +18,12 @@
 /** Number of concurrent processes; leaves room on a shared machine, since several specs use real sockets. */
 const CONCURRENCY = 4;
 
-/** Specs that use all processors; they run alone, after all others. */
-const ALONE: ReadonlySet<string> = new Set(['tests/busyMachine.spec.ts']);
+/** Specs that use all processors, for twenty daemons as processes; they run one at a time, after all others. */
+const ALONE: ReadonlySet<string> = new Set([
+  'tests/brittleRunners.spec.ts',
+  'tests/busyMachine.spec.ts',
+  'tests/daemonsWithoutRunners.spec.ts',
+]);
 
 /** A spec that hangs would otherwise hang CI, which then shows no verdict at all. */
 const TIMEOUT_MILLISECONDS = 180_000;
@@ -37,10 +41,10 @@
     .flatMap((name) => findSpecs(join(path, name)));
 }
 
-function runSpecs(files: string[]): Promise<FailedTest[]> {
+function runSpecs(files: string[], concurrency: number): Promise<FailedTest[]> {
   const failed: FailedTest[] = [];
   if (files.length === 0) return Promise.resolve(failed);
-  const stream = run({ files, concurrency: CONCURRENCY, timeout: TIMEOUT_MILLISECONDS });
+  const stream = run({ files, concurrency, timeout: TIMEOUT_MILLISECONDS });
   stream.on('test:fail', ({ name, file = '', details, todo }) => {
     const cause = details.error as { failureType?: string };
     if (cause.failureType === PART_FAILED || todo !== undefined) return;
@@ -68,8 +72,11 @@
     return;
   }
   const isAlone = (file: string) => ALONE.has(relative('.', file));
-  const failedTogether = await runSpecs(files.filter((file) => !isAlone(file)));
-  const failed = [...failedTogether, ...(await runSpecs(files.filter(isAlone)))];
+  const failedTogether = await runSpecs(
+    files.filter((file) => !isAlone(file)),
+    CONCURRENCY,
+  );
+  const failed = [...failedTogether, ...(await runSpecs(files.filter(isAlone), 1))];
   const verdict = compareWithKnownRed(failed, knownRed);
   for (const line of verdict.lines) console.log(line);
   process.exitCode = verdict.passed ? 0 : 1;
