Requests to other daemons: one hedge for both that ask the next daemon when a response is slow to begin

PeerCatchUp.ask and ConfigurationFetcher.request were the same code: a request, a flag that its response has begun, a timer, and a race of both. The fetcher told a slow response by `false`; it now compares with `true`, so that `slow` still goes on to the next daemon. Behaviour stays as it is, the two times too.

--- a/src/coordination/ConfigurationFetcher.ts
+++ b/src/coordination/ConfigurationFetcher.ts
@@ -8,6 +8,7 @@
 import type { RoutingConfiguration } from '../routes/routeTypes.js';
 import type { FleetKnowledge } from '../sync/FleetKnowledge.js';
 import type { FleetStore } from '../sync/FleetStore.js';
+import { startHedged } from '../sync/startHedged.js';
 import { syncLogEvents } from '../sync/syncFeature.js';
 import type { Clock } from '../time/Clock.js';
 
@@ -118,31 +119,18 @@
     const newer = [...this.told].filter(([, version]) => version > known);
     const requests: Promise<boolean>[] = [];
     for (const [daemon] of newer.reverse()) {
-      const { isApplied, settledOrSlow } = this.request(daemon);
-      requests.push(isApplied);
-      if (await settledOrSlow) return;
+      const { outcome, settledOrSlow } = startHedged({
+        send: (onResponse) => this.fetchFrom(daemon, onResponse),
+        slowMilliseconds: HEDGE_MILLISECONDS,
+        later: this.options.later,
+      });
+      requests.push(outcome);
+      if ((await settledOrSlow) === true) return;
     }
     const results = await Promise.all(requests);
     if (!results.includes(true)) await this.readFromStore();
   }
 
-  /** The second promise resolves earlier, to `false`, if the response does not begin in time. */
-  private request(daemon: string): {
-    isApplied: Promise<boolean>;
-    settledOrSlow: Promise<boolean>;
-  } {
-    let hasResponse = false;
-    const isApplied = this.fetchFrom(daemon, () => {
-      hasResponse = true;
-    });
-    const slow = new Promise<boolean>((done) => {
-      this.options.later(() => {
-        if (!hasResponse) done(false);
-      }, HEDGE_MILLISECONDS);
-    });
-    return { isApplied, settledOrSlow: Promise.race([isApplied, slow]) };
-  }
-
   private async fetchFrom(daemon: string, onResponse: () => void): Promise<boolean> {
     const { knowledge, log, fetchConfiguration } = this.options;
     const address = knowledge.daemons.get(daemon)?.peerAddress;
--- a/src/sync/PeerCatchUp.ts
+++ b/src/sync/PeerCatchUp.ts
@@ -11,6 +11,7 @@
 import { PeerRanking } from './PeerRanking.js';
 import type { RankedPeer } from './PeerRanking.js';
 import { ANNOUNCEMENT_GRACE_MILLISECONDS } from './StoreFollower.js';
+import { startHedged } from './startHedged.js';
 import { syncLogEvents } from './syncFeature.js';
 
 /** Requests another daemon's state; `onResponse` is called as soon as the response begins. */
@@ -133,7 +134,11 @@
       if (next.rank !== 'announced') unannounced += 1;
       if (unannounced > MAXIMUM_ASKED) break;
       asked.add(next.address);
-      const { outcome, settledOrSlow } = this.ask(next);
+      const { outcome, settledOrSlow } = startHedged({
+        send: (onResponse) => this.request(next, onResponse),
+        slowMilliseconds: HEDGE_MILLISECONDS,
+        later: this.options.later,
+      });
       pending.push(outcome);
       if (this.isDone(await settledOrSlow)) return;
     }
@@ -152,24 +157,6 @@
     return order.find(({ address }) => !asked.has(address));
   }
 
-  /** Asks a daemon; the second promise resolves earlier if the response does not begin in time. */
-  private ask(peer: RankedPeer): {
-    outcome: Promise<AskOutcome>;
-    settledOrSlow: Promise<AskOutcome | 'slow'>;
-  } {
-    const { later } = this.options;
-    let hasResponse = false;
-    const outcome = this.request(peer, () => {
-      hasResponse = true;
-    });
-    const slow = new Promise<'slow'>((done) => {
-      later(() => {
-        if (!hasResponse) done('slow');
-      }, HEDGE_MILLISECONDS);
-    });
-    return { outcome, settledOrSlow: Promise.race([outcome, slow]) };
-  }
-
   private async request(
     { address, rank }: RankedPeer,
     onResponse: () => void,
