Retries: refused connections use up no request while a runner is up that refused longest ago

Ruled out: a lost path.

Cause: a request ends after six attempts that have not run, refused connections among them, is handed over, and three other daemons do the same: no_path (or not_connected), although a runner is up. It takes a restarted runner whose new entry is late in the list: its old one is ejected like those that are down.

Change: 16 refused connections end a request (a round trip each); six that were refused by the runner or timed out do, as before. Where all runners are ejected and all their hosts refuse, the one that refused longest ago is asked first; if some are unresponsive, the requests spread over all as before.

New test, red before: "do not use up the attempts of requests before they are listed again"; the older one now looks for not_connected as well.

--- a/src/forwarding/RequestRetries.ts
+++ b/src/forwarding/RequestRetries.ts
@@ -46,6 +46,7 @@
       failure,
       mayHaveRun: tried.mayHaveRun,
       notRun: tried.notRun,
+      notConnected: tried.notConnected,
       maximumAttempts,
       hasFallback,
       isSuspect: !quarantine.mayRunAgain,
--- a/src/forwarding/RunnerOutcomes.ts
+++ b/src/forwarding/RunnerOutcomes.ts
@@ -14,7 +14,7 @@
 const OUTCOME_BY_FAILURE: Readonly<
   Record<Exclude<AttemptFailure, 'connect_timeout'>, RunnerOutcome>
 > = {
-  not_connected: 'unreachable',
+  not_connected: 'not_connected',
   silent: 'unreachable',
   broken: 'failed',
   stray_answer: 'failed',
--- a/src/forwarding/TriedRunners.ts
+++ b/src/forwarding/TriedRunners.ts
@@ -29,6 +29,9 @@
   /** Number of attempts that reached no runner or were refused. */
   notRun = 0;
 
+  /** Number of attempts whose connection was refused. */
+  notConnected = 0;
+
   /**
    * Whether the next attempt has to use a new connection instead of an idle one from the pool.
    *
@@ -126,6 +129,7 @@
     }
     if (NOT_RUN.has(failure)) {
       this.notRun += 1;
+      if (failure === 'not_connected') this.notConnected += 1;
       // Another daemon may reach it.
       this.mayRunAt.delete(life);
     } else this.mayHaveRun += 1;
--- a/src/forwarding/decisions.spec.ts
+++ b/src/forwarding/decisions.spec.ts
@@ -15,6 +15,7 @@
     failure: 'broken',
     mayHaveRun: 1,
     notRun: 0,
+    notConnected: 0,
     maximumAttempts: 2,
     remainingMilliseconds: 500,
     takeBudget: () => true,
@@ -61,6 +62,23 @@
       'refuse',
       'too_many_not_run',
     ],
+    [
+      'one whose connections six hosts refused, since other runners may be up',
+      { failure: 'not_connected', mayHaveRun: 0, notRun: 6, notConnected: 6 },
+      'retry',
+    ],
+    [
+      'one whose connections 16 hosts refused',
+      { failure: 'not_connected', mayHaveRun: 0, notRun: 16, notConnected: 16 },
+      'refuse',
+      'too_many_not_run',
+    ],
+    [
+      'one that six runners refused or left waiting, and some hosts',
+      { failure: 'not_connected', mayHaveRun: 0, notRun: 9, notConnected: 3 },
+      'refuse',
+      'too_many_not_run',
+    ],
     [
       'one that every runner refuses',
       { failure: 'refused', mayHaveRun: 0, notRun: 6 },
--- a/src/forwarding/retryDecision.ts
+++ b/src/forwarding/retryDecision.ts
@@ -37,6 +37,8 @@
   readonly mayHaveRun: number;
   /** Number of attempts that reached no runner or were refused, including this one. */
   readonly notRun: number;
+  /** How many of those the hosts of the runners refused, since no process listened there. */
+  readonly notConnected: number;
   /** Maximum number of runners that may run the request. */
   readonly maximumAttempts: number;
   /** Whether a runner's server error can be sent to the caller instead. */
@@ -58,6 +60,12 @@
  */
 const MAXIMUM_NOT_RUN = 6;
 
+/**
+ * Number of attempts whose connection was refused after which a request is ended. They take a round trip each, and say
+ * nothing of the runners that are up.
+ */
+const MAXIMUM_NOT_CONNECTED = 16;
+
 /**
  * Returns whether too many runners were unreachable or refused the request.
  *
@@ -66,8 +74,9 @@
  * second, because no runner accepts a connection while this daemon's network link is saturated.
  */
 function hasExhaustedRunners(question: RetryInput): boolean {
-  const { failure, mayHaveRun, notRun, hasFallback = false } = question;
-  if (notRun < MAXIMUM_NOT_RUN) return false;
+  const { failure, mayHaveRun, notRun, notConnected, hasFallback = false } = question;
+  const isSlowOrFull = notRun - notConnected >= MAXIMUM_NOT_RUN;
+  if (!isSlowOrFull && notConnected < MAXIMUM_NOT_CONNECTED) return false;
   return failure === 'refused' || mayHaveRun === 0 || hasFallback;
 }
 
--- a/src/runners/RunnerChoice.spec.ts
+++ b/src/runners/RunnerChoice.spec.ts
@@ -217,6 +217,33 @@
     const choice = new RunnerChoice({ runners, dataCentre: 'here', warmPlaces: new WarmPlaces() });
     expect(choice.choose(questionOf([], 1))?.reason).toEqual('last_resort');
   });
+
+  // Guards against attempts at runners that have just refused a connection, while one of them is up again.
+  it('asks first the runner whose host refused longest ago, if all are down', () => {
+    const runners = tableOf(6);
+    const order = [3, 0, 5, 1, 4, 2].map((number) => `runner-${number}`);
+    for (const [at, id] of order.entries()) runners.get(id)?.health.record(at, 'not_connected');
+    const choice = new RunnerChoice({ runners, dataCentre: 'here', warmPlaces: new WarmPlaces() });
+    const chosen = order.map((_, index) => {
+      const tried = new Set(order.slice(0, index));
+      return choice.choose({ ...questionOf(['a'], 10), tried })?.runner.entry.id;
+    });
+    expect(chosen).toEqual(order);
+  });
+
+  it('spreads requests over all runners that are ejected, if some are unresponsive', () => {
+    const runners = tableOf(6);
+    for (let index = 0; index < 6; index += 1) {
+      const outcome = index === 0 ? 'unreachable' : 'not_connected';
+      runners.get(`runner-${index}`)?.health.record(index, outcome);
+    }
+    const choice = new RunnerChoice({ runners, dataCentre: 'here', warmPlaces: new WarmPlaces() });
+    const chosen = new Set<string | undefined>();
+    for (let index = 0; index < 100; index += 1) {
+      chosen.add(choice.choose(questionOf([`prompt-${index}`], 10))?.runner.entry.id);
+    }
+    expect(chosen.size).toEqual(6);
+  });
 });
 
 describe('the choice for a request with home regions', () => {
--- a/src/runners/RunnerChoice.ts
+++ b/src/runners/RunnerChoice.ts
@@ -98,6 +98,20 @@
 /** Requests above the mean of the candidates up to which a runner is never full, however many runners are left out. */
 const LEAST_SLACK_REQUESTS = 1;
 
+/**
+ * Chooses among runners that are all ejected. Where all of their hosts refuse connections, the one that refused longest
+ * ago is the most likely to be up again; if others are unresponsive, the requests spread over all.
+ *
+ * @param ejected - the runners.
+ * @returns Those that may get the request.
+ */
+function lastResortOf(ejected: readonly Runner[]): readonly Runner[] {
+  const times = ejected.map(({ health }) => health.lastNotConnectedAt);
+  if (times.includes(undefined)) return ejected;
+  const first = Math.min(...times.map((time) => time ?? 0));
+  return ejected.filter(({ health }) => health.lastNotConnectedAt === first);
+}
+
 /** The runners that a request may go to. */
 interface CandidatePool {
   readonly candidates: readonly Runner[];
@@ -134,7 +148,7 @@
     const { runners, admission } = this.options;
     const admitted = admission.admitted(runners.readyOf(question.service), question);
     const usable = admitted.filter(({ health }) => health.isUsable(question.now));
-    const candidates = usable.length > 0 ? usable : admitted;
+    const candidates = usable.length > 0 ? usable : lastResortOf(admitted);
     if (candidates.length === 0) return undefined;
     const meanLoad = this.totalLoadOf(candidates) / candidates.length;
     const fullLoad = this.fullLoad(candidates, meanLoad, question);
--- a/src/runners/RunnerHealth.ts
+++ b/src/runners/RunnerHealth.ts
@@ -12,8 +12,14 @@
  */
 import { FailureShare } from './FailureShare.js';
 
-/** How a request ended, as far as it tells something about its runner. */
-export type RunnerOutcome = 'answered' | 'failed' | 'unreachable';
+/**
+ * How a request ended, as far as it tells something about its runner. `not_connected`: its host refused the connection;
+ * `unreachable`: it was unresponsive.
+ */
+export type RunnerOutcome = 'answered' | 'failed' | 'not_connected' | 'unreachable';
+
+/** Outcomes of a runner that cannot serve copies of cached prompts either. */
+const UNREACHABLE_OUTCOMES: ReadonlySet<RunnerOutcome> = new Set(['not_connected', 'unreachable']);
 
 /** First ejection time, in ms: two thirds of a runner's heartbeat interval. */
 const FIRST_EJECTION_MILLISECONDS = 800;
@@ -50,6 +56,9 @@
   /** Outcome that caused the last ejection. */
   private ejectedFor: RunnerOutcome = 'answered';
 
+  /** When the host last refused a connection, monotonic ms; `undefined` if the last outcome was another one. */
+  private notConnectedAt: number | undefined;
+
   /** Consecutive ejections; each doubles the ejection time. */
   private pauses = 0;
 
@@ -63,6 +72,11 @@
     this.service = service;
   }
 
+  /** @returns When the host last refused a connection, monotonic ms; `undefined` if the last outcome was another one. */
+  get lastNotConnectedAt(): number | undefined {
+    return this.notConnectedAt;
+  }
+
   /**
    * Tells whether cached prompts can be copied from the runner; a runner that fails requests still serves copies.
    *
@@ -70,7 +84,7 @@
    * @returns Whether it is reachable.
    */
   isReachable(now: number): boolean {
-    return this.ejectedFor !== 'unreachable' || this.isUsable(now);
+    return !UNREACHABLE_OUTCOMES.has(this.ejectedFor) || this.isUsable(now);
   }
 
   /**
@@ -106,6 +120,7 @@
     this.service.record(now, outcome !== 'answered');
     const wasProbe = this.isProbing;
     this.isProbing = false;
+    this.notConnectedAt = outcome === 'not_connected' ? now : undefined;
     if (outcome === 'answered') {
       if (wasProbe || now >= this.ejectedUntil) this.pauses = 0;
       return false;
--- a/standIns/site/SiteRunner.ts
+++ b/standIns/site/SiteRunner.ts
@@ -99,6 +99,7 @@
       slots: Number.POSITIVE_INFINITY,
       maximumWaiting: Number.POSITIVE_INFINITY,
       downMilliseconds: 300,
+      listedAfterMilliseconds: 0,
       onCrashed: () => undefined,
       onRestarted: () => undefined,
       ...options,
@@ -148,6 +149,7 @@
     this.rejections = [];
     this.close();
     this.options.onCrashed();
+    clearTimeout(this.restartTimer);
     this.restartTimer = setTimeout(() => {
       void this.startAgain();
     }, this.options.downMilliseconds);
@@ -209,7 +211,9 @@
     await listen(this.server, parseAddress(this.address));
     this.born += 1;
     this.sequence = 0;
-    this.options.onRestarted();
+    const { listedAfterMilliseconds, onRestarted } = this.options;
+    if (listedAfterMilliseconds === 0) onRestarted();
+    else this.restartTimer = setTimeout(onRestarted, listedAfterMilliseconds);
   }
 
   private async take(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/standIns/site/siteRunnerTypes.ts
+++ b/standIns/site/siteRunnerTypes.ts
@@ -69,6 +69,8 @@
   maximumWaiting?: number;
   /** Time from a crash to the next start, in ms. */
   downMilliseconds?: number;
+  /** How long after a restart its new entry is in the store. */
+  listedAfterMilliseconds?: number;
   /** Called at each crash. */
   onCrashed?: () => void;
   /** Called at each start after a crash: the entry in the store has to be written again. */
--- a/tests/runnersDown.spec.ts
+++ b/tests/runnersDown.spec.ts
@@ -17,6 +17,9 @@
 const DOWN_MILLISECONDS = 2_000;
 const CRASH_MILLISECONDS = 190;
 
+/** Time after which runners are listed in a slow list. */
+const LISTED_LATE_MILLISECONDS = 400;
+
 const REQUESTS_PER_SECOND = 80;
 
 const PLAYED_MILLISECONDS = 6_000;
@@ -38,8 +41,11 @@
     await site.stop();
   });
 
-  // Guards against a daemon that takes several runners that refuse connections for the loss of its path to all.
-  it('are not taken for a lost path by a daemon that reaches others', async () => {
+  /**
+   * @param listedAfterMilliseconds - how long after its restart a runner is in the platform's list again.
+   * @returns Numbers of requests by their outcome.
+   */
+  async function play(listedAfterMilliseconds: number): Promise<ReadonlyMap<string, number>> {
     site = new StandInSite({ changeBoundMilliseconds: 500, pollMilliseconds: 2 });
     await site.start();
     for (let index = 0; index < RUNNERS; index += 1) {
@@ -48,6 +54,7 @@
         id,
         service: 'engine',
         downMilliseconds: DOWN_MILLISECONDS,
+        listedAfterMilliseconds,
         eventMilliseconds: 100,
       });
     }
@@ -76,7 +83,20 @@
     const load = { site, now, perSecond: REQUESTS_PER_SECOND, until: PLAYED_MILLISECONDS };
     await sendAtRate(load, send);
     clearInterval(crashes);
-    const refused = [...outcomes].filter(([outcome]) => outcome.includes('no_path'));
-    expect(refused).toEqual([]);
+    return outcomes;
+  }
+
+  function unreached(outcomes: ReadonlyMap<string, number>): [string, number][] {
+    return [...outcomes].filter(([outcome]) => /no_path|not_connected/.test(outcome));
+  }
+
+  // Guards against a daemon that takes several runners that refuse connections for the loss of its path to all.
+  it('are not taken for a lost path by a daemon that reaches others', async () => {
+    expect(unreached(await play(0))).toEqual([]);
+  });
+
+  // Guards against the end of a request after a few refused connections, while a runner that has started again is up.
+  it('do not use up the attempts of requests before they are listed again', async () => {
+    expect(unreached(await play(LISTED_LATE_MILLISECONDS))).toEqual([]);
   });
 });
