Retries: a request that may have run is tried again at runners that refused the connection, until its deadline

Cause: a request that may have run can't be refused any more, so it is tried until its deadline where connections hang; where they are refused, each runner was asked once and the request ended. Class: one promise kept for one kind of failure only.

Change: runners that refused are asked again every 250 ms, at the daemon that has the caller. A daemon that took a request over says at once that it reached nobody, since a third one may; what has not run is refused at once, as before.

--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -24,6 +24,9 @@
 
 const SERVER_ERROR = 500;
 
+/** Pause before another attempt at runners that have all refused the connection, in ms. */
+const READMISSION_MILLISECONDS = 250;
+
 /** State of one forwarded request; observes the attempts that it sends. */
 export class ForwardedRequest extends RequestParts {
   private readonly timer: RequestTimer;
@@ -36,18 +39,17 @@
   /** Whether the selection of the next runner is in progress. */
   private isSelecting = false;
 
-  private firstAnswerAt: number | undefined;
+  /** Whether the request waits until runners that refused the connection may be up. */
+  private isWaitingForRunner = false;
 
-  private readonly isCounted: boolean;
+  private firstAnswerAt: number | undefined;
 
   /**
    * @param options - the request and the relay that writes its answer.
    */
   constructor(options: ForwardedRequestOptions) {
     super(options);
-    const { body, before } = options;
-    this.isCounted = before?.isCounted ?? false;
-    const { request, context, relay, bufferedAnswers, stream, tried } = this;
+    const { request, body, context, relay, bufferedAnswers, stream, tried } = this;
     this.timer = new RequestTimer({ clock: context.clock, onTime: () => this.check() });
     this.handOver = new HandOverSession({
       ...{ request, body, context, relay, bufferedAnswers, stream, tried },
@@ -198,11 +200,6 @@
     return this.relay.hasHead && this.stream.lastEventId === undefined;
   }
 
-  /** Version at which alone the request may run; any if `undefined`. */
-  private get softwareVersion(): string | undefined {
-    return this.stream.softwareVersion ?? this.quarantine.softwareVersion;
-  }
-
   private verdictOn(attempt: RunnerAttempt, failure: AttemptFailure): AttemptVerdict {
     // The caller already has the beginning of this answer, and another runner's answer cannot continue it.
     if (this.bufferedAnswers.isPassing(attempt)) return { verdict: 'cut' };
@@ -267,9 +264,16 @@
   private handleNoRunner(): void {
     if (!this.fallback && this.tried.readmit()) this.sendNext();
     else if (this.handOver.mayHelp) this.beginHandOver();
+    else if (!this.fallback && !this.isTakenOver && this.tried.hasRefusing) this.waitForRunner();
     else this.giveUp(this.tried.mayHaveRun > 0 ? 'fail' : 'refuse');
   }
 
+  /** A request that may have run cannot be refused any more, so it is tried until its deadline. */
+  private waitForRunner(): void {
+    this.isWaitingForRunner = true;
+    this.timer.set(Math.min(this.now() + READMISSION_MILLISECONDS, this.request.deadlineAt));
+  }
+
   private answerBuffered(held: BufferedAnswer): void {
     this.stopAttempts();
     this.firstAnswerAt ??= this.now();
@@ -320,11 +324,6 @@
     this.end('notServed', own.reason);
   }
 
-  private recordGivenUp(): void {
-    const { targetLatencyMilliseconds } = this.request.route;
-    for (const attempt of this.active) this.outcomes.givenUp(attempt, targetLatencyMilliseconds);
-  }
-
   private stopAttempts(): void {
     this.timer.clear();
     this.handOver.cancel();
@@ -350,6 +349,12 @@
       this.expire();
       return;
     }
+    if (this.isWaitingForRunner) {
+      this.isWaitingForRunner = false;
+      this.tried.readmitRefusing();
+      this.sendNext();
+      return;
+    }
     if (this.handOver.isInProgress) {
       this.scheduleCheck();
       return;
@@ -392,8 +397,4 @@
       quarantinedParts: outcome === 'quarantined' ? this.quarantine.quarantinedParts : undefined,
     });
   }
-
-  private now(): number {
-    return this.context.clock.monotonicMilliseconds();
-  }
 }
--- a/src/forwarding/RequestParts.ts
+++ b/src/forwarding/RequestParts.ts
@@ -41,6 +41,12 @@
 
   protected readonly body: Buffer | undefined;
 
+  /** Whether another daemon has counted the request in its retry budget. */
+  protected readonly isCounted: boolean;
+
+  /** Whether another daemon has handed the request over; it decides how the request goes on. */
+  protected readonly isTakenOver: boolean;
+
   protected readonly relay: AnswerRelay;
 
   protected readonly context: ForwardingContext;
@@ -72,6 +78,8 @@
     super();
     this.request = request;
     this.body = body;
+    this.isCounted = before?.isCounted ?? false;
+    this.isTakenOver = before !== undefined;
     this.relay = relay;
     this.context = context;
     this.tried = before?.tried ?? new TriedRunners();
@@ -93,7 +101,7 @@
     const { tried, quarantine, report, active } = this;
     this.waits = new RequestWaits({
       ...{ request, context, relay, active, tried, quarantine },
-      mayHedge: before === undefined,
+      mayHedge: !this.isTakenOver,
     });
     this.retries = new RequestRetries({
       ...{ request, context, tried, quarantine, report },
@@ -102,6 +110,22 @@
     this.outcomes = new RunnerOutcomes({ context, report });
   }
 
+  /** Version at which alone the request may run; any if `undefined`. */
+  protected get softwareVersion(): string | undefined {
+    return this.stream.softwareVersion ?? this.quarantine.softwareVersion;
+  }
+
+  /** @returns Monotonic ms. */
+  protected now(): number {
+    return this.context.clock.monotonicMilliseconds();
+  }
+
+  /** Records that the attempts in progress are about to be given up. */
+  protected recordGivenUp(): void {
+    const { targetLatencyMilliseconds } = this.request.route;
+    for (const attempt of this.active) this.outcomes.givenUp(attempt, targetLatencyMilliseconds);
+  }
+
   /** Called when the request has been put into quarantine. */
   protected abstract onQuarantined(): void;
 }
--- a/src/forwarding/TriedRunners.ts
+++ b/src/forwarding/TriedRunners.ts
@@ -53,6 +53,9 @@
   /** Incarnations that did not accept a connection in time; they are tried again if no other runner is left. */
   private readonly unreached = new Set<string>();
 
+  /** Incarnations whose hosts refused the connection; they may be up later, or reached again. */
+  private readonly refusing = new Set<string>();
+
   /**
    * Incarnations that got the request from another daemon; they are tried again if no other runner is left, since what
    * broke may have been the path of that daemon.
@@ -86,7 +89,13 @@
 
   /** @returns Incarnations of runners that the next attempt must not use. */
   get excluded(): ReadonlySet<string> {
-    return new Set([...this.asked, ...this.unreached, ...this.elsewhere, ...this.successors]);
+    return new Set([
+      ...this.asked,
+      ...this.unreached,
+      ...this.refusing,
+      ...this.elsewhere,
+      ...this.successors,
+    ]);
   }
 
   /**
@@ -134,10 +143,11 @@
       this.mayRunAt.delete(life);
     } else this.mayHaveRun += 1;
     this.isUnreached = failure === 'not_connected' || failure === 'connect_timeout';
-    if (failure !== 'connect_timeout') return;
-    if (this.mayHaveRun > 0) this.timeoutsAfterRun += 1;
+    if (!this.isUnreached) return;
     this.asked.delete(life);
-    this.unreached.add(life);
+    const isTimeout = failure === 'connect_timeout';
+    (isTimeout ? this.unreached : this.refusing).add(life);
+    if (isTimeout && this.mayHaveRun > 0) this.timeoutsAfterRun += 1;
   }
 
   /**
@@ -173,6 +183,16 @@
     return true;
   }
 
+  /** @returns Whether the request may have run, and a runner that refused the connection may be up later. */
+  get hasRefusing(): boolean {
+    return this.mayHaveRun > 0 && this.refusing.size > 0;
+  }
+
+  /** Allows another attempt at the runners whose hosts refused the connection. */
+  readmitRefusing(): void {
+    this.refusing.clear();
+  }
+
   /** Incarnations that have taken over the ids of runners that broke off. */
   private get successors(): string[] {
     const lives: string[] = [];
--- a/src/forwarding/testRequest.ts
+++ b/src/forwarding/testRequest.ts
@@ -10,6 +10,7 @@
 import { mock } from 'node:test';
 import { setImmediate as nextTurn } from 'node:timers/promises';
 
+import { freePort } from '../../standIns/site/freePort.js';
 import { MemoryLog } from '../callers/testFakes.js';
 import { MetricRegistry } from '../metrics/MetricRegistry.js';
 import { RequestQuarantine } from '../quarantine/RequestQuarantine.js';
@@ -228,6 +229,20 @@
     return asked;
   }
 
+  /**
+   * @param id - id of a runner whose host refuses connections.
+   * @returns Starts the runner at the same port; the function returns connections as {@link addOpenRunner} does.
+   */
+  async addRefusingRunner(id: string): Promise<() => Promise<Socket[]>> {
+    const port = await freePort();
+    this.addRunner(id, port);
+    return async () => {
+      const asked: Socket[] = [];
+      await this.listenForRequests(asked, port);
+      return asked;
+    };
+  }
+
   /**
    * Sends the request while only the first runner is listed.
    *
@@ -278,20 +293,21 @@
     this.runners.put({ ...entry, host: '127.0.0.1', port });
   }
 
-  private listen(server: Server): Promise<number> {
+  private listen(server: Server, port = 0): Promise<number> {
     this.servers.push(server);
     server.on('connection', (socket: Socket) => this.sockets.push(socket));
     return new Promise((done) => {
-      server.listen(0, '127.0.0.1', () => done((server.address() as AddressInfo).port));
+      server.listen(port, '127.0.0.1', () => done((server.address() as AddressInfo).port));
     });
   }
 
-  private listenForRequests(asked: Socket[]): Promise<number> {
+  private listenForRequests(asked: Socket[], port = 0): Promise<number> {
     return this.listen(
       createPort((socket) => {
         socket.on('error', () => undefined);
         socket.once('data', () => asked.push(socket));
       }),
+      port,
     );
   }
 
