--- a/measure/control/HomesDaemon.ts
+++ b/measure/control/HomesDaemon.ts
@@ -27,7 +27,7 @@
   clock: ManualClock;
   /** Chats that the engine's cache holds. */
   cachedChats: number;
-  /** Whether own gates are looked at, and only news is told. */
+  /** Whether the daemon's own gates are checked, and only changes are sent. */
   sparing: boolean;
   /** Whether the gate has room at this moment. */
   hasRoom: () => boolean;
--- a/measure/control/VirtualConfiguration.ts
+++ b/measure/control/VirtualConfiguration.ts
@@ -35,7 +35,7 @@
   onApplied: (revision: number) => void;
 }
 
-/** A change of the membership is told to the configuration's decisions after this, in ms, all at once. */
+/** Delay after which changes of the membership are passed to the configuration's decisions, in one batch; in ms. */
 const MEMBERS_DELAY_MILLISECONDS = 50;
 
 const PULL_REQUEST_BYTES = REQUEST_OVERHEAD_BYTES + 20;
--- a/measure/routing/FakeEngine.ts
+++ b/measure/routing/FakeEngine.ts
@@ -9,7 +9,7 @@
   readonly promptTokens: number;
   /** Tokens that it will generate before it ends. */
   readonly answerTokens: number;
-  /** Tokens that it declared; what anybody can know before it ends. */
+  /** Declared maximum number of tokens, which is all that is known before the request ends. */
   readonly maximumTokens: number;
   /** Called at each step of the fake with all tokens so far. */
   readonly onProgress: (generatedTokens: number) => void;
@@ -26,11 +26,11 @@
 export interface FakeEngineOptions {
   readonly id: string;
   readonly cacheTokens: number;
-  /** Told what leaves the cache. */
+  /** Called with the chats that are evicted from the cache. */
   readonly onEvicted: (chat: string) => void;
 }
 
-/** The brief: a step takes about four ms or more; a larger batch takes longer. */
+/** Duration of a step of an empty batch in ms, from the requirements; it grows with the batch. */
 const STEP_MILLISECONDS = 4;
 const STEP_MILLISECONDS_PER_SEQUENCE = 0.4;
 
--- a/measure/routing/GateBench.ts
+++ b/measure/routing/GateBench.ts
@@ -18,7 +18,7 @@
 export interface GateBenchOptions {
   readonly time: VirtualTime;
   readonly gate: GateDecisionsOptions;
-  /** Told to the gate once; high enough that the bound does not matter unless it is meant to. */
+  /** Mean load that the gate is told once; so high that the bound has no effect, unless a case needs it. */
   readonly mean: number;
   readonly runners: number;
 }
--- a/measure/routing/HomeTraffic.ts
+++ b/measure/routing/HomeTraffic.ts
@@ -1,5 +1,5 @@
 /**
- * Questions to the homes of chats, and what they are told.
+ * Requests to the homes of chats, and updates that they receive.
  */
 import type { WarmRunnerEntry } from '../../src/homes/homeTypes.js';
 import type { RoutingTally } from './RoutingTally.js';
@@ -19,7 +19,7 @@
   readonly random: SeededRandom;
 }
 
-/** One way between two daemons. */
+/** One-way latency between two daemons. */
 const HOP_MILLISECONDS = 1.5;
 
 /** How long an entry waits for a home that does not answer. */
--- a/measure/routing/LoadBoard.ts
+++ b/measure/routing/LoadBoard.ts
@@ -1,5 +1,5 @@
 /**
- * Loads as they travel: reports from engines to gates, digests between daemons, all of them late.
+ * Delayed load information: reports from engines to gates, and digests between daemons.
  */
 import type { RoutingTally } from './RoutingTally.js';
 import type { OnDecided, SimulatedFleet } from './SimulatedFleet.js';
@@ -7,10 +7,10 @@
 import { LOAD_REPORT_BYTES, POOL_DIGEST_BYTES } from './controlSizes.js';
 import type { RoutingRunOptions } from './routingRunOptions.js';
 
-/** Loads as somebody heard them last. */
+/** Latest loads that one daemon has received. */
 export interface HeardLoads {
   readonly mean: number;
-  /** Of every runner: what a report of each would give. The design hears less. */
+  /** Loads of all runners as their reports would give them; the design receives only a part of these. */
   readonly loads: ReadonlyMap<string, number>;
   /**
    * @param dataCentre - where it was heard.
@@ -37,14 +37,14 @@
   readonly onDecided: OnDecided;
 }
 
-/** How often everybody says its load. */
+/** Interval between reports and digests. */
 const PERIOD_MILLISECONDS = 500;
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Daemons to which one daemon sends its digest in a period, as gossip does. */
 const GOSSIP_FANOUT = 2;
 
-/** Takes pictures and shows them when the lag has passed. */
+/** Takes snapshots of the loads and publishes them after the lag. */
 export class LoadBoard {
   private readonly options: LoadBoardOptions;
 
--- a/measure/routing/RoutingRun.ts
+++ b/measure/routing/RoutingRun.ts
@@ -22,7 +22,7 @@
 import type { Attempt, Flow } from './routingFlow.js';
 import type { RoutingRunOptions } from './routingRunOptions.js';
 
-/** One way between two daemons. */
+/** One-way latency between two daemons. */
 const HOP_MILLISECONDS = 1.5;
 
 const DEADLINE_MILLISECONDS = 60_000;
@@ -289,7 +289,7 @@
     this.time.after(HOP_MILLISECONDS, () => this.place(flow));
   }
 
-  /** The caller comes back later with the same chat, as it was told. */
+  /** The caller retries the same chat after the time that the refusal suggested. */
   private giveUp({ turn }: Flow): void {
     this.tally.refused();
     const pause = this.workload.answered({ ...turn, answerTokens: 0 });
--- a/measure/routing/RoutingTally.ts
+++ b/measure/routing/RoutingTally.ts
@@ -30,7 +30,7 @@
   readonly controlBytesPerSecond: number;
 }
 
-/** What a run gives. */
+/** Results of a run. */
 export interface RoutingResult extends RoutingFigures {
   readonly decisionsPerSecond: number;
 }
--- a/measure/routing/SimulatedDaemon.ts
+++ b/measure/routing/SimulatedDaemon.ts
@@ -1,5 +1,5 @@
 /**
- * One daemon of a run: its own picture of the fleet, its gates and its share of the chats' homes. The
+ * One daemon of a run: its own view of the fleet, its gates and its share of the chats' homes. The
  * decisions in it are the product's own.
  */
 import { GateDecisions } from '../../src/gates/GateDecisions.js';
@@ -11,7 +11,7 @@
 import { weightedOrder } from '../../src/routing/weightedOrder.js';
 import type { Stopwatch } from './Stopwatch.js';
 
-/** What is known of a daemon. */
+/** What this daemon knows about a daemon. */
 export interface DaemonRecord {
   readonly id: string;
   readonly dataCentre: string;
@@ -19,7 +19,7 @@
   readonly accelerators: 1;
 }
 
-/** What is known of a runner. */
+/** What this daemon knows about a runner. */
 export interface RunnerRecord {
   readonly id: string;
   readonly dataCentre: string;
@@ -43,7 +43,7 @@
 
   alive = true;
 
-  /** Until when it stands still. */
+  /** End of its current pause. */
   pausedUntil = 0;
 
   readonly gates = new Map<string, GateDecisions>();
--- a/measure/routing/SimulatedFleet.ts
+++ b/measure/routing/SimulatedFleet.ts
@@ -32,20 +32,20 @@
 const MILLISECONDS_PER_SECOND = 1_000;
 const MILLISECONDS_PER_MINUTE = 60_000;
 
-/** Rates of faults are given for this many members. */
+/** Number of members that the fault rates refer to. */
 const MEMBERS_PER_RATE = 100;
 
 const RESTART_MILLISECONDS = 2_000;
 const DETECTION_MILLISECONDS = 1_500;
 const PAUSE_MILLISECONDS = 8_000;
 
-/** Engine and what everybody would know of it without lag. */
+/** Engine and its current state, as it would be seen without lag. */
 export interface FleetRunner {
   readonly engine: FakeEngine;
   record: RunnerRecord;
 }
 
-/** The truth, and the daemons' pictures of it. */
+/** Actual state of the fleet, and each daemon's view of it. */
 export class SimulatedFleet {
   readonly runners = new Map<string, FleetRunner>();
 
@@ -90,7 +90,7 @@
   }
 
   /**
-   * Runs something at a daemon: at once, or when it wakes.
+   * Runs a function at a daemon: at once, or when its pause ends.
    *
    * @param daemon - which.
    * @param run - what.
@@ -108,7 +108,7 @@
     for (const { engine } of this.runners.values()) engine.advance(milliseconds);
   }
 
-  /** Wakes all gates that are due. */
+  /** Runs the timers of all gates that are due. */
   tickGates(): void {
     const { now } = this.options.time;
     for (const daemon of this.daemons) {
@@ -175,7 +175,7 @@
     });
   }
 
-  /** Others take a silent daemon for dead; it wakes, and for a while there are two of each of its gates. */
+  /** A paused daemon is considered dead by the others; after the pause, each of its gates exists twice for a while. */
   private pauseDaemon(): void {
     const { random, time } = this.options;
     const paused = random.pick(this.daemons.filter(({ alive }) => alive));
--- a/measure/routing/VirtualTime.ts
+++ b/measure/routing/VirtualTime.ts
@@ -1,5 +1,5 @@
 /**
- * Time that moves from one planned event to the next.
+ * Virtual clock that advances from one scheduled event to the next.
  */
 
 interface PlannedEvent {
--- a/measure/routing/Workload.ts
+++ b/measure/routing/Workload.ts
@@ -3,7 +3,7 @@
  */
 import type { SeededRandom } from './SeededRandom.js';
 
-/** A chat and what it has said so far. */
+/** A chat and its length so far. */
 export interface Chat {
   readonly id: string;
   readonly clientAccount: string;
@@ -38,7 +38,7 @@
 const MESSAGE_TOKENS = [20, 150] as const;
 const ANSWER_TOKENS = [80, 660] as const;
 
-/** What a chat has said when the run begins. */
+/** Length of a chat at the start of the run. */
 const EARLIER_TOKENS = [500, 4_000] as const;
 
 /** Callers declare more than they get. */
--- a/measure/routing/controlSizes.ts
+++ b/measure/routing/controlSizes.ts
@@ -42,7 +42,7 @@
   );
 }
 
-/** Bytes of one change that a home is told, in a batch. */
+/** Bytes of one change in a batch that is sent to a home. */
 export const HOME_CHANGE_BYTES =
   toBinary(
     HomeChangeSchema,
--- a/measure/routing/entryPolicies.ts
+++ b/measure/routing/entryPolicies.ts
@@ -1,5 +1,5 @@
 /**
- * Ways to choose a runner, as an entry does it: the design, and the baselines that it is held against.
+ * Policies by which an entry chooses a runner: the design, and the baselines that it is compared with.
  */
 import type { WarmRunnerEntry } from '../../src/homes/homeTypes.js';
 import { PlacementDecisions } from '../../src/routing/PlacementDecisions.js';
--- a/measure/routing/measureAccountLimit.ts
+++ b/measure/routing/measureAccountLimit.ts
@@ -1,5 +1,5 @@
 /**
- * How far an account's limit is missed by being split over gates that do not talk to each other.
+ * Error of an account's limit that is split over gates without coordination.
  */
 import { accountRunnerCount } from '../../src/gates/accountShare.js';
 import { PlacementDecisions } from '../../src/routing/PlacementDecisions.js';
@@ -8,7 +8,7 @@
 import { SeededRandom } from './SeededRandom.js';
 import { VirtualTime } from './VirtualTime.js';
 
-/** One case and what it gave. */
+/** One case and its results. */
 export interface AccountLimitResult {
   readonly measurement: 'account-limit';
   readonly runners: number;
--- a/measure/routing/measureSurge.ts
+++ b/measure/routing/measureSurge.ts
@@ -1,6 +1,6 @@
 /**
- * What a surge of one account costs the others at a gate: their waits with and without it, with fair queues
- * and with everybody in one queue.
+ * Effect of a surge of one account on the others at a gate: their waits with and without it, with fair queues
+ * and with a single queue for all accounts.
  */
 import { GateBench } from './GateBench.js';
 import { SeededRandom } from './SeededRandom.js';
@@ -9,7 +9,7 @@
 /** How the accounts are told apart. */
 export type SurgeQueues = 'fair' | 'one';
 
-/** One case and what it gave; times in ms. */
+/** One case and its results; times in ms. */
 export interface SurgeResult {
   readonly measurement: 'surge';
   readonly queues: SurgeQueues;
--- a/measure/routing/routingRunOptions.ts
+++ b/measure/routing/routingRunOptions.ts
@@ -48,7 +48,7 @@
   readonly reuseWeight: number;
 }
 
-/** Harder than an ordinary day: the churn of the first trial, and restarts thirty times as often as expected. */
+/** Fault rates above those of normal operation: restarts are thirty times as frequent as expected. */
 export const DEFAULT_RUN: RoutingRunOptions = {
   policy: 'design',
   bound: 1.25,
--- a/measure/routing/runAll.ts
+++ b/measure/routing/runAll.ts
@@ -6,7 +6,7 @@
 import type { RoutingResult } from './RoutingTally.js';
 import type { RoutingRunOptions } from './routingRunOptions.js';
 
-/** A run with what it gave. */
+/** A run with its results. */
 export interface FinishedRun {
   readonly options: RoutingRunOptions;
   readonly result: RoutingResult;
