Configuration: a daemon that has heard of a newer version rejects nothing for good that it may allow

Cause: the version in force decided alone; what other daemons tell of their versions was used to fetch it only.

Change: ToldVersions keeps the earliest and the newest version told that is not in force here; no_route and unknown_key become 503 configuration_behind with Retry-After .25 s until it is, for 10 s from the first time it was told, since a restored store may have lost it. What an older version allows is served as before. Weighed: holding the request back until the version comes (not done: what can't be served is refused at once), and any newer revision of the store instead of versions (heartbeats of runners would make 503s of every 404).

In a large fleet only what daemons tell each other counts, not the readers' broadcasts, which bring the version themselves.

--- a/src/explanations/explainOutcome.ts
+++ b/src/explanations/explainOutcome.ts
@@ -22,6 +22,7 @@
 function describeOutcome(outcome: unknown): string {
   return match(outcome)
     .with('no_configuration', () => 'the daemon had no configuration yet')
+    .with('configuration_behind', () => 'the daemon did not have the newest configuration yet')
     .with('stopping', () => 'the daemon was in a planned stop')
     .with('no_runner', () => 'no runner of the service was listed and accepted requests')
     .with('refused', () => 'runners refused it without running it')
--- a/src/forwarding/admitRequest.ts
+++ b/src/forwarding/admitRequest.ts
@@ -34,6 +34,9 @@
  */
 const OUTAGE_RETRY_SECONDS = 1.5;
 
+/** `Retry-After` while this daemon waits for a configuration that others have, in seconds. */
+const BEHIND_RETRY_SECONDS = 0.25;
+
 /** `Retry-After` while this daemon stops, in seconds; another daemon can take the request at once. */
 const STOPPING_RETRY_SECONDS = 0.02;
 
@@ -51,6 +54,16 @@
   return { kind: 'rejected', own: { status, reason, retryAfterSeconds } };
 }
 
+/** Rejects a request that the configuration in force does not allow, unless a newer one may allow it. */
+function rejectedByConfiguration(
+  { isConfigurationBehind }: ForwardingContext,
+  status: number,
+  reason: string,
+): Admission {
+  if (!isConfigurationBehind()) return rejected(status, reason);
+  return rejected(503, 'configuration_behind', BEHIND_RETRY_SECONDS);
+}
+
 function firstValue(value: string | string[] | undefined): string | undefined {
   return Array.isArray(value) ? value[0] : value;
 }
@@ -151,9 +164,11 @@
   const [path = '/'] = url.split('?', 1);
   const [host = ''] = (headers.host ?? '').split(':', 1);
   const route = table.routeOf(host.toLowerCase(), path);
-  if (!route) return rejected(404, 'no_route');
+  if (!route) return rejectedByConfiguration(context, 404, 'no_route');
   const account = table.accountOf(firstValue(headers[names.key]) ?? '');
-  if (table.requiresKeys && !route.anonymous && !account) return rejected(401, 'unknown_key');
+  if (table.requiresKeys && !route.anonymous && !account) {
+    return rejectedByConfiguration(context, 401, 'unknown_key');
+  }
   const homeRegions = homeRegionsOf(route, account);
   if (homeRegions?.length === 0)
     return rejected(503, 'no_common_home', NO_COMMON_HOME_RETRY_SECONDS);
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -51,6 +51,8 @@
   readonly daemons: () => number;
   /** Whether the store is unresponsive, so that the first configuration may be delayed. */
   readonly isStoreSilent: () => boolean;
+  /** Whether another daemon is known to have a newer configuration than this one. */
+  readonly isConfigurationBehind: () => boolean;
   /** A newer state of the store that another daemon has announced and this one does not know yet. */
   readonly unreachedAnnouncement: () => AnnouncedRevision | undefined;
   /** Current phase of a planned stop. */
--- a/src/forwarding/testRequest.ts
+++ b/src/forwarding/testRequest.ts
@@ -180,6 +180,7 @@
       routes: () => undefined,
       daemons: () => 1,
       isStoreSilent: () => false,
+      isConfigurationBehind: () => false,
       unreachedAnnouncement: () => undefined,
       stopPhase: () => 'serving',
     };
--- a/src/router/createForwardingContext.ts
+++ b/src/router/createForwardingContext.ts
@@ -31,7 +31,10 @@
   coordination: FleetCoordination;
   registry: MetricRegistry;
   path: RunnerPath;
-  follower: () => Pick<StoreFollower, 'isStoreUnresponsive' | 'unreachedAnnouncement'>;
+  follower: () => Pick<
+    StoreFollower,
+    'isStoreUnresponsive' | 'isConfigurationBehind' | 'unreachedAnnouncement'
+  >;
 }
 
 /**
@@ -104,6 +107,7 @@
       }),
     routes: () => knowledge.routes,
     isStoreSilent: () => follower().isStoreUnresponsive,
+    isConfigurationBehind: () => follower().isConfigurationBehind,
     unreachedAnnouncement: () => follower().unreachedAnnouncement,
   };
 }
--- a/src/router/createPeerParts.ts
+++ b/src/router/createPeerParts.ts
@@ -63,6 +63,7 @@
     isStoreUnresponsive: () => follower.isStoreUnresponsive,
   });
   const handleAnnouncement = ({ daemon, ...news }: DaemonNews) => {
+    follower.handleToldVersion(Number(news.configurationVersion));
     // Store readers broadcast the changes themselves, so that a bare revision needs no read.
     const hasReaders = coordination.coordinators.length > 0;
     if (hasReaders) coordination.relay.handleVersion(daemon, Number(news.configurationVersion));
--- a/src/sync/StoreFollower.ts
+++ b/src/sync/StoreFollower.ts
@@ -14,6 +14,7 @@
 import { HistoryLost } from './FleetStore.js';
 import { epochOf, revisionFields } from './orderedRevision.js';
 import { syncLogEvents } from './syncFeature.js';
+import { ToldVersions } from './ToldVersions.js';
 
 /** Exponential backoff after failed calls to the store. */
 export interface StoreBackoff {
@@ -125,6 +126,8 @@
   /** The newest revision that another daemon has announced. */
   private announced: AnnouncedRevision | undefined;
 
+  private readonly toldVersions = new ToldVersions();
+
   /** The pages of a full read in progress, merged. */
   private pages: StorePage | undefined;
 
@@ -174,6 +177,12 @@
       : undefined;
   }
 
+  /** @returns Whether another daemon has told lately that it has a newer configuration than this one. */
+  get isConfigurationBehind(): boolean {
+    const now = this.options.clock.monotonicMilliseconds();
+    return this.toldVersions.isBehind(this.configurationVersion, now);
+  }
+
   /** Follows the store until {@link stop}. */
   async run(): Promise<void> {
     while (!this.stopped) await this.step();
@@ -198,6 +207,16 @@
     this.wake?.();
   }
 
+  /**
+   * Handles the version of the configuration that another daemon has.
+   *
+   * @param version - the version.
+   */
+  handleToldVersion(version: number): void {
+    const now = this.options.clock.monotonicMilliseconds();
+    this.toldVersions.record(version, this.configurationVersion, now);
+  }
+
   /**
    * Reads the store at once, also while changes are relayed.
    *
@@ -209,6 +228,10 @@
     this.wake?.();
   }
 
+  private get configurationVersion(): number {
+    return this.options.knowledge.routes?.configuration.version ?? 0;
+  }
+
   private resetToFullRead(): void {
     this.revision = undefined;
     this.pages = undefined;
