--- a/standIns/callers/CallerClient.ts
+++ b/standIns/callers/CallerClient.ts
@@ -1,5 +1,5 @@
 /**
- * A caller as a firm's application would be: it locates, keeps the answer, calls, and comes back.
+ * A caller as the application of a client account implements it: locates, caches the answer, calls, and retries.
  */
 import { randomUUID } from 'node:crypto';
 
@@ -15,7 +15,7 @@
   key: string;
 }
 
-/** What came of a call. */
+/** Result of a call. */
 export interface CallResult {
   readonly status: number;
   /** The error's code, or empty. */
@@ -27,7 +27,7 @@
   /** The address that served it. */
   readonly entry: string;
   readonly text: string;
-  /** Whether a stream came to its end. */
+  /** Whether a stream was complete. */
   readonly whole: boolean;
   readonly lastEventId: string;
   /** Whether an error in mid-stream said that the stream may be continued. */
@@ -85,7 +85,7 @@
   return chunk.choices?.[0]?.delta?.content ?? '';
 }
 
-/** Calls entries by HTTP; another entry when one cannot be reached. */
+/** Calls entries by HTTP; falls back to another entry if one cannot be reached. */
 export class CallerClient {
   private entries: readonly string[];
 
@@ -198,7 +198,7 @@
         parser.feed(decoder.decode(bytes, { stream: true }));
       }
     } catch {
-      // The connection was cut: the result says so by not being whole.
+      // The connection was cut, so the result is incomplete.
     }
     const result = this.resultOf(answer, text, whole && !failure, lastEventId);
     // What came before the error is part of the answer; the error itself is none of it.
@@ -247,7 +247,7 @@
         };
       } catch (error) {
         const cause = (error as { cause?: { code?: string } }).cause?.code;
-        // Only a connection that was never made lets a caller go on to the next entry by itself.
+        // A caller retries at the next entry only if no connection was established.
         if (cause !== 'ECONNREFUSED') throw error;
         failure = error;
       }
--- a/standIns/fleet/ChildProgram.ts
+++ b/standIns/fleet/ChildProgram.ts
@@ -28,7 +28,7 @@
 
 const DEFAULT_PATIENCE_MILLISECONDS = 30_000;
 
-/** Lines that are kept; the oldest go first. */
+/** Maximum number of buffered lines; the oldest are dropped first. */
 const MAXIMUM_KEPT_LINES = 20_000;
 
 function parseLine(text: string): OutputLine | undefined {
--- a/standIns/fleet/twoFirms.ts
+++ b/standIns/fleet/twoFirms.ts
@@ -1,5 +1,5 @@
 /**
- * Both firms in small: a few daemons and runners of each, with the policies that each of them leans to.
+ * A small fleet of both firms: a few daemons and runners of each, with the policies that each prefers.
  */
 import { randomUUID } from 'node:crypto';
 import { setTimeout as wait } from 'node:timers/promises';
@@ -25,7 +25,7 @@
 } from '../../src/generated/baobabdock/v1/operators_pb.js';
 import type { DaemonProcess, FleetProcesses, Place, RunnerProcess } from './FleetProcesses.js';
 
-/** What both firms have running. */
+/** Running processes of both firms. */
 export interface TwoFirms {
   readonly daemons: readonly DaemonProcess[];
   readonly runners: readonly RunnerProcess[];
--- a/standIns/link/DaemonLink.ts
+++ b/standIns/link/DaemonLink.ts
@@ -1,5 +1,5 @@
 /**
- * The soak's handle on the link of one daemon.
+ * Controls the link of one daemon from the soak's thread.
  */
 import { once } from 'node:events';
 import { Worker } from 'node:worker_threads';
--- a/standIns/link/Flow.ts
+++ b/standIns/link/Flow.ts
@@ -7,7 +7,7 @@
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
-/** One direction of a link: what is sent later arrives later. */
+/** One direction of a link; it keeps the order. */
 export class LinkQueue {
   pace: LinkPace = { bytesPerSecond: 0, delayMilliseconds: 0 };
 
@@ -61,7 +61,7 @@
     options.source.once('end', () => this.handleEnd());
   }
 
-  /** Passes what is due. */
+  /** Passes the data that is due. */
   pump(): void {
     clearTimeout(this.timer);
     for (let [next] = this.pieces; next && !this.options.isHeld(); [next] = this.pieces) {
@@ -75,7 +75,7 @@
     }
   }
 
-  /** Drops what waits. */
+  /** Drops the queued data. */
   stop(): void {
     clearTimeout(this.timer);
     this.pieces.length = 0;
--- a/standIns/link/Link.ts
+++ b/standIns/link/Link.ts
@@ -1,5 +1,5 @@
 /**
- * A loopback proxy that carries all connections of one daemon, and does to them what it is told.
+ * A loopback proxy that carries all connections of one daemon and injects faults into them on command.
  */
 import { connect, createServer } from 'node:net';
 import type { Server, Socket } from 'node:net';
--- a/standIns/link/linkTypes.ts
+++ b/standIns/link/linkTypes.ts
@@ -1,8 +1,8 @@
 /**
- * What the soak tells the thread that carries one daemon's traffic.
+ * Commands from the soak to the thread that carries one daemon's traffic.
  */
 
-/** What is at the other end of a daemon's connections. */
+/** Kinds of peers at the other end of a daemon's connections. */
 export type LinkSide = 'callers' | 'runners' | 'store';
 
 /** Towards the daemon, or away from it. */
@@ -11,7 +11,7 @@
 /** All sides of a link. */
 export const LINK_SIDES: readonly LinkSide[] = ['callers', 'runners', 'store'];
 
-/** How fast a link is; everything in one direction shares one queue. */
+/** Rate and latency of a link; all data of one direction shares one queue. */
 export interface LinkPace {
   /** 0 for no limit. */
   readonly bytesPerSecond: number;
@@ -25,7 +25,7 @@
  */
 export type Severance = 'hang' | 'reset' | 'refuse';
 
-/** What a link is told. */
+/** A command to a link. */
 export type LinkCommand =
   | {
       readonly kind: 'open';
@@ -37,7 +37,7 @@
   | { readonly kind: 'pace'; readonly pace: LinkPace }
   /** Resets the open connections. */
   | { readonly kind: 'reset'; readonly side: LinkSide }
-  /** Open connections carry nothing any more, and neither end is told; new ones work. */
+  /** Open connections carry no more data, without a close or reset to either end; new ones work. */
   | { readonly kind: 'silence'; readonly side: LinkSide }
   /** Bytes in one direction wait until the cut is mended. */
   | { readonly kind: 'cut'; readonly side: LinkSide; readonly direction: LinkDirection }
@@ -48,13 +48,13 @@
   /** Nothing passes, and no new connection is accepted; then all arrives at once. */
   | { readonly kind: 'hold'; readonly milliseconds: number };
 
-/** Tells the port of a listener that was opened. */
+/** Reports the port of a listener that was opened. */
 export interface LinkOpened {
   readonly id: number;
   readonly port: number;
 }
 
-/** Tells that the thread itself was held up. */
+/** Reports that the thread itself was delayed. */
 export interface LinkLate {
   readonly lateMilliseconds: number;
 }
--- a/standIns/link/watchLateness.ts
+++ b/standIns/link/watchLateness.ts
@@ -1,10 +1,10 @@
 /**
- * Notices that a thread was held up.
+ * Detects delays of a thread.
  */
 
 const INTERVAL_MILLISECONDS = 50;
 
-/** Less than this troubles no check. */
+/** Shorter delays affect no check. */
 const LATE_MILLISECONDS = 200;
 
 /**
--- a/standIns/orders/recordOrderSession.ts
+++ b/standIns/orders/recordOrderSession.ts
@@ -1,9 +1,9 @@
 /**
  * Writes `golden/orders-paused-holder.jsonl` anew; look at the difference before you commit it.
  *
- * The story: a daemon holds the lease of a pool of engines that ignore fencing tokens, drains two runners
- * for a roll-out and gives its first orders. It is paused; meanwhile another daemon takes the lease. It
- * wakes up with an answer to an order, stops by its own clock, and waits while the other one holds.
+ * The sequence: a daemon holds the lease of a pool of engines that ignore fencing tokens, drains two runners
+ * for a roll-out and sends its first orders. It is paused; meanwhile another daemon takes the lease. It
+ * resumes with an answer to an order, stops by its own clock, and waits while the other one holds the lease.
  */
 import { writeFile } from 'node:fs/promises';
 
@@ -26,7 +26,7 @@
 
 type Step = DecisionStep<OrderMessage, OrderAction>;
 
-/** Platform, engines and configuration as far as the story needs them. */
+/** Platform, engines and configuration as far as the sequence needs them. */
 class Story {
   readonly steps: Step[] = [];
 
--- a/standIns/platform/FollowingDaemon.ts
+++ b/standIns/platform/FollowingDaemon.ts
@@ -58,7 +58,7 @@
 export class FollowingDaemon {
   readonly decisions: ConfigurationDecisions;
 
-  /** What it was told and did, as a recorder of the task would keep it. */
+  /** Its inputs and actions, in the format of a recorded session. */
   readonly steps: DecisionStep<ConfigurationMessage, ConfigurationAction>[] = [];
 
   /** Each configuration revision that came into force, in order. */
@@ -145,7 +145,7 @@
   }
 
   /**
-   * Wakes the decisions where that is due, and delivers what the watches have to report.
+   * Runs the decisions whose timers are due, and delivers the events of the watches.
    *
    * @param now - virtual milliseconds.
    */
--- a/standIns/platform/FollowingFleet.ts
+++ b/standIns/platform/FollowingFleet.ts
@@ -1,5 +1,5 @@
 /**
- * A few {@link FollowingDaemon}s over one store: virtual time, gossip by turns, cuts, restarts.
+ * A few {@link FollowingDaemon}s over one store, in virtual time: gossip in rounds, partitions, restarts.
  */
 import { ConfigurationEditor } from '../../src/configuration/ConfigurationEditor.js';
 import { ConfigurationRepository } from '../../src/configuration/ConfigurationRepository.js';
@@ -12,7 +12,7 @@
 import { FollowingDaemon } from './FollowingDaemon.js';
 import { MemoryPlatformStore } from './MemoryPlatformStore.js';
 
-/** Where a daemon of the fleet stands. */
+/** Location of a daemon of the fleet. */
 export interface FleetPlace {
   readonly region: string;
   readonly dataCentre: string;
@@ -33,7 +33,7 @@
 /** Steps between two rounds of gossip. */
 const GOSSIP_EVERY_STEPS = 4;
 
-/** A record that brings no revisions: what was heard of that daemon before stays. */
+/** A record without revisions; those known of that daemon before are kept. */
 const UNHEARD = { configurationRevision: 0, configurationDigest: '', runnersRevision: 0 } as const;
 
 /** Daemons by name: `daemon-1` and so on. */
@@ -162,7 +162,7 @@
     return [...this.daemons.values()].map(({ decisions }) => decisions.configuration.revision());
   }
 
-  /** Each daemon tells one other, chosen at random, what it knows of itself; then all know who is there. */
+  /** Each daemon sends its own state to one other, chosen at random; the members are known to all afterwards. */
   private async gossip(now: number): Promise<void> {
     const all = [...this.daemons.values()];
     for (const daemon of all) {
--- a/standIns/platform/KeyValueState.ts
+++ b/standIns/platform/KeyValueState.ts
@@ -1,7 +1,7 @@
 /**
  * The state of the platform's stand-in: keys with revisions, transactions, leases, history and watchers.
  *
- * It has no clock: whoever owns it passes the time. Keys are ordered as JavaScript strings, which for the
+ * It has no clock: its owner passes the time. Keys are ordered as JavaScript strings, which for the
  * ASCII keys of this project is the order of their bytes.
  */
 import type {
@@ -34,7 +34,7 @@
   readonly keys: Set<string>;
 }
 
-/** Everything that the store held at one moment. */
+/** Snapshot of the store. */
 export interface KeyValueCopy {
   readonly revision: number;
   readonly entries: ReadonlyMap<string, StoreEntry & { leaseId?: string }>;
@@ -259,7 +259,7 @@
   compact(revision: number): void {
     this.compactedRevision = Math.min(revision, this.currentRevision);
     const kept = this.history.filter((change) => change.revision > this.compactedRevision);
-    // A compacted store still knows the value that each key had: only the way there is forgotten.
+    // A compacted store still has the value of each key; only the earlier revisions are lost.
     const base = new Map<string, KeyChange>();
     this.history
       .filter((change) => change.revision <= this.compactedRevision)
--- a/standIns/platform/PlatformFaults.ts
+++ b/standIns/platform/PlatformFaults.ts
@@ -2,7 +2,7 @@
  * The faults that a test or an operator of the demo can switch on at the platform's stand-in.
  */
 
-/** The calls that faults are told apart by. */
+/** Operations for which faults are set separately. */
 export type PlatformOperation =
   'get' | 'range' | 'transact' | 'grantLease' | 'renewLease' | 'revokeLease' | 'watch';
 
@@ -28,7 +28,7 @@
   muteWatches: boolean;
 }
 
-/** Holds what is switched on; whoever serves calls asks it. */
+/** Holds the active faults; the services query it for each call. */
 export class PlatformFaults {
   private readonly planned: { operation: PlatformOperation; fault: PlatformFault }[] = [];
 
--- a/standIns/platform/RateLimit.ts
+++ b/standIns/platform/RateLimit.ts
@@ -1,5 +1,5 @@
 /**
- * The calls a second that the platform takes: one second's worth may come at once.
+ * Rate limit of the platform in calls a second; one second's worth may come as a burst.
  */
 import type { Clock } from '../../src/time/Clock.js';
 
--- a/standIns/platform/configurationSessions.ts
+++ b/standIns/platform/configurationSessions.ts
@@ -1,12 +1,12 @@
 /**
- * Whole stories of the configuration, run in virtual time: what `golden/configuration-*.jsonl` record.
+ * Complete sequences of configuration changes in virtual time, as recorded in `golden/configuration-*.jsonl`.
  *
  * `node --import tsx standIns/platform/recordConfigurationSessions.ts` writes the files anew.
  */
 import { FollowingFleet } from './FollowingFleet.js';
 import { policyEdit } from './sampleConfiguration.js';
 
-/** A story as one daemon lived it. */
+/** A sequence as one daemon experienced it. */
 export interface RecordedSession {
   readonly name: string;
   /** The first line of the file and then one line for each step. */
@@ -94,5 +94,5 @@
   return record('region-cut', title, fleet, 2);
 }
 
-/** All stories. */
+/** All sequences. */
 export const CONFIGURATION_SESSIONS = [operatorRace, outageWithColdStart, regionCut] as const;
--- a/standIns/platform/sizeConfiguration.ts
+++ b/standIns/platform/sizeConfiguration.ts
@@ -1,5 +1,5 @@
 /**
- * Prints what a configuration of a given size costs: bytes of the whole and of a change, time to check,
+ * Prints the cost of a configuration of a given size: bytes of the whole and of a change, time to check,
  * apply and read it. `node --import tsx standIns/platform/sizeConfiguration.ts [accounts]`
  */
 import { performance } from 'node:perf_hooks';
--- a/standIns/runners/EngineAttempt.ts
+++ b/standIns/runners/EngineAttempt.ts
@@ -69,7 +69,7 @@
   }
 }
 
-/** Keeps what was generated, so that a reader can come back for the rest. */
+/** Keeps the generated chunks, so that a reader can resume. */
 export class EngineAttempt {
   readonly attemptId: string;
 
@@ -188,7 +188,7 @@
     const { response, faults } = reader;
     while (reader.written < this.texts.length) {
       if (reader.count === faults.cutAfterChunks) {
-        // What was written before must be on the wire, or the cut would come earlier than asked for.
+        // Earlier data must be on the wire, or the cut would come earlier than requested.
         response.write(': cut\n\n', () => response.destroy());
         return;
       }
--- a/standIns/runners/EngineBatch.ts
+++ b/standIns/runners/EngineBatch.ts
@@ -1,6 +1,6 @@
 /**
  * Continuous batching of an engine stand-in: each step prefills some tokens and generates one token for
- * every sequence in the batch. The most urgent sequences enter first; nobody is pushed out.
+ * every sequence in the batch. The most urgent sequences enter first; there is no preemption.
  */
 import { PRIORITIES } from '../../src/gates/gateTypes.js';
 
@@ -28,7 +28,7 @@
   prefillTokensPerStep?: number;
 }
 
-/** A look at the work in an engine. */
+/** Snapshot of the work in an engine. */
 export interface BatchLoad {
   /** Tokens to prefill and to generate. */
   readonly tokens: number;
@@ -66,7 +66,7 @@
   /** Milliseconds that each step takes in addition; set by faults. */
   extraStepMilliseconds = 0;
 
-  /** Whether the engine stands still; set by faults. */
+  /** Whether the engine is paused; set by faults. */
   frozen = false;
 
   /**
@@ -120,7 +120,7 @@
     };
   }
 
-  /** Goes on after a change of {@link EngineBatch.frozen}. */
+  /** Applies a change of {@link EngineBatch.frozen}. */
   arm(): void {
     const idle = this.waiting.length + this.running.length === 0;
     if (this.timer || this.stopped || this.frozen || idle) return;
