Requests of other daemons: hosts are recorded while they are listed, not at their first request

Seen in the diff: with the move of the polling to PeerCatchUp, PeerExchange lost the look at the list every 400 ms. A daemon whose entry lapsed before it asked another one for the first time got 403 from it, for catching up, listings and hand-overs.

The look is back, with its own timer. New test, red before.

--- a/src/sync/PeerExchange.spec.ts
+++ b/src/sync/PeerExchange.spec.ts
@@ -1,6 +1,6 @@
 import { createServer } from 'node:http';
 import { gzipSync } from 'node:zlib';
-import { describe, it } from 'node:test';
+import { describe, it, mock } from 'node:test';
 
 import { expect } from 'earl';
 
@@ -108,6 +108,26 @@
     expect([...asked]).toEqual([`${address}:${port}`]);
   });
 
+  it('answers a daemon whose entry lapsed before its first request', async () => {
+    // Guards against 403 to a daemon that the store refuses, from every daemon that it has not asked before.
+    mock.timers.enable({ apis: ['setInterval'] });
+    const { knowledge } = createTestKnowledge();
+    const common = { clock: new SystemClock(), ownAddress: '127.0.0.1:1', seeds: [] };
+    const peers = new PeerExchange({ ...common, knowledge });
+    await peers.listen({ host: '127.0.0.1', port: 0 });
+    const peerAddress = '10.0.0.2:1';
+    const addresses = { callerAddress: peerAddress, peerAddress, newsAddress: peerAddress };
+    const daemon = { name: 'daemon-2', dataCentre: 'here', ...addresses };
+    knowledge.applyChanges({ revision: 1, facts: [{ kind: 'daemon', daemon }] }, 0);
+    mock.timers.tick(400);
+    const gone = { kind: 'daemon_gone', name: daemon.name } as const;
+    knowledge.applyChanges({ revision: 2, facts: [gone] }, 0);
+    peers.close();
+    mock.timers.reset();
+    expect(knowledge.daemons.size).toEqual(0);
+    expect(peers.isAllowedHost('10.0.0.2')).toEqual(true);
+  });
+
   it('serves its configuration, and reads one that arrives slowly to its end', async () => {
     // Guards against daemons that have no configuration for ten seconds after a power failure. A configuration of a
     // thousand routes takes longer to transfer than the timeout; if the timeout ran from the request and not from the
--- a/src/sync/PeerExchange.ts
+++ b/src/sync/PeerExchange.ts
@@ -55,6 +55,9 @@
 /** How long a host may request data after it was last listed, in ms: longer than the store refuses a daemon. */
 const HOST_RETENTION_MILLISECONDS = 300_000;
 
+/** Interval at which listed hosts are recorded, in ms: a daemon may not ask before its entry has lapsed. */
+const HOSTS_MILLISECONDS = 400;
+
 /**
  * Timeout without a byte of the response, in ms. A response within a region begins after a few ms, and a dead daemon must
  * not delay the next poll. It is counted from the last bytes, since a large configuration takes longer than this on a
@@ -77,6 +80,8 @@
 
   private readonly agent = new Agent({ keepAlive: false });
 
+  private hostsTimer: NodeJS.Timeout | undefined;
+
   /** The compressed configuration of the latest version that was requested. */
   private compressed: { readonly version: number; readonly bytes: Promise<Buffer> } | undefined;
 
@@ -107,11 +112,13 @@
    * @returns The bound address, once requests are accepted.
    */
   listen(address: HostAndPort): Promise<AddressInfo> {
+    this.hostsTimer = setInterval(() => this.updateListedHosts(), HOSTS_MILLISECONDS);
     return listen(this.server, address);
   }
 
   /** Stops the server. */
   close(): void {
+    clearInterval(this.hostsTimer);
     this.server.close();
     this.server.closeAllConnections();
   }
