Work done twice: the state of a message once per sending, and the review of verdicts for requests only

NewsTask built its state for the comparison and again for the datagram. nextSettledAt also looked at crashes of parts, which no verdict waits for, so that verdicts were computed again without need.

--- a/src/news/NewsTask.ts
+++ b/src/news/NewsTask.ts
@@ -238,20 +238,21 @@
     const now = clock.monotonicMilliseconds();
     this.options.loads.expire(now);
     if (secret() === undefined) return;
-    const content = JSON.stringify([this.state, changedAtRevision()]);
+    const { state } = this;
+    const content = JSON.stringify([state, changedAtRevision()]);
     const isDue = now - this.lastSentAt >= REPEAT_MILLISECONDS - TIMER_SLACK_MILLISECONDS;
     if (content === this.lastSent && this.waitingWarm.length === 0 && !isDue) return;
     this.lastSent = content;
     this.lastSentAt = now;
-    this.sendTo(others());
+    this.sendTo(others(), state);
   }
 
-  private sendTo(recipients: readonly HostAndPort[]): void {
+  private sendTo(recipients: readonly HostAndPort[], state = this.state): void {
     const { daemon, changedAtRevision, configurationVersion } = this.options;
     this.number += 1;
     const warm = this.waitingWarm.splice(0, MAXIMUM_WARM);
     const news = create(DaemonNewsSchema, {
-      ...{ daemon, life: this.life, number: this.number, warm, ...this.state },
+      ...{ daemon, life: this.life, number: this.number, warm, ...state },
       revision: BigInt(changedAtRevision()),
       configurationVersion: BigInt(configurationVersion()),
     });
--- a/src/quarantine/explainCrashes.ts
+++ b/src/quarantine/explainCrashes.ts
@@ -51,13 +51,13 @@
 /**
  * @param suspects - possible causes.
  * @param now - monotonic ms.
- * @returns When the next of their crashes settles, in monotonic ms; infinite if all have.
+ * @returns When the next crash of a request settles, in monotonic ms; infinite if all have. Parts wait for nothing.
  */
 export function nextSettledAt(suspects: readonly CrashSuspect[], now: number): number {
-  const settledAt = suspects.flatMap(({ crashes }) =>
-    crashes.map(({ at }) => at + REPORT_MILLISECONDS).filter((at) => at > now),
-  );
-  return settledAt.reduce((first, at) => Math.min(first, at), Number.POSITIVE_INFINITY);
+  const settledAt = suspects
+    .filter(({ part }) => part === undefined)
+    .flatMap(({ crashes }) => crashes.map(({ at }) => at + REPORT_MILLISECONDS));
+  return Math.min(...settledAt.filter((at) => at > now));
 }
 
 /**
