Version of the configuration in force: one function for its eight readers

The change had written the same expression in the follower, the exchange, the relay, the fetcher, what applies answers, the daemon and the test fleet. Behaviour as before: src/router, src/sync and src/coordination green.

--- a/src/coordination/ConfigurationFetcher.ts
+++ b/src/coordination/ConfigurationFetcher.ts
@@ -6,6 +6,7 @@
  */
 import type { Log } from '../logging/Log.js';
 import type { RoutingConfiguration } from '../routes/routeTypes.js';
+import { configurationVersionOf } from '../sync/configurationVersionOf.js';
 import type { FleetKnowledge } from '../sync/FleetKnowledge.js';
 import type { FleetStore } from '../sync/FleetStore.js';
 import { startHedged } from '../sync/startHedged.js';
@@ -93,7 +94,7 @@
   }
 
   private get knownVersion(): number {
-    return this.options.knowledge.routes?.configuration.version ?? 0;
+    return configurationVersionOf(this.options.knowledge);
   }
 
   private get wantedVersion(): number {
--- a/src/coordination/StoreRelay.ts
+++ b/src/coordination/StoreRelay.ts
@@ -15,6 +15,7 @@
 import type { FleetSocket } from '../news/FleetSocket.js';
 import type { LoggedChange } from '../sync/FleetChangeLog.js';
 import type { BrittleService } from '../runners/BrittleRunners.js';
+import { configurationVersionOf } from '../sync/configurationVersionOf.js';
 import type { FleetKnowledge } from '../sync/FleetKnowledge.js';
 import type { FleetStore, StoreFact } from '../sync/FleetStore.js';
 import { epochOf, revisionFields } from '../sync/orderedRevision.js';
@@ -221,7 +222,7 @@
     const { knowledge, clock } = this.options;
     const { sinceRevision, changes } = knowledge.changeLog.recent(clock.monotonicMilliseconds());
     const parts = partsOf(changes, sinceRevision);
-    const state = `${changes.at(-1)?.revision} ${knowledge.routes?.configuration.version}`;
+    const state = `${changes.at(-1)?.revision} ${configurationVersionOf(knowledge)}`;
     const hasNews = state !== this.broadcastState;
     this.broadcastState = state;
     if (hasNews && parts.length <= 1)
@@ -245,7 +246,7 @@
       revision: BigInt(part.revision),
       sinceRevision: BigInt(part.since),
       digest: part.digest,
-      configurationVersion: BigInt(knowledge.routes?.configuration.version ?? 0),
+      configurationVersion: BigInt(configurationVersionOf(knowledge)),
       brittle: [...this.options.brittle()],
       facts: part.changes.map(({ fact, revision }) => JSON.stringify({ ...fact, revision })),
     });
--- a/src/coordination/testChangeFleet.ts
+++ b/src/coordination/testChangeFleet.ts
@@ -10,6 +10,7 @@
 import { seededRandom } from '../random/seededRandom.js';
 import type { RoutingConfiguration } from '../routes/routeTypes.js';
 import { WarmPlaces } from '../runners/WarmPlaces.js';
+import { configurationVersionOf } from '../sync/configurationVersionOf.js';
 import { PeerCatchUp } from '../sync/PeerCatchUp.js';
 import { StoreFollower } from '../sync/StoreFollower.js';
 import type { DaemonEntry, StoreFact, StorePage, StoreRead } from '../sync/FleetStore.js';
@@ -182,7 +183,7 @@
   }
 
   get version(): number {
-    return this.knowledge.routes?.configuration.version ?? 0;
+    return configurationVersionOf(this.knowledge);
   }
 }
 
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -24,6 +24,7 @@
 import { QUARANTINE_PATH } from '../quarantine/QuarantineEndpoint.js';
 import { QuarantineTask } from '../quarantine/QuarantineTask.js';
 import { WarmPlaces } from '../runners/WarmPlaces.js';
+import { configurationVersionOf } from '../sync/configurationVersionOf.js';
 import { DaemonRegistration } from '../sync/DaemonRegistration.js';
 import { FleetKnowledge } from '../sync/FleetKnowledge.js';
 import { FleetSecretProposer } from '../sync/FleetSecretProposer.js';
@@ -337,7 +338,7 @@
       clock,
       log,
       changedAtRevision: () => knowledge.changedAtRevision,
-      configurationVersion: () => knowledge.routes?.configuration.version ?? 0,
+      configurationVersion: () => configurationVersionOf(knowledge),
       announcementRecipients: () => this.coordination.announcementRecipients(),
       others: () => this.coordination.reportRecipients(),
       daemons: () => knowledge.daemons.size,
--- a/src/sync/PeerExchange.ts
+++ b/src/sync/PeerExchange.ts
@@ -18,6 +18,7 @@
 import type { Clock } from '../time/Clock.js';
 import { requestPeer } from './requestPeer.js';
 import type { PeerRequest } from './requestPeer.js';
+import { configurationVersionOf } from './configurationVersionOf.js';
 import type { FleetKnowledge } from './FleetKnowledge.js';
 import type { DaemonEntry } from './FleetStore.js';
 import type { KnowledgeAnswer } from './knowledgeTypes.js';
@@ -144,7 +145,7 @@
   ): Promise<KnowledgeAnswer> {
     const text = await this.request(address, this.knowledgePath);
     const answer = JSON.parse(text.toString()) as KnowledgeAnswer;
-    if ((answer.configurationVersion ?? 0) <= this.knownVersion) {
+    if ((answer.configurationVersion ?? 0) <= configurationVersionOf(this.options.knowledge)) {
       onResponse();
       return answer;
     }
@@ -207,10 +208,6 @@
     response.writeHead(OK, { 'Content-Type': 'application/json' }).end(JSON.stringify(answer));
   }
 
-  private get knownVersion(): number {
-    return this.options.knowledge.routes?.configuration.version ?? 0;
-  }
-
   /** A daemon that lacks the secret asks for everything. */
   private get knowledgePath(): string {
     const { listingDigest, secret } = this.options.knowledge;
--- a/src/sync/StoreFollower.ts
+++ b/src/sync/StoreFollower.ts
@@ -9,6 +9,7 @@
 
 import type { Log } from '../logging/Log.js';
 import type { Clock } from '../time/Clock.js';
+import { configurationVersionOf } from './configurationVersionOf.js';
 import type { FleetKnowledge } from './FleetKnowledge.js';
 import type { FleetStore, StorePage } from './FleetStore.js';
 import { HistoryLost } from './FleetStore.js';
@@ -229,7 +230,7 @@
   }
 
   private get configurationVersion(): number {
-    return this.options.knowledge.routes?.configuration.version ?? 0;
+    return configurationVersionOf(this.options.knowledge);
   }
 
   private resetToFullRead(): void {
--- a/src/sync/applyPeerAnswer.ts
+++ b/src/sync/applyPeerAnswer.ts
@@ -1,6 +1,7 @@
 /**
  * Applies what another daemon has answered to a request for what it knows.
  */
+import { configurationVersionOf } from './configurationVersionOf.js';
 import type { FleetKnowledge } from './FleetKnowledge.js';
 import type { KnowledgeAnswer } from './knowledgeTypes.js';
 
@@ -20,7 +21,7 @@
   if (!('isUnchanged' in answer)) return knowledge.applyPeerSnapshot(answer, now);
   const { revision, configuration, storeSilentMilliseconds } = answer;
   knowledge.recordStoreAnswer(now - (storeSilentMilliseconds ?? Number.POSITIVE_INFINITY));
-  const knownVersion = knowledge.routes?.configuration.version ?? 0;
+  const knownVersion = configurationVersionOf(knowledge);
   if (configuration) knowledge.applyConfiguration(configuration);
   if (revision > knowledge.revision) knowledge.applyChanges({ revision, facts: [] }, now);
   return (configuration?.version ?? 0) > knownVersion;
