Announcements of other daemons: one handler for the daemon and the fleet in virtual time

testChangeFleet repeated what createPeerParts does with a message, so that its play of the whole way could differ from the daemon. Both call handleAnnouncement now.

--- a/src/coordination/testChangeFleet.ts
+++ b/src/coordination/testChangeFleet.ts
@@ -18,6 +18,7 @@
 import { createTestKnowledge } from '../sync/testKnowledge.js';
 import { TestStore } from '../sync/testStore.js';
 import { coordinatorsOf, monitorsOf, storeReadersOf } from './daemonRoles.js';
+import { handleAnnouncement } from './handleAnnouncement.js';
 import { StoreRelay } from './StoreRelay.js';
 import { hostOf, hostsOf, NEVER, Timeline, VirtualSocket } from './testVirtualTime.js';
 
@@ -164,11 +165,11 @@
         relay.isLost ? fleet.othersOf(entry.name) : fleet.reportRecipientsOf(entry.name),
       daemons: () => fleet.daemons.length,
       secret: () => 'secret',
-      onNews: ({ daemon, revision, configurationVersion }) => {
-        if (fleet.hasReaders) relay.handleVersion(daemon, Number(configurationVersion));
-        if (fleet.hasReaders && relay.isFresh) return;
-        this.follower.handleAnnouncedRevision(Number(revision), daemon);
-        catchUp.handleAnnouncement(Number(revision), fleet.addressOf(daemon));
+      onNews: (message) => {
+        const { hasReaders } = fleet;
+        const address = fleet.addressOf(message.daemon);
+        const { follower } = this;
+        handleAnnouncement(message, { follower, catchUp, relay, hasReaders, address });
       },
     });
     later(() => {
--- a/src/router/createPeerParts.ts
+++ b/src/router/createPeerParts.ts
@@ -4,6 +4,7 @@
 import type { RequestListener } from 'node:http';
 
 import type { FleetCoordination } from '../coordination/FleetCoordination.js';
+import { handleAnnouncement } from '../coordination/handleAnnouncement.js';
 import type { DaemonNews } from '../generated/baobabdock/v1/news_pb.js';
 import type { Log } from '../logging/Log.js';
 import type { FleetKnowledge } from '../sync/FleetKnowledge.js';
@@ -62,16 +63,11 @@
     fetchKnowledge: (address, onResponse) => peers.fetchKnowledge(address, onResponse),
     isStoreUnresponsive: () => follower.isStoreUnresponsive,
   });
-  const handleAnnouncement = ({ daemon, ...news }: DaemonNews) => {
-    follower.handleToldVersion(Number(news.configurationVersion));
-    // Store readers broadcast the changes themselves, so that a bare revision needs no read.
+  const handleNews = (news: DaemonNews) => {
     const hasReaders = coordination.coordinators.length > 0;
-    if (hasReaders) coordination.relay.handleVersion(daemon, Number(news.configurationVersion));
-    if (hasReaders && coordination.relay.isFresh) return;
-    const revision = Number(news.revision);
-    follower.handleAnnouncedRevision(revision, daemon);
-    const address = knowledge.daemons.get(daemon)?.peerAddress;
-    if (address !== undefined) catchUp.handleAnnouncement(revision, address);
+    const address = knowledge.daemons.get(news.daemon)?.peerAddress;
+    const { relay } = coordination;
+    handleAnnouncement(news, { follower, catchUp, relay, hasReaders, address });
   };
-  return { peers, catchUp, handleAnnouncement };
+  return { peers, catchUp, handleAnnouncement: handleNews };
 }
