--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -76,10 +76,10 @@
   /** Finds the software version that began the stream that the caller takes up. */
   private findVersion(): void {
     this.timer.set(this.request.deadlineAt);
-    this.versions.resolve((isKnown) => {
+    this.versions.resolve(({ softwareVersion, retryAfterSeconds }) => {
       if (this.relay.isDone) return;
-      if (isKnown) this.sendNext();
-      else this.endWith({ status: 503, reason: 'version_unknown' });
+      if (softwareVersion !== undefined) this.sendNext();
+      else this.endWith({ status: 503, reason: 'version_unknown', retryAfterSeconds });
     });
   }
 
--- a/src/forwarding/forwardingFeature.ts
+++ b/src/forwarding/forwardingFeature.ts
@@ -152,4 +152,19 @@
     operatorAction:
       'None while daemons end or are cut off from each other; otherwise check that datagrams pass between them.',
   }),
+  archiveRead: defineLogEvent({
+    number: 2621,
+    name: 'forwarding.archive_read',
+    level: 'info',
+    text: 'A daemon that has started has read from the store which software versions began the streams in progress.',
+    operatorAction: 'None; the field skipped counts entries that could not be decoded.',
+  }),
+  archiveFailed: defineLogEvent({
+    number: 2622,
+    name: 'forwarding.archive_failed',
+    level: 'warn',
+    text: 'The software versions of streams could not be read from the store, or written to it; it is tried again. At most one line in 5 s.',
+    operatorAction:
+      'Check the store. If all daemons end before it is back, callers cannot take up the streams that began since.',
+  }),
 };
--- /dev/null
+++ b/src/streamVersions/RecordSender.ts
@@ -0,0 +1,163 @@
+/**
+ * Sends the records of streams that begin at this daemon to the daemons that keep them.
+ */
+import { create, toBinary } from '@bufbuild/protobuf';
+
+import { MessageKind, StreamVersionsSchema } from '../generated/baobabdock/v1/news_pb.js';
+import { parseAddress } from '../http/parseAddress.js';
+import type { HostAndPort } from '../http/parseAddress.js';
+import type { FleetSocket } from '../news/FleetSocket.js';
+import type { CallScheduler } from '../news/MessageRepeater.js';
+import type { DaemonEntry } from '../sync/FleetStore.js';
+import { bucketOf } from './streamBuckets.js';
+import type { StreamKeepers } from './StreamKeepers.js';
+import type { StreamRecordGroup } from './streamVersionTypes.js';
+
+/** A stream that began at this daemon, or goes on there. */
+export interface BegunStream {
+  readonly stream: bigint;
+  readonly softwareVersion: string;
+}
+
+/** Options of a {@link RecordSender}. */
+export interface RecordSenderOptions {
+  /** Name of this daemon. */
+  daemon: string;
+  socket: Pick<FleetSocket, 'send'>;
+  keepers: StreamKeepers;
+  /** Schedules a call. */
+  later: CallScheduler;
+}
+
+/** Records in one datagram of 1,400 bytes. */
+const STREAMS_IN_DATAGRAM = 120;
+
+/** Delay after which a record is sent once more, in ms, because datagrams get lost. */
+const REPEAT_MILLISECONDS = 200;
+
+/** How long records are collected that are not urgent, in ms; in a large fleet a few daemons get those of all others. */
+const COLLECT_MILLISECONDS = 500;
+const LARGE_FLEET_COLLECT_MILLISECONDS = 1_000;
+
+/**
+ * Groups streams by the version that began them.
+ *
+ * @param streams - streams of any version.
+ * @returns One group for each version.
+ */
+export function groupByVersion(streams: readonly BegunStream[]): StreamRecordGroup[] {
+  const groups = new Map<string, bigint[]>();
+  for (const { softwareVersion, stream } of streams) {
+    const known = groups.get(softwareVersion);
+    if (known) known.push(stream);
+    else groups.set(softwareVersion, [stream]);
+  }
+  return [...groups].map(([softwareVersion, keys]) => ({ softwareVersion, streams: keys }));
+}
+
+/** Owns the records that have not been sent yet. */
+export class RecordSender {
+  private readonly options: RecordSenderOptions;
+
+  /** Records that are collected, by stream. */
+  private readonly waiting = new Map<bigint, BegunStream>();
+
+  private isScheduled = false;
+
+  /**
+   * @param options - this daemon, and who keeps records.
+   */
+  constructor(options: RecordSenderOptions) {
+    this.options = options;
+  }
+
+  /**
+   * Sends a record at once, and once more.
+   *
+   * @param begun - the stream.
+   */
+  sendNow(begun: BegunStream): void {
+    this.waiting.delete(begun.stream);
+    this.sendTwice([begun]);
+  }
+
+  /**
+   * Sends a record with others, unless the stream has ended by then.
+   *
+   * @param begun - the stream.
+   */
+  collect(begun: BegunStream): void {
+    const { keepers, later } = this.options;
+    this.waiting.set(begun.stream, begun);
+    if (this.isScheduled) return;
+    this.isScheduled = true;
+    const milliseconds = keepers.isSmall ? COLLECT_MILLISECONDS : LARGE_FLEET_COLLECT_MILLISECONDS;
+    later(() => {
+      this.isScheduled = false;
+      this.send([...this.waiting.values()], (stream) => this.collectorsOf(stream));
+      this.waiting.clear();
+    }, milliseconds);
+  }
+
+  /** Sends all records that are collected, because they have become urgent. */
+  flush(): void {
+    const begun = [...this.waiting.values()];
+    this.waiting.clear();
+    this.sendTwice(begun);
+  }
+
+  /**
+   * Drops the record of a stream that is over, if it has not been sent yet.
+   *
+   * @param stream - key of the stream.
+   */
+  drop(stream: bigint): void {
+    this.waiting.delete(stream);
+  }
+
+  private sendTwice(begun: readonly BegunStream[]): void {
+    const send = () => this.send(begun, (stream) => this.options.keepers.keepersOf(stream));
+    if (begun.length === 0) return;
+    send();
+    this.options.later(send, REPEAT_MILLISECONDS);
+  }
+
+  /** In a large fleet, only the daemons that write records to the store get those that are not urgent. */
+  private collectorsOf(stream: bigint): readonly DaemonEntry[] {
+    const { keepers } = this.options;
+    return keepers.isSmall ? keepers.keepersOf(stream) : keepers.writersOf(bucketOf(stream));
+  }
+
+  private send(
+    streams: readonly BegunStream[],
+    recipientsOf: (stream: bigint) => readonly DaemonEntry[],
+  ): void {
+    const bySet = new Map<string, { recipients: HostAndPort[]; begun: BegunStream[] }>();
+    for (const one of streams) {
+      const others = recipientsOf(one.stream).filter(({ name }) => name !== this.options.daemon);
+      const addresses = others.map(({ newsAddress }) => newsAddress);
+      const known = bySet.get(addresses.join());
+      if (known) known.begun.push(one);
+      else {
+        const recipients = addresses.map((address) => parseAddress(address));
+        bySet.set(addresses.join(), { recipients, begun: [one] });
+      }
+    }
+    for (const { recipients, begun } of bySet.values()) this.sendTo(recipients, begun);
+  }
+
+  private sendTo(recipients: readonly HostAndPort[], begun: readonly BegunStream[]): void {
+    if (recipients.length === 0) return;
+    for (let start = 0; start < begun.length; start += STREAMS_IN_DATAGRAM) {
+      const groups = groupByVersion(begun.slice(start, start + STREAMS_IN_DATAGRAM));
+      const content = create(StreamVersionsSchema, {
+        groups: groups.map(({ softwareVersion, streams }) => ({
+          softwareVersion,
+          streams: [...streams],
+        })),
+      });
+      const message = toBinary(StreamVersionsSchema, content);
+      this.options.socket.send(MessageKind.STREAM_VERSIONS, message, recipients);
+    }
+  }
+}
--- a/src/streamVersions/ServiceVersions.ts
+++ b/src/streamVersions/ServiceVersions.ts
@@ -1,27 +1,87 @@
 /**
- * The software versions that the runners of each service have had lately.
+ * The software versions that the runners of each service have had lately: those that this daemon has seen, and those that
+ * the fleet's history in the store names.
  */
 import type { Runner } from '../runners/Runner.js';
+import type { VersionHistory } from './streamVersionTypes.js';
+import type { SeenVersion } from './takeUpDecision.js';
+
+/** What is known of one version. */
+interface KnownVersion {
+  /** When a runner of this version was last known to serve, monotonic ms. */
+  seenAt: number;
+  readonly isNewSinceStart: boolean;
+}
 
 /** What is known of one service. */
 interface ServiceHistory {
-  /** When the first runner of the service was seen, monotonic ms. */
-  readonly since: number;
-  /** When a runner of each version was last seen, monotonic ms. */
-  readonly seenAt: Map<string, number>;
+  /** Since when no version of the service can have been missed, monotonic ms. */
+  since: number;
+  readonly versions: Map<string, KnownVersion>;
+}
+
+/** A moment on both clocks, in ms. */
+export interface Moment {
+  readonly monotonic: number;
+  readonly wall: number;
 }
 
 /** Keeps the versions of runners that have left for some time, since streams that they began may be taken up again. */
 export class ServiceVersions {
   private readonly services = new Map<string, ServiceHistory>();
 
+  /** Versions that have runners now, by service. */
+  private present: ReadonlyMap<string, ReadonlySet<string>> = new Map();
+
+  /** The history as the store has it, as far as is known. */
+  private saved: VersionHistory = new Map();
+
+  private isLoaded = false;
+
+  /** @returns Whether the list of runners, and with it the history, has been read. */
+  get isKnown(): boolean {
+    return this.isLoaded;
+  }
+
+  /**
+   * Takes the history as the store has it. At the start of a daemon, it comes before the first list of runners.
+   *
+   * @param history - the versions of all services.
+   * @param now - the current time.
+   */
+  load(history: VersionHistory, now: Moment): void {
+    this.saved = history;
+    for (const [service, versions] of history) {
+      for (const [softwareVersion, goneAt] of versions) {
+        // Clocks of instances differ, so that a time may seem to be in the future.
+        const age = goneAt === 0 ? 0 : Math.max(0, now.wall - goneAt);
+        this.noteAt(service, softwareVersion, now.monotonic - age, this.isLoaded);
+      }
+      // The history covers the time before the start of this daemon.
+      if (!this.isLoaded) this.serviceOf(service, now.monotonic).since = Number.NEGATIVE_INFINITY;
+    }
+  }
+
   /**
    * @param runners - all listed runners.
    * @param now - monotonic ms.
+   * @returns Whether a version has appeared that was not known.
    */
-  see(runners: readonly Runner[], now: number): void {
-    for (const { entry, softwareVersion } of runners)
-      this.note(entry.service, softwareVersion, now);
+  see(runners: readonly Runner[], now: number): boolean {
+    const present = new Map<string, Set<string>>();
+    let hasNew = false;
+    for (const { entry, softwareVersion } of runners) {
+      const versions = present.get(entry.service) ?? new Set();
+      present.set(entry.service, versions.add(softwareVersion));
+    }
+    for (const [service, versions] of present) {
+      // A service that the history does not name may have had any version before the start of this daemon.
+      const isNew = this.saved.has(service) || this.isKnownSince(service, now - 1);
+      for (const version of versions) hasNew = this.noteAt(service, version, now, isNew) || hasNew;
+    }
+    this.present = present;
+    if (runners.length > 0) this.isLoaded = true;
+    return hasNew;
   }
 
   /**
@@ -30,10 +90,19 @@
    * @param now - monotonic ms.
    */
   note(service: string, softwareVersion: string, now: number): void {
-    const known = this.services.get(service);
-    const history = known ?? { since: now, seenAt: new Map<string, number>() };
-    if (!known) this.services.set(service, history);
-    history.seenAt.set(softwareVersion, now);
+    this.noteAt(service, softwareVersion, now, this.isLoaded);
+  }
+
+  /**
+   * @param service - name of a service.
+   * @param from - monotonic ms.
+   * @returns All versions that it has had since then, as far as is known.
+   */
+  versionsOf(service: string, from: number): SeenVersion[] {
+    const versions = this.services.get(service)?.versions ?? new Map<string, KnownVersion>();
+    return [...versions]
+      .filter(([, { seenAt }]) => seenAt >= from)
+      .map(([softwareVersion, { isNewSinceStart }]) => ({ softwareVersion, isNewSinceStart }));
   }
 
   /**
@@ -42,18 +111,91 @@
    * @returns The only version of its runners since then, as far as is known; `undefined` if there are several or none.
    */
   onlyVersionOf(service: string, from: number): string | undefined {
-    const { seenAt } = this.services.get(service) ?? { seenAt: new Map<string, number>() };
-    const versions = [...seenAt].filter(([, at]) => at >= from).map(([version]) => version);
-    return versions.length === 1 ? versions[0] : undefined;
+    const versions = this.versionsOf(service, from);
+    return versions.length === 1 ? versions[0]?.softwareVersion : undefined;
   }
 
   /**
    * @param service - name of a service.
    * @param from - monotonic ms.
-   * @returns Whether its runners have been known since then.
+   * @returns Whether all versions that it has had since then are known.
    */
   isKnownSince(service: string, from: number): boolean {
     const history = this.services.get(service);
     return history !== undefined && history.since <= from;
   }
+
+  /**
+   * @param from - monotonic ms.
+   * @returns Whether any service has had several versions since then.
+   */
+  hasSeveral(from: number): boolean {
+    return [...this.services.keys()].some((service) => this.versionsOf(service, from).length > 1);
+  }
+
+  /**
+   * @param history - what this daemon has just saved to the store.
+   */
+  recordSaved(history: VersionHistory): void {
+    this.saved = history;
+  }
+
+  /** @returns Whether the history of the store lacks a version that has runners, or takes one for gone or present that is not. */
+  get isSavedOutdated(): boolean {
+    return [...this.services].some(([service, { versions }]) => {
+      const saved = this.saved.get(service);
+      return [...versions.keys()].some((version) => {
+        const goneAt = saved?.get(version);
+        const isPresent = this.isPresent(service, version);
+        return isPresent ? goneAt !== 0 : goneAt === 0;
+      });
+    });
+  }
+
+  /**
+   * @param now - the current time.
+   * @param retentionMilliseconds - how long versions without runners are kept.
+   * @returns The history to save.
+   */
+  export(now: Moment, retentionMilliseconds: number): VersionHistory {
+    const history = new Map<string, Map<string, number>>();
+    for (const [service, { versions }] of this.services) {
+      const kept = new Map<string, number>();
+      for (const [version, { seenAt }] of versions) {
+        const age = now.monotonic - seenAt;
+        if (this.isPresent(service, version)) kept.set(version, 0);
+        else if (age <= retentionMilliseconds) kept.set(version, Math.round(now.wall - age));
+      }
+      if (kept.size > 0) history.set(service, kept);
+    }
+    return history;
+  }
+
+  private isPresent(service: string, softwareVersion: string): boolean {
+    return this.present.get(service)?.has(softwareVersion) === true;
+  }
+
+  private serviceOf(service: string, now: number): ServiceHistory {
+    const known = this.services.get(service);
+    if (known) return known;
+    const history = { since: now, versions: new Map<string, KnownVersion>() };
+    this.services.set(service, history);
+    return history;
+  }
+
+  private noteAt(
+    service: string,
+    softwareVersion: string,
+    at: number,
+    isNewSinceStart: boolean,
+  ): boolean {
+    const { versions } = this.serviceOf(service, at);
+    const known = versions.get(softwareVersion);
+    if (known) {
+      known.seenAt = Math.max(known.seenAt, at);
+      return false;
+    }
+    versions.set(softwareVersion, { seenAt: at, isNewSinceStart });
+    return true;
+  }
 }
--- a/src/streamVersions/StreamKeepers.ts
+++ b/src/streamVersions/StreamKeepers.ts
@@ -3,6 +3,7 @@
  */
 import { rendezvousOrder } from '../routing/rendezvous.js';
 import type { DaemonEntry } from '../sync/FleetStore.js';
+import { bucketOf, STREAM_BUCKETS } from './streamBuckets.js';
 
 /** Largest fleet in which all daemons keep all records: any of them may be the only one that is left. */
 const LARGEST_FLEET_OF_KEEPERS = 16;
@@ -13,6 +14,12 @@
 /** Number of daemons that are asked at most; after a change of the list, keepers are a few places further on. */
 const MAXIMUM_ASKED = 24;
 
+/** Daemons that write a bucket to the store; if one ends, what it has not written yet is not lost. */
+const WRITERS_OF_BUCKET = 2;
+
+/** Daemons of the fleet for each one that writes to the store, which takes some hundred writes a second of all. */
+const DAEMONS_FOR_WRITER = 24;
+
 /** Streams are ordered by groups, because ordering hundreds of daemons for each stream takes too long. */
 const GROUPS = 256n;
 
@@ -22,6 +29,9 @@
 
   private daemons: readonly DaemonEntry[] = [];
 
+  /** The daemons that write to the store, in their order. */
+  private writers: readonly DaemonEntry[] = [];
+
   /**
    * Replaces the list of daemons.
    *
@@ -32,16 +42,54 @@
       daemons.length === this.daemons.length &&
       daemons.every(({ name }, index) => name === this.daemons[index]?.name);
     this.daemons = daemons;
-    if (!isSame) this.orders.clear();
+    if (isSame) return;
+    this.orders.clear();
+    const count = Math.ceil(daemons.length / DAEMONS_FOR_WRITER);
+    const writers = Math.min(Math.max(count, WRITERS_OF_BUCKET), STREAM_BUCKETS);
+    this.writers = this.orderFor('stream writers').slice(0, writers);
+  }
+
+  /** @returns Whether every daemon keeps the records of all streams. */
+  get isSmall(): boolean {
+    return this.daemons.length <= LARGEST_FLEET_OF_KEEPERS;
   }
 
   /**
    * @param stream - key of a stream.
-   * @returns The daemons that keep its record.
+   * @returns The daemons that keep its record, those that write it to the store included.
    */
   keepersOf(stream: bigint): readonly DaemonEntry[] {
-    const isSmall = this.daemons.length <= LARGEST_FLEET_OF_KEEPERS;
-    return isSmall ? this.daemons : this.orderOf(stream).slice(0, KEEPERS);
+    if (this.isSmall) return this.daemons;
+    const keepers = this.orderOf(stream).slice(0, KEEPERS);
+    return [...new Set([...keepers, ...this.writersOf(bucketOf(stream))])];
+  }
+
+  /**
+   * @param bucket - number of a bucket.
+   * @returns The daemons that write its records to the store.
+   */
+  writersOf(bucket: number): readonly DaemonEntry[] {
+    const { writers } = this;
+    const places = Array.from({ length: WRITERS_OF_BUCKET }, (_, place) => bucket + place);
+    const chosen = places.map((place) => writers[place % writers.length]);
+    return [...new Set(chosen)].filter((writer) => writer !== undefined);
+  }
+
+  /**
+   * @param name - name of a daemon.
+   * @returns The buckets that it writes to the store.
+   */
+  bucketsOf(name: string): ReadonlySet<number> {
+    const all = Array.from({ length: STREAM_BUCKETS }, (_, bucket) => bucket);
+    return new Set(all.filter((bucket) => this.writersOf(bucket).some((one) => one.name === name)));
+  }
+
+  /**
+   * @param name - name of a daemon.
+   * @returns Its place among the daemons that write to the store, from 0; -1 if it is none of them.
+   */
+  writerPlaceOf(name: string): number {
+    return this.writers.findIndex((writer) => writer.name === name);
   }
 
   /**
@@ -56,9 +104,13 @@
     const group = stream % GROUPS;
     const known = this.orders.get(group);
     if (known) return known;
-    const named = this.daemons.map((daemon) => ({ id: daemon.name, daemon }));
-    const order = rendezvousOrder(`streams ${group}`, named).map(({ daemon }) => daemon);
+    const order = this.orderFor(`streams ${group}`);
     this.orders.set(group, order);
     return order;
   }
+
+  private orderFor(key: string): readonly DaemonEntry[] {
+    const named = this.daemons.map((daemon) => ({ id: daemon.name, daemon }));
+    return rendezvousOrder(key, named).map(({ daemon }) => daemon);
+  }
 }
--- a/src/streamVersions/StreamRecords.ts
+++ b/src/streamVersions/StreamRecords.ts
@@ -33,6 +33,12 @@
     this.recent.set(stream, softwareVersion);
   }
 
+  /** @returns All records, the older ones first. */
+  *entries(): Generator<readonly [bigint, string]> {
+    yield* this.older;
+    yield* this.recent;
+  }
+
   /**
    * Drops what is too old.
    *
--- a/src/streamVersions/StreamVersionSession.ts
+++ b/src/streamVersions/StreamVersionSession.ts
@@ -6,7 +6,7 @@
 import type { StreamedAnswer } from '../forwarding/StreamedAnswer.js';
 import type { Runner } from '../runners/Runner.js';
 import type { StreamName } from './streamKey.js';
-import type { StreamVersionTask } from './StreamVersionTask.js';
+import type { StreamVersionTask, TakeUpResult } from './StreamVersionTask.js';
 
 /** Options of a {@link StreamVersionSession}. */
 export interface StreamVersionSessionOptions {
@@ -54,15 +54,15 @@
   /**
    * Finds the version and binds the stream to it.
    *
-   * @param done - called once, with whether the version is known.
+   * @param done - called once, with the version if it is known, or else when it may be.
    */
-  resolve(done: (isKnown: boolean) => void): void {
+  resolve(done: (result: TakeUpResult) => void): void {
     const { request, task, stream } = this.options;
     const { service, clientAccount, takesUp } = request;
     const name = { service, clientAccount, id: takesUp?.id ?? '' };
-    task?.find({ ...name, request: request.id }, ({ softwareVersion }) => {
-      if (softwareVersion !== undefined) stream.bindTo(softwareVersion);
-      done(softwareVersion !== undefined);
+    task?.find({ ...name, request: request.id }, (result) => {
+      if (result.softwareVersion !== undefined) stream.bindTo(result.softwareVersion);
+      done(result);
     });
   }
 
--- a/src/streamVersions/StreamVersionTask.spec.ts
+++ b/src/streamVersions/StreamVersionTask.spec.ts
@@ -57,27 +57,27 @@
       expect(tally.wentOn / tally.owed).toBeGreaterThanOrEqual(LEAST_SHARE);
     }
 
-    it('go on at the version that began them, beside kills', () => {
+    it('go on at the version that began them, beside kills', async () => {
       // Guards against events of two software versions over a caller's tries, and against refusing to go on.
       const fleet = new TestStreamFleet(options);
       planReleases(fleet, runners, 4_000, 14_000 / (2 * runners));
       planKills(fleet, 1_000, 20_000, daemons > 16 ? 100 : 700);
-      fleet.play(22_000);
+      await fleet.play(22_000);
       expectKept(fleet);
     });
 
-    it('go on at the version that began them, beside cuts from the store and from other daemons', () => {
+    it('go on at the version that began them, beside cuts from the store and from other daemons', async () => {
       // Guards against a daemon that is cut off, knows one version only, and goes on with streams of another one.
       const fleet = new TestStreamFleet({ ...options, lostByCallers: 0.1 });
       planReleases(fleet, runners, 4_000, 14_000 / (2 * runners));
       planCut(fleet, 3_000, 9_000);
       planCut(fleet, 14_000, 4_000);
       planKills(fleet, 6_000, 18_000, daemons > 16 ? 400 : 2_500);
-      fleet.play(22_000);
+      await fleet.play(22_000);
       expectKept(fleet);
     });
 
-    it('go on when half of the daemons end at the same moment', () => {
+    it('go on when half of the daemons end at the same moment', async () => {
       // Guards against records that are lost with the daemons that began the streams.
       const fleet = new TestStreamFleet({ ...options, lostByCallers: 0 });
       planReleases(fleet, runners, 1_000, 14_000 / (2 * runners));
@@ -86,27 +86,27 @@
           for (const daemon of fleet.daemons) if (fleet.random() < 0.5) fleet.kill(daemon);
         });
       }
-      fleet.play(20_000);
+      await fleet.play(20_000);
       expectKept(fleet);
     });
 
-    it('are told to nobody while there has been one version only for long', () => {
+    it('are told to nobody while there has been one version only for long', async () => {
       // Guards against traffic between daemons that nobody needs.
       const fleet = new TestStreamFleet({ ...options, lostByCallers: 0 });
-      fleet.play(26_000);
+      await fleet.play(26_000);
       const before = fleet.sent;
-      fleet.play(5_000);
+      await fleet.play(5_000);
       expect(fleet.sent).toEqual(before);
     });
 
-    it('go on when the second version comes after they have begun', () => {
+    it('go on when the second version comes after they have begun', async () => {
       // Guards against streams that nobody was told of, because there was one version only.
       const fleet = new TestStreamFleet({ ...options, lostByCallers: 0 });
-      fleet.play(26_000);
+      await fleet.play(26_000);
       for (let index = 0; index < runners / 2; index += 1) fleet.replace(index, 'v1.1');
-      fleet.play(2_000);
+      await fleet.play(2_000);
       for (const daemon of fleet.daemons.slice(0, daemons / 2)) fleet.kill(daemon);
-      fleet.play(3_000);
+      await fleet.play(3_000);
       expectKept(fleet);
     });
   });
--- a/src/streamVersions/StreamVersionTask.ts
+++ b/src/streamVersions/StreamVersionTask.ts
@@ -13,28 +13,35 @@
 } from '../generated/baobabdock/v1/news_pb.js';
 import type { StreamVersionQuestion } from '../generated/baobabdock/v1/news_pb.js';
 import { parseAddress } from '../http/parseAddress.js';
-import type { HostAndPort } from '../http/parseAddress.js';
 import type { Log } from '../logging/Log.js';
 import type { MetricRegistry } from '../metrics/MetricRegistry.js';
 import type { FleetSocket } from '../news/FleetSocket.js';
 import type { CallScheduler } from '../news/MessageRepeater.js';
 import type { Runner } from '../runners/Runner.js';
-import type { DaemonEntry } from '../sync/FleetStore.js';
+import type { DaemonEntry, FleetStore } from '../sync/FleetStore.js';
 import type { Clock } from '../time/Clock.js';
+import { RecordSender } from './RecordSender.js';
 import { ServiceVersions } from './ServiceVersions.js';
+import type { Moment } from './ServiceVersions.js';
+import { StreamArchive } from './StreamArchive.js';
 import { StreamKeepers } from './StreamKeepers.js';
 import { streamKeyOf } from './streamKey.js';
 import type { StreamName } from './streamKey.js';
 import { StreamRecords } from './StreamRecords.js';
+import type { VersionHistory } from './streamVersionTypes.js';
 import { decideTakeUp } from './takeUpDecision.js';
 import type { StreamVersionView, TakeUpDecision } from './takeUpDecision.js';
+import { VersionHistoryWriter } from './VersionHistoryWriter.js';
 import { VersionQuestions } from './VersionQuestions.js';
+import type { QuestionResult } from './VersionQuestions.js';
 
 /** Options of a {@link StreamVersionTask}. */
 export interface StreamVersionTaskOptions {
   /** This daemon's entry in the list of daemons. */
   daemon: DaemonEntry;
   socket: Pick<FleetSocket, 'handle' | 'send'>;
+  /** Keeps what has to outlive all daemons. */
+  store: Pick<FleetStore, 'saveVersionHistory' | 'appendStreamRecords' | 'readStreamRecords'>;
   /** Returns all listed runners. */
   runners: () => readonly Runner[];
   /** Returns the available daemons except this one. */
@@ -56,20 +63,27 @@
   readonly request: string;
 }
 
+/** What the caller is to be told, if the version of its stream is not known yet. */
+export interface TakeUpResult {
+  readonly softwareVersion?: string | undefined;
+  /** When more may be known, in seconds; set only if the version was not found for a reason that passes. */
+  readonly retryAfterSeconds?: number | undefined;
+}
+
 /** How long after its end a stream may be taken up, in ms: callers come back after a refusal or two. */
 const TAKE_UP_MILLISECONDS = 10_000;
 
 /** Interval between looks at the list of runners, in ms. */
 const LOOK_MILLISECONDS = 500;
 
-/** Records in one datagram of 1,400 bytes. */
-const STREAMS_IN_DATAGRAM = 120;
+/** How long a daemon that has just started waits for the records of the store before it answers a caller, in ms. */
+const LOADING_MILLISECONDS = 600;
 
-interface BegunStream {
-  readonly stream: bigint;
-  readonly service: string;
-  readonly softwareVersion: string;
-}
+/** Interval at which it looks whether they have arrived, in ms. */
+const LOADING_STEP_MILLISECONDS = 30;
+
+/** `Retry-After` of a take-up that could not be decided because records were still being read. */
+const LOADING_RETRY_SECONDS = 0.5;
 
 /** Owns the records. */
 export class StreamVersionTask {
@@ -83,13 +97,18 @@
 
   private readonly keepers = new StreamKeepers();
 
-  /** Streams in progress that no other daemon knows of, because their services had one version only; by key. */
-  private readonly untold = new Map<bigint, BegunStream>();
+  private readonly sender: RecordSender;
+
+  private readonly archive: StreamArchive;
+
+  private readonly historyWriter: VersionHistoryWriter;
 
   private readonly questions: VersionQuestions;
 
   private readonly takeUps;
 
+  private readonly startedAt: number;
+
   /** How long a stream may be taken up after it has begun, in ms. */
   private retentionMilliseconds = Number.POSITIVE_INFINITY;
 
@@ -99,10 +118,24 @@
    * @param options - this daemon, the runners and the other daemons.
    */
   constructor(options: StreamVersionTaskOptions) {
-    const { daemon, socket, registry, later = setTimeout } = options;
+    const { daemon, socket, store, clock, log, registry, later = setTimeout } = options;
+    const { keepers } = this;
     this.options = options;
     this.later = later;
-    this.questions = new VersionQuestions({ daemon, socket, keepers: this.keepers, later });
+    this.startedAt = this.now;
+    this.sender = new RecordSender({ daemon: daemon.name, socket, keepers, later });
+    this.archive = new StreamArchive({
+      ...{ store, clock, log, registry, later },
+      writtenBuckets: () => keepers.bucketsOf(daemon.name),
+      readBuckets: () => (keepers.isSmall ? 'all' : [...keepers.bucketsOf(daemon.name)]),
+      lifeMilliseconds: () => this.retentionMilliseconds,
+      onRecord: (stream, softwareVersion) => this.records.record(stream, softwareVersion),
+    });
+    this.historyWriter = new VersionHistoryWriter({
+      ...{ store, log, versions: this.versions },
+      place: () => keepers.writerPlaceOf(daemon.name),
+    });
+    this.questions = new VersionQuestions({ daemon, socket, keepers, later });
     this.takeUps = registry.counter({
       name: 'stream_take_ups',
       help: 'Streams that callers took up again, by how the software version that began them was found.',
@@ -122,6 +155,22 @@
   /** Ends it. */
   stop(): void {
     this.isStopped = true;
+    this.archive.stop();
+  }
+
+  /**
+   * Takes the versions of services that another daemon has saved to the store.
+   *
+   * @param history - the versions.
+   */
+  handleHistory(history: VersionHistory): void {
+    this.versions.load(history, this.moment);
+  }
+
+  /** Writes again what the restored store may have lost. */
+  handleRestore(): void {
+    this.historyWriter.handleRestore();
+    this.archive.handleRestore(this.records.entries());
   }
 
   /**
@@ -133,11 +182,14 @@
    */
   begin(name: StreamName, softwareVersion: string): bigint {
     const stream = streamKeyOf(name);
-    const begun = { stream, service: name.service, softwareVersion };
-    this.records.record(stream, softwareVersion);
+    const begun = { stream, softwareVersion };
     this.versions.note(name.service, softwareVersion, this.now);
-    if (this.hasOneVersion(name.service)) this.untold.set(stream, begun);
-    else this.tell([begun]);
+    const isUrgent = this.hasSeveralVersions(name.service);
+    this.records.record(stream, softwareVersion);
+    if (isUrgent) {
+      this.archive.add(stream, softwareVersion);
+      this.sender.sendNow(begun);
+    } else this.sender.collect(begun);
     return stream;
   }
 
@@ -145,7 +197,7 @@
    * @param stream - key of a stream that has ended at this daemon.
    */
   end(stream: bigint): void {
-    this.untold.delete(stream);
+    this.sender.drop(stream);
   }
 
   /**
@@ -154,135 +206,168 @@
    * @param name - the stream, and the request that takes it up.
    * @param done - called once, synchronously or later.
    */
-  find(name: TakeUpQuestion, done: (decision: TakeUpDecision) => void): void {
+  find(name: TakeUpQuestion, done: (result: TakeUpResult) => void): void {
     const startedAt = this.now;
-    const { service } = name;
     const stream = streamKeyOf(name);
-    const finish = (others: readonly StreamVersionView[]) => {
-      const decision = this.decide(stream, service, others);
-      if (decision.evidence === 'recorded') this.records.record(stream, decision.softwareVersion);
-      this.report(name, decision, startedAt);
-      done(decision);
-    };
     this.see();
-    const isAlone = this.options.daemons().length === 0;
-    if (isAlone || this.records.versionOf(stream) !== undefined) finish([]);
-    else this.questions.ask(stream, service, finish);
+    this.onceLoaded(stream, startedAt + LOADING_MILLISECONDS, () => {
+      const finish = (result: QuestionResult) => {
+        const decision = this.decide(stream, name.service, result);
+        if (decision.evidence === 'recorded') this.records.record(stream, decision.softwareVersion);
+        const mayPass = decision.evidence === 'unknown' && !(this.isLoaded && result.isComplete);
+        this.report(name, { decision, result, mayPass, startedAt });
+        done({
+          softwareVersion: decision.softwareVersion,
+          ...(mayPass && { retryAfterSeconds: LOADING_RETRY_SECONDS }),
+        });
+      };
+      const isAlone = this.options.daemons().length === 0;
+      if (isAlone || this.records.versionOf(stream) !== undefined) {
+        finish({ answers: [], asked: 0, isComplete: true });
+      } else this.questions.ask(stream, name.service, finish);
+    });
   }
 
   private get now(): number {
     return this.options.clock.monotonicMilliseconds();
   }
 
+  private get moment(): Moment {
+    const { clock } = this.options;
+    return { monotonic: clock.monotonicMilliseconds(), wall: clock.wallMilliseconds() };
+  }
+
+  /** Whether the history and the archive of the store have been read. */
+  private get isLoaded(): boolean {
+    return this.versions.isKnown && this.archive.isRead;
+  }
+
+  private onceLoaded(stream: bigint, until: number, proceed: () => void): void {
+    const isRecorded = this.records.versionOf(stream) !== undefined;
+    if (isRecorded || this.isLoaded || this.now >= until) proceed();
+    else this.later(() => this.onceLoaded(stream, until, proceed), LOADING_STEP_MILLISECONDS);
+  }
+
   /** Looks at the list of runners again and again: a version may come and go while no stream begins. */
   private look(): void {
     if (this.isStopped) return;
     this.retentionMilliseconds = this.options.longestStreamMilliseconds() + TAKE_UP_MILLISECONDS;
     this.see();
     this.records.expire(this.now, this.retentionMilliseconds);
-    const known = [...this.untold.values()].filter(({ service }) => !this.hasOneVersion(service));
-    for (const { stream } of known) this.untold.delete(stream);
-    this.tell(known);
+    if (this.versions.isKnown) {
+      this.archive.start();
+      this.historyWriter.write(this.moment, this.retentionMilliseconds);
+    }
     this.later(() => this.look(), LOOK_MILLISECONDS);
   }
 
   private see(): void {
     const { daemon, daemons, runners } = this.options;
-    this.versions.see(runners(), this.now);
-    this.keepers.update([daemon, ...daemons()]);
-  }
-
-  /** Whether the version of a stream of the service follows without a record, as long as no other one comes. */
-  private hasOneVersion(service: string): boolean {
-    const from = this.now - this.retentionMilliseconds;
-    const only = this.versions.onlyVersionOf(service, from);
-    return only !== undefined && this.versions.isKnownSince(service, from);
-  }
-
-  private tell(streams: readonly BegunStream[]): void {
-    if (streams.length === 0) return;
-    const { daemon, daemons } = this.options;
+    const wasKnown = this.versions.isKnown;
     this.keepers.update([daemon, ...daemons()]);
-    const groups = new Map<string, { recipients: HostAndPort[]; begun: BegunStream[] }>();
-    for (const one of streams) {
-      const keepers = this.keepers.keepersOf(one.stream).filter(({ name }) => name !== daemon.name);
-      const addresses = keepers.map(({ newsAddress }) => newsAddress);
-      const known = groups.get(addresses.join());
-      if (known) known.begun.push(one);
-      else {
-        const recipients = addresses.map((address) => parseAddress(address));
-        groups.set(addresses.join(), { recipients, begun: [one] });
-      }
-    }
-    for (const { recipients, begun } of groups.values()) {
-      for (let start = 0; start < begun.length; start += STREAMS_IN_DATAGRAM) {
-        this.send(begun.slice(start, start + STREAMS_IN_DATAGRAM), recipients);
-      }
+    const hasNew = this.versions.see(runners(), this.now);
+    if (!hasNew || !wasKnown) return;
+    // Streams in progress are of the versions before, which nobody can tell any more once all daemons have ended.
+    this.sender.flush();
+    for (const [stream, softwareVersion] of this.records.entries()) {
+      this.archive.add(stream, softwareVersion);
     }
+    this.archive.flushSoon();
+    this.historyWriter.write(this.moment, this.retentionMilliseconds);
   }
 
-  private send(streams: readonly BegunStream[], recipients: readonly HostAndPort[]): void {
-    const versions = new Set(streams.map(({ softwareVersion }) => softwareVersion));
-    const groups = [...versions].map((softwareVersion) => ({
-      softwareVersion,
-      streams: streams
-        .filter((begun) => begun.softwareVersion === softwareVersion)
-        .map(({ stream }) => stream),
-    }));
-    const message = toBinary(StreamVersionsSchema, create(StreamVersionsSchema, { groups }));
-    this.options.socket.send(MessageKind.STREAM_VERSIONS, message, recipients);
+  private hasSeveralVersions(service: string): boolean {
+    return this.versions.versionsOf(service, this.now - this.retentionMilliseconds).length > 1;
   }
 
   private handleRecords(message: Uint8Array): void {
+    const isUrgent = this.versions.hasSeveral(this.now - this.retentionMilliseconds);
     for (const { softwareVersion, streams } of fromBinary(StreamVersionsSchema, message).groups) {
-      for (const stream of streams) this.records.record(stream, softwareVersion);
+      for (const stream of streams) {
+        const isNew = this.records.versionOf(stream) !== softwareVersion;
+        this.records.record(stream, softwareVersion);
+        if (isNew && isUrgent) this.archive.add(stream, softwareVersion);
+      }
     }
   }
 
   private viewOf(stream: bigint, service: string): StreamVersionView {
     const from = this.now - this.retentionMilliseconds;
+    // A stream that may be taken up began after the start of a daemon that has run for so long.
+    const isYoung = this.startedAt > from;
+    const versions = this.versions
+      .versionsOf(service, from)
+      .map((one) => ({ ...one, isNewSinceStart: one.isNewSinceStart && isYoung }));
     return {
       recorded: this.records.versionOf(stream),
-      only: this.versions.onlyVersionOf(service, from),
+      versions: this.isLoaded ? versions : undefined,
+      isKeeper: this.isKeeperOf(stream, this.options.daemon.name),
     };
   }
 
-  private decide(
-    stream: bigint,
-    service: string,
-    others: readonly StreamVersionView[],
-  ): TakeUpDecision {
-    const isListCurrent = this.options.isListCurrent();
-    return decideTakeUp({ own: this.viewOf(stream, service), others, isListCurrent });
+  private isKeeperOf(stream: bigint, daemon: string): boolean {
+    return this.keepers.keepersOf(stream).some(({ name }) => name === daemon);
+  }
+
+  private decide(stream: bigint, service: string, { answers }: QuestionResult): TakeUpDecision {
+    const others = answers.map(({ daemon, recorded, versions }) => ({
+      ...{ recorded, versions },
+      isKeeper: this.isKeeperOf(stream, daemon),
+    }));
+    return decideTakeUp({
+      ...{ own: this.viewOf(stream, service), others },
+      isListCurrent: this.options.isListCurrent(),
+      keepers: this.keepers.keepersOf(stream).length,
+    });
   }
 
   private answer({ address, number, stream, service }: StreamVersionQuestion): void {
     this.see();
-    const { recorded, only } = this.viewOf(stream, service);
-    // A daemon that knows no runner of the service has nothing to say of it.
-    if (recorded === undefined && !this.versions.isKnownSince(service, this.now)) return;
+    const { recorded, versions } = this.viewOf(stream, service);
+    // A daemon that knows no runner of the service, or has not read the store yet, has nothing to say of it.
+    const isKnown = versions !== undefined && this.versions.isKnownSince(service, this.now);
+    if (recorded === undefined && !isKnown) return;
+    const [only] = versions ?? [];
     const message = create(StreamVersionAnswerSchema, {
       daemon: this.options.daemon.name,
       number,
       ...(recorded !== undefined && { softwareVersion: recorded }),
-      ...(only !== undefined && { onlyVersion: only }),
+      ...(only && versions?.length === 1 && { onlyVersion: only.softwareVersion }),
+      versions: versions ?? [],
     });
     const bytes = toBinary(StreamVersionAnswerSchema, message);
     this.options.socket.send(MessageKind.STREAM_VERSION_ANSWER, bytes, [parseAddress(address)]);
   }
 
-  private report(name: TakeUpQuestion, decision: TakeUpDecision, startedAt: number): void {
+  private report(
+    name: TakeUpQuestion,
+    {
+      decision,
+      result,
+      mayPass,
+      startedAt,
+    }: { decision: TakeUpDecision; result: QuestionResult; mayPass: boolean; startedAt: number },
+  ): void {
     const { evidence, softwareVersion } = decision;
+    const { now } = this;
     this.takeUps.increment({ evidence });
     const event =
       evidence === 'unknown' ? forwardingLogEvents.versionUnknown : forwardingLogEvents.takenUp;
+    const versions = this.versions.versionsOf(name.service, now - this.retentionMilliseconds);
     this.options.log.write(event, {
       request: name.request,
       stream: name.id,
       service: name.service,
       evidence,
       softwareVersion,
-      milliseconds: Math.round(this.now - startedAt),
+      milliseconds: Math.round(now - startedAt),
+      asked: result.asked,
+      answered: result.answers.length,
+      versions: versions.map((one) => one.softwareVersion),
+      newVersions: versions.filter((one) => one.isNewSinceStart).length,
+      runningMilliseconds: Math.round(now - this.startedAt),
+      isLoaded: this.isLoaded,
+      mayPass,
     });
   }
 }
--- a/src/streamVersions/VersionQuestions.ts
+++ b/src/streamVersions/VersionQuestions.ts
@@ -13,8 +13,9 @@
 import type { FleetSocket } from '../news/FleetSocket.js';
 import type { CallScheduler } from '../news/MessageRepeater.js';
 import type { DaemonEntry } from '../sync/FleetStore.js';
+import { bucketOf } from './streamBuckets.js';
 import type { StreamKeepers } from './StreamKeepers.js';
-import type { StreamVersionView } from './takeUpDecision.js';
+import type { SeenVersion } from './takeUpDecision.js';
 
 /** Options of {@link VersionQuestions}. */
 export interface VersionQuestionsOptions {
@@ -32,13 +33,36 @@
 /** How long all that are asked after them may take, in ms. */
 const SECOND_ANSWER_MILLISECONDS = 140;
 
+/** What another daemon has answered. */
+export interface VersionAnswer {
+  readonly daemon: string;
+  /** Version that began the stream; `undefined` if the daemon has no record of it. */
+  readonly recorded: string | undefined;
+  /** All versions that it has known lately; `undefined` if its build does not say them. */
+  readonly versions: readonly SeenVersion[] | undefined;
+}
+
+/** What has come of a question. */
+export interface QuestionResult {
+  readonly answers: readonly VersionAnswer[];
+  /** Number of daemons that were asked. */
+  readonly asked: number;
+  /** Whether a daemon that writes the stream's records to the store has answered. */
+  readonly isComplete: boolean;
+}
+
 interface PendingQuestion {
   readonly stream: bigint;
   readonly service: string;
-  readonly views: StreamVersionView[];
+  readonly answers: VersionAnswer[];
   readonly unanswered: Set<string>;
   readonly isSecond: boolean;
-  readonly done: (views: readonly StreamVersionView[]) => void;
+  readonly asked: number;
+  readonly done: (result: QuestionResult) => void;
+}
+
+function onlyVersionOf(softwareVersion: string): SeenVersion {
+  return { softwareVersion, isNewSinceStart: false };
 }
 
 /** Owns the questions in progress. */
@@ -67,7 +91,7 @@
   ask(stream: bigint, service: string, done: PendingQuestion['done']): void {
     this.lastNumber += 1;
     const unanswered = new Set<string>();
-    const question = { stream, service, views: [], unanswered, isSecond: false, done };
+    const question = { stream, service, answers: [], unanswered, isSecond: false, asked: 0, done };
     this.pending.set(this.lastNumber, question);
     this.send(this.lastNumber, question, this.options.keepers.keepersOf(stream));
   }
@@ -77,6 +101,7 @@
     const { stream, service, unanswered, isSecond } = question;
     const others = daemons.filter(({ name }) => name !== daemon.name);
     for (const { name } of others) unanswered.add(name);
+    Object.assign(question, { asked: others.length });
     const message = create(StreamVersionQuestionSchema, {
       address: daemon.newsAddress,
       number,
@@ -93,10 +118,15 @@
   }
 
   private handleAnswer(answer: StreamVersionAnswer): void {
-    const { number, daemon, softwareVersion: recorded, onlyVersion: only } = answer;
+    const { number, daemon, softwareVersion: recorded, onlyVersion: only, versions } = answer;
     const question = this.pending.get(number);
     if (!question?.unanswered.delete(daemon)) return;
-    question.views.push({ recorded, only });
+    const olderBuild = only === undefined ? undefined : [onlyVersionOf(only)];
+    question.answers.push({
+      daemon,
+      recorded,
+      versions: versions.length > 0 ? versions : olderBuild,
+    });
     if (recorded !== undefined) this.finish(number, question);
     else if (question.unanswered.size === 0) this.goOn(number, question);
   }
@@ -110,17 +140,21 @@
   private goOn(number: number, question: PendingQuestion): void {
     const { daemon, keepers } = this.options;
     const more = keepers.askableFor(question.stream).filter(({ name }) => name !== daemon.name);
-    const isComplete = question.unanswered.size === 0 && question.views.length >= more.length;
+    const isComplete = question.unanswered.size === 0 && question.answers.length >= more.length;
     if (question.isSecond || isComplete) {
       this.finish(number, question);
       return;
     }
-    Object.assign(question, { isSecond: true, views: [] });
+    Object.assign(question, { isSecond: true, answers: [] });
     this.send(number, question, more);
   }
 
-  private finish(number: number, { views, done }: PendingQuestion): void {
+  private finish(number: number, { stream, answers, asked, done }: PendingQuestion): void {
     this.pending.delete(number);
-    done(views);
+    const writers = this.options.keepers.writersOf(bucketOf(stream));
+    const isWriter = (name: string) => writers.some((writer) => writer.name === name);
+    const isComplete =
+      isWriter(this.options.daemon.name) || answers.some(({ daemon }) => isWriter(daemon));
+    done({ answers, asked, isComplete });
   }
 }
--- a/src/streamVersions/takeUpDecision.ts
+++ b/src/streamVersions/takeUpDecision.ts
@@ -2,12 +2,24 @@
  * Decides at which software version a stream goes on that its caller takes up again.
  */
 
-/** What another daemon knows of a stream. */
+/** A software version that a service has had lately. */
+export interface SeenVersion {
+  readonly softwareVersion: string;
+  /** Whether it came after the start of the daemon that tells of it; streams that began before then are of other versions. */
+  readonly isNewSinceStart: boolean;
+}
+
+/** What a daemon knows of a stream. */
 export interface StreamVersionView {
   /** Version that began the stream; `undefined` if the daemon has no record of it. */
   readonly recorded: string | undefined;
-  /** The only version that the daemon has seen lately at the service; `undefined` if there are several or none. */
-  readonly only: string | undefined;
+  /**
+   * All versions that the daemon has known lately at the service; `undefined` if it cannot tell, because it is of a build
+   * that does not say them or has not read them yet.
+   */
+  readonly versions: readonly SeenVersion[] | undefined;
+  /** Whether the daemon gets the record of each such stream that begins while it runs. */
+  readonly isKeeper: boolean;
 }
 
 /** Input of {@link decideTakeUp}. */
@@ -17,27 +29,53 @@
   readonly others: readonly StreamVersionView[];
   /** Whether the list of runners is current, so that no version is missing from it. */
   readonly isListCurrent: boolean;
+  /** Number of daemons that keep records of the stream. */
+  readonly keepers: number;
 }
 
 /**
  * `recorded`: a daemon has a record of the stream; `only_version`: the service has had one version only, so that no
- * record is needed; `unknown`: the version is not known, and any choice would be a guess.
+ * record is needed; `only_possible_version`: the others came after the start of daemons that would have a record;
+ * `unknown`: the version is not known, and any choice would be a guess.
  */
+export type TakeUpEvidence = 'recorded' | 'only_version' | 'only_possible_version' | 'unknown';
+
+/** The version, and by what evidence it is known. */
 export type TakeUpDecision =
-  | { readonly evidence: 'recorded' | 'only_version'; readonly softwareVersion: string }
+  | { readonly evidence: Exclude<TakeUpEvidence, 'unknown'>; readonly softwareVersion: string }
   | { readonly evidence: 'unknown'; readonly softwareVersion?: undefined };
 
+/** Keepers without a record that rule a version out; one of them may have lost the message. */
+const KEEPERS_THAT_RULE_OUT = 2;
+
 /**
  * @param input - what this daemon and others know.
  * @returns The version, and by what evidence.
  */
-export function decideTakeUp({ own, others, isListCurrent }: TakeUpInput): TakeUpDecision {
-  const recorded = [own, ...others].find((view) => view.recorded !== undefined)?.recorded;
+export function decideTakeUp(input: TakeUpInput): TakeUpDecision {
+  const { own, others, isListCurrent } = input;
+  const views = [own, ...others];
+  const recorded = views.find((view) => view.recorded !== undefined)?.recorded;
   if (recorded !== undefined) return { evidence: 'recorded', softwareVersion: recorded };
-  const { only } = own;
-  const isContradicted = others.some((view) => view.only !== only);
   // Without the store and without any other daemon, the list may be older than the stream.
   const isConfirmed = isListCurrent || others.length > 0;
-  if (only === undefined || isContradicted || !isConfirmed) return { evidence: 'unknown' };
-  return { evidence: 'only_version', softwareVersion: only };
+  if (!isConfirmed || views.some(({ versions }) => versions === undefined)) {
+    return { evidence: 'unknown' };
+  }
+  const seen = new Set(
+    views.flatMap(({ versions = [] }) => versions.map((one) => one.softwareVersion)),
+  );
+  const [only] = seen;
+  if (only !== undefined && seen.size === 1)
+    return { evidence: 'only_version', softwareVersion: only };
+  const needed = Math.min(KEEPERS_THAT_RULE_OUT, Math.max(1, input.keepers));
+  const isRuledOut = (version: string) =>
+    views.filter(
+      ({ isKeeper, versions = [] }) =>
+        isKeeper && versions.some((one) => one.softwareVersion === version && one.isNewSinceStart),
+    ).length >= needed;
+  const possible = [...seen].filter((version) => !isRuledOut(version));
+  const [softwareVersion] = possible;
+  if (softwareVersion === undefined || possible.length > 1) return { evidence: 'unknown' };
+  return { evidence: 'only_possible_version', softwareVersion };
 }
--- a/src/streamVersions/testStreamFleet.ts
+++ b/src/streamVersions/testStreamFleet.ts
@@ -2,6 +2,8 @@
  * Simulates, in virtual time, a fleet before runners of several software versions: the real records of all daemons, over a
  * network that loses messages, with streams that their callers take up again at other daemons.
  */
+import { setImmediate as settle } from 'node:timers/promises';
+
 import type { MessageKind } from '../generated/baobabdock/v1/news_pb.js';
 import type { HostAndPort } from '../http/parseAddress.js';
 import { SilentLog } from '../logging/Log.js';
@@ -11,6 +13,7 @@
 import type { DaemonEntry } from '../sync/FleetStore.js';
 import { ManualClock } from '../time/ManualClock.js';
 import { StreamVersionTask } from './StreamVersionTask.js';
+import { TestStreamStore } from './testStreamStore.js';
 
 /** Options of a {@link TestStreamFleet}. */
 export interface TestStreamFleetOptions {
@@ -54,6 +57,9 @@
 
 const DOWN_MILLISECONDS = 1_000;
 
+/** How often a caller comes back that is told when to. */
+const MAXIMUM_TAKE_UPS = 3;
+
 /** A daemon is in touch when it has worked for this long without a fault, in ms. */
 const CONTACT_MILLISECONDS = 3_000;
 
@@ -88,6 +94,8 @@
 
   readonly clock = new ManualClock();
 
+  readonly store: TestStreamStore;
+
   readonly tally: TakeUpTally = { taken: 0, mixed: 0, owed: 0, wentOn: 0 };
 
   /** Datagrams that daemons have sent. */
@@ -112,6 +120,7 @@
   constructor(options: TestStreamFleetOptions) {
     this.options = { loss: 0.02, lostByCallers: 0.02, ...options };
     this.random = seededRandom(options.seed);
+    this.store = new TestStreamStore({ now: () => this.now });
     this.versions = Array.from({ length: options.runners }, () => FIRST_VERSION);
     for (let index = 0; index < options.daemons; index += 1) {
       const address = `10.1.${Math.floor(index / 250)}.${1 + (index % 250)}:7000`;
@@ -149,6 +158,11 @@
     this.after(DOWN_MILLISECONDS, () => this.boot(daemon));
   }
 
+  /** Ends all daemons at the same moment. */
+  killAll(): void {
+    for (const daemon of this.daemons) this.kill(daemon);
+  }
+
   /**
    * Cuts a daemon off from the store and from other daemons; callers still reach it.
    *
@@ -181,7 +195,7 @@
    *
    * @param milliseconds - by how much.
    */
-  play(milliseconds: number): void {
+  async play(milliseconds: number): Promise<void> {
     const end = this.now + milliseconds;
     const share = this.options.streamsPerSecond / 1_000;
     while (this.now < end) {
@@ -190,6 +204,7 @@
       this.calls.delete(this.now);
       for (const call of calls) call();
       for (let left = share; left > 0; left -= 1) if (this.random() < left) this.beginStream();
+      if (this.store.takeCalls() > 0) await settle();
     }
   }
 
@@ -213,6 +228,7 @@
     this.learnAll(daemon);
     const task = new StreamVersionTask({
       daemon: daemon.entry,
+      store: this.store.seenBy(() => !daemon.isCut && daemon.life === life),
       socket: {
         handle: (kind: MessageKind, handler: Handler) => {
           handlers.set(kind, handler);
@@ -232,6 +248,11 @@
         }),
     });
     Object.assign(daemon, { task });
+    // The history comes with the list of runners; later changes of it reach those that read the store.
+    if (this.store.history) task.handleHistory(this.store.history);
+    this.store.onHistory((history) => {
+      if (daemon.isUp && daemon.life === life && !daemon.isCut) task.handleHistory(history);
+    });
     task.start();
   }
 
@@ -313,7 +334,7 @@
     this.after(5 + this.random() * 100, () => this.takeUp(stream));
   }
 
-  private takeUp(stream: TestStream): void {
+  private takeUp(stream: TestStream, tries = 0): void {
     const daemon = this.anyDaemon();
     if (!daemon) return;
     const { tally } = this;
@@ -324,9 +345,21 @@
     const isOwed = isInTouch && left >= 2;
     tally.taken += 1;
     tally.owed += Number(isOwed);
-    daemon.task.find({ ...name, request: `${stream.id} again` }, (decision) => {
-      if (decision.evidence === 'unknown') return;
-      const isMixed = decision.softwareVersion !== softwareVersion;
+    const { life } = daemon;
+    daemon.task.find({ ...name, request: `${stream.id} again` }, (result) => {
+      if (daemon.life !== life || !daemon.isUp) {
+        this.takeUpLater(stream);
+        return;
+      }
+      if (result.softwareVersion === undefined) {
+        if (result.retryAfterSeconds !== undefined && tries < MAXIMUM_TAKE_UPS) {
+          tally.taken -= 1;
+          tally.owed -= Number(isOwed);
+          this.after(result.retryAfterSeconds * 1_000, () => this.takeUp(stream, tries + 1));
+        }
+        return;
+      }
+      const isMixed = result.softwareVersion !== softwareVersion;
       tally.mixed += Number(isMixed);
       if (isMixed || !daemon.isUp) return;
       tally.wentOn += Number(isOwed);
