--- a/src/streamVersions/RecordSender.ts
+++ b/src/streamVersions/RecordSender.ts
@@ -116,7 +116,7 @@
   }
 
   private sendTwice(begun: readonly BegunStream[]): void {
-    const send = () => this.send(begun, (stream) => this.options.keepers.keepersOf(stream));
+    const send = () => this.send(begun, (stream) => this.options.keepers.holdersOf(stream));
     if (begun.length === 0) return;
     send();
     this.options.later(send, REPEAT_MILLISECONDS);
--- a/src/streamVersions/StreamKeepers.ts
+++ b/src/streamVersions/StreamKeepers.ts
@@ -56,12 +56,19 @@
 
   /**
    * @param stream - key of a stream.
-   * @returns The daemons that keep its record, those that write it to the store included.
+   * @returns The daemons that keep its record.
    */
   keepersOf(stream: bigint): readonly DaemonEntry[] {
-    if (this.isSmall) return this.daemons;
-    const keepers = this.orderOf(stream).slice(0, KEEPERS);
-    return [...new Set([...keepers, ...this.writersOf(bucketOf(stream))])];
+    return this.isSmall ? this.daemons : this.orderOf(stream).slice(0, KEEPERS);
+  }
+
+  /**
+   * @param stream - key of a stream.
+   * @returns The daemons that keep its record, and those that write it to the store.
+   */
+  holdersOf(stream: bigint): readonly DaemonEntry[] {
+    const writers = this.isSmall ? [] : this.writersOf(bucketOf(stream));
+    return [...new Set([...this.keepersOf(stream), ...writers])];
   }
 
   /**
--- a/src/streamVersions/StreamVersionTask.ts
+++ b/src/streamVersions/StreamVersionTask.ts
@@ -48,6 +48,8 @@
   daemons: () => readonly DaemonEntry[];
   /** Whether this daemon's list of runners is current. */
   isListCurrent: () => boolean;
+  /** Whether this daemon hears from all listed daemons. */
+  isFleetWhole: () => boolean;
   /** Returns the longest time that a stream may take, in ms. */
   longestStreamMilliseconds: () => number;
   clock: Clock;
@@ -214,7 +216,8 @@
       const finish = (result: QuestionResult) => {
         const decision = this.decide(stream, name.service, result);
         if (decision.evidence === 'recorded') this.records.record(stream, decision.softwareVersion);
-        const mayPass = decision.evidence === 'unknown' && !(this.isLoaded && result.isComplete);
+        const isSettled = this.isLoaded && result.isComplete && !this.isYoung;
+        const mayPass = decision.evidence === 'unknown' && !isSettled;
         this.report(name, { decision, result, mayPass, startedAt });
         done({
           softwareVersion: decision.softwareVersion,
@@ -242,6 +245,11 @@
     return this.versions.isKnown && this.archive.isRead;
   }
 
+  /** Whether callers may still come back with streams that broke off before the start of this daemon. */
+  private get isYoung(): boolean {
+    return this.now - this.startedAt < TAKE_UP_MILLISECONDS;
+  }
+
   private onceLoaded(stream: bigint, until: number, proceed: () => void): void {
     const isRecorded = this.records.versionOf(stream) !== undefined;
     if (isRecorded || this.isLoaded || this.now >= until) proceed();
@@ -293,11 +301,11 @@
 
   private viewOf(stream: bigint, service: string): StreamVersionView {
     const from = this.now - this.retentionMilliseconds;
-    // A stream that may be taken up began after the start of a daemon that has run for so long.
-    const isYoung = this.startedAt > from;
+    // What a daemon that is not heard has begun, at a new version perhaps, has a record nowhere else.
+    const mayRuleOut = this.isYoung && this.options.isFleetWhole();
     const versions = this.versions
       .versionsOf(service, from)
-      .map((one) => ({ ...one, isNewSinceStart: one.isNewSinceStart && isYoung }));
+      .map((one) => ({ ...one, isNewSinceStart: one.isNewSinceStart && mayRuleOut }));
     return {
       recorded: this.records.versionOf(stream),
       versions: this.isLoaded ? versions : undefined,
@@ -333,7 +341,7 @@
       number,
       ...(recorded !== undefined && { softwareVersion: recorded }),
       ...(only && versions?.length === 1 && { onlyVersion: only.softwareVersion }),
-      versions: versions ?? [],
+      versions: [...(versions ?? [])],
     });
     const bytes = toBinary(StreamVersionAnswerSchema, message);
     this.options.socket.send(MessageKind.STREAM_VERSION_ANSWER, bytes, [parseAddress(address)]);
--- a/src/streamVersions/VersionQuestions.ts
+++ b/src/streamVersions/VersionQuestions.ts
@@ -93,7 +93,7 @@
     const unanswered = new Set<string>();
     const question = { stream, service, answers: [], unanswered, isSecond: false, asked: 0, done };
     this.pending.set(this.lastNumber, question);
-    this.send(this.lastNumber, question, this.options.keepers.keepersOf(stream));
+    this.send(this.lastNumber, question, this.options.keepers.holdersOf(stream));
   }
 
   private send(number: number, question: PendingQuestion, daemons: readonly DaemonEntry[]): void {
@@ -139,7 +139,9 @@
   /** Asks more daemons, if there are any; a keeper that has not answered is asked again. */
   private goOn(number: number, question: PendingQuestion): void {
     const { daemon, keepers } = this.options;
-    const more = keepers.askableFor(question.stream).filter(({ name }) => name !== daemon.name);
+    const { stream } = question;
+    const askable = new Set([...keepers.holdersOf(stream), ...keepers.askableFor(stream)]);
+    const more = [...askable].filter(({ name }) => name !== daemon.name);
     const isComplete = question.unanswered.size === 0 && question.answers.length >= more.length;
     if (question.isSecond || isComplete) {
       this.finish(number, question);
--- a/src/streamVersions/testStreamFleet.ts
+++ b/src/streamVersions/testStreamFleet.ts
@@ -24,6 +24,8 @@
   streamsPerSecond: number;
   /** Share of datagrams that get lost, from 0 to 1. */
   loss?: number;
+  /** Longest time until a caller takes a stream up that has broken off, in ms. */
+  pauseMilliseconds?: number;
   /** Share of streams whose callers lose them without a fault of a daemon. */
   lostByCallers?: number;
 }
@@ -38,6 +40,10 @@
   owed: number;
   /** Those of the owed that went on. */
   wentOn: number;
+  /** Those at any daemon, in touch or not, while two runners of the version were ready. */
+  possible: number;
+  /** Those of the possible that went on. */
+  possibleWentOn: number;
 }
 
 type Handler = (message: Uint8Array) => void;
@@ -78,6 +84,8 @@
   soundSince: number;
   /** When it last ended, monotonic ms. */
   endedAt: number;
+  /** When it was last cut off, monotonic ms. */
+  cutAt: number;
   /** Streams in progress. */
   readonly streams: Set<TestStream>;
 }
@@ -96,11 +104,17 @@
 
   readonly store: TestStreamStore;
 
-  readonly tally: TakeUpTally = { taken: 0, mixed: 0, owed: 0, wentOn: 0 };
+  readonly tally: TakeUpTally = {
+    ...{ taken: 0, mixed: 0, owed: 0, wentOn: 0 },
+    ...{ possible: 0, possibleWentOn: 0 },
+  };
 
   /** Datagrams that daemons have sent. */
   sent = 0;
 
+  /** Bytes in these datagrams. */
+  sentBytes = 0;
+
   readonly random: () => number;
 
   private readonly options: Required<TestStreamFleetOptions>;
@@ -118,7 +132,7 @@
    * @param options - size of the fleet, its load, and the seed of the random numbers.
    */
   constructor(options: TestStreamFleetOptions) {
-    this.options = { loss: 0.02, lostByCallers: 0.02, ...options };
+    this.options = { loss: 0.02, lostByCallers: 0.02, pauseMilliseconds: 100, ...options };
     this.random = seededRandom(options.seed);
     this.store = new TestStreamStore({ now: () => this.now });
     this.versions = Array.from({ length: options.runners }, () => FIRST_VERSION);
@@ -129,6 +143,7 @@
       const daemon = {
         ...{ entry, life: 0, isUp: false, isCut: false },
         ...{ soundSince: -CONTACT_MILLISECONDS, endedAt: Number.NEGATIVE_INFINITY },
+        cutAt: Number.NEGATIVE_INFINITY,
         handlers: new Map<MessageKind, Handler>(),
         runners: new RunnerTable(),
         streams: new Set<TestStream>(),
@@ -170,7 +185,7 @@
    * @param milliseconds - for how long.
    */
   cut(daemon: TestStreamDaemon, milliseconds: number): void {
-    Object.assign(daemon, { isCut: true });
+    Object.assign(daemon, { isCut: true, cutAt: this.now });
     this.after(milliseconds, () => {
       Object.assign(daemon, { isCut: false, soundSince: this.now });
       this.learnAll(daemon);
@@ -238,6 +253,7 @@
       runners: () => daemon.runners.list(),
       daemons: () => this.availableTo(daemon),
       isListCurrent: () => !daemon.isCut,
+      isFleetWhole: () => this.availableTo(daemon).length === this.daemons.length - 1,
       longestStreamMilliseconds: () => LONGEST_STREAM_MILLISECONDS,
       clock: this.clock,
       log: new SilentLog(),
@@ -257,10 +273,12 @@
   }
 
   private availableTo(daemon: TestStreamDaemon): DaemonEntry[] {
-    const isKnownDead = ({ isUp, endedAt }: TestStreamDaemon) =>
-      !isUp && this.now - endedAt >= DETECTION_MILLISECONDS;
+    const isLost = ({ isUp, isCut, endedAt, cutAt }: TestStreamDaemon) =>
+      (!isUp && this.now - endedAt >= DETECTION_MILLISECONDS) ||
+      (isCut && this.now - cutAt >= DETECTION_MILLISECONDS);
+    const isUnheard = daemon.isCut && this.now - daemon.cutAt >= DETECTION_MILLISECONDS;
     return this.daemons
-      .filter((other) => other !== daemon && !isKnownDead(other))
+      .filter((other) => other !== daemon && !isUnheard && !isLost(other))
       .map(({ entry }) => entry);
   }
 
@@ -271,6 +289,7 @@
     recipients: readonly HostAndPort[],
   ): void {
     this.sent += recipients.length;
+    this.sentBytes += recipients.length * message.length;
     for (const { host, port } of recipients) {
       const to = this.byAddress.get(`${host}:${port}`);
       if (!to || from.isCut || this.random() < this.options.loss) continue;
@@ -331,12 +350,16 @@
   }
 
   private takeUpLater(stream: TestStream): void {
-    this.after(5 + this.random() * 100, () => this.takeUp(stream));
+    const pause = this.options.pauseMilliseconds * this.random();
+    this.after(5 + pause, () => this.takeUp(stream));
   }
 
   private takeUp(stream: TestStream, tries = 0): void {
     const daemon = this.anyDaemon();
-    if (!daemon) return;
+    if (!daemon) {
+      this.takeUpLater(stream);
+      return;
+    }
     const { tally } = this;
     const { softwareVersion } = stream;
     const name = { service: SERVICE, clientAccount: undefined, id: stream.id };
@@ -345,9 +368,13 @@
     const isOwed = isInTouch && left >= 2;
     tally.taken += 1;
     tally.owed += Number(isOwed);
+    tally.possible += Number(left >= 2);
     const { life } = daemon;
     daemon.task.find({ ...name, request: `${stream.id} again` }, (result) => {
       if (daemon.life !== life || !daemon.isUp) {
+        tally.taken -= 1;
+        tally.owed -= Number(isOwed);
+        tally.possible -= Number(left >= 2);
         this.takeUpLater(stream);
         return;
       }
@@ -355,6 +382,7 @@
         if (result.retryAfterSeconds !== undefined && tries < MAXIMUM_TAKE_UPS) {
           tally.taken -= 1;
           tally.owed -= Number(isOwed);
+          tally.possible -= Number(left >= 2);
           this.after(result.retryAfterSeconds * 1_000, () => this.takeUp(stream, tries + 1));
         }
         return;
@@ -363,6 +391,7 @@
       tally.mixed += Number(isMixed);
       if (isMixed || !daemon.isUp) return;
       tally.wentOn += Number(isOwed);
+      tally.possibleWentOn += Number(left >= 2);
       this.serve(daemon, { ...stream, until: this.now + STREAM_MILLISECONDS });
     });
   }
