Store: records of streams and the history of versions, as calls of the client

The store can now hold what has to outlive all daemons: records of streams in batches, one new key a bucket under streams/ and a shared lease, and one value for the versions of all services under fleet/versions. The history arrives as a fact of the store; records of streams give no fact, and a full read ends before them, since all other keys of daemons sort first.

--- a/src/router/KnowledgeChangeHandler.spec.ts
+++ b/src/router/KnowledgeChangeHandler.spec.ts
@@ -29,6 +29,7 @@
       revision: () => 7,
       applyLeavingRunners: () => undefined,
       applyQuarantine: () => undefined,
+      applyVersionHistory: () => undefined,
       applyLimits: () => undefined,
       onStoreRestored: () => undefined,
       onUpdate: () => undefined,
--- a/src/router/KnowledgeChangeHandler.ts
+++ b/src/router/KnowledgeChangeHandler.ts
@@ -7,6 +7,7 @@
 import type { CallerLimits, RoutingConfiguration } from '../routes/routeTypes.js';
 import type { RunnerEntry, RunnerState } from '../runners/Runner.js';
 import type { WarmPlace, WarmPlaces } from '../runners/WarmPlaces.js';
+import type { VersionHistory } from '../streamVersions/streamVersionTypes.js';
 import type { KnowledgeListener, StoreRestore } from '../sync/knowledgeTypes.js';
 import { revisionFields, storePositionOf } from '../sync/orderedRevision.js';
 import { syncLogEvents } from '../sync/syncFeature.js';
@@ -24,6 +25,8 @@
   applyLeavingRunners: (incarnations: readonly string[]) => void;
   /** Takes the list of quarantined requests in the form in which the store holds it. */
   applyQuarantine: (page: string) => void;
+  /** Takes the software versions that services have had lately. */
+  applyVersionHistory: (history: VersionHistory) => void;
   /** Applies the limits for callers from a configuration that has come into force. */
   applyLimits: (limits: CallerLimits) => void;
   /** Called after the store has been restored from an older copy: what this daemon wrote to it may be lost. */
@@ -129,6 +132,11 @@
     this.options.applyQuarantine(page);
   }
 
+  /** @param history - the software versions of each service, as another daemon saved them in the store. */
+  versionHistorySaved(history: VersionHistory): void {
+    this.options.applyVersionHistory(history);
+  }
+
   /** @param revision - revision of a full read that is older than what is known. */
   outdatedRead(revision: number): void {
     const { log } = this.options;
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -367,6 +367,7 @@
       applyLeavingRunners: (lives) =>
         this.coordination.leaveNotices.recordFromDaemon(lives, 'peer'),
       applyQuarantine: (page) => this.quarantineTask.mergeStored(page),
+      applyVersionHistory: () => undefined,
       onStoreRestored: () => this.handleRestore(),
       onUpdate: () => {
         this.news.broadcastChange();
--- a/src/sync/FleetKnowledge.ts
+++ b/src/sync/FleetKnowledge.ts
@@ -11,6 +11,7 @@
 import type { DaemonEntry, StoreFact, StoreRead } from './FleetStore.js';
 import { digestOf, factsOf, isListingFact } from './listings.js';
 import type { KnowledgeListener, KnowledgeSnapshot } from './knowledgeTypes.js';
+import { passOnSaved } from './passOnSaved.js';
 import type { ChangeMoment } from './RunnerListing.js';
 import { RunnerListing } from './RunnerListing.js';
 import { StoreRestoreTracker } from './StoreRestoreTracker.js';
@@ -377,10 +378,9 @@
         this.secret = fact.secret;
         break;
       case 'warm_places':
-        this.listener.warmPlacesSaved(fact.places);
-        break;
       case 'quarantine':
-        this.listener.quarantineSaved(fact.page);
+      case 'version_history':
+        passOnSaved(fact, this.listener);
         break;
       case 'daemon_gone':
         this.daemonListing.remove(fact.name, moment);
--- a/src/sync/testKnowledge.ts
+++ b/src/sync/testKnowledge.ts
@@ -1,15 +1,17 @@
 /**
  * Knowledge for tests, with a record of what its listener was told.
  */
+import type { VersionHistory } from '../streamVersions/streamVersionTypes.js';
 import { FleetKnowledge } from './FleetKnowledge.js';
 
 /**
  * @param onUpdate - called after each update.
- * @returns Empty knowledge, the ids of dropped runners, and the keys reported as unreadable.
+ * @returns Empty knowledge, the ids of dropped runners, the keys reported as unreadable, and the histories of versions.
  */
 export function createTestKnowledge(onUpdate: () => void = () => undefined) {
   const gone: string[] = [];
   const unreadable: string[] = [];
+  const histories: VersionHistory[] = [];
   const knowledge = new FleetKnowledge({
     listener: {
       configurationChanged: () => undefined,
@@ -21,11 +23,12 @@
       warmPlacesSaved: () => undefined,
       runnersLeaving: () => undefined,
       quarantineSaved: () => undefined,
+      versionHistorySaved: (history) => histories.push(history),
       outdatedRead: () => undefined,
       storeRestored: () => undefined,
       updated: onUpdate,
       unreadable: (key) => unreadable.push(key),
     },
   });
-  return { knowledge, gone, unreadable };
+  return { knowledge, gone, unreadable, histories };
 }
--- a/src/sync/testStore.ts
+++ b/src/sync/testStore.ts
@@ -1,7 +1,7 @@
 /**
  * A store for tests; the test answers each read itself.
  */
-import type { StorePage, StoreRead } from './FleetStore.js';
+import type { StorePage, StoreRead, StreamRecordsRead } from './FleetStore.js';
 import { FleetStore } from './FleetStore.js';
 
 /** A read that waits for its answer. */
@@ -50,6 +50,18 @@
     return Promise.resolve();
   }
 
+  override saveVersionHistory(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  override appendStreamRecords(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  override readStreamRecords(): Promise<StreamRecordsRead> {
+    return Promise.resolve({ batches: [], skipped: 0 });
+  }
+
   override withdraw(): Promise<void> {
     return Promise.resolve();
   }
