Store: tests of the calls for records of streams and the history

The stand-in refuses transactions of more than 32 entries, oversize keys and values (400) and keys of operators and runners (403), and grants leases of ten minutes at most.

The calls existed before these tests.

--- a/src/sync/FleetKnowledge.spec.ts
+++ b/src/sync/FleetKnowledge.spec.ts
@@ -43,6 +43,15 @@
 }
 
 describe('FleetKnowledge', () => {
+  it('passes on the history of versions, in whichever read it comes', () => {
+    const { knowledge, histories } = createTestKnowledge();
+    const history = new Map([['plain', new Map([['v1', 0]])]]);
+    const facts: StoreFact[] = [{ kind: 'version_history', history, revision: 3 }];
+    knowledge.applyFullRead({ revision: 10, facts }, 0);
+    knowledge.applyChanges({ revision: 11, facts }, 0);
+    expect(histories).toEqual([history, history]);
+  });
+
   it('drops a runner at once if its entry is removed while the store is available', () => {
     const { knowledge, gone } = createKnowledge();
     knowledge.applyChanges({ revision: 11, facts: [{ kind: 'runner_gone', id: 'a' }] }, 100);
--- a/standIns/site/StoreStandIn.ts
+++ b/standIns/site/StoreStandIn.ts
@@ -9,6 +9,8 @@
 import { listen } from '../../src/http/listen.js';
 import { orderedRevisionOf } from '../../src/sync/orderedRevision.js';
 import { readBody } from './readBody.js';
+import { refusalOf } from './storeTransaction.js';
+import type { Transaction } from './storeTransaction.js';
 
 /** A key with its value. */
 export interface StoreItem {
@@ -26,16 +28,6 @@
   readonly removed: true;
 }
 
-interface Transaction {
-  readonly expected_revision: readonly { readonly key: string; readonly revision: number }[];
-  readonly puts: readonly {
-    readonly key: string;
-    readonly value: string;
-    readonly lease?: number;
-  }[];
-  readonly deletes: readonly string[];
-}
-
 interface Waiter {
   readonly prefix: string;
   readonly after: number;
@@ -69,6 +61,8 @@
 
 const PAGE_ITEMS = 500;
 
+const LONGEST_LEASE_MILLISECONDS = 600_000;
+
 const SLOW_MILLISECONDS = 400;
 
 function encode(content: unknown): string {
@@ -327,6 +321,11 @@
 
   private transact(transaction: Transaction, response: ServerResponse): void {
     const { expected_revision: expected, puts, deletes } = transaction;
+    const refusal = refusalOf(transaction);
+    if (refusal !== undefined) {
+      this.answer(response, refusal, {});
+      return;
+    }
     const failed = expected.filter(
       ({ key, revision }) => (this.items.get(key)?.revision ?? 0) !== revision,
     );
@@ -359,7 +358,8 @@
     this.history.push({ key, revision: this.revision, removed: true });
   }
 
-  private grant({ ttl_ms: milliseconds }: { ttl_ms: number }, response: ServerResponse): void {
+  private grant({ ttl_ms: wanted }: { ttl_ms: number }, response: ServerResponse): void {
+    const milliseconds = Math.min(wanted, LONGEST_LEASE_MILLISECONDS);
     const lease = this.nextLease;
     this.nextLease += 1;
     this.leases.set(lease, { milliseconds, timer: this.expiry(lease, milliseconds) });
