--- a/src/streamVersions/StreamArchive.spec.ts
+++ b/src/streamVersions/StreamArchive.spec.ts
@@ -64,6 +64,7 @@
       log,
       registry: new MetricRegistry({ clock }),
       clock,
+      keyBucketOf: (bucket) => bucket,
       writtenBuckets: () => new Set(Array.from({ length: 16 }, (_, bucket) => bucket)),
       readBuckets: () => 'all',
       lifeMilliseconds: () => LIFE_MILLISECONDS,
--- a/src/streamVersions/StreamArchive.ts
+++ b/src/streamVersions/StreamArchive.ts
@@ -21,6 +21,8 @@
   clock: Clock;
   /** Buckets whose records this daemon writes. */
   writtenBuckets: () => ReadonlySet<number>;
+  /** Returns the bucket under whose keys the records of a bucket are written; several may share one. */
+  keyBucketOf: (bucket: number) => number;
   /** Buckets whose records it reads at its start. */
   readBuckets: () => readonly number[] | 'all';
   /** Returns how long a record is of use, in ms. */
@@ -111,7 +113,7 @@
    * @param softwareVersion - version that began it.
    */
   add(stream: bigint, softwareVersion: string): void {
-    if (this.phase === 'stopped' || !this.options.writtenBuckets().has(bucketOf(stream))) return;
+    if (this.isStopped || !this.options.writtenBuckets().has(bucketOf(stream))) return;
     if (this.waiting.size >= MAXIMUM_WAITING) {
       this.records.increment({ action: 'dropped' });
       return;
@@ -137,6 +139,10 @@
     for (const [stream, softwareVersion] of records) this.add(stream, softwareVersion);
   }
 
+  private get isStopped(): boolean {
+    return this.phase === 'stopped';
+  }
+
   private get now(): number {
     return this.options.clock.monotonicMilliseconds();
   }
@@ -148,6 +154,7 @@
       const buckets = readBuckets();
       const reads = buckets === 'all' ? [undefined] : buckets;
       const results = await Promise.all(reads.map((bucket) => store.readStreamRecords(bucket)));
+      if (this.isStopped) return;
       let records = 0;
       for (const { groups } of results.flatMap(({ batches }) => batches)) {
         for (const { softwareVersion, streams } of groups) {
@@ -195,16 +202,24 @@
       this.records.add(records.size, { action: 'written' });
     } catch (error) {
       this.reportFailure('write', error as Error);
-      if (this.phase !== 'stopped') this.waiting = new Map([...records, ...this.waiting]);
+      if (!this.isStopped) this.keep(records);
     }
     this.isWriting = false;
     if (this.waiting.size > 0) this.schedule(true);
   }
 
+  /** Puts records back that could not be written; the older ones are dropped where there are too many. */
+  private keep(records: ReadonlyMap<bigint, string>): void {
+    const all = [...records, ...this.waiting];
+    const excess = Math.max(0, all.length - MAXIMUM_WAITING);
+    if (excess > 0) this.records.add(excess, { action: 'dropped' });
+    this.waiting = new Map(all.slice(excess));
+  }
+
   private batchesOf(records: ReadonlyMap<bigint, string>): StreamRecordBatch[] {
     const buckets = new Map<number, BegunStream[]>();
     for (const [stream, softwareVersion] of records) {
-      const bucket = bucketOf(stream);
+      const bucket = this.options.keyBucketOf(bucketOf(stream));
       const known = buckets.get(bucket);
       if (known) known.push({ stream, softwareVersion });
       else buckets.set(bucket, [{ stream, softwareVersion }]);
--- a/src/streamVersions/StreamKeepers.ts
+++ b/src/streamVersions/StreamKeepers.ts
@@ -91,6 +91,26 @@
     return new Set(all.filter((bucket) => this.writersOf(bucket).some((one) => one.name === name)));
   }
 
+  /**
+   * Fewer entries are written where few daemons write: buckets with the same writers share the keys of the first one.
+   *
+   * @param bucket - number of a bucket.
+   * @returns The first bucket with the same writers.
+   */
+  keyBucketOf(bucket: number): number {
+    return this.writers.length > 0 ? bucket % this.writers.length : bucket;
+  }
+
+  /**
+   * @param name - name of a daemon.
+   * @returns The buckets whose keys it reads at its start; all in a fleet whose records fit into a few pages.
+   */
+  readBucketsOf(name: string): readonly number[] | 'all' {
+    const isWriter = this.writerPlaceOf(name) >= 0;
+    if (this.isSmall || (isWriter && this.writers.length < STREAM_BUCKETS)) return 'all';
+    return isWriter ? [...this.bucketsOf(name)] : [];
+  }
+
   /**
    * @param name - name of a daemon.
    * @returns Its place among the daemons that write to the store, from 0; -1 if it is none of them.
--- a/src/streamVersions/StreamVersionTask.ts
+++ b/src/streamVersions/StreamVersionTask.ts
@@ -129,7 +129,8 @@
     this.archive = new StreamArchive({
       ...{ store, clock, log, registry, later },
       writtenBuckets: () => keepers.bucketsOf(daemon.name),
-      readBuckets: () => (keepers.isSmall ? 'all' : [...keepers.bucketsOf(daemon.name)]),
+      keyBucketOf: (bucket) => keepers.keyBucketOf(bucket),
+      readBuckets: () => keepers.readBucketsOf(daemon.name),
       lifeMilliseconds: () => this.retentionMilliseconds,
       onRecord: (stream, softwareVersion) => this.records.record(stream, softwareVersion),
     });
