A doubt whether a runner has started again ends by evidence, not by a clock

Callers saw: while the store was silent for 8 s, a runner that came back under its id and address at another software version, and crashed again 7 s later, left streams with events of both versions in one answer (2 are allowed).

Cause: RestartSuspicion ended 3 s after the last lost connection, whether or not the list of runners could be read meanwhile. The runner was then taken for the one that had its id before.

Change: the doubt ends by the entry of another life, by the runner's own report with its start, or by the list, confirmed without a gap of 2 s for 3 s since the doubt began. Runners are asked only while the list is not confirmed: about every 500 ms, one request at a time for each runner, on a connection of its own, for at most 800 ms. A stream that begins at a runner in doubt is bound to its life: it is not recorded with a version, and goes on elsewhere once the version is known. Coordinators keep prompts from runners in doubt, daemons do not take a coordinator's choice of one, and notices are renewed while the doubt lasts. Log lines 2625 and 2626, counter runner_restart_doubts.

--- a/src/coordination/ChoiceServer.ts
+++ b/src/coordination/ChoiceServer.ts
@@ -78,6 +78,8 @@
       isRetry: question.isRetry,
       homeRegions: question.homeRegions.length > 0 ? question.homeRegions : undefined,
       softwareVersion: question.softwareVersion,
+      // The question does not tell; the answer to a prompt is a stream in most cases.
+      needsVersion: question.softwareVersion !== undefined || question.sharedParts.length > 0,
       connectionLimit: Number.POSITIVE_INFINITY,
       dataCentre: question.dataCentre,
       isForOther: true,
--- a/src/coordination/CoordinatedSelector.ts
+++ b/src/coordination/CoordinatedSelector.ts
@@ -205,7 +205,7 @@
           !health.isUsable(now) ||
           pausedUntil > now ||
           !backlog.admits(inFlight, now) ||
-          (needsVersion === true && restart.isSuspected(now)),
+          (needsVersion === true && restart.isSuspected),
       )
       .map(({ entry }) => entry.life);
     return [...new Set([...tried, ...unusable])].slice(0, MAXIMUM_EXCLUDED);
@@ -291,6 +291,7 @@
       runner !== undefined &&
       runners.takesNewWork(runner) &&
       admission.rejectionReasonFor(runner, question) === undefined &&
+      !(question.needsVersion === true && runner.restart.isSuspected) &&
       (answer.isCold || !admission.isCold(runner, question.now));
     if (!isAcceptable || !isChoiceReason(answer.reason)) return choice.choose(question);
     choice.rememberChoice(question.sharedParts, answer.life);
--- a/src/coordination/FleetCoordination.spec.ts
+++ b/src/coordination/FleetCoordination.spec.ts
@@ -17,6 +17,8 @@
 import { createTestKnowledge } from '../sync/testKnowledge.js';
 import { ManualClock } from '../time/ManualClock.js';
 import { coordinatorsOf } from './daemonRoles.js';
+import { MetricRegistry } from '../metrics/MetricRegistry.js';
+import { RestartDoubts } from '../streamVersions/RestartDoubts.js';
 import { FleetCoordination } from './FleetCoordination.js';
 import { GrantLedger } from './GrantLedger.js';
 
@@ -93,6 +95,11 @@
       store: {} as FleetStore,
       clock,
       log,
+      doubts: new RestartDoubts({
+        ...{ runners: knowledge.runners, clock, log, registry: new MetricRegistry({ clock }) },
+        listConfirmedAt: () => clock.monotonicMilliseconds(),
+        fetchLife: () => undefined,
+      }),
       readMilliseconds: 800,
       readStore: () => undefined,
       fetchConfiguration: () => Promise.reject(new Error('no test daemon has a configuration')),
--- a/src/coordination/FleetCoordination.ts
+++ b/src/coordination/FleetCoordination.ts
@@ -21,6 +21,7 @@
 import type { DaemonEntry, FleetStore } from '../sync/FleetStore.js';
 import type { StoreBackoff } from '../sync/StoreFollower.js';
 import { READER_BACKOFF } from '../sync/StoreFollower.js';
+import type { RestartDoubts } from '../streamVersions/RestartDoubts.js';
 import { RestartNotices } from '../streamVersions/RestartNotices.js';
 import type { Clock } from '../time/Clock.js';
 import { ChoiceServer } from './ChoiceServer.js';
@@ -43,6 +44,8 @@
   capacity: CapacityView;
   admission: RunnerAdmission;
   grants: GrantLedger;
+  /** Follows the runners that may have started again. */
+  doubts: RestartDoubts;
   store: FleetStore;
   clock: Clock;
   log: Log;
@@ -175,7 +178,7 @@
       broadcastRecipients: () => this.broadcastRecipients(),
     });
     this.restartNotices = new RestartNotices({
-      ...{ daemon: daemon.name, runners: knowledge.runners, socket, clock },
+      ...{ daemon: daemon.name, runners: knowledge.runners, socket, doubts: options.doubts },
       reportRecipients: () => this.reportRecipients(),
       broadcastRecipients: () => this.broadcastRecipients(),
     });
--- a/src/coordination/StoreRelay.ts
+++ b/src/coordination/StoreRelay.ts
@@ -187,6 +187,11 @@
     return isFresh;
   }
 
+  /** @returns When a store reader's broadcast, or an own read, last confirmed this daemon's listing, monotonic ms. */
+  get listConfirmedAt(): number {
+    return this.confirmedAt;
+  }
+
   /**
    * @returns Whether the store readers have failed to broadcast since their broadcasts last confirmed this daemon's
    *   listing: the store may refuse all of them, or they may have died a moment ago.
--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -26,6 +26,9 @@
 
 const SERVER_ERROR = 500;
 
+/** Interval between looks whether the version of a stream that broke off is known, in ms. */
+const VERSION_CHECK_MILLISECONDS = 50;
+
 /** State of one forwarded request; observes the attempts that it sends. */
 export class ForwardedRequest extends RequestParts {
   private readonly timer: RequestTimer;
@@ -98,7 +101,7 @@
     this.bufferedAnswers.begin(attempt, answer);
     const isStream = this.request.route.kind === 'stream' && isEventStream(answer);
     const { runner } = attempt;
-    if (isStream) this.stream.take(attempt, answer, () => runner.answeringVersion);
+    if (isStream) this.stream.take(attempt, answer, this.versions.versionAt(runner));
   }
 
   override received(attempt: RunnerAttempt, chunk: Buffer): void {
@@ -169,11 +172,18 @@
   }
 
   private proceed(verdict: RetryDecision['verdict'], failure: AttemptFailure): void {
-    if (verdict === 'retry') this.sendNext();
+    if (!this.versions.settle()) this.waitForVersion(verdict, failure);
+    else if (verdict === 'retry') this.sendNext();
     else if (this.handOver.mayHelp) this.beginHandOver();
     else this.giveUp(verdict, failure);
   }
 
+  /** Goes on once the version of the runner that sent the events is known. */
+  private waitForVersion(verdict: RetryDecision['verdict'], failure: AttemptFailure): void {
+    this.afterVersion = () => this.proceed(verdict, failure);
+    this.timer.set(Math.min(this.now() + VERSION_CHECK_MILLISECONDS, this.request.deadlineAt));
+  }
+
   private beginHandOver(): void {
     this.timer.set(this.request.deadlineAt);
     this.handOver.begin();
@@ -200,11 +210,6 @@
       .exhaustive();
   }
 
-  /** Whether the caller has the beginning of an answer that cannot be resumed. */
-  private get isBegun(): boolean {
-    return this.relay.hasHead && this.stream.lastEventId === undefined;
-  }
-
   private verdictOn(attempt: RunnerAttempt, failure: AttemptFailure): AttemptVerdict {
     // The caller already has the beginning of this answer, and another runner's answer cannot continue it.
     if (this.bufferedAnswers.isPassing(attempt)) return { verdict: 'cut' };
@@ -328,15 +333,6 @@
     this.active.cancelAll(this.quarantine);
   }
 
-  /** Leaves the attempts, whose runners cannot answer, as another daemon takes the request. */
-  private leaveAttempts(): boolean {
-    if (this.isBegun || !this.waits.takeMove()) return false;
-    this.tried.mayHaveRun += this.active.size;
-    this.stream.breakOff();
-    this.active.cancelAll(this.quarantine);
-    return true;
-  }
-
   private scheduleCheck(): void {
     this.timer.set(this.waits.nextCheckAt);
   }
@@ -347,6 +343,7 @@
       this.expire();
       return;
     }
+    if (this.continueWithVersion()) return;
     if (this.isWaitingForRunner) {
       this.isWaitingForRunner = false;
       this.tried.readmitRefusing();
--- a/src/forwarding/RequestParts.ts
+++ b/src/forwarding/RequestParts.ts
@@ -73,6 +73,9 @@
 
   protected readonly waits: RequestWaits;
 
+  /** Continues the request, which waits for the version of its stream. */
+  protected afterVersion: (() => void) | undefined;
+
   /**
    * @param options - the request and the relay that writes its answer.
    */
@@ -138,6 +141,28 @@
     return this.context.clock.monotonicMilliseconds();
   }
 
+  /** Whether the caller has the beginning of an answer that cannot be resumed. */
+  protected get isBegun(): boolean {
+    return this.relay.hasHead && this.stream.lastEventId === undefined;
+  }
+
+  /** @returns Whether the request has waited for the version of its stream; it looks again whether that is known. */
+  protected continueWithVersion(): boolean {
+    const { afterVersion } = this;
+    this.afterVersion = undefined;
+    afterVersion?.();
+    return afterVersion !== undefined;
+  }
+
+  /** Leaves the attempts, whose runners cannot answer, as another daemon takes the request. */
+  protected leaveAttempts(): boolean {
+    if (this.isBegun || !this.versions.settle() || !this.waits.takeMove()) return false;
+    this.tried.mayHaveRun += this.active.size;
+    this.stream.breakOff();
+    this.active.cancelAll(this.quarantine);
+    return true;
+  }
+
   /** Records that the attempts in progress are about to be given up. */
   protected recordGivenUp(): void {
     const { targetLatencyMilliseconds } = this.request.route;
--- a/src/forwarding/RunnerProtocol.ts
+++ b/src/forwarding/RunnerProtocol.ts
@@ -5,6 +5,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 
 import type { RequestWork, StatedLoad } from '../capacity/capacityTypes.js';
+import type { RunnerEntry } from '../runners/Runner.js';
 
 /** Header names in lower case, by purpose. */
 export interface HeaderNames {
@@ -38,6 +39,9 @@
 export abstract class RunnerProtocol {
   abstract readonly names: HeaderNames;
 
+  /** Path at which runners serve reports on themselves; not all of them do. */
+  abstract readonly reportPath: string;
+
   /**
    * @param status - status code of a runner's answer.
    * @param headers - headers of a runner's answer.
@@ -75,4 +79,12 @@
    * @returns The load that the runner states, or `undefined` if there is none or it is malformed.
    */
   abstract statedLoad(headers: IncomingHttpHeaders): StatedLoad | undefined;
+
+  /**
+   * @param report - body of a runner's report on itself.
+   * @param entry - the runner's entry, of this incarnation or an earlier one.
+   * @returns The incarnation that has sent the report; `undefined` if the report is malformed or does not say, or the
+   * incarnation of the entry is not known either.
+   */
+  abstract lifeIn(report: string, entry: Pick<RunnerEntry, 'id' | 'life'>): string | undefined;
 }
--- a/src/forwarding/forwardingFeature.ts
+++ b/src/forwarding/forwardingFeature.ts
@@ -152,4 +152,18 @@
     operatorAction:
       'None while daemons end or are cut off from each other; otherwise check that datagrams pass between them.',
   }),
+  restartDoubted: defineLogEvent({
+    number: 2625,
+    name: 'forwarding.restart_doubted',
+    level: 'info',
+    text: 'A runner may have started again, at another software version perhaps: it has closed an idle connection or refused one, or another daemon says so. It gets no streams that may be taken up, as long as enough other runners are left.',
+    operatorAction: 'None; line 2626 of the same runner shows what ended the doubt.',
+  }),
+  restartDoubtEnded: defineLogEvent({
+    number: 2626,
+    name: 'forwarding.restart_doubt_ended',
+    level: 'info',
+    text: 'Evidence shows whether a runner has started again: its new entry, its own report, or the list of runners, read for long enough since.',
+    operatorAction: 'None; if many last for more than a few seconds, check the store.',
+  }),
 };
--- a/src/forwarding/testProtocol.ts
+++ b/src/forwarding/testProtocol.ts
@@ -23,6 +23,8 @@
     systemOnly: ['reserved'],
   };
 
+  override readonly reportPath = '/report';
+
   override didNotRun(_status: number, headers: IncomingHttpHeaders): boolean {
     return headers['not-run'] !== undefined;
   }
@@ -60,4 +62,8 @@
       .map(Number);
     return { running, waiting, slots, slowdown };
   }
+
+  override lifeIn(report: string): string | undefined {
+    return report === '' ? undefined : report;
+  }
 }
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -40,6 +40,7 @@
 import { createNews } from './createNews.js';
 import { createPeerParts } from './createPeerParts.js';
 import type { PeerParts } from './createPeerParts.js';
+import { createRestartDoubts } from './createRestartDoubts.js';
 import { createRunnerChoice } from './createRunnerChoice.js';
 import { createStoreFollower } from './createStoreFollower.js';
 import { createForwardingContext } from './createForwardingContext.js';
@@ -89,7 +90,7 @@
   private readonly registry: MetricRegistry;
 
   private readonly connections = new RunnerConnections({
-    onLost: (runner) => this.coordination.restartNotices.recordLost(runner),
+    onLost: (runner) => this.coordination.restartNotices.recordLost(runner, 'connection_closed'),
   });
 
   private readonly warmPlaces = new WarmPlaces();
@@ -148,27 +149,21 @@
     const { name } = settings;
     const gatherMilliseconds = GATHER_SHARE * Math.min(...settings.changeBoundsMilliseconds);
     this.entry = daemonEntryOf(settings);
-    const { foreignLoads, grants } = this;
+    const { foreignLoads, grants, knowledge, entry, registry, warmPlaces } = this;
     this.capacity = createCapacity({
-      ...{ settings, clock, log, foreignLoads, grants },
-      registry: this.registry,
+      ...{ settings, clock, log, foreignLoads, grants, registry, knowledge },
       hasCoordinators: () => this.coordination.coordinators.length > 0,
-      knowledge: this.knowledge,
     });
     this.news = createNews({
-      ...{ clock, log, foreignLoads },
-      daemon: this.entry,
-      registry: this.registry,
-      knowledge: this.knowledge,
-      warmPlaces: this.warmPlaces,
+      ...{ clock, log, foreignLoads, registry, knowledge, warmPlaces },
+      daemon: entry,
       capacity: this.capacity,
       coordination: () => this.coordination,
       isLeaving: () => this.phase !== 'serving',
       hasNoPath: () => this.handOver.path.isLost,
       onNews: (news) => this.peerParts.handleAnnouncement(news),
     });
-    const { knowledge, entry, registry } = this;
-    this.coordination = this.createCoordination(gatherMilliseconds);
+    this.coordination = this.createCoordination(gatherMilliseconds, protocol);
     const { coordination } = this;
     this.directory = new CallerDirectory({ settings, knowledge, coordination, clock });
     this.quarantineTask = new QuarantineTask({
@@ -194,14 +189,13 @@
       ...{ daemon: entry, socket: this.news.socket, clock, log, registry, knowledge, coordination },
       follower: () => this.follower,
     });
+    const { connections, capacity, streamVersions } = this;
     const context = createForwardingContext({
       ...{ settings, protocol, clock, log, knowledge, registry, coordination },
-      connections: this.connections,
-      capacity: this.capacity,
+      ...{ connections, capacity, streamVersions },
       quarantine: this.quarantineTask.quarantine,
       path: this.handOver.path,
       handOver: this.handOver.task,
-      streamVersions: this.streamVersions,
       stopPhase: () => this.phase,
       follower: () => this.follower,
     });
@@ -227,10 +221,7 @@
       ]),
     });
     this.warmPlacesKeeper = new WarmPlacesWriter({
-      store,
-      warmPlaces: this.warmPlaces,
-      log,
-      name,
+      ...{ store, warmPlaces, log, name },
       daemons: () => coordination.namesOfChoosingDaemons(),
     });
   }
@@ -297,12 +288,8 @@
       if (phase === 'closing') this.coordination.refuseWaiting();
     };
     const withdrawn = this.registration.stop();
-    await runPlannedStop({
-      front: this.front,
-      clock: this.clock,
-      setPhase,
-      settings: this.settings,
-    });
+    const { front, clock, settings } = this;
+    await runPlannedStop({ front, clock, settings, setPhase });
     await withdrawn;
     this.follower.stop();
     this.coordination.liveness.stop();
@@ -322,10 +309,15 @@
     return cut;
   }
 
-  private createCoordination(gatherMilliseconds: number): FleetCoordination {
-    const { knowledge, store, clock, log, entry, grants, settings } = this;
+  private createCoordination(gatherMilliseconds: number, protocol: RunnerProtocol) {
+    const { knowledge, store, clock, log, entry, grants, settings, registry } = this;
+    const doubts = createRestartDoubts({
+      ...{ protocol, knowledge, clock, log, registry },
+      coordination: () => this.coordination,
+      follower: () => this.follower,
+    });
     const parts = createRunnerChoice({
-      ...{ settings, knowledge, clock, log, registry: this.registry },
+      ...{ settings, knowledge, clock, log, registry },
       warmPlaces: this.warmPlaces,
       capacity: this.capacity.view,
       reportAgeMilliseconds: () => this.news.reportAge,
@@ -339,7 +331,17 @@
       onRejected: (runner) => this.quarantineTask.quarantine.rejected(runner),
     });
     const capacity = this.capacity.view;
-    const options = { daemon: entry, knowledge, ...parts, capacity, grants, store, clock, log };
+    const options = {
+      daemon: entry,
+      knowledge,
+      ...parts,
+      capacity,
+      grants,
+      store,
+      clock,
+      log,
+      doubts,
+    };
     const calls = {
       readStore: (what: 'changes' | 'everything') => this.follower.readNow(what),
       fetchConfiguration: (address: string, onResponse?: () => void) =>
@@ -356,9 +358,8 @@
 
   private createChangeHandler(): KnowledgeChangeHandler {
     const { connections, warmPlaces, log, settings } = this;
-    const { dataCentre, dataCentreRegions } = settings;
     return new KnowledgeChangeHandler({
-      dataCentres: [dataCentre, ...Object.keys(dataCentreRegions)],
+      dataCentres: [settings.dataCentre, ...Object.keys(settings.dataCentreRegions)],
       connections,
       warmPlaces,
       log,
--- a/src/router/createForwardingContext.ts
+++ b/src/router/createForwardingContext.ts
@@ -95,7 +95,7 @@
     metrics,
     link: new LinkCheck({ runners, clock, log, metrics, path }),
     selector: coordination.selector,
-    onConnectionRefused: (runner) => coordination.restartNotices.recordLost(runner),
+    onConnectionRefused: (runner) => coordination.restartNotices.recordLost(runner, 'refused'),
     statements: new RunnerNotices({
       protocol,
       clock,
--- a/src/runners/Runner.ts
+++ b/src/runners/Runner.ts
@@ -124,6 +124,15 @@
     return this.successor?.answeringVersion ?? this.softwareVersion;
   }
 
+  /**
+   * @returns Version of the software that has answered since a doubt whether the runner has started again began; `undefined`
+   * as long as the doubt lasts.
+   */
+  get settledVersion(): string | undefined {
+    if (this.successor) return this.successor.softwareVersion;
+    return this.restart.isSuspected ? undefined : this.softwareVersion;
+  }
+
   /**
    * Returns the entry to send to another daemon.
    *
--- a/src/runners/RunnerAdmission.ts
+++ b/src/runners/RunnerAdmission.ts
@@ -86,7 +86,7 @@
     const { tried, now, connectionLimit } = question;
     if (tried.has(runner.entry.life)) return 'tried';
     if (!this.isInHomeRegion(runner, question.homeRegions)) return 'other_region';
-    if (!runner.hasVersion(question.softwareVersion)) return 'other_version';
+    if (!this.mayHaveVersion(runner, question.softwareVersion)) return 'other_version';
     if (runner.pausedUntil > now) return 'asked_for_time';
     // A request that another runner has failed already is worth more than the next one.
     if (tried.size === 0 && !runner.backlog.admits(runner.inFlight, now)) return 'backlogged';
@@ -121,17 +121,23 @@
    */
   private withKnownVersion(
     runners: readonly Runner[],
-    { needsVersion, softwareVersion, now }: AdmissionQuestion,
+    { needsVersion, softwareVersion }: AdmissionQuestion,
   ): readonly Runner[] {
     if (needsVersion !== true) return runners;
     const known = runners.filter(
-      (runner) => runner.hasVersion(softwareVersion) && !runner.restart.isSuspected(now),
+      (runner) => runner.hasVersion(softwareVersion) && !runner.restart.isSuspected,
     );
     const isNew = softwareVersion === undefined;
     const fewest = isNew ? runners.length * FEWEST_KNOWN_SHARE : 1;
     return known.length >= fewest ? known : runners;
   }
 
+  /** The entry of a runner that has started again says nothing of its version any more. */
+  private mayHaveVersion(runner: Runner, softwareVersion: string | undefined): boolean {
+    if (softwareVersion === undefined) return true;
+    return runner.hasVersion(softwareVersion) && !runner.restart.hasRestarted;
+  }
+
   /**
    * @param runner - the runner to check.
    * @param now - current time, monotonic ms.
--- a/src/streamVersions/RestartNotices.ts
+++ b/src/streamVersions/RestartNotices.ts
@@ -11,7 +11,7 @@
 import type { CallScheduler, RepeatedItem } from '../news/MessageRepeater.js';
 import type { Runner } from '../runners/Runner.js';
 import type { RunnerTable } from '../runners/RunnerTable.js';
-import type { Clock } from '../time/Clock.js';
+import type { DoubtCause, RestartDoubts } from './RestartDoubts.js';
 
 /** Options of {@link RestartNotices}. */
 export interface RestartNoticesOptions {
@@ -19,7 +19,8 @@
   daemon: string;
   runners: Pick<RunnerTable, 'list' | 'ofLife'>;
   socket: Pick<FleetSocket, 'handle' | 'send'>;
-  clock: Clock;
+  /** Keeps the doubts that are told. */
+  doubts: RestartDoubts;
   /** Daemons that every daemon reports to. */
   reportRecipients: () => readonly HostAndPort[];
   /** Daemons that this daemon forwards others' reports to. */
@@ -44,43 +45,48 @@
    * @param options - the runners and the daemons to notify.
    */
   constructor(options: RestartNoticesOptions) {
-    const { daemon, socket, later } = options;
+    const { daemon, socket, doubts, later } = options;
     this.options = options;
     this.news = new MessageRepeater({ send: (news) => this.send(news), later });
     socket.handle(MessageKind.SUSPECTED_RESTARTS, (message) => {
       const { daemon: teller, lives } = fromBinary(SuspectedRestartsSchema, message);
-      if (teller !== daemon) this.recordFromDaemon(lives);
+      if (teller !== daemon) this.recordFromDaemon(teller, lives);
     });
+    // A daemon that has started since does not know of the doubt, which may last as long as the store does not answer.
+    doubts.whileLasting(({ entry: { life: key } }, isSeen) => this.news.add({ key, isSeen }));
   }
 
   /**
    * Records that the instance of a runner has closed an idle connection, or refused one.
    *
    * @param runner - the runner.
+   * @param cause - which of them.
    */
-  recordLost(runner: Runner): void {
-    if (runner.restart.record(this.now)) this.news.add({ key: runner.entry.life, isSeen: true });
+  recordLost(runner: Runner, cause: Exclude<DoubtCause, 'notice'>): void {
+    const isNew = this.options.doubts.begin(runner, cause);
+    if (isNew) this.news.add({ key: runner.entry.life, isSeen: true });
   }
 
   /** Stops sending notices. */
   stop(): void {
     this.news.stop();
+    this.options.doubts.stop();
   }
 
-  private get now(): number {
-    return this.options.clock.monotonicMilliseconds();
-  }
-
-  private recordFromDaemon(lives: readonly string[]): void {
+  private recordFromDaemon(teller: string, lives: readonly string[]): void {
+    const { runners, doubts, broadcastRecipients } = this.options;
     for (const life of lives) {
-      const isNew = this.options.runners.ofLife(life)?.restart.record(this.now) === true;
+      const runner = runners.ofLife(life);
+      const isNew = runner !== undefined && doubts.begin(runner, 'notice', teller);
       if (isNew) this.news.add({ key: life, isSeen: false });
+      // One that forwards notices renews them for all others.
+      else if (runner && broadcastRecipients().length === 0) doubts.postponeRenewal(runner);
     }
   }
 
   private get isOwnLinkSuspect(): boolean {
     const all = this.options.runners.list();
-    const suspected = all.filter(({ restart }) => restart.isSuspected(this.now));
+    const suspected = all.filter(({ restart }) => restart.isSuspected);
     return suspected.length > all.length * LARGEST_SHARE;
   }
 
--- a/src/streamVersions/StreamVersionSession.ts
+++ b/src/streamVersions/StreamVersionSession.ts
@@ -26,6 +26,9 @@
   /** The version that was recorded last. */
   private recorded: string | undefined;
 
+  /** Runner that supplies the stream, or did until it broke off, if its version is in doubt. */
+  private doubted: Runner | undefined;
+
   /** Key of the stream, once it has been recorded. */
   private key: bigint | undefined;
 
@@ -67,12 +70,44 @@
   }
 
   /**
-   * Records the version at which the stream begins or goes on.
+   * Follows the version of the runner that answers. While it may have started again, the stream is bound to its life: its
+   * events are from one version, which is not known yet.
+   *
+   * @param runner - runner that has begun to answer.
+   * @returns Returns the version of the runner; `undefined` as long as it is in doubt.
+   */
+  versionAt(runner: Runner): () => string | undefined {
+    const isInDoubt = runner.restart.isSuspected;
+    return () => {
+      const version = isInDoubt ? runner.settledVersion : runner.answeringVersion;
+      this.doubted = version === undefined ? runner : undefined;
+      return version;
+    };
+  }
+
+  /**
+   * Binds the stream to the version of its events, if that is known by now.
+   *
+   * @returns Whether the stream may go on at another runner: at that version, or at any if it has no events yet.
+   */
+  settle(): boolean {
+    const { doubted, options } = this;
+    if (!doubted || options.stream.lastEventId === undefined) return true;
+    const version = doubted.settledVersion;
+    if (version === undefined) return false;
+    options.stream.bindTo(version);
+    this.doubted = undefined;
+    return true;
+  }
+
+  /**
+   * Records the version at which the stream begins or goes on, unless it is in doubt.
    *
    * @param runner - runner that the request is sent to, or that has sent an event.
    */
   record(runner: Runner): void {
     const { task, stream } = this.options;
+    if (!stream.isBound && runner.restart.isSuspected && !runner.successor) return;
     const softwareVersion = stream.softwareVersion ?? runner.answeringVersion;
     if (!this.name || this.recorded === softwareVersion) return;
     this.recorded = softwareVersion;
--- a/src/sync/StoreFollower.ts
+++ b/src/sync/StoreFollower.ts
@@ -119,6 +119,9 @@
 
   private lastAnswerAt: number;
 
+  /** When this daemon's own read last showed the list, monotonic ms. */
+  private confirmedAt = Number.NEGATIVE_INFINITY;
+
   private failures = 0;
 
   /** When the call in progress counts as unanswered, monotonic ms. */
@@ -170,6 +173,15 @@
     return this.options.clock.monotonicMilliseconds() - this.lastAnswerAt;
   }
 
+  /**
+   * @returns When the list of this daemon was last known to be current by its own read, monotonic ms: before the oldest change
+   *   that it has been told of and has not seen.
+   */
+  get listConfirmedAt(): number {
+    const { at = Number.POSITIVE_INFINITY } = this.unreachedAnnouncement ?? {};
+    return Math.min(at, this.confirmedAt);
+  }
+
   /** @returns The newest revision that another daemon has announced and this one has not reached, if there is one. */
   get unreachedAnnouncement(): AnnouncedRevision | undefined {
     const { announced } = this;
@@ -290,6 +302,7 @@
     this.pages = undefined;
     knowledge.applyFullRead(read, clock.monotonicMilliseconds());
     this.revision = read.revision;
+    this.confirmedAt = clock.monotonicMilliseconds();
     onRead();
   }
 
@@ -324,6 +337,7 @@
     this.answered(calledAt);
     knowledge.applyChanges(read, clock.monotonicMilliseconds());
     this.revision = read.revision;
+    this.confirmedAt = clock.monotonicMilliseconds();
     onRead();
   }
 
--- a/standIns/site/SiteRunner.ts
+++ b/standIns/site/SiteRunner.ts
@@ -28,6 +28,8 @@
   return `id: ${id}\ndata: ha`;
 }
 
+const REPORT_PATH = '/v1/report';
+
 const SHARE_BEFORE_CUT = 0.9;
 
 const PERCENT = 100;
@@ -64,6 +66,9 @@
   /** Arrival time of each request, including refused ones; monotonic ms. */
   readonly arrivals: number[] = [];
 
+  /** Number of requests for its report so far. */
+  reports = 0;
+
   /** Number of crashes so far. */
   crashes = 0;
 
@@ -96,6 +101,7 @@
       workMilliseconds: 1,
       slowdown: 1,
       statesLoad: false,
+      servesReport: false,
       plainBody: `answer of ${options.id}`,
       echoes: false,
       onRan: () => undefined,
@@ -221,6 +227,10 @@
   }
 
   private async take(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (request.url === REPORT_PATH) {
+      this.report(response);
+      return;
+    }
     const body = await readBody(request);
     if (body === undefined) return;
     const expected = request.headers['expect-instance'];
@@ -263,6 +273,12 @@
     else await this.answerPlain(id, response);
   }
 
+  private report(response: ServerResponse): void {
+    this.reports += 1;
+    if (!this.options.servesReport) response.writeHead(404).end();
+    else response.end(JSON.stringify({ stage: 'both', running: this.running, born: this.born }));
+  }
+
   /** @returns Whether the request may run, once a slot is free. */
   private async enter(): Promise<boolean> {
     if (this.running < this.options.slots) {
--- a/standIns/site/siteRunnerTypes.ts
+++ b/standIns/site/siteRunnerTypes.ts
@@ -59,6 +59,8 @@
   slowdown?: number;
   /** Whether its answers state its load and its slowdown. */
   statesLoad?: boolean;
+  /** Whether it serves a report on itself, which tells when it started; it answers 404 otherwise. */
+  servesReport?: boolean;
   /** Body of a plain answer. */
   plainBody?: string;
   /** Whether answers and events contain the id of their request, and events the version of the software. */
