--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -40,6 +40,7 @@
 import { createNews } from './createNews.js';
 import { createPeerParts } from './createPeerParts.js';
 import type { PeerParts } from './createPeerParts.js';
+import { createRestartDoubts } from './createRestartDoubts.js';
 import { createRunnerChoice } from './createRunnerChoice.js';
 import { createStoreFollower } from './createStoreFollower.js';
 import { createForwardingContext } from './createForwardingContext.js';
@@ -89,7 +90,7 @@
   private readonly registry: MetricRegistry;
 
   private readonly connections = new RunnerConnections({
-    onLost: (runner) => this.coordination.restartNotices.recordLost(runner),
+    onLost: (runner) => this.coordination.restartNotices.recordLost(runner, 'connection_closed'),
   });
 
   private readonly warmPlaces = new WarmPlaces();
@@ -148,25 +149,22 @@
     const { name } = settings;
     const gatherMilliseconds = GATHER_SHARE * Math.min(...settings.changeBoundsMilliseconds);
     this.entry = daemonEntryOf(settings);
-    const { foreignLoads, grants } = this;
+    const { foreignLoads, grants, knowledge, entry, registry, warmPlaces } = this;
     this.capacity = createCapacity({
-      ...{ settings, clock, log, foreignLoads, grants },
-      registry: this.registry,
+      ...{ settings, clock, log, foreignLoads, grants, registry, knowledge },
       hasCoordinators: () => this.coordination.coordinators.length > 0,
-      knowledge: this.knowledge,
     });
     this.news = createNews({
-      ...{ clock, log, foreignLoads, registry: this.registry, knowledge: this.knowledge },
-      daemon: this.entry,
-      warmPlaces: this.warmPlaces,
+      ...{ clock, log, foreignLoads, registry, knowledge, warmPlaces },
+      daemon: entry,
       capacity: this.capacity,
       coordination: () => this.coordination,
       isLeaving: () => this.phase !== 'serving',
       hasNoPath: () => this.handOver.path.isLost,
       onNews: (news) => this.peerParts.handleAnnouncement(news),
     });
-    this.coordination = this.createCoordination(gatherMilliseconds);
-    const { knowledge, entry, registry, coordination } = this;
+    this.coordination = this.createCoordination(gatherMilliseconds, protocol);
+    const { coordination } = this;
     this.directory = new CallerDirectory({ settings, knowledge, coordination, clock });
     this.quarantineTask = new QuarantineTask({
       ...{ daemon: entry, store, clock, log, registry },
@@ -192,14 +190,13 @@
       coordination,
       follower: () => this.follower,
     });
+    const { connections, capacity, streamVersions } = this;
     const context = createForwardingContext({
       ...{ settings, protocol, clock, log, knowledge, registry, coordination },
-      connections: this.connections,
-      capacity: this.capacity,
+      ...{ connections, capacity, streamVersions },
       quarantine: this.quarantineTask.quarantine,
       path: this.handOver.path,
       handOver: this.handOver.task,
-      streamVersions: this.streamVersions,
       stopPhase: () => this.phase,
       follower: () => this.follower,
     });
@@ -225,10 +222,7 @@
       ]),
     });
     this.warmPlacesKeeper = new WarmPlacesWriter({
-      store,
-      warmPlaces: this.warmPlaces,
-      log,
-      name,
+      ...{ store, warmPlaces, log, name },
       daemons: () => coordination.namesOfChoosingDaemons(),
     });
   }
@@ -295,12 +289,8 @@
       if (phase === 'closing') this.coordination.refuseWaiting();
     };
     const withdrawn = this.registration.stop();
-    await runPlannedStop({
-      front: this.front,
-      clock: this.clock,
-      setPhase,
-      settings: this.settings,
-    });
+    const { front, clock, settings } = this;
+    await runPlannedStop({ front, clock, settings, setPhase });
     await withdrawn;
     this.follower.stop();
     this.coordination.liveness.stop();
@@ -320,10 +310,15 @@
     return cut;
   }
 
-  private createCoordination(gatherMilliseconds: number): FleetCoordination {
-    const { knowledge, store, clock, log, entry, grants, settings } = this;
+  private createCoordination(gatherMilliseconds: number, protocol: RunnerProtocol) {
+    const { knowledge, store, clock, log, entry, grants, settings, registry } = this;
+    const doubts = createRestartDoubts({
+      ...{ protocol, knowledge, clock, log, registry },
+      coordination: () => this.coordination,
+      follower: () => this.follower,
+    });
     const parts = createRunnerChoice({
-      ...{ settings, knowledge, clock, log, registry: this.registry },
+      ...{ settings, knowledge, clock, log, registry },
       warmPlaces: this.warmPlaces,
       capacity: this.capacity.view,
       reportAgeMilliseconds: () => this.news.reportAge,
@@ -337,7 +332,17 @@
       onRejected: (runner) => this.quarantineTask.quarantine.rejected(runner),
     });
     const capacity = this.capacity.view;
-    const options = { daemon: entry, knowledge, ...parts, capacity, grants, store, clock, log };
+    const options = {
+      daemon: entry,
+      knowledge,
+      ...parts,
+      capacity,
+      grants,
+      store,
+      clock,
+      log,
+      doubts,
+    };
     const calls = {
       readStore: (what: 'changes' | 'everything') => this.follower.readNow(what),
       fetchConfiguration: (address: string, onResponse?: () => void) =>
@@ -354,9 +359,8 @@
 
   private createChangeHandler(): KnowledgeChangeHandler {
     const { connections, warmPlaces, log, settings } = this;
-    const { dataCentre, dataCentreRegions } = settings;
     return new KnowledgeChangeHandler({
-      dataCentres: [dataCentre, ...Object.keys(dataCentreRegions)],
+      dataCentres: [settings.dataCentre, ...Object.keys(settings.dataCentreRegions)],
       connections,
       warmPlaces,
       log,
