A caller's answer belongs to one source, so a failure cannot end up in a stream

Callers saw streams that looked complete and held another runner's failure: a stream broke off, the runner that was to go on with it answered 500 with more than 262,144 bytes, and the bytes followed the events.

Cause: an answer too large to be held was passed on without a look at whether the caller had the head of another answer, and was then finished as complete; the same for an answer that another daemon forwards.

AnswerOwnership says who may write and in which state; AnswerRelay takes bytes, and the end, from the owner only. A stream that breaks off is given up explicitly, so that the next attempt can claim it. An answer that is no stream ends its attempt at its head when the caller has the beginning of a stream, at both hops: its connection is closed unread, and a server error goes on at a further runner if one may be tried, else the stream is cut. A small failure is treated alike; before, it always cut the stream.

The mock in streamProgress.spec.ts returns the new value for a caller that does not keep up; what it expects is unchanged.

--- a/src/forwarding/BufferedAnswers.ts
+++ b/src/forwarding/BufferedAnswers.ts
@@ -4,7 +4,8 @@
  */
 import type { IncomingMessage } from 'node:http';
 
-import type { AnswerRelay, AnswerSource, BufferedAnswer } from './AnswerRelay.js';
+import type { AnswerSource } from './AnswerOwnership.js';
+import type { AnswerRelay, BufferedAnswer } from './AnswerRelay.js';
 
 /**
  * Maximum size of a buffered answer, in bytes. Answers to plain calls have about 1 kB; a hundred answers of the maximum
@@ -12,6 +13,12 @@
  */
 const MAXIMUM_BUFFERED_BYTES = 262_144;
 
+/**
+ * What became of bytes of an answer. `held` until it is complete; `passed` to the caller, so that no other answer can be
+ * sent; `rejected`: too many to be held, and the caller's answer belongs to another source.
+ */
+export type TakeResult = 'held' | 'passed' | 'rejected';
+
 /** Answers to one request, by attempt, that have not been sent to the caller yet. */
 export class BufferedAnswers {
   private readonly relay: AnswerRelay;
@@ -32,7 +39,7 @@
    * @param answer - head of the answer.
    */
   begin(attempt: AnswerSource, answer: IncomingMessage): void {
-    this.answersByAttempt.set(attempt, { answer, chunks: [], bytes: 0 });
+    this.answersByAttempt.set(attempt, { source: attempt, answer, chunks: [], bytes: 0 });
   }
 
   /**
@@ -40,22 +47,25 @@
    *
    * @param attempt - attempt whose answer has begun.
    * @param chunk - bytes of the body.
-   * @returns Whether this answer is being forwarded to the caller, so that no other one can be sent.
+   * @returns What became of them; after `rejected` the attempt has to be ended.
    */
-  take(attempt: AnswerSource, chunk: Buffer): boolean {
+  take(attempt: AnswerSource, chunk: Buffer): TakeResult {
     const held = this.answersByAttempt.get(attempt);
-    if (!held) return false;
+    if (!held) return 'rejected';
     if (this.isPassing(attempt)) {
       this.pass(held, [chunk]);
-      return true;
+      return 'passed';
     }
     held.chunks.push(chunk);
     held.bytes += chunk.length;
-    if (held.bytes <= MAXIMUM_BUFFERED_BYTES) return false;
+    if (held.bytes <= MAXIMUM_BUFFERED_BYTES) return 'held';
+    if (!this.relay.begin(attempt, held.answer, { kind: 'passing' })) {
+      this.drop(attempt);
+      return 'rejected';
+    }
     this.passingAttempt = attempt;
-    this.relay.begin(held.answer);
     this.pass(held, held.chunks.splice(0));
-    return true;
+    return 'passed';
   }
 
   /**
@@ -82,9 +92,9 @@
   }
 
   /** Pauses the runner while the caller does not keep up; otherwise the whole answer would accumulate in memory. */
-  private pass({ answer }: BufferedAnswer, chunks: readonly Buffer[]): void {
-    const keepsUp = chunks.map((chunk) => this.relay.pass(chunk)).every(Boolean);
-    if (keepsUp) return;
+  private pass({ source, answer }: BufferedAnswer, chunks: readonly Buffer[]): void {
+    const results = chunks.map((chunk) => this.relay.pass(source, chunk));
+    if (!results.includes('congested')) return;
     answer.pause();
     this.relay.onceDrained(() => answer.resume());
   }
--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -95,8 +95,12 @@
   override answered(attempt: RunnerAttempt, answer: IncomingMessage): void {
     this.waits.recordHeard();
     this.report.answerBegun(framingOf(answer));
-    this.bufferedAnswers.begin(attempt, answer);
     const isStream = this.request.route.kind === 'stream' && isEventStream(answer);
+    if (this.relay.hasHead && !isStream) {
+      this.rejectAnswer(attempt, answer);
+      return;
+    }
+    this.bufferedAnswers.begin(attempt, answer);
     const { runner } = attempt;
     if (isStream) this.stream.take(attempt, answer, () => runner.answeringVersion);
   }
@@ -107,7 +111,9 @@
       return;
     }
     this.waits.recordHeard();
-    if (!this.bufferedAnswers.take(attempt, chunk)) return;
+    const result = this.bufferedAnswers.take(attempt, chunk);
+    if (result === 'rejected') attempt.breakOff();
+    if (result !== 'passed') return;
     this.firstAnswerAt ??= this.now();
     for (const other of this.active) if (other !== attempt) other.cancel();
   }
@@ -118,7 +124,7 @@
     if (progress === 'event') this.quarantine.streamed(attempt, this.now());
     if (this.relay.hasHead) this.firstAnswerAt ??= this.now();
     if (this.stream.isBound) this.versions.record(attempt.runner);
-    if (progress === 'excess') attempt.breakOff();
+    if (progress === 'excess' || progress === 'rejected') attempt.breakOff();
   }
 
   override ended(attempt: RunnerAttempt): void {
@@ -130,26 +136,30 @@
     const held = this.bufferedAnswers.of(attempt);
     if (!held || this.relay.isDone) return;
     const { statusCode: status = SERVER_ERROR } = held.answer;
-    const failed = status >= SERVER_ERROR;
-    this.quarantine.answered(attempt, status);
-    this.outcomes.answered(attempt.runner, status);
+    this.recordAnswer(attempt, status);
     const isStream = this.stream.isFrom(attempt);
     if (isStream || this.bufferedAnswers.isPassing(attempt)) {
-      this.stopAttempts();
-      if (isStream) this.stream.end();
-      else this.relay.finish();
-      this.end('answered', 'answered');
+      const isWhole = isStream ? this.stream.end() : this.relay.finish(attempt);
+      this.endAfterAnswer(isWhole);
       return;
     }
-    if (this.relay.hasHead) {
-      // A resumed stream got an answer that is not a stream; the caller must notice that its stream broke off.
-      this.endWith({ status: 502, reason: 'not_resumed' });
-      return;
-    }
-    if (failed && this.retryAfterError(attempt, held)) return;
+    if (status >= SERVER_ERROR && this.retryAfterError(attempt, status, held)) return;
     this.answerBuffered(held);
   }
 
+  /**
+   * Ends an attempt whose answer is no stream although the caller has the beginning of one. A server error may be specific
+   * to that runner, so another one may go on.
+   */
+  private rejectAnswer(
+    attempt: RunnerAttempt,
+    { statusCode = SERVER_ERROR }: IncomingMessage,
+  ): void {
+    this.dropAnswer(attempt, statusCode);
+    if (statusCode >= SERVER_ERROR && this.retryAfterError(attempt, statusCode)) return;
+    this.endWith({ status: 502, reason: 'not_resumed' });
+  }
+
   override failed(attempt: RunnerAttempt, failure: AttemptFailure): void {
     this.active.delete(attempt);
     this.bufferedAnswers.drop(attempt);
@@ -200,11 +210,6 @@
       .exhaustive();
   }
 
-  /** Whether the caller has the beginning of an answer that cannot be resumed. */
-  private get isBegun(): boolean {
-    return this.relay.hasHead && this.stream.lastEventId === undefined;
-  }
-
   private verdictOn(attempt: RunnerAttempt, failure: AttemptFailure): AttemptVerdict {
     // The caller already has the beginning of this answer, and another runner's answer cannot continue it.
     if (this.bufferedAnswers.isPassing(attempt)) return { verdict: 'cut' };
@@ -273,10 +278,16 @@
   }
 
   private answerBuffered(held: BufferedAnswer): void {
-    this.stopAttempts();
     this.firstAnswerAt ??= this.now();
-    this.relay.sendBuffered(held);
-    this.end('answered', 'answered');
+    this.endAfterAnswer(this.relay.sendBuffered(held));
+  }
+
+  /** Cuts the caller's answer if it belongs to another source, so that it cannot be taken for complete. */
+  private endAfterAnswer(isWhole: boolean): void {
+    if (isWhole) {
+      this.stopAttempts();
+      this.end('answered', 'answered');
+    } else this.endWith({ status: 502, reason: 'not_resumed' });
   }
 
   /**
@@ -284,11 +295,11 @@
    *
    * @returns Whether the request goes on; otherwise the error has to be sent to the caller.
    */
-  private retryAfterError(attempt: RunnerAttempt, held: BufferedAnswer): boolean {
+  private retryAfterError(attempt: RunnerAttempt, status: number, held?: BufferedAnswer): boolean {
     this.tried.mayHaveRun += 1;
     this.fallback = held;
     if (this.active.size > 0 || this.isSelecting) return true;
-    const willRetry = this.retries.afterError(attempt, held.answer.statusCode ?? SERVER_ERROR);
+    const willRetry = this.retries.afterError(attempt, status);
     // If no other runner is available, `sendNext` has already sent this error to the caller.
     if (willRetry) this.sendNext();
     return willRetry;
@@ -328,15 +339,6 @@
     this.active.cancelAll(this.quarantine);
   }
 
-  /** Leaves the attempts, whose runners cannot answer, as another daemon takes the request. */
-  private leaveAttempts(): boolean {
-    if (this.isBegun || !this.waits.takeMove()) return false;
-    this.tried.mayHaveRun += this.active.size;
-    this.stream.breakOff();
-    this.active.cancelAll(this.quarantine);
-    return true;
-  }
-
   private scheduleCheck(): void {
     this.timer.set(this.waits.nextCheckAt);
   }
@@ -391,7 +393,7 @@
     this.versions.end();
     const { firstAnswerAt, tried, relay } = this;
     this.report.ended({
-      ...{ event, outcome, status: relay.status, firstAnswerAt, tried: tried.count },
+      ...{ event, outcome, relay, firstAnswerAt, tried: tried.count },
       quarantinedParts: outcome === 'quarantined' ? this.quarantine.quarantinedParts : undefined,
     });
   }
--- a/src/forwarding/RequestParts.ts
+++ b/src/forwarding/RequestParts.ts
@@ -13,6 +13,7 @@
 import { RequestRetries } from './RequestRetries.js';
 import { RequestWaits } from './RequestWaits.js';
 import { AttemptObserver } from './RunnerAttempt.js';
+import type { RunnerAttempt } from './RunnerAttempt.js';
 import { requestWorkload } from './requestWorkload.js';
 import { RunnerOutcomes } from './RunnerOutcomes.js';
 import { StreamedAnswer } from './StreamedAnswer.js';
@@ -117,6 +118,11 @@
     return this.stream.softwareVersion ?? this.quarantine.softwareVersion;
   }
 
+  /** Whether the caller has the beginning of an answer that cannot be resumed. */
+  protected get isBegun(): boolean {
+    return this.relay.hasHead && this.stream.lastEventId === undefined;
+  }
+
   /** @returns The question for the runner of the next attempt. */
   protected choiceQuestion(): ChoiceQuestion {
     const { service, homeRegions, connectionLimit } = this.request;
@@ -138,6 +144,29 @@
     return this.context.clock.monotonicMilliseconds();
   }
 
+  /** Leaves the attempts, whose runners cannot answer, as another daemon takes the request. */
+  protected leaveAttempts(): boolean {
+    if (this.isBegun || !this.waits.takeMove()) return false;
+    this.tried.mayHaveRun += this.active.size;
+    this.stream.breakOff();
+    this.active.cancelAll(this.quarantine);
+    return true;
+  }
+
+  /** Records a complete answer, or one that is dropped. */
+  protected recordAnswer(attempt: RunnerAttempt, status: number): void {
+    this.quarantine.answered(attempt, status);
+    this.outcomes.answered(attempt.runner, status);
+  }
+
+  /** Ends an attempt whose answer is of no use. */
+  protected dropAnswer(attempt: RunnerAttempt, status: number): void {
+    attempt.dismiss();
+    this.active.delete(attempt);
+    this.recordAnswer(attempt, status);
+    this.report.answerRejected(attempt, status, this.relay);
+  }
+
   /** Records that the attempts in progress are about to be given up. */
   protected recordGivenUp(): void {
     const { targetLatencyMilliseconds } = this.request.route;
--- a/src/forwarding/RequestReport.ts
+++ b/src/forwarding/RequestReport.ts
@@ -7,6 +7,7 @@
 import type { Choice } from '../runners/RunnerChoice.js';
 import type { RunnerOutcome } from '../runners/RunnerHealth.js';
 import type { AnswerFraming } from './answerFraming.js';
+import type { AnswerRelay } from './AnswerRelay.js';
 import { forwardingLogEvents } from './forwardingFeature.js';
 import type { AdmittedRequest, ForwardingContext } from './forwardingTypes.js';
 import type { RetryDecision } from './retryDecision.js';
@@ -27,8 +28,8 @@
 export interface RequestEnd {
   readonly event: EndEvent;
   readonly outcome: string;
-  /** Status code that the caller got, or 0 if it got none. */
-  readonly status: number;
+  /** What the caller got, and from which runners or daemons. */
+  readonly relay: Pick<AnswerRelay, 'status' | 'ownerNames' | 'droppedBytes'>;
   /** When the first event or the complete answer arrived, monotonic ms. */
   readonly firstAnswerAt: number | undefined;
   /** Number of attempts. */
@@ -121,6 +122,24 @@
     });
   }
 
+  /**
+   * Logs that the answer of an attempt is dropped, since the caller has the beginning of a stream.
+   *
+   * @param attempt - attempt whose answer is no stream.
+   * @param status - status code of its answer.
+   * @param relay - tells whose bytes the caller has.
+   */
+  answerRejected(
+    { runner }: RunnerAttempt,
+    status: number,
+    { ownerNames }: Pick<AnswerRelay, 'ownerNames'>,
+  ): void {
+    const { framing } = this;
+    this.write(forwardingLogEvents.answerRejected, {
+      ...{ runner: runner.entry.id, status, framing, answeredBy: ownerNames },
+    });
+  }
+
   /**
    * Logs and counts a failed attempt.
    *
@@ -165,7 +184,7 @@
    *
    * @param end - how the request ended.
    */
-  ended({ event, outcome, status, firstAnswerAt, tried, quarantinedParts }: RequestEnd): void {
+  ended({ event, outcome, relay, firstAnswerAt, tried, quarantinedParts }: RequestEnd): void {
     const { route, arrivedAt, clientAccount, configurationVersion } = this.request;
     const { clock, metrics } = this.context;
     metrics.requests.increment({ route: route.name, outcome });
@@ -175,12 +194,14 @@
     }
     this.write(forwardingLogEvents[event], {
       outcome,
-      status,
+      status: relay.status,
       route: route.name,
       clientAccount,
       configurationVersion,
       digest: event === 'answered' ? undefined : this.digest,
       runner: this.choice?.runner.entry.id,
+      answeredBy: relay.ownerNames,
+      droppedBytes: relay.droppedBytes || undefined,
       softwareVersion: this.versionOf(this.choice?.runner),
       choice: this.choice?.reason,
       parts: this.parts,
--- a/src/forwarding/RunnerAttempt.ts
+++ b/src/forwarding/RunnerAttempt.ts
@@ -9,6 +9,7 @@
 import type { Runner } from '../runners/Runner.js';
 import type { Clock } from '../time/Clock.js';
 import { AnswerByteLimit } from './AnswerByteLimit.js';
+import type { AnswerSource } from './AnswerOwnership.js';
 import type { LinkCheck } from './LinkCheck.js';
 import { isRemoteError, probeRunner } from './probeRunner.js';
 import type { ProbeResult } from './probeRunner.js';
@@ -84,7 +85,7 @@
 const REDIRECT = 300;
 
 /** Sends a request to one runner and reports the result to its observer. */
-export class RunnerAttempt {
+export class RunnerAttempt implements AnswerSource {
   readonly runner: Runner;
 
   /** When the attempt was created, immediately before it is sent; monotonic ms. */
@@ -140,11 +141,22 @@
     request.end(body);
   }
 
+  /** @returns Id of the runner. */
+  get sourceName(): string {
+    return this.runner.entry.id;
+  }
+
   /** Aborts the request; its observer gets no more events. */
   cancel(): void {
     if (this.settled) return;
-    this.markSettled();
     this.runner.health.recordAbandoned();
+    this.dismiss();
+  }
+
+  /** Closes the connection, since the rest of the answer is of no use; the observer gets no more events. */
+  dismiss(): void {
+    if (this.settled) return;
+    this.markSettled();
     this.destroy();
   }
 
--- a/src/forwarding/StreamedAnswer.ts
+++ b/src/forwarding/StreamedAnswer.ts
@@ -5,7 +5,8 @@
 import type { IncomingMessage } from 'node:http';
 
 import { framingOf } from './answerFraming.js';
-import type { AnswerRelay, AnswerSource } from './AnswerRelay.js';
+import type { AnswerSource } from './AnswerOwnership.js';
+import type { AnswerRelay } from './AnswerRelay.js';
 import { EventStreamBuffer } from './EventStreamBuffer.js';
 
 const SUCCESS = 200;
@@ -21,9 +22,9 @@
 
 /**
  * What a chunk of a stream has brought: `event`: a complete event with an id or data; `no_event`: none; `excess`: none,
- * in more bytes than a stream may have without one.
+ * in more bytes than a stream may have without one; `rejected`: the caller's answer belongs to another attempt.
  */
-export type StreamProgress = 'event' | 'no_event' | 'excess';
+export type StreamProgress = 'event' | 'no_event' | 'excess' | 'rejected';
 
 /**
  * @param answer - answer of a runner.
@@ -117,7 +118,7 @@
    * Forwards the complete events; an incomplete one is buffered until its end arrives.
    *
    * @param chunk - bytes as they arrived.
-   * @returns What the chunk has brought; after `excess` the attempt that supplies the stream has to be failed.
+   * @returns What the chunk has brought; after `excess` and `rejected` the attempt that supplies the stream has to be failed.
    */
   pass(chunk: Buffer): StreamProgress {
     const { bytesSinceEvent: before } = this.cut;
@@ -126,7 +127,7 @@
     if (bytesSinceEvent > MAXIMUM_BYTES_WITHOUT_EVENT) return 'excess';
     if (!events) return 'no_event';
     this.boundVersion = this.versionOf() ?? this.boundVersion;
-    this.begin();
+    if (!this.begin()) return 'rejected';
     this.forward(events);
     return bytesSinceEvent < before + chunk.length ? 'event' : 'no_event';
   }
@@ -141,12 +142,17 @@
     return isEmpty && this.answer !== undefined && framingOf(this.answer) === 'until_close';
   }
 
-  /** Ends the caller's stream because the runner's stream is complete. */
-  end(): void {
+  /**
+   * Ends the caller's stream because the runner's stream is complete.
+   *
+   * @returns Whether the caller's answer belonged to this stream and is complete now.
+   */
+  end(): boolean {
+    const { attempt } = this;
     const rest = this.cut.rest();
-    this.begin();
-    if (rest) this.relay.pass(rest);
-    this.relay.finish();
+    if (!attempt || !this.begin()) return false;
+    if (rest) this.relay.pass(attempt, rest);
+    return this.relay.finish(attempt);
   }
 
   /**
@@ -156,6 +162,7 @@
    */
   breakOff(): number {
     const { partialBytes } = this.cut;
+    if (this.attempt) this.relay.release(this.attempt);
     this.attempt = undefined;
     this.paused = false;
     this.cut.drop();
@@ -164,8 +171,8 @@
 
   /** Pauses the runner while the caller does not keep up; otherwise the stream would accumulate in memory. */
   private forward(events: Buffer): void {
-    const { answer } = this;
-    if (this.relay.pass(events) || !answer) return;
+    const { answer, attempt } = this;
+    if (!answer || !attempt || this.relay.pass(attempt, events) !== 'congested') return;
     answer.pause();
     this.paused = true;
     this.relay.onceDrained(() => {
@@ -174,7 +181,9 @@
     });
   }
 
-  private begin(): void {
-    if (this.answer) this.relay.begin(this.answer, this.boundVersion);
+  private begin(): boolean {
+    const { attempt, answer, boundVersion: softwareVersion } = this;
+    if (!attempt || !answer) return false;
+    return this.relay.begin(attempt, answer, { kind: 'streaming', softwareVersion });
   }
 }
--- a/src/forwarding/forwardingFeature.ts
+++ b/src/forwarding/forwardingFeature.ts
@@ -152,4 +152,11 @@
     operatorAction:
       'None while daemons end or are cut off from each other; otherwise check that datagrams pass between them.',
   }),
+  answerRejected: defineLogEvent({
+    number: 2630,
+    name: 'forwarding.answer_rejected',
+    level: 'warn',
+    text: 'A runner that was to go on with a stream answered with something else. Its answer is dropped unread: the caller has events of the runners in the field answeredBy.',
+    operatorAction: 'Many for one runner: check that runner.',
+  }),
 };
--- a/src/forwarding/streamProgress.spec.ts
+++ b/src/forwarding/streamProgress.spec.ts
@@ -63,7 +63,7 @@
     mock.method(AnswerRelay.prototype, 'onceDrained', (listener: () => void) => {
       resume = listener;
     });
-    const pass = mock.method(AnswerRelay.prototype, 'pass', () => false);
+    const pass = mock.method(AnswerRelay.prototype, 'pass', () => 'congested');
     runner.write(streamOf(1));
     await test.pass(100);
     runner.write(eventOf(2));
--- a/src/handover/HandedOverRequest.spec.ts
+++ b/src/handover/HandedOverRequest.spec.ts
@@ -14,6 +14,13 @@
 } from './handOverHeaders.js';
 import { decodeHandOver, encodeHandOver, HandOverError } from './handOverMessage.js';
 import type { HandOver, ReceivedHandOver } from './handOverMessage.js';
+import {
+  FAILURE_BYTE,
+  FAILURE_BYTES,
+  FAILURE_FRAMINGS,
+  sendFailure,
+} from '../forwarding/testFailures.js';
+import type { FailureFraming } from '../forwarding/testFailures.js';
 import { TestPeers } from './testPeers.js';
 
 const SIGNED = { Signature: 's' };
@@ -211,6 +218,44 @@
     expect(headers).toEqual(['Host', 'x', 'last-event', '7']);
   });
 
+  async function expectCut(events: number, bytes: number, framing: FailureFraming): Promise<void> {
+    let isClosed: Promise<boolean> | undefined;
+    await peers.add('one', {
+      answer: (_, { socket }) => {
+        const head = 'HTTP/1.1 500 Failure\r\nSignature: s\r\nConnection: close\r\n';
+        isClosed = sendFailure(socket!, head, bytes, framing);
+      },
+    });
+    const had = [1, 2].slice(0, events).map(eventOf).join('');
+    const { end, text } = await peers.goOn(had);
+    expect(end).toEqual('lost');
+    expect(await isClosed).toEqual(true);
+    expect(text.match(/token \d/gu)?.length).toEqual(events);
+    expect(text.includes(FAILURE_BYTE)).toEqual(false);
+    expect(text.endsWith('0\r\n\r\n')).toEqual(false);
+  }
+
+  for (const framing of FAILURE_FRAMINGS) {
+    for (const bytes of FAILURE_BYTES) {
+      for (const events of [1, 2]) {
+        // Guards against a stream that looks complete and has the failure of another daemon's runner in it.
+        it(`cuts a stream that gets a failure after ${events} events: ${bytes} bytes, ${framing}`, () =>
+          expectCut(events, bytes, framing));
+      }
+    }
+  }
+
+  it('goes on with a stream of which the caller has the beginning', async () => {
+    // Guards against an answer that stays with the runner that broke it off.
+    await peers.add('one', {
+      answer: (_, response) => response.writeHead(200, STREAM).end(eventOf(2)),
+    });
+    const { end, text } = await peers.goOn(eventOf(1));
+    expect(end).toEqual('answered');
+    expect(text.match(/token \d/gu)).toEqual(['token 1', 'token 2']);
+    expect(text.endsWith('0\r\n\r\n')).toEqual(true);
+  });
+
   // Guards against a refusal that says "not run" of a request that runs at another daemon while it is quarantined.
   it('is not refused as not run when it is quarantined while another daemon runs it', async () => {
     let run: () => void = () => undefined;
--- a/src/handover/HandedOverRequest.ts
+++ b/src/handover/HandedOverRequest.ts
@@ -7,7 +7,8 @@
  */
 import type { IncomingMessage } from 'node:http';
 
-import type { AnswerRelay } from '../forwarding/AnswerRelay.js';
+import type { AnswerSource } from '../forwarding/AnswerOwnership.js';
+import type { AnswerRelay, BufferedAnswer } from '../forwarding/AnswerRelay.js';
 import type { BufferedAnswers } from '../forwarding/BufferedAnswers.js';
 import { replaceHeader } from '../forwarding/forwardedHeaders.js';
 import { forwardingLogEvents } from '../forwarding/forwardingFeature.js';
@@ -78,7 +79,7 @@
 }
 
 /** Offers the request to daemons until one takes it. */
-export class HandedOverRequest extends HandOverObserver {
+export class HandedOverRequest extends HandOverObserver implements AnswerSource {
   private readonly options: HandedOverRequestOptions;
 
   private readonly asked = new Set<string>();
@@ -106,6 +107,11 @@
     this.options = options;
   }
 
+  /** @returns Name of the daemon that has got the request; empty before. */
+  get sourceName(): string {
+    return this.taken?.peer.name ?? '';
+  }
+
   /** Asks the first daemon. */
   start(): void {
     this.askNext();
@@ -176,9 +182,15 @@
       this.askNext();
       return;
     }
-    const { bufferedAnswers, stream, request } = this.options;
+    const { bufferedAnswers, stream, request, relay } = this.options;
+    const isStream = request.route.kind === 'stream' && isEventStream(answer);
+    if (relay.hasHead && !isStream) {
+      // No other answer can go on with the stream of which the caller has the beginning.
+      this.breakOff();
+      return;
+    }
     bufferedAnswers.begin(this, answer);
-    if (request.route.kind === 'stream' && isEventStream(answer)) {
+    if (isStream) {
       stream.take(this, answer, () => runnerVersionIn(answer.headers));
     }
     answer.on('data', (chunk: Buffer) => this.handleChunk(chunk));
@@ -289,31 +301,40 @@
   private handleChunk(chunk: Buffer): void {
     if (this.isOver) return;
     const { stream, bufferedAnswers } = this.options;
-    if (!stream.isFrom(this)) bufferedAnswers.take(this, chunk);
-    else if (stream.pass(chunk) === 'excess') {
-      this.taken?.cancel();
-      this.lose();
-    }
+    const result = stream.isFrom(this) ? stream.pass(chunk) : bufferedAnswers.take(this, chunk);
+    if (result === 'excess' || result === 'rejected') this.breakOff();
   }
 
   private handleEnd(answer: IncomingMessage): void {
     if (this.isOver || !answer.complete) return;
-    const { stream, bufferedAnswers, relay, names } = this.options;
+    const { stream, bufferedAnswers, names } = this.options;
     if (stream.isFrom(this) && stream.isBrokenOff) {
       this.lose();
       return;
     }
     const held = bufferedAnswers.of(this);
-    if (stream.isFrom(this)) stream.end();
-    else if (bufferedAnswers.isPassing(this)) relay.finish();
-    else if (relay.hasHead || !held) {
-      // A stream that was to be resumed got another answer; the caller must notice that its stream broke off.
+    if (!this.finish(held)) {
+      // The answer belongs to another source; the caller must notice that its stream broke off.
       this.end('lost');
       return;
-    } else relay.sendBuffered(held);
+    }
     this.end(answer.headers[names.signature] === undefined ? 'not_served' : 'answered');
   }
 
+  /** @returns Whether the caller has this answer, as a whole. */
+  private finish(held: BufferedAnswer | undefined): boolean {
+    const { stream, bufferedAnswers, relay } = this.options;
+    if (stream.isFrom(this)) return stream.end();
+    if (bufferedAnswers.isPassing(this)) return relay.finish(this);
+    return held !== undefined && relay.sendBuffered(held);
+  }
+
+  /** Ends the request at the other daemon, whose answer is of no use. */
+  private breakOff(): void {
+    this.taken?.cancel();
+    this.lose();
+  }
+
   /** The other daemon, or the connection to it, broke off after it had taken the request. */
   private lose(offer: HandOverOffer | undefined = this.taken): void {
     if (this.isOver || this.taken !== offer) return;
--- a/src/handover/TakenOverRelay.ts
+++ b/src/handover/TakenOverRelay.ts
@@ -4,7 +4,8 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import type { DaemonAnswer } from '../forwarding/AnswerRelay.js';
+import type { AnswerSource } from '../forwarding/AnswerOwnership.js';
+import type { BeginOptions, DaemonAnswer } from '../forwarding/AnswerRelay.js';
 import { AnswerRelay } from '../forwarding/AnswerRelay.js';
 import type { TriedRunners } from '../forwarding/TriedRunners.js';
 import {
@@ -52,14 +53,15 @@
     super.sendDaemonAnswer(own);
   }
 
-  override begin(answer: IncomingMessage, softwareVersion?: string): void {
+  override begin(source: AnswerSource, answer: IncomingMessage, options: BeginOptions): boolean {
+    const { softwareVersion } = options;
     if (!this.hasHead && !this.isDone) {
       if (softwareVersion !== undefined) {
         this.answer.setHeader(VERSION_HEADER, encodeURIComponent(softwareVersion));
       }
       this.tellTried();
     }
-    super.begin(answer);
+    return super.begin(source, answer, options);
   }
 
   /** The other daemon may have to go on, at a runner that has not failed the request. */
--- a/src/handover/testPeers.ts
+++ b/src/handover/testPeers.ts
@@ -1,9 +1,9 @@
 /**
  * Test helper: other daemons that take requests over as a test says, and a request that is handed over to them.
  */
-import { createServer } from 'node:http';
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { connect } from 'node:net';
+import { createServer, IncomingMessage } from 'node:http';
+import type { Server, ServerResponse } from 'node:http';
+import { connect, Socket } from 'node:net';
 import type { AddressInfo } from 'node:net';
 
 import { MemoryLog } from '../callers/testFakes.js';
@@ -146,6 +146,37 @@
     return { end, text, softwareVersion: stream?.softwareVersion };
   }
 
+  /**
+   * Hands over a stream that broke off after its first events.
+   *
+   * @param events - what the caller has of the stream.
+   * @returns The end of the hand-over, and the text that the caller received.
+   */
+  async goOn(events: string): Promise<{ end: HandOverEnd; text: string }> {
+    let end: HandOverEnd | undefined;
+    const front = createServer((_request, response) => {
+      const onEnd = (ending: HandOverEnd) => {
+        end = ending;
+        if (!response.writableEnded) response.destroy();
+      };
+      const relay = new AnswerRelay(response, () => true);
+      const stream = new StreamedAnswer(relay);
+      const headers = { 'content-type': 'text/event-stream' };
+      const rawHeaders = Object.entries(headers).flat();
+      const head = new IncomingMessage(new Socket());
+      stream.take(
+        { sourceName: 'runner' },
+        Object.assign(head, { statusCode: 200, headers, rawHeaders }),
+      );
+      stream.pass(Buffer.from(events));
+      stream.breakOff();
+      this.requestFor({ kind: 'stream', resumesAfter: '1', relay, stream, onEnd }).start();
+    });
+    const text = await textFrom(await this.listen(front));
+    if (end === undefined) throw new Error('the hand-over has not ended');
+    return { end, text };
+  }
+
   /**
    * Forwards a request of a daemon without a path, which puts it into quarantine while another daemon runs it.
    *
