--- a/standIns/site/SiteRunner.ts
+++ b/standIns/site/SiteRunner.ts
@@ -99,6 +99,7 @@
       plainBody: `answer of ${options.id}`,
       echoes: false,
       onRan: () => undefined,
+      answersRaw: () => false,
       isFatal: () => false,
       slots: Number.POSITIVE_INFINITY,
       maximumWaiting: Number.POSITIVE_INFINITY,
@@ -257,7 +258,7 @@
       this.crash();
       return;
     }
-    if (this.behaviour === 'mute') return;
+    if (this.behaviour === 'mute' || this.options.answersRaw(received, request.socket)) return;
     if (this.behaviour === 'loses_answer') request.socket.resetAndDestroy();
     else if (headers['prompt-prefix'] !== undefined) await this.stream(request, response);
     else await this.answerPlain(id, response);
--- a/standIns/site/siteRunnerTypes.ts
+++ b/standIns/site/siteRunnerTypes.ts
@@ -2,6 +2,7 @@
  * What a stand-in for a runner does, and what it is told to do wrong.
  */
 import type { IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
 
 /** How a runner handles requests. */
 export type RunnerBehaviour =
@@ -65,6 +66,8 @@
   echoes?: boolean;
   /** Called for each request that starts to run, with the IP address of its sender. */
   onRan?: (request: ReceivedRequest, from: string) => void;
+  /** Writes an answer to the connection in the runner's place; returns whether it does. */
+  answersRaw?: (request: ReceivedRequest, socket: Socket) => boolean;
   /** Whether a request crashes the runner. */
   isFatal?: (request: ReceivedRequest) => boolean;
   /** Number of requests that it works on at the same time; more of them wait. */
