--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -98,8 +98,12 @@
   override answered(attempt: RunnerAttempt, answer: IncomingMessage): void {
     this.waits.recordHeard();
     this.report.answerBegun(framingOf(answer));
-    this.bufferedAnswers.begin(attempt, answer);
     const isStream = this.request.route.kind === 'stream' && isEventStream(answer);
+    if (this.relay.hasHead && !isStream) {
+      this.rejectAnswer(attempt, answer);
+      return;
+    }
+    this.bufferedAnswers.begin(attempt, answer);
     const { runner } = attempt;
     if (isStream) this.stream.take(attempt, answer, this.versions.versionAt(runner));
   }
@@ -110,7 +114,9 @@
       return;
     }
     this.waits.recordHeard();
-    if (!this.bufferedAnswers.take(attempt, chunk)) return;
+    const result = this.bufferedAnswers.take(attempt, chunk);
+    if (result === 'rejected') attempt.breakOff();
+    if (result !== 'passed') return;
     this.firstAnswerAt ??= this.now();
     for (const other of this.active) if (other !== attempt) other.cancel();
   }
@@ -121,7 +127,7 @@
     if (progress === 'event') this.quarantine.streamed(attempt, this.now());
     if (this.relay.hasHead) this.firstAnswerAt ??= this.now();
     if (this.stream.isBound) this.versions.record(attempt.runner);
-    if (progress === 'excess') attempt.breakOff();
+    if (progress === 'excess' || progress === 'rejected') attempt.breakOff();
   }
 
   override ended(attempt: RunnerAttempt): void {
@@ -133,26 +139,30 @@
     const held = this.bufferedAnswers.of(attempt);
     if (!held || this.relay.isDone) return;
     const { statusCode: status = SERVER_ERROR } = held.answer;
-    const failed = status >= SERVER_ERROR;
-    this.quarantine.answered(attempt, status);
-    this.outcomes.answered(attempt.runner, status);
+    this.recordAnswer(attempt, status);
     const isStream = this.stream.isFrom(attempt);
     if (isStream || this.bufferedAnswers.isPassing(attempt)) {
-      this.stopAttempts();
-      if (isStream) this.stream.end();
-      else this.relay.finish();
-      this.end('answered', 'answered');
-      return;
-    }
-    if (this.relay.hasHead) {
-      // A resumed stream got an answer that is not a stream; the caller must notice that its stream broke off.
-      this.endWith({ status: 502, reason: 'not_resumed' });
+      const isWhole = isStream ? this.stream.end() : this.relay.finish(attempt);
+      this.endAfterAnswer(isWhole);
       return;
     }
-    if (failed && this.retryAfterError(attempt, held)) return;
+    if (status >= SERVER_ERROR && this.retryAfterError(attempt, status, held)) return;
     this.answerBuffered(held);
   }
 
+  /**
+   * Ends an attempt whose answer is no stream although the caller has the beginning of one. A server error may be specific
+   * to that runner, so another one may go on.
+   */
+  private rejectAnswer(
+    attempt: RunnerAttempt,
+    { statusCode = SERVER_ERROR }: IncomingMessage,
+  ): void {
+    this.dropAnswer(attempt, statusCode);
+    if (statusCode >= SERVER_ERROR && this.retryAfterError(attempt, statusCode)) return;
+    this.endWith({ status: 502, reason: 'not_resumed' });
+  }
+
   override failed(attempt: RunnerAttempt, failure: AttemptFailure): void {
     this.active.delete(attempt);
     this.bufferedAnswers.drop(attempt);
@@ -278,10 +288,16 @@
   }
 
   private answerBuffered(held: BufferedAnswer): void {
-    this.stopAttempts();
     this.firstAnswerAt ??= this.now();
-    this.relay.sendBuffered(held);
-    this.end('answered', 'answered');
+    this.endAfterAnswer(this.relay.sendBuffered(held));
+  }
+
+  /** Cuts the caller's answer if it belongs to another source, so that it cannot be taken for complete. */
+  private endAfterAnswer(isWhole: boolean): void {
+    if (isWhole) {
+      this.stopAttempts();
+      this.end('answered', 'answered');
+    } else this.endWith({ status: 502, reason: 'not_resumed' });
   }
 
   /**
@@ -289,11 +305,11 @@
    *
    * @returns Whether the request goes on; otherwise the error has to be sent to the caller.
    */
-  private retryAfterError(attempt: RunnerAttempt, held: BufferedAnswer): boolean {
+  private retryAfterError(attempt: RunnerAttempt, status: number, held?: BufferedAnswer): boolean {
     this.tried.mayHaveRun += 1;
     this.fallback = held;
     if (this.active.size > 0 || this.isSelecting) return true;
-    const willRetry = this.retries.afterError(attempt, held.answer.statusCode ?? SERVER_ERROR);
+    const willRetry = this.retries.afterError(attempt, status);
     // If no other runner is available, `sendNext` has already sent this error to the caller.
     if (willRetry) this.sendNext();
     return willRetry;
@@ -388,7 +404,7 @@
     this.versions.end();
     const { firstAnswerAt, tried, relay } = this;
     this.report.ended({
-      ...{ event, outcome, status: relay.status, firstAnswerAt, tried: tried.count },
+      ...{ event, outcome, relay, firstAnswerAt, tried: tried.count },
       quarantinedParts: outcome === 'quarantined' ? this.quarantine.quarantinedParts : undefined,
     });
   }
--- a/src/forwarding/RequestParts.ts
+++ b/src/forwarding/RequestParts.ts
@@ -13,6 +13,7 @@
 import { RequestRetries } from './RequestRetries.js';
 import { RequestWaits } from './RequestWaits.js';
 import { AttemptObserver } from './RunnerAttempt.js';
+import type { RunnerAttempt } from './RunnerAttempt.js';
 import { requestWorkload } from './requestWorkload.js';
 import { RunnerOutcomes } from './RunnerOutcomes.js';
 import { StreamedAnswer } from './StreamedAnswer.js';
@@ -163,6 +164,20 @@
     return true;
   }
 
+  /** Records a complete answer, or one that is dropped. */
+  protected recordAnswer(attempt: RunnerAttempt, status: number): void {
+    this.quarantine.answered(attempt, status);
+    this.outcomes.answered(attempt.runner, status);
+  }
+
+  /** Ends an attempt whose answer is of no use. */
+  protected dropAnswer(attempt: RunnerAttempt, status: number): void {
+    attempt.dismiss();
+    this.active.delete(attempt);
+    this.recordAnswer(attempt, status);
+    this.report.answerRejected(attempt, status, this.relay);
+  }
+
   /** Records that the attempts in progress are about to be given up. */
   protected recordGivenUp(): void {
     const { targetLatencyMilliseconds } = this.request.route;
--- a/src/forwarding/forwardingFeature.ts
+++ b/src/forwarding/forwardingFeature.ts
@@ -181,4 +181,11 @@
     text: 'Evidence shows whether a runner has started again: its new entry, its own report, or the list of runners, read for long enough since.',
     operatorAction: 'None; if many last for more than a few seconds, check the store.',
   }),
+  answerRejected: defineLogEvent({
+    number: 2630,
+    name: 'forwarding.answer_rejected',
+    level: 'warn',
+    text: 'A runner that was to go on with a stream answered with something else. Its answer is dropped unread: the caller has events of the runners in the field answeredBy.',
+    operatorAction: 'Many for one runner: check that runner.',
+  }),
 };
