A runner's status below 200 or above 599 is a broken answer

Callers got no answer at all to a runner's status line of 020 or 099, and such statuses as 600 unchanged. Writing a head with a status below 100 throws after the request's timer has been cleared. The attempt is now failed as broken at the head. Other throws while an answer is written are not covered by this change.

--- a/src/forwarding/ForwardedRequest.spec.ts
+++ b/src/forwarding/ForwardedRequest.spec.ts
@@ -1,6 +1,7 @@
 import { IncomingMessage, ServerResponse } from 'node:http';
 import { Socket } from 'node:net';
 import { afterEach, beforeEach, describe, it, mock } from 'node:test';
+import { setImmediate as nextTurn } from 'node:timers/promises';
 
 import { expect } from 'earl';
 
@@ -25,6 +26,13 @@
 /** Ends a complete answer that is sent in chunks. */
 const LAST_CHUNK = '\r\n0\r\n\r\n';
 
+/** Resolves after a real time in ms, since timers stand still in these tests. */
+async function noAnswerAfter(milliseconds: number): Promise<string> {
+  const endAt = performance.now() + milliseconds;
+  while (performance.now() < endAt) await nextTurn();
+  return 'no answer';
+}
+
 describe('ForwardedRequest', () => {
   let test: RequestUnderTest;
 
@@ -358,6 +366,16 @@
     expect(await caller).toInclude('500 Internal Server Error');
   });
 
+  for (const status of ['020', '099', '600', '999']) {
+    // Guards against a caller that gets no answer at all, or one that is none.
+    it(`takes the status ${status} of a runner for a broken answer`, async () => {
+      const { runner, caller } = await begin({ route: { kind: 'at_most_once', resumable: false } });
+      const received = caller.then((text) => text.slice(0, 'HTTP/1.1 502'.length));
+      runner.end(plainAnswer(`${status} Strange`));
+      expect(await Promise.race([received, noAnswerAfter(1_000)])).toEqual('HTTP/1.1 502');
+    });
+  }
+
   it('reads an answer that waits in its socket before it checks the deadline', async () => {
     // Guards against a 504 for an answer that arrived in time. The process is paused for 100 ms, in which the answer arrives
     // and the deadline passes; after a pause, timers fire before data is read.
--- a/src/forwarding/RunnerAttempt.ts
+++ b/src/forwarding/RunnerAttempt.ts
@@ -83,6 +83,7 @@
 const MISDIRECTED = 421;
 const SUCCESS = 200;
 const REDIRECT = 300;
+const LAST_STATUS = 599;
 
 /** Sends a request to one runner and reports the result to its observer. */
 export class RunnerAttempt implements AnswerSource {
@@ -257,6 +258,10 @@
     const { protocol, observer, statements } = this.options;
     this.runner.lastHeardAt = this.options.clock.monotonicMilliseconds();
     const status = answer.statusCode ?? 0;
+    if (status < SUCCESS || status > LAST_STATUS) {
+      this.fail('broken');
+      return;
+    }
     if (this.isStray(answer, status)) {
       this.fail('stray_answer');
       return;
