Soak: all daemons lost at the same moment, beside releases

What callers saw: no stream went on, or at another software version, after all daemons had ended; the soak killed all of them in one kill of ten only, and its callers took a stream up once, at once, when no daemon was in touch yet, so that these take-ups were never counted.

Half of the callers come back at once, after 1 s and after 4.5 s, until the stream goes on; the others first after 5.5 s, when daemons are in touch again, so that not only the refused streams are counted. The checks and their excuses are as they were: ORDER at all times, LOST at daemons in touch (3 s after their start) while two runners of the version serve.

--- a/soak/SoakCallers.ts
+++ b/soak/SoakCallers.ts
@@ -2,6 +2,7 @@
  * Callers of the soak: send requests of all kinds at a constant rate, on connections that are kept open.
  */
 import { Agent } from 'node:http';
+import { setTimeout as wait } from 'node:timers/promises';
 
 import { callSite } from '../standIns/site/callSite.js';
 import type { SiteAnswer } from '../standIns/site/callSite.js';
@@ -62,6 +63,8 @@
   rate: number;
   /** Called with each request that has ended. */
   onEnd: (call: Call) => void;
+  /** Whether callers come back later with a stream that has broken off, and again if it did not go on. */
+  comesBack?: boolean;
 }
 
 interface SoakRequest {
@@ -102,6 +105,10 @@
   ['read', 1],
 ];
 
+/** Times before a stream is taken up, in ms; the last one is when a daemon that started again is connected to all. */
+const EARLY_PAUSES: readonly number[] = [0, 1_000, 4_500];
+const LATE_PAUSES: readonly number[] = [5_500];
+
 const PROMPTS = 20;
 
 /** Error of a caller that received nothing. */
@@ -167,12 +174,23 @@
   ): Promise<Call> {
     const ended = await this.follow(this.send({ daemon, kind, path, onData, body, part }));
     const takesUp = brokenStreamOf(ended);
-    if (takesUp) {
-      void this.follow(this.send({ daemon: this.choose(), kind, path, body: ended.body, takesUp }));
-    }
+    if (!takesUp) return ended;
+    const takeUp = () =>
+      this.send({ daemon: this.choose(), kind, path, body: ended.body, takesUp });
+    if (this.options.comesBack) void this.comeBack(takeUp);
+    else void this.follow(takeUp());
     return ended;
   }
 
+  /** Half of the callers come back at once first; at a daemon that has just started, a stream may be refused. */
+  private async comeBack(takeUp: () => Promise<Call>): Promise<void> {
+    const pauses = this.sent % 2 === 0 ? EARLY_PAUSES : LATE_PAUSES;
+    for (const pause of pauses) {
+      const { answer } = await this.follow(wait(pause).then(takeUp));
+      if (answer?.status === OK) return;
+    }
+  }
+
   private async follow(call: Promise<Call>): Promise<Call> {
     this.pending.add(call);
     const ended = await call;
--- a/soak/SoakDaemon.ts
+++ b/soak/SoakDaemon.ts
@@ -1,6 +1,8 @@
 /**
  * One daemon of the soak: its process, its link, and when its processes ran.
  */
+import { setTimeout as wait } from 'node:timers/promises';
+
 import type { SiteProcess } from '../standIns/site/SiteProcess.js';
 import type { FaultHistory } from './FaultHistory.js';
 import type { DaemonLink } from '../standIns/link/DaemonLink.js';
@@ -88,9 +90,7 @@
     void this.process.ended().then((code) => this.noteEnd(life, code));
     while (!Number.isFinite(life.endedAt) && !Number.isFinite(life.readyAt)) {
       if (await this.isReady()) life.readyAt = performance.now();
-      await new Promise((done) => {
-        setTimeout(done, POLL_MILLISECONDS);
-      });
+      await wait(POLL_MILLISECONDS);
     }
   }
 
@@ -99,9 +99,15 @@
    *
    * @param signal - signal that ends it.
    * @param downMilliseconds - time until it is started again.
+   * @param silentMilliseconds - time for which it is suspended before, as in a loss of power.
    */
-  async restart(signal: 'SIGTERM' | 'SIGKILL', downMilliseconds: number): Promise<void> {
-    this.restarting ??= this.endAndStart(signal, downMilliseconds).finally(() => {
+  async restart(
+    signal: 'SIGTERM' | 'SIGKILL',
+    downMilliseconds: number,
+    silentMilliseconds = 0,
+  ): Promise<void> {
+    const ended = () => this.endAndStart(signal, downMilliseconds, silentMilliseconds);
+    this.restarting ??= ended().finally(() => {
       this.restarting = undefined;
     });
     await this.restarting;
@@ -114,18 +120,25 @@
     await this.link.stop();
   }
 
-  private async endAndStart(signal: 'SIGTERM' | 'SIGKILL', wait: number): Promise<void> {
+  private async endAndStart(
+    signal: 'SIGTERM' | 'SIGKILL',
+    downMilliseconds: number,
+    silentMilliseconds: number,
+  ): Promise<void> {
     const { index, life } = this;
     if (!life) return;
     const kind = signal === 'SIGTERM' && this.isUp ? 'stop' : 'kill';
-    const text = `daemon-${index} gets ${signal}, starts again ${wait} ms after its end`;
+    const silence = silentMilliseconds > 0 ? ` after ${silentMilliseconds} ms of silence` : '';
+    const text = `daemon-${index} gets ${signal}${silence}, starts again ${downMilliseconds} ms after its end`;
     const over = this.history.begin({ kind, daemon: index, text });
     life.isEnding = true;
+    if (silentMilliseconds > 0) {
+      this.process.signal('SIGSTOP');
+      await wait(silentMilliseconds);
+    }
     this.process.signal(signal);
     await this.process.ended();
-    await new Promise((done) => {
-      setTimeout(done, wait);
-    });
+    await wait(downMilliseconds);
     await this.start();
     over();
   }
--- a/soak/faults/faultPlan.ts
+++ b/soak/faults/faultPlan.ts
@@ -11,7 +11,7 @@
   SilencedLink,
   SlowLink,
 } from './linkFaults.js';
-import { Kill, Pause, Reload, RollingRestart } from './processFaults.js';
+import { Kill, LossOfAll, Pause, Reload, RollingRestart } from './processFaults.js';
 import {
   BrittleRunnersInSurge,
   EvacuatedPlace,
@@ -97,15 +97,28 @@
 /** Bounds of the time from one fatal prompt part to the next, in ms; some overlap. */
 const PART_PAUSES: readonly [number, number] = [5_000, 14_000];
 
+/** Time until the first loss of all daemons, in ms; streams of both versions are in progress by then. */
+const LOSS_MILLISECONDS = 3_000;
+
+/** Bounds of the time from one loss of all daemons to the next, in ms; streams are taken up again in between. */
+const LOSS_PAUSES: readonly [number, number] = [7_000, 10_000];
+
+/** Time until the first release beside losses of all daemons, in ms. */
+const RELEASE_MILLISECONDS = 1_500;
+
+/** Bounds of the time from one release to the next, in ms. */
+const RELEASE_PAUSES: readonly [number, number] = [1_000, 3_000];
+
 /** Plans faults of one kind, independently of other kinds. */
 function planSeparately(
   draw: Draw,
   seconds: number,
   pauses: readonly [number, number],
   create: () => Fault,
+  first = SERIES_MILLISECONDS,
 ): PlannedFault[] {
   const plan: PlannedFault[] = [];
-  let at = SERIES_MILLISECONDS;
+  let at = first;
   while (at < seconds * 1_000) {
     plan.push({ at, fault: create() });
     at += draw.between(...pauses);
@@ -144,3 +157,17 @@
   const parts = planSeparately(draw, seconds, PART_PAUSES, () => new FatalPart(draw));
   return [...plan, ...statements, ...evacuations, ...restores, ...paths, ...surges, ...parts];
 }
+
+/**
+ * @param draw - random choices.
+ * @param seconds - duration in which faults start.
+ * @returns Losses of all daemons beside releases of runners, and nothing else.
+ */
+export function planLosses(draw: Draw, seconds: number): PlannedFault[] {
+  const loss = () => new LossOfAll(draw);
+  const release = () => new (draw.one([RunnerLeaves, RunnerRestart]))(draw);
+  return [
+    ...planSeparately(draw, seconds, LOSS_PAUSES, loss, LOSS_MILLISECONDS),
+    ...planSeparately(draw, seconds, RELEASE_PAUSES, release, RELEASE_MILLISECONDS),
+  ];
+}
--- a/soak/faults/processFaults.ts
+++ b/soak/faults/processFaults.ts
@@ -1,6 +1,7 @@
 /**
  * Faults of the processes of daemons, caused by signals.
  */
+import type { SoakDaemon } from '../SoakDaemon.js';
 import type { FaultContext } from './Fault.js';
 import { Fault } from './Fault.js';
 
@@ -41,6 +42,20 @@
   }
 }
 
+/** Ends all daemons at the same moment, by a kill or a loss of power, and starts them again. */
+export class LossOfAll extends Fault {
+  private readonly silentMilliseconds = this.draw.one([0, this.draw.between(300, 1_500)]);
+
+  private readonly downMilliseconds = this.draw.between(0, 1_000);
+
+  override async play({ site }: FaultContext): Promise<void> {
+    const { silentMilliseconds, downMilliseconds } = this;
+    const lose = (daemon: SoakDaemon) =>
+      daemon.restart('SIGKILL', downMilliseconds, silentMilliseconds);
+    await Promise.all(site.daemons.map(lose));
+  }
+}
+
 /** Suspends a process and resumes it, several times in a row. */
 export class Pause extends Fault {
   private readonly index = this.draw.daemon();
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -19,7 +19,7 @@
 import { VersionChecks } from './checks/VersionChecks.js';
 import { Violations } from './checks/Violations.js';
 import { Draw } from './faults/Fault.js';
-import { planFaults } from './faults/faultPlan.js';
+import { planFaults, planLosses } from './faults/faultPlan.js';
 import type { PlannedFault } from './faults/faultPlan.js';
 import { SoakCallers } from './SoakCallers.js';
 import type { Call } from './SoakCallers.js';
@@ -36,6 +36,8 @@
   runnersOfService?: number;
   /** Requests per second. */
   rate?: number;
+  /** Whether all daemons are lost at the same moment, beside releases only; their callers come back more than once. */
+  losesAll?: boolean;
   /** Creates the plan of faults; by default, it is drawn from the seed. */
   plan?: (draw: Draw, seconds: number) => PlannedFault[];
 }
@@ -76,7 +78,8 @@
 }
 
 async function soak(site: SoakSite, options: SoakOptions): Promise<Violations> {
-  const { seed, seconds, rate = 40, plan = planFaults } = options;
+  const { seed, seconds, rate = 40, losesAll = false } = options;
+  const { plan = losesAll ? planLosses : planFaults } = options;
   const { daemons } = site;
   const checks = createChecks(site);
   const { violations, answers, drains, statements, configurations, paths, versions } = checks;
@@ -86,7 +89,7 @@
     answers.checkAnswer(call);
     versions.checkAnswer(call);
   };
-  const callers = new SoakCallers({ daemons, random, rate, onEnd });
+  const callers = new SoakCallers({ daemons, random, rate, onEnd, comesBack: losesAll });
   await callers.start();
   configurations.start(callers);
   await play(planned, ({ fault }) => fault.play({ site, callers, drains, violations }));
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -1,7 +1,8 @@
 /**
  * Runs a fleet of real processes under load and faults. `npm run soak -- --seed 7` plays one seed, `--seeds 50` as many,
  * starting with that one; `--seconds`, `--daemons`, `--runners` (of each service) and `--rate` (requests per second) set the
- * size; `--logs FOLDER` keeps the logs of the daemons.
+ * size; `--losses` plays losses of all daemons beside releases instead of the other faults; `--logs FOLDER` keeps the logs
+ * of the daemons.
  */
 import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
@@ -20,6 +21,7 @@
     daemons: { type: 'string', default: '4' },
     runners: { type: 'string', default: '4' },
     rate: { type: 'string', default: '40' },
+    losses: { type: 'boolean', default: false },
     logs: { type: 'string' },
   },
 });
@@ -40,6 +42,7 @@
       daemons: Number(values.daemons),
       runnersOfService: Number(values.runners),
       rate: Number(values.rate),
+      losesAll: values.losses,
     });
     for (const line of reportLines(seed, result)) console.log(line);
     if (values.logs !== undefined) writeLogs(result, join(values.logs, `seed-${seed}`));
