--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -22,7 +22,6 @@
 import { RequestTimer } from './RequestTimer.js';
 import { isEventStream } from './StreamedAnswer.js';
 import type { EndEvent } from './RequestReport.js';
-import { createAttempt } from './createAttempt.js';
 
 const SERVER_ERROR = 500;
 
@@ -150,10 +149,7 @@
     this.answerBuffered(held);
   }
 
-  /**
-   * Ends an attempt whose answer is no stream although the caller has the beginning of one. A server error may be specific
-   * to that runner, so another one may go on.
-   */
+  /** A runner that was to go on with a stream answers with something else. After a server error another one may go on. */
   private rejectAnswer(
     attempt: RunnerAttempt,
     { statusCode = SERVER_ERROR }: IncomingMessage,
@@ -201,9 +197,9 @@
 
   private handleHandOverEnd(end: HandOverEnd): void {
     const { mayHaveRun } = this.tried;
-    const hasAttempts = this.active.size > 0;
-    const { isBegun } = this;
-    match(stepAfterHandOver({ end, hasAttempts, mayHaveRun: mayHaveRun > 0, isBegun }))
+    const { isBegun, active } = this;
+    const state = { hasAttempts: active.size > 0, mayHaveRun: mayHaveRun > 0, isBegun };
+    match(stepAfterHandOver({ end, ...state }))
       .with('finish', () => {
         this.firstAnswerAt ??= this.now();
         this.end(end === 'answered' ? 'answered' : 'notServed', 'handed_over');
@@ -260,15 +256,7 @@
   }
 
   private send(chosen: Choice): void {
-    const { request, body, context, tried } = this;
-    if (tried.count > 0) context.metrics.retries.increment();
-    tried.recordAttempt(chosen.runner.entry.life);
-    this.report.chosen(chosen);
-    this.versions.record(chosen.runner);
-    const resumesAfter = this.stream.lastEventId;
-    const options = { chosen, request, body, context, tried, observer: this, resumesAfter };
-    const attempt = createAttempt(options);
-    this.active.add(attempt);
+    const attempt = this.createAttempt(chosen);
     this.waits.recordSent();
     attempt.start();
     this.scheduleCheck();
--- a/src/forwarding/RequestParts.ts
+++ b/src/forwarding/RequestParts.ts
@@ -2,11 +2,12 @@
  * The parts of one forwarded request, each of which keeps a side of its state.
  */
 import { requestSubjects } from '../quarantine/requestSubjects.js';
-import type { ChoiceQuestion } from '../runners/RunnerChoice.js';
+import type { Choice, ChoiceQuestion } from '../runners/RunnerChoice.js';
 import { StreamVersionSession } from '../streamVersions/StreamVersionSession.js';
 import { ActiveAttempts } from './ActiveAttempts.js';
 import type { AnswerRelay } from './AnswerRelay.js';
 import { BufferedAnswers } from './BufferedAnswers.js';
+import { createAttempt } from './createAttempt.js';
 import type { AdmittedRequest, ForwardingContext } from './forwardingTypes.js';
 import { QuarantineSession } from './QuarantineSession.js';
 import { RequestReport } from './RequestReport.js';
@@ -137,6 +138,20 @@
     };
   }
 
+  /** Creates the attempt at a runner, and records it. */
+  protected createAttempt(chosen: Choice): RunnerAttempt {
+    const { request, body, context, tried } = this;
+    if (tried.count > 0) context.metrics.retries.increment();
+    tried.recordAttempt(chosen.runner.entry.life);
+    this.report.chosen(chosen);
+    this.versions.record(chosen.runner);
+    const resumesAfter = this.stream.lastEventId;
+    const options = { chosen, request, body, context, tried, observer: this, resumesAfter };
+    const attempt = createAttempt(options);
+    this.active.add(attempt);
+    return attempt;
+  }
+
   /** @returns Monotonic ms. */
   protected now(): number {
     return this.context.clock.monotonicMilliseconds();
