A stream whose version is unknown goes on nowhere; one that is over ends at once

Suspected, not seen with real daemons: a request that was handed over to another daemon, and whose stream began there at a runner in doubt, has events but no version; after a break it could go on at any version. And a stream in doubt that could not go on anyway waited for the end of the doubt before its caller was told.

Cause: the wait looked only at runners of this daemon, and came before the verdict.

Change: events without a version count as unknown; only a stream that may go on waits.

Measured: the new case of StreamVersionSession.spec.ts failed before and passes; src/streamVersions, src/forwarding and src/handover: 220 passed, 0 failed. The wait after the verdict has no test of its own.

--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -172,10 +172,11 @@
   }
 
   private proceed(verdict: RetryDecision['verdict'], failure: AttemptFailure): void {
-    if (!this.versions.settle()) this.waitForVersion(verdict, failure);
+    const isOver = verdict !== 'retry' && !this.handOver.mayHelp;
+    if (isOver) this.giveUp(verdict, failure);
+    else if (!this.versions.settle()) this.waitForVersion(verdict, failure);
     else if (verdict === 'retry') this.sendNext();
-    else if (this.handOver.mayHelp) this.beginHandOver();
-    else this.giveUp(verdict, failure);
+    else this.beginHandOver();
   }
 
   /** Goes on once the version of the runner that sent the events is known. */
--- a/src/streamVersions/StreamVersionSession.spec.ts
+++ b/src/streamVersions/StreamVersionSession.spec.ts
@@ -93,6 +93,14 @@
     expect([session.settle(), stream.softwareVersion]).toEqual([true, undefined]);
   });
 
+  it('does not go on if another daemon has sent its events without a version', () => {
+    // Guards against a request that was handed over, and whose events are from a runner in doubt there.
+    stream.lastEventId = '1';
+    expect(session.settle()).toEqual(false);
+    stream.bindTo('v1');
+    expect(session.settle()).toEqual(true);
+  });
+
   it('goes on at once if the doubt has arisen after its events', () => {
     // Guards against streams of a crashed runner that wait for its next entry.
     begin()();
--- a/src/streamVersions/StreamVersionSession.ts
+++ b/src/streamVersions/StreamVersionSession.ts
@@ -92,7 +92,9 @@
    */
   settle(): boolean {
     const { doubted, options } = this;
-    if (!doubted || options.stream.lastEventId === undefined) return true;
+    if (options.stream.lastEventId === undefined) return true;
+    // Without a version, events are from a runner that is in doubt at the daemon that the request was handed over to.
+    if (!doubted) return options.stream.isBound;
     const version = doubted.settledVersion;
     if (version === undefined) return false;
     options.stream.bindTo(version);
