--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -155,8 +155,7 @@
       hasCoordinators: () => this.coordination.coordinators.length > 0,
     });
     this.news = createNews({
-      ...{ clock, log, foreignLoads, registry, knowledge, warmPlaces },
-      daemon: entry,
+      ...{ daemon: entry, clock, log, foreignLoads, registry, knowledge, warmPlaces },
       capacity: this.capacity,
       coordination: () => this.coordination,
       isLeaving: () => this.phase !== 'serving',
@@ -167,9 +166,8 @@
     const { coordination } = this;
     this.directory = new CallerDirectory({ settings, knowledge, coordination, clock });
     this.quarantineTask = new QuarantineTask({
-      ...{ daemon: entry, store, clock, log, registry },
+      ...{ daemon: entry, store, clock, log, registry, runners: knowledge.runners },
       socket: this.news.socket,
-      runners: knowledge.runners,
       reportRecipients: () => coordination.reportRecipients(),
       broadcastRecipients: () => coordination.broadcastRecipients(),
       canReadMessages: () => knowledge.secret !== undefined,
@@ -192,8 +190,8 @@
     });
     const { connections, capacity, streamVersions } = this;
     const context = createForwardingContext({
-      ...{ settings, protocol, clock, log, knowledge, registry, coordination },
-      ...{ connections, capacity, streamVersions },
+      ...{ settings, protocol, clock, log, knowledge, registry, coordination, connections },
+      ...{ capacity, streamVersions },
       quarantine: this.quarantineTask.quarantine,
       path: this.handOver.path,
       handOver: this.handOver.task,
@@ -201,21 +199,18 @@
       follower: () => this.follower,
     });
     this.front = new ForwardingServer(context);
-    this.listings = new ListingExchange({ knowledge, clock, isAllowedHost });
+    const listings = new ListingExchange({ knowledge, clock, isAllowedHost });
+    this.listings = listings;
     this.follower = createStoreFollower({
       ...{ daemon: name, store, knowledge, clock, log, gatherMilliseconds, coordination },
-      listings: this.listings,
-      registry,
+      ...{ listings, registry },
     });
     const isListed = () => knowledge.daemons.has(name);
     this.registration = new DaemonRegistration({ store, log, clock, daemon: entry, isListed });
     this.peerParts = createPeerParts({
       ...{ settings, knowledge, clock, log, coordination, follower: this.follower },
       handlers: new Map([
-        [
-          LIVENESS_PATH,
-          (request, response) => coordination.livenessPeers.answer(request, response),
-        ],
+        [LIVENESS_PATH, (...exchange) => coordination.livenessPeers.answer(...exchange)],
         [QUARANTINE_PATH, this.quarantineTask.peerHandler],
         [LISTING_PATH, this.listings.handler],
         [HAND_OVER_PATH, this.handOver.handlerFor(context, isAllowedHost)],
--- a/src/streamVersions/StreamKeepers.ts
+++ b/src/streamVersions/StreamKeepers.ts
@@ -20,6 +20,12 @@
 /** Daemons of the fleet for each one that writes to the store, which takes some hundred writes a second of all. */
 const DAEMONS_FOR_WRITER = 24;
 
+/**
+ * Fewest daemons that write to the store where not all daemons keep all records: with half of the fleet lost, those of all
+ * buckets would too often be among them.
+ */
+const FEWEST_WRITERS_OF_LARGE_FLEET = 4;
+
 /** Streams are ordered by groups, because ordering hundreds of daemons for each stream takes too long. */
 const GROUPS = 256n;
 
@@ -44,8 +50,9 @@
     this.daemons = daemons;
     if (isSame) return;
     this.orders.clear();
+    const fewest = this.isSmall ? WRITERS_OF_BUCKET : FEWEST_WRITERS_OF_LARGE_FLEET;
     const count = Math.ceil(daemons.length / DAEMONS_FOR_WRITER);
-    const writers = Math.min(Math.max(count, WRITERS_OF_BUCKET), STREAM_BUCKETS);
+    const writers = Math.min(Math.max(count, fewest), STREAM_BUCKETS);
     this.writers = this.orderFor('stream writers').slice(0, writers);
   }
 
