--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -22,10 +22,12 @@
 import { RequestTimer } from './RequestTimer.js';
 import { isEventStream } from './StreamedAnswer.js';
 import type { EndEvent } from './RequestReport.js';
-import { createAttempt } from './createAttempt.js';
 
 const SERVER_ERROR = 500;
 
+/** Interval between looks whether the version of a stream that broke off is known, in ms. */
+const VERSION_CHECK_MILLISECONDS = 50;
+
 /** State of one forwarded request; observes the attempts that it sends. */
 export class ForwardedRequest extends RequestParts {
   private readonly timer: RequestTimer;
@@ -76,10 +78,10 @@
   /** Finds the software version that began the stream that the caller takes up. */
   private findVersion(): void {
     this.timer.set(this.request.deadlineAt);
-    this.versions.resolve((isKnown) => {
+    this.versions.resolve(({ softwareVersion, retryAfterSeconds }) => {
       if (this.relay.isDone) return;
-      if (isKnown) this.sendNext();
-      else this.endWith({ status: 503, reason: 'version_unknown' });
+      if (softwareVersion !== undefined) this.sendNext();
+      else this.endWith({ status: 503, reason: 'version_unknown', retryAfterSeconds });
     });
   }
 
@@ -95,10 +97,14 @@
   override answered(attempt: RunnerAttempt, answer: IncomingMessage): void {
     this.waits.recordHeard();
     this.report.answerBegun(framingOf(answer));
-    this.bufferedAnswers.begin(attempt, answer);
     const isStream = this.request.route.kind === 'stream' && isEventStream(answer);
+    if (this.relay.hasHead && !isStream) {
+      this.rejectAnswer(attempt, answer);
+      return;
+    }
+    this.bufferedAnswers.begin(attempt, answer);
     const { runner } = attempt;
-    if (isStream) this.stream.take(attempt, answer, () => runner.answeringVersion);
+    if (isStream) this.stream.take(attempt, answer, this.versions.versionAt(runner));
   }
 
   override received(attempt: RunnerAttempt, chunk: Buffer): void {
@@ -107,7 +113,9 @@
       return;
     }
     this.waits.recordHeard();
-    if (!this.bufferedAnswers.take(attempt, chunk)) return;
+    const result = this.bufferedAnswers.take(attempt, chunk);
+    if (result === 'rejected') attempt.breakOff();
+    if (result !== 'passed') return;
     this.firstAnswerAt ??= this.now();
     for (const other of this.active) if (other !== attempt) other.cancel();
   }
@@ -118,7 +126,7 @@
     if (progress === 'event') this.quarantine.streamed(attempt, this.now());
     if (this.relay.hasHead) this.firstAnswerAt ??= this.now();
     if (this.stream.isBound) this.versions.record(attempt.runner);
-    if (progress === 'excess') attempt.breakOff();
+    if (progress === 'excess' || progress === 'rejected') attempt.breakOff();
   }
 
   override ended(attempt: RunnerAttempt): void {
@@ -130,26 +138,27 @@
     const held = this.bufferedAnswers.of(attempt);
     if (!held || this.relay.isDone) return;
     const { statusCode: status = SERVER_ERROR } = held.answer;
-    const failed = status >= SERVER_ERROR;
-    this.quarantine.answered(attempt, status);
-    this.outcomes.answered(attempt.runner, status);
+    this.recordAnswer(attempt, status);
     const isStream = this.stream.isFrom(attempt);
     if (isStream || this.bufferedAnswers.isPassing(attempt)) {
-      this.stopAttempts();
-      if (isStream) this.stream.end();
-      else this.relay.finish();
-      this.end('answered', 'answered');
+      const isWhole = isStream ? this.stream.end() : this.relay.finish(attempt);
+      this.endAfterAnswer(isWhole);
       return;
     }
-    if (this.relay.hasHead) {
-      // A resumed stream got an answer that is not a stream; the caller must notice that its stream broke off.
-      this.endWith({ status: 502, reason: 'not_resumed' });
-      return;
-    }
-    if (failed && this.retryAfterError(attempt, held)) return;
+    if (status >= SERVER_ERROR && this.retryAfterError(attempt, status, held)) return;
     this.answerBuffered(held);
   }
 
+  /** A runner that was to go on with a stream answers with something else. After a server error another one may go on. */
+  private rejectAnswer(
+    attempt: RunnerAttempt,
+    { statusCode = SERVER_ERROR }: IncomingMessage,
+  ): void {
+    this.dropAnswer(attempt, statusCode);
+    if (statusCode >= SERVER_ERROR && this.retryAfterError(attempt, statusCode)) return;
+    this.endWith({ status: 502, reason: 'not_resumed' });
+  }
+
   override failed(attempt: RunnerAttempt, failure: AttemptFailure): void {
     this.active.delete(attempt);
     this.bufferedAnswers.drop(attempt);
@@ -169,9 +178,17 @@
   }
 
   private proceed(verdict: RetryDecision['verdict'], failure: AttemptFailure): void {
-    if (verdict === 'retry') this.sendNext();
-    else if (this.handOver.mayHelp) this.beginHandOver();
-    else this.giveUp(verdict, failure);
+    const isOver = verdict !== 'retry' && !this.handOver.mayHelp;
+    if (isOver) this.giveUp(verdict, failure);
+    else if (!this.versions.settle()) this.waitForVersion(verdict, failure);
+    else if (verdict === 'retry') this.sendNext();
+    else this.beginHandOver();
+  }
+
+  /** Goes on once the version of the runner that sent the events is known. */
+  private waitForVersion(verdict: RetryDecision['verdict'], failure: AttemptFailure): void {
+    this.afterVersion = () => this.proceed(verdict, failure);
+    this.timer.set(Math.min(this.now() + VERSION_CHECK_MILLISECONDS, this.request.deadlineAt));
   }
 
   private beginHandOver(): void {
@@ -181,9 +198,9 @@
 
   private handleHandOverEnd(end: HandOverEnd): void {
     const { mayHaveRun } = this.tried;
-    const hasAttempts = this.active.size > 0;
-    const { isBegun } = this;
-    match(stepAfterHandOver({ end, hasAttempts, mayHaveRun: mayHaveRun > 0, isBegun }))
+    const { isBegun, active } = this;
+    const state = { hasAttempts: active.size > 0, mayHaveRun: mayHaveRun > 0, isBegun };
+    match(stepAfterHandOver({ end, ...state }))
       .with('finish', () => {
         this.firstAnswerAt ??= this.now();
         this.end(end === 'answered' ? 'answered' : 'notServed', 'handed_over');
@@ -200,11 +217,6 @@
       .exhaustive();
   }
 
-  /** Whether the caller has the beginning of an answer that cannot be resumed. */
-  private get isBegun(): boolean {
-    return this.relay.hasHead && this.stream.lastEventId === undefined;
-  }
-
   private verdictOn(attempt: RunnerAttempt, failure: AttemptFailure): AttemptVerdict {
     // The caller already has the beginning of this answer, and another runner's answer cannot continue it.
     if (this.bufferedAnswers.isPassing(attempt)) return { verdict: 'cut' };
@@ -245,15 +257,7 @@
   }
 
   private send(chosen: Choice): void {
-    const { request, body, context, tried } = this;
-    if (tried.count > 0) context.metrics.retries.increment();
-    tried.recordAttempt(chosen.runner.entry.life);
-    this.report.chosen(chosen);
-    this.versions.record(chosen.runner);
-    const resumesAfter = this.stream.lastEventId;
-    const options = { chosen, request, body, context, tried, observer: this, resumesAfter };
-    const attempt = createAttempt(options);
-    this.active.add(attempt);
+    const attempt = this.createAttempt(chosen);
     this.waits.recordSent();
     attempt.start();
     this.scheduleCheck();
@@ -273,10 +277,16 @@
   }
 
   private answerBuffered(held: BufferedAnswer): void {
-    this.stopAttempts();
     this.firstAnswerAt ??= this.now();
-    this.relay.sendBuffered(held);
-    this.end('answered', 'answered');
+    this.endAfterAnswer(this.relay.sendBuffered(held));
+  }
+
+  /** Cuts the caller's answer if it belongs to another source, so that it cannot be taken for complete. */
+  private endAfterAnswer(isWhole: boolean): void {
+    if (isWhole) {
+      this.stopAttempts();
+      this.end('answered', 'answered');
+    } else this.endWith({ status: 502, reason: 'not_resumed' });
   }
 
   /**
@@ -284,11 +294,11 @@
    *
    * @returns Whether the request goes on; otherwise the error has to be sent to the caller.
    */
-  private retryAfterError(attempt: RunnerAttempt, held: BufferedAnswer): boolean {
+  private retryAfterError(attempt: RunnerAttempt, status: number, held?: BufferedAnswer): boolean {
     this.tried.mayHaveRun += 1;
     this.fallback = held;
     if (this.active.size > 0 || this.isSelecting) return true;
-    const willRetry = this.retries.afterError(attempt, held.answer.statusCode ?? SERVER_ERROR);
+    const willRetry = this.retries.afterError(attempt, status);
     // If no other runner is available, `sendNext` has already sent this error to the caller.
     if (willRetry) this.sendNext();
     return willRetry;
@@ -328,15 +338,6 @@
     this.active.cancelAll(this.quarantine);
   }
 
-  /** Leaves the attempts, whose runners cannot answer, as another daemon takes the request. */
-  private leaveAttempts(): boolean {
-    if (this.isBegun || !this.waits.takeMove()) return false;
-    this.tried.mayHaveRun += this.active.size;
-    this.stream.breakOff();
-    this.active.cancelAll(this.quarantine);
-    return true;
-  }
-
   private scheduleCheck(): void {
     this.timer.set(this.waits.nextCheckAt);
   }
@@ -347,6 +348,7 @@
       this.expire();
       return;
     }
+    if (this.continueWithVersion()) return;
     if (this.isWaitingForRunner) {
       this.isWaitingForRunner = false;
       this.tried.readmitRefusing();
@@ -391,7 +393,7 @@
     this.versions.end();
     const { firstAnswerAt, tried, relay } = this;
     this.report.ended({
-      ...{ event, outcome, status: relay.status, firstAnswerAt, tried: tried.count },
+      ...{ event, outcome, relay, firstAnswerAt, tried: tried.count },
       quarantinedParts: outcome === 'quarantined' ? this.quarantine.quarantinedParts : undefined,
     });
   }
--- a/src/forwarding/RequestParts.ts
+++ b/src/forwarding/RequestParts.ts
@@ -2,17 +2,19 @@
  * The parts of one forwarded request, each of which keeps a side of its state.
  */
 import { requestSubjects } from '../quarantine/requestSubjects.js';
-import type { ChoiceQuestion } from '../runners/RunnerChoice.js';
+import type { Choice, ChoiceQuestion } from '../runners/RunnerChoice.js';
 import { StreamVersionSession } from '../streamVersions/StreamVersionSession.js';
 import { ActiveAttempts } from './ActiveAttempts.js';
 import type { AnswerRelay } from './AnswerRelay.js';
 import { BufferedAnswers } from './BufferedAnswers.js';
+import { createAttempt } from './createAttempt.js';
 import type { AdmittedRequest, ForwardingContext } from './forwardingTypes.js';
 import { QuarantineSession } from './QuarantineSession.js';
 import { RequestReport } from './RequestReport.js';
 import { RequestRetries } from './RequestRetries.js';
 import { RequestWaits } from './RequestWaits.js';
 import { AttemptObserver } from './RunnerAttempt.js';
+import type { RunnerAttempt } from './RunnerAttempt.js';
 import { requestWorkload } from './requestWorkload.js';
 import { RunnerOutcomes } from './RunnerOutcomes.js';
 import { StreamedAnswer } from './StreamedAnswer.js';
@@ -73,6 +75,9 @@
 
   protected readonly waits: RequestWaits;
 
+  /** Continues the request, which waits for the version of its stream. */
+  protected afterVersion: (() => void) | undefined;
+
   /**
    * @param options - the request and the relay that writes its answer.
    */
@@ -133,11 +138,61 @@
     };
   }
 
+  /** Creates the attempt at a runner, and records it. */
+  protected createAttempt(chosen: Choice): RunnerAttempt {
+    const { request, body, context, tried } = this;
+    if (tried.count > 0) context.metrics.retries.increment();
+    tried.recordAttempt(chosen.runner.entry.life);
+    this.report.chosen(chosen);
+    this.versions.record(chosen.runner);
+    const resumesAfter = this.stream.lastEventId;
+    const options = { chosen, request, body, context, tried, observer: this, resumesAfter };
+    const attempt = createAttempt(options);
+    this.active.add(attempt);
+    return attempt;
+  }
+
   /** @returns Monotonic ms. */
   protected now(): number {
     return this.context.clock.monotonicMilliseconds();
   }
 
+  /** Whether the caller has the beginning of an answer that cannot be resumed. */
+  protected get isBegun(): boolean {
+    return this.relay.hasHead && this.stream.lastEventId === undefined;
+  }
+
+  /** @returns Whether the request has waited for the version of its stream; it looks again whether that is known. */
+  protected continueWithVersion(): boolean {
+    const { afterVersion } = this;
+    this.afterVersion = undefined;
+    afterVersion?.();
+    return afterVersion !== undefined;
+  }
+
+  /** Leaves the attempts, whose runners cannot answer, as another daemon takes the request. */
+  protected leaveAttempts(): boolean {
+    if (this.isBegun || !this.versions.settle() || !this.waits.takeMove()) return false;
+    this.tried.mayHaveRun += this.active.size;
+    this.stream.breakOff();
+    this.active.cancelAll(this.quarantine);
+    return true;
+  }
+
+  /** Records a complete answer, or one that is dropped. */
+  protected recordAnswer(attempt: RunnerAttempt, status: number): void {
+    this.quarantine.answered(attempt, status);
+    this.outcomes.answered(attempt.runner, status);
+  }
+
+  /** Ends an attempt whose answer is of no use. */
+  protected dropAnswer(attempt: RunnerAttempt, status: number): void {
+    attempt.dismiss();
+    this.active.delete(attempt);
+    this.recordAnswer(attempt, status);
+    this.report.answerRejected(attempt, status, this.relay);
+  }
+
   /** Records that the attempts in progress are about to be given up. */
   protected recordGivenUp(): void {
     const { targetLatencyMilliseconds } = this.request.route;
--- a/src/forwarding/forwardingFeature.ts
+++ b/src/forwarding/forwardingFeature.ts
@@ -152,4 +152,40 @@
     operatorAction:
       'None while daemons end or are cut off from each other; otherwise check that datagrams pass between them.',
   }),
+  archiveRead: defineLogEvent({
+    number: 2621,
+    name: 'forwarding.archive_read',
+    level: 'info',
+    text: 'A daemon that has started has read from the store which software versions began the streams in progress.',
+    operatorAction: 'None; the field skipped counts entries that could not be decoded.',
+  }),
+  archiveFailed: defineLogEvent({
+    number: 2622,
+    name: 'forwarding.archive_failed',
+    level: 'warn',
+    text: 'The software versions of streams could not be read from the store, or written to it; it is tried again. At most one line in 5 s.',
+    operatorAction:
+      'Check the store. If all daemons end before it is back, callers cannot take up the streams that began since.',
+  }),
+  restartDoubted: defineLogEvent({
+    number: 2625,
+    name: 'forwarding.restart_doubted',
+    level: 'info',
+    text: 'A runner may have started again, at another software version perhaps: it has closed an idle connection or refused one, or another daemon says so. It gets no streams that may be taken up, as long as enough other runners are left.',
+    operatorAction: 'None; line 2626 of the same runner shows what ended the doubt.',
+  }),
+  restartDoubtEnded: defineLogEvent({
+    number: 2626,
+    name: 'forwarding.restart_doubt_ended',
+    level: 'info',
+    text: 'Evidence shows whether a runner has started again: its new entry, its own report, or the list of runners, read for long enough since.',
+    operatorAction: 'None; if many last for more than a few seconds, check the store.',
+  }),
+  answerRejected: defineLogEvent({
+    number: 2630,
+    name: 'forwarding.answer_rejected',
+    level: 'warn',
+    text: 'A runner that was to go on with a stream answered with something else. Its answer is dropped unread: the caller has events of the runners in the field answeredBy.',
+    operatorAction: 'Many for one runner: check that runner.',
+  }),
 };
--- a/src/streamVersions/StreamVersionSession.ts
+++ b/src/streamVersions/StreamVersionSession.ts
@@ -6,7 +6,7 @@
 import type { StreamedAnswer } from '../forwarding/StreamedAnswer.js';
 import type { Runner } from '../runners/Runner.js';
 import type { StreamName } from './streamKey.js';
-import type { StreamVersionTask } from './StreamVersionTask.js';
+import type { StreamVersionTask, TakeUpResult } from './StreamVersionTask.js';
 
 /** Options of a {@link StreamVersionSession}. */
 export interface StreamVersionSessionOptions {
@@ -26,6 +26,9 @@
   /** The version that was recorded last. */
   private recorded: string | undefined;
 
+  /** Runner that supplies the stream, or did until it broke off, if its version is in doubt. */
+  private doubted: Runner | undefined;
+
   /** Key of the stream, once it has been recorded. */
   private key: bigint | undefined;
 
@@ -54,25 +57,59 @@
   /**
    * Finds the version and binds the stream to it.
    *
-   * @param done - called once, with whether the version is known.
+   * @param done - called once, with the version if it is known, or else when it may be.
    */
-  resolve(done: (isKnown: boolean) => void): void {
+  resolve(done: (result: TakeUpResult) => void): void {
     const { request, task, stream } = this.options;
     const { service, clientAccount, takesUp } = request;
     const name = { service, clientAccount, id: takesUp?.id ?? '' };
-    task?.find({ ...name, request: request.id }, ({ softwareVersion }) => {
-      if (softwareVersion !== undefined) stream.bindTo(softwareVersion);
-      done(softwareVersion !== undefined);
+    task?.find({ ...name, request: request.id }, (result) => {
+      if (result.softwareVersion !== undefined) stream.bindTo(result.softwareVersion);
+      done(result);
     });
   }
 
   /**
-   * Records the version at which the stream begins or goes on.
+   * Follows the version of the runner that answers. While it may have started again, the stream is bound to its life: its
+   * events are from one version, which is not known yet.
+   *
+   * @param runner - runner that has begun to answer.
+   * @returns Returns the version of the runner; `undefined` as long as it is in doubt.
+   */
+  versionAt(runner: Runner): () => string | undefined {
+    const isInDoubt = runner.restart.isSuspected;
+    return () => {
+      const version = isInDoubt ? runner.settledVersion : runner.answeringVersion;
+      this.doubted = version === undefined ? runner : undefined;
+      return version;
+    };
+  }
+
+  /**
+   * Binds the stream to the version of its events, if that is known by now.
+   *
+   * @returns Whether the stream may go on at another runner: at that version, or at any if it has no events yet.
+   */
+  settle(): boolean {
+    const { doubted, options } = this;
+    if (options.stream.lastEventId === undefined) return true;
+    // Without a version, events are from a runner that is in doubt at the daemon that the request was handed over to.
+    if (!doubted) return options.stream.isBound;
+    const version = doubted.settledVersion;
+    if (version === undefined) return false;
+    options.stream.bindTo(version);
+    this.doubted = undefined;
+    return true;
+  }
+
+  /**
+   * Records the version at which the stream begins or goes on, unless it is in doubt.
    *
    * @param runner - runner that the request is sent to, or that has sent an event.
    */
   record(runner: Runner): void {
     const { task, stream } = this.options;
+    if (!stream.isBound && runner.restart.isSuspected && !runner.successor) return;
     const softwareVersion = stream.softwareVersion ?? runner.answeringVersion;
     if (!this.name || this.recorded === softwareVersion) return;
     this.recorded = softwareVersion;
--- a/src/streamVersions/testStreamFleet.ts
+++ b/src/streamVersions/testStreamFleet.ts
@@ -2,6 +2,8 @@
  * Simulates, in virtual time, a fleet before runners of several software versions: the real records of all daemons, over a
  * network that loses messages, with streams that their callers take up again at other daemons.
  */
+import { setImmediate as settle } from 'node:timers/promises';
+
 import type { MessageKind } from '../generated/baobabdock/v1/news_pb.js';
 import type { HostAndPort } from '../http/parseAddress.js';
 import { SilentLog } from '../logging/Log.js';
@@ -11,6 +13,7 @@
 import type { DaemonEntry } from '../sync/FleetStore.js';
 import { ManualClock } from '../time/ManualClock.js';
 import { StreamVersionTask } from './StreamVersionTask.js';
+import { TestStreamStore } from './testStreamStore.js';
 
 /** Options of a {@link TestStreamFleet}. */
 export interface TestStreamFleetOptions {
@@ -21,6 +24,8 @@
   streamsPerSecond: number;
   /** Share of datagrams that get lost, from 0 to 1. */
   loss?: number;
+  /** Longest time until a caller takes a stream up that has broken off, in ms. */
+  pauseMilliseconds?: number;
   /** Share of streams whose callers lose them without a fault of a daemon. */
   lostByCallers?: number;
 }
@@ -35,6 +40,10 @@
   owed: number;
   /** Those of the owed that went on. */
   wentOn: number;
+  /** Those at any daemon, in touch or not, while two runners of the version were ready. */
+  possible: number;
+  /** Those of the possible that went on. */
+  possibleWentOn: number;
 }
 
 type Handler = (message: Uint8Array) => void;
@@ -54,6 +63,9 @@
 
 const DOWN_MILLISECONDS = 1_000;
 
+/** How often a caller comes back that is told when to. */
+const MAXIMUM_TAKE_UPS = 3;
+
 /** A daemon is in touch when it has worked for this long without a fault, in ms. */
 const CONTACT_MILLISECONDS = 3_000;
 
@@ -72,6 +84,8 @@
   soundSince: number;
   /** When it last ended, monotonic ms. */
   endedAt: number;
+  /** When it was last cut off, monotonic ms. */
+  cutAt: number;
   /** Streams in progress. */
   readonly streams: Set<TestStream>;
 }
@@ -88,11 +102,19 @@
 
   readonly clock = new ManualClock();
 
-  readonly tally: TakeUpTally = { taken: 0, mixed: 0, owed: 0, wentOn: 0 };
+  readonly store: TestStreamStore;
+
+  readonly tally: TakeUpTally = {
+    ...{ taken: 0, mixed: 0, owed: 0, wentOn: 0 },
+    ...{ possible: 0, possibleWentOn: 0 },
+  };
 
   /** Datagrams that daemons have sent. */
   sent = 0;
 
+  /** Bytes in these datagrams. */
+  sentBytes = 0;
+
   readonly random: () => number;
 
   private readonly options: Required<TestStreamFleetOptions>;
@@ -110,8 +132,9 @@
    * @param options - size of the fleet, its load, and the seed of the random numbers.
    */
   constructor(options: TestStreamFleetOptions) {
-    this.options = { loss: 0.02, lostByCallers: 0.02, ...options };
+    this.options = { loss: 0.02, lostByCallers: 0.02, pauseMilliseconds: 100, ...options };
     this.random = seededRandom(options.seed);
+    this.store = new TestStreamStore({ now: () => this.now });
     this.versions = Array.from({ length: options.runners }, () => FIRST_VERSION);
     for (let index = 0; index < options.daemons; index += 1) {
       const address = `10.1.${Math.floor(index / 250)}.${1 + (index % 250)}:7000`;
@@ -120,6 +143,7 @@
       const daemon = {
         ...{ entry, life: 0, isUp: false, isCut: false },
         ...{ soundSince: -CONTACT_MILLISECONDS, endedAt: Number.NEGATIVE_INFINITY },
+        cutAt: Number.NEGATIVE_INFINITY,
         handlers: new Map<MessageKind, Handler>(),
         runners: new RunnerTable(),
         streams: new Set<TestStream>(),
@@ -149,6 +173,11 @@
     this.after(DOWN_MILLISECONDS, () => this.boot(daemon));
   }
 
+  /** Ends all daemons at the same moment. */
+  killAll(): void {
+    for (const daemon of this.daemons) this.kill(daemon);
+  }
+
   /**
    * Cuts a daemon off from the store and from other daemons; callers still reach it.
    *
@@ -156,7 +185,7 @@
    * @param milliseconds - for how long.
    */
   cut(daemon: TestStreamDaemon, milliseconds: number): void {
-    Object.assign(daemon, { isCut: true });
+    Object.assign(daemon, { isCut: true, cutAt: this.now });
     this.after(milliseconds, () => {
       Object.assign(daemon, { isCut: false, soundSince: this.now });
       this.learnAll(daemon);
@@ -181,7 +210,7 @@
    *
    * @param milliseconds - by how much.
    */
-  play(milliseconds: number): void {
+  async play(milliseconds: number): Promise<void> {
     const end = this.now + milliseconds;
     const share = this.options.streamsPerSecond / 1_000;
     while (this.now < end) {
@@ -190,6 +219,7 @@
       this.calls.delete(this.now);
       for (const call of calls) call();
       for (let left = share; left > 0; left -= 1) if (this.random() < left) this.beginStream();
+      if (this.store.takeCalls() > 0) await settle();
     }
   }
 
@@ -213,6 +243,7 @@
     this.learnAll(daemon);
     const task = new StreamVersionTask({
       daemon: daemon.entry,
+      store: this.store.seenBy(() => !daemon.isCut && daemon.life === life),
       socket: {
         handle: (kind: MessageKind, handler: Handler) => {
           handlers.set(kind, handler);
@@ -222,6 +253,7 @@
       runners: () => daemon.runners.list(),
       daemons: () => this.availableTo(daemon),
       isListCurrent: () => !daemon.isCut,
+      isFleetWhole: () => this.availableTo(daemon).length === this.daemons.length - 1,
       longestStreamMilliseconds: () => LONGEST_STREAM_MILLISECONDS,
       clock: this.clock,
       log: new SilentLog(),
@@ -232,14 +264,21 @@
         }),
     });
     Object.assign(daemon, { task });
+    // The history comes with the list of runners; later changes of it reach those that read the store.
+    if (this.store.history) task.handleHistory(this.store.history);
+    this.store.onHistory((history) => {
+      if (daemon.isUp && daemon.life === life && !daemon.isCut) task.handleHistory(history);
+    });
     task.start();
   }
 
   private availableTo(daemon: TestStreamDaemon): DaemonEntry[] {
-    const isKnownDead = ({ isUp, endedAt }: TestStreamDaemon) =>
-      !isUp && this.now - endedAt >= DETECTION_MILLISECONDS;
+    const isLost = ({ isUp, isCut, endedAt, cutAt }: TestStreamDaemon) =>
+      (!isUp && this.now - endedAt >= DETECTION_MILLISECONDS) ||
+      (isCut && this.now - cutAt >= DETECTION_MILLISECONDS);
+    const isUnheard = daemon.isCut && this.now - daemon.cutAt >= DETECTION_MILLISECONDS;
     return this.daemons
-      .filter((other) => other !== daemon && !isKnownDead(other))
+      .filter((other) => other !== daemon && !isUnheard && !isLost(other))
       .map(({ entry }) => entry);
   }
 
@@ -250,6 +289,7 @@
     recipients: readonly HostAndPort[],
   ): void {
     this.sent += recipients.length;
+    this.sentBytes += recipients.length * message.length;
     for (const { host, port } of recipients) {
       const to = this.byAddress.get(`${host}:${port}`);
       if (!to || from.isCut || this.random() < this.options.loss) continue;
@@ -310,12 +350,16 @@
   }
 
   private takeUpLater(stream: TestStream): void {
-    this.after(5 + this.random() * 100, () => this.takeUp(stream));
+    const pause = this.options.pauseMilliseconds * this.random();
+    this.after(5 + pause, () => this.takeUp(stream));
   }
 
-  private takeUp(stream: TestStream): void {
+  private takeUp(stream: TestStream, tries = 0): void {
     const daemon = this.anyDaemon();
-    if (!daemon) return;
+    if (!daemon) {
+      this.takeUpLater(stream);
+      return;
+    }
     const { tally } = this;
     const { softwareVersion } = stream;
     const name = { service: SERVICE, clientAccount: undefined, id: stream.id };
@@ -324,12 +368,30 @@
     const isOwed = isInTouch && left >= 2;
     tally.taken += 1;
     tally.owed += Number(isOwed);
-    daemon.task.find({ ...name, request: `${stream.id} again` }, (decision) => {
-      if (decision.evidence === 'unknown') return;
-      const isMixed = decision.softwareVersion !== softwareVersion;
+    tally.possible += Number(left >= 2);
+    const { life } = daemon;
+    daemon.task.find({ ...name, request: `${stream.id} again` }, (result) => {
+      if (daemon.life !== life || !daemon.isUp) {
+        tally.taken -= 1;
+        tally.owed -= Number(isOwed);
+        tally.possible -= Number(left >= 2);
+        this.takeUpLater(stream);
+        return;
+      }
+      if (result.softwareVersion === undefined) {
+        if (result.retryAfterSeconds !== undefined && tries < MAXIMUM_TAKE_UPS) {
+          tally.taken -= 1;
+          tally.owed -= Number(isOwed);
+          tally.possible -= Number(left >= 2);
+          this.after(result.retryAfterSeconds * 1_000, () => this.takeUp(stream, tries + 1));
+        }
+        return;
+      }
+      const isMixed = result.softwareVersion !== softwareVersion;
       tally.mixed += Number(isMixed);
       if (isMixed || !daemon.isUp) return;
       tally.wentOn += Number(isOwed);
+      tally.possibleWentOn += Number(left >= 2);
       this.serve(daemon, { ...stream, until: this.now + STREAM_MILLISECONDS });
     });
   }
--- a/standIns/site/siteRunnerTypes.ts
+++ b/standIns/site/siteRunnerTypes.ts
@@ -2,6 +2,7 @@
  * What a stand-in for a runner does, and what it is told to do wrong.
  */
 import type { IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
 
 /** How a runner handles requests. */
 export type RunnerBehaviour =
@@ -59,12 +60,16 @@
   slowdown?: number;
   /** Whether its answers state its load and its slowdown. */
   statesLoad?: boolean;
+  /** Whether it serves a report on itself, which tells when it started; it answers 404 otherwise. */
+  servesReport?: boolean;
   /** Body of a plain answer. */
   plainBody?: string;
   /** Whether answers and events contain the id of their request, and events the version of the software. */
   echoes?: boolean;
   /** Called for each request that starts to run, with the IP address of its sender. */
   onRan?: (request: ReceivedRequest, from: string) => void;
+  /** Writes an answer to the connection in the runner's place; returns whether it does. */
+  answersRaw?: (request: ReceivedRequest, socket: Socket) => boolean;
   /** Whether a request crashes the runner. */
   isFatal?: (request: ReceivedRequest) => boolean;
   /** Number of requests that it works on at the same time; more of them wait. */
