--- a/src/streamVersions/StreamArchive.ts
+++ b/src/streamVersions/StreamArchive.ts
@@ -46,6 +46,9 @@
 /** Most records that wait for the store while it does not answer. */
 const MAXIMUM_WAITING = 100_000;
 
+/** Most records in one write; as base64 they take about 11 bytes each, and an entry of the store is limited to 1 MB. */
+const MAXIMUM_WRITTEN = 20_000;
+
 /** Shortest time between two log lines about failures, in ms. */
 const LOG_PAUSE_MILLISECONDS = 5_000;
 
@@ -192,8 +195,9 @@
   private async write(): Promise<void> {
     if (this.isWriting || this.waiting.size === 0) return;
     const { store, lifeMilliseconds } = this.options;
-    const records = this.waiting;
-    this.waiting = new Map();
+    const all = [...this.waiting];
+    const records = new Map(all.slice(0, MAXIMUM_WRITTEN));
+    this.waiting = new Map(all.slice(MAXIMUM_WRITTEN));
     this.isWriting = true;
     this.lastWriteAt = this.now;
     try {
--- a/src/streamVersions/StreamVersionTask.ts
+++ b/src/streamVersions/StreamVersionTask.ts
@@ -173,7 +173,8 @@
   /** Writes again what the restored store may have lost. */
   handleRestore(): void {
     this.historyWriter.handleRestore();
-    this.archive.handleRestore(this.records.entries());
+    const from = this.now - this.retentionMilliseconds;
+    if (this.versions.hasSeveral(from)) this.archive.handleRestore(this.records.entries());
   }
 
   /**
