--- a/src/forwarding/StreamedAnswer.ts
+++ b/src/forwarding/StreamedAnswer.ts
@@ -46,6 +46,9 @@
 
   private boundVersion: string | undefined;
 
+  /** Version that the stream was bound to before the attempt that supplies it. */
+  private versionBefore: string | undefined;
+
   private paused = false;
 
   private versionOf: () => string | undefined = () => undefined;
@@ -112,6 +115,7 @@
     this.attempt = attempt;
     this.answer = answer;
     this.versionOf = versionOf;
+    this.versionBefore = this.boundVersion;
   }
 
   /**
@@ -126,7 +130,11 @@
     const { bytesSinceEvent } = this.cut;
     if (bytesSinceEvent > MAXIMUM_BYTES_WITHOUT_EVENT) return 'excess';
     if (!events) return 'no_event';
-    this.boundVersion = this.versionOf() ?? this.boundVersion;
+    const version = this.versionOf();
+    const { versionBefore = version } = this;
+    // The runner has started again at another version than the one that the stream was to go on at.
+    if (version !== versionBefore && version !== undefined) return 'rejected';
+    this.boundVersion = version ?? this.boundVersion;
     if (!this.begin()) return 'rejected';
     this.forward(events);
     return bytesSinceEvent < before + chunk.length ? 'event' : 'no_event';
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -367,6 +367,7 @@
       applyVersionHistory: (history) => this.streamVersions.handleHistory(history),
       onStoreRestored: () => this.handleRestore(),
       onUpdate: () => {
+        this.streamVersions.handleListing();
         this.news.broadcastChange();
         this.listings.answerWaiting();
         this.registerOnceReady();
--- a/src/streamVersions/RecordSender.ts
+++ b/src/streamVersions/RecordSender.ts
@@ -15,6 +15,7 @@
 
 /** A stream that began at this daemon, or goes on there. */
 export interface BegunStream {
+  readonly service: string;
   readonly stream: bigint;
   readonly softwareVersion: string;
 }
@@ -44,7 +45,9 @@
  * @param streams - streams of any version.
  * @returns One group for each version.
  */
-export function groupByVersion(streams: readonly BegunStream[]): StreamRecordGroup[] {
+export function groupByVersion(
+  streams: readonly Pick<BegunStream, 'stream' | 'softwareVersion'>[],
+): StreamRecordGroup[] {
   const groups = new Map<string, bigint[]>();
   for (const { softwareVersion, stream } of streams) {
     const known = groups.get(softwareVersion);
@@ -148,13 +151,14 @@
   private sendTo(recipients: readonly HostAndPort[], begun: readonly BegunStream[]): void {
     if (recipients.length === 0) return;
     for (let start = 0; start < begun.length; start += STREAMS_IN_DATAGRAM) {
-      const groups = groupByVersion(begun.slice(start, start + STREAMS_IN_DATAGRAM));
-      const content = create(StreamVersionsSchema, {
-        groups: groups.map(({ softwareVersion, streams }) => ({
-          softwareVersion,
-          streams: [...streams],
-        })),
-      });
+      const part = begun.slice(start, start + STREAMS_IN_DATAGRAM);
+      const services = new Set(part.map(({ service }) => service));
+      const groups = [...services].flatMap((service) =>
+        groupByVersion(part.filter((one) => one.service === service)).map(
+          ({ softwareVersion, streams }) => ({ service, softwareVersion, streams: [...streams] }),
+        ),
+      );
+      const content = create(StreamVersionsSchema, { groups });
       const message = toBinary(StreamVersionsSchema, content);
       this.options.socket.send(MessageKind.STREAM_VERSIONS, message, recipients);
     }
--- a/src/streamVersions/ServiceVersions.ts
+++ b/src/streamVersions/ServiceVersions.ts
@@ -38,6 +38,9 @@
 
   private isLoaded = false;
 
+  /** Whether a version has appeared since {@link takeNews}. */
+  private hasNews = false;
+
   /** @returns Whether the list of runners, and with it the history, has been read. */
   get isKnown(): boolean {
     return this.isLoaded;
@@ -65,11 +68,9 @@
   /**
    * @param runners - all listed runners.
    * @param now - monotonic ms.
-   * @returns Whether a version has appeared that was not known.
    */
-  see(runners: readonly Runner[], now: number): boolean {
+  see(runners: readonly Runner[], now: number): void {
     const present = new Map<string, Set<string>>();
-    let hasNew = false;
     for (const { entry, softwareVersion } of runners) {
       const versions = present.get(entry.service) ?? new Set();
       present.set(entry.service, versions.add(softwareVersion));
@@ -77,11 +78,10 @@
     for (const [service, versions] of present) {
       // A service that the history does not name may have had any version before the start of this daemon.
       const isNew = this.saved.has(service) || this.isKnownSince(service, now - 1);
-      for (const version of versions) hasNew = this.noteAt(service, version, now, isNew) || hasNew;
+      for (const version of versions) this.noteAt(service, version, now, isNew);
     }
     this.present = present;
     if (runners.length > 0) this.isLoaded = true;
-    return hasNew;
   }
 
   /**
@@ -93,6 +93,13 @@
     this.noteAt(service, softwareVersion, now, this.isLoaded);
   }
 
+  /** @returns Whether a version has appeared, after the first list of runners, since this was last asked. */
+  takeNews(): boolean {
+    const { hasNews } = this;
+    this.hasNews = false;
+    return hasNews;
+  }
+
   /**
    * @param service - name of a service.
    * @param from - monotonic ms.
@@ -188,14 +195,14 @@
     softwareVersion: string,
     at: number,
     isNewSinceStart: boolean,
-  ): boolean {
+  ): void {
     const { versions } = this.serviceOf(service, at);
     const known = versions.get(softwareVersion);
     if (known) {
       known.seenAt = Math.max(known.seenAt, at);
-      return false;
+      return;
     }
     versions.set(softwareVersion, { seenAt: at, isNewSinceStart });
-    return true;
+    this.hasNews ||= this.isLoaded;
   }
 }
--- a/src/streamVersions/StreamArchive.ts
+++ b/src/streamVersions/StreamArchive.ts
@@ -52,6 +52,8 @@
 /** Shortest time between two log lines about failures, in ms. */
 const LOG_PAUSE_MILLISECONDS = 5_000;
 
+type ArchivedStream = Pick<BegunStream, 'stream' | 'softwareVersion'>;
+
 /** Owns the records that have not been written yet. */
 export class StreamArchive {
   private readonly options: StreamArchiveOptions;
@@ -221,7 +223,7 @@
   }
 
   private batchesOf(records: ReadonlyMap<bigint, string>): StreamRecordBatch[] {
-    const buckets = new Map<number, BegunStream[]>();
+    const buckets = new Map<number, ArchivedStream[]>();
     for (const [stream, softwareVersion] of records) {
       const bucket = this.options.keyBucketOf(bucketOf(stream));
       const known = buckets.get(bucket);
--- a/src/streamVersions/StreamVersionTask.ts
+++ b/src/streamVersions/StreamVersionTask.ts
@@ -168,6 +168,12 @@
    */
   handleHistory(history: VersionHistory): void {
     this.versions.load(history, this.moment);
+    this.handleNews();
+  }
+
+  /** Looks for versions that have appeared, since the list of runners has changed. */
+  handleListing(): void {
+    this.see();
   }
 
   /** Writes again what the restored store may have lost. */
@@ -186,8 +192,9 @@
    */
   begin(name: StreamName, softwareVersion: string): bigint {
     const stream = streamKeyOf(name);
-    const begun = { stream, softwareVersion };
+    const begun = { service: name.service, stream, softwareVersion };
     this.versions.note(name.service, softwareVersion, this.now);
+    this.handleNews();
     const isUrgent = this.hasSeveralVersions(name.service);
     this.records.record(stream, softwareVersion);
     if (isUrgent) {
@@ -273,10 +280,14 @@
 
   private see(): void {
     const { daemon, daemons, runners } = this.options;
-    const wasKnown = this.versions.isKnown;
     this.keepers.update([daemon, ...daemons()]);
-    const hasNew = this.versions.see(runners(), this.now);
-    if (!hasNew || !wasKnown) return;
+    this.versions.see(runners(), this.now);
+    this.handleNews();
+  }
+
+  /** A version has appeared, seen in the list of runners, in the history or in a record. */
+  private handleNews(): void {
+    if (!this.versions.takeNews()) return;
     // Streams in progress are of the versions before, which nobody can tell any more once all daemons have ended.
     this.sender.flush();
     for (const [stream, softwareVersion] of this.records.entries()) {
@@ -291,8 +302,13 @@
   }
 
   private handleRecords(message: Uint8Array): void {
+    const { groups } = fromBinary(StreamVersionsSchema, message);
+    for (const { service, softwareVersion } of groups) {
+      if (service !== '') this.versions.note(service, softwareVersion, this.now);
+    }
+    this.handleNews();
     const isUrgent = this.versions.hasSeveral(this.now - this.retentionMilliseconds);
-    for (const { softwareVersion, streams } of fromBinary(StreamVersionsSchema, message).groups) {
+    for (const { softwareVersion, streams } of groups) {
       for (const stream of streams) {
         const isNew = this.records.versionOf(stream) !== softwareVersion;
         this.records.record(stream, softwareVersion);
--- a/src/streamVersions/VersionHistoryWriter.ts
+++ b/src/streamVersions/VersionHistoryWriter.ts
@@ -17,7 +17,7 @@
 }
 
 /** How long each further daemon waits for the one before to save a change, in ms. */
-const PLACE_MILLISECONDS = 700;
+const PLACE_MILLISECONDS = 100;
 
 /** Owns the write in progress. */
 export class VersionHistoryWriter {
