Headers that cannot be written are dropped when a message is passed on

Callers got no answer to a runner's answer with a header whose name is empty or has a space: the parser accepts such names, and writing them throws. The list of passed headers now leaves out what Node.js refuses to write; callers' requests go through the same list (the parser accepts such names of theirs too; what became of such a request before was not measured).

--- a/src/callers/forwardedHeaders.ts
+++ b/src/callers/forwardedHeaders.ts
@@ -4,10 +4,9 @@
  * Hop-by-hop headers must not be forwarded: with a forwarded `Transfer-Encoding` or `Connection`, two ends can
  * disagree about where a message ends, and one caller would read the rest of another caller's answer.
  */
-import { validateHeaderName, validateHeaderValue } from 'node:http';
-
 import { HOP_BY_HOP_HEADERS, headerPairs } from '../http/connectionHeaders.js';
 import type { HeaderList } from '../http/connectionHeaders.js';
+import { isWritableHeader } from '../http/isWritableHeader.js';
 import { CALLER_HEADERS } from './callerHeaders.js';
 
 /** Request headers for this program only; above all the account's key, which a runner must not see. */
@@ -65,16 +64,6 @@
   ];
 }
 
-function isWritable(name: string, value: string): boolean {
-  try {
-    validateHeaderName(name);
-    validateHeaderValue(name, value);
-    return true;
-  } catch {
-    return false;
-  }
-}
-
 /**
  * Selects the headers of a runner's answer that are forwarded to the caller. A header that HTTP does not allow is
  * dropped, because writing it would throw in the middle of the answer.
@@ -85,7 +74,7 @@
 export function headersForCaller(headers: HeaderList): Map<string, string[]> {
   const byName = new Map<string, string[]>();
   for (const [name, value] of withoutHeaders(headers, UNFORWARDED_ANSWER_HEADERS)) {
-    if (!isWritable(name, value)) continue;
+    if (!isWritableHeader(name, value)) continue;
     byName.set(name, [...(byName.get(name) ?? []), value]);
   }
   return byName;
--- a/src/forwarding/decisions.spec.ts
+++ b/src/forwarding/decisions.spec.ts
@@ -199,6 +199,12 @@
     expect(passingHeaders(raw, new Set(['key']))).toEqual(['X-Own', '2']);
   });
 
+  // Guards against a caller or a runner whose message is accepted and throws when it is passed on.
+  it('removes headers that cannot be written', () => {
+    const raw = ['Bad name', '1', 'Bad ', '2', '', '3', 'Value', 'a\u0001b', 'X-Own', '4'];
+    expect(passingHeaders(raw, new Set())).toEqual(['X-Own', '4']);
+  });
+
   it('keeps essential headers even if a sender lists them in Connection', () => {
     // Guards against losing the request id, without which a retry cannot be recognised. A caller lists the header of the id
     // in Connection, and the id was removed as hop-by-hop.
--- a/src/forwarding/forwardedHeaders.ts
+++ b/src/forwarding/forwardedHeaders.ts
@@ -2,6 +2,7 @@
  * Selects the headers that the daemon forwards. Lists are flat, with alternating names and values, as Node.js reads and
  * accepts them; objects would need a copy of each header of each request.
  */
+import { isWritableHeader } from '../http/isWritableHeader.js';
 
 /** Hop-by-hop headers (RFC 9110, section 7.6.1), and those that the daemon sets for its own message framing. */
 const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
@@ -28,6 +29,8 @@
 }
 
 /**
+ * Drops hop-by-hop headers, and those that cannot be written.
+ *
  * @param rawHeaders - headers as received.
  * @param dropped - further headers that are not forwarded, in lower case.
  * @param essential - headers that are forwarded even if `Connection` lists them, in lower case.
@@ -42,10 +45,11 @@
   const passing: string[] = [];
   for (let index = 0; index < rawHeaders.length; index += 2) {
     const name = rawHeaders[index] ?? '';
+    const value = rawHeaders[index + 1] ?? '';
     const lower = name.toLowerCase();
     const isDropped =
       CONNECTION_HEADERS.has(lower) || dropped.has(lower) || hopByHop.includes(lower);
-    if (!isDropped) passing.push(name, rawHeaders[index + 1] ?? '');
+    if (!isDropped && isWritableHeader(name, value)) passing.push(name, value);
   }
   return passing;
 }
