A throw while the head of an answer is written ends the request

Callers got no answer, not even a 504: the throw left the relay done and the request's timer cleared, and was only logged as an uncaught exception. The relay now gives the claim of such a source back, so that the request ends as broken (502, or another attempt where its route allows one) and its end is recorded.

--- a/src/forwarding/AnswerOwnership.ts
+++ b/src/forwarding/AnswerOwnership.ts
@@ -61,6 +61,19 @@
     return true;
   }
 
+  /**
+   * Takes back the claim of a source whose head could not be sent, so that another answer is possible; nothing happens if
+   * another one owns the answer.
+   *
+   * @param source - an attempt or a hand-over.
+   */
+  disclaim(source: AnswerSource): void {
+    if (!this.isOwnedBy(source)) return;
+    this.current = 'none';
+    this.owner = undefined;
+    this.names.pop();
+  }
+
   /**
    * Gives a stream up, so that another source may go on with it; nothing happens if another one owns it.
    *
--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -286,7 +286,7 @@
     if (isWhole) {
       this.stopAttempts();
       this.end('answered', 'answered');
-    } else this.endWith({ status: 502, reason: 'not_resumed' });
+    } else this.endWith({ status: 502, reason: this.relay.hasHead ? 'not_resumed' : 'broken' });
   }
 
   /**
