A hand-over whose daemon answers with a status that is none is lost

Callers of a request that was handed over got no answer to a status of 020 or 099 (the head throws), and 600 or 999 unchanged. Such a hand-over now counts as lost, as an attempt at a runner counts as broken; both use the same check.

--- a/src/forwarding/RunnerAttempt.ts
+++ b/src/forwarding/RunnerAttempt.ts
@@ -6,6 +6,7 @@
 import type { Socket } from 'node:net';
 
 import type { AttemptWork } from '../capacity/AttemptWork.js';
+import { isFinalStatus } from '../http/isFinalStatus.js';
 import type { Runner } from '../runners/Runner.js';
 import type { Clock } from '../time/Clock.js';
 import { AnswerByteLimit } from './AnswerByteLimit.js';
@@ -83,7 +84,6 @@
 const MISDIRECTED = 421;
 const SUCCESS = 200;
 const REDIRECT = 300;
-const LAST_STATUS = 599;
 
 /** Sends a request to one runner and reports the result to its observer. */
 export class RunnerAttempt implements AnswerSource {
@@ -258,7 +258,7 @@
     const { protocol, observer, statements } = this.options;
     this.runner.lastHeardAt = this.options.clock.monotonicMilliseconds();
     const status = answer.statusCode ?? 0;
-    if (status < SUCCESS || status > LAST_STATUS) {
+    if (!isFinalStatus(status)) {
       this.fail('broken');
       return;
     }
--- a/src/handover/HandedOverRequest.spec.ts
+++ b/src/handover/HandedOverRequest.spec.ts
@@ -1,5 +1,7 @@
-import { afterEach, beforeEach, describe, it } from 'node:test';
-import type { IncomingMessage, ServerResponse } from 'node:http';
+import { afterEach, beforeEach, describe, it, mock } from 'node:test';
+import { ServerResponse } from 'node:http';
+import type { IncomingMessage } from 'node:http';
+import { setTimeout as delay } from 'node:timers/promises';
 
 import { expect } from 'earl';
 
@@ -21,6 +23,7 @@
   sendFailure,
 } from '../forwarding/testFailures.js';
 import type { FailureFraming } from '../forwarding/testFailures.js';
+import type { Route } from '../routes/routeTypes.js';
 import { TestPeers } from './testPeers.js';
 
 const SIGNED = { Signature: 's' };
@@ -45,6 +48,33 @@
   response.writeHead(503, { [UNREACHED_HEADER]: 'connect_timeout' }).end('{}');
 }
 
+/** Returns an answer that is written to the socket as it is. */
+function answerWith(status: string, lines: readonly string[] = []) {
+  const head = [`HTTP/1.1 ${status}`, 'Signature: s', 'Connection: close', ...lines];
+  const body = eventOf(1);
+  const bytes = [...head, `Content-Length: ${body.length}`, '', body].join('\r\n');
+  return (_: ReceivedHandOver, { socket }: ServerResponse) => {
+    socket?.end(bytes);
+  };
+}
+
+const LOST = { end: 'lost' as const, text: '', softwareVersion: undefined };
+
+/** Time for which a test waits for the end of a hand-over, in ms. */
+const WAIT_MILLISECONDS = 2_000;
+
+async function withinWait<T>(ended: Promise<T>): Promise<T | 'no end'> {
+  const waiting = new AbortController();
+  const wait = delay(WAIT_MILLISECONDS, 'no end' as const, { signal: waiting.signal }).catch(
+    () => 'no end' as const,
+  );
+  try {
+    return await Promise.race([ended, wait]);
+  } finally {
+    waiting.abort();
+  }
+}
+
 describe('a request that is handed over', () => {
   let peers: TestPeers;
 
@@ -52,7 +82,10 @@
     peers = new TestPeers();
   });
 
-  afterEach(() => peers.close());
+  afterEach(() => {
+    mock.restoreAll();
+    peers.close();
+  });
 
   it('arrives unchanged, and its answer too', async () => {
     await peers.add('one', { answer: answerPlainly });
@@ -125,6 +158,32 @@
     expect(peers.tried.lives).toEqual(['a/1']);
   });
 
+  async function expectLost(kind: Route['kind'], ...answer: Parameters<typeof answerWith>) {
+    await peers.add('one', { answer: answerWith(...answer) });
+    expect(await withinWait(peers.handOver(kind))).toEqual(LOST);
+  }
+
+  for (const status of ['020', '099', '600', '999']) {
+    // Guards against a caller that gets no answer, or one that is none, from a daemon that took its request.
+    it(`is lost when the daemon that took it answers with the status ${status}`, () =>
+      expectLost('at_most_once', `${status} Strange`));
+  }
+
+  for (const kind of ['at_most_once', 'stream'] as const) {
+    // Guards against a caller without any answer after its head could not be written.
+    it(`is lost when the head of its answer throws: ${kind}`, async () => {
+      const { mock: heads } = mock.method(ServerResponse.prototype, 'writeHead', () => {
+        throw new TypeError('this head cannot be sent');
+      });
+      await expectLost(
+        kind,
+        '200 OK',
+        kind === 'stream' ? ['Content-Type: text/event-stream'] : [],
+      );
+      expect(heads.callCount()).toEqual(1);
+    });
+  }
+
   // Guards against a daemon that is frozen, and reads later what was sent to it.
   it('is not sent to a daemon that does not confirm', async () => {
     await peers.add('frozen', { confirm: () => undefined, answer: answerPlainly });
--- a/src/handover/HandedOverRequest.ts
+++ b/src/handover/HandedOverRequest.ts
@@ -17,6 +17,7 @@
 import type { TriedRunners } from '../forwarding/TriedRunners.js';
 import { isEventStream } from '../forwarding/StreamedAnswer.js';
 import type { StreamedAnswer } from '../forwarding/StreamedAnswer.js';
+import { isFinalStatus } from '../http/isFinalStatus.js';
 import type { DaemonEntry } from '../sync/FleetStore.js';
 import type { Clock } from '../time/Clock.js';
 import {
@@ -165,6 +166,10 @@
       if (!answer.complete) this.lose(offer);
     });
     answer.on('error', () => this.lose(offer));
+    if (!isFinalStatus(answer.statusCode ?? 0)) {
+      this.breakOff();
+      return;
+    }
     const hasReason = answer.headers[REFUSED_HEADER] ?? answer.headers[UNREACHED_HEADER];
     if (hasReason !== undefined) {
       this.handleUnreached(answer, offer.peer);
