--- a/src/streamVersions/testOutlivingStreams.ts
+++ b/src/streamVersions/testOutlivingStreams.ts
@@ -26,32 +26,33 @@
   }
 }
 
+function startFleet(options: TestStreamFleetOptions): TestStreamFleet {
+  return new TestStreamFleet({ ...options, lostByCallers: 0, pauseMilliseconds: 2_000 });
+}
+
+function expectUnmixed({ tally }: TestStreamFleet): void {
+  expect(tally.taken).toBeGreaterThanOrEqual(FEWEST_TAKEN_UP);
+  expect(tally.mixed).toBeLessThanOrEqual(ALLOWED_MIXED);
+}
+
+function expectGoingOn(fleet: TestStreamFleet): void {
+  const { possible, possibleWentOn } = fleet.tally;
+  expectUnmixed(fleet);
+  expect(possible).toBeGreaterThanOrEqual(FEWEST_TAKEN_UP);
+  expect(possibleWentOn / possible).toBeGreaterThanOrEqual(LEAST_SHARE);
+}
+
 /**
- * Defines the tests of one fleet.
+ * Defines tests in which all daemons of a fleet end at the same moment.
  *
- * @param options - its size, load and seed.
+ * @param options - size of the fleet, its load and its seed.
  */
 export function describeOutlivingStreams(options: TestStreamFleetOptions): void {
   const { daemons, runners } = options;
   const half = Math.floor(runners / 2);
+  const start = () => startFleet(options);
 
   describe(`streams that callers take up after all of ${daemons} daemons have ended`, () => {
-    function start(): TestStreamFleet {
-      return new TestStreamFleet({ ...options, lostByCallers: 0, pauseMilliseconds: 2_000 });
-    }
-
-    function expectUnmixed({ tally }: TestStreamFleet): void {
-      expect(tally.taken).toBeGreaterThanOrEqual(FEWEST_TAKEN_UP);
-      expect(tally.mixed).toBeLessThanOrEqual(ALLOWED_MIXED);
-    }
-
-    function expectGoingOn(fleet: TestStreamFleet): void {
-      const { possible, possibleWentOn } = fleet.tally;
-      expectUnmixed(fleet);
-      expect(possible).toBeGreaterThanOrEqual(FEWEST_TAKEN_UP);
-      expect(possibleWentOn / possible).toBeGreaterThanOrEqual(LEAST_SHARE);
-    }
-
     it('go on while two versions serve side by side', async () => {
       // Guards against versions of streams that are known in memory only.
       const fleet = start();
@@ -89,7 +90,20 @@
       await fleet.play(14_000);
       expectGoingOn(fleet);
     });
+  });
+}
+
+/**
+ * Defines tests in which losses of daemons, changes of versions and a silence of the store overlap.
+ *
+ * @param options - size of the fleet, its load and its seed.
+ */
+export function describeOverlappingLosses(options: TestStreamFleetOptions): void {
+  const { daemons, runners } = options;
+  const half = Math.floor(runners / 2);
+  const start = () => startFleet(options);
 
+  describe(`streams that callers take up where losses of ${daemons} daemons and changes of versions overlap`, () => {
     it('go on where the second version has come a moment before the end', async () => {
       // Guards against streams that nobody wrote to the store while there was one version.
       const fleet = start();
