Held answers: chunks of one byte cost their bytes, not an object each

Callers saw: a runner that spoils an answer with chunks of one byte, without end, ended the daemon ("Reached heap limit"), and all requests that it had in progress at sound runners were lost.

Cause: an answer is held until it is complete, up to 262,144 bytes, as a list of chunks. The bytes were limited, the number of chunks was not; each is a buffer object of its own, which also keeps the whole read from the socket in memory.

Change: ByteBuffer copies chunks into one buffer that doubles up to the limit. An answer that grows too large is passed on in one piece, then chunk by chunk as before.

--- a/src/forwarding/AnswerRelay.ts
+++ b/src/forwarding/AnswerRelay.ts
@@ -6,6 +6,7 @@
 import { HEADERS_BETWEEN_DAEMONS } from '../handover/handOverHeaders.js';
 import { AnswerOwnership } from './AnswerOwnership.js';
 import type { AnswerKind, AnswerSource } from './AnswerOwnership.js';
+import type { ByteBuffer } from './ByteBuffer.js';
 import { passingHeaders } from './forwardedHeaders.js';
 
 /** An error answer that the daemon generates; it never has a runner's signature. */
@@ -21,8 +22,8 @@
 export interface BufferedAnswer {
   readonly source: AnswerSource;
   readonly answer: IncomingMessage;
-  readonly chunks: Buffer[];
-  bytes: number;
+  /** Its body as far as it has arrived. */
+  readonly body: ByteBuffer;
 }
 
 /**
@@ -115,19 +116,19 @@
    * @param held - buffered head and body.
    * @returns Whether it was sent; if not, the caller has the head of another one, or the answer is done.
    */
-  sendBuffered({ source, answer, chunks, bytes }: BufferedAnswer): boolean {
+  sendBuffered({ source, answer, body }: BufferedAnswer): boolean {
     if (this.hasHead || !this.ownership.claim(source, 'passing')) {
-      this.dropped += bytes;
+      this.dropped += body.length;
       return false;
     }
     this.ownership.end();
     const headers = passingHeaders(answer.rawHeaders, HEADERS_BETWEEN_DAEMONS);
     const status = answer.statusCode ?? BAD_GATEWAY;
-    if (answer.headers['content-length'] !== undefined || bytes > 0) {
-      headers.push('Content-Length', String(bytes));
+    if (answer.headers['content-length'] !== undefined || body.length > 0) {
+      headers.push('Content-Length', String(body.length));
     }
     this.writeHead(status, headers);
-    this.response.end(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks, bytes));
+    this.response.end(body.contents);
     return true;
   }
 
--- a/src/forwarding/BufferedAnswers.ts
+++ b/src/forwarding/BufferedAnswers.ts
@@ -6,6 +6,7 @@
 
 import type { AnswerSource } from './AnswerOwnership.js';
 import type { AnswerRelay, BufferedAnswer } from './AnswerRelay.js';
+import { ByteBuffer } from './ByteBuffer.js';
 
 /**
  * Maximum size of a buffered answer, in bytes. Answers to plain calls have about 1 kB; a hundred answers of the maximum
@@ -39,7 +40,8 @@
    * @param answer - head of the answer.
    */
   begin(attempt: AnswerSource, answer: IncomingMessage): void {
-    this.answersByAttempt.set(attempt, { source: attempt, answer, chunks: [], bytes: 0 });
+    const body = new ByteBuffer({ maximumBytes: MAXIMUM_BUFFERED_BYTES });
+    this.answersByAttempt.set(attempt, { source: attempt, answer, body });
   }
 
   /**
@@ -53,18 +55,17 @@
     const held = this.answersByAttempt.get(attempt);
     if (!held) return 'rejected';
     if (this.isPassing(attempt)) {
-      this.pass(held, [chunk]);
+      this.pass(held, chunk);
       return 'passed';
     }
-    held.chunks.push(chunk);
-    held.bytes += chunk.length;
-    if (held.bytes <= MAXIMUM_BUFFERED_BYTES) return 'held';
+    if (held.body.append(chunk)) return 'held';
     if (!this.relay.begin(attempt, held.answer, { kind: 'passing' })) {
       this.drop(attempt);
       return 'rejected';
     }
     this.passingAttempt = attempt;
-    this.pass(held, held.chunks.splice(0));
+    const body = held.body.take();
+    this.pass(held, ...(body.length > 0 ? [body, chunk] : [chunk]));
     return 'passed';
   }
 
@@ -92,7 +93,7 @@
   }
 
   /** Pauses the runner while the caller does not keep up; otherwise the whole answer would accumulate in memory. */
-  private pass({ source, answer }: BufferedAnswer, chunks: readonly Buffer[]): void {
+  private pass({ source, answer }: BufferedAnswer, ...chunks: readonly Buffer[]): void {
     const results = chunks.map((chunk) => this.relay.pass(source, chunk));
     if (!results.includes('congested')) return;
     answer.pause();
