Bodies of requests: chunks of one byte cost their bytes, not an object each

Callers could see: a caller that sends its body in chunks of one byte used up the heap of its daemon, with all requests in progress there; so could a message with which another daemon hands a request over.

Cause: bodies were kept as lists of chunks; their bytes were limited, the number of their chunks was not.

Change: both are collected in a ByteBuffer, as held answers are.

--- a/src/forwarding/ForwardingServer.ts
+++ b/src/forwarding/ForwardingServer.ts
@@ -12,6 +12,7 @@
 import { admitRequest } from './admitRequest.js';
 import { AnswerRelay } from './AnswerRelay.js';
 import type { DaemonAnswer } from './AnswerRelay.js';
+import { ByteBuffer } from './ByteBuffer.js';
 import { forwardingLogEvents } from './forwardingFeature.js';
 import { ForwardedRequest } from './ForwardedRequest.js';
 import type { AdmittedRequest, ForwardingContext } from './forwardingTypes.js';
@@ -191,16 +192,14 @@
       done(method === 'POST' ? Buffer.alloc(0) : undefined);
       return;
     }
-    const limit = this.context.routes()?.configuration.limits.maximumBodyBytes ?? 0;
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const maximumBytes = this.context.routes()?.configuration.limits.maximumBodyBytes ?? 0;
+    const body = new ByteBuffer({ maximumBytes });
     request.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes <= limit) chunks.push(chunk);
-      else if (!relay.isDone) this.answerRejection(request, relay, BODY_TOO_LARGE);
+      if (relay.isDone || body.append(chunk)) return;
+      this.answerRejection(request, relay, BODY_TOO_LARGE);
     });
     request.once('end', () => {
-      if (!relay.isDone) done(Buffer.concat(chunks, bytes));
+      if (!relay.isDone) done(body.take());
     });
   }
 }
--- a/src/handover/HandOverServer.ts
+++ b/src/handover/HandOverServer.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
+import { ByteBuffer } from '../forwarding/ByteBuffer.js';
 import { ForwardedRequest } from '../forwarding/ForwardedRequest.js';
 import { forwardingLogEvents } from '../forwarding/forwardingFeature.js';
 import type { ForwardingContext } from '../forwarding/forwardingTypes.js';
@@ -97,15 +98,12 @@
   }
 
   private read(request: IncomingMessage, response: ServerResponse): void {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const message = new ByteBuffer({ maximumBytes: MAXIMUM_MESSAGE_BYTES });
     request.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes <= MAXIMUM_MESSAGE_BYTES) chunks.push(chunk);
-      else request.destroy();
+      if (!message.append(chunk)) request.destroy();
     });
     request.once('end', () => {
-      if (!response.destroyed) this.decode(Buffer.concat(chunks, bytes), response);
+      if (!response.destroyed) this.decode(message.take(), response);
     });
   }
 
