--- a/src/forwarding/StreamedAnswer.spec.ts
+++ b/src/forwarding/StreamedAnswer.spec.ts
@@ -3,7 +3,8 @@
 
 import { expect } from 'earl';
 
-import type { AnswerRelay } from './AnswerRelay.js';
+import type { AnswerSource } from './AnswerOwnership.js';
+import type { AnswerRelay, PassResult } from './AnswerRelay.js';
 import { StreamedAnswer } from './StreamedAnswer.js';
 
 const EVENT = Buffer.from('id: 1\ndata: piece\n\n');
@@ -15,14 +16,14 @@
     const relay = {
       hasHead: true,
       begin: () => true,
-      pass: (_attempt: object, chunk: Buffer) => {
+      pass: (_source: AnswerSource, chunk: Buffer): PassResult => {
         passed.push(chunk);
-        return 'passed';
+        return 'written';
       },
     } as Partial<AnswerRelay> as AnswerRelay;
     const stream = new StreamedAnswer(relay);
     stream.bindTo('v1');
-    stream.take({}, {} as IncomingMessage, () => 'v2');
+    stream.take({ sourceName: 'runner-1' }, {} as IncomingMessage, () => 'v2');
     expect(stream.pass(EVENT)).toEqual('rejected');
     expect(passed).toEqual([]);
     expect(stream.softwareVersion).toEqual('v1');
