Stream archive: one loop adds all records, for a second version as for a restored store

No change of behaviour; the spec calls the method by its new name, its assertions are the same. 50 tests of the three specs pass; types and lint are clean.

--- a/src/streamVersions/StreamArchive.spec.ts
+++ b/src/streamVersions/StreamArchive.spec.ts
@@ -229,7 +229,7 @@
       await advance(20);
       writes[0]?.answer();
       await advance(1_000);
-      archive.handleRestore([
+      archive.addAll([
         [1n, 'v1'],
         [2n, 'v1'],
       ]);
--- a/src/streamVersions/StreamArchive.ts
+++ b/src/streamVersions/StreamArchive.ts
@@ -136,11 +136,11 @@
   }
 
   /**
-   * Writes records again, since the restored store may have lost them.
+   * Adds all records that may be of use: a second version has appeared, or the restored store may have lost them.
    *
-   * @param records - all records that may be of use.
+   * @param records - the version that began each stream, by its key.
    */
-  handleRestore(records: Iterable<readonly [bigint, string]>): void {
+  addAll(records: Iterable<readonly [bigint, string]>): void {
     for (const [stream, softwareVersion] of records) this.add(stream, softwareVersion);
   }
 
--- a/src/streamVersions/StreamVersionTask.ts
+++ b/src/streamVersions/StreamVersionTask.ts
@@ -180,7 +180,7 @@
   handleRestore(): void {
     this.historyWriter.handleRestore();
     const from = this.now - this.retentionMilliseconds;
-    if (this.versions.hasSeveral(from)) this.archive.handleRestore(this.records.entries());
+    if (this.versions.hasSeveral(from)) this.archive.addAll(this.records.entries());
   }
 
   /**
@@ -290,9 +290,7 @@
     if (!this.versions.takeNews()) return;
     // Streams in progress are of the versions before, which nobody can tell any more once all daemons have ended.
     this.sender.flush();
-    for (const [stream, softwareVersion] of this.records.entries()) {
-      this.archive.add(stream, softwareVersion);
-    }
+    this.archive.addAll(this.records.entries());
     this.archive.flushSoon();
     this.historyWriter.write(this.moment, this.retentionMilliseconds);
   }
