Small chunks cost their bytes in reports, listings, the store's answers and bodies of callers

A body in chunks of one byte cost some 200 bytes a chunk wherever it was kept as a list of buffers: the report of a runner, an answer of another daemon, an answer of the store, a question about liveness, and a caller's body at the product's own interface. Limits counted bytes alone, and the store's answers had none.

One reader (src/http/readWholeBody.ts) replaces four copies, with one limit each; ByteBuffer moves to src/http.

An engine's answer was read in merged parts already; nothing has changed there.

--- a/src/callers/RequestReader.ts
+++ b/src/callers/RequestReader.ts
@@ -3,6 +3,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
+import { ByteBuffer } from '../http/ByteBuffer.js';
 import type { BodyBudget } from './BodyBudget.js';
 import { CallerError } from './CallerError.js';
 import { CallerDisconnected } from './CallerDisconnected.js';
@@ -129,8 +130,7 @@
   private collect({ milliseconds, error }: BodyTimeLimit): Promise<Buffer> {
     const { request, maximumBytes, budget } = this.options;
     return new Promise((resolve, reject) => {
-      const parts: Buffer[] = [];
-      let bytes = 0;
+      const body = new ByteBuffer({ maximumBytes });
       let cleanUp = (): void => {};
       const refuse = (reason: Error): void => {
         request.pause();
@@ -138,8 +138,7 @@
         reject(reason);
       };
       const onData = (part: Buffer): void => {
-        bytes += part.byteLength;
-        if (bytes > maximumBytes) {
+        if (body.length + part.byteLength > maximumBytes) {
           refuse(this.tooLargeError());
           return;
         }
@@ -148,11 +147,11 @@
           return;
         }
         this.heldBytes += part.byteLength;
-        parts.push(part);
+        body.append(part);
       };
       const onEnd = (): void => {
         cleanUp();
-        resolve(Buffer.concat(parts, bytes));
+        resolve(body.take());
       };
       const onClose = (): void => refuse(new CallerDisconnected());
       const timer = setTimeout(() => refuse(error()), milliseconds);
--- a/src/forwarding/AnswerRelay.ts
+++ b/src/forwarding/AnswerRelay.ts
@@ -6,7 +6,7 @@
 import { HEADERS_BETWEEN_DAEMONS } from '../handover/handOverHeaders.js';
 import { AnswerOwnership } from './AnswerOwnership.js';
 import type { AnswerKind, AnswerSource } from './AnswerOwnership.js';
-import type { ByteBuffer } from './ByteBuffer.js';
+import type { ByteBuffer } from '../http/ByteBuffer.js';
 import { passingHeaders } from './forwardedHeaders.js';
 
 /** An error answer that the daemon generates; it never has a runner's signature. */
--- a/src/forwarding/BufferedAnswers.spec.ts
+++ b/src/forwarding/BufferedAnswers.spec.ts
@@ -5,7 +5,7 @@
 
 import { AnswerRelay } from './AnswerRelay.js';
 import { BufferedAnswers } from './BufferedAnswers.js';
-import { chunksOfOneByte, heldMemory } from './testMemory.js';
+import { chunksOfOneByte, heldMemory } from '../http/testMemory.js';
 
 /** Largest answer that is held, in bytes. */
 const MAXIMUM_HELD_BYTES = 262_144;
--- a/src/forwarding/BufferedAnswers.ts
+++ b/src/forwarding/BufferedAnswers.ts
@@ -6,7 +6,7 @@
 
 import type { AnswerSource } from './AnswerOwnership.js';
 import type { AnswerRelay, BufferedAnswer } from './AnswerRelay.js';
-import { ByteBuffer } from './ByteBuffer.js';
+import { ByteBuffer } from '../http/ByteBuffer.js';
 
 /**
  * Maximum size of a buffered answer, in bytes. Answers to plain calls have about 1 kB; a hundred answers of the maximum
--- a/src/forwarding/ForwardingServer.ts
+++ b/src/forwarding/ForwardingServer.ts
@@ -12,7 +12,7 @@
 import { admitRequest } from './admitRequest.js';
 import { AnswerRelay } from './AnswerRelay.js';
 import type { DaemonAnswer } from './AnswerRelay.js';
-import { ByteBuffer } from './ByteBuffer.js';
+import { ByteBuffer } from '../http/ByteBuffer.js';
 import { forwardingLogEvents } from './forwardingFeature.js';
 import { ForwardedRequest } from './ForwardedRequest.js';
 import type { AdmittedRequest, ForwardingContext } from './forwardingTypes.js';
--- a/src/forwarding/fetchRunnerLife.ts
+++ b/src/forwarding/fetchRunnerLife.ts
@@ -4,6 +4,7 @@
 import { get } from 'node:http';
 import type { IncomingMessage } from 'node:http';
 
+import { readWholeBody } from '../http/readWholeBody.js';
 import type { Runner } from '../runners/Runner.js';
 import type { RunnerProtocol } from './RunnerProtocol.js';
 
@@ -53,19 +54,9 @@
       finish();
       return;
     }
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    answer.on('data', (chunk: Buffer) => {
-      chunks.push(chunk);
-      bytes += chunk.length;
-      if (bytes > MAXIMUM_BYTES) finish();
-    });
-    answer.on('error', () => finish());
-    answer.once('close', () => finish());
-    answer.once('end', () =>
-      finish(
-        answer.complete ? protocol.lifeIn(Buffer.concat(chunks).toString(), entry) : undefined,
-      ),
+    readWholeBody(answer, { maximumBytes: MAXIMUM_BYTES }).then(
+      (body) => finish(protocol.lifeIn(body.toString(), entry)),
+      () => finish(),
     );
   });
 }
--- a/src/forwarding/requestBodies.spec.ts
+++ b/src/forwarding/requestBodies.spec.ts
@@ -13,7 +13,7 @@
 import { createForwardingMetrics } from './ForwardingMetrics.js';
 import { ForwardingServer } from './ForwardingServer.js';
 import type { ForwardingContext } from './forwardingTypes.js';
-import { heldMemory } from './testMemory.js';
+import { heldMemory } from '../http/testMemory.js';
 import { TestProtocol } from './testProtocol.js';
 
 /** Largest body, in bytes. */
--- a/src/handover/HandOverServer.spec.ts
+++ b/src/handover/HandOverServer.spec.ts
@@ -7,7 +7,7 @@
 import { expect } from 'earl';
 
 import type { ForwardingContext } from '../forwarding/forwardingTypes.js';
-import { chunksOfOneByte, heldMemory } from '../forwarding/testMemory.js';
+import { chunksOfOneByte, heldMemory } from '../http/testMemory.js';
 import { HandOverServer } from './HandOverServer.js';
 import type { RunnerPath } from './RunnerPath.js';
 
--- a/src/handover/HandOverServer.ts
+++ b/src/handover/HandOverServer.ts
@@ -4,7 +4,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import { ByteBuffer } from '../forwarding/ByteBuffer.js';
+import { ByteBuffer } from '../http/ByteBuffer.js';
 import { ForwardedRequest } from '../forwarding/ForwardedRequest.js';
 import { forwardingLogEvents } from '../forwarding/forwardingFeature.js';
 import type { ForwardingContext } from '../forwarding/forwardingTypes.js';
--- a/src/forwarding/ByteBuffer.ts
+++ b/src/http/ByteBuffer.ts
@@ -47,11 +47,11 @@
    * @param chunk - bytes as they arrived.
    * @returns Whether they are held now; if not, they would exceed the limit, and nothing has changed.
    */
-  append(chunk: Buffer): boolean {
+  append(chunk: Uint8Array): boolean {
     const needed = this.usedBytes + chunk.length;
     if (needed > this.maximumBytes) return false;
     if (needed > this.capacity) this.grow(needed);
-    chunk.copy(this.room, this.usedBytes);
+    this.room.set(chunk, this.usedBytes);
     this.usedBytes = needed;
     return true;
   }
--- a/src/liveness/LivenessPeers.ts
+++ b/src/liveness/LivenessPeers.ts
@@ -10,6 +10,7 @@
 
 import { z } from 'zod';
 
+import { readWholeBody } from '../http/readWholeBody.js';
 import { requestPeer } from '../sync/requestPeer.js';
 import type { LivenessOpinions, ProbeResult } from './livenessTypes.js';
 
@@ -118,14 +119,11 @@
    * @param response - the response to write.
    */
   answer(request: IncomingMessage, response: ServerResponse): void {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    request.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
-      chunks.push(chunk);
-      if (bytes > MAXIMUM_QUESTION_BYTES) request.destroy();
-    });
-    request.once('end', () => this.reply(Buffer.concat(chunks).toString(), response));
+    readWholeBody(request, { maximumBytes: MAXIMUM_QUESTION_BYTES }).then(
+      (body) => this.reply(body.toString(), response),
+      // The sender has closed the connection, or it is closed because the question is too large.
+      () => undefined,
+    );
   }
 
   private reply(text: string, response: ServerResponse): void {
--- a/src/sync/requestPeer.ts
+++ b/src/sync/requestPeer.ts
@@ -5,6 +5,7 @@
 import type { Agent } from 'node:http';
 
 import { parseAddress } from '../http/parseAddress.js';
+import { readWholeBody } from '../http/readWholeBody.js';
 
 /** A request to another daemon. */
 export interface PeerRequest {
@@ -40,20 +41,11 @@
     let timer: NodeJS.Timeout | undefined;
     const request = sendRequest({ host, port, path, method, agent }, (answer) => {
       onResponse?.();
-      const chunks: Buffer[] = [];
-      let bytes = 0;
-      answer.on('data', (chunk: Buffer) => {
-        chunks.push(chunk);
-        timer?.refresh();
-        bytes += chunk.length;
-        if (bytes > MAXIMUM_ANSWER_BYTES)
-          request.destroy(new Error(`the response is larger than ${MAXIMUM_ANSWER_BYTES} bytes`));
-      });
-      answer.once('error', fail);
-      answer.once('end', () => {
-        if (answer.statusCode === OK) done(Buffer.concat(chunks));
+      const onPart = () => timer?.refresh();
+      readWholeBody(answer, { maximumBytes: MAXIMUM_ANSWER_BYTES, onPart }).then((content) => {
+        if (answer.statusCode === OK) done(content);
         else fail(new Error(`status ${answer.statusCode}`));
-      });
+      }, fail);
     });
     const giveUp = () =>
       request.destroy(new Error(`no byte of the response within ${silenceMilliseconds} ms`));
