--- a/src/callers/BodyAnswer.ts
+++ b/src/callers/BodyAnswer.ts
@@ -1,6 +1,7 @@
 /**
  * Writes an answer as an ordinary HTTP body: for a plain service, or for an engine without streaming.
  */
+import { ByteBuffer } from '../http/ByteBuffer.js';
 import type { ChunkEvent, StartedEvent } from './AnswerWriter.js';
 import { AnswerWriter } from './AnswerWriter.js';
 import { answerHeaders } from './answerHeaders.js';
@@ -25,11 +26,7 @@
 
   private readonly started: StartedEvent;
 
-  private readonly holdBackBytes: number;
-
-  private heldParts: Uint8Array[] = [];
-
-  private heldBytes = 0;
+  private readonly held: ByteBuffer;
 
   /**
    * @param options - the exchange, the status and headers of the runner, and how much to buffer.
@@ -38,7 +35,7 @@
     super();
     this.exchange = exchange;
     this.started = started;
-    this.holdBackBytes = holdBackBytes;
+    this.held = new ByteBuffer({ maximumBytes: holdBackBytes });
   }
 
   override async writeChunk({ data }: ChunkEvent): Promise<void> {
@@ -46,9 +43,10 @@
       await this.exchange.writer.write(data);
       return;
     }
-    this.heldParts.push(data);
-    this.heldBytes += data.byteLength;
-    if (this.heldBytes > this.holdBackBytes) await this.flushHeldParts();
+    if (this.held.append(data)) return;
+    this.exchange.writeHead(this.started.status, answerHeaders(this.started));
+    await this.exchange.writer.write(this.held.take());
+    await this.exchange.writer.write(data);
   }
 
   override async complete(): Promise<void> {
@@ -57,17 +55,11 @@
       return;
     }
     const headers = Object.fromEntries(answerHeaders(this.started));
-    await this.exchange.send(this.started.status, Buffer.concat(this.heldParts), headers);
+    await this.exchange.send(this.started.status, this.held.take(), headers);
   }
 
   /** Once the status is sent, only closing the connection shows the caller that the rest is missing. */
   override async fail(error: CallerError): Promise<void> {
     await this.exchange.sendError(error);
   }
-
-  private async flushHeldParts(): Promise<void> {
-    this.exchange.writeHead(this.started.status, answerHeaders(this.started));
-    for (const part of this.heldParts) await this.exchange.writer.write(part);
-    this.heldParts = [];
-  }
 }
