A request one of whose steps throws is answered

Callers got no answer at all, or none at their deadline, where a step of their request threw an exception: the quarantine, the choice of a runner, the budget, the connection, or the record of what is given up at the deadline. The process only logs such an exception (router.failed), and nothing looked at the request again.

A request has its deadline set before its first step, a step that throws ends it with a 502, and the caller's answer is sent before the attempts are stopped. How a request ends moves to RequestParts, for the size of the file.

--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -7,21 +7,17 @@
 import { match } from 'ts-pattern';
 
 import type { HandOverEnd } from '../handover/HandedOverRequest.js';
-import { HandOverSession } from '../handover/HandOverSession.js';
 import { stepAfterHandOver } from '../handover/stepAfterHandOver.js';
 import type { Choice } from '../runners/RunnerChoice.js';
 import type { SelectionRefusal } from '../runners/RunnerSelector.js';
-import type { BufferedAnswer, DaemonAnswer } from './AnswerRelay.js';
+import type { BufferedAnswer } from './AnswerRelay.js';
 import { framingOf } from './answerFraming.js';
 import { daemonAnswerFor, refusedAnswer } from './daemonAnswerFor.js';
 import type { AttemptVerdict, RetryDecision } from './retryDecision.js';
 import type { AttemptFailure, RunnerAttempt } from './RunnerAttempt.js';
 import { RequestParts } from './RequestParts.js';
-import type { ForwardedRequestOptions } from './RequestParts.js';
 import { readmissionAt } from './waitLimits.js';
-import { RequestTimer } from './RequestTimer.js';
 import { isEventStream } from './StreamedAnswer.js';
-import type { EndEvent } from './RequestReport.js';
 
 const SERVER_ERROR = 500;
 
@@ -30,10 +26,6 @@
 
 /** State of one forwarded request; observes the attempts that it sends. */
 export class ForwardedRequest extends RequestParts {
-  private readonly timer: RequestTimer;
-
-  private readonly handOver: HandOverSession;
-
   /** Complete server error of a runner, sent to the caller if no other runner succeeds. */
   private fallback: BufferedAnswer | undefined;
 
@@ -43,24 +35,15 @@
   /** Whether the request waits until runners that refused the connection may be up. */
   private isWaitingForRunner = false;
 
-  private firstAnswerAt: number | undefined;
-
-  /**
-   * @param options - the request and the relay that writes its answer.
-   */
-  constructor(options: ForwardedRequestOptions) {
-    super(options);
-    const { request, body, context, relay, bufferedAnswers, stream, tried } = this;
-    this.timer = new RequestTimer({ clock: context.clock, onTime: () => this.check() });
-    this.handOver = new HandOverSession({
-      ...{ request, body, context, relay, bufferedAnswers, stream, tried },
-      onEnd: (end) => this.handleHandOverEnd(end),
-    });
-  }
-
   /** Sends the first attempt. */
   start(): void {
+    this.endAfterThrow(() => this.begin());
+  }
+
+  private begin(): void {
     const { service, deadlineAt } = this.request;
+    // Whatever is thrown later on, the request is looked at again by its deadline.
+    this.timer.set(deadlineAt);
     if (!this.isCounted) this.context.budget.recordRequest(service, this.now());
     if (this.now() >= deadlineAt) {
       this.expire();
@@ -77,7 +60,6 @@
 
   /** Finds the software version that began the stream that the caller takes up. */
   private findVersion(): void {
-    this.timer.set(this.request.deadlineAt);
     this.versions.resolve(({ softwareVersion, retryAfterSeconds }) => {
       if (this.relay.isDone) return;
       if (softwareVersion !== undefined) this.sendNext();
@@ -196,7 +178,7 @@
     this.handOver.begin();
   }
 
-  private handleHandOverEnd(end: HandOverEnd): void {
+  protected override handleHandOverEnd(end: HandOverEnd): void {
     const { mayHaveRun } = this.tried;
     const { isBegun, active } = this;
     const state = { hasAttempts: active.size > 0, mayHaveRun: mayHaveRun > 0, isBegun };
@@ -326,23 +308,11 @@
     this.endWith(daemonAnswerFor({ verdict, failure, isLate, unavailability }));
   }
 
-  private endWith(own: DaemonAnswer): void {
-    this.stopAttempts();
-    this.relay.sendDaemonAnswer(own);
-    this.end('notServed', own.reason);
-  }
-
-  private stopAttempts(): void {
-    this.timer.clear();
-    this.handOver.cancel();
-    this.active.cancelAll(this.quarantine);
-  }
-
   private scheduleCheck(): void {
     this.timer.set(this.waits.nextCheckAt);
   }
 
-  private check(): void {
+  protected override check(): void {
     if (this.relay.isDone) return;
     if (this.now() >= this.request.deadlineAt) {
       this.expire();
@@ -380,21 +350,4 @@
     if (this.relay.isDone) return;
     this.endWithRefusal(this.quarantine.refusal);
   }
-
-  /** A request that may have run, at the daemon that handed it over perhaps, cannot be refused any more. */
-  private endWithRefusal(refusal: DaemonAnswer): void {
-    const isElsewhere = this.handOver.isInProgress;
-    const mayHaveRun = isElsewhere || this.active.size > 0 || this.tried.mayHaveRun > 0;
-    this.endWith(mayHaveRun ? { status: 502, reason: refusal.reason } : refusal);
-  }
-
-  private end(event: EndEvent, outcome: string): void {
-    this.quarantine.end();
-    this.versions.end();
-    const { firstAnswerAt, tried, relay } = this;
-    this.report.ended({
-      ...{ event, outcome, relay, firstAnswerAt, tried: tried.count },
-      quarantinedParts: outcome === 'quarantined' ? this.quarantine.quarantinedParts : undefined,
-    });
-  }
 }
--- a/src/forwarding/RequestParts.ts
+++ b/src/forwarding/RequestParts.ts
@@ -1,17 +1,21 @@
 /**
- * The parts of one forwarded request, each of which keeps a side of its state.
+ * The parts of one forwarded request, each of which keeps a side of its state, and how the request ends.
  */
+import type { HandOverEnd } from '../handover/HandedOverRequest.js';
+import { HandOverSession } from '../handover/HandOverSession.js';
 import { requestSubjects } from '../quarantine/requestSubjects.js';
 import type { Choice, ChoiceQuestion } from '../runners/RunnerChoice.js';
 import { StreamVersionSession } from '../streamVersions/StreamVersionSession.js';
 import { ActiveAttempts } from './ActiveAttempts.js';
-import type { AnswerRelay } from './AnswerRelay.js';
+import type { AnswerRelay, DaemonAnswer } from './AnswerRelay.js';
 import { BufferedAnswers } from './BufferedAnswers.js';
 import { createAttempt } from './createAttempt.js';
 import type { AdmittedRequest, ForwardingContext } from './forwardingTypes.js';
 import { QuarantineSession } from './QuarantineSession.js';
 import { RequestReport } from './RequestReport.js';
+import type { EndEvent } from './RequestReport.js';
 import { RequestRetries } from './RequestRetries.js';
+import { RequestTimer } from './RequestTimer.js';
 import { RequestWaits } from './RequestWaits.js';
 import { AttemptObserver } from './RunnerAttempt.js';
 import type { RunnerAttempt } from './RunnerAttempt.js';
@@ -75,6 +79,13 @@
 
   protected readonly waits: RequestWaits;
 
+  protected readonly timer: RequestTimer;
+
+  protected readonly handOver: HandOverSession;
+
+  /** When the caller got the beginning of its answer, monotonic ms. */
+  protected firstAnswerAt: number | undefined;
+
   /** Continues the request, which waits for the version of its stream. */
   protected afterVersion: (() => void) | undefined;
 
@@ -115,6 +126,15 @@
       ...(before && { maximumAttempts: tried.mayHaveRun + 1 }),
     });
     this.outcomes = new RunnerOutcomes({ context, report });
+    this.timer = new RequestTimer({
+      clock: context.clock,
+      onTime: () => this.endAfterThrow(() => this.check()),
+    });
+    const { bufferedAnswers } = this;
+    this.handOver = new HandOverSession({
+      ...{ request, body, context, relay, bufferedAnswers, stream, tried },
+      onEnd: (handOverEnd) => this.handleHandOverEnd(handOverEnd),
+    });
   }
 
   /** Version at which alone the request may run; any if `undefined`. */
@@ -193,12 +213,59 @@
     this.report.answerRejected(attempt, status, this.relay);
   }
 
+  protected endWith(own: DaemonAnswer): void {
+    // The answer goes first, so that a throw cannot keep it from the caller.
+    this.relay.sendDaemonAnswer(own);
+    this.stopAttempts();
+    this.end('notServed', own.reason);
+  }
+
+  /** Answers the caller if a step throws; nothing might do so any more. */
+  protected endAfterThrow(step: () => void): void {
+    try {
+      step();
+    } catch (error) {
+      this.relay.sendDaemonAnswer({ status: 502, reason: 'internal' });
+      this.stopAttempts();
+      throw error;
+    }
+  }
+
+  protected stopAttempts(): void {
+    this.timer.clear();
+    this.handOver.cancel();
+    this.active.cancelAll(this.quarantine);
+  }
+
+  /** A request that may have run, at the daemon that handed it over perhaps, cannot be refused any more. */
+  protected endWithRefusal(refusal: DaemonAnswer): void {
+    const isElsewhere = this.handOver.isInProgress;
+    const mayHaveRun = isElsewhere || this.active.size > 0 || this.tried.mayHaveRun > 0;
+    this.endWith(mayHaveRun ? { status: 502, reason: refusal.reason } : refusal);
+  }
+
+  protected end(event: EndEvent, outcome: string): void {
+    this.quarantine.end();
+    this.versions.end();
+    const { firstAnswerAt, tried, relay } = this;
+    this.report.ended({
+      ...{ event, outcome, relay, firstAnswerAt, tried: tried.count },
+      quarantinedParts: outcome === 'quarantined' ? this.quarantine.quarantinedParts : undefined,
+    });
+  }
+
   /** Records that the attempts in progress are about to be given up. */
   protected recordGivenUp(): void {
     const { targetLatencyMilliseconds } = this.request.route;
     for (const attempt of this.active) this.outcomes.givenUp(attempt, targetLatencyMilliseconds);
   }
 
+  /** Looks at the state of the request, at a time that was set before. */
+  protected abstract check(): void;
+
+  /** Called when a hand-over to another daemon has ended. */
+  protected abstract handleHandOverEnd(end: HandOverEnd): void;
+
   /** Called when the request has been put into quarantine. */
   protected abstract onQuarantined(): void;
 }
--- a/src/forwarding/testRequest.ts
+++ b/src/forwarding/testRequest.ts
@@ -253,13 +253,28 @@
    * @returns Connection on which the test writes the answer of that runner, and everything that the caller receives.
    */
   async begin(): Promise<{ runner: Socket; caller: Promise<string> }> {
+    const { asked, caller } = await this.send();
+    while (asked.length === 0) await nextTurn();
+    return { runner: asked[0]!, caller };
+  }
+
+  /**
+   * Sends the request like {@link begin}, and does not wait for the runner. What a step throws is dropped; a daemon logs it.
+   *
+   * @returns Connections on which the runner has received the request, and everything that the caller receives.
+   */
+  async send(): Promise<{ asked: readonly Socket[]; caller: Promise<string> }> {
     const asked: Socket[] = [];
     this.openPort = await this.listenForRequests(asked);
     this.addHangingRunner(FIRST_RUNNER);
-    const front = createServer((_request, response) => this.createRequest(response).start());
-    const caller = this.call(await this.listen(front));
-    while (asked.length === 0) await nextTurn();
-    return { runner: asked[0]!, caller };
+    const front = createServer((_request, response) => {
+      try {
+        this.createRequest(response).start();
+      } catch {
+        // The caller's answer shows what became of the request.
+      }
+    });
+    return { asked, caller: this.call(await this.listen(front)) };
   }
 
   /**
