An answer that switches protocols, or has no final status, is a failure at once on every way

After a 101 the HTTP library closes the connection without an error. An attempt at a runner, a request that was handed over and the product's own interface waited for an answer until the deadline; an idempotent request was not tried elsewhere. The product's own interface also took a status below 200 for an answer: a plain service's 020 was completed.

The end of the connection without an answer fails the exchange, and RunnerConnection asks isFinalStatus.

--- a/src/forwarding/RunnerAttempt.ts
+++ b/src/forwarding/RunnerAttempt.ts
@@ -139,6 +139,10 @@
     request.once('socket', (socket) => this.watchSocket(socket));
     request.once('response', (answer) => this.handleAnswer(answer));
     request.on('error', (error: NodeJS.ErrnoException) => this.fail(this.failureOf(error)));
+    // After an answer that switches protocols, the library closes the connection without an error.
+    request.once('close', () => {
+      if (!this.isAnswered) this.fail('broken');
+    });
     request.end(body);
   }
 
--- a/src/handover/HandOverOffer.ts
+++ b/src/handover/HandOverOffer.ts
@@ -58,6 +58,8 @@
 
   private state: 'open' | 'given' | 'withdrawn' | 'over' = 'open';
 
+  private isAnswered = false;
+
   /**
    * @param options - the daemon and the observer.
    */
@@ -76,6 +78,10 @@
     this.outgoing.once('continue', () => this.handleConfirmation());
     this.outgoing.once('response', (answer) => this.handleAnswer(answer));
     this.outgoing.on('error', () => this.handleError());
+    // After an answer that switches protocols, the library closes the connection without an error.
+    this.outgoing.once('close', () => {
+      if (!this.isAnswered) this.handleError();
+    });
     // A confirmation that has arrived while this process was busy is read before the timer counts.
     this.timer = setTimeout(() => setImmediate(() => this.handleDelay()), delayMilliseconds);
   }
@@ -110,6 +116,7 @@
   }
 
   private handleAnswer(answer: IncomingMessage): void {
+    this.isAnswered = true;
     if (this.state === 'given') {
       this.observer.answered(this, answer);
       return;
--- a/src/handover/HandedOverRequest.spec.ts
+++ b/src/handover/HandedOverRequest.spec.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net';
 import { afterEach, beforeEach, describe, it, mock } from 'node:test';
 import { ServerResponse } from 'node:http';
 import type { IncomingMessage } from 'node:http';
@@ -169,6 +170,35 @@
       expectLost('at_most_once', `${status} Strange`));
   }
 
+  async function expectLostAfter(head: string, end: (socket: Socket | null) => void) {
+    await peers.add('one', { answer: (_, { socket }) => socket?.write(head, () => end(socket)) });
+    expect(await withinWait(peers.handOver('at_most_once'))).toEqual(LOST);
+  }
+
+  for (const [ending, end] of [
+    ['close', (socket: Socket | null) => socket?.end()],
+    ['reset', (socket: Socket | null) => socket?.resetAndDestroy()],
+  ] as const) {
+    for (const head of [
+      'HTTP/1.1 2',
+      'HTTP/1.1 200 OK\r\n',
+      'HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Le',
+      'HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 2\r\n\r',
+      'HTTP/1.1 200 OK\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n',
+      'HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 2\r\n\r\n',
+    ]) {
+      // Guards against a 200 with an empty body that looks whole, where the other daemon ends within its answer.
+      it(`is lost when the daemon breaks off in its head: ${JSON.stringify(head)}, ${ending}`, () =>
+        expectLostAfter(head, end));
+    }
+  }
+
+  // Guards against a caller that waits for its deadline, since the library reports no error of such an answer.
+  it('is lost when the daemon that took it switches protocols', async () => {
+    const head = 'HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n';
+    await expectLostAfter(head, () => undefined);
+  });
+
   for (const kind of ['at_most_once', 'stream'] as const) {
     // Guards against a caller without any answer after its head could not be written.
     it(`is lost when the head of its answer throws: ${kind}`, async () => {
--- a/src/upstreams/RunnerConnection.ts
+++ b/src/upstreams/RunnerConnection.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage } from 'node:http';
 import { pipeline, Readable } from 'node:stream';
 
+import { isFinalStatus } from '../http/isFinalStatus.js';
 import { parseAddress } from '../http/parseAddress.js';
 import { MAXIMUM_TIMER_MILLISECONDS } from './StopSignal.js';
 import type { StopSignal, StopReason } from './StopSignal.js';
@@ -175,7 +176,17 @@
       if (socket.connecting) socket.once('connect', connected);
       else connected();
     });
-    request.on('response', (response) => settle({ kind: 'response', response }));
+    let isAnswered = false;
+    request.on('response', (response) => {
+      isAnswered = true;
+      const { statusCode = 0 } = response;
+      if (isFinalStatus(statusCode)) settle({ kind: 'response', response });
+      else fail('cut', `an answer with status ${statusCode}`);
+    });
+    // After an answer that switches protocols, the library closes the connection without an error.
+    request.once('close', () => {
+      if (!isAnswered) fail('cut', 'the connection was closed without an answer');
+    });
     // Stays attached after the headers arrived; an error of the connection then also reaches the reader of the body.
     request.on('error', (error) => fail('cut', error.message));
     if (body === undefined || body instanceof Uint8Array) request.end(body);
