An answer names a length only if its body follows

A 204 with a Content-Length was passed on with it and without a body, so that a caller that believes the length reads the next answer of the connection as that body; the length in the answer to a HEAD request became 0.

--- a/src/forwarding/AnswerRelay.ts
+++ b/src/forwarding/AnswerRelay.ts
@@ -39,6 +39,8 @@
   softwareVersion?: string | undefined;
 }
 
+const NO_CONTENT = 204;
+const NOT_MODIFIED = 304;
 const BAD_GATEWAY = 502;
 
 /** Response to one caller. */
@@ -124,9 +126,8 @@
     }
     const headers = passingHeaders(answer.rawHeaders, HEADERS_BETWEEN_DAEMONS);
     const status = answer.statusCode ?? BAD_GATEWAY;
-    if (answer.headers['content-length'] !== undefined || body.length > 0) {
-      headers.push('Content-Length', String(body.length));
-    }
+    const length = this.lengthOf(answer, body.length);
+    if (length !== undefined) headers.push('Content-Length', String(length));
     if (!this.writeHead(status, headers)) {
       this.ownership.disclaim(source);
       this.dropped += body.length;
@@ -196,6 +197,17 @@
     return true;
   }
 
+  /** Returns the length that the head names; without a body, that is the one of the answer to another request, or none. */
+  private lengthOf(
+    { statusCode, headers }: IncomingMessage,
+    bodyBytes: number,
+  ): number | string | undefined {
+    const named = headers['content-length'];
+    if (statusCode === NO_CONTENT) return undefined;
+    if (statusCode === NOT_MODIFIED || this.response.req.method === 'HEAD') return named;
+    return named !== undefined || bodyBytes > 0 ? bodyBytes : undefined;
+  }
+
   /** @returns Whether the head was written. */
   private writeHead(status: number, headers: string[]): boolean {
     if (this.closes()) headers.push('Connection', 'close');
