A success whose body never begins behind its head is broken off

Here a head that is cut anywhere up to its blank line was a 502 already on every way (own attempt, resumed stream, hand-over, own interface). Behind the blank line it happened: where neither a length nor chunks tell the end of the body, the HTTP library takes the end of the connection for it, a plain 200 went out as a whole answer without a body, and a stream that was to go on ended as complete. At the own interface an error of an engine, broken off in the same framing, was whole.

Such a success is broken off now: repeated where it may be, else a 502, and a stream is cut. A body of which a part has come cannot be told from a whole one; that is how the framing works.

--- a/src/forwarding/RunnerAttempt.ts
+++ b/src/forwarding/RunnerAttempt.ts
@@ -10,6 +10,7 @@
 import type { Runner } from '../runners/Runner.js';
 import type { Clock } from '../time/Clock.js';
 import { AnswerByteLimit } from './AnswerByteLimit.js';
+import { framingOf } from './answerFraming.js';
 import type { AnswerSource } from './AnswerOwnership.js';
 import type { LinkCheck } from './LinkCheck.js';
 import { isRemoteError, probeRunner } from './probeRunner.js';
@@ -83,8 +84,13 @@
 
 const MISDIRECTED = 421;
 const SUCCESS = 200;
+const NO_CONTENT = 204;
 const REDIRECT = 300;
 
+function isSuccess(status: number): boolean {
+  return status >= SUCCESS && status < REDIRECT;
+}
+
 /** Sends a request to one runner and reports the result to its observer. */
 export class RunnerAttempt implements AnswerSource {
   readonly runner: Runner;
@@ -107,6 +113,9 @@
 
   private wasReset = false;
 
+  /** Whether any byte of the body has arrived. */
+  private hasBytes = false;
+
   private settled = false;
 
   private probing = false;
@@ -297,13 +306,13 @@
     const { protocol, requestId } = this.options;
     const echoed = headers[protocol.names.requestId];
     if (requestId !== undefined && echoed !== undefined && echoed !== requestId) return true;
-    const isSuccess = status >= SUCCESS && status < REDIRECT;
-    return isSuccess && headers[protocol.names.signature] === undefined;
+    return isSuccess(status) && headers[protocol.names.signature] === undefined;
   }
 
   private handleChunk(chunk: Buffer): void {
     if (this.settled) return;
     const now = this.options.clock.monotonicMilliseconds();
+    this.hasBytes = true;
     this.runner.lastHeardAt = now;
     this.options.work?.receive(now);
     this.options.observer.received(this, chunk);
@@ -311,7 +320,7 @@
 
   private handleEnd(answer: IncomingMessage): void {
     if (this.settled) return;
-    if (!answer.complete || this.wasReset) {
+    if (!answer.complete || this.wasReset || this.mayLackItsBody(answer)) {
       this.fail('broken');
       return;
     }
@@ -319,6 +328,18 @@
     this.options.observer.ended(this);
   }
 
+  /**
+   * Tells whether a success may have been broken off behind its head: only the end of the connection ends its body, of which
+   * no byte has come.
+   */
+  private mayLackItsBody(answer: IncomingMessage): boolean {
+    const { statusCode = 0 } = answer;
+    const hasBody = this.options.method !== 'HEAD' && statusCode !== NO_CONTENT;
+    return (
+      hasBody && !this.hasBytes && isSuccess(statusCode) && framingOf(answer) === 'until_close'
+    );
+  }
+
   private fail(failure: AttemptFailure, destroys = true): void {
     if (this.settled) return;
     this.markSettled();
--- a/src/upstreams/EngineAnswerReader.ts
+++ b/src/upstreams/EngineAnswerReader.ts
@@ -9,7 +9,7 @@
 import type { StopSignal } from './StopSignal.js';
 import { EngineStreamChecker, parseJson } from './EngineStreamChecker.js';
 import { answerHeaders } from './forwardedHeaders.js';
-import { BodyError, readParts, readWhole } from './readBody.js';
+import { BodyError, isLengthKnown, readParts, readWhole } from './readBody.js';
 import type { ExchangeRequest, RunnerConnection } from './RunnerConnection.js';
 import { wholeAnswerSchema } from './runnerMessages.js';
 import { CACHED_TOKENS_HEADER, EVENT_STREAM_TYPE } from './runnerProtocol.js';
@@ -181,9 +181,10 @@
     };
     const body = await readWhole(response, limits, stopSignal);
     const parsed = wholeAnswerSchema.safeParse(parseJson(body.toString('utf8')));
-    const isAcceptable = parsed.success || (response.statusCode ?? 0) >= 400;
-    if (!isAcceptable) {
-      yield malformedFailure('the answer is not JSON with a usage');
+    // An error may be any text, so that only its length shows whether it is whole.
+    const isWholeError = (response.statusCode ?? 0) >= 400 && isLengthKnown(response);
+    if (!parsed.success && !isWholeError) {
+      yield malformedFailure('the answer is neither JSON with a usage nor a whole error');
       return;
     }
     const usage = parsed.data?.usage;
--- a/src/upstreams/Upstream.spec.ts
+++ b/src/upstreams/Upstream.spec.ts
@@ -11,6 +11,7 @@
 import type { RunnerServer } from '../../standIns/runners/RunnerServer.js';
 import { EngineUpstream } from './EngineUpstream.js';
 import { PlainUpstream } from './PlainUpstream.js';
+import { ATTEMPT_ID_HEADER } from './runnerProtocol.js';
 import {
   createAttempt,
   LONG_DEADLINE_MILLISECONDS,
@@ -25,6 +26,9 @@
 /** Deadline that is longer than any answer of the stand-ins takes, except that of a frozen one. */
 const FROZEN_DEADLINE_MILLISECONDS = 500;
 
+/** Much less than a deadline, in ms. */
+const AT_ONCE_MILLISECONDS = 2_000;
+
 interface FaultCase {
   readonly fault: string;
   readonly faults: RunnerFaultsInput;
@@ -228,6 +232,49 @@
     server.close();
   });
 
+  const HEADS: readonly string[] = [
+    'HTTP/1.1 2',
+    'HTTP/1.1 200 OK\r\nattempt-id: ID\r\ncontent-le',
+    'HTTP/1.1 200 OK\r\nattempt-id: ID\r\ncontent-length: 9\r\n\r',
+    'HTTP/1.1 200 OK\r\nattempt-id: ID\r\n\r\n',
+    'HTTP/1.1 200 OK\r\nattempt-id: ID\r\ncontent-length: 9\r\n\r\n',
+    'HTTP/1.1 200 OK\r\nattempt-id: ID\r\ntransfer-encoding: chunked\r\n\r\n',
+    'HTTP/1.1 500 No\r\nattempt-id: ID\r\n\r\nhalf an err',
+    'HTTP/1.1 020 OK\r\nattempt-id: ID\r\ncontent-length: 0\r\n\r\n',
+    'HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n',
+  ];
+
+  for (const head of HEADS) {
+    for (const shape of ['stream', 'whole', 'change'] as const) {
+      // Guards against an answer that is taken for whole, or waited for until the deadline, where its head breaks off or is none.
+      it(`fails at once after a part of an answer: ${JSON.stringify(head)}, ${shape}`, async () => {
+        const attempt = createAttempt(shape, { deadlineMilliseconds: LONG_DEADLINE_MILLISECONDS });
+        const server = net.createServer((socket: Socket) => {
+          socket.on('error', () => {});
+          socket.once('data', () => {
+            socket.write(
+              head.replace('attempt-id: ID', `${ATTEMPT_ID_HEADER}: ${attempt.attemptId}`),
+            );
+            if (!head.includes('101')) socket.end();
+          });
+        });
+        await new Promise<void>((resolve) => {
+          server.listen(0, '127.0.0.1', resolve);
+        });
+        const { port } = server.address() as AddressInfo;
+        const address = `127.0.0.1:${port}`;
+        const upstream =
+          shape === 'change' ? new PlainUpstream({ address }) : new EngineUpstream({ address });
+        const startedAt = performance.now();
+        const events = await readAll(upstream.run(attempt, new AbortController().signal));
+        upstream.close();
+        server.close();
+        expect(outcomeOf(events).split(':', 1)).toEqual(['failed']);
+        expect(performance.now() - startedAt).toBeLessThan(AT_ONCE_MILLISECONDS);
+      });
+    }
+  }
+
   it('takes only IP numbers', () => {
     expect(() => new EngineUpstream({ address: 'runner.example:80' })).toThrow('not an IP number');
     expect(() => new EngineUpstream({ address: '127.0.0.1' })).toThrow('not an IP number');
