A runner that closes connections after its answers is not in doubt for good

Callers that took streams up were refused (version_unknown) although the runners of their version served: 0 of 35 after half of the daemons had lost power before a release, 2 of 70 after all had been killed beside two versions. With runners that keep connections the same cases go on (106 of 114 at 67 streams a second), so neither the rate nor the age of the daemons makes the difference; the log shows doubts about restarts (2625) that last for 17 s, as long as streams end.

Cause: a closed idle connection is taken for a restart until the list has been current for 3 s, each further one begins this anew, and streams that begin in a doubt have no version and are recorded nowhere. A runner that closes connections after its answers, or sooner than it states, is in doubt all the time. What a process does not know was taken for what is not so; here a doubt that evidence could end was not ended.

- RunnerAgent keeps idle connections for half the time after which the runner has closed one.
- RestartSuspicion keeps the moment up to which the same life is proven: by data on a connection that was open before, by the list, by a report.
A stream whose connection was opened before has a version.
- A daemon with requests at a runner waits .25 s for such data before it tells the others; notices of doubts that have lasted say so, since no connection can prove anything then.

The fake response of BufferedAnswers.spec.ts names its request, whose method the relay asks for.

--- a/src/forwarding/BufferedAnswers.spec.ts
+++ b/src/forwarding/BufferedAnswers.spec.ts
@@ -35,6 +35,7 @@
   beforeEach(() => {
     written = [];
     const response = {
+      req: { method: 'GET' },
       writeHead: () => undefined,
       write: (chunk: Buffer) => written.push(chunk),
       end: (chunk: Buffer) => written.push(chunk),
--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -86,7 +86,8 @@
     }
     this.bufferedAnswers.begin(attempt, answer);
     const { runner } = attempt;
-    if (isStream) this.stream.take(attempt, answer, this.versions.versionAt(runner));
+    if (isStream)
+      this.stream.take(attempt, answer, this.versions.versionAt(runner, attempt.connectedAt));
   }
 
   override received(attempt: RunnerAttempt, chunk: Buffer): void {
--- a/src/forwarding/RunnerAgent.ts
+++ b/src/forwarding/RunnerAgent.ts
@@ -28,6 +28,12 @@
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
+/** How long a runner's own idle limit is remembered after it has closed an idle connection, in ms. */
+const OBSERVED_LIMIT_MILLISECONDS = 60_000;
+
+/** Shortest idle time for which a connection is kept, in ms. */
+const SHORTEST_IDLE_MILLISECONDS = 5;
+
 /** Maximum number of idle connections; limits how many remain open after a burst. */
 const MAXIMUM_IDLE_CONNECTIONS = 16;
 
@@ -60,6 +66,12 @@
 
   private isReleased = false;
 
+  /** Idle time after which the runner closes connections, sooner than it states perhaps; in ms. */
+  private observedLimit = Number.POSITIVE_INFINITY;
+
+  /** When it was observed, monotonic ms. */
+  private observedAt = Number.NEGATIVE_INFINITY;
+
   private readonly onLost: () => void;
 
   /**
@@ -78,10 +90,15 @@
    */
   override keepSocketAlive(socket: IdleSocket): boolean {
     if (this.isReleased) return false;
-    const idleLimit = idleLimitMilliseconds(socket._httpMessage?.res?.headers['keep-alive']);
-    if (idleLimit <= 0) return false;
+    const stated = idleLimitMilliseconds(socket._httpMessage?.res?.headers['keep-alive']);
+    const idleSince = performance.now();
+    const idleLimit = Math.min(stated, this.observedLimitAt(idleSince) / 2);
+    if (idleLimit < SHORTEST_IDLE_MILLISECONDS) return false;
     const onData = () => socket.destroy();
-    const onEnd = () => this.onLost();
+    const onEnd = () => {
+      this.observeLimit(idleSince);
+      this.onLost();
+    };
     socket.on('data', onData);
     socket.once('end', onEnd);
     socket.once('error', onEnd);
@@ -108,6 +125,18 @@
     super.reuseSocket(socket, request);
   }
 
+  private observedLimitAt(now: number): number {
+    const isRecent = now - this.observedAt < OBSERVED_LIMIT_MILLISECONDS;
+    return isRecent ? this.observedLimit : Number.POSITIVE_INFINITY;
+  }
+
+  /** A runner that closes idle connections by habit would otherwise be taken for one that starts again and again. */
+  private observeLimit(idleSince: number): void {
+    const now = performance.now();
+    this.observedLimit = Math.min(this.observedLimitAt(now), now - idleSince);
+    this.observedAt = now;
+  }
+
   /** Closes idle connections and keeps no others from now on; requests in progress continue. */
   release(): void {
     this.isReleased = true;
--- a/src/forwarding/RunnerAttempt.spec.ts
+++ b/src/forwarding/RunnerAttempt.spec.ts
@@ -1,6 +1,7 @@
 import { createServer, Socket } from 'node:net';
 import type { AddressInfo, Server } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
+import { setTimeout as wait } from 'node:timers/promises';
 import { Worker } from 'node:worker_threads';
 
 import { expect } from 'earl';
@@ -14,6 +15,9 @@
 /** How long this thread is kept from reading, so that data and reset arrive together; in ms. */
 const BUSY_MILLISECONDS = 100;
 
+/** After this time a runner closes connections, in ms; half of it is more than a timer's delay on a busy machine. */
+const IDLE_MILLISECONDS = 200;
+
 /**
  * Runner in its own thread: sends part of an answer and then, depending on the path, resets the connection or closes it
  * in order.
@@ -165,4 +169,27 @@
     expect(sockets.length).toEqual(2);
     agent.destroy();
   });
+
+  it('closes idle connections sooner than a runner that has closed one', async () => {
+    // Guards against a runner that closes connections after its answers, and so seems to start again and again.
+    const answer = `${HEAD}Keep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok`;
+    const port = await listen((socket) => {
+      socket.on('data', () => {
+        socket.write(answer);
+        setTimeout(() => socket.end(), IDLE_MILLISECONDS);
+      });
+    });
+    let lost = 0;
+    const agent = new RunnerAgent({
+      onLost: () => {
+        lost += 1;
+      },
+    });
+    for (let request = 0; request < 3; request += 1) {
+      expect((await attemptAt({ port, agent })).outcome).toEqual('ended');
+      await wait(2 * IDLE_MILLISECONDS);
+    }
+    expect(lost).toEqual(1);
+    agent.destroy();
+  });
 });
--- a/src/forwarding/RunnerAttempt.ts
+++ b/src/forwarding/RunnerAttempt.ts
@@ -98,6 +98,9 @@
   /** When the attempt was created, immediately before it is sent; monotonic ms. */
   readonly startedAt: number;
 
+  /** When its connection was opened, or the attempt was created if that is later; monotonic ms. */
+  connectedAt: number;
+
   /** Whether the head of an answer has arrived. */
   isAnswered = false;
 
@@ -113,6 +116,9 @@
 
   private wasReset = false;
 
+  /** Whether reading has ever been paused. */
+  private wasPaused = false;
+
   /** Whether any byte of the body has arrived. */
   private hasBytes = false;
 
@@ -127,6 +133,7 @@
     this.options = options;
     this.runner = options.runner;
     this.startedAt = options.clock.monotonicMilliseconds();
+    this.connectedAt = this.startedAt;
   }
 
   /** Sends the request. */
@@ -256,6 +263,7 @@
   private onConnect(): void {
     clearTimeout(this.connectTimer);
     this.connected = true;
+    this.connectedAt = this.options.clock.monotonicMilliseconds();
     this.options.link.accepted(this.runner);
   }
 
@@ -269,7 +277,7 @@
   private handleAnswer(answer: IncomingMessage): void {
     if (this.settled) return;
     const { protocol, observer, statements } = this.options;
-    this.runner.lastHeardAt = this.options.clock.monotonicMilliseconds();
+    this.hear();
     const status = answer.statusCode ?? 0;
     if (!isFinalStatus(status)) {
       this.fail('broken');
@@ -288,6 +296,9 @@
     this.isAnswered = true;
     this.runner.backlog.recordAnswered();
     this.byteLimit.readBody(answer);
+    answer.once('pause', () => {
+      this.wasPaused = true;
+    });
     answer.on('data', (chunk: Buffer) => this.handleChunk(chunk));
     answer.once('end', () => this.handleEnd(answer));
     answer.once('error', () => this.fail('broken'));
@@ -309,11 +320,18 @@
     return isSuccess(status) && headers[protocol.names.signature] === undefined;
   }
 
+  /** Records that data has arrived, and returns the time. What is read after a pause may have arrived long before. */
+  private hear(): number {
+    const now = this.options.clock.monotonicMilliseconds();
+    this.runner.lastHeardAt = now;
+    if (!this.wasPaused) this.runner.restart.takeData(this.connectedAt, now);
+    return now;
+  }
+
   private handleChunk(chunk: Buffer): void {
     if (this.settled) return;
-    const now = this.options.clock.monotonicMilliseconds();
+    const now = this.hear();
     this.hasBytes = true;
-    this.runner.lastHeardAt = now;
     this.options.work?.receive(now);
     this.options.observer.received(this, chunk);
   }
--- a/src/forwarding/forwardingFeature.ts
+++ b/src/forwarding/forwardingFeature.ts
@@ -178,7 +178,7 @@
     number: 2626,
     name: 'forwarding.restart_doubt_ended',
     level: 'info',
-    text: 'Evidence shows whether a runner has started again: its new entry, its own report, or the list of runners, read for long enough since.',
+    text: 'Evidence shows whether a runner has started again: its new entry, its own report, data on a connection that was open before, or the list of runners, read for long enough since.',
     operatorAction: 'None; if many last for more than a few seconds, check the store.',
   }),
   answerRejected: defineLogEvent({
--- a/src/runners/RestartSuspicion.spec.ts
+++ b/src/runners/RestartSuspicion.spec.ts
@@ -74,4 +74,53 @@
     expect(suspicion.isSuspected).toEqual(true);
     expect(suspicion.hasRestarted).toEqual(true);
   });
+
+  it('ends with data on a connection that was open before', () => {
+    // Guards against runners that close idle connections and are in doubt for good.
+    suspicion = new RestartSuspicion();
+    suspicion.record(10_000);
+    suspicion.takeData(8_900, 10_100);
+    expect(suspicion.isSuspected).toEqual(true);
+    suspicion.takeData(8_900, 10_200);
+    expect(suspicion.isSuspected).toEqual(false);
+  });
+
+  it('does not end with data on a connection that was opened since, or shortly before', () => {
+    // Guards against a runner that has started again and answers.
+    suspicion = new RestartSuspicion();
+    suspicion.record(10_000);
+    suspicion.takeData(9_100, 20_000);
+    suspicion.takeData(10_300, 20_000);
+    expect(suspicion.isSuspected).toEqual(true);
+    expect(suspicion.isSameLifeAt(9_100)).toEqual(false);
+  });
+
+  it('is about the time after the last proof, however often connections are closed', () => {
+    // Guards against streams whose version is known at no time, as the next connection is closed before the proof.
+    suspicion = new RestartSuspicion();
+    for (let at = 10_000; at < 14_000; at += 100) {
+      suspicion.record(at);
+      suspicion.takeData(at < 12_000 ? 8_000 : 11_000, at);
+    }
+    expect(suspicion.isSuspected).toEqual(true);
+    expect([suspicion.isSameLifeAt(13_700), suspicion.isSameLifeAt(13_701)]).toEqual([true, false]);
+  });
+
+  it('is about the last seconds alone while the list is current', () => {
+    // Guards against the same where no connection is open for long.
+    for (let at = 0; at <= 10_000; at += STEP_MILLISECONDS) {
+      suspicion.record(at);
+      suspicion.confirmListed(at + 1);
+    }
+    expect(suspicion.isSuspected).toEqual(true);
+    expect([suspicion.isSameLifeAt(7_001), suspicion.isSameLifeAt(7_002)]).toEqual([true, false]);
+  });
+
+  it('does not end with data where another daemon has been in doubt for a while', () => {
+    // Guards against a connection that was opened after the restart, before this daemon heard of it.
+    suspicion = new RestartSuspicion();
+    suspicion.recordNotice(10_000, { isLasting: true });
+    suspicion.takeData(1_000, 20_000);
+    expect(suspicion.isSuspected).toEqual(true);
+  });
 });
--- a/src/runners/RestartSuspicion.ts
+++ b/src/runners/RestartSuspicion.ts
@@ -2,8 +2,10 @@
  * Whether a runner may have started again under its id, before its new entry in the platform's list is known.
  *
  * Connections do not outlive an incarnation, so a connection that the runner's instance has closed is the first evidence.
- * The doubt does not end with time, as the list may not be readable: it ends when the list, read again and again since, still
- * has the same entry, or when the runner itself says which incarnation it is.
+ * Runners close idle connections for other reasons too, again and again perhaps. So the doubt is about the time after the
+ * last moment up to which the same incarnation is proven to have run: by data on a connection that was open before, by the
+ * list, read again and again since, or by the runner itself. It ends once that moment is later than the last connection
+ * that was closed; it does not end with time, as the list may not be readable.
  */
 
 /** Time within which a list that is read has the entry of a runner that has started again, in ms. */
@@ -15,6 +17,15 @@
  */
 const LONGEST_GAP_MILLISECONDS = 2_000;
 
+/** Longest time from the end of an incarnation until its closed connections are noticed, in ms: packets may be lost. */
+const NOTICED_MILLISECONDS = 1_000;
+
+/** Longest time until another daemon's first notice of it has arrived, in ms: it waits for proof, and is sent three times. */
+const NOTICE_MILLISECONDS = 1_800;
+
+/** Longest time that data may have been on its way when it is read, in ms; what sent it may have ended since. */
+const TRANSIT_MILLISECONDS = 200;
+
 /** What a report of the runner has shown; `outdated`: it was requested before the latest evidence. */
 export type ReportFinding = 'same_life' | 'restarted' | 'outdated';
 
@@ -22,7 +33,10 @@
 export class RestartSuspicion {
   private state: 'none' | 'suspected' | 'restarted' = 'none';
 
-  private lostAt = Number.NEGATIVE_INFINITY;
+  private lastLostAt = Number.NEGATIVE_INFINITY;
+
+  /** Time up to which the incarnation of the entry has certainly run, while there is a doubt; monotonic ms. */
+  private provenUntil = Number.NEGATIVE_INFINITY;
 
   /** Latest confirmation of the list that is known, monotonic ms. */
   private confirmedAt = Number.NEGATIVE_INFINITY;
@@ -35,11 +49,24 @@
     return this.state !== 'none';
   }
 
+  /** @returns When a connection was last lost, monotonic ms. */
+  get lostAt(): number {
+    return this.lastLostAt;
+  }
+
   /** @returns Whether the runner itself has said that it has started again. */
   get hasRestarted(): boolean {
     return this.state === 'restarted';
   }
 
+  /**
+   * @param at - monotonic ms.
+   * @returns Whether a connection that was opened then has certainly reached the incarnation of the entry.
+   */
+  isSameLifeAt(at: number): boolean {
+    return !this.isSuspected || at <= this.provenUntil;
+  }
+
   /**
    * Records that a connection was closed or refused by the runner's instance.
    *
@@ -47,22 +74,30 @@
    * @returns Whether the runner was not suspected before.
    */
   record(now: number): boolean {
-    const isNew = !this.isSuspected;
-    if (isNew) this.state = 'suspected';
-    this.lostAt = now;
-    this.confirmedAt = now;
-    this.currentSince = now;
-    return isNew;
+    return this.suspect(now, now - NOTICED_MILLISECONDS);
   }
 
   /**
    * Takes another daemon's word for it. A repetition does not prolong the doubt.
    *
    * @param now - monotonic ms.
+   * @param options - whether the other daemon's doubt has lasted for an unknown time.
    * @returns Whether the runner was not suspected before.
    */
-  recordNotice(now: number): boolean {
-    return this.isSuspected ? false : this.record(now);
+  recordNotice(now: number, { isLasting = false } = {}): boolean {
+    if (this.isSuspected) return false;
+    return this.suspect(now, isLasting ? Number.NEGATIVE_INFINITY : now - NOTICE_MILLISECONDS);
+  }
+
+  /**
+   * Takes data that has arrived from the runner as proof, if it comes from the incarnation of the entry.
+   *
+   * @param openedAt - when the connection was opened, monotonic ms.
+   * @param now - when the data arrived, monotonic ms.
+   */
+  takeData(openedAt: number, now: number): void {
+    if (this.state !== 'suspected' || openedAt > this.provenUntil) return;
+    this.prove(now - TRANSIT_MILLISECONDS);
   }
 
   /**
@@ -76,8 +111,8 @@
     if (confirmedAt - this.confirmedAt > LONGEST_GAP_MILLISECONDS) this.currentSince = confirmedAt;
     this.confirmedAt = confirmedAt;
     if (confirmedAt - this.currentSince < KNOWN_MILLISECONDS) return false;
-    this.state = 'none';
-    return true;
+    this.prove(confirmedAt - KNOWN_MILLISECONDS);
+    return !this.isSuspected;
   }
 
   /**
@@ -92,8 +127,24 @@
       this.state = 'restarted';
       return 'restarted';
     }
-    if (askedAt < this.lostAt || this.state !== 'suspected') return 'outdated';
-    this.state = 'none';
-    return 'same_life';
+    if (this.state !== 'suspected') return 'outdated';
+    this.prove(askedAt);
+    return this.isSuspected ? 'outdated' : 'same_life';
+  }
+
+  private suspect(now: number, provenUntil: number): boolean {
+    const isNew = !this.isSuspected;
+    this.lastLostAt = now;
+    if (!isNew) return false;
+    this.state = 'suspected';
+    this.provenUntil = provenUntil;
+    this.confirmedAt = now;
+    this.currentSince = now;
+    return true;
+  }
+
+  private prove(until: number): void {
+    this.provenUntil = Math.max(this.provenUntil, until);
+    if (this.provenUntil >= this.lostAt) this.state = 'none';
   }
 }
--- a/src/streamVersions/RestartDoubts.ts
+++ b/src/streamVersions/RestartDoubts.ts
@@ -18,9 +18,9 @@
 
 /**
  * What has ended a doubt. `entry`: the entry of another life; `report`: the runner's own report; `list`: the list, current
- * for long enough; `gone`: the runner is not listed any more.
+ * for long enough; `connection`: data on a connection that was open before; `gone`: the runner is not listed any more.
  */
-export type DoubtEnd = 'entry' | 'report' | 'list' | 'gone';
+export type DoubtEnd = 'entry' | 'report' | 'list' | 'connection' | 'gone';
 
 /** Options of {@link RestartDoubts}. */
 export interface RestartDoubtsOptions {
@@ -112,13 +112,19 @@
    *
    * @param runner - the runner.
    * @param cause - why.
-   * @param daemon - name of the daemon that says so, for a notice.
+   * @param notice - the daemon that says so, and whether its doubt has lasted for an unknown time.
    * @returns Whether the runner was not in doubt before.
    */
-  begin(runner: Runner, cause: DoubtCause, daemon?: string): boolean {
+  begin(
+    runner: Runner,
+    cause: DoubtCause,
+    { daemon, isLasting }: { daemon?: string; isLasting?: boolean } = {},
+  ): boolean {
     const { now } = this;
     const { restart } = runner;
-    const isNew = cause === 'notice' ? restart.recordNotice(now) : restart.record(now);
+    if (this.doubts.has(runner) && !restart.isSuspected) this.end(runner, 'connection');
+    const isNew =
+      cause === 'notice' ? restart.recordNotice(now, { isLasting }) : restart.record(now);
     if (!isNew) return false;
     this.doubts.set(runner, { begunAt: now, cause, isAsking: false, renewAt: this.nextRenewal });
     this.counter.increment({ event: 'begun', by: cause });
@@ -178,6 +184,7 @@
   private endOf(runner: Runner, confirmedAt: number): DoubtEnd | undefined {
     if (runner.successor) return 'entry';
     if (this.options.runners.ofLife(runner.entry.life) !== runner) return 'gone';
+    if (!runner.restart.isSuspected) return 'connection';
     if (runner.isEntryMissing) return undefined;
     return runner.restart.confirmListed(confirmedAt) ? 'list' : undefined;
   }
--- a/src/streamVersions/RestartNotices.ts
+++ b/src/streamVersions/RestartNotices.ts
@@ -5,6 +5,7 @@
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 
 import { MessageKind, SuspectedRestartsSchema } from '../generated/baobabdock/v1/news_pb.js';
+import type { SuspectedRestarts } from '../generated/baobabdock/v1/news_pb.js';
 import type { HostAndPort } from '../http/parseAddress.js';
 import type { FleetSocket } from '../news/FleetSocket.js';
 import { MessageRepeater } from '../news/MessageRepeater.js';
@@ -32,6 +33,12 @@
 /** Largest share of all runners that may have started again; if it is more, this daemon's own link has failed. */
 const LARGEST_SHARE = 1 / 3;
 
+/**
+ * How long a daemon with requests at the runner waits for data from it before it tells others of a closed connection, in ms;
+ * a runner that ends takes longer to be back.
+ */
+const PROOF_MILLISECONDS = 250;
+
 /** Incarnations that fit into a datagram of 1,400 bytes. */
 const LIVES_IN_DATAGRAM = 24;
 
@@ -41,19 +48,26 @@
 
   private readonly news: MessageRepeater;
 
+  /** Notices of doubts that have lasted for a while. */
+  private readonly lasting: MessageRepeater;
+
+  private readonly later: CallScheduler;
+
   /**
    * @param options - the runners and the daemons to notify.
    */
   constructor(options: RestartNoticesOptions) {
-    const { daemon, socket, doubts, later } = options;
+    const { daemon, socket, doubts, later = setTimeout } = options;
     this.options = options;
-    this.news = new MessageRepeater({ send: (news) => this.send(news), later });
+    this.later = later;
+    this.news = new MessageRepeater({ send: (news) => this.send(news, false), later });
+    this.lasting = new MessageRepeater({ send: (news) => this.send(news, true), later });
     socket.handle(MessageKind.SUSPECTED_RESTARTS, (message) => {
-      const { daemon: teller, lives } = fromBinary(SuspectedRestartsSchema, message);
-      if (teller !== daemon) this.recordFromDaemon(teller, lives);
+      const notice = fromBinary(SuspectedRestartsSchema, message);
+      if (notice.daemon !== daemon) this.recordFromDaemon(notice);
     });
     // A daemon that has started since does not know of the doubt, which may last as long as the store does not answer.
-    doubts.whileLasting(({ entry: { life: key } }, isSeen) => this.news.add({ key, isSeen }));
+    doubts.whileLasting(({ entry: { life: key } }, isSeen) => this.lasting.add({ key, isSeen }));
   }
 
   /**
@@ -63,22 +77,30 @@
    * @param cause - which of them.
    */
   recordLost(runner: Runner, cause: Exclude<DoubtCause, 'notice'>): void {
-    const isNew = this.options.doubts.begin(runner, cause);
-    if (isNew) this.news.add({ key: runner.entry.life, isSeen: true });
+    if (!this.options.doubts.begin(runner, cause)) return;
+    const { lostAt } = runner.restart;
+    const news = { key: runner.entry.life, isSeen: true };
+    if (runner.inFlight === 0) this.news.add(news);
+    else
+      this.later(() => {
+        if (!runner.restart.isSameLifeAt(lostAt)) this.news.add(news);
+      }, PROOF_MILLISECONDS);
   }
 
   /** Stops sending notices. */
   stop(): void {
     this.news.stop();
+    this.lasting.stop();
     this.options.doubts.stop();
   }
 
-  private recordFromDaemon(teller: string, lives: readonly string[]): void {
+  private recordFromDaemon({ daemon, lives, isLasting }: SuspectedRestarts): void {
     const { runners, doubts, broadcastRecipients } = this.options;
+    const news = isLasting ? this.lasting : this.news;
     for (const life of lives) {
       const runner = runners.ofLife(life);
-      const isNew = runner !== undefined && doubts.begin(runner, 'notice', teller);
-      if (isNew) this.news.add({ key: life, isSeen: false });
+      const isNew = runner !== undefined && doubts.begin(runner, 'notice', { daemon, isLasting });
+      if (isNew) news.add({ key: life, isSeen: false });
       // One that forwards notices renews them for all others.
       else if (runner && broadcastRecipients().length === 0) doubts.postponeRenewal(runner);
     }
@@ -90,19 +112,23 @@
     return suspected.length > all.length * LARGEST_SHARE;
   }
 
-  private send(news: readonly RepeatedItem[]): void {
+  private send(news: readonly RepeatedItem[], isLasting: boolean): void {
     const { reportRecipients, broadcastRecipients } = this.options;
     const seen = news.filter(({ isSeen }) => isSeen);
-    if (!this.isOwnLinkSuspect) this.sendTo(seen, reportRecipients());
-    this.sendTo(news, broadcastRecipients());
+    if (!this.isOwnLinkSuspect) this.sendTo(seen, isLasting, reportRecipients());
+    this.sendTo(news, isLasting, broadcastRecipients());
   }
 
-  private sendTo(news: readonly RepeatedItem[], recipients: readonly HostAndPort[]): void {
+  private sendTo(
+    news: readonly RepeatedItem[],
+    isLasting: boolean,
+    recipients: readonly HostAndPort[],
+  ): void {
     const { daemon, socket } = this.options;
     if (recipients.length === 0) return;
     for (let start = 0; start < news.length; start += LIVES_IN_DATAGRAM) {
       const lives = news.slice(start, start + LIVES_IN_DATAGRAM).map(({ key }) => key);
-      const message = create(SuspectedRestartsSchema, { daemon, lives });
+      const message = create(SuspectedRestartsSchema, { daemon, lives, isLasting });
       const bytes = toBinary(SuspectedRestartsSchema, message);
       socket.send(MessageKind.SUSPECTED_RESTARTS, bytes, recipients);
     }
--- a/src/streamVersions/StreamVersionSession.spec.ts
+++ b/src/streamVersions/StreamVersionSession.spec.ts
@@ -56,7 +56,7 @@
   /** Sends the request, and receives the events that follow. */
   function begin(): () => void {
     session.record(runner);
-    const versionOf = session.versionAt(runner);
+    const versionOf = session.versionAt(runner, 0);
     return () => {
       stream.softwareVersion = versionOf() ?? stream.softwareVersion;
       stream.lastEventId = '1';
--- a/src/streamVersions/StreamVersionSession.ts
+++ b/src/streamVersions/StreamVersionSession.ts
@@ -74,12 +74,18 @@
    * events are from one version, which is not known yet.
    *
    * @param runner - runner that has begun to answer.
+   * @param connectedAt - when the connection to it was opened, monotonic ms.
    * @returns Returns the version of the runner; `undefined` as long as it is in doubt.
    */
-  versionAt(runner: Runner): () => string | undefined {
-    const isInDoubt = runner.restart.isSuspected;
+  versionAt(runner: Runner, connectedAt: number): () => string | undefined {
+    const { restart } = runner;
+    const isInDoubt = restart.isSuspected;
+    const settledVersion = () =>
+      restart.isSuspected && restart.isSameLifeAt(connectedAt)
+        ? runner.softwareVersion
+        : runner.settledVersion;
     return () => {
-      const version = isInDoubt ? runner.settledVersion : runner.answeringVersion;
+      const version = isInDoubt ? settledVersion() : runner.answeringVersion;
       this.doubted = version === undefined ? runner : undefined;
       return version;
     };
--- a/standIns/site/SiteRunner.ts
+++ b/standIns/site/SiteRunner.ts
@@ -110,6 +110,7 @@
       slots: Number.POSITIVE_INFINITY,
       maximumWaiting: Number.POSITIVE_INFINITY,
       downMilliseconds: 300,
+      closesAfterMilliseconds: Number.POSITIVE_INFINITY,
       listedAfterMilliseconds: 0,
       onCrashed: () => undefined,
       onRestarted: () => undefined,
@@ -200,7 +201,10 @@
   }
 
   private createServer(): Server {
+    const { closesAfterMilliseconds } = this.options;
     return createServer((request, response) => {
+      const close = () => setTimeout(() => request.socket.end(), closesAfterMilliseconds);
+      if (Number.isFinite(closesAfterMilliseconds)) response.once('finish', close);
       void this.take(request, response);
     });
   }
--- a/standIns/site/siteRunnerTypes.ts
+++ b/standIns/site/siteRunnerTypes.ts
@@ -78,6 +78,8 @@
   maximumWaiting?: number;
   /** Time from a crash to the next start, in ms. */
   downMilliseconds?: number;
+  /** How long after an answer it closes the connection without having said so, in ms; the library's timeout by default. */
+  closesAfterMilliseconds?: number;
   /** How long after a restart its new entry is in the store. */
   listedAfterMilliseconds?: number;
   /** Called at each crash. */
--- a/tests/VersionedFleet.ts
+++ b/tests/VersionedFleet.ts
@@ -30,6 +30,8 @@
   daemons: number;
   /** Version of each runner at the start. */
   versions: readonly string[];
+  /** How long after an answer runners close the connection, in ms; they keep it by default. */
+  closesAfterMilliseconds?: number | undefined;
   /** Folder for the settings files. */
   folder: string;
   /** Arguments of the runtime. */
@@ -105,6 +107,7 @@
    */
   async addRunner(version: string): Promise<void> {
     this.added += 1;
+    const { closesAfterMilliseconds = Number.POSITIVE_INFINITY } = this.options;
     const runner = await this.site.addRunner({
       id: `engine-${this.added}`,
       service: 'engine',
@@ -113,6 +116,7 @@
       eventMilliseconds: EVENT_MILLISECONDS,
       slots: 64,
       echoes: true,
+      closesAfterMilliseconds,
     });
     this.listed = [...this.listed, { runner, version }];
   }
--- a/tests/streamsOutliveDaemons.spec.ts
+++ b/tests/streamsOutliveDaemons.spec.ts
@@ -25,6 +25,9 @@
 const BEFORE_MILLISECONDS = 4_500;
 const AFTER_MILLISECONDS = 3_000;
 
+/** Streams end, and connections are closed, for some seconds before the first fault, in ms. */
+const LONG_MILLISECONDS = 9_000;
+
 /** Cases at the same time; each has a site of its own. */
 const CONCURRENCY = 3;
 
@@ -43,6 +46,10 @@
   readonly versions: readonly string[];
   /** How long the fleet serves before the streams begin, in ms. */
   readonly quietMilliseconds?: number;
+  /** How long streams begin before the first fault, in ms. */
+  readonly beforeMilliseconds?: number;
+  /** How long after an answer runners close the connection, in ms; they keep it by default. */
+  readonly closesAfterMilliseconds?: number;
   /** Share of the daemons that are lost and at which no stream is taken up; all are lost by default. */
   readonly lostShare?: number;
   readonly pausesMilliseconds?: readonly number[];
@@ -50,16 +57,38 @@
   readonly play: (fleet: VersionedFleet, isCounted: () => void) => Promise<void>;
 }
 
+/** Runners close connections so soon after their answers, in ms. */
+const CLOSES_MILLISECONDS = 50;
+
+async function losePowerOfHalf(fleet: VersionedFleet, isCounted: () => void): Promise<void> {
+  isCounted();
+  const lost = fleet.processes.slice(0, fleet.processes.length / 2);
+  const released = wait(1_000).then(() => fleet.addRunner('v2'));
+  await Promise.all([fleet.losePower(2_000, lost), released]);
+}
+
 const UPHEAVALS: readonly Upheaval[] = [
   // Guards against daemons that refuse the streams of others because they alone have seen the only version there was.
   {
     name: 'half lose power before the first runner of another version starts',
     ...{ sizes: [6, 20], versions: OLD, quietMilliseconds: 30_000, lostShare: 0.5 },
+    play: losePowerOfHalf,
+  },
+  // Guards against daemons that record no stream, since each closed connection puts the version of its runner in doubt.
+  {
+    name: 'half lose power before a release, and runners close connections after their answers',
+    ...{ sizes: [6], versions: OLD, beforeMilliseconds: LONG_MILLISECONDS, lostShare: 0.5 },
+    ...{ closesAfterMilliseconds: CLOSES_MILLISECONDS },
+    play: losePowerOfHalf,
+  },
+  // Guards against the same while two versions serve.
+  {
+    name: 'all are killed while two versions serve, and runners close connections after their answers',
+    ...{ sizes: [6], versions: BOTH, beforeMilliseconds: LONG_MILLISECONDS },
+    ...{ closesAfterMilliseconds: CLOSES_MILLISECONDS },
     play: async (fleet, isCounted) => {
       isCounted();
-      const lost = fleet.processes.slice(0, fleet.processes.length / 2);
-      const released = wait(1_000).then(() => fleet.addRunner('v2'));
-      await Promise.all([fleet.losePower(2_000, lost), released]);
+      await fleet.kill();
     },
   },
   // Guards against daemons that take the only version that they see after their start for that of any stream.
@@ -234,8 +263,11 @@
 
   async function outcomeOf(upheaval: Upheaval, daemons: number): Promise<Outcome> {
     const { versions, quietMilliseconds = 0, lostShare = 0, play, ...options } = upheaval;
+    const { closesAfterMilliseconds, beforeMilliseconds = BEFORE_MILLISECONDS } = upheaval;
     const own = mkdtempSync(join(folder, 'fleet-'));
-    const fleet = new VersionedFleet({ daemons, versions, folder: own, program });
+    const fleet = new VersionedFleet({
+      ...{ daemons, versions, folder: own, program, closesAfterMilliseconds },
+    });
     const lost = Math.ceil(daemons * lostShare);
     const callers = new StreamCallers({
       ...options,
@@ -253,7 +285,7 @@
       await fleet.start();
       await wait(quietMilliseconds);
       callers.start();
-      await wait(BEFORE_MILLISECONDS);
+      await wait(beforeMilliseconds);
       await play(fleet, isCounted);
       await wait(AFTER_MILLISECONDS);
       await callers.stop();
