Notice of a closed connection: sent at once when a request breaks off at the runner too

A daemon with requests at a runner waits .25 s for proof of its life before it tells others of a closed idle connection. A runner that ends breaks these requests off at the same moment, so that nothing can prove its life any more, and the wait only lets streams go on there at other daemons.

--- a/src/forwarding/RunnerOutcomes.ts
+++ b/src/forwarding/RunnerOutcomes.ts
@@ -31,7 +31,7 @@
 
 /** Options of a {@link RunnerOutcomes}. */
 export interface RunnerOutcomesOptions {
-  context: Pick<ForwardingContext, 'clock' | 'link' | 'onConnectionRefused'>;
+  context: Pick<ForwardingContext, 'clock' | 'link' | 'onConnectionRefused' | 'onConnectionBroken'>;
   report: Pick<RequestReport, 'runnerPaused'>;
 }
 
@@ -54,7 +54,8 @@
    * @param failure - kind of failure.
    */
   failed({ runner, startedAt }: RunnerAttempt, failure: AttemptFailure): void {
-    const { link, onConnectionRefused } = this.options.context;
+    const { link, onConnectionRefused, onConnectionBroken } = this.options.context;
+    if (failure === 'broken') onConnectionBroken?.(runner);
     if (failure === 'not_connected') {
       link.refused(runner);
       onConnectionRefused?.(runner);
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -38,6 +38,8 @@
   readonly streamVersions?: StreamVersionTask | undefined;
   /** Called when the instance of a runner refuses a connection. */
   readonly onConnectionRefused?: (runner: Runner) => void;
+  /** Called when the connection of a request is lost before its answer is complete. */
+  readonly onConnectionBroken?: (runner: Runner) => void;
   readonly quarantine: RequestQuarantine;
   readonly statements: RunnerNotices;
   /** Learns the speed of runners from attempts; missing if runners are chosen by counts only. */
--- a/src/streamVersions/RestartNotices.spec.ts
+++ b/src/streamVersions/RestartNotices.spec.ts
@@ -116,6 +116,31 @@
     return log.fieldsOf(forwardingLogEvents.restartDoubtEnded).map(({ by }) => by);
   }
 
+  it('are told to others at once when a request breaks off there, too', () => {
+    // Guards against streams that go on at a runner that has started again, as the notice of it waits for proof.
+    const [runner] = runnersOf(0);
+    runner!.inFlight = 2;
+    lose(0, 1);
+    expect(countFor(1, 'v1')).toEqual(RUNNERS / 2);
+    notices[0]!.recordBroken(runner!);
+    pass(STEP_MILLISECONDS);
+    expect(countFor(1, 'v1')).toEqual(RUNNERS / 2 - 1);
+  });
+
+  it('are told to others unless data proves that they have not started again', () => {
+    // Guards against a fleet that doubts each runner that closes an idle connection.
+    const [runner] = runnersOf(0);
+    runner!.inFlight = 1;
+    lose(0, 1);
+    runner!.restart.takeData(Number.NEGATIVE_INFINITY, clock.monotonicMilliseconds() + 200);
+    pass(KNOWN_MILLISECONDS);
+    expect(countFor(1, 'v1')).toEqual(RUNNERS / 2);
+    runner!.inFlight = 1;
+    lose(0, 1);
+    pass(KNOWN_MILLISECONDS / 10);
+    expect(countFor(1, 'v1')).toEqual(RUNNERS / 2 - 1);
+  });
+
   it('get no streams from any daemon until the list has been current for long enough', () => {
     // Guards against a daemon that takes a runner for the one that had its id before, until it reads the new entry.
     lose(0, 1);
--- a/src/streamVersions/RestartNotices.ts
+++ b/src/streamVersions/RestartNotices.ts
@@ -34,8 +34,8 @@
 const LARGEST_SHARE = 1 / 3;
 
 /**
- * How long a daemon with requests at the runner waits for data from it before it tells others of a closed connection, in ms;
- * a runner that ends takes longer to be back.
+ * How long a daemon with requests at the runner waits for data from it before it tells others of a closed connection, in ms,
+ * unless one of them breaks off first.
  */
 const PROOF_MILLISECONDS = 250;
 
@@ -53,6 +53,9 @@
 
   private readonly later: CallScheduler;
 
+  /** Runners whose notices wait for proof of their life, and when they lost the connection, monotonic ms. */
+  private readonly held = new Map<Runner, number>();
+
   /**
    * @param options - the runners and the daemons to notify.
    */
@@ -77,14 +80,25 @@
    * @param cause - which of them.
    */
   recordLost(runner: Runner, cause: Exclude<DoubtCause, 'notice'>): void {
-    if (!this.options.doubts.begin(runner, cause)) return;
+    const isNew = this.options.doubts.begin(runner, cause);
     const { lostAt } = runner.restart;
-    const news = { key: runner.entry.life, isSeen: true };
-    if (runner.inFlight === 0) this.news.add(news);
-    else
-      this.later(() => {
-        if (!runner.restart.isSameLifeAt(lostAt)) this.news.add(news);
-      }, PROOF_MILLISECONDS);
+    if (isNew) this.held.set(runner, lostAt);
+    if (cause === 'refused' || runner.inFlight === 0) this.tell(runner);
+    if (!this.held.has(runner)) return;
+    this.later(() => {
+      if (this.held.get(runner) !== lostAt) return;
+      if (runner.restart.isSameLifeAt(lostAt)) this.held.delete(runner);
+      else this.tell(runner);
+    }, PROOF_MILLISECONDS);
+  }
+
+  /**
+   * Records that the connection of a request at a runner was lost, so that it proves nothing any more.
+   *
+   * @param runner - the runner.
+   */
+  recordBroken(runner: Runner): void {
+    if (runner.restart.isSuspected) this.tell(runner);
   }
 
   /** Stops sending notices. */
@@ -94,6 +108,10 @@
     this.options.doubts.stop();
   }
 
+  private tell(runner: Runner): void {
+    if (this.held.delete(runner)) this.news.add({ key: runner.entry.life, isSeen: true });
+  }
+
   private recordFromDaemon({ daemon, lives, isLasting }: SuspectedRestarts): void {
     const { runners, doubts, broadcastRecipients } = this.options;
     const news = isLasting ? this.lasting : this.news;
