--- a/src/forwarding/AnswerRelay.ts
+++ b/src/forwarding/AnswerRelay.ts
@@ -197,7 +197,7 @@
     return true;
   }
 
-  /** Returns the length that the head names; without a body, that is the one of the answer to another request, or none. */
+  /** Returns the length that the head names; where no body may follow, it is the one that the runner names, or none. */
   private lengthOf(
     { statusCode, headers }: IncomingMessage,
     bodyBytes: number,
--- a/src/forwarding/RequestParts.ts
+++ b/src/forwarding/RequestParts.ts
@@ -213,6 +213,7 @@
     this.report.answerRejected(attempt, status, this.relay);
   }
 
+  /** Ends the request with an error of this daemon. */
   protected endWith(own: DaemonAnswer): void {
     // The answer goes first, so that a throw cannot keep it from the caller.
     this.relay.sendDaemonAnswer(own);
@@ -220,7 +221,7 @@
     this.end('notServed', own.reason);
   }
 
-  /** Answers the caller if a step throws; nothing might do so any more. */
+  /** Answers the caller if a step throws, since nothing else may do so afterwards. */
   protected endAfterThrow(step: () => void): void {
     try {
       step();
@@ -231,6 +232,7 @@
     }
   }
 
+  /** Cancels everything that is in progress for the request. */
   protected stopAttempts(): void {
     this.timer.clear();
     this.handOver.cancel();
@@ -244,6 +246,7 @@
     this.endWith(mayHaveRun ? { status: 502, reason: refusal.reason } : refusal);
   }
 
+  /** Records the end of the request. */
   protected end(event: EndEvent, outcome: string): void {
     this.quarantine.end();
     this.versions.end();
--- a/src/streamVersions/StreamVersionSession.ts
+++ b/src/streamVersions/StreamVersionSession.ts
@@ -80,6 +80,7 @@
   versionAt(runner: Runner, connectedAt: number): () => string | undefined {
     const { restart } = runner;
     const isInDoubt = restart.isSuspected;
+    // A later doubt does not concern a connection that has certainly reached the life of the entry.
     const settledVersion = () =>
       restart.isSuspected && restart.isSameLifeAt(connectedAt)
         ? runner.softwareVersion
