--- a/src/forwarding/brokenHeads.spec.ts
+++ b/src/forwarding/brokenHeads.spec.ts
@@ -5,9 +5,10 @@
 import { expect } from 'earl';
 
 import type { Route } from '../routes/routeTypes.js';
+import { receivedInTime } from './testReceived.js';
 import { eventsIn, plainAnswer, RequestUnderTest, streamOf } from './testRequest.js';
 
-/** Time for which the test waits for the caller's answer, in ms. */
+/** Time for which the test waits for the second runner, in ms. */
 const WAIT_MILLISECONDS = 2_000;
 
 const LINES = 'HTTP/1.1 200 OK\r\nSignature: s\r\nRequest-Id: r-1\r\n';
@@ -49,22 +50,12 @@
 
   afterEach(() => test.close());
 
-  async function answerOf(caller: Promise<string>): Promise<string | undefined> {
-    let text: string | undefined;
-    void caller.then((received) => {
-      text = received;
-    });
-    const endAt = performance.now() + WAIT_MILLISECONDS;
-    while (text === undefined && performance.now() < endAt) await nextTurn();
-    return text;
-  }
-
   /** Lets the only runner break off in its head. */
   async function breakOff(kind: Route['kind'], bytes: string, end: Ending) {
     test = await RequestUnderTest.open({ route: { kind, resumable: false, maximumAttempts: 1 } });
     const { runner, caller } = await test.begin();
     end(runner, bytes);
-    return answerOf(caller);
+    return receivedInTime(caller);
   }
 
   /** Lets a runner break a stream off behind two events, and the second one, which is to go on, in its head. */
@@ -75,7 +66,7 @@
     runner.write(streamOf(1, 2), () => runner.resetAndDestroy());
     while (others.length === 0) await nextTurn();
     end(others[0]!, bytes);
-    return answerOf(caller);
+    return receivedInTime(caller);
   }
 
   async function expectRefused(kind: Route['kind'], head: string, end: Ending): Promise<void> {
@@ -140,7 +131,7 @@
     const endAt = performance.now() + WAIT_MILLISECONDS;
     while (others.length === 0 && performance.now() < endAt) await nextTurn();
     others[0]?.end(plainAnswer('200 OK'));
-    expect((await answerOf(caller))?.endsWith('\r\n\r\nok')).toEqual(true);
+    expect((await receivedInTime(caller))?.endsWith('\r\n\r\nok')).toEqual(true);
   });
 
   // Guards against a connection on which the next answer is read as the body that this one seems to have.
--- a/src/forwarding/brokenSteps.spec.ts
+++ b/src/forwarding/brokenSteps.spec.ts
@@ -1,14 +1,11 @@
 import { afterEach, describe, it } from 'node:test';
-import { setImmediate as nextTurn } from 'node:timers/promises';
 
 import { expect } from 'earl';
 
 import type { ForwardingContext } from './forwardingTypes.js';
+import { statusLineInTime } from './testReceived.js';
 import { DEADLINE_MILLISECONDS, FIRST_RUNNER, RequestUnderTest } from './testRequest.js';
 
-/** Time for which the test waits for the caller's answer, in ms. */
-const WAIT_MILLISECONDS = 500;
-
 function fail(): never {
   throw new Error('this step fails');
 }
@@ -27,22 +24,11 @@
 
   afterEach(() => test.close());
 
-  /** Returns the status line that the caller receives. */
-  async function statusLineOf(caller: Promise<string>): Promise<string | undefined> {
-    let text: string | undefined;
-    void caller.then((received) => {
-      text = received;
-    });
-    const endAt = performance.now() + WAIT_MILLISECONDS;
-    while (text === undefined && performance.now() < endAt) await nextTurn();
-    return text?.split('\r\n', 1)[0];
-  }
-
   async function expectAnswer(breakStep: (context: ForwardingContext) => void): Promise<void> {
     test = await RequestUnderTest.open();
     breakStep(test.context);
     const { caller } = await test.send();
-    expect(await statusLineOf(caller)).toEqual('HTTP/1.1 502 Bad Gateway');
+    expect(await statusLineInTime(caller)).toEqual('HTTP/1.1 502 Bad Gateway');
   }
 
   for (const [name, breakStep] of Object.entries(STEPS)) {
@@ -60,6 +46,6 @@
     await test.pass(DEADLINE_MILLISECONDS);
     process.setUncaughtExceptionCaptureCallback(null);
     expect(thrown.length).toEqual(1);
-    expect(await statusLineOf(caller)).toEqual('HTTP/1.1 502 Bad Gateway');
+    expect(await statusLineInTime(caller)).toEqual('HTTP/1.1 502 Bad Gateway');
   });
 });
--- a/src/forwarding/unsendableAnswers.spec.ts
+++ b/src/forwarding/unsendableAnswers.spec.ts
@@ -1,16 +1,13 @@
 import { ServerResponse } from 'node:http';
 import { afterEach, describe, it, mock } from 'node:test';
-import { setImmediate as nextTurn } from 'node:timers/promises';
 
 import { expect } from 'earl';
 
 import type { Route } from '../routes/routeTypes.js';
 import { forwardingLogEvents } from './forwardingFeature.js';
+import { receivedInTime } from './testReceived.js';
 import { eventOf, RequestUnderTest } from './testRequest.js';
 
-/** Time for which the test waits for the caller's answer, in ms. */
-const WAIT_MILLISECONDS = 2_000;
-
 /** More than a daemon holds of an answer, in bytes. */
 const LARGE_BYTES = 300_000;
 
@@ -49,15 +46,9 @@
   async function callerOf({ kind, type, body }: Answer, line = 'Own: header') {
     test = await RequestUnderTest.open({ route: { kind, resumable: false, maximumAttempts: 1 } });
     const { runner, caller } = await test.begin();
-    let text: string | undefined;
-    void caller.then((received) => {
-      text = received;
-    });
     const length = `Content-Length: ${body.length}`;
     runner.end(`${HEAD}Content-Type: ${type}\r\n${line}\r\n${length}\r\n\r\n${body}`);
-    const endAt = performance.now() + WAIT_MILLISECONDS;
-    while (text === undefined && performance.now() < endAt) await nextTurn();
-    return text;
+    return receivedInTime(caller);
   }
 
   function endsRecorded(): number {
