Proof by an older connection: data may have been on its way for a second

On a congested connection the instance of a runner that has ended sends on what is buffered, while the end of an idle connection arrives at once; .2 s took such data for proof that the runner had not started again. The wait before others are told of a closed connection follows: 1.2 s, unless a request breaks off there.

--- a/src/runners/RestartSuspicion.ts
+++ b/src/runners/RestartSuspicion.ts
@@ -21,10 +21,13 @@
 const NOTICED_MILLISECONDS = 1_000;
 
 /** Longest time until another daemon's first notice of it has arrived, in ms: it waits for proof, and is sent three times. */
-const NOTICE_MILLISECONDS = 1_800;
+const NOTICE_MILLISECONDS = 2_500;
 
-/** Longest time that data may have been on its way when it is read, in ms; what sent it may have ended since. */
-const TRANSIT_MILLISECONDS = 200;
+/**
+ * Longest time that data may have been on its way when it is read, in ms. Its sender may have ended since: on a congested
+ * connection, its instance sends on what is buffered, while the end of an idle one arrives at once.
+ */
+const TRANSIT_MILLISECONDS = 1_000;
 
 /** What a report of the runner has shown; `outdated`: it was requested before the latest evidence. */
 export type ReportFinding = 'same_life' | 'restarted' | 'outdated';
--- a/src/streamVersions/RestartNotices.ts
+++ b/src/streamVersions/RestartNotices.ts
@@ -37,7 +37,7 @@
  * How long a daemon with requests at the runner waits for data from it before it tells others of a closed connection, in ms,
  * unless one of them breaks off first.
  */
-const PROOF_MILLISECONDS = 250;
+const PROOF_MILLISECONDS = 1_200;
 
 /** Incarnations that fit into a datagram of 1,400 bytes. */
 const LIVES_IN_DATAGRAM = 24;
