A stream that goes on may have nothing left behind a head without a length

Callers with all events of a stream lost its end: all connections to runners were reset behind the last event, the next runner had nothing left and closed in order, in the framing whose end is that of the connection, and the rule for a success whose body never begins took that for broken off. The rule is for plain answers now; streams are as they were.

--- a/src/forwarding/RunnerAttempt.ts
+++ b/src/forwarding/RunnerAttempt.ts
@@ -18,6 +18,7 @@
 import type { RunnerAgent } from './RunnerAgent.js';
 import type { RunnerProtocol } from './RunnerProtocol.js';
 import type { RunnerNotices } from './RunnerNotices.js';
+import { isEventStream } from './StreamedAnswer.js';
 
 /**
  * How an attempt failed.
@@ -348,14 +349,13 @@
 
   /**
    * Tells whether a success may have been broken off behind its head: only the end of the connection ends its body, of which
-   * no byte has come.
+   * no byte has come. Nothing may be left of a stream that goes on, so that this is no evidence about streams.
    */
   private mayLackItsBody(answer: IncomingMessage): boolean {
     const { statusCode = 0 } = answer;
     const hasBody = this.options.method !== 'HEAD' && statusCode !== NO_CONTENT;
-    return (
-      hasBody && !this.hasBytes && isSuccess(statusCode) && framingOf(answer) === 'until_close'
-    );
+    if (!hasBody || this.hasBytes || isEventStream(answer)) return false;
+    return isSuccess(statusCode) && framingOf(answer) === 'until_close';
   }
 
   private fail(failure: AttemptFailure, destroys = true): void {
