Tests: conditions instead of waits, one play for two cases, no unused header lines

The test of idle connections waits until each is closed instead of a fixed time; the server of small chunks answers its first connection instead of being polled, and its header lines, which nobody gave, are gone; two cases of streams that outlive the daemons share the play that kills all. Assertions are as they were.

--- a/src/forwarding/RunnerAttempt.spec.ts
+++ b/src/forwarding/RunnerAttempt.spec.ts
@@ -1,7 +1,7 @@
+import { once } from 'node:events';
 import { createServer, Socket } from 'node:net';
 import type { AddressInfo, Server } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
-import { setTimeout as wait } from 'node:timers/promises';
 import { Worker } from 'node:worker_threads';
 
 import { expect } from 'earl';
@@ -173,7 +173,9 @@
   it('closes idle connections sooner than a runner that has closed one', async () => {
     // Guards against a runner that closes connections after its answers, and so seems to start again and again.
     const answer = `${HEAD}Keep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok`;
+    const sockets: Socket[] = [];
     const port = await listen((socket) => {
+      sockets.push(socket);
       socket.on('data', () => {
         socket.write(answer);
         setTimeout(() => socket.end(), IDLE_MILLISECONDS);
@@ -187,7 +189,7 @@
     });
     for (let request = 0; request < 3; request += 1) {
       expect((await attemptAt({ port, agent })).outcome).toEqual('ended');
-      await wait(2 * IDLE_MILLISECONDS);
+      await once(sockets[request]!, 'close');
     }
     expect(lost).toEqual(1);
     agent.destroy();
--- a/src/http/smallChunks.spec.ts
+++ b/src/http/smallChunks.spec.ts
@@ -54,7 +54,7 @@
       const server = new SmallChunksServer();
       open.push(server);
       read(await server.listen());
-      expect(await server.memory()).toBeLessThan(ALLOWED_MEMORY_BYTES);
+      expect(await server.memory).toBeLessThan(ALLOWED_MEMORY_BYTES);
     });
   }
 
--- a/src/http/testSmallChunks.ts
+++ b/src/http/testSmallChunks.ts
@@ -1,8 +1,9 @@
 /**
  * Test helper: a message whose body comes in chunks of one byte and does not end, and what its reader holds of it.
  */
+import { once } from 'node:events';
 import { createServer } from 'node:net';
-import type { Server, Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import { setTimeout as wait } from 'node:timers/promises';
 
 import { listen } from './listen.js';
@@ -14,6 +15,8 @@
 /** How long the reader may take for the chunks, in ms. */
 const READ_MILLISECONDS = 300;
 
+const HEAD = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n';
+
 const BODY = '1\r\nx\r\n'.repeat(BODY_BYTES);
 
 /** What a reader may hold of the body and its connection, in bytes; chunks that are kept as objects take some 12 MB. */
@@ -38,26 +41,13 @@
 export class SmallChunksServer {
   private readonly sockets: Socket[] = [];
 
-  private readonly head: string;
-
-  private readonly server: Server;
-
-  private growth: Promise<number> | undefined;
+  private readonly server = createServer((socket) => {
+    this.sockets.push(socket);
+    socket.on('error', () => undefined);
+  });
 
-  /**
-   * @param headers - header lines of the answer, each with its line end.
-   */
-  constructor(headers = '') {
-    this.head = `HTTP/1.1 200 OK\r\n${headers}Transfer-Encoding: chunked\r\n\r\n`;
-    this.server = createServer((socket) => {
-      this.sockets.push(socket);
-      socket.on('error', () => undefined);
-      socket.once('data', () => {
-        socket.write(this.head);
-        this.growth ??= memoryAfterSmallChunks(socket);
-      });
-    });
-  }
+  /** Bytes of memory that the first answer has cost its reader. */
+  readonly memory = this.answerFirst();
 
   /** @returns Address and port, once it listens. */
   async listen(): Promise<string> {
@@ -65,15 +55,16 @@
     return `${address}:${port}`;
   }
 
-  /** @returns Bytes of memory that the first answer has cost its reader. */
-  async memory(): Promise<number> {
-    while (!this.growth) await wait(1);
-    return this.growth;
-  }
-
   /** Closes all connections. */
   close(): void {
     for (const socket of this.sockets) socket.destroy();
     this.server.close();
   }
+
+  private async answerFirst(): Promise<number> {
+    const [socket] = (await once(this.server, 'connection')) as [Socket];
+    await once(socket, 'data');
+    socket.write(HEAD);
+    return memoryAfterSmallChunks(socket);
+  }
 }
--- a/tests/streamsOutliveDaemons.spec.ts
+++ b/tests/streamsOutliveDaemons.spec.ts
@@ -67,6 +67,11 @@
   await Promise.all([fleet.losePower(2_000, lost), released]);
 }
 
+function killAll(fleet: VersionedFleet, isCounted: () => void): Promise<void> {
+  isCounted();
+  return fleet.kill();
+}
+
 const UPHEAVALS: readonly Upheaval[] = [
   // Guards against daemons that refuse the streams of others because they alone have seen the only version there was.
   {
@@ -86,10 +91,7 @@
     name: 'all are killed while two versions serve, and runners close connections after their answers',
     ...{ sizes: [6], versions: BOTH, beforeMilliseconds: LONG_MILLISECONDS },
     ...{ closesAfterMilliseconds: CLOSES_MILLISECONDS },
-    play: async (fleet, isCounted) => {
-      isCounted();
-      await fleet.kill();
-    },
+    play: killAll,
   },
   // Guards against daemons that take the only version that they see after their start for that of any stream.
   {
@@ -119,10 +121,7 @@
   {
     name: 'all are killed while two versions serve',
     ...{ sizes: [6, 20], versions: BOTH },
-    play: async (fleet, isCounted) => {
-      isCounted();
-      await fleet.kill();
-    },
+    play: killAll,
   },
   // Guards against records that are written in a planned stop only, or only after some time without a fault.
   {
