One listener for requests that get no answer; one timer for a notice that waits

The check for a connection that ends without an answer stood three times, at a runner, at another daemon and in the product's own interface, with a flag each; onceUnanswered says it once. A notice that waits for proof scheduled a timer at each further closed connection, all but the first without effect.

--- a/src/forwarding/RunnerAttempt.ts
+++ b/src/forwarding/RunnerAttempt.ts
@@ -7,6 +7,7 @@
 
 import type { AttemptWork } from '../capacity/AttemptWork.js';
 import { isFinalStatus } from '../http/isFinalStatus.js';
+import { onceUnanswered } from '../http/onceUnanswered.js';
 import type { Runner } from '../runners/Runner.js';
 import type { Clock } from '../time/Clock.js';
 import { AnswerByteLimit } from './AnswerByteLimit.js';
@@ -156,10 +157,7 @@
     request.once('socket', (socket) => this.watchSocket(socket));
     request.once('response', (answer) => this.handleAnswer(answer));
     request.on('error', (error: NodeJS.ErrnoException) => this.fail(this.failureOf(error)));
-    // After an answer that switches protocols, the library closes the connection without an error.
-    request.once('close', () => {
-      if (!this.isAnswered) this.fail('broken');
-    });
+    onceUnanswered(request, () => this.fail('broken'));
     request.end(body);
   }
 
--- a/src/handover/HandOverOffer.ts
+++ b/src/handover/HandOverOffer.ts
@@ -9,6 +9,7 @@
 import { request as sendRequest } from 'node:http';
 import type { Agent, ClientRequest, IncomingMessage } from 'node:http';
 
+import { onceUnanswered } from '../http/onceUnanswered.js';
 import { parseAddress } from '../http/parseAddress.js';
 import type { DaemonEntry } from '../sync/FleetStore.js';
 import { HAND_OVER_PATH } from './handOverHeaders.js';
@@ -58,8 +59,6 @@
 
   private state: 'open' | 'given' | 'withdrawn' | 'over' = 'open';
 
-  private isAnswered = false;
-
   /**
    * @param options - the daemon and the observer.
    */
@@ -78,10 +77,7 @@
     this.outgoing.once('continue', () => this.handleConfirmation());
     this.outgoing.once('response', (answer) => this.handleAnswer(answer));
     this.outgoing.on('error', () => this.handleError());
-    // After an answer that switches protocols, the library closes the connection without an error.
-    this.outgoing.once('close', () => {
-      if (!this.isAnswered) this.handleError();
-    });
+    onceUnanswered(this.outgoing, () => this.handleError());
     // A confirmation that has arrived while this process was busy is read before the timer counts.
     this.timer = setTimeout(() => setImmediate(() => this.handleDelay()), delayMilliseconds);
   }
@@ -116,7 +112,6 @@
   }
 
   private handleAnswer(answer: IncomingMessage): void {
-    this.isAnswered = true;
     if (this.state === 'given') {
       this.observer.answered(this, answer);
       return;
--- a/src/streamVersions/RestartNotices.ts
+++ b/src/streamVersions/RestartNotices.ts
@@ -84,12 +84,7 @@
     const { lostAt } = runner.restart;
     if (isNew) this.held.set(runner, lostAt);
     if (cause === 'refused' || runner.inFlight === 0) this.tell(runner);
-    if (!this.held.has(runner)) return;
-    this.later(() => {
-      if (this.held.get(runner) !== lostAt) return;
-      if (runner.restart.isSameLifeAt(lostAt)) this.held.delete(runner);
-      else this.tell(runner);
-    }, PROOF_MILLISECONDS);
+    else if (isNew) this.later(() => this.tellUnproven(runner, lostAt), PROOF_MILLISECONDS);
   }
 
   /**
@@ -112,6 +107,13 @@
     if (this.held.delete(runner)) this.news.add({ key: runner.entry.life, isSeen: true });
   }
 
+  private tellUnproven(runner: Runner, lostAt: number): void {
+    // A request has broken off there, or another doubt has begun.
+    if (this.held.get(runner) !== lostAt) return;
+    if (runner.restart.isSameLifeAt(lostAt)) this.held.delete(runner);
+    else this.tell(runner);
+  }
+
   private recordFromDaemon({ daemon, lives, isLasting }: SuspectedRestarts): void {
     const { runners, doubts, broadcastRecipients } = this.options;
     const news = isLasting ? this.lasting : this.news;
--- a/src/upstreams/RunnerConnection.ts
+++ b/src/upstreams/RunnerConnection.ts
@@ -7,6 +7,7 @@
 import { pipeline, Readable } from 'node:stream';
 
 import { isFinalStatus } from '../http/isFinalStatus.js';
+import { onceUnanswered } from '../http/onceUnanswered.js';
 import { parseAddress } from '../http/parseAddress.js';
 import { MAXIMUM_TIMER_MILLISECONDS } from './StopSignal.js';
 import type { StopSignal, StopReason } from './StopSignal.js';
@@ -176,17 +177,12 @@
       if (socket.connecting) socket.once('connect', connected);
       else connected();
     });
-    let isAnswered = false;
     request.on('response', (response) => {
-      isAnswered = true;
       const { statusCode = 0 } = response;
       if (isFinalStatus(statusCode)) settle({ kind: 'response', response });
       else fail('cut', `an answer with status ${statusCode}`);
     });
-    // After an answer that switches protocols, the library closes the connection without an error.
-    request.once('close', () => {
-      if (!isAnswered) fail('cut', 'the connection was closed without an answer');
-    });
+    onceUnanswered(request, () => fail('cut', 'the connection was closed without an answer'));
     // Stays attached after the headers arrived; an error of the connection then also reaches the reader of the body.
     request.on('error', (error) => fail('cut', error.message));
     if (body === undefined || body instanceof Uint8Array) request.end(body);
