A stream's record is with other daemons before its first event

Cause: while a service had one version, RecordSender collected records for half a second, so a young stream was known to its own daemon alone.

Change: records are sent within 10 to 50 ms to three daemons, in a small fleet to the same three for all streams of a daemon; the other keepers of a small fleet get them after half a second, as before.

--- a/src/streamVersions/RecordSender.ts
+++ b/src/streamVersions/RecordSender.ts
@@ -9,6 +9,7 @@
 import type { FleetSocket } from '../news/FleetSocket.js';
 import type { CallScheduler } from '../news/MessageRepeater.js';
 import type { DaemonEntry } from '../sync/FleetStore.js';
+import { RecordCollector } from './RecordCollector.js';
 import { bucketOf } from './streamBuckets.js';
 import type { StreamKeepers } from './StreamKeepers.js';
 import type { StreamRecordGroup } from './streamVersionTypes.js';
@@ -36,8 +37,15 @@
 /** Delay after which a record is sent once more, in ms, because datagrams get lost. */
 const REPEAT_MILLISECONDS = 200;
 
-/** How long records are collected that are not urgent, in ms. */
-const COLLECT_MILLISECONDS = 500;
+/**
+ * How long records are collected that are not urgent, in ms: less than most streams take to their first event, without
+ * which no caller takes one up.
+ */
+const FIRST_COLLECT_MILLISECONDS = 10;
+const COLLECT_MILLISECONDS = 50;
+
+/** How long they are collected for the other keepers of a small fleet, in ms. */
+const LATE_COLLECT_MILLISECONDS = 500;
 
 /**
  * Groups streams by the version that began them.
@@ -57,20 +65,34 @@
   return [...groups].map(([softwareVersion, keys]) => ({ softwareVersion, streams: keys }));
 }
 
-/** Owns the records that have not been sent yet. */
+/** Decides which daemons get a record, and when. */
 export class RecordSender {
   private readonly options: RecordSenderOptions;
 
-  /** Records that are collected, by stream. */
-  private readonly waiting = new Map<bigint, BegunStream>();
+  /** Records for those that get them first. */
+  private readonly early: RecordCollector;
 
-  private isScheduled = false;
+  /** Records for all other keepers of a small fleet. */
+  private readonly late: RecordCollector;
 
   /**
    * @param options - this daemon, and who keeps records.
    */
   constructor(options: RecordSenderOptions) {
+    const { later } = options;
     this.options = options;
+    this.early = new RecordCollector({
+      firstMilliseconds: FIRST_COLLECT_MILLISECONDS,
+      pauseMilliseconds: COLLECT_MILLISECONDS,
+      send: (begun) => this.send(begun, (stream) => this.firstHoldersOf(stream)),
+      later,
+    });
+    this.late = new RecordCollector({
+      firstMilliseconds: LATE_COLLECT_MILLISECONDS,
+      pauseMilliseconds: LATE_COLLECT_MILLISECONDS,
+      send: (begun) => this.send(begun, (stream) => this.otherHoldersOf(stream)),
+      later,
+    });
   }
 
   /**
@@ -79,7 +101,7 @@
    * @param begun - the stream.
    */
   sendNow(begun: BegunStream): void {
-    this.waiting.delete(begun.stream);
+    this.drop(begun.stream);
     this.sendTwice([begun]);
   }
 
@@ -89,21 +111,13 @@
    * @param begun - the stream.
    */
   collect(begun: BegunStream): void {
-    this.waiting.set(begun.stream, begun);
-    if (this.isScheduled) return;
-    this.isScheduled = true;
-    this.options.later(() => {
-      this.isScheduled = false;
-      this.send([...this.waiting.values()], (stream) => this.collectorsOf(stream));
-      this.waiting.clear();
-    }, COLLECT_MILLISECONDS);
+    this.early.add(begun);
+    if (this.options.keepers.isSmall) this.late.add(begun);
   }
 
   /** Sends all records that are collected, because they have become urgent. */
   flush(): void {
-    const begun = [...this.waiting.values()];
-    this.waiting.clear();
-    this.sendTwice(begun);
+    this.sendTwice([...new Set([...this.early.takeAll(), ...this.late.takeAll()])]);
   }
 
   /**
@@ -112,7 +126,8 @@
    * @param stream - key of the stream.
    */
   drop(stream: bigint): void {
-    this.waiting.delete(stream);
+    this.early.drop(stream);
+    this.late.drop(stream);
   }
 
   private sendTwice(begun: readonly BegunStream[]): void {
@@ -123,13 +138,19 @@
   }
 
   /** In a large fleet, fewer daemons get the records that are not urgent, in fewer and longer messages. */
-  private collectorsOf(stream: bigint): readonly DaemonEntry[] {
-    const { keepers } = this.options;
-    if (keepers.isSmall) return keepers.keepersOf(stream);
+  private firstHoldersOf(stream: bigint): readonly DaemonEntry[] {
+    const { keepers, daemon } = this.options;
+    if (keepers.isSmall) return keepers.firstKeepersOf(daemon);
     const first = keepers.keepersOf(stream).slice(0, 1);
     return [...new Set([...first, ...keepers.writersOf(bucketOf(stream))])];
   }
 
+  private otherHoldersOf(stream: bigint): readonly DaemonEntry[] {
+    const { keepers, daemon } = this.options;
+    const first = keepers.firstKeepersOf(daemon);
+    return keepers.keepersOf(stream).filter((keeper) => !first.includes(keeper));
+  }
+
   private send(
     streams: readonly BegunStream[],
     recipientsOf: (stream: bigint) => readonly DaemonEntry[],
--- a/src/streamVersions/StreamKeepers.ts
+++ b/src/streamVersions/StreamKeepers.ts
@@ -11,6 +11,12 @@
 /** Number of daemons that keep a record in a larger fleet; with half of them lost, one in sixteen records is. */
 const KEEPERS = 4;
 
+/**
+ * Number of daemons of a small fleet that get the records of another one before the rest do; with half of the fleet lost,
+ * all of them are in one of eight cases at most.
+ */
+const FIRST_KEEPERS = 3;
+
 /** Number of daemons that are asked at most; after a change of the list, keepers are a few places further on. */
 const MAXIMUM_ASKED = 24;
 
@@ -33,6 +39,8 @@
 export class StreamKeepers {
   private readonly orders = new Map<bigint, readonly DaemonEntry[]>();
 
+  private readonly firstKeepers = new Map<string, readonly DaemonEntry[]>();
+
   private daemons: readonly DaemonEntry[] = [];
 
   /** The daemons that write to the store, in their order. */
@@ -50,6 +58,7 @@
     this.daemons = daemons;
     if (isSame) return;
     this.orders.clear();
+    this.firstKeepers.clear();
     const fewest = this.isSmall ? WRITERS_OF_BUCKET : FEWEST_WRITERS_OF_LARGE_FLEET;
     const count = Math.ceil(daemons.length / DAEMONS_FOR_WRITER);
     const writers = Math.min(Math.max(count, fewest), STREAM_BUCKETS);
@@ -69,6 +78,21 @@
     return this.isSmall ? this.daemons : this.orderOf(stream).slice(0, KEEPERS);
   }
 
+  /**
+   * @param daemon - name of a daemon of a small fleet.
+   * @returns The other daemons that get its records first: few, so that they can be told often.
+   */
+  firstKeepersOf(daemon: string): readonly DaemonEntry[] {
+    const known = this.firstKeepers.get(daemon);
+    if (known) return known;
+    const others = this.orderFor(`first keepers of ${daemon}`).filter(
+      ({ name }) => name !== daemon,
+    );
+    const first = others.slice(0, FIRST_KEEPERS);
+    this.firstKeepers.set(daemon, first);
+    return first;
+  }
+
   /**
    * @param stream - key of a stream.
    * @returns The daemons that keep its record, and those that write it to the store.
--- a/src/streamVersions/StreamVersionTask.spec.ts
+++ b/src/streamVersions/StreamVersionTask.spec.ts
@@ -3,7 +3,7 @@
 import { expect } from 'earl';
 
 import { TestStreamFleet } from './testStreamFleet.js';
-import type { TestStreamFleetOptions } from './testStreamFleet.js';
+import type { TestStreamFleetOptions } from './testStreamFleetTypes.js';
 
 /** Streams that may hold events of two versions. */
 const ALLOWED_MIXED = 2;
--- a/src/streamVersions/testOutlivingStreams.ts
+++ b/src/streamVersions/testOutlivingStreams.ts
@@ -6,7 +6,7 @@
 import { expect } from 'earl';
 
 import { TestStreamFleet } from './testStreamFleet.js';
-import type { TestStreamFleetOptions } from './testStreamFleet.js';
+import type { TestStreamFleetOptions } from './testStreamFleetTypes.js';
 
 /** Streams that may hold events of two versions. */
 const ALLOWED_MIXED = 2;
@@ -42,6 +42,14 @@
   expect(possibleWentOn / possible).toBeGreaterThanOrEqual(LEAST_SHARE);
 }
 
+/** Expects the same at daemons that ran all the while. */
+function expectOwedToGoOn(fleet: TestStreamFleet): void {
+  const { owed, wentOn } = fleet.tally;
+  expectUnmixed(fleet);
+  expect(owed).toBeGreaterThanOrEqual(FEWEST_TAKEN_UP);
+  expect(wentOn / owed).toBeGreaterThanOrEqual(LEAST_SHARE);
+}
+
 /**
  * Defines tests in which all daemons of a fleet end at the same moment.
  *
@@ -152,3 +160,33 @@
     });
   });
 }
+
+/** Age of the first stream of callers in step when their daemons end, in ms. */
+const YOUNG_MILLISECONDS = 420;
+
+/** Callers in step for each daemon. */
+const CALLERS_IN_STEP = 10;
+
+/**
+ * Defines tests in which daemons end whose callers have all begun their streams a moment before.
+ *
+ * @param options - size of the fleet and its seed.
+ */
+export function describeYoungStreams(options: TestStreamFleetOptions): void {
+  const { daemons, runners } = options;
+  const callers = CALLERS_IN_STEP * daemons;
+
+  describe(`streams of callers in step that callers take up after a loss among ${daemons} daemons`, () => {
+    it('go on where half end a moment before the first runner of a new version', async () => {
+      // Guards against records that are still at the daemon that is lost, when its streams have their first events.
+      const fleet = startFleet(options);
+      fleet.beginTogether(callers, 27_000 - YOUNG_MILLISECONDS);
+      fleet.after(27_000, () => {
+        for (const daemon of fleet.daemons.slice(0, daemons / 2)) fleet.kill(daemon);
+      });
+      planRelease(fleet, { from: 27_001, gap: 1, count: 1, version: 'v2' });
+      await fleet.play(32_000);
+      expectOwedToGoOn(fleet);
+    });
+  });
+}
--- a/src/streamVersions/testStreamFleet.ts
+++ b/src/streamVersions/testStreamFleet.ts
@@ -13,39 +13,9 @@
 import type { DaemonEntry } from '../sync/FleetStore.js';
 import { ManualClock } from '../time/ManualClock.js';
 import { StreamVersionTask } from './StreamVersionTask.js';
+import type { TakeUpTally, TestStreamFleetOptions } from './testStreamFleetTypes.js';
 import { TestStreamStore } from './testStreamStore.js';
 
-/** Options of a {@link TestStreamFleet}. */
-export interface TestStreamFleetOptions {
-  daemons: number;
-  runners: number;
-  seed: number;
-  /** Streams that begin per second, at all daemons together. */
-  streamsPerSecond: number;
-  /** Share of datagrams that get lost, from 0 to 1. */
-  loss?: number;
-  /** Longest time until a caller takes a stream up that has broken off, in ms. */
-  pauseMilliseconds?: number;
-  /** Share of streams whose callers lose them without a fault of a daemon. */
-  lostByCallers?: number;
-}
-
-/** What became of the streams that callers took up again. */
-export interface TakeUpTally {
-  /** All of them. */
-  taken: number;
-  /** Those that went on at a version that had not begun them. */
-  mixed: number;
-  /** Those at daemons in touch, while two runners of the version were ready. */
-  owed: number;
-  /** Those of the owed that went on. */
-  wentOn: number;
-  /** Those at any daemon, in touch or not, while two runners of the version were ready. */
-  possible: number;
-  /** Those of the possible that went on. */
-  possibleWentOn: number;
-}
-
 type Handler = (message: Uint8Array) => void;
 
 const SERVICE = 'chat';
@@ -63,6 +33,9 @@
 
 const DOWN_MILLISECONDS = 1_000;
 
+/** Time in which streams begin whose callers come together, in ms. */
+const STEP_MILLISECONDS = 100;
+
 /** How often a caller comes back that is told when to. */
 const MAXIMUM_TAKE_UPS = 3;
 
@@ -223,6 +196,18 @@
     }
   }
 
+  /**
+   * Begins streams within a moment, as callers do that come back together.
+   *
+   * @param count - how many.
+   * @param from - when the first one begins, in ms from now on.
+   */
+  beginTogether(count: number, from: number): void {
+    for (let number = 0; number < count; number += 1) {
+      this.after(from + (number / count) * STEP_MILLISECONDS, () => this.beginStream());
+    }
+  }
+
   /**
    * @param milliseconds - from now on.
    * @param call - what happens then.
@@ -366,23 +351,22 @@
     const left = this.versions.filter((version) => version === softwareVersion).length;
     const isInTouch = !daemon.isCut && this.now - daemon.soundSince >= CONTACT_MILLISECONDS;
     const isOwed = isInTouch && left >= 2;
-    tally.taken += 1;
-    tally.owed += Number(isOwed);
-    tally.possible += Number(left >= 2);
+    const count = (change: 1 | -1) => {
+      tally.taken += change;
+      if (isOwed) tally.owed += change;
+      if (left >= 2) tally.possible += change;
+    };
+    count(1);
     const { life } = daemon;
     daemon.task.find({ ...name, request: `${stream.id} again` }, (result) => {
       if (daemon.life !== life || !daemon.isUp) {
-        tally.taken -= 1;
-        tally.owed -= Number(isOwed);
-        tally.possible -= Number(left >= 2);
+        count(-1);
         this.takeUpLater(stream);
         return;
       }
       if (result.softwareVersion === undefined) {
         if (result.retryAfterSeconds !== undefined && tries < MAXIMUM_TAKE_UPS) {
-          tally.taken -= 1;
-          tally.owed -= Number(isOwed);
-          tally.possible -= Number(left >= 2);
+          count(-1);
           this.after(result.retryAfterSeconds * 1_000, () => this.takeUp(stream, tries + 1));
         }
         return;
--- a/tests/StreamCallers.ts
+++ b/tests/StreamCallers.ts
@@ -20,6 +20,10 @@
 /** Callers that come back at once do so one time, and then after this time, in ms. */
 const LEAST_PAUSE_MILLISECONDS = 600;
 
+/** Share of the streams of callers in step whose first events are waited for, and how often that is looked at, in ms. */
+const MOST_IN_STEP = 0.75;
+const POLL_MILLISECONDS = 10;
+
 const OK = 200;
 
 const SECOND_MILLISECONDS = 1_000;
@@ -44,6 +48,8 @@
   /** Whole events so far. */
   body: string;
   isComplete: boolean;
+  /** Whether a part of an answer has arrived. */
+  isAnswered: boolean;
   attempts: number;
   readonly takeUps: TakeUp[];
 }
@@ -95,6 +101,19 @@
     this.timer = setInterval(() => this.begin(), INTERVAL_MILLISECONDS);
   }
 
+  /**
+   * Begins streams at the same moment.
+   *
+   * @param count - how many.
+   * @returns Once most of them have their first events.
+   */
+  async beginTogether(count: number): Promise<void> {
+    for (let left = count; left > 0; left -= 1) this.begin();
+    const isMost = () =>
+      this.streams.filter(({ isAnswered }) => isAnswered).length >= count * MOST_IN_STEP;
+    while (!isMost()) await wait(POLL_MILLISECONDS);
+  }
+
   /** Begins no further streams; resolves when all have ended. */
   async stop(): Promise<void> {
     clearInterval(this.timer);
@@ -108,6 +127,7 @@
       begunBy: '',
       body: '',
       isComplete: false,
+      isAnswered: false,
       attempts: 0,
       takeUps: [],
     };
@@ -146,6 +166,7 @@
       body: `question of stream-${number}`,
       onData: () => {
         isServedThen = this.options.serves(version);
+        Object.assign(stream, { isAnswered: true });
       },
       headers: {
         'Attempt-Id': id,
