Records of streams are written to the store before most of these streams have an event

Callers saw: two software versions served side by side, all daemons were killed, and streams that had begun within half a second before were refused with 503 version_unknown: 5 of 280 went on at the users.

Cause: each writer waited half a second between two writes of the archive.

Change: 100 ms, or 20 ms for each writer of the fleet where that is longer, so that a large fleet takes no more than some fifty of the writes of its store in a second.

StreamArchive.spec.ts keeps its pause of 500 ms, which is an option now.

--- a/src/streamVersions/StreamArchive.spec.ts
+++ b/src/streamVersions/StreamArchive.spec.ts
@@ -67,6 +67,7 @@
       keyBucketOf: (bucket) => bucket,
       writtenBuckets: () => new Set(Array.from({ length: 16 }, (_, bucket) => bucket)),
       readBuckets: () => 'all',
+      writeMilliseconds: () => 500,
       lifeMilliseconds: () => LIFE_MILLISECONDS,
       onRecord: (stream, softwareVersion) => known.push([stream, softwareVersion]),
       later: (call, milliseconds) =>
--- a/src/streamVersions/StreamArchive.ts
+++ b/src/streamVersions/StreamArchive.ts
@@ -25,6 +25,8 @@
   keyBucketOf: (bucket: number) => number;
   /** Buckets whose records it reads at its start. */
   readBuckets: () => readonly number[] | 'all';
+  /** Returns the pause between two writes, in ms: a stream that began since the last one is lost with all daemons. */
+  writeMilliseconds: () => number;
   /** Returns how long a record is of use, in ms. */
   lifeMilliseconds: () => number;
   /** Called for each record that was read. */
@@ -33,9 +35,6 @@
   later: CallScheduler;
 }
 
-/** Pause between two writes, in ms: a stream that began since the last one is lost with all daemons. */
-const WRITE_MILLISECONDS = 500;
-
 /** Delay of a write after a pause, in ms, in which records are collected. */
 const FIRST_WRITE_MILLISECONDS = 20;
 
@@ -124,7 +123,7 @@
       return;
     }
     this.waiting.set(stream, softwareVersion);
-    this.schedule(this.now - this.lastWriteAt < WRITE_MILLISECONDS);
+    this.schedule(this.now - this.lastWriteAt < this.options.writeMilliseconds());
   }
 
   /** Writes the records soon, although the last write may have been a moment ago. */
@@ -187,8 +186,9 @@
   private schedule(isSoonAfterLast: boolean): void {
     if (this.isScheduled) return;
     this.isScheduled = true;
-    const milliseconds = isSoonAfterLast ? WRITE_MILLISECONDS : FIRST_WRITE_MILLISECONDS;
-    this.options.later(() => {
+    const { later, writeMilliseconds } = this.options;
+    const milliseconds = isSoonAfterLast ? writeMilliseconds() : FIRST_WRITE_MILLISECONDS;
+    later(() => {
       this.isScheduled = false;
       void this.write();
     }, milliseconds);
--- a/src/streamVersions/StreamKeepers.ts
+++ b/src/streamVersions/StreamKeepers.ts
@@ -32,6 +32,10 @@
  */
 const FEWEST_WRITERS_OF_LARGE_FLEET = 4;
 
+/** Shortest time between two writes of one daemon, in ms, and its growth with the number of daemons that write. */
+const SHORTEST_WRITE_MILLISECONDS = 100;
+const WRITE_MILLISECONDS_FOR_WRITER = 20;
+
 /** Streams are ordered by groups, because ordering hundreds of daemons for each stream takes too long. */
 const GROUPS = 256n;
 
@@ -93,6 +97,14 @@
     return first;
   }
 
+  /** @returns Shortest time between two writes of a daemon to the store, in ms; the store's rate is shared by all. */
+  get writeMilliseconds(): number {
+    return Math.max(
+      SHORTEST_WRITE_MILLISECONDS,
+      this.writers.length * WRITE_MILLISECONDS_FOR_WRITER,
+    );
+  }
+
   /**
    * @param stream - key of a stream.
    * @returns The daemons that keep its record, and those that write it to the store.
--- a/src/streamVersions/StreamVersionTask.ts
+++ b/src/streamVersions/StreamVersionTask.ts
@@ -131,6 +131,7 @@
       writtenBuckets: () => keepers.bucketsOf(daemon.name),
       keyBucketOf: (bucket) => keepers.keyBucketOf(bucket),
       readBuckets: () => keepers.readBucketsOf(daemon.name),
+      writeMilliseconds: () => keepers.writeMilliseconds,
       lifeMilliseconds: () => this.retentionMilliseconds,
       onRecord: (stream, softwareVersion) => this.records.record(stream, softwareVersion),
     });
--- a/src/streamVersions/testOutlivingStreams.ts
+++ b/src/streamVersions/testOutlivingStreams.ts
@@ -188,5 +188,15 @@
       await fleet.play(32_000);
       expectOwedToGoOn(fleet);
     });
+
+    it('go on where all end while two versions serve side by side', async () => {
+      // Guards against records that have not been written to the store when their streams have their first events.
+      const fleet = startFleet(options);
+      planRelease(fleet, { from: 1_000, gap: 1, count: Math.floor(runners / 2), version: 'v2' });
+      fleet.beginTogether(callers, 8_000 - YOUNG_MILLISECONDS);
+      fleet.after(8_000, () => fleet.killAll());
+      await fleet.play(13_000);
+      expectGoingOn(fleet);
+    });
   });
 }
--- a/tests/streamsOfCallersInStep.spec.ts
+++ b/tests/streamsOfCallersInStep.spec.ts
@@ -41,6 +41,15 @@
       await fleet.kill(fleet.processes.slice(0, fleet.processes.length / 2));
     },
   },
+  // Guards against records that are not in the store yet when all daemons are lost.
+  {
+    name: 'all are killed while two versions serve',
+    ...{ sizes: [6, 20], versions: ['v1', 'v1', 'v2', 'v2'], callersInStep: CALLERS_IN_STEP },
+    play: async (fleet, isCounted) => {
+      isCounted();
+      await fleet.kill();
+    },
+  },
 ];
 
 describeUpheavals('streams of callers in step', UPHEAVALS);
