A connection that fails at once was never opened, so that nothing was sent

Callers saw: 30 to 60 of 100 requests answered with 502 beside one runner whose address no connection can be opened to (255.255.255.255:80, [fe80::1%lo]:80).

Cause: connect fails before the request learns of its socket, which is then not connecting any more. RunnerAttempt took it for connected and the failure for a broken one: a request of which no byte was sent counted as perhaps run. RunnerConnection of the product's own interface did the same.

Change: a socket that is destroyed by then was never connected.

Result: the three new cases fail on the old code (broken, broken, failed:cut:resumable), and pass.

--- a/src/forwarding/RunnerAttempt.spec.ts
+++ b/src/forwarding/RunnerAttempt.spec.ts
@@ -126,6 +126,13 @@
     expect((await attemptAt({ port: 1, agent })).outcome).toEqual('connect_timeout');
   });
 
+  for (const host of ['255.255.255.255', 'fe80::1%lo']) {
+    it(`reports that nothing was sent if a connection to ${host} fails at once`, async () => {
+      // Guards against a connection that was never opened and counts as broken, so that its request may have run.
+      expect((await attemptAt({ host, port: 80 })).outcome).toEqual('connect_timeout');
+    });
+  }
+
   for (const [isPathLost, expected] of [
     [true, 'reset'],
     [false, 'closed'],
--- a/src/forwarding/RunnerAttempt.ts
+++ b/src/forwarding/RunnerAttempt.ts
@@ -219,12 +219,13 @@
   }
 
   private watchSocket(socket: Socket): void {
-    if (!socket.connecting) {
-      this.connected = true;
-    } else {
+    if (socket.connecting) {
       const { connectMilliseconds } = this.options;
       this.connectTimer = setTimeout(() => this.onConnectTimeout(), connectMilliseconds);
       socket.once('connect', () => this.onConnect());
+    } else {
+      // A connection that could not be opened at all has failed by now, and was never connected.
+      this.connected = !socket.destroyed;
     }
     this.watchReset(socket);
     this.request?.once('close', this.byteLimit.watch(socket));
--- a/src/forwarding/testAttempt.ts
+++ b/src/forwarding/testAttempt.ts
@@ -53,6 +53,8 @@
 
 /** Options of {@link attemptAt}. */
 export interface AttemptAtOptions {
+  /** IP address of the runner; loopback by default. */
+  host?: string;
   port: number;
   target?: string;
   requestId?: string;
@@ -68,6 +70,7 @@
  * @returns Result of the attempt.
  */
 export function attemptAt({
+  host = '127.0.0.1',
   port,
   target = '/',
   requestId = 'r-1',
@@ -76,7 +79,7 @@
   onAttempt = () => undefined,
 }: AttemptAtOptions): Promise<AttemptResult> {
   const entry = { id: 'runner-1', life: 'runner-1', service: 'plain', dataCentre: 'here' } as const;
-  const runner = new Runner({ ...entry, host: '127.0.0.1', port, state: 'ready' });
+  const runner = new Runner({ ...entry, host, port, state: 'ready' });
   return new Promise((done) => {
     const attempt = new RunnerAttempt({
       runner,
--- a/src/upstreams/RunnerConnection.ts
+++ b/src/upstreams/RunnerConnection.ts
@@ -175,7 +175,8 @@
     };
     request.on('socket', (socket) => {
       if (socket.connecting) socket.once('connect', connected);
-      else connected();
+      // A connection that could not be opened at all has failed by now, and nothing was sent.
+      else if (!socket.destroyed) connected();
     });
     request.on('response', (response) => {
       const { statusCode = 0 } = response;
--- a/src/upstreams/Upstream.spec.ts
+++ b/src/upstreams/Upstream.spec.ts
@@ -207,6 +207,16 @@
     upstream.close();
   });
 
+  it('says "not run" when the connection fails at once', async () => {
+    // Guards against a connection that was never opened and counts as one on which the request was sent.
+    const upstream = new EngineUpstream({ address: '255.255.255.255:80' });
+    const events = await readAll(
+      upstream.run(createAttempt('stream'), new AbortController().signal),
+    );
+    expect(outcomeOf(events)).toEqual('not_run:unreachable');
+    upstream.close();
+  });
+
   it('does not say "not run" of a request that was written into a connection that then broke', async () => {
     // Guards against a reservation that runs twice: a keep-alive connection is reused, and the runner reads the
     // request, does the work and dies. The connection reset must not be taken for the closing of an idle connection.
