A request that ends because a step throws has its line in the log

Operators saw: 60 to 100 of 100 requests answered with 502, and no line about any of them.

Cause: the answer was sent without the report of the end.

Change: it ends like any request that this daemon answers with an error.

Result: brokenSteps.spec.ts asks for the line; 4 of its cases fail on the old code.

--- a/src/forwarding/RequestParts.ts
+++ b/src/forwarding/RequestParts.ts
@@ -226,8 +226,7 @@
     try {
       step();
     } catch (error) {
-      this.relay.sendDaemonAnswer({ status: 502, reason: 'internal' });
-      this.stopAttempts();
+      this.endWith({ status: 502, reason: 'internal' });
       throw error;
     }
   }
--- a/src/forwarding/brokenSteps.spec.ts
+++ b/src/forwarding/brokenSteps.spec.ts
@@ -2,6 +2,7 @@
 
 import { expect } from 'earl';
 
+import { forwardingLogEvents } from './forwardingFeature.js';
 import type { ForwardingContext } from './forwardingTypes.js';
 import { statusLineInTime } from './testReceived.js';
 import { DEADLINE_MILLISECONDS, FIRST_RUNNER, RequestUnderTest } from './testRequest.js';
@@ -29,6 +30,9 @@
     breakStep(test.context);
     const { caller } = await test.send();
     expect(await statusLineInTime(caller)).toEqual('HTTP/1.1 502 Bad Gateway');
+    // Guards against failed requests that no line of the log accounts for.
+    const ends = test.log.fieldsOf(forwardingLogEvents.notServed);
+    expect(ends.map(({ outcome }) => outcome)).toEqual(['internal']);
   }
 
   for (const [name, breakStep] of Object.entries(STEPS)) {
