An entry by which no request can be sent names no runner to use

Callers saw: one odd entry among those of the runners, and requests were answered with 502 or 503 (60 to 100 of 100 at the users with an id that no header can hold, 30 to 60 with an address that no connection can be opened to).

Cause: entries were checked for their types only. An id with a line break, beyond Latin-1 or empty cannot be written to the header that names the runner; a broadcast, multicast or unspecified address and one with a zone are none of one instance; an id, zone, service or version of 100,000 characters fits into no datagram between daemons; an id like r1@5 without a start of its own took the place of the runner r1 that started at 5.

Change: findEntryFault looks at each entry where it enters the list, whichever way it has come; one with a fault counts as unreadable, like one that cannot be parsed: reported once with the beginning of its key, not passed on, and mended by the next heartbeat of the runner whose own entry it was.

--- a/src/sync/RunnerListing.ts
+++ b/src/sync/RunnerListing.ts
@@ -1,6 +1,7 @@
 /**
  * The list of runners: those that have an entry in the store, and lapsed ones, whose entry is missing but may come back.
  */
+import { findEntryFault } from '../runners/entryFault.js';
 import type { Runner, RunnerEntry } from '../runners/Runner.js';
 import { RunnerTable } from '../runners/RunnerTable.js';
 import { DepartedRunners } from './DepartedRunners.js';
@@ -105,13 +106,18 @@
   }
 
   /**
-   * Adds or updates a runner that has an entry.
+   * Adds or updates a runner that has an entry, whichever way the entry has come; one that cannot be used counts as unreadable.
    *
    * @param entry - the runner's entry.
    * @param moment - revision and time of the entry's latest change.
    */
   put(entry: RunnerEntry, moment: ChangeMoment): void {
     const { id, life } = entry;
+    const fault = findEntryFault(entry);
+    if (fault !== undefined) {
+      this.putUnreadable(id, fault, moment);
+      return;
+    }
     const wasLapsed = this.lapsed.delete(id);
     this.options.unreadable.clear(id);
     if (this.departed.holdBack(entry, moment.now)) return;
--- a/src/sync/UnreadableEntries.ts
+++ b/src/sync/UnreadableEntries.ts
@@ -6,6 +6,9 @@
 /** Most keys that are remembered as reported. With more unreadable entries at once, some are reported again. */
 const MAXIMUM_REPORTED = 500;
 
+/** Characters of a key that are kept and reported; another writer may choose a key of any length. */
+const KEPT_CHARACTERS = 200;
+
 /** Called with the key of an entry that could not be decoded, and the reason. */
 export type UnreadableListener = (key: string, message: string) => void;
 
@@ -29,10 +32,11 @@
    * @param message - what is wrong with it.
    */
   report(key: string, message: string): void {
-    if (this.reported.has(key)) return;
+    const kept = key.slice(0, KEPT_CHARACTERS);
+    if (this.reported.has(kept)) return;
     if (this.reported.size >= MAXIMUM_REPORTED) this.reported.clear();
-    this.reported.add(key);
-    this.listener(key, message);
+    this.reported.add(kept);
+    this.listener(kept, message);
   }
 
   /**
@@ -41,6 +45,6 @@
    * @param key - key of the entry.
    */
   clear(key: string): void {
-    this.reported.delete(key);
+    this.reported.delete(key.slice(0, KEPT_CHARACTERS));
   }
 }
