--- a/src/streamVersions/StreamVersionTask.ts
+++ b/src/streamVersions/StreamVersionTask.ts
@@ -4,7 +4,6 @@
  */
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 
-import { forwardingLogEvents } from '../forwarding/forwardingFeature.js';
 import {
   MessageKind,
   StreamVersionAnswerSchema,
@@ -30,7 +29,9 @@
 import { StreamRecords } from './StreamRecords.js';
 import type { VersionHistory } from './streamVersionTypes.js';
 import { decideTakeUp } from './takeUpDecision.js';
-import type { StreamVersionView, TakeUpDecision } from './takeUpDecision.js';
+import type { SeenVersion, StreamVersionView, TakeUpDecision } from './takeUpDecision.js';
+import { TakeUpReport } from './TakeUpReport.js';
+import type { TakeUpQuestion } from './TakeUpReport.js';
 import { VersionHistoryWriter } from './VersionHistoryWriter.js';
 import { VersionQuestions } from './VersionQuestions.js';
 import type { QuestionResult } from './VersionQuestions.js';
@@ -59,12 +60,6 @@
   later?: CallScheduler;
 }
 
-/** A stream that a caller takes up, for the log. */
-export interface TakeUpQuestion extends StreamName {
-  /** Id of the caller's attempt that takes it up. */
-  readonly request: string;
-}
-
 /** What the caller is to be told, if the version of its stream is not known yet. */
 export interface TakeUpResult {
   readonly softwareVersion?: string | undefined;
@@ -107,7 +102,7 @@
 
   private readonly questions: VersionQuestions;
 
-  private readonly takeUps;
+  private readonly report: TakeUpReport;
 
   private readonly startedAt: number;
 
@@ -140,10 +135,9 @@
       place: () => keepers.writerPlaceOf(daemon.name),
     });
     this.questions = new VersionQuestions({ daemon, socket, keepers, later });
-    this.takeUps = registry.counter({
-      name: 'stream_take_ups',
-      help: 'Streams that callers took up again, by how the software version that began them was found.',
-      labels: ['evidence'] as const,
+    this.report = new TakeUpReport({
+      ...{ clock, log, registry, startedAt: this.startedAt },
+      versionsOf: (service) => this.versionsOf(service),
     });
     socket.handle(MessageKind.STREAM_VERSIONS, (message) => this.handleRecords(message));
     socket.handle(MessageKind.STREAM_VERSION_QUESTION, (message) =>
@@ -196,7 +190,7 @@
     const begun = { service: name.service, stream, softwareVersion };
     this.versions.note(name.service, softwareVersion, this.now);
     this.handleNews();
-    const isUrgent = this.hasSeveralVersions(name.service);
+    const isUrgent = this.versionsOf(name.service).length > 1;
     this.records.record(stream, softwareVersion);
     if (isUrgent) {
       this.archive.add(stream, softwareVersion);
@@ -228,7 +222,7 @@
         if (decision.evidence === 'recorded') this.records.record(stream, decision.softwareVersion);
         const isSettled = this.isLoaded && result.isComplete && !this.isYoung;
         const mayPass = decision.evidence === 'unknown' && !isSettled;
-        this.report(name, { decision, result, mayPass, startedAt });
+        this.report.write(name, { decision, result, mayPass, startedAt, isLoaded: this.isLoaded });
         done({
           softwareVersion: decision.softwareVersion,
           ...(mayPass && { retryAfterSeconds: LOADING_RETRY_SECONDS }),
@@ -296,8 +290,9 @@
     this.historyWriter.write(this.moment, this.retentionMilliseconds);
   }
 
-  private hasSeveralVersions(service: string): boolean {
-    return this.versions.versionsOf(service, this.now - this.retentionMilliseconds).length > 1;
+  /** Versions that the service has had within the retention time. */
+  private versionsOf(service: string): SeenVersion[] {
+    return this.versions.versionsOf(service, this.now - this.retentionMilliseconds);
   }
 
   private handleRecords(message: Uint8Array): void {
@@ -317,12 +312,12 @@
   }
 
   private viewOf(stream: bigint, service: string): StreamVersionView {
-    const from = this.now - this.retentionMilliseconds;
     // What a daemon that is not heard has begun, at a new version perhaps, has a record nowhere else.
     const mayRuleOut = this.isYoung && this.options.isFleetWhole();
-    const versions = this.versions
-      .versionsOf(service, from)
-      .map((one) => ({ ...one, isNewSinceStart: one.isNewSinceStart && mayRuleOut }));
+    const versions = this.versionsOf(service).map((one) => ({
+      ...one,
+      isNewSinceStart: one.isNewSinceStart && mayRuleOut,
+    }));
     return {
       recorded: this.records.versionOf(stream),
       versions: this.isLoaded ? versions : undefined,
@@ -363,36 +358,4 @@
     const bytes = toBinary(StreamVersionAnswerSchema, message);
     this.options.socket.send(MessageKind.STREAM_VERSION_ANSWER, bytes, [parseAddress(address)]);
   }
-
-  private report(
-    name: TakeUpQuestion,
-    {
-      decision,
-      result,
-      mayPass,
-      startedAt,
-    }: { decision: TakeUpDecision; result: QuestionResult; mayPass: boolean; startedAt: number },
-  ): void {
-    const { evidence, softwareVersion } = decision;
-    const { now } = this;
-    this.takeUps.increment({ evidence });
-    const event =
-      evidence === 'unknown' ? forwardingLogEvents.versionUnknown : forwardingLogEvents.takenUp;
-    const versions = this.versions.versionsOf(name.service, now - this.retentionMilliseconds);
-    this.options.log.write(event, {
-      request: name.request,
-      stream: name.id,
-      service: name.service,
-      evidence,
-      softwareVersion,
-      milliseconds: Math.round(now - startedAt),
-      asked: result.asked,
-      answered: result.answers.length,
-      versions: versions.map((one) => one.softwareVersion),
-      newVersions: versions.filter((one) => one.isNewSinceStart).length,
-      runningMilliseconds: Math.round(now - this.startedAt),
-      isLoaded: this.isLoaded,
-      mayPass,
-    });
-  }
 }
