--- a/src/forwarding/RequestParts.ts
+++ b/src/forwarding/RequestParts.ts
@@ -226,7 +226,9 @@
     try {
       step();
     } catch (error) {
-      this.endWith({ status: 502, reason: 'internal' });
+      // A step that throws behind the end of the request has nothing to answer or to report any more.
+      if (this.relay.isDone) this.stopAttempts();
+      else this.endWith({ status: 502, reason: 'internal' });
       throw error;
     }
   }
