Records and questions go to where a daemon of the same name is now

Callers would see streams refused after a daemon has started again at another address under its name.

Cause: the order of daemons for a stream was kept as long as their names were the same, with the addresses of its first use.

Change: an address that differs counts as a change of the list. The new case of streamVersions.spec.ts fails on the old code.

--- a/src/streamVersions/StreamKeepers.ts
+++ b/src/streamVersions/StreamKeepers.ts
@@ -12,8 +12,8 @@
 const KEEPERS = 4;
 
 /**
- * Number of daemons of a small fleet that get the records of another one before the rest do; with half of the fleet lost,
- * all of them are in one of eight cases at most.
+ * Number of daemons of a small fleet that get the records of another one before the rest do. Where half of the fleet is
+ * lost, all of them are lost in one of eight cases at most.
  */
 const FIRST_KEEPERS = 3;
 
@@ -58,7 +58,10 @@
   update(daemons: readonly DaemonEntry[]): void {
     const isSame =
       daemons.length === this.daemons.length &&
-      daemons.every(({ name }, index) => name === this.daemons[index]?.name);
+      daemons.every(({ name, newsAddress }, index) => {
+        const known = this.daemons[index];
+        return name === known?.name && newsAddress === known.newsAddress;
+      });
     this.daemons = daemons;
     if (isSame) return;
     this.orders.clear();
--- a/src/streamVersions/streamVersions.spec.ts
+++ b/src/streamVersions/streamVersions.spec.ts
@@ -185,6 +185,17 @@
     expect(keepers.keepersOf(5n).length).toEqual(4);
   });
 
+  it('has the address at which a daemon of the same name has started again', () => {
+    // Guards against records and questions that go to where a daemon was before.
+    const keepers = new StreamKeepers();
+    for (const newsAddress of ['10.0.0.1:7000', '10.0.0.2:7000']) {
+      keepers.update(daemonsOf(20).map((daemon) => ({ ...daemon, newsAddress })));
+      expect(keepers.keepersOf(5n).map((keeper) => keeper.newsAddress)).toEqual(
+        Array.from({ length: 4 }, () => newsAddress),
+      );
+    }
+  });
+
   it('asks the keepers first, also where a daemon has joined since', () => {
     const [before, after] = [new StreamKeepers(), new StreamKeepers()];
     before.update(daemonsOf(299));
