A version that another daemon has told of is in the saved history before a runner of it is listed

Cause: whether the history of versions lacks one was decided by the list of runners alone. The daemon whose turn it was knew the version from records and had not seen a runner of it, so nothing was written before all ended; after the start the version counted as one that had come since, and was ruled out for streams that it had begun.

Change: a version that is known and missing from the saved history is written, too, while it is kept at all.

--- a/src/streamVersions/ServiceVersions.ts
+++ b/src/streamVersions/ServiceVersions.ts
@@ -147,14 +147,20 @@
     this.saved = history;
   }
 
-  /** @returns Whether the history of the store lacks a version that has runners, or takes one for gone or present that is not. */
-  get isSavedOutdated(): boolean {
+  /**
+   * Tells whether the history of the store lacks a version, or takes one for gone or present that is not. Another daemon may
+   * have told of a version before a runner of it is in this daemon's list.
+   *
+   * @param from - monotonic ms; versions that have been gone for longer are not kept.
+   * @returns Whether the history has to be saved again.
+   */
+  isSavedOutdated(from: number): boolean {
     return [...this.services].some(([service, { versions }]) => {
       const saved = this.saved.get(service);
-      return [...versions.keys()].some((version) => {
+      return [...versions].some(([version, { seenAt }]) => {
         const goneAt = saved?.get(version);
-        const isPresent = this.isPresent(service, version);
-        return isPresent ? goneAt !== 0 : goneAt === 0;
+        if (this.isPresent(service, version)) return goneAt !== 0;
+        return goneAt === 0 || (goneAt === undefined && seenAt >= from);
       });
     });
   }
--- a/src/streamVersions/VersionHistoryWriter.ts
+++ b/src/streamVersions/VersionHistoryWriter.ts
@@ -50,7 +50,7 @@
    */
   write(now: Moment, retentionMilliseconds: number): void {
     const { versions, place } = this.options;
-    if (!this.mustWrite && !versions.isSavedOutdated) {
+    if (!this.mustWrite && !versions.isSavedOutdated(now.monotonic - retentionMilliseconds)) {
       this.outdatedSince = undefined;
       return;
     }
--- a/src/streamVersions/streamVersions.spec.ts
+++ b/src/streamVersions/streamVersions.spec.ts
@@ -156,6 +156,22 @@
     expect(versions.onlyVersionOf('other', 0)).toEqual(undefined);
   });
 
+  it('has a version to save that another daemon has told of before a runner of it is listed', () => {
+    // Guards against streams of a version that daemons take for one that came after their start, if all end now.
+    const versions = new ServiceVersions();
+    versions.see([runnerOf('a', 'v1')], 1_000);
+    const save = (monotonic: number) =>
+      versions.recordSaved(versions.export({ monotonic, wall: monotonic }, 500));
+    save(1_000);
+    expect(versions.isSavedOutdated(500)).toEqual(false);
+    versions.note('chat', 'v2', 1_100);
+    expect(versions.isSavedOutdated(600)).toEqual(true);
+    save(1_100);
+    expect(versions.isSavedOutdated(600)).toEqual(false);
+    versions.see([runnerOf('a', 'v1'), runnerOf('b', 'v2')], 1_200);
+    expect(versions.isSavedOutdated(700)).toEqual(true);
+  });
+
   it('counts runners without a version as runners of the same one', () => {
     const versions = new ServiceVersions();
     versions.see([runnerOf('a'), runnerOf('b')], 1_000);
