--- a/src/forwarding/RunnerProtocol.ts
+++ b/src/forwarding/RunnerProtocol.ts
@@ -42,6 +42,9 @@
   /** Path at which runners serve reports on themselves; not all of them do. */
   abstract readonly reportPath: string;
 
+  /** Path at which runners list the parts of prompts that they have cached; not all of them do. */
+  abstract readonly cachedPartsPath: string;
+
   /**
    * @param status - status code of a runner's answer.
    * @param headers - headers of a runner's answer.
@@ -87,4 +90,10 @@
    * incarnation of the entry is not known either.
    */
   abstract lifeIn(report: string, entry: Pick<RunnerEntry, 'id' | 'life'>): string | undefined;
+
+  /**
+   * @param list - body of a runner's list of cached parts.
+   * @returns The ids of the parts; `undefined` if the list is malformed.
+   */
+  abstract cachedPartsIn(list: string): readonly string[] | undefined;
 }
--- a/src/forwarding/testProtocol.ts
+++ b/src/forwarding/testProtocol.ts
@@ -25,6 +25,8 @@
 
   override readonly reportPath = '/report';
 
+  override readonly cachedPartsPath = '/cached';
+
   override didNotRun(_status: number, headers: IncomingHttpHeaders): boolean {
     return headers['not-run'] !== undefined;
   }
@@ -66,4 +68,8 @@
   override lifeIn(report: string): string | undefined {
     return report === '' ? undefined : report;
   }
+
+  override cachedPartsIn(list: string): readonly string[] {
+    return list.split(',');
+  }
 }
--- a/src/news/FleetSocket.ts
+++ b/src/news/FleetSocket.ts
@@ -37,6 +37,7 @@
   [MessageKind.STREAM_VERSION_QUESTION]: 'stream_version_question',
   [MessageKind.STREAM_VERSION_ANSWER]: 'stream_version_answer',
   [MessageKind.SUSPECTED_RESTARTS]: 'suspected_restarts',
+  [MessageKind.PROMPT_VERSIONS]: 'prompt_versions',
 };
 
 /** Handles messages of one kind. */
--- a/src/router/KnowledgeChangeHandler.ts
+++ b/src/router/KnowledgeChangeHandler.ts
@@ -7,7 +7,7 @@
 import type { CallerLimits, RoutingConfiguration } from '../routes/routeTypes.js';
 import type { RunnerEntry, RunnerState } from '../runners/Runner.js';
 import type { WarmPlace, WarmPlaces } from '../runners/WarmPlaces.js';
-import type { VersionHistory } from '../streamVersions/streamVersionTypes.js';
+import type { SavedHistory } from '../streamVersions/streamVersionTypes.js';
 import type { KnowledgeListener, StoreRestore } from '../sync/knowledgeTypes.js';
 import { revisionFields, storePositionOf } from '../sync/orderedRevision.js';
 import { syncLogEvents } from '../sync/syncFeature.js';
@@ -26,7 +26,7 @@
   /** Takes the list of quarantined requests in the form in which the store holds it. */
   applyQuarantine: (page: string) => void;
   /** Takes the software versions that services have had lately. */
-  applyVersionHistory: (history: VersionHistory) => void;
+  applyVersionHistory: (history: SavedHistory) => void;
   /** Applies the limits for callers from a configuration that has come into force. */
   applyLimits: (limits: CallerLimits) => void;
   /** Called after the store has been restored from an older copy: what this daemon wrote to it may be lost. */
@@ -133,7 +133,7 @@
   }
 
   /** @param history - the software versions of each service, as another daemon saved them in the store. */
-  versionHistorySaved(history: VersionHistory): void {
+  versionHistorySaved(history: SavedHistory): void {
     this.options.applyVersionHistory(history);
   }
 
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -185,7 +185,7 @@
     });
     this.streamVersions = createStreamVersions({
       ...{ daemon: entry, socket: this.news.socket, store, clock, log, registry, knowledge },
-      coordination,
+      ...{ coordination, protocol },
       follower: () => this.follower,
     });
     const { connections, capacity, streamVersions } = this;
@@ -325,6 +325,7 @@
       isPathSettled: (now) => this.handOver.path.isSettled(now),
       hearsLoads: () => this.coordination.hearsLoads,
       onRejected: (runner) => this.quarantineTask.quarantine.rejected(runner),
+      mayBeginAt: (runner) => this.streamVersions.mayBeginAt(runner),
     });
     const capacity = this.capacity.view;
     const options = {
--- a/src/router/createRunnerChoice.ts
+++ b/src/router/createRunnerChoice.ts
@@ -40,6 +40,8 @@
   hearsLoads: () => boolean;
   /** Called when a brittle runner has rejected a request. */
   onRejected: (runner: Runner) => void;
+  /** Whether a stream may begin at a runner that callers may take up elsewhere. */
+  mayBeginAt: (runner: Runner) => boolean;
   /** Returns the mean age of what other daemons have reported, in ms. */
   reportAgeMilliseconds: () => number;
   capacity: CapacityView;
@@ -68,6 +70,7 @@
   isPathSettled,
   hearsLoads,
   onRejected,
+  mayBeginAt,
   reportAgeMilliseconds,
   registry,
   log,
@@ -96,7 +99,7 @@
     onBrittle: (service, limit) =>
       log.write(forwardingLogEvents.brittleRunners, { service, limit }),
   });
-  const admission = new RunnerAdmission({ coldStarts, brittleRunners, regionOf });
+  const admission = new RunnerAdmission({ coldStarts, brittleRunners, regionOf, mayBeginAt });
   const { spill: spillSettings } = settings;
   const { capacity } = parts;
   const spill = new DataCentreSpill({
--- a/src/router/createStreamVersions.ts
+++ b/src/router/createStreamVersions.ts
@@ -2,8 +2,10 @@
  * Creates the part of a daemon that knows which software version began each stream.
  */
 import type { FleetCoordination } from '../coordination/FleetCoordination.js';
+import { fetchCachedPrompts } from '../forwarding/fetchCachedPrompts.js';
+import type { RunnerProtocol } from '../forwarding/RunnerProtocol.js';
 import { StreamVersionTask } from '../streamVersions/StreamVersionTask.js';
-import type { StreamVersionTaskOptions } from '../streamVersions/StreamVersionTask.js';
+import type { StreamVersionTaskOptions } from '../streamVersions/streamVersionTaskTypes.js';
 import type { FleetKnowledge } from '../sync/FleetKnowledge.js';
 import type { StoreFollower } from '../sync/StoreFollower.js';
 
@@ -15,6 +17,7 @@
   StreamVersionTaskOptions,
   'daemon' | 'socket' | 'store' | 'clock' | 'log' | 'registry'
 > {
+  protocol: RunnerProtocol;
   knowledge: FleetKnowledge;
   coordination: FleetCoordination;
   follower: () => Pick<StoreFollower, 'isStoreUnresponsive'>;
@@ -32,6 +35,7 @@
  * @returns The task, which has to be started.
  */
 export function createStreamVersions({
+  protocol,
   knowledge,
   coordination,
   follower,
@@ -44,6 +48,7 @@
     isListCurrent: () => coordination.relay.isFresh || !follower().isStoreUnresponsive,
     isFleetWhole: () =>
       coordination.otherAvailableDaemons().length === coordination.otherDaemons().length,
+    fetchPrompts: (runner, done) => fetchCachedPrompts({ runner, protocol }, done),
     longestStreamMilliseconds: () => longestStreamOf(knowledge),
   });
 }
--- a/src/runners/RunnerAdmission.ts
+++ b/src/runners/RunnerAdmission.ts
@@ -37,6 +37,8 @@
   brittleRunners?: BrittleRunners | undefined;
   /** Returns the region of a data centre, or `undefined` if it is unknown. */
   regionOf?: (dataCentre: string) => string | undefined;
+  /** Whether a stream may begin at a runner that callers may take up elsewhere; at any by default. */
+  mayBeginAt?: (runner: Runner) => boolean;
 }
 
 /** Checks each request against the state of the runner that it may go to. */
@@ -48,6 +50,8 @@
 
   private readonly regionOf: (dataCentre: string) => string | undefined;
 
+  private readonly mayBeginAt: (runner: Runner) => boolean;
+
   /**
    * @param options - the limits for cold and brittle runners, without which every runner counts as warm and sound, and
    * the regions of data centres.
@@ -56,10 +60,12 @@
     coldStarts,
     brittleRunners,
     regionOf = () => undefined,
+    mayBeginAt = () => true,
   }: RunnerAdmissionOptions = {}) {
     this.brittleRunners = brittleRunners;
     this.coldStarts = coldStarts;
     this.regionOf = regionOf;
+    this.mayBeginAt = mayBeginAt;
   }
 
   /**
@@ -96,12 +102,13 @@
   /**
    * Selects the runners that may get a request.
    *
-   * @param runners - runners that accept new work.
+   * @param all - runners that accept new work.
    * @param question - the request.
    * @returns The warm runners, and the cold ones with unused rate; brittle ones as long as they have room.
    */
-  admitted(runners: readonly Runner[], question: AdmissionQuestion): readonly Runner[] {
+  admitted(all: readonly Runner[], question: AdmissionQuestion): readonly Runner[] {
     const { coldStarts } = this;
+    const runners = this.withBeginnableVersion(all, question);
     const { now, isForOther } = question;
     const isOpen = (runner: Runner) =>
       this.rejectionReasonFor(runner, question) === undefined &&
@@ -132,6 +139,21 @@
     return known.length >= fewest ? known : runners;
   }
 
+  /**
+   * Leaves out the runners of a version at which a new stream must not begin yet, as long as there are others. Not even a
+   * lack of room makes them eligible: a stream there could not be told from those of the other versions later on.
+   */
+  private withBeginnableVersion(
+    runners: readonly Runner[],
+    { needsVersion, softwareVersion, homeRegions }: AdmissionQuestion,
+  ): readonly Runner[] {
+    if (needsVersion !== true || softwareVersion !== undefined) return runners;
+    const open = runners.filter(
+      (runner) => this.isInHomeRegion(runner, homeRegions) && this.mayBeginAt(runner),
+    );
+    return open.length > 0 ? open : runners;
+  }
+
   /** The entry of a runner that has started again says nothing of its version any more. */
   private mayHaveVersion(runner: Runner, softwareVersion: string | undefined): boolean {
     if (softwareVersion === undefined) return true;
--- a/src/streamVersions/RecordSender.ts
+++ b/src/streamVersions/RecordSender.ts
@@ -115,6 +115,15 @@
     if (this.options.keepers.isSmall) this.late.add(begun);
   }
 
+  /**
+   * Sends where prompts are cached to those that are asked for it, and once more.
+   *
+   * @param prompts - prompts with the version of a runner that has them cached.
+   */
+  sendPrompts(prompts: readonly BegunStream[]): void {
+    this.sendTwice(prompts, MessageKind.PROMPT_VERSIONS);
+  }
+
   /** Sends all records that are collected, because they have become urgent. */
   flush(): void {
     this.sendTwice([...new Set([...this.early.takeAll(), ...this.late.takeAll()])]);
@@ -130,8 +139,9 @@
     this.late.drop(stream);
   }
 
-  private sendTwice(begun: readonly BegunStream[]): void {
-    const send = () => this.send(begun, (stream) => this.options.keepers.holdersOf(stream));
+  private sendTwice(begun: readonly BegunStream[], kind = MessageKind.STREAM_VERSIONS): void {
+    const holdersOf = (stream: bigint) => this.options.keepers.holdersOf(stream);
+    const send = () => this.send(begun, holdersOf, kind);
     if (begun.length === 0) return;
     send();
     this.options.later(send, REPEAT_MILLISECONDS);
@@ -154,6 +164,7 @@
   private send(
     streams: readonly BegunStream[],
     recipientsOf: (stream: bigint) => readonly DaemonEntry[],
+    kind = MessageKind.STREAM_VERSIONS,
   ): void {
     const bySet = new Map<string, { recipients: HostAndPort[]; begun: BegunStream[] }>();
     for (const one of streams) {
@@ -166,10 +177,14 @@
         bySet.set(addresses.join(), { recipients, begun: [one] });
       }
     }
-    for (const { recipients, begun } of bySet.values()) this.sendTo(recipients, begun);
+    for (const { recipients, begun } of bySet.values()) this.sendTo(recipients, begun, kind);
   }
 
-  private sendTo(recipients: readonly HostAndPort[], begun: readonly BegunStream[]): void {
+  private sendTo(
+    recipients: readonly HostAndPort[],
+    begun: readonly BegunStream[],
+    kind: MessageKind,
+  ): void {
     if (recipients.length === 0) return;
     for (let start = 0; start < begun.length; start += STREAMS_IN_DATAGRAM) {
       const part = begun.slice(start, start + STREAMS_IN_DATAGRAM);
@@ -181,7 +196,7 @@
       );
       const content = create(StreamVersionsSchema, { groups });
       const message = toBinary(StreamVersionsSchema, content);
-      this.options.socket.send(MessageKind.STREAM_VERSIONS, message, recipients);
+      this.options.socket.send(kind, message, recipients);
     }
   }
 }
--- a/src/streamVersions/ServiceVersions.ts
+++ b/src/streamVersions/ServiceVersions.ts
@@ -3,13 +3,15 @@
  * the fleet's history in the store names.
  */
 import type { Runner } from '../runners/Runner.js';
-import type { VersionHistory } from './streamVersionTypes.js';
+import type { SavedHistory } from './streamVersionTypes.js';
 import type { SeenVersion } from './takeUpDecision.js';
 
 /** What is known of one version. */
 interface KnownVersion {
   /** When a runner of this version was last known to serve, monotonic ms. */
   seenAt: number;
+  /** When this daemon first heard of it, monotonic ms. */
+  readonly heardAt: number;
   readonly isNewSinceStart: boolean;
 }
 
@@ -26,6 +28,30 @@
   readonly wall: number;
 }
 
+/** Options of {@link ServiceVersions}. */
+export interface ServiceVersionsOptions {
+  /** When this daemon started. */
+  startedAt: Moment;
+}
+
+/** How long no stream begins at a version that the store's history does not name, in ms, while another version serves. */
+const HOLD_MILLISECONDS = 12_000;
+
+/**
+ * Age up to which a saved history names all versions at which streams have begun, in ms: less than the hold, since not all
+ * daemons hear of a version at the same moment.
+ */
+const COMPLETE_MILLISECONDS = 9_000;
+
+/** Age at which the history is saved again although nothing has changed, in ms, so that it counts as complete. */
+const RENEWAL_MILLISECONDS = 3_000;
+
+/**
+ * How long after its start a daemon without a complete history does not know at which versions the streams began that
+ * callers take up, in ms: as long as callers come back with streams from before.
+ */
+const RECOVERY_MILLISECONDS = 10_000;
+
 /** Keeps the versions of runners that have left for some time, since streams that they began may be taken up again. */
 export class ServiceVersions {
   private readonly services = new Map<string, ServiceHistory>();
@@ -34,27 +60,55 @@
   private present: ReadonlyMap<string, ReadonlySet<string>> = new Map();
 
   /** The history as the store has it, as far as is known. */
-  private saved: VersionHistory = new Map();
+  private saved: SavedHistory = { versions: new Map(), completeAt: 0 };
+
+  private readonly startedAt: Moment;
 
   private isLoaded = false;
 
+  private wasComplete = false;
+
+  /** Until when the first history that was read was complete, Unix ms; 0 if it does not say. */
+  private firstSavedAt = 0;
+
   /** Whether a version has appeared since {@link takeNews}. */
   private hasNews = false;
 
+  /**
+   * @param options - when this daemon started.
+   */
+  constructor({ startedAt }: ServiceVersionsOptions) {
+    this.startedAt = startedAt;
+  }
+
   /** @returns Whether the list of runners, and with it the history, has been read. */
   get isKnown(): boolean {
     return this.isLoaded;
   }
 
+  /** @returns Whether the history, as it was when this daemon started, named all versions at which streams had begun. */
+  get wasCompleteAtStart(): boolean {
+    return this.wasComplete;
+  }
+
+  /** @returns Age of the saved history when this daemon started, in ms; `undefined` if it does not say. */
+  get savedAgeAtStart(): number | undefined {
+    return this.firstSavedAt === 0 ? undefined : this.startedAt.wall - this.firstSavedAt;
+  }
+
   /**
    * Takes the history as the store has it. At the start of a daemon, it comes before the first list of runners.
    *
-   * @param history - the versions of all services.
+   * @param saved - the versions of all services.
    * @param now - the current time.
    */
-  load(history: VersionHistory, now: Moment): void {
-    this.saved = history;
-    for (const [service, versions] of history) {
+  load(saved: SavedHistory, now: Moment): void {
+    this.saved = saved;
+    if (!this.isLoaded) {
+      this.firstSavedAt = saved.completeAt;
+      this.wasComplete = Math.abs(this.startedAt.wall - saved.completeAt) < COMPLETE_MILLISECONDS;
+    }
+    for (const [service, versions] of saved.versions) {
       for (const [softwareVersion, goneAt] of versions) {
         // Clocks of instances differ, so that a time may seem to be in the future.
         const age = goneAt === 0 ? 0 : Math.max(0, now.wall - goneAt);
@@ -77,7 +131,7 @@
     }
     for (const [service, versions] of present) {
       // A service that the history does not name may have had any version before the start of this daemon.
-      const isNew = this.saved.has(service) || this.isKnownSince(service, now - 1);
+      const isNew = this.saved.versions.has(service) || this.isKnownSince(service, now - 1);
       for (const version of versions) this.noteAt(service, version, now, isNew);
     }
     this.present = present;
@@ -109,7 +163,11 @@
     const versions = this.services.get(service)?.versions ?? new Map<string, KnownVersion>();
     return [...versions]
       .filter(([, { seenAt }]) => seenAt >= from)
-      .map(([softwareVersion, { isNewSinceStart }]) => ({ softwareVersion, isNewSinceStart }));
+      .map(([softwareVersion, { isNewSinceStart }]) => ({
+        softwareVersion,
+        // A history that lacks a version says nothing of when that version came.
+        isNewSinceStart: isNewSinceStart && this.wasComplete,
+      }));
   }
 
   /**
@@ -141,10 +199,34 @@
   }
 
   /**
-   * @param history - what this daemon has just saved to the store.
+   * Tells whether streams may begin at a version. While the store does not name it, nobody could tell after a loss of all
+   * daemons that they had.
+   *
+   * @param service - name of a service.
+   * @param softwareVersion - version of one of its runners.
+   * @param now - monotonic ms.
+   * @returns Whether the store names it, has no history of the service at all, or has not named it for too long.
    */
-  recordSaved(history: VersionHistory): void {
-    this.saved = history;
+  mayBegin(service: string, softwareVersion: string, now: number): boolean {
+    const saved = this.saved.versions.get(service);
+    if (!saved || saved.has(softwareVersion)) return true;
+    const heardAt = this.services.get(service)?.versions.get(softwareVersion)?.heardAt ?? now;
+    return now - heardAt >= HOLD_MILLISECONDS;
+  }
+
+  /**
+   * @param saved - what this daemon has just saved to the store.
+   */
+  recordSaved(saved: SavedHistory): void {
+    this.saved = saved;
+  }
+
+  /**
+   * @param now - the current time.
+   * @returns Whether the history has to be saved again so that it counts as complete.
+   */
+  isRenewalDue(now: Moment): boolean {
+    return this.knowsAll(now) && now.wall - this.saved.completeAt >= RENEWAL_MILLISECONDS;
   }
 
   /**
@@ -156,7 +238,7 @@
    */
   isSavedOutdated(from: number): boolean {
     return [...this.services].some(([service, { versions }]) => {
-      const saved = this.saved.get(service);
+      const saved = this.saved.versions.get(service);
       return [...versions].some(([version, { seenAt }]) => {
         const goneAt = saved?.get(version);
         if (this.isPresent(service, version)) return goneAt !== 0;
@@ -170,8 +252,8 @@
    * @param retentionMilliseconds - how long versions without runners are kept.
    * @returns The history to save.
    */
-  export(now: Moment, retentionMilliseconds: number): VersionHistory {
-    const history = new Map<string, Map<string, number>>();
+  export(now: Moment, retentionMilliseconds: number): SavedHistory {
+    const byService = new Map<string, Map<string, number>>();
     for (const [service, { versions }] of this.services) {
       const kept = new Map<string, number>();
       for (const [version, { seenAt }] of versions) {
@@ -179,9 +261,14 @@
         if (this.isPresent(service, version)) kept.set(version, 0);
         else if (age <= retentionMilliseconds) kept.set(version, Math.round(now.wall - age));
       }
-      if (kept.size > 0) history.set(service, kept);
+      if (kept.size > 0) byService.set(service, kept);
     }
-    return history;
+    return { versions: byService, completeAt: this.knowsAll(now) ? now.wall : 0 };
+  }
+
+  /** Whether no stream can be taken up that began at a version that this daemon does not know. */
+  private knowsAll({ monotonic }: Moment): boolean {
+    return this.wasComplete || monotonic - this.startedAt.monotonic >= RECOVERY_MILLISECONDS;
   }
 
   private isPresent(service: string, softwareVersion: string): boolean {
@@ -208,7 +295,7 @@
       known.seenAt = Math.max(known.seenAt, at);
       return;
     }
-    versions.set(softwareVersion, { seenAt: at, isNewSinceStart });
+    versions.set(softwareVersion, { seenAt: at, heardAt: at, isNewSinceStart });
     this.hasNews ||= this.isLoaded;
   }
 }
--- a/src/streamVersions/StreamVersionSession.ts
+++ b/src/streamVersions/StreamVersionSession.ts
@@ -6,7 +6,8 @@
 import type { StreamedAnswer } from '../forwarding/StreamedAnswer.js';
 import type { Runner } from '../runners/Runner.js';
 import type { StreamName } from './streamKey.js';
-import type { StreamVersionTask, TakeUpResult } from './StreamVersionTask.js';
+import type { StreamVersionTask } from './StreamVersionTask.js';
+import type { TakeUpResult } from './streamVersionTaskTypes.js';
 
 /** Options of a {@link StreamVersionSession}. */
 export interface StreamVersionSessionOptions {
@@ -63,7 +64,8 @@
     const { request, task, stream } = this.options;
     const { service, clientAccount, takesUp } = request;
     const name = { service, clientAccount, id: takesUp?.id ?? '' };
-    task?.find({ ...name, request: request.id }, (result) => {
+    const promptPart = request.work?.parts.at(-1)?.id;
+    task?.find({ ...name, request: request.id, promptPart }, (result) => {
       if (result.softwareVersion !== undefined) stream.bindTo(result.softwareVersion);
       done(result);
     });
--- a/src/streamVersions/StreamVersionTask.ts
+++ b/src/streamVersions/StreamVersionTask.ts
@@ -12,64 +12,36 @@
 } from '../generated/baobabdock/v1/news_pb.js';
 import type { StreamVersionQuestion } from '../generated/baobabdock/v1/news_pb.js';
 import { parseAddress } from '../http/parseAddress.js';
-import type { Log } from '../logging/Log.js';
-import type { MetricRegistry } from '../metrics/MetricRegistry.js';
-import type { FleetSocket } from '../news/FleetSocket.js';
 import type { CallScheduler } from '../news/MessageRepeater.js';
 import type { Runner } from '../runners/Runner.js';
-import type { DaemonEntry, FleetStore } from '../sync/FleetStore.js';
-import type { Clock } from '../time/Clock.js';
+import { PromptVersions } from './PromptVersions.js';
 import { RecordSender } from './RecordSender.js';
 import { ServiceVersions } from './ServiceVersions.js';
 import type { Moment } from './ServiceVersions.js';
 import { StreamArchive } from './StreamArchive.js';
 import { StreamKeepers } from './StreamKeepers.js';
-import { streamKeyOf } from './streamKey.js';
+import { promptKeyOf, streamKeyOf } from './streamKey.js';
 import type { StreamName } from './streamKey.js';
 import { StreamRecords } from './StreamRecords.js';
-import type { VersionHistory } from './streamVersionTypes.js';
+import type { StreamVersionTaskOptions, TakeUpResult } from './streamVersionTaskTypes.js';
+import type { SavedHistory } from './streamVersionTypes.js';
 import { decideTakeUp } from './takeUpDecision.js';
 import type { SeenVersion, StreamVersionView, TakeUpDecision } from './takeUpDecision.js';
 import { TakeUpReport } from './TakeUpReport.js';
 import type { TakeUpQuestion } from './TakeUpReport.js';
 import { VersionHistoryWriter } from './VersionHistoryWriter.js';
 import { VersionQuestions } from './VersionQuestions.js';
-import type { QuestionResult } from './VersionQuestions.js';
-
-/** Options of a {@link StreamVersionTask}. */
-export interface StreamVersionTaskOptions {
-  /** This daemon's entry in the list of daemons. */
-  daemon: DaemonEntry;
-  socket: Pick<FleetSocket, 'handle' | 'send'>;
-  /** Keeps what has to outlive all daemons. */
-  store: Pick<FleetStore, 'saveVersionHistory' | 'appendStreamRecords' | 'readStreamRecords'>;
-  /** Returns all listed runners. */
-  runners: () => readonly Runner[];
-  /** Returns the available daemons except this one. */
-  daemons: () => readonly DaemonEntry[];
-  /** Whether this daemon's list of runners is current. */
-  isListCurrent: () => boolean;
-  /** Whether this daemon hears from all listed daemons. */
-  isFleetWhole: () => boolean;
-  /** Returns the longest time that a stream may take, in ms. */
-  longestStreamMilliseconds: () => number;
-  clock: Clock;
-  log: Log;
-  registry: MetricRegistry;
-  /** Schedules a call; replaced by tests. */
-  later?: CallScheduler;
-}
-
-/** What the caller is to be told, if the version of its stream is not known yet. */
-export interface TakeUpResult {
-  readonly softwareVersion?: string | undefined;
-  /** When more may be known, in seconds; set only if the version was not found for a reason that passes. */
-  readonly retryAfterSeconds?: number | undefined;
-}
+import type { AskedStream, QuestionResult } from './VersionQuestions.js';
 
 /** How long after its end a stream may be taken up, in ms: callers come back after a refusal or two. */
 const TAKE_UP_MILLISECONDS = 10_000;
 
+/**
+ * How long after its start a daemon without a complete history may lack versions that have runners, in ms: their entries may
+ * be written again only some time after the store has come back.
+ */
+const ENTRIES_BACK_MILLISECONDS = 2_500;
+
 /** Interval between looks at the list of runners, in ms. */
 const LOOK_MILLISECONDS = 500;
 
@@ -90,7 +62,9 @@
 
   private readonly records = new StreamRecords();
 
-  private readonly versions = new ServiceVersions();
+  private readonly prompts: PromptVersions;
+
+  private readonly versions: ServiceVersions;
 
   private readonly keepers = new StreamKeepers();
 
@@ -120,6 +94,7 @@
     this.options = options;
     this.later = later;
     this.startedAt = this.now;
+    this.versions = new ServiceVersions({ startedAt: this.moment });
     this.sender = new RecordSender({ daemon: daemon.name, socket, keepers, later });
     this.archive = new StreamArchive({
       ...{ store, clock, log, registry, later },
@@ -135,8 +110,15 @@
       place: () => keepers.writerPlaceOf(daemon.name),
     });
     this.questions = new VersionQuestions({ daemon, socket, keepers, later });
+    const { daemons, runners, fetchPrompts } = options;
+    this.prompts = new PromptVersions({
+      ...{ daemon: daemon.name, daemons, runners, fetchPrompts, clock, later },
+      ...{ socket, keepers, sender: this.sender },
+      isNeeded: (service) => !this.isHistoryComplete || this.versionsOf(service).length > 1,
+    });
     this.report = new TakeUpReport({
       ...{ clock, log, registry, startedAt: this.startedAt },
+      versions: this.versions,
       versionsOf: (service) => this.versionsOf(service),
     });
     socket.handle(MessageKind.STREAM_VERSIONS, (message) => this.handleRecords(message));
@@ -161,7 +143,7 @@
    *
    * @param history - the versions.
    */
-  handleHistory(history: VersionHistory): void {
+  handleHistory(history: SavedHistory): void {
     this.versions.load(history, this.moment);
     this.handleNews();
   }
@@ -169,6 +151,15 @@
   /** Looks for versions that have appeared, since the list of runners has changed. */
   handleListing(): void {
     this.see();
+    this.prompts.look();
+  }
+
+  /**
+   * @param runner - a runner that accepts new work.
+   * @returns Whether streams may begin there that callers may take up again, see {@link ServiceVersions.mayBegin}.
+   */
+  mayBeginAt({ entry: { service }, softwareVersion }: Runner): boolean {
+    return this.versions.mayBegin(service, softwareVersion, this.now);
   }
 
   /** Writes again what the restored store may have lost. */
@@ -214,11 +205,14 @@
    */
   find(name: TakeUpQuestion, done: (result: TakeUpResult) => void): void {
     const startedAt = this.now;
+    const { service, promptPart: part } = name;
     const stream = streamKeyOf(name);
+    const prompt = part === undefined ? undefined : promptKeyOf({ service, part });
+    const asked = { stream, service, prompt };
     this.see();
     this.onceLoaded(stream, startedAt + LOADING_MILLISECONDS, () => {
       const finish = (result: QuestionResult) => {
-        const decision = this.decide(stream, name.service, result);
+        const decision = this.decide(asked, result);
         if (decision.evidence === 'recorded') this.records.record(stream, decision.softwareVersion);
         const isSettled = this.isLoaded && result.isComplete && !this.isYoung;
         const mayPass = decision.evidence === 'unknown' && !isSettled;
@@ -231,7 +225,7 @@
       const isAlone = this.options.daemons().length === 0;
       if (isAlone || this.records.versionOf(stream) !== undefined) {
         finish({ answers: [], asked: 0, isComplete: true });
-      } else this.questions.ask(stream, name.service, finish);
+      } else this.questions.ask(asked, finish);
     });
   }
 
@@ -254,6 +248,12 @@
     return this.now - this.startedAt < TAKE_UP_MILLISECONDS;
   }
 
+  /** Whether no version is unknown here at which a stream may have begun. */
+  private get isHistoryComplete(): boolean {
+    const running = this.now - this.startedAt;
+    return this.versions.wasCompleteAtStart || running >= ENTRIES_BACK_MILLISECONDS;
+  }
+
   private onceLoaded(stream: bigint, until: number, proceed: () => void): void {
     const isRecorded = this.records.versionOf(stream) !== undefined;
     if (isRecorded || this.isLoaded || this.now >= until) proceed();
@@ -266,6 +266,8 @@
     this.retentionMilliseconds = this.options.longestStreamMilliseconds() + TAKE_UP_MILLISECONDS;
     this.see();
     this.records.expire(this.now, this.retentionMilliseconds);
+    this.prompts.expire(this.now, this.retentionMilliseconds);
+    this.prompts.look();
     if (this.versions.isKnown) {
       this.archive.start();
       this.historyWriter.write(this.moment, this.retentionMilliseconds);
@@ -311,9 +313,11 @@
     }
   }
 
-  private viewOf(stream: bigint, service: string): StreamVersionView {
-    // What a daemon that is not heard has begun, at a new version perhaps, has a record nowhere else.
-    const mayRuleOut = this.isYoung && this.options.isFleetWhole();
+  private viewOf({ stream, service, prompt }: AskedStream): StreamVersionView {
+    // What a daemon that is not heard has begun, at a new version perhaps, has a record nowhere else. And without a runner
+    // of an older version, streams begin at a new one before the store knows of it.
+    const mayRuleOut =
+      this.isYoung && this.options.isFleetWhole() && this.hasReadyRunnerOfOldVersion(service);
     const versions = this.versionsOf(service).map((one) => ({
       ...one,
       isNewSinceStart: one.isNewSinceStart && mayRuleOut,
@@ -322,31 +326,46 @@
       recorded: this.records.versionOf(stream),
       versions: this.isLoaded ? versions : undefined,
       isKeeper: this.isKeeperOf(stream, this.options.daemon.name),
+      promptVersions: this.prompts.versionsOf(prompt),
     };
   }
 
+  private hasReadyRunnerOfOldVersion(service: string): boolean {
+    const old = this.versionsOf(service).filter(({ isNewSinceStart }) => !isNewSinceStart);
+    const versions = new Set(old.map(({ softwareVersion }) => softwareVersion));
+    return this.options
+      .runners()
+      .some(
+        ({ entry, softwareVersion }) =>
+          entry.service === service && entry.state === 'ready' && versions.has(softwareVersion),
+      );
+  }
+
   private isKeeperOf(stream: bigint, daemon: string): boolean {
     return this.keepers.keepersOf(stream).some(({ name }) => name === daemon);
   }
 
-  private decide(stream: bigint, service: string, { answers }: QuestionResult): TakeUpDecision {
-    const others = answers.map(({ daemon, recorded, versions }) => ({
-      ...{ recorded, versions },
+  private decide(asked: AskedStream, { answers }: QuestionResult): TakeUpDecision {
+    const { stream } = asked;
+    const others = answers.map(({ daemon, ...answer }) => ({
+      ...answer,
       isKeeper: this.isKeeperOf(stream, daemon),
     }));
     return decideTakeUp({
-      ...{ own: this.viewOf(stream, service), others },
+      ...{ own: this.viewOf(asked), others },
       isListCurrent: this.options.isListCurrent(),
+      isHistoryComplete: this.isHistoryComplete,
       keepers: this.keepers.keepersOf(stream).length,
     });
   }
 
-  private answer({ address, number, stream, service }: StreamVersionQuestion): void {
+  private answer({ address, number, stream, service, ...asked }: StreamVersionQuestion): void {
     this.see();
-    const { recorded, versions } = this.viewOf(stream, service);
+    const prompt = asked.prompt === 0n ? undefined : asked.prompt;
+    const { recorded, versions, promptVersions } = this.viewOf({ stream, service, prompt });
     // A daemon that knows no runner of the service, or has not read the store yet, has nothing to say of it.
     const isKnown = versions !== undefined && this.versions.isKnownSince(service, this.now);
-    if (recorded === undefined && !isKnown) return;
+    if (recorded === undefined && !isKnown && promptVersions.length === 0) return;
     const [only] = versions ?? [];
     const message = create(StreamVersionAnswerSchema, {
       daemon: this.options.daemon.name,
@@ -354,6 +373,7 @@
       ...(recorded !== undefined && { softwareVersion: recorded }),
       ...(only && versions?.length === 1 && { onlyVersion: only.softwareVersion }),
       versions: [...(versions ?? [])],
+      promptVersions: [...promptVersions],
     });
     const bytes = toBinary(StreamVersionAnswerSchema, message);
     this.options.socket.send(MessageKind.STREAM_VERSION_ANSWER, bytes, [parseAddress(address)]);
--- a/src/streamVersions/TakeUpReport.ts
+++ b/src/streamVersions/TakeUpReport.ts
@@ -5,6 +5,7 @@
 import type { Log } from '../logging/Log.js';
 import type { MetricRegistry } from '../metrics/MetricRegistry.js';
 import type { Clock } from '../time/Clock.js';
+import type { ServiceVersions } from './ServiceVersions.js';
 import type { StreamName } from './streamKey.js';
 import type { SeenVersion, TakeUpDecision } from './takeUpDecision.js';
 import type { QuestionResult } from './VersionQuestions.js';
@@ -13,6 +14,8 @@
 export interface TakeUpQuestion extends StreamName {
   /** Id of the caller's attempt that takes it up. */
   readonly request: string;
+  /** Id of the last part of its prompt, if it has one. */
+  readonly promptPart?: string | undefined;
 }
 
 /** What was decided about it, and from what. */
@@ -34,6 +37,8 @@
   registry: MetricRegistry;
   /** When this daemon started, monotonic ms. */
   startedAt: number;
+  /** The versions of all services, and how old their saved history was when this daemon started. */
+  versions: Pick<ServiceVersions, 'wasCompleteAtStart' | 'savedAgeAtStart'>;
   /** Returns the versions that a service has had lately. */
   versionsOf: (service: string) => readonly SeenVersion[];
 }
@@ -64,7 +69,8 @@
     { request, id: stream, service }: TakeUpQuestion,
     { decision, result, mayPass, startedAt, isLoaded }: TakeUpOutcome,
   ): void {
-    const { clock, log, versionsOf, startedAt: runningSince } = this.options;
+    const { clock, log, versions: known, versionsOf, startedAt: runningSince } = this.options;
+    const { wasCompleteAtStart, savedAgeAtStart } = known;
     const { evidence, softwareVersion } = decision;
     const now = clock.monotonicMilliseconds();
     this.takeUps.increment({ evidence });
@@ -79,6 +85,8 @@
       versions: versions.map((one) => one.softwareVersion),
       newVersions: versions.filter((one) => one.isNewSinceStart).length,
       runningMilliseconds: Math.round(now - runningSince),
+      isHistoryComplete: wasCompleteAtStart,
+      historyAgeMilliseconds: savedAgeAtStart && Math.round(savedAgeAtStart),
       isLoaded,
       mayPass,
     });
--- a/src/streamVersions/VersionQuestions.ts
+++ b/src/streamVersions/VersionQuestions.ts
@@ -40,6 +40,17 @@
   readonly recorded: string | undefined;
   /** All versions that it has known lately; `undefined` if its build does not say them. */
   readonly versions: readonly SeenVersion[] | undefined;
+  /** Versions of the runners that have the stream's prompt cached, as far as it has been told. */
+  readonly promptVersions: readonly string[];
+}
+
+/** The stream that is asked about. */
+export interface AskedStream {
+  /** Its key. */
+  readonly stream: bigint;
+  readonly service: string;
+  /** Key of its prompt, if it has one. */
+  readonly prompt?: bigint | undefined;
 }
 
 /** What has come of a question. */
@@ -51,9 +62,7 @@
   readonly isComplete: boolean;
 }
 
-interface PendingQuestion {
-  readonly stream: bigint;
-  readonly service: string;
+interface PendingQuestion extends AskedStream {
   readonly answers: VersionAnswer[];
   readonly unanswered: Set<string>;
   readonly isSecond: boolean;
@@ -84,21 +93,27 @@
   }
 
   /**
-   * @param stream - key of a stream.
-   * @param service - its service.
+   * @param asked - the stream.
    * @param done - called once with the answers: as soon as one has a record, or all have answered, or time is up.
    */
-  ask(stream: bigint, service: string, done: PendingQuestion['done']): void {
+  ask(asked: AskedStream, done: PendingQuestion['done']): void {
     this.lastNumber += 1;
     const unanswered = new Set<string>();
-    const question = { stream, service, answers: [], unanswered, isSecond: false, asked: 0, done };
+    const question = { ...asked, answers: [], unanswered, isSecond: false, asked: 0, done };
     this.pending.set(this.lastNumber, question);
-    this.send(this.lastNumber, question, this.options.keepers.holdersOf(stream));
+    this.send(this.lastNumber, question, this.holdersOf(asked));
+  }
+
+  /** The daemons that keep the record of a stream, or what is known of its prompt. */
+  private holdersOf({ stream, prompt }: AskedStream): DaemonEntry[] {
+    const { keepers } = this.options;
+    const ofPrompt = prompt === undefined ? [] : keepers.holdersOf(prompt);
+    return [...new Set([...keepers.holdersOf(stream), ...ofPrompt])];
   }
 
   private send(number: number, question: PendingQuestion, daemons: readonly DaemonEntry[]): void {
     const { daemon, socket, later } = this.options;
-    const { stream, service, unanswered, isSecond } = question;
+    const { stream, service, prompt = 0n, unanswered, isSecond } = question;
     const others = daemons.filter(({ name }) => name !== daemon.name);
     for (const { name } of others) unanswered.add(name);
     Object.assign(question, { asked: others.length });
@@ -107,6 +122,7 @@
       number,
       stream,
       service,
+      prompt,
     });
     socket.send(
       MessageKind.STREAM_VERSION_QUESTION,
@@ -119,6 +135,7 @@
 
   private handleAnswer(answer: StreamVersionAnswer): void {
     const { number, daemon, softwareVersion: recorded, onlyVersion: only, versions } = answer;
+    const { promptVersions } = answer;
     const question = this.pending.get(number);
     if (!question?.unanswered.delete(daemon)) return;
     const olderBuild = only === undefined ? undefined : [onlyVersionOf(only)];
@@ -126,6 +143,7 @@
       daemon,
       recorded,
       versions: versions.length > 0 ? versions : olderBuild,
+      promptVersions,
     });
     if (recorded !== undefined) this.finish(number, question);
     else if (question.unanswered.size === 0) this.goOn(number, question);
@@ -140,7 +158,7 @@
   private goOn(number: number, question: PendingQuestion): void {
     const { daemon, keepers } = this.options;
     const { stream } = question;
-    const askable = new Set([...keepers.holdersOf(stream), ...keepers.askableFor(stream)]);
+    const askable = new Set([...this.holdersOf(question), ...keepers.askableFor(stream)]);
     const more = [...askable].filter(({ name }) => name !== daemon.name);
     const isComplete = question.unanswered.size === 0 && question.answers.length >= more.length;
     if (question.isSecond || isComplete) {
--- a/src/streamVersions/streamKey.ts
+++ b/src/streamVersions/streamKey.ts
@@ -11,6 +11,10 @@
   readonly id: string;
 }
 
+function hashOf(parts: readonly string[]): bigint {
+  return createHash('sha256').update(JSON.stringify(parts)).digest().readBigUInt64LE(0);
+}
+
 /**
  * Computes the key of a stream. A caller that names a stream of another account or service gets another key, so that
  * it learns nothing about that stream.
@@ -19,6 +23,20 @@
  * @returns A hash of 64 bits.
  */
 export function streamKeyOf({ service, clientAccount = '', id }: StreamName): bigint {
-  const text = JSON.stringify([service, clientAccount, id]);
-  return createHash('sha256').update(text).digest().readBigUInt64LE(0);
+  return hashOf([service, clientAccount, id]);
+}
+
+/** What a prompt is known by. */
+export interface PromptName {
+  readonly service: string;
+  /** Id of its last part, which belongs to one request or its session. */
+  readonly part: string;
+}
+
+/**
+ * @param name - service and last part.
+ * @returns A hash of 64 bits, never 0.
+ */
+export function promptKeyOf({ service, part }: PromptName): bigint {
+  return hashOf(['prompt', service, part]) || 1n;
 }
--- a/src/streamVersions/streamVersionTypes.ts
+++ b/src/streamVersions/streamVersionTypes.ts
@@ -21,3 +21,10 @@
  * disappeared, 0 while it has runners.
  */
 export type VersionHistory = ReadonlyMap<string, ReadonlyMap<string, number>>;
+
+/** The history as the store has it. */
+export interface SavedHistory {
+  readonly versions: VersionHistory;
+  /** Until when it named all versions at which streams had begun, Unix ms; 0 if the store may have lost a later one. */
+  readonly completeAt: number;
+}
--- a/src/streamVersions/takeUpDecision.ts
+++ b/src/streamVersions/takeUpDecision.ts
@@ -20,6 +20,8 @@
   readonly versions: readonly SeenVersion[] | undefined;
   /** Whether the daemon gets the record of each such stream that begins while it runs. */
   readonly isKeeper: boolean;
+  /** Versions of the runners that have the stream's prompt cached, as far as the daemon has been told. */
+  readonly promptVersions: readonly string[];
 }
 
 /** Input of {@link decideTakeUp}. */
@@ -31,14 +33,18 @@
   readonly isListCurrent: boolean;
   /** Number of daemons that keep records of the stream. */
   readonly keepers: number;
+  /** Whether this daemon knows all versions at which the stream may have begun, from the store or by having run for long. */
+  readonly isHistoryComplete: boolean;
 }
 
 /**
- * `recorded`: a daemon has a record of the stream; `only_version`: the service has had one version only, so that no
+ * `recorded`: a daemon has a record of the stream; `cached_prompt`: only runners of this version have read the last part of
+ * its prompt, which belongs to its request; `only_version`: the service has had one version only, so that no
  * record is needed; `only_possible_version`: the others came after the start of daemons that would have a record;
  * `unknown`: the version is not known, and any choice would be a guess.
  */
-export type TakeUpEvidence = 'recorded' | 'only_version' | 'only_possible_version' | 'unknown';
+export type TakeUpEvidence =
+  'recorded' | 'cached_prompt' | 'only_version' | 'only_possible_version' | 'unknown';
 
 /** The version, and by what evidence it is known. */
 export type TakeUpDecision =
@@ -53,13 +59,17 @@
  * @returns The version, and by what evidence.
  */
 export function decideTakeUp(input: TakeUpInput): TakeUpDecision {
-  const { own, others, isListCurrent } = input;
-  const views = [own, ...others];
+  const { own, others: answers, isListCurrent, isHistoryComplete } = input;
+  const views = [own, ...answers];
   const recorded = views.find((view) => view.recorded !== undefined)?.recorded;
   if (recorded !== undefined) return { evidence: 'recorded', softwareVersion: recorded };
+  const [cachedAt, ...others] = new Set(views.flatMap(({ promptVersions }) => promptVersions));
+  if (cachedAt !== undefined && others.length === 0) {
+    return { evidence: 'cached_prompt', softwareVersion: cachedAt };
+  }
   // Without the store and without any other daemon, the list may be older than the stream.
-  const isConfirmed = isListCurrent || others.length > 0;
-  if (!isConfirmed || views.some(({ versions }) => versions === undefined)) {
+  const isConfirmed = isListCurrent || answers.length > 0;
+  if (!isConfirmed || !isHistoryComplete || views.some(({ versions }) => versions === undefined)) {
     return { evidence: 'unknown' };
   }
   const seen = new Set(
--- a/src/streamVersions/testOutlivingStreams.ts
+++ b/src/streamVersions/testOutlivingStreams.ts
@@ -161,6 +161,82 @@
   });
 }
 
+/** From the start of the second version to the end of all daemons, in ms. */
+const BESIDE_MILLISECONDS = 4_000;
+
+/** When the second version comes, in ms. */
+const SECOND_AT = 20_000;
+
+const END_AT = SECOND_AT + BESIDE_MILLISECONDS;
+
+/**
+ * Defines tests in which all daemons of a fleet end at the same moment, and the store holds less than they knew.
+ *
+ * @param options - size of the fleet, its load and its seed.
+ */
+export function describeOldHistories(options: TestStreamFleetOptions): void {
+  const { daemons, runners } = options;
+  const most = Math.floor((runners * 2) / 3);
+  const release = { from: SECOND_AT + 1, gap: 1, version: 'v2' };
+
+  const refuseWrites = (fleet: TestStreamFleet) => {
+    const { store } = fleet;
+    fleet.after(SECOND_AT, () => {
+      store.refusesWrites = true;
+    });
+    fleet.after(END_AT + 500, () => {
+      store.refusesWrites = false;
+    });
+  };
+
+  const restoreOlderCopy = (fleet: TestStreamFleet) => {
+    let restore: () => void = () => undefined;
+    fleet.after(SECOND_AT, () => {
+      restore = fleet.store.copy();
+    });
+    fleet.after(END_AT + 500, () => restore());
+  };
+
+  const play = async (
+    { listsPrompts, count }: { listsPrompts: boolean; count: number },
+    spoil: (fleet: TestStreamFleet) => void,
+  ) => {
+    const fleet = startFleet({ ...options, listsPrompts });
+    spoil(fleet);
+    planRelease(fleet, { ...release, count });
+    fleet.after(END_AT, () => fleet.killAll());
+    await fleet.play(END_AT + 6_000);
+    return fleet;
+  };
+
+  describe(`streams that callers take up where the store holds less than ${daemons} daemons knew`, () => {
+    it('go on where it has refused writes since the second version came, without lists of cached prompts', async () => {
+      // Guards against streams of a version that the store does not name, and that count as those of the other one.
+      expectGoingOn(await play({ listsPrompts: false, count: most }, refuseWrites));
+    });
+
+    it('are not mixed where it comes back from a copy older than the second version, without such lists', async () => {
+      // Guards against a history that is taken for complete although the store has lost a later one.
+      expectUnmixed(await play({ listsPrompts: false, count: most }, restoreOlderCopy));
+    });
+
+    it('go on where it comes back from such a copy', async () => {
+      // Guards against refusing streams of which only the runners know.
+      expectGoingOn(await play({ listsPrompts: true, count: most }, restoreOlderCopy));
+    });
+
+    it('go on where it has refused writes since another version has replaced the only one', async () => {
+      // Guards against the version of the history as that of all streams, where no runner of it is left.
+      expectGoingOn(await play({ listsPrompts: true, count: runners }, refuseWrites));
+    });
+
+    it('go on where it comes back from a copy older than the version that has replaced the only one', async () => {
+      // Guards against the same where the store has lost that version.
+      expectGoingOn(await play({ listsPrompts: true, count: runners }, restoreOlderCopy));
+    });
+  });
+}
+
 /** Age of the first stream of callers in step when their daemons end, in ms. */
 const YOUNG_MILLISECONDS = 420;
 
--- a/src/streamVersions/testStreamFleet.ts
+++ b/src/streamVersions/testStreamFleet.ts
@@ -9,15 +9,22 @@
 import { SilentLog } from '../logging/Log.js';
 import { MetricRegistry } from '../metrics/MetricRegistry.js';
 import { seededRandom } from '../random/seededRandom.js';
+import type { Runner } from '../runners/Runner.js';
+import { RunnerAdmission } from '../runners/RunnerAdmission.js';
 import { RunnerTable } from '../runners/RunnerTable.js';
 import type { DaemonEntry } from '../sync/FleetStore.js';
 import { ManualClock } from '../time/ManualClock.js';
 import { StreamVersionTask } from './StreamVersionTask.js';
-import type { TakeUpTally, TestStreamFleetOptions } from './testStreamFleetTypes.js';
+import { TestCachedPrompts } from './testCachedPrompts.js';
+import type {
+  MessageListener,
+  TakeUpTally,
+  TestStream,
+  TestStreamDaemon,
+  TestStreamFleetOptions,
+} from './testStreamFleetTypes.js';
 import { TestStreamStore } from './testStreamStore.js';
 
-type Handler = (message: Uint8Array) => void;
-
 const SERVICE = 'chat';
 const FIRST_VERSION = 'v1';
 const LONGEST_STREAM_MILLISECONDS = 15_000;
@@ -42,38 +49,11 @@
 /** A daemon is in touch when it has worked for this long without a fault, in ms. */
 const CONTACT_MILLISECONDS = 3_000;
 
-/** A daemon of the fleet. */
-export interface TestStreamDaemon {
-  readonly entry: DaemonEntry;
-  task: StreamVersionTask;
-  runners: RunnerTable;
-  handlers: Map<MessageKind, Handler>;
-  /** Grows with each start. */
-  life: number;
-  isUp: boolean;
-  /** Whether it reaches neither the store nor other daemons. */
-  isCut: boolean;
-  /** When its last fault ended, monotonic ms. */
-  soundSince: number;
-  /** When it last ended, monotonic ms. */
-  endedAt: number;
-  /** When it was last cut off, monotonic ms. */
-  cutAt: number;
-  /** Streams in progress. */
-  readonly streams: Set<TestStream>;
-}
-
-interface TestStream {
-  readonly id: string;
-  readonly softwareVersion: string;
-  until: number;
-}
-
 /** Simulates daemons, runners, callers and the network. */
 export class TestStreamFleet {
   readonly daemons: TestStreamDaemon[] = [];
 
-  readonly clock = new ManualClock();
+  readonly clock = new ManualClock({ wallMilliseconds: 1_700_000_000_000 });
 
   readonly store: TestStreamStore;
 
@@ -95,6 +75,8 @@
   /** Version of each runner, by position. */
   private readonly versions: string[];
 
+  private readonly cached = new TestCachedPrompts();
+
   private readonly calls = new Map<number, (() => void)[]>();
 
   private readonly byAddress = new Map<string, TestStreamDaemon>();
@@ -105,7 +87,8 @@
    * @param options - size of the fleet, its load, and the seed of the random numbers.
    */
   constructor(options: TestStreamFleetOptions) {
-    this.options = { loss: 0.02, lostByCallers: 0.02, pauseMilliseconds: 100, ...options };
+    const defaults = { loss: 0.02, lostByCallers: 0.02, pauseMilliseconds: 100 };
+    this.options = { ...defaults, listsPrompts: false, ...options };
     this.random = seededRandom(options.seed);
     this.store = new TestStreamStore({ now: () => this.now });
     this.versions = Array.from({ length: options.runners }, () => FIRST_VERSION);
@@ -117,7 +100,7 @@
         ...{ entry, life: 0, isUp: false, isCut: false },
         ...{ soundSince: -CONTACT_MILLISECONDS, endedAt: Number.NEGATIVE_INFINITY },
         cutAt: Number.NEGATIVE_INFINITY,
-        handlers: new Map<MessageKind, Handler>(),
+        handlers: new Map<MessageKind, MessageListener>(),
         runners: new RunnerTable(),
         streams: new Set<TestStream>(),
       } as Partial<TestStreamDaemon> as TestStreamDaemon;
@@ -219,7 +202,7 @@
 
   private boot(daemon: TestStreamDaemon): void {
     const life = daemon.life + 1;
-    const handlers = new Map<MessageKind, Handler>();
+    const handlers = new Map<MessageKind, MessageListener>();
     Object.assign(daemon, {
       ...{ life, handlers, isUp: true, soundSince: Math.max(this.now, daemon.soundSince) },
       runners: new RunnerTable(),
@@ -230,7 +213,7 @@
       daemon: daemon.entry,
       store: this.store.seenBy(() => !daemon.isCut && daemon.life === life),
       socket: {
-        handle: (kind: MessageKind, handler: Handler) => {
+        handle: (kind: MessageKind, handler: MessageListener) => {
           handlers.set(kind, handler);
         },
         send: (kind, message, recipients) => this.deliver(daemon, kind, message, recipients),
@@ -239,6 +222,10 @@
       daemons: () => this.availableTo(daemon),
       isListCurrent: () => !daemon.isCut,
       isFleetWhole: () => this.availableTo(daemon).length === this.daemons.length - 1,
+      fetchPrompts: (runner, done) =>
+        this.after(this.random() * LONGEST_DELAY_MILLISECONDS, () => {
+          if (daemon.isUp && daemon.life === life) done(this.promptsOf(runner));
+        }),
       longestStreamMilliseconds: () => LONGEST_STREAM_MILLISECONDS,
       clock: this.clock,
       log: new SilentLog(),
@@ -250,7 +237,9 @@
     });
     Object.assign(daemon, { task });
     // The history comes with the list of runners; later changes of it reach those that read the store.
-    if (this.store.history) task.handleHistory(this.store.history);
+    task.handleHistory(
+      this.store.history ?? { versions: new Map(), completeAt: this.clock.wallMilliseconds() },
+    );
     this.store.onHistory((history) => {
       if (daemon.isUp && daemon.life === life && !daemon.isCut) task.handleHistory(history);
     });
@@ -308,7 +297,7 @@
   private beginStream(): void {
     const daemon = this.anyDaemon();
     if (!daemon) return;
-    const runner = this.anyOf(daemon.runners.readyOf(SERVICE));
+    const runner = this.anyOf(this.admittedAt(daemon));
     const index = Number(runner?.entry.id.split('-')[1]);
     // A runner that was replaced meanwhile says that it is another one, and does not run the request.
     if (!runner || runner.entry.softwareVersion !== this.versions[index]) return;
@@ -316,6 +305,7 @@
     const duration = SHORTEST_STREAM_MILLISECONDS + this.random() * STREAM_MILLISECONDS;
     const { softwareVersion = '' } = runner.entry;
     const stream = { id: `stream-${this.nextStream}`, softwareVersion, until: this.now + duration };
+    this.cached.add(runner, stream.id);
     this.serve(daemon, stream);
     if (this.random() >= this.options.lostByCallers) return;
     this.after(this.random() * duration, () => {
@@ -323,6 +313,22 @@
     });
   }
 
+  /** The runners at which a daemon may begin a stream. */
+  private admittedAt({ task, runners }: TestStreamDaemon): readonly Runner[] {
+    const admission = new RunnerAdmission({ mayBeginAt: (runner) => task.mayBeginAt(runner) });
+    return admission.admitted(runners.readyOf(SERVICE), {
+      ...{ tried: new Set<string>(), needsVersion: true, now: this.now },
+      connectionLimit: Number.POSITIVE_INFINITY,
+    });
+  }
+
+  private promptsOf(runner: Runner): readonly string[] | undefined {
+    const index = Number(runner.entry.id.split('-')[1]);
+    // Another incarnation says that it is not the one that is asked.
+    const isSame = runner.softwareVersion === this.versions[index];
+    return this.options.listsPrompts && isSame ? this.cached.listOf(runner) : undefined;
+  }
+
   private serve(daemon: TestStreamDaemon, stream: TestStream): void {
     const name = { service: SERVICE, clientAccount: undefined, id: stream.id };
     const key = daemon.task.begin(name, stream.softwareVersion);
@@ -358,7 +364,8 @@
     };
     count(1);
     const { life } = daemon;
-    daemon.task.find({ ...name, request: `${stream.id} again` }, (result) => {
+    const question = { ...name, request: `${stream.id} again`, promptPart: stream.id };
+    daemon.task.find(question, (result) => {
       if (daemon.life !== life || !daemon.isUp) {
         count(-1);
         this.takeUpLater(stream);
--- a/src/streamVersions/testStreamStore.ts
+++ b/src/streamVersions/testStreamStore.ts
@@ -2,7 +2,7 @@
  * The part of the platform's store that keeps what outlives all daemons, for tests in virtual time.
  */
 import type { FleetStore } from '../sync/FleetStore.js';
-import type { StreamRecordBatch, VersionHistory } from './streamVersionTypes.js';
+import type { SavedHistory, StreamRecordBatch } from './streamVersionTypes.js';
 
 /** The calls of the store that streams need. */
 export type StreamStore = Pick<
@@ -19,19 +19,25 @@
 /** Holds the records and the history, whichever daemons end. */
 export class TestStreamStore {
   /** The history that was saved last. */
-  history: VersionHistory | undefined;
+  history: SavedHistory | undefined;
 
   /** Whether it answers no call. */
   isSilent = false;
 
-  /** Number of writes so far. */
-  writes = 0;
+  /** Whether it refuses writes, and answers all other calls. */
+  refusesWrites = false;
+
+  /** Number of writes of records so far. */
+  recordWrites = 0;
+
+  /** Number of writes of the history so far. */
+  historyWrites = 0;
 
   private calls = 0;
 
-  private readonly batches: { readonly batch: StreamRecordBatch; readonly until: number }[] = [];
+  private batches: { readonly batch: StreamRecordBatch; readonly until: number }[] = [];
 
-  private readonly listeners: ((history: VersionHistory) => void)[] = [];
+  private readonly listeners: ((history: SavedHistory) => void)[] = [];
 
   private readonly now: () => number;
 
@@ -45,10 +51,24 @@
   /**
    * @param listener - called with each history that is saved.
    */
-  onHistory(listener: (history: VersionHistory) => void): void {
+  onHistory(listener: (history: SavedHistory) => void): void {
     this.listeners.push(listener);
   }
 
+  /**
+   * Comes back from a copy of its present state: what is written from now on is lost.
+   *
+   * @returns Call that restores the copy. The history in it is not known to be complete any more.
+   */
+  copy(): () => void {
+    const { history } = this;
+    const batches = [...this.batches];
+    return () => {
+      this.history = history && { ...history, completeAt: 0 };
+      this.batches = batches;
+    };
+  }
+
   /** @returns Number of calls since this was last asked, which are answered once virtual time stands still. */
   takeCalls(): number {
     const { calls } = this;
@@ -67,16 +87,21 @@
       if (this.isSilent || !isReached()) throw new Error('the store does not answer');
       return answer();
     };
+    const write = (change: () => void) =>
+      call(() => {
+        if (this.refusesWrites) throw new Error('the store takes no writes');
+        change();
+      });
     return {
       saveVersionHistory: (history) =>
-        call(() => {
-          this.writes += 1;
+        write(() => {
+          this.historyWrites += 1;
           this.history = history;
           for (const listener of this.listeners) listener(history);
         }),
       appendStreamRecords: (batches, lifeMilliseconds) =>
-        call(() => {
-          this.writes += 1;
+        write(() => {
+          this.recordWrites += 1;
           const until = this.now() + lifeMilliseconds;
           for (const batch of batches) this.batches.push({ batch, until });
         }),
--- a/src/sync/FleetStore.ts
+++ b/src/sync/FleetStore.ts
@@ -6,7 +6,7 @@
 import type { RoutingConfiguration } from '../routes/routeTypes.js';
 import type { RunnerEntry } from '../runners/Runner.js';
 import type { WarmPlace } from '../runners/WarmPlaces.js';
-import type { StreamRecordBatch, VersionHistory } from '../streamVersions/streamVersionTypes.js';
+import type { SavedHistory, StreamRecordBatch } from '../streamVersions/streamVersionTypes.js';
 
 /** One daemon of the fleet, as it registers itself. */
 export interface DaemonEntry {
@@ -54,7 +54,7 @@
   /** The quarantined requests, which must not reach runners, as saved by one of the daemons. */
   | { readonly kind: 'quarantine'; readonly page: string }
   /** The software versions that services have had lately, as saved by one of the daemons. */
-  | { readonly kind: 'version_history'; readonly history: VersionHistory }
+  | { readonly kind: 'version_history'; readonly history: SavedHistory }
   /** Any other entry that cannot be decoded; it changes nothing and is reported. */
   | { readonly kind: 'unreadable'; readonly key: string; readonly message: string };
 
@@ -165,7 +165,7 @@
    *
    * @param history - the last write wins.
    */
-  abstract saveVersionHistory(history: VersionHistory): Promise<void>;
+  abstract saveVersionHistory(history: SavedHistory): Promise<void>;
 
   /**
    * Adds records of streams to those in the store, from which they disappear by themselves.
--- a/src/sync/knowledgeTypes.ts
+++ b/src/sync/knowledgeTypes.ts
@@ -4,7 +4,7 @@
 import type { RoutingConfiguration } from '../routes/routeTypes.js';
 import type { RunnerEntry, RunnerState } from '../runners/Runner.js';
 import type { WarmPlace } from '../runners/WarmPlaces.js';
-import type { VersionHistory } from '../streamVersions/streamVersionTypes.js';
+import type { SavedHistory } from '../streamVersions/streamVersionTypes.js';
 import type { DaemonEntry } from './FleetStore.js';
 
 /** What a daemon knows of the fleet, as it is sent to another daemon as JSON. */
@@ -70,7 +70,7 @@
   /** A daemon has saved to the store which requests are quarantined. */
   quarantineSaved(page: string): void;
   /** A daemon has saved to the store which software versions services have had lately. */
-  versionHistorySaved(history: VersionHistory): void;
+  versionHistorySaved(history: SavedHistory): void;
   /** A full read of the store was older than what is known, so that its listing was not applied. */
   outdatedRead(revision: number): void;
   /** The store has been restored from an older copy; called once its first state has been applied. */
--- a/src/sync/testKnowledge.ts
+++ b/src/sync/testKnowledge.ts
@@ -1,7 +1,7 @@
 /**
  * Knowledge for tests, with a record of what its listener was told.
  */
-import type { VersionHistory } from '../streamVersions/streamVersionTypes.js';
+import type { SavedHistory } from '../streamVersions/streamVersionTypes.js';
 import { FleetKnowledge } from './FleetKnowledge.js';
 
 /**
@@ -11,7 +11,7 @@
 export function createTestKnowledge(onUpdate: () => void = () => undefined) {
   const gone: string[] = [];
   const unreadable: string[] = [];
-  const histories: VersionHistory[] = [];
+  const histories: SavedHistory[] = [];
   const knowledge = new FleetKnowledge({
     listener: {
       configurationChanged: () => undefined,
--- a/standIns/site/SiteRunner.ts
+++ b/standIns/site/SiteRunner.ts
@@ -7,7 +7,9 @@
 
 import { listen } from '../../src/http/listen.js';
 import { parseAddress } from '../../src/http/parseAddress.js';
+import { CACHED_PARTS_PATH, CachedParts } from './CachedParts.js';
 import { readBody } from './readBody.js';
+import { RUNNER_DEFAULTS } from './siteRunnerTypes.js';
 import type {
   Brittleness,
   ReceivedRequest,
@@ -59,6 +61,8 @@
 
   private brittleSince = 0;
 
+  private readonly cachedParts = new CachedParts();
+
   private running = 0;
 
   private readonly queue: (() => void)[] = [];
@@ -93,27 +97,8 @@
    */
   constructor(options: SiteRunnerOptions) {
     this.options = {
-      dataCentre: 'here',
-      version: 'v1',
-      isUnframed: false,
-      events: 5,
-      eventMilliseconds: 2,
-      workMilliseconds: 1,
-      slowdown: 1,
-      statesLoad: false,
-      servesReport: false,
+      ...RUNNER_DEFAULTS,
       plainBody: `answer of ${options.id}`,
-      echoes: false,
-      onRan: () => undefined,
-      answersRaw: () => false,
-      isFatal: () => false,
-      slots: Number.POSITIVE_INFINITY,
-      maximumWaiting: Number.POSITIVE_INFINITY,
-      downMilliseconds: 300,
-      closesAfterMilliseconds: Number.POSITIVE_INFINITY,
-      listedAfterMilliseconds: 0,
-      onCrashed: () => undefined,
-      onRestarted: () => undefined,
       ...options,
     };
     this.id = options.id;
@@ -143,6 +128,7 @@
     this.born += 1;
     this.sequence = 0;
     this.ran.length = 0;
+    this.cachedParts.clear();
   }
 
   /**
@@ -226,6 +212,7 @@
     await listen(this.server, parseAddress(this.address));
     this.born += 1;
     this.sequence = 0;
+    this.cachedParts.clear();
     const { listedAfterMilliseconds, onRestarted } = this.options;
     if (listedAfterMilliseconds === 0) onRestarted();
     else this.restartTimer = setTimeout(onRestarted, listedAfterMilliseconds);
@@ -236,6 +223,10 @@
       this.report(response);
       return;
     }
+    if (request.url === CACHED_PARTS_PATH && this.options.listsCachedParts) {
+      this.cachedParts.answer(response);
+      return;
+    }
     const body = await readBody(request);
     if (body === undefined) return;
     const expected = request.headers['expect-instance'];
@@ -368,6 +359,7 @@
     const after = Number(request.headers['last-event-id'] ?? 0);
     const { behaviour, version } = this;
     const isUnframed = this.options.isUnframed || behaviour === 'ends_stream_early';
+    this.cachedParts.add(request.headers);
     this.frame(response, isUnframed);
     response.writeHead(200, { ...this.headersFor(id), 'Content-Type': 'text/event-stream' });
     if (isUnframed) this.keepAsUnframed(response);
--- a/standIns/site/siteRunnerTypes.ts
+++ b/standIns/site/siteRunnerTypes.ts
@@ -62,6 +62,8 @@
   statesLoad?: boolean;
   /** Whether it serves a report on itself, which tells when it started; it answers 404 otherwise. */
   servesReport?: boolean;
+  /** Whether it lists the parts of prompts that it has cached; it answers as to any other request otherwise. */
+  listsCachedParts?: boolean;
   /** Body of a plain answer. */
   plainBody?: string;
   /** Whether answers and events contain the id of their request, and events the version of the software. */
@@ -87,3 +89,28 @@
   /** Called at each start after a crash: the entry in the store has to be written again. */
   onRestarted?: () => void;
 }
+
+/** What a runner does that is told no more than its id and its service. */
+export const RUNNER_DEFAULTS: Required<Omit<SiteRunnerOptions, 'id' | 'service' | 'plainBody'>> = {
+  dataCentre: 'here',
+  version: 'v1',
+  isUnframed: false,
+  events: 5,
+  eventMilliseconds: 2,
+  workMilliseconds: 1,
+  slowdown: 1,
+  statesLoad: false,
+  servesReport: false,
+  listsCachedParts: true,
+  echoes: false,
+  onRan: () => undefined,
+  answersRaw: () => false,
+  isFatal: () => false,
+  slots: Number.POSITIVE_INFINITY,
+  maximumWaiting: Number.POSITIVE_INFINITY,
+  downMilliseconds: 300,
+  closesAfterMilliseconds: Number.POSITIVE_INFINITY,
+  listedAfterMilliseconds: 0,
+  onCrashed: () => undefined,
+  onRestarted: () => undefined,
+};
