--- a/src/streamVersions/PromptReader.ts
+++ b/src/streamVersions/PromptReader.ts
@@ -46,15 +46,27 @@
 /** Shortest time between two lists of one runner, in ms, since a list delays its work. */
 const PAUSE_MILLISECONDS = 1_000;
 
+/** How often a runner that has not answered is asked again. */
+const MAXIMUM_REPEATS = 3;
+
 /** Most runners that are asked at the same time. */
 const MAXIMUM_ASKED = 8;
 
+/** A runner that has been asked. */
+interface AskedRunner {
+  /** When it was asked last, monotonic ms. */
+  readonly askedAt: number;
+  /** How often it has not answered since it last did. */
+  readonly failures: number;
+}
+
+const NEVER_ASKED: AskedRunner = { askedAt: Number.NEGATIVE_INFINITY, failures: 0 };
+
 /** Owns the lists that are being read. */
 export class PromptReader {
   private readonly options: PromptReaderOptions;
 
-  /** When each runner was asked last, monotonic ms. */
-  private readonly askedAt = new WeakMap<Runner, number>();
+  private readonly questions = new WeakMap<Runner, AskedRunner>();
 
   private asked = 0;
 
@@ -97,9 +109,9 @@
 
   /** A runner that may have started again may be of another version than its entry says. */
   private isDue(runner: Runner): boolean {
-    const askedAt = this.askedAt.get(runner) ?? Number.NEGATIVE_INFINITY;
+    const { askedAt, failures } = this.questions.get(runner) ?? NEVER_ASKED;
     if (runner.restart.isSuspected || this.now - askedAt < PAUSE_MILLISECONDS) return false;
-    return askedAt < this.changedAt;
+    return askedAt < this.changedAt || (failures > 0 && failures <= MAXIMUM_REPEATS);
   }
 
   private isReaderOf({ entry }: Runner): boolean {
@@ -114,13 +126,16 @@
   private ask(runner: Runner): void {
     const { fetchPrompts, onPrompts, later } = this.options;
     const { service } = runner.entry;
-    this.askedAt.set(runner, this.now);
+    const askedAt = this.now;
+    const { failures } = this.questions.get(runner) ?? NEVER_ASKED;
+    this.questions.set(runner, { askedAt, failures });
     this.asked += 1;
-    fetchPrompts(runner, (parts = []) => {
+    fetchPrompts(runner, (parts) => {
       this.asked -= 1;
+      this.questions.set(runner, { askedAt, failures: parts ? 0 : failures + 1 });
       // Others may wait for their turn.
       later(() => this.look(), 0);
-      if (runner.restart.isSuspected || runner.successor) return;
+      if (!parts || runner.restart.isSuspected || runner.successor) return;
       const { softwareVersion } = runner;
       onPrompts(
         parts.map((part) => ({ service, stream: promptKeyOf({ service, part }), softwareVersion })),
