--- a/src/coordination/CoordinatedSelector.ts
+++ b/src/coordination/CoordinatedSelector.ts
@@ -292,6 +292,7 @@
       runners.takesNewWork(runner) &&
       admission.rejectionReasonFor(runner, question) === undefined &&
       !(question.needsVersion === true && runner.restart.isSuspected) &&
+      !admission.isOnHold(runner, question) &&
       (answer.isCold || !admission.isCold(runner, question.now));
     if (!isAcceptable || !isChoiceReason(answer.reason)) return choice.choose(question);
     choice.rememberChoice(question.sharedParts, answer.life);
--- a/src/router/createStreamVersions.ts
+++ b/src/router/createStreamVersions.ts
@@ -48,6 +48,7 @@
     isListCurrent: () => coordination.relay.isFresh || !follower().isStoreUnresponsive,
     isFleetWhole: () =>
       coordination.otherAvailableDaemons().length === coordination.otherDaemons().length,
+    followsStore: () => !coordination.relay.isFresh,
     fetchPrompts: (runner, done) => fetchCachedPrompts({ runner, protocol }, done),
     longestStreamMilliseconds: () => longestStreamOf(knowledge),
   });
--- a/src/runners/RunnerAdmission.ts
+++ b/src/runners/RunnerAdmission.ts
@@ -139,17 +139,26 @@
     return known.length >= fewest ? known : runners;
   }
 
+  /**
+   * @param runner - a runner that accepts new work.
+   * @param question - the request.
+   * @returns Whether the request is a new stream that must not begin yet at the runner's version.
+   */
+  isOnHold(runner: Runner, { needsVersion, softwareVersion }: AdmissionQuestion): boolean {
+    return needsVersion === true && softwareVersion === undefined && !this.mayBeginAt(runner);
+  }
+
   /**
    * Leaves out the runners of a version at which a new stream must not begin yet, as long as there are others. Not even a
    * lack of room makes them eligible: a stream there could not be told from those of the other versions later on.
    */
   private withBeginnableVersion(
     runners: readonly Runner[],
-    { needsVersion, softwareVersion, homeRegions }: AdmissionQuestion,
+    question: AdmissionQuestion,
   ): readonly Runner[] {
-    if (needsVersion !== true || softwareVersion !== undefined) return runners;
     const open = runners.filter(
-      (runner) => this.isInHomeRegion(runner, homeRegions) && this.mayBeginAt(runner),
+      (runner) =>
+        this.isInHomeRegion(runner, question.homeRegions) && !this.isOnHold(runner, question),
     );
     return open.length > 0 ? open : runners;
   }
--- a/src/streamVersions/PromptRecords.ts
+++ b/src/streamVersions/PromptRecords.ts
@@ -16,6 +16,11 @@
 
   private turnedAt = Number.NEGATIVE_INFINITY;
 
+  /** @returns Number of prompts, some of them counted twice. */
+  get size(): number {
+    return this.recent.size + this.older.size;
+  }
+
   /**
    * @param prompt - key of a prompt, see `promptKeyOf`.
    * @returns All versions whose runners have it cached, as far as is known.
--- a/src/streamVersions/PromptVersions.ts
+++ b/src/streamVersions/PromptVersions.ts
@@ -39,6 +39,11 @@
     socket.handle(MessageKind.PROMPT_VERSIONS, (message) => this.handleMessage(message));
   }
 
+  /** @returns Whether any runner has listed a prompt lately. */
+  get hasAny(): boolean {
+    return this.records.size > 0;
+  }
+
   /** Asks the runners that have to be asked now. */
   look(): void {
     this.reader.look();
--- a/src/streamVersions/ServiceVersions.ts
+++ b/src/streamVersions/ServiceVersions.ts
@@ -10,8 +10,8 @@
 interface KnownVersion {
   /** When a runner of this version was last known to serve, monotonic ms. */
   seenAt: number;
-  /** When this daemon first heard of it, monotonic ms. */
-  readonly heardAt: number;
+  /** When this daemon first heard of it, or of its return, monotonic ms. */
+  heardAt: number;
   readonly isNewSinceStart: boolean;
 }
 
@@ -132,7 +132,11 @@
     for (const [service, versions] of present) {
       // A service that the history does not name may have had any version before the start of this daemon.
       const isNew = this.saved.versions.has(service) || this.isKnownSince(service, now - 1);
-      for (const version of versions) this.noteAt(service, version, now, isNew);
+      for (const version of versions) {
+        const isBack = !this.isPresent(service, version);
+        const known = this.noteAt(service, version, now, isNew);
+        if (isBack) known.heardAt = now;
+      }
     }
     this.present = present;
     if (runners.length > 0) this.isLoaded = true;
@@ -205,11 +209,12 @@
    * @param service - name of a service.
    * @param softwareVersion - version of one of its runners.
    * @param now - monotonic ms.
-   * @returns Whether the store names it, has no history of the service at all, or has not named it for too long.
+   * @returns Whether the store names it as one that has runners, has no history of the service at all, or has not named it
+   *   for too long.
    */
   mayBegin(service: string, softwareVersion: string, now: number): boolean {
     const saved = this.saved.versions.get(service);
-    if (!saved || saved.has(softwareVersion)) return true;
+    if (!saved || saved.get(softwareVersion) === 0) return true;
     const heardAt = this.services.get(service)?.versions.get(softwareVersion)?.heardAt ?? now;
     return now - heardAt >= HOLD_MILLISECONDS;
   }
@@ -226,7 +231,9 @@
    * @returns Whether the history has to be saved again so that it counts as complete.
    */
   isRenewalDue(now: Moment): boolean {
-    return this.knowsAll(now) && now.wall - this.saved.completeAt >= RENEWAL_MILLISECONDS;
+    // The clock of the instance that saved it last may be ahead.
+    const age = Math.abs(now.wall - this.saved.completeAt);
+    return this.knowsAll(now) && age >= RENEWAL_MILLISECONDS;
   }
 
   /**
@@ -288,14 +295,16 @@
     softwareVersion: string,
     at: number,
     isNewSinceStart: boolean,
-  ): void {
+  ): KnownVersion {
     const { versions } = this.serviceOf(service, at);
     const known = versions.get(softwareVersion);
     if (known) {
       known.seenAt = Math.max(known.seenAt, at);
-      return;
+      return known;
     }
-    versions.set(softwareVersion, { seenAt: at, heardAt: at, isNewSinceStart });
+    const added = { seenAt: at, heardAt: at, isNewSinceStart };
+    versions.set(softwareVersion, added);
     this.hasNews ||= this.isLoaded;
+    return added;
   }
 }
--- a/src/streamVersions/StreamVersionTask.ts
+++ b/src/streamVersions/StreamVersionTask.ts
@@ -36,12 +36,6 @@
 /** How long after its end a stream may be taken up, in ms: callers come back after a refusal or two. */
 const TAKE_UP_MILLISECONDS = 10_000;
 
-/**
- * How long after its start a daemon without a complete history may lack versions that have runners, in ms: their entries may
- * be written again only some time after the store has come back.
- */
-const ENTRIES_BACK_MILLISECONDS = 2_500;
-
 /** Interval between looks at the list of runners, in ms. */
 const LOOK_MILLISECONDS = 500;
 
@@ -159,7 +153,8 @@
    * @returns Whether streams may begin there that callers may take up again, see {@link ServiceVersions.mayBegin}.
    */
   mayBeginAt({ entry: { service }, softwareVersion }: Runner): boolean {
-    return this.versions.mayBegin(service, softwareVersion, this.now);
+    const { followsStore } = this.options;
+    return !followsStore() || this.versions.mayBegin(service, softwareVersion, this.now);
   }
 
   /** Writes again what the restored store may have lost. */
@@ -248,10 +243,9 @@
     return this.now - this.startedAt < TAKE_UP_MILLISECONDS;
   }
 
-  /** Whether no version is unknown here at which a stream may have begun. */
+  /** Whether no version is unknown here at which a stream may have begun that its caller takes up. */
   private get isHistoryComplete(): boolean {
-    const running = this.now - this.startedAt;
-    return this.versions.wasCompleteAtStart || running >= ENTRIES_BACK_MILLISECONDS;
+    return this.versions.wasCompleteAtStart || !this.isYoung;
   }
 
   private onceLoaded(stream: bigint, until: number, proceed: () => void): void {
@@ -355,6 +349,7 @@
       ...{ own: this.viewOf(asked), others },
       isListCurrent: this.options.isListCurrent(),
       isHistoryComplete: this.isHistoryComplete,
+      isPromptMissing: asked.prompt !== undefined && this.prompts.hasAny,
       keepers: this.keepers.keepersOf(stream).length,
     });
   }
--- a/src/streamVersions/streamVersionTaskTypes.ts
+++ b/src/streamVersions/streamVersionTaskTypes.ts
@@ -25,6 +25,8 @@
   isListCurrent: () => boolean;
   /** Whether this daemon hears from all listed daemons. */
   isFleetWhole: () => boolean;
+  /** Whether this daemon reads the store itself, and with it the history that others save. */
+  followsStore: () => boolean;
   /** Asks a runner which prompts it has cached. */
   fetchPrompts: PromptFetcher;
   /** Returns the longest time that a stream may take, in ms. */
--- a/src/streamVersions/takeUpDecision.ts
+++ b/src/streamVersions/takeUpDecision.ts
@@ -35,6 +35,8 @@
   readonly keepers: number;
   /** Whether this daemon knows all versions at which the stream may have begun, from the store or by having run for long. */
   readonly isHistoryComplete: boolean;
+  /** Whether runners have listed their prompts, so that one with this stream's prompt would have named it. */
+  readonly isPromptMissing: boolean;
 }
 
 /**
@@ -59,7 +61,7 @@
  * @returns The version, and by what evidence.
  */
 export function decideTakeUp(input: TakeUpInput): TakeUpDecision {
-  const { own, others: answers, isListCurrent, isHistoryComplete } = input;
+  const { own, others: answers, isListCurrent, isHistoryComplete, isPromptMissing } = input;
   const views = [own, ...answers];
   const recorded = views.find((view) => view.recorded !== undefined)?.recorded;
   if (recorded !== undefined) return { evidence: 'recorded', softwareVersion: recorded };
@@ -78,6 +80,8 @@
   const [only] = seen;
   if (only !== undefined && seen.size === 1)
     return { evidence: 'only_version', softwareVersion: only };
+  // Ruling out rests on what the store was told. The runners have said more.
+  if (isPromptMissing) return { evidence: 'unknown' };
   const needed = Math.min(KEEPERS_THAT_RULE_OUT, Math.max(1, input.keepers));
   const isRuledOut = (version: string) =>
     views.filter(
--- a/src/streamVersions/testStreamFleet.ts
+++ b/src/streamVersions/testStreamFleet.ts
@@ -222,6 +222,7 @@
       daemons: () => this.availableTo(daemon),
       isListCurrent: () => !daemon.isCut,
       isFleetWhole: () => this.availableTo(daemon).length === this.daemons.length - 1,
+      followsStore: () => true,
       fetchPrompts: (runner, done) =>
         this.after(this.random() * LONGEST_DELAY_MILLISECONDS, () => {
           if (daemon.isUp && daemon.life === life) done(this.promptsOf(runner));
--- a/src/streamVersions/testStreamStore.ts
+++ b/src/streamVersions/testStreamStore.ts
@@ -64,7 +64,7 @@
     const { history } = this;
     const batches = [...this.batches];
     return () => {
-      this.history = history && { ...history, completeAt: 0 };
+      this.history = { versions: history?.versions ?? new Map(), completeAt: 0 };
       this.batches = batches;
     };
   }
