Line 2632 and a counter tell which runners have listed their cached prompts

Cause: whether a runner was asked for its prompts after a loss of daemons, and what it said, could be seen nowhere, so that a refused take-up could not be told from one whose runner serves no list.

Change: 2632 has runner, life, version, number of parts and time, or that there was no list or one that may be of another incarnation; stream_prompt_lists counts them by outcome. The limit of lines that RestartDoubts had moves to BurstLog, which both use.

Result: PromptReader.spec.ts: 25 lists give 20 lines and a count of 25.

--- a/src/forwarding/forwardingFeature.ts
+++ b/src/forwarding/forwardingFeature.ts
@@ -188,4 +188,12 @@
     text: 'A runner that was to go on with a stream answered with something else. Its answer is dropped unread: the caller has events of the runners in the field answeredBy.',
     operatorAction: 'Many for one runner: check that runner.',
   }),
+  promptsListed: defineLogEvent({
+    number: 2632,
+    name: 'forwarding.prompts_listed',
+    level: 'info',
+    text: 'A daemon has asked a runner which prompts it has cached, because daemons were lost and a stream may be of several software versions; the fields show how many it has, or that it said none. At most 20 lines in 10 s.',
+    operatorAction:
+      'None; many with the outcome `none` at runners that serve such lists: check these runners.',
+  }),
 };
--- a/src/streamVersions/PromptReader.ts
+++ b/src/streamVersions/PromptReader.ts
@@ -2,10 +2,13 @@
  * Asks runners which prompts they have cached, after daemons have been lost. What the lost daemons knew of their streams may
  * be nowhere else: a stream is of the version of the runner that has read its prompt.
  */
+import type { Log } from '../logging/Log.js';
+import type { MetricRegistry } from '../metrics/MetricRegistry.js';
 import type { CallScheduler } from '../news/MessageRepeater.js';
 import type { Runner } from '../runners/Runner.js';
 import type { DaemonEntry } from '../sync/FleetStore.js';
 import type { Clock } from '../time/Clock.js';
+import { PromptListReport } from './PromptListReport.js';
 import type { BegunStream } from './RecordSender.js';
 import type { StreamKeepers } from './StreamKeepers.js';
 import { promptKeyOf } from './streamKey.js';
@@ -27,6 +30,8 @@
   /** Called with the prompts that a runner has cached. */
   onPrompts: (prompts: readonly BegunStream[]) => void;
   clock: Clock;
+  log: Log;
+  registry: MetricRegistry;
   /** Schedules a call. */
   later: CallScheduler;
 }
@@ -53,6 +58,8 @@
 export class PromptReader {
   private readonly options: PromptReaderOptions;
 
+  private readonly report: PromptListReport;
+
   /** When each runner was asked last, monotonic ms. */
   private readonly askedAt = new WeakMap<Runner, number>();
 
@@ -68,6 +75,7 @@
    */
   constructor(options: PromptReaderOptions) {
     this.options = options;
+    this.report = new PromptListReport(options);
     this.changedAt = this.now;
   }
 
@@ -114,17 +122,19 @@
   private ask(runner: Runner): void {
     const { fetchPrompts, onPrompts, later } = this.options;
     const { service } = runner.entry;
-    this.askedAt.set(runner, this.now);
+    const askedAt = this.now;
+    this.askedAt.set(runner, askedAt);
     this.asked += 1;
-    fetchPrompts(runner, (parts = []) => {
+    fetchPrompts(runner, (parts) => {
       this.asked -= 1;
       // Others may wait for their turn.
       later(() => this.look(), 0);
-      if (runner.restart.isSuspected || runner.successor) return;
+      const isOutdated = runner.restart.isSuspected || runner.successor !== undefined;
+      this.report.write(runner, { parts, isOutdated, milliseconds: this.now - askedAt });
+      if (isOutdated) return;
       const { softwareVersion } = runner;
-      onPrompts(
-        parts.map((part) => ({ service, stream: promptKeyOf({ service, part }), softwareVersion })),
-      );
+      const streams = (parts ?? []).map((part) => promptKeyOf({ service, part }));
+      onPrompts(streams.map((stream) => ({ service, stream, softwareVersion })));
     });
   }
 }
--- a/src/streamVersions/RestartDoubts.ts
+++ b/src/streamVersions/RestartDoubts.ts
@@ -3,6 +3,7 @@
  * runners' own reports while the list cannot be confirmed.
  */
 import { forwardingLogEvents } from '../forwarding/forwardingFeature.js';
+import { BurstLog } from '../logging/BurstLog.js';
 import type { Log } from '../logging/Log.js';
 import type { MetricRegistry } from '../metrics/MetricRegistry.js';
 import type { CallScheduler } from '../news/MessageRepeater.js';
@@ -59,10 +60,6 @@
 /** Most runners that are asked at the same time. */
 const MAXIMUM_ASKED = 16;
 
-/** Most log lines about doubts in one interval: a failed link puts all runners in doubt at once. */
-const MAXIMUM_LOGGED = 20;
-const LOG_MILLISECONDS = 10_000;
-
 /** How long a doubt lasts before other daemons are told again, in ms, and the random extension. */
 const RENEW_MILLISECONDS = 2_000;
 const RENEW_JITTER_MILLISECONDS = 2_000;
@@ -75,14 +72,13 @@
 
   private readonly counter;
 
+  /** A failed link puts all runners in doubt at once. */
+  private readonly log: BurstLog;
+
   private onLasting: LastingListener = () => undefined;
 
   private asked = 0;
 
-  private logged = 0;
-
-  private loggedFrom = Number.NEGATIVE_INFINITY;
-
   private isScheduled = false;
 
   private isStopped = false;
@@ -93,6 +89,7 @@
   constructor(options: RestartDoubtsOptions) {
     const later: CallScheduler = (call, milliseconds) => setTimeout(call, milliseconds).unref();
     this.options = { later, random: Math.random, ...options };
+    this.log = new BurstLog(options);
     this.counter = options.registry.counter({
       name: 'runner_restart_doubts',
       help: 'Doubts whether a runner has started again, by what they began and ended.',
@@ -247,12 +244,6 @@
     event: 'restartDoubted' | 'restartDoubtEnded',
     fields: Record<string, string | number | boolean | undefined>,
   ): void {
-    const { now } = this;
-    if (now - this.loggedFrom >= LOG_MILLISECONDS) {
-      this.loggedFrom = now;
-      this.logged = 0;
-    }
-    this.logged += 1;
-    if (this.logged <= MAXIMUM_LOGGED) this.options.log.write(forwardingLogEvents[event], fields);
+    this.log.write(forwardingLogEvents[event], fields);
   }
 }
--- a/src/streamVersions/StreamVersionTask.ts
+++ b/src/streamVersions/StreamVersionTask.ts
@@ -113,7 +113,7 @@
     const { daemons, runners, fetchPrompts } = options;
     this.prompts = new PromptVersions({
       ...{ daemon: daemon.name, daemons, runners, fetchPrompts, clock, later },
-      ...{ socket, keepers, sender: this.sender },
+      ...{ socket, keepers, sender: this.sender, log, registry },
       isNeeded: (service) => !this.isHistoryComplete || this.versionsOf(service).length > 1,
     });
     this.report = new TakeUpReport({
