Lines 2631, 2633 and 2634 tell which history a daemon started with, and which versions are held back

Cause: which versions the store named at a daemon's start, and how old that was, stood only in the lines of streams that were taken up, and that a version gets no streams because the store does not name it could be seen nowhere.

--- a/src/forwarding/forwardingFeature.ts
+++ b/src/forwarding/forwardingFeature.ts
@@ -188,6 +188,14 @@
     text: 'A runner that was to go on with a stream answered with something else. Its answer is dropped unread: the caller has events of the runners in the field answeredBy.',
     operatorAction: 'Many for one runner: check that runner.',
   }),
+  historyTaken: defineLogEvent({
+    number: 2631,
+    name: 'forwarding.history_taken',
+    level: 'info',
+    text: 'A daemon that has started knows which software versions of each service the store named then, and whether these are all at which streams may have begun. Written once; at most ten services are named, the others counted.',
+    operatorAction:
+      'None while isHistoryComplete is true. Otherwise check whether the store refused writes (2709, 2622) or came back from an older copy (2715).',
+  }),
   promptsListed: defineLogEvent({
     number: 2632,
     name: 'forwarding.prompts_listed',
@@ -196,4 +204,19 @@
     operatorAction:
       'None; many with the outcome `none` at runners that serve such lists: check these runners.',
   }),
+  versionHeld: defineLogEvent({
+    number: 2633,
+    name: 'forwarding.version_held',
+    level: 'info',
+    text: 'No stream that callers may take up begins at a software version, as long as another one serves, because the store does not name it yet: after a loss of all daemons nobody could tell which streams are of it.',
+    operatorAction: 'None; line 2634 of the same service and version follows, within 12 s.',
+  }),
+  versionReleased: defineLogEvent({
+    number: 2634,
+    name: 'forwarding.version_released',
+    level: 'info',
+    text: 'Streams may begin at a software version that was held back: the store names it, has lost all versions of its service, or has not named it for too long.',
+    operatorAction:
+      'None if the cause is `saved`. With `held_too_long`, check why the store takes no writes (2709); with `no_history`, whether it was restored (2715).',
+  }),
 };
--- a/src/streamVersions/ServiceVersions.ts
+++ b/src/streamVersions/ServiceVersions.ts
@@ -3,7 +3,7 @@
  * the fleet's history in the store names.
  */
 import type { Runner } from '../runners/Runner.js';
-import type { SavedHistory } from './streamVersionTypes.js';
+import type { SavedHistory, VersionHistory } from './streamVersionTypes.js';
 import type { SeenVersion } from './takeUpDecision.js';
 
 /** What is known of one version. */
@@ -28,6 +28,12 @@
   readonly wall: number;
 }
 
+/**
+ * Whether streams may begin at a version. `saved`: the store names it; `no_history`: the store names no version of the
+ * service; `held_too_long`: the store has not named it for longer than streams are held back; `held`: they may not.
+ */
+export type BeginVerdict = 'saved' | 'no_history' | 'held_too_long' | 'held';
+
 /** Options of {@link ServiceVersions}. */
 export interface ServiceVersionsOptions {
   /** When this daemon started. */
@@ -68,8 +74,8 @@
 
   private wasComplete = false;
 
-  /** Until when the first history that was read was complete, Unix ms; 0 if it does not say. */
-  private firstSavedAt = 0;
+  /** The history as it was when this daemon started; `undefined` if none was read before the list of runners. */
+  private firstSaved: SavedHistory | undefined;
 
   /** Whether a version has appeared since {@link takeNews}. */
   private hasNews = false;
@@ -93,7 +99,13 @@
 
   /** @returns Age of the saved history when this daemon started, in ms; `undefined` if it does not say. */
   get savedAgeAtStart(): number | undefined {
-    return this.firstSavedAt === 0 ? undefined : this.startedAt.wall - this.firstSavedAt;
+    const { completeAt = 0 } = this.firstSaved ?? {};
+    return completeAt === 0 ? undefined : this.startedAt.wall - completeAt;
+  }
+
+  /** @returns The versions that the store named when this daemon started; `undefined` if it had no history. */
+  get savedAtStart(): VersionHistory | undefined {
+    return this.firstSaved?.versions;
   }
 
   /**
@@ -105,7 +117,7 @@
   load(saved: SavedHistory, now: Moment): void {
     this.saved = saved;
     if (!this.isLoaded) {
-      this.firstSavedAt = saved.completeAt;
+      this.firstSaved = saved;
       this.wasComplete = Math.abs(this.startedAt.wall - saved.completeAt) < COMPLETE_MILLISECONDS;
     }
     for (const [service, versions] of saved.versions) {
@@ -208,10 +220,21 @@
    * @returns Whether the store names it, has no history of the service at all, or has not named it for too long.
    */
   mayBegin(service: string, softwareVersion: string, now: number): boolean {
+    return this.beginVerdictOf(service, softwareVersion, now) !== 'held';
+  }
+
+  /**
+   * @param service - name of a service.
+   * @param softwareVersion - version of one of its runners.
+   * @param now - monotonic ms.
+   * @returns Whether streams may begin there, and why.
+   */
+  beginVerdictOf(service: string, softwareVersion: string, now: number): BeginVerdict {
     const saved = this.saved.versions.get(service);
-    if (!saved || saved.has(softwareVersion)) return true;
+    if (!saved) return 'no_history';
+    if (saved.has(softwareVersion)) return 'saved';
     const heardAt = this.services.get(service)?.versions.get(softwareVersion)?.heardAt ?? now;
-    return now - heardAt >= HOLD_MILLISECONDS;
+    return now - heardAt >= HOLD_MILLISECONDS ? 'held_too_long' : 'held';
   }
 
   /**
--- a/src/streamVersions/StreamVersionTask.ts
+++ b/src/streamVersions/StreamVersionTask.ts
@@ -14,6 +14,8 @@
 import { parseAddress } from '../http/parseAddress.js';
 import type { CallScheduler } from '../news/MessageRepeater.js';
 import type { Runner } from '../runners/Runner.js';
+import { HeldVersions } from './HeldVersions.js';
+import { HistoryReport } from './HistoryReport.js';
 import { PromptVersions } from './PromptVersions.js';
 import { RecordSender } from './RecordSender.js';
 import { ServiceVersions } from './ServiceVersions.js';
@@ -66,6 +68,10 @@
 
   private readonly versions: ServiceVersions;
 
+  private readonly held: HeldVersions;
+
+  private readonly historyReport: HistoryReport;
+
   private readonly keepers = new StreamKeepers();
 
   private readonly sender: RecordSender;
@@ -95,6 +101,8 @@
     this.later = later;
     this.startedAt = this.now;
     this.versions = new ServiceVersions({ startedAt: this.moment });
+    this.held = new HeldVersions({ clock, log, versions: this.versions });
+    this.historyReport = new HistoryReport({ log, versions: this.versions });
     this.sender = new RecordSender({ daemon: daemon.name, socket, keepers, later });
     this.archive = new StreamArchive({
       ...{ store, clock, log, registry, later },
@@ -159,7 +167,7 @@
    * @returns Whether streams may begin there that callers may take up again, see {@link ServiceVersions.mayBegin}.
    */
   mayBeginAt({ entry: { service }, softwareVersion }: Runner): boolean {
-    return this.versions.mayBegin(service, softwareVersion, this.now);
+    return this.held.mayBegin(service, softwareVersion);
   }
 
   /** Writes again what the restored store may have lost. */
@@ -279,6 +287,8 @@
     const { daemon, daemons, runners } = this.options;
     this.keepers.update([daemon, ...daemons()]);
     this.versions.see(runners(), this.now);
+    this.historyReport.look();
+    this.held.look();
     this.handleNews();
   }
 
