Lines 2618 and 2619 name the versions at which a prompt is cached

Cause: of a refused take-up nobody could tell whether its prompt was cached at several versions or known nowhere; the text of 2618 did not know cached_prompt.

Change: promptVersions, as told to this daemon and to those that answered; missing if the request has no prompt, empty if no runner has said that it has it.

--- a/src/forwarding/forwardingFeature.ts
+++ b/src/forwarding/forwardingFeature.ts
@@ -141,7 +141,7 @@
     number: 2618,
     name: 'forwarding.taken_up',
     level: 'info',
-    text: 'A caller takes up a stream that broke off. It goes on at the software version that began it: recorded by a daemon, or the only one that the service has had.',
+    text: 'A caller takes up a stream that broke off. It goes on at the software version that began it: recorded by a daemon (`recorded`), the only one whose runners have its prompt cached (`cached_prompt`), the only one that the service has had (`only_version`), or the only one that had come when it began (`only_possible_version`).',
     operatorAction: 'None; the field stream is the id of the request that the stream began with.',
   }),
   versionUnknown: defineLogEvent({
@@ -150,7 +150,7 @@
     level: 'warn',
     text: 'A caller takes up a stream, and no daemon that answered knows which of several software versions began it. The request is refused; it has not run.',
     operatorAction:
-      'None while daemons end or are cut off from each other; otherwise check that datagrams pass between them.',
+      'None while daemons end or are cut off from each other; otherwise check that datagrams pass between them. If promptVersions is empty, check line 2632 of the runners of the service.',
   }),
   archiveRead: defineLogEvent({
     number: 2621,
--- a/src/streamVersions/StreamVersionTask.ts
+++ b/src/streamVersions/StreamVersionTask.ts
@@ -224,7 +224,10 @@
         if (decision.evidence === 'recorded') this.records.record(stream, decision.softwareVersion);
         const isSettled = this.isLoaded && result.isComplete && !this.isYoung;
         const mayPass = decision.evidence === 'unknown' && !isSettled;
-        this.report.write(name, { decision, result, mayPass, startedAt, isLoaded: this.isLoaded });
+        const { isLoaded } = this;
+        const promptVersions = this.prompts.versionsOf(prompt);
+        const outcome = { decision, result, mayPass, startedAt, isLoaded, promptVersions };
+        this.report.write(name, outcome);
         done({
           softwareVersion: decision.softwareVersion,
           ...(mayPass && { retryAfterSeconds: LOADING_RETRY_SECONDS }),
--- a/src/streamVersions/TakeUpReport.ts
+++ b/src/streamVersions/TakeUpReport.ts
@@ -28,6 +28,8 @@
   readonly startedAt: number;
   /** Whether this daemon has read what the store has of streams and versions. */
   readonly isLoaded: boolean;
+  /** Versions of the runners that have the stream's prompt cached, as far as this daemon has been told. */
+  readonly promptVersions: readonly string[];
 }
 
 /** Options of a {@link TakeUpReport}. */
@@ -66,8 +68,8 @@
    * @param outcome - what was decided.
    */
   write(
-    { request, id: stream, service }: TakeUpQuestion,
-    { decision, result, mayPass, startedAt, isLoaded }: TakeUpOutcome,
+    { request, id: stream, service, promptPart }: TakeUpQuestion,
+    { decision, result, mayPass, startedAt, isLoaded, ...own }: TakeUpOutcome,
   ): void {
     const { clock, log, versions: known, versionsOf, startedAt: runningSince } = this.options;
     const { wasCompleteAtStart, savedAgeAtStart } = known;
@@ -77,12 +79,14 @@
     const event =
       evidence === 'unknown' ? forwardingLogEvents.versionUnknown : forwardingLogEvents.takenUp;
     const versions = versionsOf(service);
+    const told = [own, ...result.answers].flatMap(({ promptVersions }) => promptVersions);
     log.write(event, {
       ...{ request, stream, service, evidence, softwareVersion },
       milliseconds: Math.round(now - startedAt),
       asked: result.asked,
       answered: result.answers.length,
       versions: versions.map((one) => one.softwareVersion),
+      promptVersions: promptPart === undefined ? undefined : [...new Set(told)],
       newVersions: versions.filter((one) => one.isNewSinceStart).length,
       runningMilliseconds: Math.round(now - runningSince),
       isHistoryComplete: wasCompleteAtStart,
