--- a/src/forwarding/forwardingFeature.ts
+++ b/src/forwarding/forwardingFeature.ts
@@ -141,7 +141,7 @@
     number: 2618,
     name: 'forwarding.taken_up',
     level: 'info',
-    text: 'A caller takes up a stream that broke off. It goes on at the software version that began it: recorded by a daemon, or the only one that the service has had.',
+    text: 'A caller takes up a stream that broke off. It goes on at the software version that began it: recorded by a daemon (`recorded`), the only one whose runners have its prompt cached (`cached_prompt`), the only one that the service has had (`only_version`), or the only one that had come when it began (`only_possible_version`).',
     operatorAction: 'None; the field stream is the id of the request that the stream began with.',
   }),
   versionUnknown: defineLogEvent({
@@ -150,7 +150,7 @@
     level: 'warn',
     text: 'A caller takes up a stream, and no daemon that answered knows which of several software versions began it. The request is refused; it has not run.',
     operatorAction:
-      'None while daemons end or are cut off from each other; otherwise check that datagrams pass between them.',
+      'None while daemons end or are cut off from each other; otherwise check that datagrams pass between them. If promptVersions is empty, check line 2632 of the runners of the service.',
   }),
   archiveRead: defineLogEvent({
     number: 2621,
@@ -188,4 +188,35 @@
     text: 'A runner that was to go on with a stream answered with something else. Its answer is dropped unread: the caller has events of the runners in the field answeredBy.',
     operatorAction: 'Many for one runner: check that runner.',
   }),
+  historyTaken: defineLogEvent({
+    number: 2631,
+    name: 'forwarding.history_taken',
+    level: 'info',
+    text: 'A daemon that has started knows which software versions of each service the store named then, and whether these are all at which streams may have begun. Written once; at most ten services are named, the others counted.',
+    operatorAction:
+      'None while isHistoryComplete is true. Otherwise check whether the store refused writes (2709, 2622) or came back from an older copy (2715).',
+  }),
+  promptsListed: defineLogEvent({
+    number: 2632,
+    name: 'forwarding.prompts_listed',
+    level: 'info',
+    text: 'A daemon has asked a runner which prompts it has cached, because daemons were lost and a stream may be of several software versions; the fields show how many it has, or that it said none. At most 20 lines in 10 s.',
+    operatorAction:
+      'None; many with the outcome `none` at runners that serve such lists: check these runners.',
+  }),
+  versionHeld: defineLogEvent({
+    number: 2633,
+    name: 'forwarding.version_held',
+    level: 'info',
+    text: 'No stream that callers may take up begins at a software version, as long as another one serves, because the store does not name it yet: after a loss of all daemons nobody could tell which streams are of it.',
+    operatorAction: 'None; line 2634 of the same service and version follows, within 13 s.',
+  }),
+  versionReleased: defineLogEvent({
+    number: 2634,
+    name: 'forwarding.version_released',
+    level: 'info',
+    text: 'Streams may begin at a software version that was held back: the store names it, has lost all versions of its service, or has not named it for too long.',
+    operatorAction:
+      'None if the cause is `saved`. With `held_too_long`, check why the store takes no writes (2709); with `no_history`, whether it was restored (2715).',
+  }),
 };
--- a/src/streamVersions/PromptReader.spec.ts
+++ b/src/streamVersions/PromptReader.spec.ts
@@ -2,6 +2,8 @@
 
 import { expect } from 'earl';
 
+import { MemoryLog } from '../callers/testFakes.js';
+import { MetricRegistry } from '../metrics/MetricRegistry.js';
 import { Runner } from '../runners/Runner.js';
 import { ManualClock } from '../time/ManualClock.js';
 import type { PromptFetcher } from './PromptReader.js';
@@ -29,6 +31,7 @@
   let told = 0;
   const reader = new PromptReader({
     ...{ daemon: DAEMON.name, daemons: () => [], keepers, clock },
+    ...{ log: new MemoryLog(), registry: new MetricRegistry({ clock }) },
     runners: () => [RUNNER],
     isNeeded: () => true,
     fetchPrompts: (...question) => {
--- a/src/streamVersions/PromptReader.ts
+++ b/src/streamVersions/PromptReader.ts
@@ -2,10 +2,13 @@
  * Asks runners which prompts they have cached, after daemons have been lost. What the lost daemons knew of their streams may
  * be nowhere else: a stream is of the version of the runner that has read its prompt.
  */
+import type { Log } from '../logging/Log.js';
+import type { MetricRegistry } from '../metrics/MetricRegistry.js';
 import type { CallScheduler } from '../news/MessageRepeater.js';
 import type { Runner } from '../runners/Runner.js';
 import type { DaemonEntry } from '../sync/FleetStore.js';
 import type { Clock } from '../time/Clock.js';
+import { PromptListReport } from './PromptListReport.js';
 import type { BegunStream } from './RecordSender.js';
 import type { StreamKeepers } from './StreamKeepers.js';
 import { promptKeyOf } from './streamKey.js';
@@ -27,6 +30,8 @@
   /** Called with the prompts that a runner has cached. */
   onPrompts: (prompts: readonly BegunStream[]) => void;
   clock: Clock;
+  log: Log;
+  registry: MetricRegistry;
   /** Schedules a call. */
   later: CallScheduler;
 }
@@ -66,6 +71,8 @@
 export class PromptReader {
   private readonly options: PromptReaderOptions;
 
+  private readonly report: PromptListReport;
+
   private readonly questions = new WeakMap<Runner, AskedRunner>();
 
   private asked = 0;
@@ -80,6 +87,7 @@
    */
   constructor(options: PromptReaderOptions) {
     this.options = options;
+    this.report = new PromptListReport(options);
     this.changedAt = this.now;
   }
 
@@ -135,11 +143,12 @@
       this.questions.set(runner, { askedAt, failures: parts ? 0 : failures + 1 });
       // Others may wait for their turn.
       later(() => this.look(), 0);
-      if (!parts || runner.restart.isSuspected || runner.successor) return;
+      const isOutdated = runner.restart.isSuspected || runner.successor !== undefined;
+      this.report.write(runner, { parts, isOutdated, milliseconds: this.now - askedAt });
+      if (!parts || isOutdated) return;
       const { softwareVersion } = runner;
-      onPrompts(
-        parts.map((part) => ({ service, stream: promptKeyOf({ service, part }), softwareVersion })),
-      );
+      const streams = parts.map((part) => promptKeyOf({ service, part }));
+      onPrompts(streams.map((stream) => ({ service, stream, softwareVersion })));
     });
   }
 }
--- a/src/streamVersions/StreamVersionTask.ts
+++ b/src/streamVersions/StreamVersionTask.ts
@@ -14,6 +14,8 @@
 import { parseAddress } from '../http/parseAddress.js';
 import type { CallScheduler } from '../news/MessageRepeater.js';
 import type { Runner } from '../runners/Runner.js';
+import { HeldVersions } from './HeldVersions.js';
+import { HistoryReport } from './HistoryReport.js';
 import { PromptVersions } from './PromptVersions.js';
 import { RecordSender } from './RecordSender.js';
 import { ServiceVersions } from './ServiceVersions.js';
@@ -60,6 +62,10 @@
 
   private readonly versions: ServiceVersions;
 
+  private readonly held: HeldVersions;
+
+  private readonly historyReport: HistoryReport;
+
   private readonly keepers = new StreamKeepers();
 
   private readonly sender: RecordSender;
@@ -89,6 +95,8 @@
     this.later = later;
     this.startedAt = this.now;
     this.versions = new ServiceVersions({ startedAt: this.moment });
+    this.held = new HeldVersions({ clock, log, versions: this.versions });
+    this.historyReport = new HistoryReport({ log, versions: this.versions });
     this.sender = new RecordSender({ daemon: daemon.name, socket, keepers, later });
     this.archive = new StreamArchive({
       ...{ store, clock, log, registry, later },
@@ -107,7 +115,7 @@
     const { daemons, runners, fetchPrompts } = options;
     this.prompts = new PromptVersions({
       ...{ daemon: daemon.name, daemons, runners, fetchPrompts, clock, later },
-      ...{ socket, keepers, sender: this.sender },
+      ...{ socket, keepers, sender: this.sender, log, registry },
       isNeeded: (service) => !this.isHistoryComplete || this.versionsOf(service).length > 1,
     });
     this.report = new TakeUpReport({
@@ -153,8 +161,7 @@
    * @returns Whether streams may begin there that callers may take up again, see {@link ServiceVersions.mayBegin}.
    */
   mayBeginAt({ entry: { service }, softwareVersion }: Runner): boolean {
-    const { followsStore } = this.options;
-    return !followsStore() || this.versions.mayBegin(service, softwareVersion, this.now);
+    return !this.options.followsStore() || this.held.mayBegin(service, softwareVersion);
   }
 
   /** Writes again what the restored store may have lost. */
@@ -211,7 +218,10 @@
         if (decision.evidence === 'recorded') this.records.record(stream, decision.softwareVersion);
         const isSettled = this.isLoaded && result.isComplete && !this.isYoung;
         const mayPass = decision.evidence === 'unknown' && !isSettled;
-        this.report.write(name, { decision, result, mayPass, startedAt, isLoaded: this.isLoaded });
+        const { isLoaded } = this;
+        const promptVersions = this.prompts.versionsOf(prompt);
+        const outcome = { decision, result, mayPass, startedAt, isLoaded, promptVersions };
+        this.report.write(name, outcome);
         done({
           softwareVersion: decision.softwareVersion,
           ...(mayPass && { retryAfterSeconds: LOADING_RETRY_SECONDS }),
@@ -273,6 +283,8 @@
     const { daemon, daemons, runners } = this.options;
     this.keepers.update([daemon, ...daemons()]);
     this.versions.see(runners(), this.now);
+    this.historyReport.look();
+    this.held.look();
     this.handleNews();
   }
 
