--- a/soak/faults/storeFaults.ts
+++ b/soak/faults/storeFaults.ts
@@ -3,7 +3,7 @@
  */
 import { setTimeout as wait } from 'node:timers/promises';
 
-import type { StoreFault } from '../../standIns/site/StoreStandIn.js';
+import type { StoreFault } from '../../standIns/site/StoreFaults.js';
 import { CONTACT_MILLISECONDS } from '../soakBounds.js';
 import { ConfigurationSeries } from './ConfigurationSeries.js';
 import type { FaultContext } from './Fault.js';
--- a/standIns/site/StoreStandIn.ts
+++ b/standIns/site/StoreStandIn.ts
@@ -9,6 +9,8 @@
 import { listen } from '../../src/http/listen.js';
 import { orderedRevisionOf } from '../../src/sync/orderedRevision.js';
 import { readBody } from './readBody.js';
+import { StoreFaults } from './StoreFaults.js';
+import type { FaultFor } from './StoreFaults.js';
 import { refusalOf } from './storeTransaction.js';
 import type { Transaction } from './storeTransaction.js';
 
@@ -35,19 +37,6 @@
   readonly timer: NodeJS.Timeout;
 }
 
-/**
- * How calls are answered: `busy` refuses with 503, `silent` never answers, `reset` resets connections, `slow` delays
- * each answer, `loses_answers` executes the call and resets the connection instead of answering.
- */
-export type StoreFault = 'none' | 'busy' | 'silent' | 'reset' | 'slow' | 'loses_answers';
-
-/** Options of {@link StoreStandIn.faultFor}. */
-export interface FaultFor {
-  fault: StoreFault;
-  /** Selects the calls that the fault applies to; all others are served. */
-  concerns?: (request: IncomingMessage) => boolean;
-}
-
 /** The state of the store at one moment. */
 export interface StoreCopy {
   readonly items: ReadonlyMap<string, StoreItem>;
@@ -97,7 +86,10 @@
 
   private readonly waiters = new Set<Waiter>();
 
-  private fault: FaultFor = { fault: 'none' };
+  private readonly faults = new StoreFaults();
+
+  /** Ends the fault of {@link faultFor}. */
+  private endFault: () => void = () => undefined;
 
   /** Executed calls whose answers are to be lost. */
   private readonly lost = new WeakSet<ServerResponse>();
@@ -125,18 +117,30 @@
   }
 
   /**
-   * @param fault - how calls are answered from now on. Waiting watches that it concerns are cut, or never answered if the
-   *   store is silent.
+   * Replaces the fault of the last call.
+   *
+   * @param fault - how calls are answered from now on; see {@link beginFault}.
    */
   faultFor(fault: FaultFor): void {
-    this.fault = fault;
+    this.endFault();
+    this.endFault = this.beginFault(fault);
+  }
+
+  /**
+   * Begins a fault beside those that are active; where several apply to a call, the first one counts.
+   *
+   * @param fault - how calls are answered. Waiting watches that it concerns are cut, or never answered if the store is
+   *   silent.
+   * @returns A function to be called when it ends.
+   */
+  beginFault(fault: FaultFor): () => void {
     const { fault: kind, concerns = () => true } = fault;
-    if (kind === 'none') return;
-    for (const waiter of [...this.waiters]) {
-      if (!concerns(waiter.response.req)) continue;
+    const concerned = kind === 'none' ? [] : [...this.waiters];
+    for (const waiter of concerned.filter(({ response }) => concerns(response.req))) {
       if (kind === 'silent') this.forget(waiter);
       else this.cut(waiter);
     }
+    return this.faults.begin(fault);
   }
 
   /** Compacts the history: watches from an earlier revision get 410. */
@@ -238,8 +242,8 @@
   }
 
   private async isFaulty(request: IncomingMessage, response: ServerResponse): Promise<boolean> {
-    const { fault, concerns = () => true } = this.fault;
-    if (fault === 'none' || !concerns(request)) return false;
+    const fault = this.faults.of(request);
+    if (fault === 'none') return false;
     if (fault === 'slow') await wait(SLOW_MILLISECONDS);
     if (fault === 'loses_answers') this.lost.add(response);
     if (fault === 'slow' || fault === 'loses_answers') return false;
--- a/tests/refusedDaemons.spec.ts
+++ b/tests/refusedDaemons.spec.ts
@@ -7,7 +7,7 @@
 
 import { expect } from 'earl';
 
-import type { StoreFault } from '../standIns/site/StoreStandIn.js';
+import type { StoreFault } from '../standIns/site/StoreFaults.js';
 import { BETWEEN_VERSIONS_MILLISECONDS, ChangeDelays } from './ChangeDelays.js';
 
 const VERSIONS = 8;
