Soak: losses of all daemons beside failing writes, older copies of the store and successions of versions

Change: beside each loss, a series of one to three faults in which the store refuses all writes (503) or loses a share of them, while it answers reads and watches; at half of the losses, the store comes back from a copy of 1 to 3 s before, while all daemons are dead, and runners and operators write again a moment later; and successions, in which a newer software version replaces the older one of two. The checks are as they were.

--- a/soak/SoakSite.ts
+++ b/soak/SoakSite.ts
@@ -39,8 +39,8 @@
  */
 const UNFRAMED_EVERY = 4;
 
-/** Software versions of the runners, half of them each; a stream must not hold events of both. */
-export const SOFTWARE_VERSIONS = ['v1', 'v1.1'] as const;
+/** Software versions of new runners, half of them each; a stream must not hold events of both. */
+type SoftwareVersions = readonly [string, string];
 
 /** Number of routes of a large configuration. */
 const LARGE_ROUTES = 1_400;
@@ -115,6 +115,10 @@
 
   private readonly options: SoakSiteOptions;
 
+  private softwareVersions: SoftwareVersions = ['v1', 'v1.1'];
+
+  private nextSoftware = 2;
+
   /** Brittleness that all plain runners announce, including those added later. */
   private brittleness: Brittleness | undefined;
 
@@ -298,12 +302,31 @@
     return those[Math.floor(choice * those.length)];
   }
 
+  /**
+   * @param version - software version of a runner.
+   * @returns The one at which it starts again.
+   */
+  otherVersion(version: string): string {
+    const [first, second] = this.softwareVersions;
+    return version === first ? second : first;
+  }
+
+  /** @returns The model runners of the older software version, which a newer one replaces from now on. */
+  replaceOlderVersion(): SiteRunner[] {
+    const [older, newer] = this.softwareVersions;
+    this.softwareVersions = [newer, `v1.${this.nextSoftware}`];
+    this.nextSoftware += 1;
+    return this.enginesOf(older);
+  }
+
   /** Software version with the fewest model runners. */
   private get rarerVersion(): string {
-    const engines = this.runnersOf('engine');
-    const [first, second] = SOFTWARE_VERSIONS;
-    const ofFirst = engines.filter(({ version }) => version === first).length;
-    return 2 * ofFirst <= engines.length ? first : second;
+    const [first, second] = this.softwareVersions;
+    return this.enginesOf(first).length <= this.enginesOf(second).length ? first : second;
+  }
+
+  private enginesOf(software: string): SiteRunner[] {
+    return this.runnersOf('engine').filter(({ version }) => version === software);
   }
 
   private async addDaemon(index: number): Promise<void> {
--- a/soak/faults/faultPlan.ts
+++ b/soak/faults/faultPlan.ts
@@ -23,8 +23,16 @@
   RunnerLeaves,
   RunnerRestart,
   RunnerSaysItLeaves,
+  SoftwareSuccession,
 } from './runnerFaults.js';
-import { DroppedHistory, FailingStore, RestoredStore } from './storeFaults.js';
+import {
+  DroppedHistory,
+  FailingStore,
+  LossBesideOlderCopy,
+  LostWrites,
+  RefusedWrites,
+  RestoredStore,
+} from './storeFaults.js';
 
 /** A fault and when it starts, in ms since the start of the soak. */
 export interface PlannedFault {
@@ -109,6 +117,23 @@
 /** Bounds of the time from one release to the next, in ms. */
 const RELEASE_PAUSES: readonly [number, number] = [1_000, 3_000];
 
+/** Share of the losses of all daemons at which the store comes back from an older copy. */
+const OLDER_COPY_SHARE = 0.5;
+
+/** Bounds of the time from a loss of all daemons to the series of failing writes beside it, in ms. */
+const WRITES_STARTS: readonly [number, number] = [-2_500, 300];
+
+const LONGEST_WRITES_SERIES = 3;
+
+/** Bounds of the time from one failure of writes to the next in its series, in ms. */
+const WRITES_STEPS: readonly [number, number] = [0, 1_000];
+
+/** Time until the first succession of software versions, in ms. */
+const SUCCESSION_MILLISECONDS = 2_000;
+
+/** Bounds of the time from one succession to the next, in ms; the runners of the version before have ended by then. */
+const SUCCESSION_PAUSES: readonly [number, number] = [9_000, 14_000];
+
 /** Plans faults of one kind, independently of other kinds. */
 function planSeparately(
   draw: Draw,
@@ -158,16 +183,38 @@
   return [...plan, ...statements, ...evacuations, ...restores, ...paths, ...surges, ...parts];
 }
 
+/** A series ends soon after the loss, so that daemons are in touch when streams are taken up. */
+function planFailingWrites(draw: Draw, loss: PlannedFault): PlannedFault[] {
+  const plan: PlannedFault[] = [];
+  let at = loss.at + draw.between(...WRITES_STARTS);
+  for (let left = draw.between(1, LONGEST_WRITES_SERIES); left > 0; left -= 1) {
+    plan.push({ at, fault: new (draw.one([RefusedWrites, LostWrites]))(draw) });
+    at += draw.between(...WRITES_STEPS);
+  }
+  return plan;
+}
+
+/** Takes the copy before the loss, which stays at its time. */
+function besideOlderCopy(draw: Draw, loss: PlannedFault): PlannedFault {
+  if (draw.random() >= OLDER_COPY_SHARE) return loss;
+  const fault = new LossBesideOlderCopy(draw);
+  return { at: loss.at - fault.ageMilliseconds, fault };
+}
+
 /**
  * @param draw - random choices.
  * @param seconds - duration in which faults start.
- * @returns Losses of all daemons beside releases of runners, and nothing else.
+ * @returns Losses of all daemons beside releases of runners, failing writes and older copies of the store.
  */
 export function planLosses(draw: Draw, seconds: number): PlannedFault[] {
   const loss = () => new LossOfAll(draw);
   const release = () => new (draw.one([RunnerLeaves, RunnerRestart]))(draw);
-  return [
-    ...planSeparately(draw, seconds, LOSS_PAUSES, loss, LOSS_MILLISECONDS),
-    ...planSeparately(draw, seconds, RELEASE_PAUSES, release, RELEASE_MILLISECONDS),
-  ];
+  const succession = () => new SoftwareSuccession(draw);
+  const losses = planSeparately(draw, seconds, LOSS_PAUSES, loss, LOSS_MILLISECONDS);
+  const releases = planSeparately(draw, seconds, RELEASE_PAUSES, release, RELEASE_MILLISECONDS);
+  const writes = losses.flatMap((one) => planFailingWrites(draw, one));
+  const beside = losses.map((one) => besideOlderCopy(draw, one));
+  const [pauses, first] = [SUCCESSION_PAUSES, SUCCESSION_MILLISECONDS];
+  const successions = planSeparately(draw, seconds, pauses, succession, first);
+  return [...beside, ...releases, ...writes, ...successions];
 }
--- a/soak/faults/processFaults.ts
+++ b/soak/faults/processFaults.ts
@@ -44,9 +44,9 @@
 
 /** Ends all daemons at the same moment, by a kill or a loss of power, and starts them again. */
 export class LossOfAll extends Fault {
-  private readonly silentMilliseconds = this.draw.one([0, this.draw.between(300, 1_500)]);
+  protected readonly silentMilliseconds: number = this.draw.one([0, this.draw.between(300, 1_500)]);
 
-  private readonly downMilliseconds = this.draw.between(0, 1_000);
+  protected readonly downMilliseconds: number = this.draw.between(0, 1_000);
 
   override async play({ site }: FaultContext): Promise<void> {
     const { silentMilliseconds, downMilliseconds } = this;
--- a/soak/faults/runnerFaults.ts
+++ b/soak/faults/runnerFaults.ts
@@ -6,7 +6,6 @@
 import { seededRandom } from '../../src/random/seededRandom.js';
 import type { SiteRunner } from '../../standIns/site/SiteRunner.js';
 import type { RunnerBehaviour } from '../../standIns/site/siteRunnerTypes.js';
-import { SOFTWARE_VERSIONS } from '../SoakSite.js';
 import type { SoakCallers } from '../SoakCallers.js';
 import type { SoakDaemon } from '../SoakDaemon.js';
 import type { SoakService } from '../SoakSite.js';
@@ -106,8 +105,7 @@
     const text = `${runner.id} starts again`;
     await this.last(ground, { kind: 'runner', runner: runner.id, text }, 0, {
       begin: () => {
-        const [first, second] = SOFTWARE_VERSIONS;
-        runner.version = runner.version === first ? second : first;
+        runner.version = site.otherVersion(runner.version);
         runner.restart();
         site.list(runner);
       },
@@ -223,6 +221,24 @@
   }
 }
 
+async function leave(
+  { site, drains }: FaultContext,
+  runner: SiteRunner,
+  saysSo: boolean,
+): Promise<void> {
+  const { id } = runner;
+  site.runners.delete(id);
+  if (saysSo) site.list(runner, 'draining');
+  else site.unlist(runner);
+  drains.leaves(id);
+  await wait(CHANGE_BOUND_MILLISECONDS + TIMEOUT_MILLISECONDS);
+  const text = `${id} left ${saysSo ? 'by draining' : 'without saying so'}, and ends`;
+  const over = site.history.begin({ kind: 'runner', runner: id, text });
+  site.unlist(runner);
+  site.endRunner(runner);
+  over();
+}
+
 /** A runner drains, or its entry is removed; it continues to serve for the bound, and ends when it is idle. */
 export class RunnerLeaves extends Fault {
   private readonly service: SoakService = this.draw.one(SERVICES);
@@ -232,22 +248,30 @@
   private readonly saysSo = this.draw.random() < 0.5;
 
   override async play(ground: FaultContext): Promise<void> {
-    const { site, drains } = ground;
+    const { site } = ground;
     await site.addRunner(this.service);
     const runner = site.spareRunner(this.service, this.choice);
-    if (!runner) return;
-    site.runners.delete(runner.id);
-    if (this.saysSo) site.list(runner, 'draining');
-    else site.unlist(runner);
-    drains.leaves(runner.id);
-    await wait(CHANGE_BOUND_MILLISECONDS + TIMEOUT_MILLISECONDS);
-    const text = `${runner.id} left ${this.saysSo ? 'by draining' : 'without saying so'}, and ends`;
-    await this.last(ground, { kind: 'runner', runner: runner.id, text }, 0, {
-      begin: () => {
-        site.unlist(runner);
-        site.endRunner(runner);
-      },
-    });
+    if (runner) await leave(ground, runner, this.saysSo);
+  }
+}
+
+/** A newer software version replaces the older one of two; all model runners of the older one leave. */
+export class SoftwareSuccession extends Fault {
+  private readonly besideMilliseconds = this.draw.between(0, 1_500);
+
+  private readonly saysSo = this.draw.random() < 0.5;
+
+  override async play(ground: FaultContext): Promise<void> {
+    const { site } = ground;
+    const leaving = site.replaceOlderVersion();
+    for (const { version } of leaving) {
+      const { version: newer } = await site.addRunner('engine');
+      const text = `a model runner of ${newer} starts for one of ${version}`;
+      site.history.begin({ kind: 'configuration', text })();
+    }
+    await wait(this.besideMilliseconds);
+    const still = leaving.filter(({ id }) => site.runners.has(id));
+    await Promise.all(still.map((runner) => leave(ground, runner, this.saysSo)));
   }
 }
 
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -36,7 +36,7 @@
   runnersOfService?: number;
   /** Requests per second. */
   rate?: number;
-  /** Whether all daemons are lost at the same moment, beside releases only; their callers come back more than once. */
+  /** Whether all daemons are lost at the same moment, see `planLosses`; their callers come back more than once. */
   losesAll?: boolean;
   /** Creates the plan of faults; by default, it is drawn from the seed. */
   plan?: (draw: Draw, seconds: number) => PlannedFault[];
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -1,8 +1,8 @@
 /**
  * Runs a fleet of real processes under load and faults. `npm run soak -- --seed 7` plays one seed, `--seeds 50` as many,
  * starting with that one; `--seconds`, `--daemons`, `--runners` (of each service) and `--rate` (requests per second) set the
- * size; `--losses` plays losses of all daemons beside releases instead of the other faults; `--logs FOLDER` keeps the logs
- * of the daemons.
+ * size; `--losses` plays losses of all daemons beside releases, writes that the store refuses or loses, and older copies of
+ * the store instead of the other faults; `--logs FOLDER` keeps the logs of the daemons.
  */
 import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
