--- a/soak/SoakCallers.ts
+++ b/soak/SoakCallers.ts
@@ -24,6 +24,8 @@
   readonly body: string;
   /** Parts of its prompt that the soak has chosen, without those that every request has. */
   readonly parts: readonly string[];
+  /** All parts of its prompt, as they are sent. */
+  readonly prompt?: string;
   /** Monotonic ms. */
   readonly sentAt: number;
   readonly endedAt: number;
@@ -63,7 +65,7 @@
   rate: number;
   /** Called with each request that has ended. */
   onEnd: (call: Call) => void;
-  /** Whether callers come back later with a stream that has broken off, and again if it did not go on. */
+  /** Whether callers come back later with a stream that has broken off and its prompt, and again if it did not go on. */
   comesBack?: boolean;
 }
 
@@ -77,6 +79,8 @@
   readonly body?: string | undefined;
   /** Part of its prompt that several requests have in common. */
   readonly part?: string | undefined;
+  /** The whole prompt, if it has been sent before. */
+  readonly prompt?: string | undefined;
   readonly takesUp?: BrokenStream | undefined;
 }
 
@@ -175,8 +179,9 @@
     const ended = await this.follow(this.send({ daemon, kind, path, onData, body, part }));
     const takesUp = brokenStreamOf(ended);
     if (!takesUp) return ended;
+    const prompt = this.options.comesBack ? ended.prompt : undefined;
     const takeUp = () =>
-      this.send({ daemon: this.choose(), kind, path, body: ended.body, takesUp });
+      this.send({ daemon: this.choose(), kind, path, body: ended.body, prompt, takesUp });
     if (this.options.comesBack) void this.comeBack(takeUp);
     else void this.follow(takeUp());
     return ended;
@@ -206,6 +211,7 @@
     onData,
     body: repeated,
     part,
+    prompt: sentBefore,
     takesUp,
   }: SoakRequest): Promise<Call> {
     this.sent += 1;
@@ -213,9 +219,9 @@
     const body = repeated ?? `body of ${id}`;
     const sentAt = performance.now();
     const parts = part === undefined ? [] : [part];
-    const call = { id, kind, daemon: index, path, body, parts, takesUp, sentAt };
     const given = parts.map((one) => `${one}:100,`).join('');
-    const prompt = `a${this.sent % PROMPTS}:2000,${given}b${this.sent}:50`;
+    const prompt = sentBefore ?? `a${this.sent % PROMPTS}:2000,${given}b${this.sent}:50`;
+    const call = { id, kind, daemon: index, path, body, parts, prompt, takesUp, sentAt };
     const isStream = kind === 'chat' || kind === 'story';
     const headers = {
       'Attempt-Id': id,
