Streams beside a store that holds less, played at 90 and 390 daemons

Cause: the losses of incident stream-versions-without-saved-history had been played at 6 and 20 daemons only.

Change: the simulated fleet keeps the lists of available daemons until they change, instead of filtering all daemons at each look. It counts the lists of cached prompts that runners are asked for, may start daemons one after the other, and its store may lose writes without an answer, as beside a connection that hangs (callers give up after 900 ms).

--- a/src/streamVersions/testStreamFleet.ts
+++ b/src/streamVersions/testStreamFleet.ts
@@ -12,9 +12,9 @@
 import type { Runner } from '../runners/Runner.js';
 import { RunnerAdmission } from '../runners/RunnerAdmission.js';
 import { RunnerTable } from '../runners/RunnerTable.js';
-import type { DaemonEntry } from '../sync/FleetStore.js';
 import { ManualClock } from '../time/ManualClock.js';
 import { StreamVersionTask } from './StreamVersionTask.js';
+import { TestAvailability } from './testAvailability.js';
 import { TestCachedPrompts } from './testCachedPrompts.js';
 import type {
   MessageListener,
@@ -35,9 +35,6 @@
 /** Time until a daemon has learnt of a change of the list of runners, at most; in ms. */
 const LEARNING_MILLISECONDS = 800;
 
-/** Time until other daemons know that one has ended, in ms. */
-const DETECTION_MILLISECONDS = 1_200;
-
 const DOWN_MILLISECONDS = 1_000;
 
 /** Time in which streams begin whose callers come together, in ms. */
@@ -68,6 +65,9 @@
   /** Bytes in these datagrams. */
   sentBytes = 0;
 
+  /** Lists of cached prompts that runners were asked for. */
+  listCalls = 0;
+
   readonly random: () => number;
 
   private readonly options: Required<TestStreamFleetOptions>;
@@ -81,6 +81,12 @@
 
   private readonly byAddress = new Map<string, TestStreamDaemon>();
 
+  private readonly availability = new TestAvailability({
+    daemons: this.daemons,
+    now: () => this.now,
+    after: (milliseconds, call) => this.after(milliseconds, call),
+  });
+
   private nextStream = 0;
 
   /**
@@ -88,9 +94,12 @@
    */
   constructor(options: TestStreamFleetOptions) {
     const defaults = { loss: 0.02, lostByCallers: 0.02, pauseMilliseconds: 100 };
-    this.options = { ...defaults, listsPrompts: false, ...options };
+    this.options = { ...defaults, listsPrompts: false, startSpreadMilliseconds: 0, ...options };
     this.random = seededRandom(options.seed);
-    this.store = new TestStreamStore({ now: () => this.now });
+    this.store = new TestStreamStore({
+      now: () => this.now,
+      later: (call, milliseconds) => this.after(milliseconds, call),
+    });
     this.versions = Array.from({ length: options.runners }, () => FIRST_VERSION);
     for (let index = 0; index < options.daemons; index += 1) {
       const address = `10.1.${Math.floor(index / 250)}.${1 + (index % 250)}:7000`;
@@ -124,9 +133,12 @@
     if (!daemon.isUp) return;
     daemon.task.stop();
     Object.assign(daemon, { isUp: false, endedAt: this.now });
+    this.availability.change();
     for (const stream of daemon.streams) this.takeUpLater(stream);
     daemon.streams.clear();
-    this.after(DOWN_MILLISECONDS, () => this.boot(daemon));
+    const { startSpreadMilliseconds } = this.options;
+    const spread = startSpreadMilliseconds > 0 ? this.random() * startSpreadMilliseconds : 0;
+    this.after(DOWN_MILLISECONDS + spread, () => this.boot(daemon));
   }
 
   /** Ends all daemons at the same moment. */
@@ -142,8 +154,10 @@
    */
   cut(daemon: TestStreamDaemon, milliseconds: number): void {
     Object.assign(daemon, { isCut: true, cutAt: this.now });
+    this.availability.change();
     this.after(milliseconds, () => {
       Object.assign(daemon, { isCut: false, soundSince: this.now });
+      this.availability.change();
       this.learnAll(daemon);
     });
   }
@@ -208,6 +222,7 @@
       runners: new RunnerTable(),
     });
     if (life === 1) Object.assign(daemon, { soundSince: -CONTACT_MILLISECONDS });
+    this.availability.change();
     this.learnAll(daemon);
     const task = new StreamVersionTask({
       daemon: daemon.entry,
@@ -219,13 +234,15 @@
         send: (kind, message, recipients) => this.deliver(daemon, kind, message, recipients),
       },
       runners: () => daemon.runners.list(),
-      daemons: () => this.availableTo(daemon),
+      daemons: () => this.availability.listFor(daemon),
       isListCurrent: () => !daemon.isCut,
-      isFleetWhole: () => this.availableTo(daemon).length === this.daemons.length - 1,
-      fetchPrompts: (runner, done) =>
+      isFleetWhole: () => this.availability.listFor(daemon).length === this.daemons.length - 1,
+      fetchPrompts: (runner, done) => {
+        this.listCalls += 1;
         this.after(this.random() * LONGEST_DELAY_MILLISECONDS, () => {
           if (daemon.isUp && daemon.life === life) done(this.promptsOf(runner));
-        }),
+        });
+      },
       longestStreamMilliseconds: () => LONGEST_STREAM_MILLISECONDS,
       clock: this.clock,
       log: new SilentLog(),
@@ -246,16 +263,6 @@
     task.start();
   }
 
-  private availableTo(daemon: TestStreamDaemon): DaemonEntry[] {
-    const isLost = ({ isUp, isCut, endedAt, cutAt }: TestStreamDaemon) =>
-      (!isUp && this.now - endedAt >= DETECTION_MILLISECONDS) ||
-      (isCut && this.now - cutAt >= DETECTION_MILLISECONDS);
-    const isUnheard = daemon.isCut && this.now - daemon.cutAt >= DETECTION_MILLISECONDS;
-    return this.daemons
-      .filter((other) => other !== daemon && !isUnheard && !isLost(other))
-      .map(({ entry }) => entry);
-  }
-
   private deliver(
     from: TestStreamDaemon,
     kind: MessageKind,
--- a/src/streamVersions/testStreamFleetTypes.ts
+++ b/src/streamVersions/testStreamFleetTypes.ts
@@ -25,6 +25,8 @@
   listsPrompts?: boolean;
   /** Share of streams whose callers lose them without a fault of a daemon. */
   lostByCallers?: number;
+  /** Time over which daemons that ended together start again, in ms: the others do not list those that start late. */
+  startSpreadMilliseconds?: number;
 }
 
 /** What became of the streams that callers took up again. */
--- a/src/streamVersions/testStreamStore.ts
+++ b/src/streamVersions/testStreamStore.ts
@@ -1,6 +1,7 @@
 /**
  * The part of the platform's store that keeps what outlives all daemons, for tests in virtual time.
  */
+import type { CallScheduler } from '../news/MessageRepeater.js';
 import type { FleetStore } from '../sync/FleetStore.js';
 import type { SavedHistory, StreamRecordBatch } from './streamVersionTypes.js';
 
@@ -14,8 +15,13 @@
 export interface TestStreamStoreOptions {
   /** Returns the virtual time, ms. */
   now: () => number;
+  /** Schedules a call. */
+  later: CallScheduler;
 }
 
+/** After how long callers give up that get no answer, in ms. */
+const GIVING_UP_MILLISECONDS = 900;
+
 /** Holds the records and the history, whichever daemons end. */
 export class TestStreamStore {
   /** The history that was saved last. */
@@ -27,6 +33,9 @@
   /** Whether it refuses writes, and answers all other calls. */
   refusesWrites = false;
 
+  /** Whether it neither does nor answers writes, whose callers give up after a while, and answers all other calls. */
+  losesWrites = false;
+
   /** Number of writes of records so far. */
   recordWrites = 0;
 
@@ -41,11 +50,14 @@
 
   private readonly now: () => number;
 
+  private readonly later: CallScheduler;
+
   /**
    * @param options - the clock.
    */
-  constructor({ now }: TestStreamStoreOptions) {
+  constructor({ now, later }: TestStreamStoreOptions) {
     this.now = now;
+    this.later = later;
   }
 
   /**
@@ -81,14 +93,15 @@
    * @returns The store as that daemon sees it.
    */
   seenBy(isReached: () => boolean): StreamStore {
-    const call = async <T>(answer: () => T): Promise<T> => {
+    const call = async <T>(answer: () => T | Promise<T>): Promise<T> => {
       this.calls += 1;
       await Promise.resolve();
       if (this.isSilent || !isReached()) throw new Error('the store does not answer');
       return answer();
     };
     const write = (change: () => void) =>
-      call(() => {
+      call(async () => {
+        if (this.losesWrites) await this.giveUp();
         if (this.refusesWrites) throw new Error('the store takes no writes');
         change();
       });
@@ -116,4 +129,13 @@
         })),
     };
   }
+
+  private giveUp(): Promise<never> {
+    return new Promise((_, fail) => {
+      this.later(() => {
+        this.calls += 1;
+        fail(new Error('the store has not answered in time'));
+      }, GIVING_UP_MILLISECONDS);
+    });
+  }
 }
