Runners are asked for their prompts once for each loss, and again if they do not answer

Cause: each change of the list of daemons made the readers ask all runners again, also where a daemon came back. After a loss of all daemons that come back over 1.5 s, one runner was asked 6.3, 6.8 and 7.4 times (6, 20, 90 daemons, virtual time), and a list delays its work. A runner that did not answer was not asked again until the list of daemons changed.

Change: only a daemon that is lost, or the start of the reader, is a reason to ask. A runner that does not answer is asked a second time.

A runner that serves no list is asked twice by each reader for a loss, once before.

A trial that told daemons that are listed again what had been read before changed no take-up and took up to twice the bytes, so it is left out.

--- a/src/streamVersions/PromptReader.ts
+++ b/src/streamVersions/PromptReader.ts
@@ -40,7 +40,10 @@
 /** Daemons that ask the same runner, because one of them may be about to be found lost. */
 const READERS = 2;
 
-/** How long after the list of available daemons has changed callers take up streams of lost daemons, in ms. */
+/** How often a runner is asked that does not answer, or serves no list. */
+const MAXIMUM_TRIES = 2;
+
+/** How long after a loss callers take up streams of lost daemons, in ms. */
 const WINDOW_MILLISECONDS = 10_000;
 
 /** Shortest time between two lists of one runner, in ms, since a list delays its work. */
@@ -49,33 +52,45 @@
 /** Most runners that are asked at the same time. */
 const MAXIMUM_ASKED = 8;
 
+/** What has come of asking one runner. */
+interface Reading {
+  /** When it was asked last, monotonic ms. */
+  readonly askedAt: number;
+  /** How often it has been asked since the last loss without an answer. */
+  readonly failures: number;
+}
+
+const NOT_ASKED: Reading = { askedAt: Number.NEGATIVE_INFINITY, failures: 0 };
+
 /** Owns the lists that are being read. */
 export class PromptReader {
   private readonly options: PromptReaderOptions;
 
-  /** When each runner was asked last, monotonic ms. */
-  private readonly askedAt = new WeakMap<Runner, number>();
+  private readonly readings = new Map<Runner, Reading>();
 
   private asked = 0;
 
-  private knownDaemons = '';
+  private knownDaemons: ReadonlySet<string> = new Set();
 
-  /** When the list of available daemons changed last, monotonic ms. */
-  private changedAt: number;
+  /** When daemons were lost last, this one among them before its start; monotonic ms. */
+  private lostAt: number;
 
   /**
    * @param options - the runners, and which of them are this daemon's to ask.
    */
   constructor(options: PromptReaderOptions) {
     this.options = options;
-    this.changedAt = this.now;
+    this.lostAt = this.now;
   }
 
   /** Asks the runners that have to be asked now. */
   look(): void {
     const { runners, isNeeded } = this.options;
     this.noteDaemons();
-    if (this.now - this.changedAt >= WINDOW_MILLISECONDS) return;
+    if (this.now - this.lostAt >= WINDOW_MILLISECONDS) {
+      this.readings.clear();
+      return;
+    }
     for (const runner of runners()) {
       if (this.asked >= MAXIMUM_ASKED) return;
       if (this.isDue(runner) && isNeeded(runner.entry.service) && this.isReaderOf(runner))
@@ -87,19 +102,20 @@
     return this.options.clock.monotonicMilliseconds();
   }
 
+  /** Daemons that are listed again have begun nothing that is not known, and read lists themselves. */
   private noteDaemons(): void {
-    const daemons = this.options.daemons().map(({ name }) => name);
-    const known = daemons.sort().join();
-    if (known === this.knownDaemons) return;
-    this.knownDaemons = known;
-    this.changedAt = this.now;
+    const names = this.options.daemons().map(({ name }) => name);
+    const still = names.filter((name) => this.knownDaemons.has(name));
+    if (still.length === names.length && still.length === this.knownDaemons.size) return;
+    if (still.length < this.knownDaemons.size) this.lostAt = this.now;
+    this.knownDaemons = new Set(names);
   }
 
   /** A runner that may have started again may be of another version than its entry says. */
   private isDue(runner: Runner): boolean {
-    const askedAt = this.askedAt.get(runner) ?? Number.NEGATIVE_INFINITY;
+    const { askedAt, failures } = this.readings.get(runner) ?? NOT_ASKED;
     if (runner.restart.isSuspected || this.now - askedAt < PAUSE_MILLISECONDS) return false;
-    return askedAt < this.changedAt;
+    return askedAt < this.lostAt || (failures > 0 && failures < MAXIMUM_TRIES);
   }
 
   private isReaderOf({ entry }: Runner): boolean {
@@ -114,13 +130,18 @@
   private ask(runner: Runner): void {
     const { fetchPrompts, onPrompts, later } = this.options;
     const { service } = runner.entry;
-    this.askedAt.set(runner, this.now);
+    const askedAt = this.now;
+    const before = this.readings.get(runner) ?? NOT_ASKED;
+    // Counts as failed until it answers, so that a runner in doubt is asked again.
+    const failures = before.askedAt < this.lostAt ? 1 : before.failures + 1;
+    this.readings.set(runner, { askedAt, failures });
     this.asked += 1;
-    fetchPrompts(runner, (parts = []) => {
+    fetchPrompts(runner, (parts) => {
       this.asked -= 1;
       // Others may wait for their turn.
       later(() => this.look(), 0);
-      if (runner.restart.isSuspected || runner.successor) return;
+      if (!parts || runner.restart.isSuspected || runner.successor) return;
+      this.readings.set(runner, { askedAt, failures: 0 });
       const { softwareVersion } = runner;
       onPrompts(
         parts.map((part) => ({ service, stream: promptKeyOf({ service, part }), softwareVersion })),
