--- a/src/streamVersions/testOutlivingStreams.ts
+++ b/src/streamVersions/testOutlivingStreams.ts
@@ -16,8 +16,13 @@
 
 const FEWEST_TAKEN_UP = 12;
 
-/** Replaces the first runners, one every so many ms. */
-function planRelease(
+/**
+ * Replaces the first runners, one every so many ms.
+ *
+ * @param fleet - the fleet.
+ * @param plan - when the first one is replaced and the gap, in ms; how many are, and by which version.
+ */
+export function planRelease(
   fleet: TestStreamFleet,
   { from, gap, count, version }: { from: number; gap: number; count: number; version: string },
 ): void {
@@ -26,16 +31,30 @@
   }
 }
 
-function startFleet(options: TestStreamFleetOptions): TestStreamFleet {
+/**
+ * @param options - size of the fleet, its load and its seed.
+ * @returns A fleet whose callers come back within two seconds.
+ */
+export function startFleet(options: TestStreamFleetOptions): TestStreamFleet {
   return new TestStreamFleet({ ...options, lostByCallers: 0, pauseMilliseconds: 2_000 });
 }
 
-function expectUnmixed({ tally }: TestStreamFleet): void {
+/**
+ * Expects no more than two mixed streams.
+ *
+ * @param fleet - a fleet whose callers have taken streams up.
+ */
+export function expectUnmixed({ tally }: TestStreamFleet): void {
   expect(tally.taken).toBeGreaterThanOrEqual(FEWEST_TAKEN_UP);
   expect(tally.mixed).toBeLessThanOrEqual(ALLOWED_MIXED);
 }
 
-function expectGoingOn(fleet: TestStreamFleet): void {
+/**
+ * Expects that streams go on at their versions.
+ *
+ * @param fleet - a fleet whose callers have taken streams up.
+ */
+export function expectGoingOn(fleet: TestStreamFleet): void {
   const { possible, possibleWentOn } = fleet.tally;
   expectUnmixed(fleet);
   expect(possible).toBeGreaterThanOrEqual(FEWEST_TAKEN_UP);
