--- a/src/streamVersions/PromptReader.spec.ts
+++ b/src/streamVersions/PromptReader.spec.ts
@@ -4,62 +4,80 @@
 
 import { MemoryLog } from '../callers/testFakes.js';
 import { MetricRegistry } from '../metrics/MetricRegistry.js';
-import { Runner } from '../runners/Runner.js';
+import { TEST_RUNNER } from '../runners/testRunner.js';
+import { RunnerTable } from '../runners/RunnerTable.js';
+import type { DaemonEntry } from '../sync/FleetStore.js';
 import { ManualClock } from '../time/ManualClock.js';
-import type { PromptFetcher } from './PromptReader.js';
 import { PromptReader } from './PromptReader.js';
 import { StreamKeepers } from './StreamKeepers.js';
 
-const ADDRESS = '10.0.0.1:7000';
+const PAUSE_MILLISECONDS = 1_000;
 
-const DAEMON = {
-  ...{ name: 'daemon', dataCentre: 'here' },
-  ...{ callerAddress: ADDRESS, peerAddress: ADDRESS, newsAddress: ADDRESS },
-};
-
-const RUNNER = new Runner({
-  ...{ id: 'a', life: 'a', service: 'chat', state: 'ready', softwareVersion: 'v1' },
-  ...{ host: '10.0.0.2', port: 80, dataCentre: 'here' },
-});
+function daemonNamed(name: string): DaemonEntry {
+  const address = '10.1.0.1:7000';
+  const addresses = { callerAddress: address, peerAddress: address, newsAddress: address };
+  return { name, dataCentre: 'here', ...addresses };
+}
 
-/** Looks once a second for half a minute. */
-function countQuestions(fetchPrompts: PromptFetcher): { asked: number; told: number } {
+/** A reader beside one runner. It has started a moment ago, and is the only daemon that reads lists. */
+function startReader({ answer }: { answer: readonly string[] | undefined }) {
   const clock = new ManualClock();
+  const runners = new RunnerTable();
+  runners.put(TEST_RUNNER);
   const keepers = new StreamKeepers();
-  keepers.update([DAEMON]);
-  let asked = 0;
-  let told = 0;
+  keepers.update([daemonNamed('own')]);
+  const seen = { asked: 0, prompts: 0, daemons: ['one', 'two'] };
   const reader = new PromptReader({
-    ...{ daemon: DAEMON.name, daemons: () => [], keepers, clock },
-    ...{ log: new MemoryLog(), registry: new MetricRegistry({ clock }) },
-    runners: () => [RUNNER],
+    ...{ daemon: 'own', keepers, clock, log: new MemoryLog() },
+    registry: new MetricRegistry({ clock }),
+    daemons: () => seen.daemons.map(daemonNamed),
+    runners: () => runners.list(),
     isNeeded: () => true,
-    fetchPrompts: (...question) => {
-      asked += 1;
-      fetchPrompts(...question);
+    fetchPrompts: (_, done) => {
+      seen.asked += 1;
+      done(answer);
     },
     onPrompts: (prompts) => {
-      told += prompts.length;
+      seen.prompts += prompts.length;
     },
     later: () => undefined,
   });
-  for (let second = 0; second < 30; second += 1) {
+  const look = () => {
+    clock.advance(PAUSE_MILLISECONDS);
     reader.look();
-    clock.advance(1_000);
-  }
-  return { asked, told };
+  };
+  return { seen, look };
 }
 
-describe(PromptReader.name, () => {
-  it('asks a runner once after a loss', () => {
-    // Guards against lists that delay the work of runners again and again.
-    expect(countQuestions((_, done) => done(['p', 'q']))).toEqual({ asked: 1, told: 2 });
+describe('PromptReader', () => {
+  it('asks a runner once while daemons come back that had been lost before', () => {
+    // Guards against a list for each daemon that starts.
+    const { seen, look } = startReader({ answer: ['part'] });
+    look();
+    for (const name of ['three', 'four', 'five']) {
+      seen.daemons = [...seen.daemons, name];
+      look();
+    }
+    expect([seen.asked, seen.prompts]).toEqual([1, 1]);
+  });
+
+  it('asks a runner again once a daemon has been lost, although another one has come', () => {
+    // Guards against streams of the lost daemon of which nobody has a record.
+    const { seen, look } = startReader({ answer: ['part'] });
+    look();
+    seen.daemons = ['one', 'three'];
+    look();
+    look();
+    expect(seen.asked).toEqual(2);
   });
 
-  it('asks a runner again that has not answered in time, a few times', () => {
-    // Guards against streams that are refused because a busy machine has read no list in time.
-    const answers = [undefined, undefined, ['p']];
-    expect(countQuestions((_, done) => done(answers.shift()))).toEqual({ asked: 3, told: 1 });
-    expect(countQuestions((_, done) => done(undefined))).toEqual({ asked: 4, told: 0 });
+  it('asks a runner again that has not answered, four times for each loss at most', () => {
+    // Guards against lost answers of a busy runner, and against asking a runner for good that has no list.
+    const { seen, look } = startReader({ answer: undefined });
+    for (let count = 0; count < 7; count += 1) look();
+    expect(seen.asked).toEqual(4);
+    seen.daemons = ['one'];
+    for (let count = 0; count < 7; count += 1) look();
+    expect(seen.asked).toEqual(8);
   });
 });
