A stream that goes on takes no event of a runner in doubt

A stream that is bound to a version goes to a runner in doubt when no other one of its version is open, and it took that runner's events while their version was not known (StreamedAnswer.pass let an unknown version pass).

Such bytes are held back now, and the runner is not read, until its version is known: then they are passed, or the attempt fails and the stream goes on elsewhere. Without any evidence the stream ends at its deadline: that is the price where the store is silent, runners report nothing and no other runner of the version is left. A bound stream that breaks off meanwhile stays bound, it does not take the version of a runner whose events it never passed.

--- a/src/streamVersions/RestartNotices.ts
+++ b/src/streamVersions/RestartNotices.ts
@@ -107,6 +107,15 @@
     });
   }
 
+  /**
+   * Asks a runner in doubt which life it is, as a stream waits for it.
+   *
+   * @param runner - the runner.
+   */
+  seekEvidence(runner: Runner): void {
+    this.options.doubts.ask(runner);
+  }
+
   /** Stops sending notices. */
   stop(): void {
     this.news.stop();
--- a/src/streamVersions/StreamVersionSession.ts
+++ b/src/streamVersions/StreamVersionSession.ts
@@ -89,7 +89,8 @@
         : runner.settledVersion;
     return () => {
       const version = isInDoubt ? settledVersion() : runner.answeringVersion;
-      this.doubted = version === undefined ? runner : undefined;
+      // A stream that is bound takes no events of a runner in doubt.
+      this.doubted = version === undefined && !this.options.stream.isBound ? runner : undefined;
       return version;
     };
   }
