--- a/soak/SoakSite.ts
+++ b/soak/SoakSite.ts
@@ -200,7 +200,7 @@
       id,
       service,
       dataCentre,
-      echoes: true,
+      ...{ echoes: true, servesReport: true },
       version: this.rarerVersion,
       isUnframed: this.nextRunner % UNFRAMED_EVERY < 2,
       events: EVENTS,
--- a/src/forwarding/fetchCachedPrompts.ts
+++ b/src/forwarding/fetchCachedPrompts.ts
@@ -29,9 +29,10 @@
       done(parts);
       return;
     }
-    // Asked after the list: an incarnation that is there now was there then, or none that the entry could be of.
-    fetchRunnerLife({ runner, protocol }, (life = runner.entry.life) =>
-      done(life === runner.entry.life ? parts : undefined),
-    );
+    const { id, life } = runner.entry;
+    // Asked after the list: an incarnation that is there now was there then, or none that the entry could be of. A runner
+    // without a start of its own never starts again under its id.
+    if (life === id) done(parts);
+    else fetchRunnerLife({ runner, protocol }, (now) => done(now === life ? parts : undefined));
   });
 }
--- a/src/streamVersions/StreamVersionTask.ts
+++ b/src/streamVersions/StreamVersionTask.ts
@@ -154,6 +154,8 @@
   handleListing(): void {
     this.see();
     this.prompts.look();
+    // Daemons that start a moment later find the history that this one has begun with.
+    if (this.versions.isKnown) this.historyWriter.write(this.moment, this.retentionMilliseconds);
   }
 
   /**
--- a/tests/VersionedFleet.ts
+++ b/tests/VersionedFleet.ts
@@ -115,7 +115,7 @@
       events: EVENTS,
       eventMilliseconds: EVENT_MILLISECONDS,
       slots: 64,
-      echoes: true,
+      ...{ echoes: true, servesReport: true },
       closesAfterMilliseconds,
     });
     this.listed = [...this.listed, { runner, version }];
