--- a/src/streamVersions/VersionHistoryWriter.ts
+++ b/src/streamVersions/VersionHistoryWriter.ts
@@ -19,6 +19,9 @@
 /** How long each further daemon waits for the one before to save a change, in ms. */
 const PLACE_MILLISECONDS = 100;
 
+/** Shortest time from a write that has failed to the next one, in ms. */
+const RETRY_MILLISECONDS = 400;
+
 /** Daemons that save a history again that has not changed; those after them may not hear that it has been saved. */
 const RENEWING_DAEMONS = 3;
 
@@ -31,6 +34,9 @@
 
   private isWriting = false;
 
+  /** When the last write that failed began, monotonic ms. */
+  private failedAt = Number.NEGATIVE_INFINITY;
+
   private mustWrite = false;
 
   /**
@@ -62,7 +68,8 @@
     }
     this.outdatedSince ??= now.monotonic;
     const isDue = now.monotonic - this.outdatedSince >= position * PLACE_MILLISECONDS;
-    if (this.isWriting || position < 0 || !isDue) return;
+    const isPausing = now.monotonic - this.failedAt < RETRY_MILLISECONDS;
+    if (this.isWriting || isPausing || position < 0 || !isDue) return;
     void this.save(now, retentionMilliseconds);
   }
 
@@ -75,6 +82,7 @@
       versions.recordSaved(history);
       this.mustWrite = false;
     } catch (error) {
+      this.failedAt = now.monotonic;
       const fields = { during: 'version_history', error: (error as Error).message };
       log.write(syncLogEvents.registrationFailed, fields);
     }
--- a/src/streamVersions/streamVersions.spec.ts
+++ b/src/streamVersions/streamVersions.spec.ts
@@ -1,8 +1,11 @@
 import { describe, it } from 'node:test';
+import { setImmediate as settle } from 'node:timers/promises';
 
 import { expect } from 'earl';
 
+import { MemoryLog } from '../callers/testFakes.js';
 import { Runner } from '../runners/Runner.js';
+import { syncLogEvents } from '../sync/syncFeature.js';
 import type { DaemonEntry } from '../sync/FleetStore.js';
 import { ServiceVersions } from './ServiceVersions.js';
 import { StreamKeepers } from './StreamKeepers.js';
@@ -10,6 +13,7 @@
 import { StreamRecords } from './StreamRecords.js';
 import { decideTakeUp } from './takeUpDecision.js';
 import type { SeenVersion, StreamVersionView, TakeUpInput } from './takeUpDecision.js';
+import { VersionHistoryWriter } from './VersionHistoryWriter.js';
 
 function runnerOf(id: string, softwareVersion?: string): Runner {
   const place = { host: '10.0.0.1', port: 80, dataCentre: 'here' };
@@ -251,6 +255,27 @@
   });
 });
 
+describe(VersionHistoryWriter.name, () => {
+  it('waits for a while after a write that the store has refused', async () => {
+    // Guards against a write, and a line in the log, for each change of the list while the store takes no writes.
+    const versions = new ServiceVersions({ startedAt: { monotonic: 0, wall: 0 } });
+    versions.see([runnerOf('a', 'v1')], 1);
+    let calls = 0;
+    const saveVersionHistory = () => {
+      calls += 1;
+      return Promise.reject(new Error('the store takes no writes'));
+    };
+    const store = { saveVersionHistory };
+    const log = new MemoryLog();
+    const writer = new VersionHistoryWriter({ store, versions, log, place: () => 0 });
+    for (let now = 0; now < 1_000; now += 50) {
+      writer.write({ monotonic: now, wall: now }, 10_000);
+      await settle();
+    }
+    expect([calls, log.fieldsOf(syncLogEvents.registrationFailed).length]).toEqual([3, 3]);
+  });
+});
+
 describe(StreamRecords.name, () => {
   it('keeps each record for the retention at least, and for twice as long at most', () => {
     const records = new StreamRecords();
