--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -35,9 +35,6 @@
   /** Whether the request waits until runners that refused the connection may be up. */
   private isWaitingForRunner = false;
 
-  /** Whether events wait until the version of their runner is known. */
-  private isWaitingForEvidence = false;
-
   /** Sends the first attempt. */
   start(): void {
     this.endAfterThrow(() => this.begin());
@@ -89,9 +86,8 @@
     }
     this.bufferedAnswers.begin(attempt, answer);
     const { runner } = attempt;
-    if (!isStream) return;
-    this.isWaitingForEvidence = false;
-    this.stream.take(attempt, answer, this.versions.versionAt(runner, attempt.connectedAt));
+    if (isStream)
+      this.stream.take(attempt, answer, this.versions.versionAt(runner, attempt.connectedAt));
   }
 
   override received(attempt: RunnerAttempt, chunk: Buffer): void {
@@ -113,25 +109,9 @@
     if (progress === 'event') this.quarantine.streamed(attempt, this.now());
     if (this.relay.hasHead) this.firstAnswerAt ??= this.now();
     if (this.stream.isBound) this.versions.record(attempt.runner);
-    if (progress === 'held_back') this.waitForEvidence(attempt);
     if (progress === 'excess' || progress === 'rejected') attempt.breakOff();
   }
 
-  /** The stream goes on once it is known whether its runner still has the version that began it. */
-  private waitForEvidence(attempt: RunnerAttempt): void {
-    const { context, request } = this;
-    if (!this.isWaitingForEvidence) context.onEvidenceNeeded?.(attempt.runner);
-    this.isWaitingForEvidence = true;
-    this.timer.set(Math.min(this.now() + VERSION_CHECK_MILLISECONDS, request.deadlineAt));
-  }
-
-  private continueWithEvidence(): void {
-    const attempt = [...this.active].find((one) => this.stream.isFrom(one));
-    if (attempt && this.stream.hasHeldBack) this.receiveEvents(attempt, this.stream.release());
-    if (this.stream.hasHeldBack) return;
-    if (!this.relay.isDone && this.active.size > 0) this.scheduleCheck();
-  }
-
   override ended(attempt: RunnerAttempt): void {
     if (this.stream.isFrom(attempt) && this.stream.isBrokenOff) {
       this.failed(attempt, 'broken');
@@ -340,10 +320,6 @@
       return;
     }
     if (this.continueWithVersion()) return;
-    if (this.stream.hasHeldBack) {
-      this.continueWithEvidence();
-      return;
-    }
     if (this.isWaitingForRunner) {
       this.isWaitingForRunner = false;
       this.tried.readmitRefusing();
--- a/src/forwarding/StreamedAnswer.ts
+++ b/src/forwarding/StreamedAnswer.ts
@@ -22,10 +22,9 @@
 
 /**
  * What a chunk of a stream has brought: `event`: a complete event with an id or data; `no_event`: none; `excess`: none,
- * in more bytes than a stream may have without one; `rejected`: the caller's answer belongs to another attempt;
- * `held_back`: the bytes wait, as the version of their runner is not known.
+ * in more bytes than a stream may have without one; `rejected`: the caller's answer belongs to another attempt.
  */
-export type StreamProgress = 'event' | 'no_event' | 'excess' | 'rejected' | 'held_back';
+export type StreamProgress = 'event' | 'no_event' | 'excess' | 'rejected';
 
 /**
  * @param answer - answer of a runner.
@@ -52,10 +51,7 @@
 
   private paused = false;
 
-  /** Missing if another daemon forwards the answer, and says nothing of the version. */
-  private versionOf: (() => string | undefined) | undefined;
-
-  private heldBack: Buffer[] = [];
+  private versionOf: () => string | undefined = () => undefined;
 
   /**
    * @param relay - writes to the caller.
@@ -111,7 +107,11 @@
    * @param answer - head of its answer; only the first head is sent to the caller.
    * @param versionOf - returns the software version of the runner that answers.
    */
-  take(attempt: AnswerSource, answer: IncomingMessage, versionOf?: () => string | undefined): void {
+  take(
+    attempt: AnswerSource,
+    answer: IncomingMessage,
+    versionOf: () => string | undefined = () => undefined,
+  ): void {
     this.attempt = attempt;
     this.answer = answer;
     this.versionOf = versionOf;
@@ -125,49 +125,27 @@
    * @returns What the chunk has brought; after `excess` and `rejected` the attempt that supplies the stream has to be failed.
    */
   pass(chunk: Buffer): StreamProgress {
-    if (this.isVersionDoubted) {
-      this.holdBack(chunk);
-      return 'held_back';
-    }
-    const version = this.versionOf?.();
-    const { versionBefore = version } = this;
-    // The runner has started again at another version than the one that the stream was to go on at.
-    if (version !== versionBefore && version !== undefined) return 'rejected';
     const { bytesSinceEvent: before } = this.cut;
     const events = this.cut.push(chunk);
     const { bytesSinceEvent } = this.cut;
     if (bytesSinceEvent > MAXIMUM_BYTES_WITHOUT_EVENT) return 'excess';
     if (!events) return 'no_event';
+    const version = this.versionOf();
+    const { versionBefore = version } = this;
+    // The runner has started again at another version than the one that the stream was to go on at.
+    if (version !== versionBefore && version !== undefined) return 'rejected';
     this.boundVersion = version ?? this.boundVersion;
     if (!this.begin()) return 'rejected';
     this.forward(events);
     return bytesSinceEvent < before + chunk.length ? 'event' : 'no_event';
   }
 
-  /** @returns Whether bytes wait until the version of their runner is known. */
-  get hasHeldBack(): boolean {
-    return this.heldBack.length > 0;
-  }
-
-  /**
-   * Lets the runner go on.
-   *
-   * @returns The bytes that have waited, to be passed again.
-   */
-  release(): Buffer {
-    const chunk = Buffer.concat(this.heldBack);
-    this.heldBack = [];
-    this.paused = false;
-    this.answer?.resume();
-    return chunk;
-  }
-
   /**
    * @returns Whether the stream, whose answer has ended, was broken off: inside an event, or before the first one where
    * only the end of the connection ends the answer.
    */
   get isBrokenOff(): boolean {
-    if (this.cut.isInsideEvent || this.hasHeldBack) return true;
+    if (this.cut.isInsideEvent) return true;
     const isEmpty = !this.relay.hasHead;
     return isEmpty && this.answer !== undefined && framingOf(this.answer) === 'until_close';
   }
@@ -195,23 +173,10 @@
     if (this.attempt) this.relay.release(this.attempt);
     this.attempt = undefined;
     this.paused = false;
-    this.heldBack = [];
     this.cut.drop();
     return partialBytes;
   }
 
-  /** Whether the stream is to go on at a version which its runner may not have any more. */
-  private get isVersionDoubted(): boolean {
-    const { versionOf, versionBefore } = this;
-    return versionOf !== undefined && versionBefore !== undefined && versionOf() === undefined;
-  }
-
-  private holdBack(chunk: Buffer): void {
-    this.heldBack.push(chunk);
-    this.paused = true;
-    this.answer?.pause();
-  }
-
   /** Pauses the runner while the caller does not keep up; otherwise the stream would accumulate in memory. */
   private forward(events: Buffer): void {
     const { answer, attempt } = this;
--- a/src/router/createForwardingContext.ts
+++ b/src/router/createForwardingContext.ts
@@ -97,7 +97,6 @@
     selector: coordination.selector,
     onConnectionRefused: (runner) => coordination.restartNotices.recordLost(runner, 'refused'),
     onConnectionBroken: (runner) => coordination.restartNotices.recordBroken(runner),
-    onEvidenceNeeded: (runner) => coordination.restartNotices.seekEvidence(runner),
     statements: new RunnerNotices({
       protocol,
       clock,
--- a/src/streamVersions/RestartDoubts.ts
+++ b/src/streamVersions/RestartDoubts.ts
@@ -12,10 +12,10 @@
 import type { Clock } from '../time/Clock.js';
 
 /**
- * Why a runner may have started again. `connection_closed`: its instance has closed an idle connection;
- * `connection_broken`: the connection of a request was lost; `refused`: it has refused one; `notice`: another daemon says so.
+ * Why a runner may have started again. `connection_closed`: its instance has closed an idle connection; `refused`: it has
+ * refused one; `notice`: another daemon says so.
  */
-export type DoubtCause = 'connection_closed' | 'connection_broken' | 'refused' | 'notice';
+export type DoubtCause = 'connection_closed' | 'refused' | 'notice';
 
 /**
  * What has ended a doubt. `entry`: the entry of another life; `report`: the runner's own report; `list`: the list, current
@@ -47,13 +47,6 @@
   renewAt: number;
 }
 
-/** What a runner has said about a doubt, and when it was asked, monotonic ms. */
-interface ReceivedReport {
-  readonly doubt: Doubt;
-  readonly life: string | undefined;
-  readonly askedAt: number;
-}
-
 /** Listener for doubts that last while the list cannot be confirmed. */
 export type LastingListener = (runner: Runner, isSeen: boolean) => void;
 
@@ -147,29 +140,6 @@
     if (doubt) doubt.renewAt = this.nextRenewal;
   }
 
-  /**
-   * Asks a runner in doubt which life it is.
-   *
-   * @param runner - the runner.
-   * @param done - called once, synchronously or later, when it has been asked; the doubt may have ended by then.
-   */
-  ask(runner: Runner, done: () => void = () => undefined): void {
-    const doubt = this.doubts.get(runner);
-    if (!doubt || doubt.isAsking || this.asked >= MAXIMUM_ASKED) {
-      done();
-      return;
-    }
-    const askedAt = this.now;
-    doubt.isAsking = true;
-    this.asked += 1;
-    this.options.fetchLife(runner, (life) => {
-      doubt.isAsking = false;
-      this.asked -= 1;
-      this.takeReport(runner, { doubt, life, askedAt });
-      done();
-    });
-  }
-
   /** Ends the task. */
   stop(): void {
     this.isStopped = true;
@@ -231,11 +201,20 @@
     this.ask(runner);
   }
 
-  private takeReport(runner: Runner, { doubt, life, askedAt }: ReceivedReport): void {
-    if (life === undefined || this.doubts.get(runner) !== doubt) return;
-    const finding = runner.restart.takeReport(life === runner.entry.life, askedAt);
-    if (finding === 'same_life') this.end(runner, 'report');
-    if (finding === 'restarted') this.recordRestarted(runner, doubt);
+  private ask(runner: Runner): void {
+    const doubt = this.doubts.get(runner);
+    if (!doubt) return;
+    const askedAt = this.now;
+    doubt.isAsking = true;
+    this.asked += 1;
+    this.options.fetchLife(runner, (life) => {
+      doubt.isAsking = false;
+      this.asked -= 1;
+      if (life === undefined || this.doubts.get(runner) !== doubt) return;
+      const finding = runner.restart.takeReport(life === runner.entry.life, askedAt);
+      if (finding === 'same_life') this.end(runner, 'report');
+      if (finding === 'restarted') this.recordRestarted(runner, doubt);
+    });
   }
 
   /** The doubt is over; the runner is kept until its entry is known, for new daemons to be told. */
--- a/src/streamVersions/RestartNotices.spec.ts
+++ b/src/streamVersions/RestartNotices.spec.ts
@@ -127,27 +127,6 @@
     expect(countFor(1, 'v1')).toEqual(RUNNERS / 2 - 1);
   });
 
-  it('get no streams once a request has broken off there, although no connection was idle', () => {
-    // Guards against a runner that crashes under requests only, and is taken for the same one after it.
-    const [runner] = runnersOf(0);
-    notices[0]!.recordBroken(runner!);
-    pass(STEP_MILLISECONDS);
-    expect([0, 1, 2].map((daemon) => countFor(daemon, 'v1'))).toEqual([2, 2, 2]);
-    pass(KNOWN_MILLISECONDS + LOOK_MILLISECONDS);
-    expect([0, 1, 2].map((daemon) => countFor(daemon, 'v1'))).toEqual([3, 3, 3]);
-  });
-
-  it('get streams when they report the life of their entries after a request has broken off', () => {
-    // Guards against a fleet that doubts each runner that loses an answer.
-    reportedLife = 'runner-0';
-    const [runner] = runnersOf(0);
-    notices[0]!.recordBroken(runner!);
-    expect([0, 1, 2].map((daemon) => countFor(daemon, 'v1'))).toEqual([3, 3, 3]);
-    expect(asked).toEqual(['runner-0']);
-    pass(KNOWN_MILLISECONDS);
-    expect([0, 1, 2].map((daemon) => countFor(daemon, 'v1'))).toEqual([3, 3, 3]);
-  });
-
   it('are told to others unless data proves that they have not started again', () => {
     // Guards against a fleet that doubts each runner that closes an idle connection.
     const [runner] = runnersOf(0);
--- a/src/streamVersions/RestartNotices.ts
+++ b/src/streamVersions/RestartNotices.ts
@@ -12,7 +12,7 @@
 import type { CallScheduler, RepeatedItem } from '../news/MessageRepeater.js';
 import type { Runner } from '../runners/Runner.js';
 import type { RunnerTable } from '../runners/RunnerTable.js';
-import type { RestartDoubts } from './RestartDoubts.js';
+import type { DoubtCause, RestartDoubts } from './RestartDoubts.js';
 
 /** Options of {@link RestartNotices}. */
 export interface RestartNoticesOptions {
@@ -79,7 +79,7 @@
    * @param runner - the runner.
    * @param cause - which of them.
    */
-  recordLost(runner: Runner, cause: 'connection_closed' | 'refused'): void {
+  recordLost(runner: Runner, cause: Exclude<DoubtCause, 'notice'>): void {
     const isNew = this.options.doubts.begin(runner, cause);
     const { lostAt } = runner.restart;
     if (isNew) this.held.set(runner, lostAt);
@@ -88,32 +88,12 @@
   }
 
   /**
-   * Records that the connection of a request at a runner was lost: it proves nothing any more, and where no connection was
-   * idle it is the only evidence. As answers get lost without a restart too, others are told only if nothing proves the life.
+   * Records that the connection of a request at a runner was lost, so that it proves nothing any more.
    *
    * @param runner - the runner.
    */
   recordBroken(runner: Runner): void {
-    const { doubts } = this.options;
-    if (!doubts.begin(runner, 'connection_broken')) {
-      this.tell(runner);
-      return;
-    }
-    const { lostAt } = runner.restart;
-    this.held.set(runner, lostAt);
-    this.later(() => this.tellUnproven(runner, lostAt), PROOF_MILLISECONDS);
-    doubts.ask(runner, () => {
-      if (runner.inFlight === 0) this.tellUnproven(runner, lostAt);
-    });
-  }
-
-  /**
-   * Asks a runner in doubt which life it is, as a stream waits for it.
-   *
-   * @param runner - the runner.
-   */
-  seekEvidence(runner: Runner): void {
-    this.options.doubts.ask(runner);
+    if (runner.restart.isSuspected) this.tell(runner);
   }
 
   /** Stops sending notices. */
--- a/src/streamVersions/StreamVersionSession.ts
+++ b/src/streamVersions/StreamVersionSession.ts
@@ -89,8 +89,7 @@
         : runner.settledVersion;
     return () => {
       const version = isInDoubt ? settledVersion() : runner.answeringVersion;
-      // A stream that is bound takes no events of a runner in doubt.
-      this.doubted = version === undefined && !this.options.stream.isBound ? runner : undefined;
+      this.doubted = version === undefined ? runner : undefined;
       return version;
     };
   }
