A version on hold is left out in one place, and only while another one is open

The check of a coordinator's choice refused every runner on hold, also where all of them are: each new stream then went by the daemon's own choice as long as the store could not be told of the only version. Both ways ask the same rule now.

That rule ran over all runners for every request, and left out those of other regions, which changed the share of runners in doubt that new streams avoid. It returns at once for requests that need no version, and leaves out nothing but versions on hold.

--- a/src/coordination/CoordinatedSelector.spec.ts
+++ b/src/coordination/CoordinatedSelector.spec.ts
@@ -123,14 +123,22 @@
   });
 
   it('begins no stream at a runner whose version is on hold here, although the coordinator names it', async () => {
-    // Guards against streams of a version that the store does not name: after a loss of all daemons they would count as
-    // those of the other one. The coordinator may have heard of the version earlier, or be of an older build.
+    // Guards against streams of a version that the store does not name, begun by a coordinator of an older build.
     held = new Set(['runner-2']);
     const chosen = select({ ...questionOf(), needsVersion: true });
     socket.answer(1, 'runner-2');
     expect((await chosen)?.runner.entry.id).toEqual('runner-1');
   });
 
+  it('keeps to the coordinator where all versions are on hold', async () => {
+    // Guards against choices by what one daemon knows, as long as the store cannot be told of the only version.
+    held = new Set(['runner-1', 'runner-2']);
+    const chosen = select({ ...questionOf(), needsVersion: true });
+    socket.answer(1, 'runner-2');
+    const choice = await chosen;
+    expect([choice?.runner.entry.id, choice?.reason]).toEqual(['runner-2', 'warm']);
+  });
+
   it('chooses locally without an answer, and skips the coordinator after two timeouts', async () => {
     // Guards against requests that hang while a coordinator is frozen: a daemon that can choose by itself must not
     // wait for a coordinator that does not answer.
--- a/src/coordination/CoordinatedSelector.ts
+++ b/src/coordination/CoordinatedSelector.ts
@@ -289,10 +289,11 @@
     // rate.
     const isAcceptable =
       runner !== undefined &&
-      runners.takesNewWork(runner) &&
+      admission
+        .withBeginnableVersion(runners.readyOf(runner.entry.service), question)
+        .includes(runner) &&
       admission.rejectionReasonFor(runner, question) === undefined &&
       !(question.needsVersion === true && runner.restart.isSuspected) &&
-      !admission.isOnHold(runner, question) &&
       (answer.isCold || !admission.isCold(runner, question.now));
     if (!isAcceptable || !isChoiceReason(answer.reason)) return choice.choose(question);
     choice.rememberChoice(question.sharedParts, answer.life);
--- a/src/runners/RunnerAdmission.ts
+++ b/src/runners/RunnerAdmission.ts
@@ -122,6 +122,24 @@
     return open.filter((runner) => coldStarts.mayNonOwnerSend(runner, now));
   }
 
+  /**
+   * Leaves out the runners of a version at which a new stream must not begin yet, as long as there are others. Not even a
+   * lack of room makes them eligible: a stream there could not be told from those of the other versions later on.
+   *
+   * @param runners - all runners of the service that accept new work.
+   * @param question - the request.
+   * @returns Those that have no version on hold; all if no other one is in the regions of the request.
+   */
+  withBeginnableVersion(
+    runners: readonly Runner[],
+    { needsVersion, softwareVersion, homeRegions }: AdmissionQuestion,
+  ): readonly Runner[] {
+    if (needsVersion !== true || softwareVersion !== undefined) return runners;
+    const beginnable = runners.filter((runner) => this.mayBeginAt(runner));
+    const hasOther = beginnable.some((runner) => this.isInHomeRegion(runner, homeRegions));
+    return hasOther ? beginnable : runners;
+  }
+
   /**
    * Leaves out the runners that may have started again, at another version perhaps. If most of them may have, this daemon's
    * own link has failed rather than they; a stream that has begun keeps to the others all the same.
@@ -139,30 +157,6 @@
     return known.length >= fewest ? known : runners;
   }
 
-  /**
-   * @param runner - a runner that accepts new work.
-   * @param question - the request.
-   * @returns Whether the request is a new stream that must not begin yet at the runner's version.
-   */
-  isOnHold(runner: Runner, { needsVersion, softwareVersion }: AdmissionQuestion): boolean {
-    return needsVersion === true && softwareVersion === undefined && !this.mayBeginAt(runner);
-  }
-
-  /**
-   * Leaves out the runners of a version at which a new stream must not begin yet, as long as there are others. Not even a
-   * lack of room makes them eligible: a stream there could not be told from those of the other versions later on.
-   */
-  private withBeginnableVersion(
-    runners: readonly Runner[],
-    question: AdmissionQuestion,
-  ): readonly Runner[] {
-    const open = runners.filter(
-      (runner) =>
-        this.isInHomeRegion(runner, question.homeRegions) && !this.isOnHold(runner, question),
-    );
-    return open.length > 0 ? open : runners;
-  }
-
   /** The entry of a runner that has started again says nothing of its version any more. */
   private mayHaveVersion(runner: Runner, softwareVersion: string | undefined): boolean {
     if (softwareVersion === undefined) return true;
