--- a/src/streamVersions/HistoryReport.ts
+++ b/src/streamVersions/HistoryReport.ts
@@ -43,7 +43,7 @@
     log.write(forwardingLogEvents.historyTaken, {
       isHistorySaved: savedAtStart !== undefined,
       isHistoryComplete: wasCompleteAtStart,
-      historyAgeMilliseconds: savedAgeAtStart && Math.round(savedAgeAtStart),
+      historyAgeMilliseconds: savedAgeAtStart,
       services: services.slice(0, MAXIMUM_SERVICES),
       moreServices: Math.max(0, services.length - MAXIMUM_SERVICES),
     });
--- a/src/streamVersions/ServiceVersions.ts
+++ b/src/streamVersions/ServiceVersions.ts
@@ -72,8 +72,6 @@
 
   private isLoaded = false;
 
-  private wasComplete = false;
-
   /** The history as it was when this daemon started; `undefined` if none was read before the list of runners. */
   private firstSaved: SavedHistory | undefined;
 
@@ -94,13 +92,14 @@
 
   /** @returns Whether the history, as it was when this daemon started, named all versions at which streams had begun. */
   get wasCompleteAtStart(): boolean {
-    return this.wasComplete;
+    const { completeAt = Number.NEGATIVE_INFINITY } = this.firstSaved ?? {};
+    return Math.abs(this.startedAt.wall - completeAt) < COMPLETE_MILLISECONDS;
   }
 
   /** @returns Age of the saved history when this daemon started, in ms; `undefined` if it does not say. */
   get savedAgeAtStart(): number | undefined {
     const { completeAt = 0 } = this.firstSaved ?? {};
-    return completeAt === 0 ? undefined : this.startedAt.wall - completeAt;
+    return completeAt === 0 ? undefined : Math.round(this.startedAt.wall - completeAt);
   }
 
   /** @returns The versions that the store named when this daemon started; `undefined` if it had no history. */
@@ -116,10 +115,7 @@
    */
   load(saved: SavedHistory, now: Moment): void {
     this.saved = saved;
-    if (!this.isLoaded) {
-      this.firstSaved = saved;
-      this.wasComplete = Math.abs(this.startedAt.wall - saved.completeAt) < COMPLETE_MILLISECONDS;
-    }
+    if (!this.isLoaded) this.firstSaved = saved;
     for (const [service, versions] of saved.versions) {
       for (const [softwareVersion, goneAt] of versions) {
         // Clocks of instances differ, so that a time may seem to be in the future.
@@ -182,7 +178,7 @@
       .map(([softwareVersion, { isNewSinceStart }]) => ({
         softwareVersion,
         // A history that lacks a version says nothing of when that version came.
-        isNewSinceStart: isNewSinceStart && this.wasComplete,
+        isNewSinceStart: isNewSinceStart && this.wasCompleteAtStart,
       }));
   }
 
@@ -298,7 +294,7 @@
 
   /** Whether no stream can be taken up that began at a version that this daemon does not know. */
   private knowsAll({ monotonic }: Moment): boolean {
-    return this.wasComplete || monotonic - this.startedAt.monotonic >= RECOVERY_MILLISECONDS;
+    return this.wasCompleteAtStart || monotonic - this.startedAt.monotonic >= RECOVERY_MILLISECONDS;
   }
 
   private isPresent(service: string, softwareVersion: string): boolean {
--- a/src/streamVersions/StreamRecords.ts
+++ b/src/streamVersions/StreamRecords.ts
@@ -1,6 +1,7 @@
 /**
  * Remembers for a while which software version began each stream.
  */
+import { GenerationMap } from '../collections/GenerationMap.js';
 
 /**
  * Maximum number of streams in each of the two generations: as many as a daemon hears of in half a minute when it
@@ -10,18 +11,14 @@
 
 /** Records in two generations; the older one is dropped as a whole. */
 export class StreamRecords {
-  private recent = new Map<bigint, string>();
-
-  private older: ReadonlyMap<bigint, string> = new Map();
-
-  private turnedAt = Number.NEGATIVE_INFINITY;
+  private readonly versions = new GenerationMap<bigint, string>(MAXIMUM_STREAMS);
 
   /**
    * @param stream - key of a stream.
    * @returns The software version that began it, or `undefined` if it is not known.
    */
   versionOf(stream: bigint): string | undefined {
-    return this.recent.get(stream) ?? this.older.get(stream);
+    return this.versions.get(stream);
   }
 
   /**
@@ -29,14 +26,12 @@
    * @param softwareVersion - version that began it.
    */
   record(stream: bigint, softwareVersion: string): void {
-    if (this.recent.size >= MAXIMUM_STREAMS) this.turn();
-    this.recent.set(stream, softwareVersion);
+    this.versions.set(stream, softwareVersion);
   }
 
   /** @returns All records, the older ones first. */
-  *entries(): Generator<readonly [bigint, string]> {
-    yield* this.older;
-    yield* this.recent;
+  entries(): Generator<readonly [bigint, string]> {
+    return this.versions.entries();
   }
 
   /**
@@ -46,13 +41,6 @@
    * @param retentionMilliseconds - how long each record has to be kept; it is dropped after twice that time.
    */
   expire(now: number, retentionMilliseconds: number): void {
-    if (now - this.turnedAt < retentionMilliseconds) return;
-    this.turnedAt = now;
-    this.turn();
-  }
-
-  private turn(): void {
-    this.older = this.recent;
-    this.recent = new Map();
+    this.versions.expire(now, retentionMilliseconds);
   }
 }
--- a/src/streamVersions/StreamVersionTask.ts
+++ b/src/streamVersions/StreamVersionTask.ts
@@ -163,6 +163,7 @@
    * @returns Whether streams may begin there that callers may take up again, see {@link ServiceVersions.mayBegin}.
    */
   mayBeginAt({ entry: { service }, softwareVersion }: Runner): boolean {
+    if (this.versions.mayBegin(service, softwareVersion, this.now)) return true;
     return !this.options.followsStore() || this.held.mayBegin(service, softwareVersion);
   }
 
@@ -324,9 +325,10 @@
   private viewOf({ stream, service, prompt }: AskedStream): StreamVersionView {
     // What a daemon that is not heard has begun, at a new version perhaps, has a record nowhere else. And without a runner
     // of an older version, streams begin at a new one before the store knows of it.
+    const seen = this.versionsOf(service);
     const mayRuleOut =
-      this.isYoung && this.options.isFleetWhole() && this.hasReadyRunnerOfOldVersion(service);
-    const versions = this.versionsOf(service).map((one) => ({
+      this.isYoung && this.options.isFleetWhole() && this.hasReadyRunnerOfOld(service, seen);
+    const versions = seen.map((one) => ({
       ...one,
       isNewSinceStart: one.isNewSinceStart && mayRuleOut,
     }));
@@ -338,8 +340,10 @@
     };
   }
 
-  private hasReadyRunnerOfOldVersion(service: string): boolean {
-    const old = this.versionsOf(service).filter(({ isNewSinceStart }) => !isNewSinceStart);
+  /** Looks at the runners only where there is a version to rule out. */
+  private hasReadyRunnerOfOld(service: string, seen: readonly SeenVersion[]): boolean {
+    const old = seen.filter(({ isNewSinceStart }) => !isNewSinceStart);
+    if (old.length === seen.length) return false;
     const versions = new Set(old.map(({ softwareVersion }) => softwareVersion));
     return this.options
       .runners()
@@ -363,7 +367,7 @@
       ...{ own: this.viewOf(asked), others },
       isListCurrent: this.options.isListCurrent(),
       isHistoryComplete: this.isHistoryComplete,
-      isPromptMissing: asked.prompt !== undefined && this.prompts.hasAny,
+      arePromptsListed: asked.prompt !== undefined && this.prompts.hasAny,
       keepers: this.keepers.keepersOf(stream).length,
     });
   }
--- a/src/streamVersions/TakeUpReport.ts
+++ b/src/streamVersions/TakeUpReport.ts
@@ -90,7 +90,7 @@
       newVersions: versions.filter((one) => one.isNewSinceStart).length,
       runningMilliseconds: Math.round(now - runningSince),
       isHistoryComplete: wasCompleteAtStart,
-      historyAgeMilliseconds: savedAgeAtStart && Math.round(savedAgeAtStart),
+      historyAgeMilliseconds: savedAgeAtStart,
       isLoaded,
       mayPass,
     });
--- a/src/streamVersions/streamVersions.spec.ts
+++ b/src/streamVersions/streamVersions.spec.ts
@@ -42,7 +42,7 @@
   const isListCurrent = true;
   const keepers = 6;
 
-  type TestInput = Omit<TakeUpInput, 'isHistoryComplete' | 'isPromptMissing'> &
+  type TestInput = Omit<TakeUpInput, 'isHistoryComplete' | 'arePromptsListed'> &
     Partial<TakeUpInput>;
 
   const cases: readonly (readonly [string, TestInput, string | undefined])[] = [
@@ -111,7 +111,7 @@
       {
         own: beforeSecond,
         others: [beforeSecond, several],
-        ...{ isListCurrent, keepers, isPromptMissing: true },
+        ...{ isListCurrent, keepers, arePromptsListed: true },
       },
       undefined,
     ],
@@ -162,7 +162,7 @@
 
   for (const [name, input, expected] of cases) {
     it(name, () => {
-      const decision = decideTakeUp({ isHistoryComplete: true, isPromptMissing: false, ...input });
+      const decision = decideTakeUp({ isHistoryComplete: true, arePromptsListed: false, ...input });
       expect(decision.evidence === 'unknown' ? undefined : decision.softwareVersion).toEqual(
         expected,
       );
--- a/src/streamVersions/takeUpDecision.ts
+++ b/src/streamVersions/takeUpDecision.ts
@@ -35,8 +35,8 @@
   readonly keepers: number;
   /** Whether this daemon knows all versions at which the stream may have begun, from the store or by having run for long. */
   readonly isHistoryComplete: boolean;
-  /** Whether runners have listed their prompts, so that one with this stream's prompt would have named it. */
-  readonly isPromptMissing: boolean;
+  /** Whether the stream has a prompt, and runners have listed theirs. */
+  readonly arePromptsListed: boolean;
 }
 
 /**
@@ -61,16 +61,17 @@
  * @returns The version, and by what evidence.
  */
 export function decideTakeUp(input: TakeUpInput): TakeUpDecision {
-  const { own, others: answers, isListCurrent, isHistoryComplete, isPromptMissing } = input;
-  const views = [own, ...answers];
+  const { own, others, isListCurrent, isHistoryComplete } = input;
+  const views = [own, ...others];
   const recorded = views.find((view) => view.recorded !== undefined)?.recorded;
   if (recorded !== undefined) return { evidence: 'recorded', softwareVersion: recorded };
-  const [cachedAt, ...others] = new Set(views.flatMap(({ promptVersions }) => promptVersions));
-  if (cachedAt !== undefined && others.length === 0) {
-    return { evidence: 'cached_prompt', softwareVersion: cachedAt };
+  const cachedAt = new Set(views.flatMap(({ promptVersions }) => promptVersions));
+  const [onlyCachedAt] = cachedAt;
+  if (onlyCachedAt !== undefined && cachedAt.size === 1) {
+    return { evidence: 'cached_prompt', softwareVersion: onlyCachedAt };
   }
   // Without the store and without any other daemon, the list may be older than the stream.
-  const isConfirmed = isListCurrent || answers.length > 0;
+  const isConfirmed = isListCurrent || others.length > 0;
   if (!isConfirmed || !isHistoryComplete || views.some(({ versions }) => versions === undefined)) {
     return { evidence: 'unknown' };
   }
@@ -81,7 +82,7 @@
   if (only !== undefined && seen.size === 1)
     return { evidence: 'only_version', softwareVersion: only };
   // Ruling out rests on what the store was told. The runners have said more.
-  if (isPromptMissing) return { evidence: 'unknown' };
+  if (input.arePromptsListed) return { evidence: 'unknown' };
   const needed = Math.min(KEEPERS_THAT_RULE_OUT, Math.max(1, input.keepers));
   const isRuledOut = (version: string) =>
     views.filter(
