--- a/review/6/scenario.ts
+++ b/review/6/scenario.ts
@@ -10,10 +10,11 @@
 import { runScenario } from '../harness/Site.js';
 import type { Site } from '../harness/Site.js';
 
-/** The head of such a request stays below `max_header_bytes`, which is 16,384. */
-const FIRST_PART_CHARACTERS = 9_000;
+/** Parts of a prompt; the head of such a request stays below `max_header_bytes`, which is 16,384. */
+const PARTS = 1_400;
 
-const OTHER_PARTS = 800;
+/** Odd, so that different numbers give different ids. */
+const SPREAD = 2_654_435_761n;
 
 /** Between two requests to the same daemon, in ms. */
 const PAUSE_MILLISECONDS = 300;
@@ -33,15 +34,17 @@
 const FAULTY_ENDS = 3;
 const FAULTY_MACHINES = 2;
 
-let lastRequest = 0;
+let lastPart = 0n;
+
+function nextPart(): string {
+  lastPart += 1n;
+  const id = BigInt.asUintN(32, lastPart * SPREAD);
+  return `${id.toString(16).padStart(8, '0')}:2`;
+}
 
 /** Without the disruption, the same client names two parts in each request. */
 function promptOf(isCalm: boolean): string {
-  lastRequest += 1;
-  const name = lastRequest.toString(16);
-  if (isCalm) return `${name}:300,ffff:100`;
-  const others = Array.from({ length: OTHER_PARTS }, (_, part) => `${part.toString(16)}:1`);
-  return [`${name.padStart(FIRST_PART_CHARACTERS, 'a')}:300`, ...others].join();
+  return Array.from({ length: isCalm ? 2 : PARTS }, nextPart).join();
 }
 
 async function sendLongPrompts(site: Site, daemon: Daemon, until: number): Promise<void> {
@@ -49,7 +52,7 @@
     const prompt = promptOf(site.isCalm);
     const answer = await send({
       ...{ address: daemon.addresses.callers, path: '/chat/x', deadlineMilliseconds: 5_000 },
-      headers: { Model: 'm', 'Token-Usage': '900,4', 'Prompt-Prefix': prompt },
+      headers: { Model: 'm', 'Token-Usage': '2800,4', 'Prompt-Prefix': prompt },
     });
     const { status, milliseconds } = answer;
     site.note(`${daemon.name} prompt of ${prompt.length} bytes: ${status} in ${milliseconds} ms`);
--- a/review/harness/Daemon.ts
+++ b/review/harness/Daemon.ts
@@ -8,7 +8,6 @@
 import { readFileSync, writeFileSync } from 'node:fs';
 import { get } from 'node:http';
 import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
 import { join } from 'node:path';
 import process from 'node:process';
 import { setTimeout as wait } from 'node:timers/promises';
@@ -38,15 +37,33 @@
   zone?: string;
 }
 
-/** @returns A loopback address whose port was free a moment ago. */
-export async function freeAddress(): Promise<string> {
+/** Ports below those that the operating system gives to outgoing connections. */
+const FIRST_PORT = 18_000;
+const PORTS = 12_000;
+
+const usedPorts = new Set<number>();
+
+async function isFree(port: number): Promise<boolean> {
   const server = createServer();
-  server.listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const { port } = server.address() as AddressInfo;
+  const opened = await new Promise<boolean>((done) => {
+    server.once('error', () => done(false));
+    server.listen(port, '127.0.0.1', () => done(true));
+  });
+  if (!opened) return false;
   server.close();
   await once(server, 'close');
-  return `127.0.0.1:${port}`;
+  return true;
+}
+
+/** @returns A loopback address whose port is free. */
+export async function freeAddress(): Promise<string> {
+  for (;;) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORTS);
+    if (!usedPorts.has(port) && (await isFree(port))) {
+      usedPorts.add(port);
+      return `127.0.0.1:${port}`;
+    }
+  }
 }
 
 /** @returns Addresses for one daemon. */
--- a/review/harness/Runner.ts
+++ b/review/harness/Runner.ts
@@ -14,9 +14,13 @@
 
 const SLOTS = 64;
 
+/** A runner takes whatever the configuration allows clients to send. */
+const MAXIMUM_HEADER_BYTES = 131_072;
+
 /** A request that began to run. */
 export interface Run {
   readonly attempt: string;
+  readonly prompt: string;
   readonly runner: string;
   readonly version: string;
   readonly after: number;
@@ -36,6 +40,9 @@
   prefillMilliseconds?: number;
   /** Time of a plain request, in ms. */
   workMilliseconds?: number;
+  /** Whether a prompt crashes the runner as soon as it begins to write an answer; it is back after some seconds. */
+  isFatal?: (prompt: string) => boolean;
+  onCrash?: (runner: string) => void;
   /** Writes to the platform's store, or removes the key. */
   write: (key: string, value: object | undefined) => void;
   onRun: (run: Run) => void;
@@ -48,8 +55,13 @@
   eventMilliseconds: 100,
   prefillMilliseconds: 300,
   workMilliseconds: 20,
+  isFatal: () => false,
+  onCrash: () => undefined,
 };
 
+/** Time from a crash to the next start, in ms. */
+const CRASHED_MILLISECONDS = 3_000;
+
 /** Serves requests on a loopback port. */
 export class Runner {
   readonly id: string;
@@ -68,6 +80,8 @@
 
   private running = 0;
 
+  private isClosed = false;
+
   private state: 'ready' | 'draining' = 'ready';
 
   private heartbeat: NodeJS.Timeout | undefined;
@@ -84,10 +98,17 @@
     return this.running;
   }
 
+  /** Ends it for good. */
+  close(): void {
+    this.isClosed = true;
+    this.stop();
+  }
+
   /** Starts it, also after its end, at the same address and under the same id. */
   async start(): Promise<void> {
+    if (this.isClosed) return;
     if (this.address === '') this.address = await freeAddress();
-    this.server = createServer((request, response) => {
+    this.server = createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES }, (request, response) => {
       void this.take(request, response);
     });
     this.server.keepAliveTimeout = 5_000;
@@ -102,6 +123,7 @@
 
   /** Ends it without notice; its entry stays in the store. */
   stop(): void {
+    this.born = 0;
     clearInterval(this.heartbeat);
     this.server?.close();
     this.server?.closeAllConnections();
@@ -164,7 +186,8 @@
     response.once('close', () => {
       this.running -= 1;
     });
-    options.onRun({ attempt, runner, version, after, at: performance.now() });
+    const prompt = String(headers['prompt-prefix'] ?? '');
+    options.onRun({ attempt, prompt, runner, version, after, at: performance.now() });
     const common = {
       'Attempt-Id': attempt,
       'Response-Seal': `seal.${runner}.${this.born}`,
@@ -174,7 +197,7 @@
     if (headers['prompt-prefix'] !== undefined) {
       response.writeHead(200, { ...common, 'Content-Type': 'text/event-stream' });
       response.flushHeaders();
-      await this.stream(response, after, version);
+      await this.stream(response, { after, version, prompt });
       return;
     }
     await wait(options.workMilliseconds);
@@ -183,9 +206,19 @@
       response.writeHead(200, { ...common, 'Content-Length': body.length }).end(body);
   }
 
-  private async stream(response: ServerResponse, after: number, version: string): Promise<void> {
+  private async stream(
+    response: ServerResponse,
+    { after, version, prompt }: Pick<Run, 'after' | 'version' | 'prompt'>,
+  ): Promise<void> {
     const { prefillMilliseconds, eventMilliseconds, events } = this.options;
+    const { born } = this;
     await wait(prefillMilliseconds);
+    if (response.destroyed || born !== this.born) return;
+    if (this.options.isFatal(prompt)) {
+      this.options.onCrash(this.id);
+      await this.restart(CRASHED_MILLISECONDS);
+      return;
+    }
     for (let event = after + 1; event <= events; event += 1) {
       if (response.destroyed) return;
       response.write(`id: ${event}\ndata: ${version} ${this.id} ${event}\n\n`);
--- a/review/harness/Site.ts
+++ b/review/harness/Site.ts
@@ -87,7 +87,7 @@
   /** Ends all processes, and writes the record and the logs. */
   async stop(): Promise<void> {
     for (const daemon of this.daemons) await daemon.kill();
-    for (const runner of this.runners) runner.stop();
+    for (const runner of this.runners) runner.close();
     this.store.stop();
     const folder = process.env.RECORD_FOLDER ?? '.';
     writeFileSync(join(folder, 'record.txt'), `${this.lines.join('\n')}\n`);
--- a/review/harness/configuration.ts
+++ b/review/harness/configuration.ts
@@ -48,11 +48,13 @@
 /**
  * @param version - its version.
  * @param routes - its routes.
+ * @param limits - limits for clients that differ from the usual ones.
  * @returns The configuration as the store holds it.
  */
 export function configuration(
   version: number,
   routes: readonly Record<string, unknown>[] = ROUTES,
+  limits: Readonly<Record<string, number>> = {},
 ): object {
   return {
     version,
@@ -66,6 +68,7 @@
       max_body_bytes: 4_194_304,
       header_timeout_ms: 3_000,
       idle_timeout_ms: 15_000,
+      ...limits,
     },
     tenants: [{ name: 'hule930', api_keys: [KEY], priority: 1 }],
   };
