--- a/review/9/scenario.ts
+++ b/review/9/scenario.ts
@@ -1,58 +1,90 @@
 /**
- * A daemon gets SIGTERM a second time while it finishes the requests that it has read.
+ * One part of long prompts crashes each runner that begins to write an answer on it. Sound requests share all other parts.
  */
 import { setTimeout as wait } from 'node:timers/promises';
 
-import { followStream, send } from '../harness/Client.js';
+import { followStream } from '../harness/Client.js';
 import { runScenario } from '../harness/Site.js';
 
-const WORK_MILLISECONDS = 3_000;
+const PARTS = Number(process.env.PARTS ?? 40);
 
-const CALLS = 10;
+/** Position of the part that crashes runners, counted from 0. */
+const FATAL_POSITION = PARTS - 4;
 
-/** Between the two signals, in ms. */
-const PAUSE_MILLISECONDS = 1_000;
+const FATAL = 'dead';
+
+const SOUND = 'beef';
+
+/** How long requests come, in ms. */
+const LENGTH_MILLISECONDS = 60_000;
+
+/** Between two requests with the fatal part, in ms. */
+const FATAL_PAUSE_MILLISECONDS = 1_500;
+
+/** Between two sound requests, in ms. */
+const SOUND_PAUSE_MILLISECONDS = 200;
+
+const CONTACT_MILLISECONDS = 3_000;
+
+const CRASHES_BEFORE = 5;
+
+const REQUESTS_ALLOWED = 3;
+
+let lastRequest = 0;
+
+function promptWith(part: string): string {
+  lastRequest += 1;
+  const shared = Array.from({ length: PARTS }, (_, position) =>
+    position === FATAL_POSITION ? `${part}:50` : `a${position.toString(16)}:50`,
+  );
+  return [...shared, `c${lastRequest.toString(16)}:100`].join();
+}
+
+function hasFatalPart(prompt: string): boolean {
+  return prompt.split(',').some((entry) => entry.startsWith(`${FATAL}:`));
+}
 
 void runScenario(async (site) => {
+  const crashes: number[] = [];
+  const engine = { service: 'engine', events: 10, prefillMilliseconds: 200 };
   await site.start({
     daemons: 3,
-    runners: [
-      { id: 'p1', service: 'plain', workMilliseconds: WORK_MILLISECONDS },
-      { id: 'p2', service: 'plain', workMilliseconds: WORK_MILLISECONDS },
-      { id: 'e1', service: 'engine', events: 40 },
-      { id: 'e2', service: 'engine', events: 40 },
-    ],
+    runners: ['r1', 'r2', 'r3', 'r4'].map((id) => ({
+      ...engine,
+      id,
+      isFatal: hasFatalPart,
+      onCrash: (runner) => {
+        crashes.push(performance.now());
+        site.note(`${runner} crashes`);
+      },
+    })),
   });
-  const [stopped] = site.daemons;
-  if (!stopped) throw new Error('there is no daemon');
-  const { callers: address } = stopped.addresses;
-  const calls = Array.from({ length: CALLS }, (_, index) =>
-    send({ address, path: `/reserve/${index}`, body: 'x', deadlineMilliseconds: 10_000 }),
-  );
-  const streams = Array.from({ length: CALLS }, (_, index) =>
-    followStream({ addresses: () => [address], prompt: `a1:300,c${index}:100`, retries: 0 }),
+  const until = performance.now() + LENGTH_MILLISECONDS;
+  const requests: Promise<boolean>[] = [];
+  const sendEach = async (pause: number, part: string) => {
+    while (performance.now() < until) {
+      const prompt = promptWith(part);
+      const followed = followStream({
+        ...{ addresses: () => site.addresses(), prompt },
+        ...{ retries: 0, deadlineMilliseconds: 5_000 },
+      });
+      requests.push(followed.then(({ isComplete }) => part === SOUND && !isComplete));
+      await wait(pause);
+    }
+  };
+  await Promise.all([
+    sendEach(SOUND_PAUSE_MILLISECONDS, SOUND),
+    sendEach(FATAL_PAUSE_MILLISECONDS, site.isCalm ? SOUND : FATAL),
+  ]);
+  const lost = (await Promise.all(requests)).filter((isLost) => isLost).length;
+  site.note(`${crashes.length} crashes; ${lost} of ${requests.length} sound requests not whole`);
+  const fifthAt = crashes[CRASHES_BEFORE - 1] ?? Number.POSITIVE_INFINITY;
+  const late = site.runs.filter(
+    ({ prompt, at }) => hasFatalPart(prompt) && at > fifthAt + CONTACT_MILLISECONDS,
   );
-  await wait(500);
-  site.note(`SIGTERM to ${stopped.name}`);
-  stopped.signal('SIGTERM');
-  await wait(PAUSE_MILLISECONDS);
-  if (!site.isCalm) {
-    site.note(`SIGTERM to ${stopped.name} once more`);
-    stopped.signal('SIGTERM');
-  }
-  const answers = await Promise.all(calls);
-  const followed = await Promise.all(streams);
-  const broken: string[] = [];
-  for (const { id, status, isComplete } of answers) {
-    const run = site.runs.find(({ attempt }) => attempt === id);
-    site.note(`call ${id} status ${status} complete ${isComplete} run at ${run?.runner}`);
-    if (run && !isComplete) broken.push(`call ${id} was read and run, and has no whole answer`);
-  }
-  for (const { attempts, events, isComplete } of followed) {
-    const [attempt] = attempts;
-    const run = site.runs.find((one) => one.attempt === attempt?.id);
-    site.note(`stream ${attempt?.id} complete ${isComplete} with ${events.length} events`);
-    if (run && !isComplete) broken.push(`stream ${attempt?.id} was read and run, and is cut`);
-  }
-  return broken;
+  if (late.length <= REQUESTS_ALLOWED) return [];
+  return [
+    `${late.length} requests with the fatal part reached runners later than ${CONTACT_MILLISECONDS} ms ` +
+      `after the fifth of ${crashes.length} crashes`,
+  ];
 });
--- a/review/harness/Runner.ts
+++ b/review/harness/Runner.ts
@@ -82,6 +82,9 @@
 
   private isClosed = false;
 
+  /** Tokens of the parts of prompts that it has read since its start, by id. */
+  private readonly parts = new Map<string, number>();
+
   private state: 'ready' | 'draining' = 'ready';
 
   private heartbeat: NodeJS.Timeout | undefined;
@@ -98,6 +101,11 @@
     return this.running;
   }
 
+  /** The list of what it keeps: an empty text, the id, the tokens and the model of each part. */
+  private get held(): [string, string, number, string][] {
+    return [...this.parts].map(([id, tokens]) => ['', id, tokens, 'm']);
+  }
+
   /** Ends it for good. */
   close(): void {
     this.isClosed = true;
@@ -116,6 +124,7 @@
     this.born = Date.now();
     this.sequence = 0;
     this.running = 0;
+    this.parts.clear();
     this.state = 'ready';
     this.register();
     this.heartbeat = setInterval(() => this.register(), HEARTBEAT_MILLISECONDS);
@@ -164,7 +173,7 @@
     }
     if (url === '/v1/report') this.report(response);
     else if (url === '/v1/kv-list')
-      response.end(JSON.stringify({ epoch: this.born, next: 1, held: [] }));
+      response.end(JSON.stringify({ epoch: this.born, next: 1, held: this.held }));
     else if (url.startsWith('/v1/')) response.writeHead(404).end();
     else await this.run(request, response);
   }
@@ -187,6 +196,10 @@
       this.running -= 1;
     });
     const prompt = String(headers['prompt-prefix'] ?? '');
+    for (const part of prompt.split(',')) {
+      const [id = '', tokens] = part.split(':');
+      if (id !== '') this.parts.set(id, Number(tokens));
+    }
     options.onRun({ attempt, prompt, runner, version, after, at: performance.now() });
     const common = {
       'Attempt-Id': attempt,
