--- a/review/harness/Daemon.ts
+++ b/review/harness/Daemon.ts
@@ -99,6 +99,13 @@
   };
 }
 
+/** Processes that have not ended; a scenario that ends early must not leave them behind. */
+const running = new Set<ChildProcess>();
+
+process.once('exit', () => {
+  for (const child of running) child.kill('SIGKILL');
+});
+
 /** Starts, signals and ends the process. */
 export class Daemon {
   readonly name: string;
@@ -137,7 +144,9 @@
     child.stderr.on('data', (chunk: Buffer) => {
       this.log += String(chunk);
     });
+    running.add(child);
     child.once('exit', (exitCode, signalCode) => {
+      running.delete(child);
       const reason = /FATAL ERROR: .*/u.exec(this.log)?.[0] ?? '';
       this.ends.push(`status ${exitCode}, signal ${signalCode} ${reason}`);
     });
--- a/review/harness/Site.ts
+++ b/review/harness/Site.ts
@@ -108,6 +108,8 @@
  * @param scenario - resolves to what broke the rule; empty if it held.
  */
 export async function runScenario(scenario: (site: Site) => Promise<string[]>): Promise<void> {
+  // A signal ends the process without its exit handlers, which end the daemons.
+  for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => process.exit(2));
   const site = new Site();
   const timer = setTimeout(() => {
     process.stdout.write('the scenario took too long\n');
