Prompts of many parts no longer end daemons: segments, keys of bounded length, a bound in bytes

Cause: places of cached prompts were kept by the text of all parts up to there, 8.8 MB for such a prompt, built up to four times for each choice, with a bound for the number of keys only; the keys were told to other daemons and saved too. Ruled out: heads and answers, which count towards the memory of clients.

Change: a request keeps about a hundred segments of its prompt at most; keys have 64 characters at most, longer ones are digests of the key before and the next part; WarmPlaces has a bound in bytes from the heap, which holds for what others tell and save as well; ids of more than 64 characters are replaced by digests. Keys of short prompts stay what they were.

--- a/src/coordination/ChoiceServer.ts
+++ b/src/coordination/ChoiceServer.ts
@@ -18,6 +18,7 @@
 import type { RunnerQuestion } from '../generated/baobabdock/v1/news_pb.js';
 import { parseAddress } from '../http/parseAddress.js';
 import type { FleetSocket } from '../news/FleetSocket.js';
+import { boundedSegmentIds } from '../prompts/promptSegments.js';
 import type { Choice, ChoiceQuestion } from '../runners/RunnerChoice.js';
 import type { Clock } from '../time/Clock.js';
 import type { GrantedWork, GrantLedger } from './GrantLedger.js';
@@ -73,7 +74,7 @@
   private choiceQuestionOf(question: RunnerQuestion, now: number): ChoiceQuestion {
     return {
       service: question.service,
-      sharedParts: question.sharedParts,
+      sharedParts: boundedSegmentIds(question.sharedParts),
       tried: new Set(question.excludedLives),
       isRetry: question.isRetry,
       homeRegions: question.homeRegions.length > 0 ? question.homeRegions : undefined,
--- a/src/coordination/CoordinatedSelector.ts
+++ b/src/coordination/CoordinatedSelector.ts
@@ -22,6 +22,7 @@
 import { parseAddress } from '../http/parseAddress.js';
 import type { Log } from '../logging/Log.js';
 import type { FleetSocket } from '../news/FleetSocket.js';
+import { wholeKey } from '../prompts/prefixKeys.js';
 import type { Choice, ChoiceQuestion, RunnerChoice } from '../runners/RunnerChoice.js';
 import { isChoiceReason } from '../runners/RunnerChoice.js';
 import type { ChoiceListener, SelectionRefusal } from '../runners/RunnerSelector.js';
@@ -171,7 +172,7 @@
   private coordinatorFor({ sharedParts, service, now }: ChoiceQuestion): DaemonEntry | undefined {
     const coordinators = this.options.coordinators();
     if (coordinators.length === 0) return undefined;
-    const key = sharedParts.length > 0 ? sharedParts.join() : service;
+    const key = wholeKey(sharedParts) || service;
     return coordinatorsInOrder(coordinators, key).find(({ name }) =>
       this.health.isUsable(name, now),
     );
--- a/src/coordination/questionWorkload.ts
+++ b/src/coordination/questionWorkload.ts
@@ -4,6 +4,7 @@
  */
 import { boundedTokens } from '../capacity/capacityTypes.js';
 import type { RunnerQuestion } from '../generated/baobabdock/v1/news_pb.js';
+import { boundedSegmentParts } from '../prompts/promptSegments.js';
 import type { ChoiceQuestion } from '../runners/RunnerChoice.js';
 
 /** The fields of a question that describe the work of its request. */
@@ -74,7 +75,10 @@
     work:
       session === ''
         ? undefined
-        : { parts: [...shared, { id: session, tokens: ownTokens }], answerTokens },
+        : {
+            parts: boundedSegmentParts([...shared, { id: session, tokens: ownTokens }]),
+            answerTokens,
+          },
     urgency: question.urgency,
     clientAccount: question.clientAccount,
     targetAt: now + question.targetMilliseconds,
--- a/src/forwarding/RequestReport.ts
+++ b/src/forwarding/RequestReport.ts
@@ -3,6 +3,7 @@
  * and the values on which the decision was based.
  */
 import type { LogEvent } from '../logging/logEvent.js';
+import { wholeKey } from '../prompts/prefixKeys.js';
 import type { Runner } from '../runners/Runner.js';
 import type { Choice } from '../runners/RunnerChoice.js';
 import type { RunnerOutcome } from '../runners/RunnerHealth.js';
@@ -217,9 +218,9 @@
     });
   }
 
-  /** Ids of the parts of the prompt that other requests share. */
+  /** Ids of the parts of the prompt that other requests share; a digest stands for those at the beginning of a long one. */
   private get parts(): string | undefined {
-    return this.request.sharedParts.join() || undefined;
+    return wholeKey(this.request.sharedParts) || undefined;
   }
 
   /** Software version of a stream's runner, at which the stream has to go on. */
--- a/src/forwarding/admitRequest.ts
+++ b/src/forwarding/admitRequest.ts
@@ -3,13 +3,14 @@
  */
 import type { IncomingHttpHeaders, IncomingMessage } from 'node:http';
 
+import { segmentIds, segmentParts } from '../prompts/promptSegments.js';
 import { homeRegionsOf } from '../routes/homeRegions.js';
 import { RouteTable } from '../routes/RouteTable.js';
 import type { ClientAccount, Route } from '../routes/routeTypes.js';
 import type { DaemonAnswer } from './AnswerRelay.js';
 import { passingHeaders } from './forwardedHeaders.js';
 import type { AdmittedRequest, ForwardingContext, TakenUpStream } from './forwardingTypes.js';
-import type { HeaderNames } from './RunnerProtocol.js';
+import type { HeaderNames, RunnerProtocol } from './RunnerProtocol.js';
 
 /** The admitted request, or the error answer to a rejected one. */
 export type Admission =
@@ -48,8 +49,28 @@
 
 const HIGHEST_URGENCY_RANK = 9;
 
+/** What a request keeps of its prompt. */
+type AdmittedPrompt = Pick<AdmittedRequest, 'sharedParts' | 'allSharedParts' | 'work'>;
+
+const NO_PROMPT: AdmittedPrompt = { sharedParts: [], allSharedParts: () => [], work: undefined };
+
 let requestsWithoutId = 0;
 
+/** A prompt may have thousands of parts, so that the request keeps its segments only. */
+function promptOf(
+  protocol: RunnerProtocol,
+  headers: IncomingHttpHeaders,
+  route: Route,
+): AdmittedPrompt {
+  if (!route.cachesPrompts) return NO_PROMPT;
+  const work = protocol.workOf(headers);
+  return {
+    sharedParts: segmentIds(protocol.sharedPartsOf(headers)),
+    allSharedParts: () => protocol.sharedPartsOf(headers),
+    work: work && { ...work, parts: segmentParts(work.parts) },
+  };
+}
+
 function rejected(status: number, reason: string, retryAfterSeconds?: number): Admission {
   return { kind: 'rejected', own: { status, reason, retryAfterSeconds } };
 }
@@ -195,8 +216,7 @@
       method,
       target: url,
       headers: runnerHeaders(request, context, route, account),
-      sharedParts: route.cachesPrompts ? context.protocol.sharedPartsOf(headers) : [],
-      work: route.cachesPrompts ? context.protocol.workOf(headers) : undefined,
+      ...promptOf(context.protocol, headers, route),
       urgency: urgencyOf(route, account),
       takesUp,
       arrivedAt,
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -94,8 +94,10 @@
   readonly target: string;
   /** Flat list of names and values: the caller's forwarded headers and those that are the same for each attempt. */
   readonly headers: readonly string[];
-  /** Ids of the parts of the prompt that other requests share, the outermost first. */
+  /** Ids of the segments of the prompt that other requests share, the outermost first; see `promptSegments`. */
   readonly sharedParts: readonly string[];
+  /** Reads the ids of all shared parts from the head, which are too many to be kept. */
+  readonly allSharedParts: () => readonly string[];
   /** Tokens of its prompt and answer; missing if the caller does not state them. */
   readonly work?: RequestWork | undefined;
   /** 0 is the most urgent. */
--- a/src/forwarding/testRequest.ts
+++ b/src/forwarding/testRequest.ts
@@ -360,6 +360,7 @@
       target: '/chat/',
       headers: ['Host', 'chat.example', 'Request-Id', 'r-1'],
       sharedParts: [],
+      allSharedParts: () => [],
       urgency: 0,
       takesUp,
       arrivedAt,
--- a/src/handover/testPeers.ts
+++ b/src/handover/testPeers.ts
@@ -263,6 +263,7 @@
       target: '/path?query',
       headers: ['Host', 'x', 'Last-Event', '1'],
       sharedParts: [],
+      allSharedParts: () => [],
       urgency: 0,
       arrivedAt: now,
       deadlineAt: now + DEADLINE_MILLISECONDS,
--- a/src/placement/CachedPrompt.ts
+++ b/src/placement/CachedPrompt.ts
@@ -3,6 +3,7 @@
  */
 import { promptTokensOf } from '../capacity/capacityTypes.js';
 import type { RequestWork } from '../capacity/capacityTypes.js';
+import { prefixKeys } from '../prompts/prefixKeys.js';
 import type { WarmPlaces } from '../runners/WarmPlaces.js';
 
 /** Copying a cached prompt takes about a tenth of the time of reading it. */
@@ -40,9 +41,9 @@
     let tokens = 0;
     let copyable = 0;
     let lives: readonly string[] = [];
-    for (const [index] of sharedParts.entries()) {
+    for (const [index, key] of prefixKeys(sharedParts).entries()) {
       tokens += work.parts[index]?.tokens ?? 0;
-      lives = warmPlaces.livesOf(sharedParts.slice(0, index + 1).join());
+      lives = warmPlaces.livesOf(key);
       for (const life of lives) this.cached.set(life, tokens);
       if (lives.some(canCopy)) copyable = tokens;
     }
--- a/src/placement/CompletionPlacement.ts
+++ b/src/placement/CompletionPlacement.ts
@@ -6,6 +6,7 @@
  */
 import type { CapacityView } from '../capacity/CapacityView.js';
 import type { RequestWork } from '../capacity/capacityTypes.js';
+import { wholeKey } from '../prompts/prefixKeys.js';
 import { rendezvousOrder } from '../routing/rendezvous.js';
 import type { Runner } from '../runners/Runner.js';
 import type { ChoiceQuestion } from '../runners/RunnerChoice.js';
@@ -108,7 +109,7 @@
     const near = this.nearAlternatives(usable, prompt, question);
     const scored = usable.map((runner) => this.score(runner, prompt, question, near));
     const staying = this.stayingAmong(scored, prompt, question);
-    return this.bestOf(staying.length > 0 ? staying : scored, sharedParts.join());
+    return this.bestOf(staying.length > 0 ? staying : scored, wholeKey(sharedParts));
   }
 
   /**
--- a/src/runners/RunnerChoice.ts
+++ b/src/runners/RunnerChoice.ts
@@ -8,6 +8,7 @@
 import type { PlacementEstimate } from '../placement/placementTypes.js';
 import { FixedHopCost } from '../placement/SpillCost.js';
 import type { SpillCost } from '../placement/SpillCost.js';
+import { prefixKeys, wholeKey } from '../prompts/prefixKeys.js';
 import { rendezvousOrder } from '../routing/rendezvous.js';
 import type { Runner } from './Runner.js';
 import type { AdmissionQuestion } from './RunnerAdmission.js';
@@ -119,11 +120,6 @@
 /** Largest random cost, as requests of load; it breaks ties so that daemons do not all choose the same runner. */
 const MAXIMUM_TIE_BREAK_COST = 0.2;
 
-/** Returns a key for each prefix of the shared parts, as a part is cached only together with all parts before it. */
-function prefixKeys(sharedParts: readonly string[]): string[] {
-  return sharedParts.map((_, index) => sharedParts.slice(0, index + 1).join());
-}
-
 /** Requests above the mean of the candidates up to which a runner is never full, however many runners are left out. */
 const LEAST_SLACK_REQUESTS = 1;
 
@@ -253,7 +249,7 @@
     if (sharedParts.length === 0) {
       return { runner: this.leastLoaded(pool), reason: 'least_loaded' };
     }
-    const key = sharedParts.join();
+    const key = wholeKey(sharedParts);
     const chosen = this.warmOrHashed(pool, key);
     const cacheSource = this.cacheSourceFor(pool, chosen.runner);
     this.rememberAll(sharedParts, chosen.runner.entry.life);
@@ -268,7 +264,7 @@
     const estimate = { runner, unreadTokens, expectedMilliseconds };
     if (sharedParts.length === 0) return { ...estimate, reason: 'least_loaded' };
     const { warmPlaces } = this.options;
-    const key = sharedParts.join();
+    const key = wholeKey(sharedParts);
     const places = warmPlaces.livesOf(key);
     const cacheSource = this.cacheSourceFor(pool, runner);
     this.rememberAll(sharedParts, runner.entry.life);
@@ -304,7 +300,7 @@
    */
   private cacheSourceFor({ question }: CandidatePool, chosen: Runner): Runner | undefined {
     const { warmPlaces, runners } = this.options;
-    for (const key of prefixKeys(question.sharedParts).reverse()) {
+    for (const key of [...prefixKeys(question.sharedParts)].reverse()) {
       const places = warmPlaces.livesOf(key);
       if (places.includes(chosen.entry.life)) return undefined;
       const source = places.find((life) => this.canCopy(life, question));
--- a/src/runners/WarmPlaces.ts
+++ b/src/runners/WarmPlaces.ts
@@ -8,11 +8,22 @@
  * choice.
  */
 
-/**
- * Maximum number of keys, more than the shared prompts of a large site. The least recently used key is dropped first.
- */
+import { heapShare } from '../memory/heapShare.js';
+import { boundedId } from '../prompts/promptSegments.js';
+
+/** Maximum number of keys, more than the shared prompts of a large site. */
 const MAXIMUM_KEYS = 20_000;
 
+/** Share of the heap that all keys and places may take. */
+const HEAP_SHARE = 1 / 24;
+
+/** Memory of a key and of a place besides their characters, in bytes. */
+const KEY_BYTES = 160;
+const PLACE_BYTES = 24;
+
+/** Longest name of an incarnation that is remembered, in characters. */
+const MAXIMUM_LIFE_LENGTH = 256;
+
 /**
  * Maximum number of places of one key: its first runner, and those that took over when that was full or unavailable.
  */
@@ -25,13 +36,35 @@
   readonly lives: readonly string[];
 }
 
+/** Options of {@link WarmPlaces}. */
+export interface WarmPlacesOptions {
+  /** Bound of all keys and places, in bytes. */
+  maximumBytes?: number;
+}
+
+function bytesOf(key: string, lives: readonly string[]): number {
+  return lives.reduce((sum, life) => sum + PLACE_BYTES + life.length, KEY_BYTES + key.length);
+}
+
 /** An LRU cache of places by key. */
 export class WarmPlaces {
+  private readonly maximumBytes: number;
+
+  /** Estimated memory of the keys and places. */
+  private bytes = 0;
+
   private readonly places = new Map<string, readonly string[]>();
 
   /** How often this daemon has used each key, for as long as the key is remembered. */
   private readonly uses = new Map<string, number>();
 
+  /**
+   * @param options - the bound.
+   */
+  constructor({ maximumBytes = heapShare(HEAP_SHARE) }: WarmPlacesOptions = {}) {
+    this.maximumBytes = maximumBytes;
+  }
+
   /**
    * Looks up the places of a key.
    *
@@ -52,11 +85,11 @@
   remember(key: string, life: string): boolean {
     const known = this.places.get(key) ?? [];
     const isNew = !known.includes(life) && known.length < MAXIMUM_PLACES;
-    this.places.delete(key);
-    this.places.set(key, isNew ? [...known, life] : known);
-    if (this.places.size > MAXIMUM_KEYS) {
+    this.set(key, isNew ? [...known, life] : known, { isUsed: true });
+    while (this.places.size > MAXIMUM_KEYS || this.bytes > this.maximumBytes) {
       const [oldest] = this.places.keys();
-      if (oldest !== undefined) this.forget(oldest);
+      if (oldest === undefined) break;
+      this.forget(oldest);
     }
     return isNew;
   }
@@ -85,7 +118,7 @@
    * @param life - incarnation of the runner that the other daemon sent a request to.
    */
   learn(key: string, life: string): void {
-    this.remember(key, life);
+    if (life.length <= MAXIMUM_LIFE_LENGTH) this.remember(boundedId(key), life);
   }
 
   /**
@@ -97,7 +130,7 @@
   prune(key: string, isListed: (life: string) => boolean): void {
     const known = this.places.get(key);
     if (!known || known.every(isListed)) return;
-    this.places.set(key, known.filter(isListed));
+    this.set(key, known.filter(isListed));
   }
 
   /**
@@ -110,7 +143,7 @@
   forgetRunner(life: string): void {
     for (const [key, lives] of this.places) {
       if (lives.includes(life)) {
-        this.places.set(
+        this.set(
           key,
           lives.filter((one) => one !== life),
         );
@@ -136,11 +169,21 @@
    */
   import(stored: readonly WarmPlace[]): void {
     for (const { key, lives } of stored) {
-      if (!this.places.has(key)) for (const id of lives) this.learn(key, id);
+      if (!this.places.has(boundedId(key))) for (const id of lives) this.learn(key, id);
     }
   }
 
+  /** The least recently used key is dropped first, so a key that is used goes to the end. */
+  private set(key: string, lives: readonly string[], { isUsed = false } = {}): void {
+    const known = this.places.get(key);
+    if (known) this.bytes -= bytesOf(key, known);
+    if (isUsed) this.places.delete(key);
+    this.places.set(key, lives);
+    this.bytes += bytesOf(key, lives);
+  }
+
   private forget(key: string): void {
+    this.bytes -= bytesOf(key, this.livesOf(key));
     this.places.delete(key);
     this.uses.delete(key);
   }
--- a/src/streamVersions/streamKey.ts
+++ b/src/streamVersions/streamKey.ts
@@ -3,6 +3,8 @@
  */
 import { createHash } from 'node:crypto';
 
+import { boundedId } from '../prompts/promptSegments.js';
+
 /** What a stream is known by. */
 export interface StreamName {
   readonly service: string;
@@ -38,5 +40,5 @@
  * @returns A hash of 64 bits, never 0.
  */
 export function promptKeyOf({ service, part }: PromptName): bigint {
-  return hashOf(['prompt', service, part]) || 1n;
+  return hashOf(['prompt', service, boundedId(part)]) || 1n;
 }
