Bytes behind a whole answer do not turn it into a failure

What callers saw: a 502 in place of a whole answer with Connection: close behind which the runner sent more bytes. Cause: the HTTP parser of Node.js 20.20 reports an error for such bytes, earlier ones passed over them; the attempt took each error of its request for a broken answer, also behind the end. Change: an error of the parser behind the end of the answer ends nothing. Measured: src/forwarding/brokenHeads.spec.ts, 'names no body where none may follow', fails before with this version of Node.js and passes after; the other tests of that folder's answers pass.

--- a/src/forwarding/RunnerAttempt.ts
+++ b/src/forwarding/RunnerAttempt.ts
@@ -93,6 +93,9 @@
   return status >= SUCCESS && status < REDIRECT;
 }
 
+/** Prefix of the codes of errors in bytes that are no answer. */
+const PARSE_ERROR = 'HPE_';
+
 /** Sends a request to one runner and reports the result to its observer. */
 export class RunnerAttempt implements AnswerSource {
   readonly runner: Runner;
@@ -126,6 +129,8 @@
 
   private settled = false;
 
+  private answer: IncomingMessage | undefined;
+
   private probing = false;
 
   /**
@@ -156,7 +161,7 @@
     this.request = request;
     request.once('socket', (socket) => this.watchSocket(socket));
     request.once('response', (answer) => this.handleAnswer(answer));
-    request.on('error', (error: NodeJS.ErrnoException) => this.fail(this.failureOf(error)));
+    request.on('error', (error: NodeJS.ErrnoException) => this.handleError(error));
     onceUnanswered(request, () => this.fail('broken'));
     request.end(body);
   }
@@ -254,6 +259,12 @@
     });
   }
 
+  private handleError(error: NodeJS.ErrnoException): void {
+    const isBehindAnswer = this.answer?.complete === true && error.code?.startsWith(PARSE_ERROR);
+    // Bytes behind a whole answer belong to no request; the answer still comes to its end.
+    if (!isBehindAnswer) this.fail(this.failureOf(error));
+  }
+
   /** A local error of this instance must not count against the runner, or every runner would look unresponsive in turn. */
   private failureOf({ code }: NodeJS.ErrnoException): AttemptFailure {
     if (this.connected) return 'broken';
@@ -294,6 +305,7 @@
       return;
     }
     this.isAnswered = true;
+    this.answer = answer;
     this.runner.backlog.recordAnswered();
     this.byteLimit.readBody(answer);
     answer.once('pause', () => {
