--- a/src/forwarding/QuarantineSession.spec.ts
+++ b/src/forwarding/QuarantineSession.spec.ts
@@ -3,8 +3,7 @@
 import { expect } from 'earl';
 
 import { SilentLog } from '../logging/Log.js';
-import { partSubject } from '../quarantine/requestSubjects.js';
-import type { RequestSubjects } from '../quarantine/requestSubjects.js';
+import { partSubject, RequestSubjects } from '../quarantine/requestSubjects.js';
 import type { CrashSubject } from '../quarantine/quarantineTypes.js';
 import { RequestQuarantine } from '../quarantine/RequestQuarantine.js';
 import { Runner } from '../runners/Runner.js';
@@ -36,9 +35,10 @@
     quarantine = new RequestQuarantine({ runners: new RunnerTable(), clock, log, crashes });
   });
 
-  function sessionOf(...subjects: RequestSubjects): QuarantineSession {
+  function sessionOf({ digest }: CrashSubject): QuarantineSession {
+    const subjects = new RequestSubjects({ digest, service: 'chat', partIds: () => ['a1'] });
     const active = new Set([ATTEMPT]);
-    const onQuarantined = () => ended.push(subjects[0].digest);
+    const onQuarantined = () => ended.push(digest);
     return new QuarantineSession({
       ...{ quarantine, subjects, service: 'chat', active, onQuarantined },
     });
@@ -54,14 +54,14 @@
   it('lets a request run again whose part was beside two crashes, and not one that was itself', () => {
     crash(1);
     crash(2);
-    const [other, same] = [sessionOf(OTHER, PART), sessionOf(WHOLE, PART)];
+    const [other, same] = [sessionOf(OTHER), sessionOf(WHOLE)];
     expect([other.isRepeatedSuspect, same.isRepeatedSuspect]).toEqual([true, true]);
     expect([other.mayRunAgain, same.mayRunAgain]).toEqual([true, false]);
   });
 
   // Guards against parts that are blamed for crashes in the middle of long streams.
   it('clears the parts of a stream that has gone on for a second, and not the request', () => {
-    const session = sessionOf(WHOLE, PART);
+    const session = sessionOf(WHOLE);
     session.streamed(ATTEMPT, clock.monotonicMilliseconds());
     crash(1);
     expect(quarantine.decisions.crashesOf(PART.digest)).toEqual(1);
@@ -73,7 +73,7 @@
 
   // Guards against streams that are cut for a part that their runners have already answered on.
   it('ends requests with a part that is quarantined, but for streams that have begun', () => {
-    const [waiting, streaming] = [sessionOf(OTHER, PART), sessionOf(WHOLE, PART)];
+    const [waiting, streaming] = [sessionOf(OTHER), sessionOf(WHOLE)];
     for (const session of [waiting, streaming]) session.begin();
     streaming.streamed(ATTEMPT, clock.monotonicMilliseconds());
     for (const life of [1, 2, 3]) crash(life, [PART]);
@@ -83,7 +83,7 @@
   });
 
   it('does not clear the parts of a stream that breaks off sooner', () => {
-    const session = sessionOf(WHOLE, PART);
+    const session = sessionOf(WHOLE);
     session.streamed(ATTEMPT, clock.monotonicMilliseconds());
     crash(1);
     session.failed(ATTEMPT, 'broken', clock.monotonicMilliseconds());
--- a/src/forwarding/QuarantineSession.ts
+++ b/src/forwarding/QuarantineSession.ts
@@ -5,7 +5,6 @@
 import { match } from 'ts-pattern';
 
 import type { QuarantineListener } from '../quarantine/InFlightSubjects.js';
-import type { CrashSubject } from '../quarantine/quarantineTypes.js';
 import type { RequestQuarantine } from '../quarantine/RequestQuarantine.js';
 import type { RequestSubjects } from '../quarantine/requestSubjects.js';
 import type { DaemonAnswer } from './AnswerRelay.js';
@@ -39,10 +38,6 @@
 
   private readonly options: QuarantineSessionOptions;
 
-  private readonly whole: CrashSubject;
-
-  private readonly parts: readonly CrashSubject[];
-
   /** Whether the request was let through to see whether runners still crash. */
   private isTrial = false;
 
@@ -57,7 +52,6 @@
    */
   constructor(options: QuarantineSessionOptions) {
     this.options = options;
-    [this.whole, ...this.parts] = options.subjects;
   }
 
   /** @returns Whether more than one runner has crashed while it was running the request, or a part of its prompt. */
@@ -120,7 +114,7 @@
 
   /** Records the end of the request. */
   end(): void {
-    this.options.quarantine.end(this.options.subjects, this.onVerdict);
+    this.options.quarantine.end(this.onVerdict);
   }
 
   /**
@@ -179,17 +173,18 @@
 
   /** Whether the runner already answers on the parts of the prompt, so that only the request as a whole may crash it. */
   private get hasPassedParts(): boolean {
-    const { quarantine, active } = this.options;
+    const { quarantine, active, subjects } = this.options;
     if (!this.streaming || !active.has(this.streaming.attempt)) return false;
-    return quarantine.stateOf(this.whole.digest) !== 'quarantined';
+    return quarantine.stateOf(subjects.whole.digest) !== 'quarantined';
   }
 
   /** The request as a whole may still crash the runner later on. */
   private recordSoundStream(now: number): void {
-    const { streaming, parts } = this;
-    if (!streaming || this.isStreamSound || parts.length === 0) return;
+    const { streaming } = this;
+    const { quarantine, subjects } = this.options;
+    if (!streaming || this.isStreamSound || subjects.partKeys.length === 0) return;
     if (now - streaming.since < SOUND_STREAM_MILLISECONDS) return;
     this.isStreamSound = true;
-    this.options.quarantine.answered(parts, streaming.attempt.runner.answeringVersion);
+    quarantine.partsAnswered(subjects, streaming.attempt.runner.answeringVersion);
   }
 }
--- a/src/forwarding/RequestParts.ts
+++ b/src/forwarding/RequestParts.ts
@@ -109,7 +109,7 @@
       task: context.streamVersions,
     });
     const subjects = requestSubjects({ ...request, body });
-    const [{ digest }] = subjects;
+    const { digest } = subjects.whole;
     this.report = new RequestReport({ request, context, digest });
     this.quarantine = new QuarantineSession({
       quarantine: context.quarantine,
--- a/src/handover/HandOverServer.ts
+++ b/src/handover/HandOverServer.ts
@@ -14,6 +14,7 @@
 import { REFUSED_HEADER } from './handOverHeaders.js';
 import { decodeHandOver, HandOverError } from './handOverMessage.js';
 import type { ReceivedHandOver } from './handOverMessage.js';
+import { receivedPrompt } from './receivedPrompt.js';
 import type { RunnerPath } from './RunnerPath.js';
 import { TakenOverRelay } from './TakenOverRelay.js';
 
@@ -145,7 +146,8 @@
     const tried = new TriedRunners({ mayHaveRun, lives: handOver.tried ?? [] });
     const arrivedAt = context.clock.monotonicMilliseconds();
     const deadlineAt = arrivedAt + remainingMilliseconds;
-    const request = { ...handOver.request, arrivedAt, deadlineAt };
+    const prompt = receivedPrompt(handOver.request, context.protocol);
+    const request = { ...handOver.request, ...prompt, arrivedAt, deadlineAt };
     const relay = new TakenOverRelay(
       response,
       () => context.stopPhase() !== 'serving',
--- a/src/handover/handOverMessage.ts
+++ b/src/handover/handOverMessage.ts
@@ -13,7 +13,7 @@
 export interface HandOver {
   /** Name of the daemon that hands it over. */
   readonly sender: string;
-  readonly request: Omit<AdmittedRequest, 'arrivedAt' | 'deadlineAt'>;
+  readonly request: Omit<AdmittedRequest, 'arrivedAt' | 'deadlineAt' | 'allSharedParts'>;
   /** Time left until the caller's deadline, in ms. */
   readonly remainingMilliseconds: number;
   /** Whether the sender has counted the request in its retry budget. */
--- a/src/quarantine/CrashDetector.spec.ts
+++ b/src/quarantine/CrashDetector.spec.ts
@@ -7,6 +7,7 @@
 import { TEST_RUNNER } from '../runners/testRunner.js';
 import { ManualClock } from '../time/ManualClock.js';
 import { CrashDetector } from './CrashDetector.js';
+import { RequestSubjects } from './requestSubjects.js';
 
 describe(CrashDetector.name, () => {
   let clock: ManualClock;
@@ -28,10 +29,10 @@
     detector = new CrashDetector({
       runners,
       clock,
-      onCrash: ({ runner, crash, subjects, isFirst }) => {
+      onCrash: ({ runner, crash, requests, isFirst }) => {
         if (isFirst) counted += 1;
         crashes.push(
-          `${runner.entry.id} ${crash.at} ${subjects.map(({ digest }) => digest).join()}`,
+          `${runner.entry.id} ${crash.at} ${requests.map(({ whole }) => whole.digest).join()}`,
         );
       },
       probe: (_runner, done) => probes.push(done),
@@ -41,7 +42,8 @@
 
   function breakOff(digest: string, startedAt = 0): void {
     const runner = runners.get(TEST_RUNNER.id);
-    if (runner) detector.recordInterrupted(runner, { subjects: [{ digest }], startedAt });
+    if (runner)
+      detector.recordInterrupted(runner, { subjects: new RequestSubjects({ digest }), startedAt });
   }
 
   it('reports a crash of a runner that refuses connections, with all interrupted requests, the latest first', () => {
@@ -94,10 +96,16 @@
   it('counts a crash against a request whose caller disconnected just before', () => {
     const runner = runners.get(TEST_RUNNER.id);
     if (!runner) return;
-    detector.recordAbandoned(runner, { subjects: [{ digest: 'a' }], startedAt: 1 });
+    detector.recordAbandoned(runner, {
+      subjects: new RequestSubjects({ digest: 'a' }),
+      startedAt: 1,
+    });
     detector.recordRefusal(runner);
     clock.advance(2_000);
-    detector.recordAbandoned(runner, { subjects: [{ digest: 'b' }], startedAt: 2 });
+    detector.recordAbandoned(runner, {
+      subjects: new RequestSubjects({ digest: 'b' }),
+      startedAt: 2,
+    });
     clock.advance(2_000);
     detector.recordRefusal(runner);
     expect(crashes).toEqual(['runner-1 10000 a']);
--- a/src/quarantine/CrashDetector.ts
+++ b/src/quarantine/CrashDetector.ts
@@ -11,15 +11,16 @@
 import type { Runner } from '../runners/Runner.js';
 import type { RunnerTable } from '../runners/RunnerTable.js';
 import type { Clock } from '../time/Clock.js';
-import type { CrashSubject, RunnerCrash } from './quarantineTypes.js';
+import type { RunnerCrash } from './quarantineTypes.js';
+import type { RequestSubjects } from './requestSubjects.js';
 import { hashOfVersion } from './requestSubjects.js';
 
 /** A runner's crash, or further requests interrupted by a crash that was already reported. */
 export interface DetectedCrash {
   readonly runner: Runner;
   readonly crash: RunnerCrash;
-  /** Subjects of the interrupted requests, those of the one that began last first. */
-  readonly subjects: readonly CrashSubject[];
+  /** Subjects of the interrupted requests, the one that began last first. */
+  readonly requests: readonly RequestSubjects[];
   /** Whether this crash is reported for the first time. */
   readonly isFirst: boolean;
 }
@@ -40,7 +41,7 @@
 
 /** A request that was interrupted at a runner. */
 export interface InterruptedRequest {
-  readonly subjects: readonly CrashSubject[];
+  readonly subjects: RequestSubjects;
   /** When it was sent to the runner, in monotonic ms. */
   readonly startedAt: number;
 }
@@ -57,6 +58,9 @@
 /** Maximum number of runners for which recently abandoned requests are kept. */
 const MAXIMUM_ABANDONED_RUNNERS = 256;
 
+/** Maximum number of requests of one runner that are kept until its end is certain; those that were added last. */
+const MAXIMUM_REQUESTS = 256;
+
 /** A runner at which requests were interrupted, and whether it is known to have crashed. */
 class CrashCase {
   readonly runner: Runner;
@@ -77,6 +81,7 @@
 
   add(request: InterruptedRequest): void {
     this.requests.push(request);
+    if (this.requests.length > MAXIMUM_REQUESTS) this.requests.shift();
   }
 
   /** @returns Whether the crash was not confirmed before. */
@@ -237,7 +242,7 @@
     const { runner, at } = confirmed;
     const versionHash = hashOfVersion(runner.softwareVersion);
     const crash = { life: murmurhash.v3(runner.entry.life), at, versionHash };
-    const subjects = confirmed.takeRequests().flatMap((request) => request.subjects);
-    this.options.onCrash({ runner, crash, subjects, isFirst: confirmed.markReported() });
+    const requests = confirmed.takeRequests().map(({ subjects }) => subjects);
+    this.options.onCrash({ runner, crash, requests, isFirst: confirmed.markReported() });
   }
 }
--- a/src/quarantine/CrashRecord.ts
+++ b/src/quarantine/CrashRecord.ts
@@ -12,6 +12,9 @@
  */
 const SAME_CRASH_MILLISECONDS = 4_000;
 
+/** Name of a part of which only the digest is known. */
+export const UNNAMED_PART = '?';
+
 /** Maximum number of crashes kept for a subject; the oldest are dropped. */
 const MAXIMUM_CRASHES = 12;
 
@@ -19,7 +22,7 @@
 const MAXIMUM_VERSIONS = 4;
 
 /** An answer excuses a crash up to this long after it; in ms. */
-const TRUST_MILLISECONDS = 5_000;
+export const TRUST_MILLISECONDS = 5_000;
 
 /**
  * Crashes within this time of the first one that an answer excuses are excused with it, in ms: many runners may end
@@ -41,21 +44,35 @@
 export class CrashRecord {
   readonly digest: string;
 
-  readonly part: string | undefined;
+  private name: string | undefined;
 
   private readonly crashes: RunnerCrash[] = [];
 
   private releasedAt = Number.NEGATIVE_INFINITY;
 
   /** Up to when crashes are excused by answers, in monotonic ms, by the hash of the software version. */
-  private readonly excusedUntil = new Map<number, number>();
+  private excusedUntil: Map<number, number> | undefined;
 
   /**
    * @param subject - the subject.
    */
   constructor({ digest, part }: CrashSubject) {
     this.digest = digest;
-    this.part = part;
+    this.name = part;
+  }
+
+  /** @returns Service and id of a part; `undefined` for a whole request. */
+  get part(): string | undefined {
+    return this.name;
+  }
+
+  /**
+   * Names a part of which only the digest was known.
+   *
+   * @param part - service and id of the part.
+   */
+  rename(part: string | undefined): void {
+    if (this.name === UNNAMED_PART && part !== undefined) this.name = part;
   }
 
   /** @returns Crashes since the subject was last answered or released, without those of overload. */
@@ -65,10 +82,18 @@
     );
   }
 
+  /**
+   * @param life - hash of the name of an incarnation.
+   * @returns Whether a crash of it is known, counted or not.
+   */
+  hasCrashOf(life: number): boolean {
+    return this.crashes.some((crash) => crash.life === life);
+  }
+
   /** @returns When the record last changed, in monotonic ms. */
   get updatedAt(): number {
     const crashedAt = this.crashes.map(({ at }) => at);
-    return Math.max(this.releasedAt, ...this.excusedUntil.values(), ...crashedAt);
+    return Math.max(this.releasedAt, ...(this.excusedUntil?.values() ?? []), ...crashedAt);
   }
 
   /**
@@ -84,7 +109,7 @@
    * @returns Whether an answer of a runner of this version is known.
    */
   isExcusedAt(versionHash: number): boolean {
-    return this.excusedUntil.has(versionHash);
+    return this.excusedUntil?.has(versionHash) ?? false;
   }
 
   /**
@@ -140,7 +165,7 @@
    * @returns Whether this changes which crashes count.
    */
   answered({ versionHash, at }: VersionAnswer): boolean {
-    const excusedUntil = this.excusedUntil.get(versionHash) ?? Number.NEGATIVE_INFINITY;
+    const excusedUntil = this.excusedUntil?.get(versionHash) ?? Number.NEGATIVE_INFINITY;
     // It has excused a crash already, and there was no answer since.
     if (at <= excusedUntil - COMMON_CAUSE_MILLISECONDS) return false;
     const later = this.countedCrashes
@@ -154,7 +179,7 @@
   /** @returns The form in which the record is sent to other daemons. */
   toSummary(): CrashSummary {
     const { digest, part, crashes, releasedAt, excusedUntil } = this;
-    const answers = [...excusedUntil].map(([versionHash, at]) => ({ versionHash, at }));
+    const answers = [...(excusedUntil ?? [])].map(([versionHash, at]) => ({ versionHash, at }));
     return {
       digest,
       ...(part !== undefined && { part }),
@@ -165,11 +190,12 @@
   }
 
   private clearedUntil(versionHash = 0): number {
-    const excusedUntil = this.excusedUntil.get(versionHash) ?? Number.NEGATIVE_INFINITY;
+    const excusedUntil = this.excusedUntil?.get(versionHash) ?? Number.NEGATIVE_INFINITY;
     return Math.max(this.releasedAt, excusedUntil);
   }
 
   private excuseUntil(versionHash: number, at: number): void {
+    this.excusedUntil ??= new Map();
     const latest = Math.max(at, this.excusedUntil.get(versionHash) ?? at);
     setLatest(this.excusedUntil, versionHash, latest, MAXIMUM_VERSIONS);
   }
--- a/src/quarantine/CrashRelay.spec.ts
+++ b/src/quarantine/CrashRelay.spec.ts
@@ -47,7 +47,7 @@
   function report(): Uint8Array {
     const now = clock.monotonicMilliseconds();
     const news = { digest: DIGEST, crashes: [{ life: 1, at: now }], clearedAt: undefined };
-    const records = [toMessage(news, now)];
+    const records = [toMessage({ summary: news, alike: [] }, now)];
     return toBinary(CrashReportSchema, create(CrashReportSchema, { daemon: 'other', records }));
   }
 
--- a/src/quarantine/CrashRelay.ts
+++ b/src/quarantine/CrashRelay.ts
@@ -16,6 +16,8 @@
 import type { CallScheduler, RepeatedItem } from '../news/MessageRepeater.js';
 import { PauseDetector } from '../requests/PauseDetector.js';
 import type { Clock } from '../time/Clock.js';
+import { groupAlike } from './alikeSubjects.js';
+import type { AlikeSubjects } from './alikeSubjects.js';
 import { fromMessage, toMessage } from './crashSummaryCodec.js';
 import type { QuarantineDecisions } from './QuarantineDecisions.js';
 import type { CrashSummary } from './quarantineTypes.js';
@@ -53,12 +55,32 @@
 /** Maximum number of datagrams sent to a recipient at once; network queues drop larger bursts. */
 const DATAGRAMS_AT_ONCE = 6;
 
+/** Time between two such bursts, in ms. */
+const BURST_MILLISECONDS = 10;
+
+/** Maximum number of bursts for one report; enough for all parts of a prompt. */
+const MAXIMUM_BURSTS = 16;
+
 /** Interval between comparisons with another daemon, in ms. */
 const EXCHANGE_MILLISECONDS = 1_000;
 
 /** Messages that arrive within this time after a standstill may have waited for its end, in ms. */
 const STALE_MILLISECONDS = 500;
 
+function inBatches<Item>(items: readonly Item[], size: number): (readonly Item[])[] {
+  const starts = Array.from({ length: Math.ceil(items.length / size) }, (_, index) => index * size);
+  return starts.map((start) => items.slice(start, start + size));
+}
+
+/** A group of parts fills a datagram; of single records there are a few at a time. */
+function datagramsOf(records: readonly CrashSummary[]): (readonly AlikeSubjects[])[] {
+  const groups = groupAlike(records);
+  const single = groups.filter(({ alike }) => alike.length === 0);
+  const large = groups.filter(({ alike }) => alike.length > 0);
+  const batches = inBatches(single, RECORDS_IN_DATAGRAM).slice(0, DATAGRAMS_AT_ONCE);
+  return [...batches, ...large.map((group) => [group])];
+}
+
 /** Owns the timers. */
 export class CrashRelay {
   private readonly options: Required<CrashRelayOptions>;
@@ -124,25 +146,39 @@
     recipients: readonly HostAndPort[],
     answerTo = '',
   ): void {
-    const { daemon, socket, decisions } = this.options;
-    const { now } = this;
     const known = news
       .filter((one) => one !== undefined)
-      .sort((one, other) => other.crashes.length - one.crashes.length)
-      .slice(0, RECORDS_IN_DATAGRAM * DATAGRAMS_AT_ONCE);
+      .sort((one, other) => other.crashes.length - one.crashes.length);
     if (recipients.length === 0 || (known.length === 0 && answerTo === '')) return;
-    for (let start = 0; start === 0 || start < known.length; start += RECORDS_IN_DATAGRAM) {
-      const records = known.slice(start, start + RECORDS_IN_DATAGRAM);
-      const report = create(CrashReportSchema, {
-        daemon,
-        records: records.map((one) => toMessage(one, now)),
-        answerTo,
-        quarantined: decisions.quarantinedHash,
-      });
-      socket.send(MessageKind.CRASH_REPORT, toBinary(CrashReportSchema, report), recipients);
+    const datagrams = datagramsOf(known);
+    if (datagrams.length === 0) datagrams.push([]);
+    const bursts = inBatches(datagrams, DATAGRAMS_AT_ONCE);
+    for (const [index, burst] of bursts.slice(0, MAXIMUM_BURSTS).entries()) {
+      const sendBurst = () => {
+        for (const records of burst) this.sendDatagram(records, recipients, answerTo);
+      };
+      if (index === 0) sendBurst();
+      else this.options.later(sendBurst, index * BURST_MILLISECONDS);
     }
   }
 
+  private sendDatagram(
+    records: readonly AlikeSubjects[],
+    recipients: readonly HostAndPort[],
+    answerTo: string,
+  ): void {
+    if (this.isStopped) return;
+    const { daemon, socket, decisions } = this.options;
+    const { now } = this;
+    const report = create(CrashReportSchema, {
+      daemon,
+      records: records.map((one) => toMessage(one, now)),
+      answerTo,
+      quarantined: decisions.quarantinedHash,
+    });
+    socket.send(MessageKind.CRASH_REPORT, toBinary(CrashReportSchema, report), recipients);
+  }
+
   private get now(): number {
     return this.options.clock.monotonicMilliseconds();
   }
@@ -154,7 +190,7 @@
     // The ages in what waited for this process are too small, so that its crashes would count again; it is told again.
     if (this.pauses.possibleDelay(now) > 0) return;
     merge(
-      records.map((record) => fromMessage(record, now)),
+      records.flatMap((record) => fromMessage(record, now)),
       daemon,
     );
     if (answerTo === '' || quarantined === decisions.quarantinedHash) return;
@@ -175,6 +211,7 @@
     const others = reportRecipients();
     const other = others[Math.floor(random() * others.length)];
     if (!other) return;
-    this.send(decisions.quarantined().slice(0, RECORDS_IN_DATAGRAM), [other], ownAddress);
+    const [datagram = []] = datagramsOf(decisions.quarantined());
+    this.sendDatagram(datagram, [other], ownAddress);
   }
 }
--- a/src/quarantine/CrashVerdicts.ts
+++ b/src/quarantine/CrashVerdicts.ts
@@ -14,6 +14,9 @@
 import type { CrashVerdict } from './explainCrashes.js';
 import type { CrashSubject, RunnerCrash } from './quarantineTypes.js';
 
+/** Maximum number of subjects that the listeners are told of at once; a prompt may have thousands of parts. */
+const MAXIMUM_TOLD = 32;
+
 /** Listeners for changes. */
 export interface CrashVerdictsOptions {
   /** Called when a subject is quarantined. */
@@ -166,8 +169,10 @@
 
   private tell(digestsBefore: ReadonlySet<string>, keysBefore: ReadonlySet<string>): void {
     const { digests, verdicts, options } = this;
-    for (const digest of digestsBefore) if (!digests.has(digest)) options.onReleased(digest);
-    for (const digest of digests) if (!digestsBefore.has(digest)) options.onQuarantined(digest);
+    const released = [...digestsBefore].filter((digest) => !digests.has(digest));
+    const added = [...digests].filter((digest) => !digestsBefore.has(digest));
+    for (const digest of released.slice(0, MAXIMUM_TOLD)) options.onReleased(digest);
+    for (const digest of added.slice(0, MAXIMUM_TOLD)) options.onQuarantined(digest);
     for (const verdict of verdicts) if (!keysBefore.has(keyOf(verdict))) options.onVerdict(verdict);
   }
 }
--- a/src/quarantine/InFlightSubjects.ts
+++ b/src/quarantine/InFlightSubjects.ts
@@ -2,52 +2,71 @@
  * The requests in flight at this daemon, by what they have in common.
  */
 import type { CrashSubject } from './quarantineTypes.js';
+import { keyOfPart } from './requestSubjects.js';
+import type { RequestSubjects } from './requestSubjects.js';
 
 /** Called when an in-flight request may have to end because a verdict concerns one of its subjects. */
 export type QuarantineListener = () => void;
 
-/** Keeps the listeners of the requests. */
+/** Tells whether a request has one of some subjects. */
+type SubjectMatcher = (subjects: RequestSubjects) => boolean;
+
+function matcherOf(wanted: readonly CrashSubject[]): SubjectMatcher {
+  const digests = new Set(wanted.map(({ digest }) => digest));
+  const parts = wanted.filter(({ part }) => part !== undefined);
+  const keys = new Set(parts.map(({ digest }) => keyOfPart(digest)));
+  return ({ whole, partKeys }) =>
+    digests.has(whole.digest) || (keys.size > 0 && partKeys.some((key) => keys.has(key)));
+}
+
+/**
+ * Keeps the listeners of the requests. Subjects are looked for only after a crash, so that there is no index of them, which
+ * would take much more memory than their keys.
+ */
 export class InFlightSubjects {
-  private readonly listeners = new Map<string, Set<QuarantineListener>>();
+  private readonly subjectsOf = new Map<QuarantineListener, RequestSubjects>();
 
   /**
    * @param subjects - subjects of a request that is about to be sent to runners.
    * @param listener - called when it may have to end.
    */
-  add(subjects: readonly CrashSubject[], listener: QuarantineListener): void {
-    for (const { digest } of subjects) {
-      const listeners = this.listeners.get(digest) ?? new Set();
-      listeners.add(listener);
-      this.listeners.set(digest, listeners);
-    }
+  add(subjects: RequestSubjects, listener: QuarantineListener): void {
+    this.subjectsOf.set(listener, subjects);
+  }
+
+  /**
+   * @param listener - listener of a request that has ended.
+   */
+  delete(listener: QuarantineListener): void {
+    this.subjectsOf.delete(listener);
   }
 
   /**
-   * @param subjects - subjects of a request that has ended.
-   * @param listener - the one that was added.
+   * @param wanted - subjects of any requests.
+   * @returns Whether a request has one of them.
    */
-  delete(subjects: readonly CrashSubject[], listener: QuarantineListener): void {
-    for (const { digest } of subjects) {
-      const listeners = this.listeners.get(digest);
-      listeners?.delete(listener);
-      if (listeners?.size === 0) this.listeners.delete(digest);
-    }
+  hasAny(wanted: readonly CrashSubject[]): boolean {
+    if (wanted.length === 0) return false;
+    const matches = matcherOf(wanted);
+    for (const subjects of this.subjectsOf.values()) if (matches(subjects)) return true;
+    return false;
   }
 
   /**
-   * @param digest - digest of a subject.
+   * @param wanted - a subject.
    * @returns Number of requests with it.
    */
-  countOf(digest: string): number {
-    return this.listeners.get(digest)?.size ?? 0;
+  countOf(wanted: CrashSubject): number {
+    return [...this.subjectsOf.values()].filter(matcherOf([wanted])).length;
   }
 
   /**
    * Calls the listeners of all requests with a subject.
    *
-   * @param digest - its digest.
+   * @param wanted - the subject.
    */
-  notify(digest: string): void {
-    for (const listener of [...(this.listeners.get(digest) ?? [])]) listener();
+  notify(wanted: CrashSubject): void {
+    const matches = matcherOf([wanted]);
+    for (const [listener, subjects] of [...this.subjectsOf]) if (matches(subjects)) listener();
   }
 }
--- a/src/quarantine/QuarantineDecisions.ts
+++ b/src/quarantine/QuarantineDecisions.ts
@@ -8,12 +8,21 @@
 import murmurhash from 'murmurhash';
 
 import { CrashRecord } from './CrashRecord.js';
+import { CrashRecords } from './CrashRecords.js';
 import { CrashVerdicts } from './CrashVerdicts.js';
 import type { CrashVerdictsOptions } from './CrashVerdicts.js';
 import type { CrashVerdict } from './explainCrashes.js';
-import type { CrashSubject, CrashSummary, RunnerCrash, SubjectState } from './quarantineTypes.js';
+import type {
+  CrashSubject,
+  CrashSummary,
+  RunnerCrash,
+  SubjectState,
+  VersionAnswer,
+} from './quarantineTypes.js';
 import { RecentAnswers } from './RecentAnswers.js';
 import { RecentRejections } from './RecentRejections.js';
+import type { RequestSubjects } from './requestSubjects.js';
+import { suspectsAmong } from './suspectsAmong.js';
 
 /** Time after the last crash at which a quarantine ends, in ms. */
 const QUARANTINE_MILLISECONDS = 86_400_000;
@@ -21,18 +30,6 @@
 /** Time after which the crashes of a subject that is not quarantined are forgotten, in ms. */
 const SUSPICION_MILLISECONDS = 3_600_000;
 
-/** Maximum number of records; those with the fewest crashes are dropped first. */
-const MAXIMUM_RECORDS = 2_048;
-
-/** Number of records that are left when some are dropped, so that this happens seldom. */
-const KEPT_RECORDS = 1_536;
-
-/**
- * Maximum number of subjects that one crash makes suspect; among those with equal numbers of crashes, the ones that
- * began last are chosen.
- */
-const MAXIMUM_SUSPECTS = 48;
-
 /**
  * Weight of its crashes from which on a subject is broadcast to daemons that have observed none of them.
  */
@@ -49,7 +46,7 @@
 
 /** Holds the crash records. */
 export class QuarantineDecisions {
-  private readonly records = new Map<string, CrashRecord>();
+  private readonly records = new CrashRecords();
 
   private readonly answers = new RecentAnswers();
 
@@ -104,7 +101,7 @@
    * @returns Number of crashes, or moments with crashes, that count against it and that nothing else explains.
    */
   crashesOf(digest: string): number {
-    const record = this.records.get(digest);
+    const record = this.records.of(digest);
     return record ? this.verdicts.weightOf(record) : 0;
   }
 
@@ -114,7 +111,7 @@
    * @returns Whether a part of other prompts explains the crashes that count against the whole.
    */
   isExplainedElsewhere([whole, ...parts]: readonly CrashSubject[], now: number): boolean {
-    const record = whole && this.records.get(whole.digest);
+    const record = whole && this.records.of(whole.digest);
     if (!record) return false;
     const digests = new Set(parts.map(({ digest }) => digest));
     return this.verdicts.isExplainedElsewhere(record, digests, now);
@@ -134,9 +131,29 @@
    * @returns Whether runners of this version have answered the subject, and none has crashed since.
    */
   isAnsweredAt(digest: string, versionHash: number): boolean {
-    const record = this.records.get(digest);
+    const record = this.records.of(digest);
     if (record?.hasCrashedAt(versionHash)) return false;
-    return record?.isExcusedAt(versionHash) || this.answers.of(digest, versionHash) !== undefined;
+    if (record?.isExcusedAt(versionHash)) return true;
+    return this.answers.of(record ?? { digest }, versionHash) !== undefined;
+  }
+
+  /**
+   * @param subjects - subjects of a request.
+   * @returns The request as a whole, then the parts of its prompt that have a record; the others are sound.
+   */
+  recordedAmong(subjects: RequestSubjects): CrashSubject[] {
+    return this.records.recordedAmong(subjects);
+  }
+
+  /**
+   * Chooses what a crash may be due to.
+   *
+   * @param requests - the interrupted requests, the one that began last first.
+   * @param crash - the crash.
+   * @returns The requests, and a bounded number of the parts of their prompts.
+   */
+  suspectsAmong(requests: readonly RequestSubjects[], crash: RunnerCrash): CrashSubject[] {
+    return suspectsAmong(requests, crash, { records: this.records, answers: this.answers });
   }
 
   /**
@@ -147,11 +164,7 @@
    * @param now - monotonic ms.
    */
   crashed(subjects: readonly CrashSubject[], crash: RunnerCrash, now: number): void {
-    const distinct = new Map(subjects.map((subject) => [subject.digest, subject]));
-    const suspects = [...distinct.values()]
-      .sort((one, other) => this.crashesOf(other.digest) - this.crashesOf(one.digest))
-      .slice(0, MAXIMUM_SUSPECTS);
-    for (const subject of suspects) {
+    for (const subject of subjects) {
       this.update({ ...subject, crashes: [crash], clearedAt: undefined }, 'seen', now);
     }
     this.dropExcess(now);
@@ -167,8 +180,9 @@
    */
   rejected(life: number, now: number): void {
     this.rejections.record(life, now);
-    for (const record of this.records.values()) {
-      if (this.excuseOverload(record)) this.recordChange(record, 'seen');
+    for (const record of this.records.all) {
+      const isConcerned = record.hasCrashOf(life);
+      if (isConcerned && this.excuseOverload(record)) this.recordChange(record, 'seen');
     }
     this.refresh(now);
   }
@@ -182,11 +196,23 @@
    */
   answered(digests: readonly string[], now: number, versionHash = 0): void {
     const answer = { versionHash, at: now };
-    for (const digest of digests) {
-      this.answers.record(digest, answer);
-      const record = this.records.get(digest);
-      if (record?.answered(answer)) this.recordChange(record, 'seen');
-    }
+    this.answers.record(digests, answer);
+    for (const digest of digests) this.clearAnswered(this.records.of(digest), answer);
+    this.refresh(now);
+  }
+
+  /**
+   * Records that a runner has answered requests with parts of prompts.
+   *
+   * @param keys - keys of the parts.
+   * @param now - monotonic ms.
+   * @param versionHash - hash of the version of the runner's software.
+   */
+  partsAnswered(keys: Iterable<number>, now: number, versionHash = 0): void {
+    const answer = { versionHash, at: now };
+    this.answers.record(keys, answer);
+    if (!this.records.hasParts) return;
+    for (const key of keys) this.clearAnswered(this.records.ofPart(key), answer);
     this.refresh(now);
   }
 
@@ -200,7 +226,7 @@
   release(digest: string, now: number): boolean {
     const group = this.verdicts.groupOf(digest);
     for (const one of group) {
-      const record = this.records.get(one);
+      const record = this.records.of(one);
       if (record?.clear(now)) this.recordChange(record, 'seen');
     }
     this.refresh(now);
@@ -221,7 +247,7 @@
 
   /** @returns The records that all daemons should know, those with the most crashes first. */
   broadcastable(): CrashSummary[] {
-    return [...this.records.values()]
+    return [...this.records.all]
       .filter((record) => this.isForAll(record))
       .sort((one, other) => other.countedCrashes.length - one.countedCrashes.length)
       .map((record) => record.toSummary());
@@ -232,7 +258,7 @@
    * @returns Its record, if daemons that have observed none of its crashes should know of them.
    */
   broadcastSummaryOf(digest: string): CrashSummary | undefined {
-    const record = this.records.get(digest);
+    const record = this.records.of(digest);
     return record && this.isForAll(record) ? record.toSummary() : undefined;
   }
 
@@ -248,7 +274,15 @@
    * @returns Its record; `undefined` if there is none.
    */
   summaryOf(digest: string): CrashSummary | undefined {
-    return this.records.get(digest)?.toSummary();
+    return this.records.of(digest)?.toSummary();
+  }
+
+  /**
+   * @param digest - digest of a subject.
+   * @returns Service and id of a part; `undefined` for a whole request, or if there is no record.
+   */
+  partOf(digest: string): string | undefined {
+    return this.records.of(digest)?.part;
   }
 
   /**
@@ -276,16 +310,21 @@
     return this.verdicts.weighAll(record) >= MINIMUM_BROADCAST_CRASHES;
   }
 
+  private clearAnswered(record: CrashRecord | undefined, answer: VersionAnswer): void {
+    if (record?.answered(answer)) this.recordChange(record, 'seen');
+  }
+
   private update(summary: CrashSummary, source: 'seen' | 'told', now: number): void {
     const { digest, crashes, clearedAt, answers = [] } = summary;
-    const record = this.records.get(digest) ?? new CrashRecord(summary);
+    const record = this.records.of(digest) ?? new CrashRecord(summary);
+    record.rename(summary.part);
     const hadCrashes = record.countedCrashes.length > 0;
     for (const crash of crashes) this.verdicts.noteCrash(crash);
     const isAdded = crashes.filter((crash) => record.add(crash)).length > 0;
     const isReleased = clearedAt !== undefined && record.clear(clearedAt);
     const isExcused = answers.filter((answer) => record.excuse(answer)).length > 0;
     if (isAdded || isReleased || isExcused) {
-      this.records.set(digest, record);
+      this.records.add(record);
       // This daemon may have seen an answer or an overload that the sender of the report does not know of.
       const wasAnswered = this.applyAnswers(record);
       const isOverload = this.excuseOverload(record);
@@ -300,7 +339,7 @@
   private applyAnswers(record: CrashRecord): boolean {
     const versions = new Set(record.countedCrashes.map(({ versionHash = 0 }) => versionHash));
     const changing = [...versions].filter((versionHash) => {
-      const at = this.answers.of(record.digest, versionHash);
+      const at = this.answers.of(record, versionHash);
       return at !== undefined && record.answered({ versionHash, at });
     });
     return changing.length > 0;
@@ -320,7 +359,7 @@
   }
 
   private forgetAllOld(now: number): void {
-    for (const record of this.records.values()) this.forgetOld(record, now);
+    for (const record of this.records.all) this.forgetOld(record, now);
   }
 
   private forgetOld(record: CrashRecord, now: number): void {
@@ -335,14 +374,9 @@
   }
 
   private dropExcess(now: number): void {
-    if (this.records.size <= MAXIMUM_RECORDS) return;
+    if (!this.records.isFull) return;
     this.forgetAllOld(now);
-    const fewestCrashesFirst = [...this.records.values()].sort(
-      (one, other) =>
-        one.countedCrashes.length - other.countedCrashes.length || one.updatedAt - other.updatedAt,
-    );
-    const excess = fewestCrashesFirst.slice(0, Math.max(0, this.records.size - KEPT_RECORDS));
-    for (const { digest } of excess) this.forget(digest);
+    for (const { digest } of this.records.excess()) this.forget(digest);
   }
 
   private refresh(now: number): void {
--- a/src/quarantine/QuarantinePersistence.spec.ts
+++ b/src/quarantine/QuarantinePersistence.spec.ts
@@ -7,6 +7,7 @@
 import { ManualClock } from '../time/ManualClock.js';
 import { QuarantinePersistence } from './QuarantinePersistence.js';
 import { RequestQuarantine } from './RequestQuarantine.js';
+import { RequestSubjects } from './requestSubjects.js';
 
 const DIGEST = 'f'.repeat(32);
 const BOOT_MILLISECONDS = 1_700_000_000_000;
@@ -40,7 +41,9 @@
     const after = createStored(clock);
     after.keeper.load(pages[0] ?? '');
     expect(after.quarantine.stateOf(DIGEST)).toEqual('quarantined');
-    expect(after.quarantine.retryAfterSeconds([{ digest: DIGEST }])).toEqual(60 - 48);
+    expect(after.quarantine.retryAfterSeconds(new RequestSubjects({ digest: DIGEST }))).toEqual(
+      60 - 48,
+    );
   });
 
   it('removes released requests from the stored list', async () => {
--- a/src/quarantine/QuarantineTrials.ts
+++ b/src/quarantine/QuarantineTrials.ts
@@ -4,6 +4,7 @@
  */
 import { setLatest } from '../collections/setLatest.js';
 import type { Log } from '../logging/Log.js';
+import { boundedId } from '../prompts/promptSegments.js';
 import type { RunnerTable } from '../runners/RunnerTable.js';
 import type { Clock } from '../time/Clock.js';
 import type { CrashVerdict } from './explainCrashes.js';
@@ -30,6 +31,9 @@
   isOwner: (digest: string) => boolean;
 }
 
+/** Maximum number of parts in one log line. */
+const MAXIMUM_LOGGED = 12;
+
 /** Maximum number of verdicts of which the last trial is remembered. */
 const MAXIMUM_TRIALS = 256;
 
@@ -97,11 +101,12 @@
   private take({ digests }: CrashVerdict): boolean {
     const { decisions, log, isOwner } = this.options;
     const { now, begunAt } = this;
-    const key = digests.join();
+    const key = boundedId(digests.join());
     const before = begunAt.get(key) ?? Number.NEGATIVE_INFINITY;
     if (!isOwner(key) || now - before < TRIAL_GAP_MILLISECONDS) return false;
     setLatest(begunAt, key, now, MAXIMUM_TRIALS);
-    const parts = namesOfParts(digests.map((digest) => decisions.summaryOf(digest)));
+    const known = digests.slice(0, MAXIMUM_LOGGED).map((digest) => decisions.summaryOf(digest));
+    const parts = namesOfParts(known);
     log.write(quarantineLogEvents.trialBegun, { digests: key, parts });
     return true;
   }
--- a/src/quarantine/RequestQuarantine.ts
+++ b/src/quarantine/RequestQuarantine.ts
@@ -18,9 +18,11 @@
 import type { QuarantineListener } from './InFlightSubjects.js';
 import { QuarantineDecisions } from './QuarantineDecisions.js';
 import { quarantineLogEvents } from './quarantineFeature.js';
+import type { CrashVerdict } from './explainCrashes.js';
 import { nextTrialAt } from './nextTrialAt.js';
 import { QuarantineTrials } from './QuarantineTrials.js';
 import type { CrashSubject, CrashSummary, SubjectState } from './quarantineTypes.js';
+import type { RequestSubjects } from './requestSubjects.js';
 import { hashOfVersion, namesOfParts } from './requestSubjects.js';
 
 /** Maximum number of digests, and of parts, in one log line. */
@@ -33,7 +35,7 @@
 
 /** A request as the quarantine sees it. */
 export interface QuarantineQuestion {
-  readonly subjects: readonly CrashSubject[];
+  readonly subjects: RequestSubjects;
   readonly service: string;
 }
 
@@ -90,7 +92,7 @@
     this.decisions = new QuarantineDecisions({
       onQuarantined: (digest) => this.logQuarantined(digest),
       onReleased: (digest) => log.write(quarantineLogEvents.requestReleased, this.namesOf(digest)),
-      onVerdict: ({ digests: [digest = ''] }) => this.inFlight.notify(digest),
+      onVerdict: ({ digests: [digest = ''] }) => this.inFlight.notify(this.subjectOf(digest)),
     });
     const { decisions } = this;
     this.trials = new QuarantineTrials({ decisions, runners, clock, log, isOwner: isTrialOwner });
@@ -115,16 +117,20 @@
    * @param subjects - subjects of a request.
    * @returns Whether runners have crashed while running it.
    */
-  isSuspect(subjects: readonly CrashSubject[]): boolean {
-    return subjects.some(({ digest }) => this.decisions.stateOf(digest) !== 'sound');
+  isSuspect(subjects: RequestSubjects): boolean {
+    const { decisions } = this;
+    return decisions
+      .recordedAmong(subjects)
+      .some(({ digest }) => decisions.stateOf(digest) !== 'sound');
   }
 
   /**
    * @param subjects - subjects of a request.
    * @returns Whether more than one runner has crashed while running it.
    */
-  hasRepeatedCrashes(subjects: readonly CrashSubject[]): boolean {
-    return subjects.some(({ digest }) => this.decisions.crashesOf(digest) > 1);
+  hasRepeatedCrashes(subjects: RequestSubjects): boolean {
+    const { decisions } = this;
+    return decisions.recordedAmong(subjects).some(({ digest }) => decisions.crashesOf(digest) > 1);
   }
 
   /**
@@ -133,9 +139,10 @@
    * other prompts explains the crashes. A part of its own prompt, which many requests share, is no reason against that:
    * most of these are sound.
    */
-  mayRunAgain(subjects: readonly CrashSubject[]): boolean {
-    const hasRepeated = this.hasRepeatedCrashes(subjects.slice(0, 1));
-    return !hasRepeated || this.decisions.isExplainedElsewhere(subjects, this.now);
+  mayRunAgain(subjects: RequestSubjects): boolean {
+    const { decisions } = this;
+    if (decisions.crashesOf(subjects.whole.digest) <= 1) return true;
+    return decisions.isExplainedElsewhere(decisions.recordedAmong(subjects), this.now);
   }
 
   /**
@@ -146,14 +153,13 @@
    * @returns Whether it may run, and where.
    */
   admit({ subjects, service }: QuarantineQuestion): QuarantineAdmission {
-    const verdict = this.decisions.verdictOn(subjects);
+    const recorded = this.decisions.recordedAmong(subjects);
+    const verdict = this.decisions.verdictOn(recorded);
     if (!verdict) {
-      const isBusy = subjects.some(
-        (subject) => this.runsAlone(subject) && this.inFlight.countOf(subject.digest) > 0,
-      );
+      const isBusy = this.inFlight.hasAny(recorded.filter((subject) => this.runsAlone(subject)));
       return { kind: isBusy ? 'busy' : 'admitted' };
     }
-    const isBusy = verdict.digests.some((digest) => this.inFlight.countOf(digest) > 0);
+    const isBusy = this.inFlight.hasAny(verdict.digests.map((digest) => this.subjectOf(digest)));
     const exemption = this.trials.exemptionFrom(verdict, service, isBusy);
     return exemption ? { kind: 'admitted', ...exemption } : { kind: 'refused' };
   }
@@ -163,8 +169,8 @@
    * @param softwareVersions - versions of the runners that are working on it.
    * @returns Whether it has to end.
    */
-  isBlocked(subjects: readonly CrashSubject[], softwareVersions: readonly string[]): boolean {
-    const verdict = this.decisions.verdictOn(subjects);
+  isBlocked(subjects: RequestSubjects, softwareVersions: readonly string[]): boolean {
+    const verdict = this.verdictOn(subjects);
     if (!verdict) return false;
     if (softwareVersions.length === 0) return true;
     return softwareVersions.some((version) => this.trials.hasCrashedAt(verdict, version));
@@ -174,8 +180,8 @@
    * @param subjects - subjects of a quarantined request.
    * @returns Value of the `Retry-After` header, in whole seconds.
    */
-  retryAfterSeconds(subjects: readonly CrashSubject[]): number | undefined {
-    const verdict = this.decisions.verdictOn(subjects);
+  retryAfterSeconds(subjects: RequestSubjects): number | undefined {
+    const verdict = this.verdictOn(subjects);
     const remaining = verdict ? nextTrialAt(verdict.crashes) - this.now : 0;
     if (!Number.isFinite(remaining)) return undefined;
     return Math.max(MINIMUM_RETRY_SECONDS, Math.ceil(remaining / MILLISECONDS_PER_SECOND));
@@ -185,9 +191,10 @@
    * @param subjects - subjects of a quarantined request.
    * @returns Names of the parts of its prompt that are quarantined; `undefined` if the request is, as a whole.
    */
-  quarantinedPartsOf(subjects: readonly CrashSubject[]): string | undefined {
-    const { digests = [] } = this.decisions.verdictOn(subjects) ?? {};
-    return namesOfParts(subjects.filter(({ digest }) => digests.includes(digest)));
+  quarantinedPartsOf(subjects: RequestSubjects): string | undefined {
+    const { digests = [] } = this.verdictOn(subjects) ?? {};
+    const quarantined = digests.map((digest) => this.subjectOf(digest));
+    return namesOfParts(quarantined, MAXIMUM_LOGGED);
   }
 
   /**
@@ -196,18 +203,17 @@
    * @param subjects - its subjects.
    * @param listener - called when it may have to end.
    */
-  begin(subjects: readonly CrashSubject[], listener: QuarantineListener): void {
+  begin(subjects: RequestSubjects, listener: QuarantineListener): void {
     this.inFlight.add(subjects, listener);
   }
 
   /**
    * Removes a request that has ended.
    *
-   * @param subjects - its subjects.
    * @param listener - the one that was given to {@link begin}.
    */
-  end(subjects: readonly CrashSubject[], listener: QuarantineListener): void {
-    this.inFlight.delete(subjects, listener);
+  end(listener: QuarantineListener): void {
+    this.inFlight.delete(listener);
   }
 
   /**
@@ -250,14 +256,24 @@
   }
 
   /**
-   * Records that a runner has answered.
+   * Records that a runner has answered a request.
+   *
+   * @param subjects - subjects of the request, which the answer shows to be sound.
+   * @param softwareVersion - version of the runner's software.
+   */
+  answered(subjects: RequestSubjects, softwareVersion: string): void {
+    this.decisions.answered([subjects.whole.digest], this.now, hashOfVersion(softwareVersion));
+    this.partsAnswered(subjects, softwareVersion);
+  }
+
+  /**
+   * Records that a runner answers on the parts of a prompt.
    *
-   * @param subjects - what the answer shows to be sound.
+   * @param subjects - subjects of the request; it may still crash the runner as a whole.
    * @param softwareVersion - version of the runner's software.
    */
-  answered(subjects: readonly CrashSubject[], softwareVersion: string): void {
-    const digests = subjects.map(({ digest }) => digest);
-    this.decisions.answered(digests, this.now, hashOfVersion(softwareVersion));
+  partsAnswered({ partKeys }: RequestSubjects, softwareVersion: string): void {
+    this.decisions.partsAnswered(partKeys, this.now, hashOfVersion(softwareVersion));
     this.notifyChange();
   }
 
@@ -304,10 +320,18 @@
     return this.decisions.crashesOf(digest) > 1;
   }
 
-  private handleCrash({ runner, crash, subjects, isFirst }: DetectedCrash): void {
+  private verdictOn(subjects: RequestSubjects): CrashVerdict | undefined {
+    return this.decisions.verdictOn(this.decisions.recordedAmong(subjects));
+  }
+
+  private subjectOf(digest: string): CrashSubject {
+    return { digest, part: this.decisions.partOf(digest) };
+  }
+
+  private handleCrash({ runner, crash, requests, isFirst }: DetectedCrash): void {
     const { crashes, log } = this.options;
     const { now } = this;
-    const requests = subjects.filter(({ part }) => part === undefined);
+    const suspects = this.decisions.suspectsAmong(requests, crash);
     if (isFirst) crashes.increment();
     log.write(quarantineLogEvents.runnerCrashed, {
       runner: runner.entry.id,
@@ -316,16 +340,16 @@
       requests: requests.length,
       digests: requests
         .slice(0, MAXIMUM_LOGGED)
-        .map(({ digest }) => digest)
+        .map(({ whole }) => whole.digest)
         .join(),
-      parts: namesOfParts(subjects, MAXIMUM_LOGGED),
+      parts: namesOfParts(suspects, MAXIMUM_LOGGED),
     });
-    this.decisions.crashed(subjects, crash, now);
+    this.decisions.crashed(suspects, crash, now);
     this.notifyChange();
   }
 
   private namesOf(digest: string): Record<string, string | undefined> {
-    return { digest, part: this.decisions.summaryOf(digest)?.part };
+    return { digest, part: this.decisions.partOf(digest) };
   }
 
   private logQuarantined(digest: string): void {
@@ -335,7 +359,7 @@
       toldBy: this.mergeSource,
       lives: crashes.map(({ life }) => life).join(),
       ages: crashes.map(({ at }) => Math.round(this.now - at)).join(),
-      underWay: this.inFlight.countOf(digest),
+      underWay: this.inFlight.countOf(this.subjectOf(digest)),
     });
   }
 }
--- a/src/quarantine/bystanders.spec.ts
+++ b/src/quarantine/bystanders.spec.ts
@@ -54,7 +54,8 @@
     this.fleet.send(request, daemon, (end) => {
       if (end === 'answered') this.begin();
       const subjects = subjectsOf(request);
-      if (daemon.quarantine.decisions.verdictOn(subjects)) this.refused.add(digest);
+      const { decisions } = daemon.quarantine;
+      if (decisions.verdictOn(decisions.recordedAmong(subjects))) this.refused.add(digest);
       const mayRunAgain = left > 1 && daemon.quarantine.mayRunAgain(subjects);
       if (end === 'broken' && mayRunAgain) this.attempt(request, daemon, left - 1);
       else if (end !== 'answered')
--- a/src/quarantine/explainCrashes.ts
+++ b/src/quarantine/explainCrashes.ts
@@ -126,8 +126,9 @@
       one.crashes.length === crashes.length && without(one.crashes, crashes).length === 0;
     const digests = open.filter(isEqual).map(({ digest }) => digest);
     verdicts.push({ digests: digests.sort(), crashes });
+    const explained = new Set(digests);
     open = open
-      .filter(({ digest }) => !digests.includes(digest))
+      .filter(({ digest }) => !explained.has(digest))
       .map((one) => ({ ...one, crashes: without(one.crashes, crashes) }));
   }
 }
--- a/src/quarantine/quarantine.spec.ts
+++ b/src/quarantine/quarantine.spec.ts
@@ -68,7 +68,7 @@
 
 function lateArrivals(fleet: TestCrashFleet): number {
   const [, , third = Number.POSITIVE_INFINITY] = fleet.crashes;
-  const arrivals = fleet.arrivals.get(FATAL.digest) ?? [];
+  const arrivals = fleet.arrivalsOf(FATAL.digest);
   return arrivals.filter((at) => at > third + KNOWN_MILLISECONDS).length;
 }
 
--- a/src/quarantine/quarantinedParts.spec.ts
+++ b/src/quarantine/quarantinedParts.spec.ts
@@ -94,10 +94,8 @@
 
 function lateArrivals(fleet: TestCrashFleet, part: string): number {
   const { digest } = partSubject(SERVICE, part);
-  const crashes = fleet.fatalCrashes.filter(({ digests }) => digests.includes(digest));
-  const decisive = crashes[CRASHES - 1]?.at ?? Number.POSITIVE_INFINITY;
-  return (fleet.arrivals.get(digest) ?? []).filter((at) => at > decisive + KNOWN_MILLISECONDS)
-    .length;
+  const decisive = fleet.crashesUnder(part)[CRASHES - 1] ?? Number.POSITIVE_INFINITY;
+  return fleet.arrivalsOf(digest).filter((at) => at > decisive + KNOWN_MILLISECONDS).length;
 }
 
 function isQuarantinedEverywhere(fleet: TestCrashFleet, part: string): boolean {
@@ -226,7 +224,7 @@
       sendFatal(fleet, { partsOf, from: 1_000, until: 20_000, fatalVersion: 'v1' });
       fleet.play(22 * SECONDS);
       const { digest } = partSubject(SERVICE, 'bad');
-      const served = (fleet.arrivals.get(digest) ?? []).filter((at) => at > 15_000).length;
+      const served = fleet.arrivalsOf(digest).filter((at) => at > 15_000).length;
       const crashes = fleet.fatalCrashes.filter(({ at }) => at > 10_000);
       expect(crashes).toEqual([]);
       expect(served >= 18).toEqual(true);
@@ -260,3 +258,47 @@
     });
   });
 });
+
+describe('quarantine of a part of long prompts, in virtual time', () => {
+  // Guards against a part that is never found behind the first ones of a long prompt, or of the parts of a crash.
+  it('finds the part at any place of prompts of any length', () => {
+    const prompts = [
+      { daemons: 3, count: 40, place: 36 },
+      { daemons: 6, count: 33, place: 32 },
+      { daemons: 6, count: 400, place: 0 },
+      { daemons: 20, count: 100, place: 70 },
+      { daemons: 20, count: 1_200, place: 1_199 },
+    ];
+    for (const { daemons, count, place } of prompts) {
+      const fleet = fleetOf({ daemons, seed: count });
+      const promptWith = (part: string) =>
+        Array.from({ length: count }, (_, index) => (index === place ? part : `a${index}`));
+      const [sound, fatal] = [promptWith('good'), promptWith('bad')];
+      const load = new Load(fleet).run(12 * SECONDS, 10, () => sound);
+      sendFatal(fleet, { partsOf: () => fatal, until: 14_000, pause: 700 });
+      fleet.play(16 * SECONDS);
+      expect(lateArrivals(fleet, 'bad') <= LATE_ARRIVALS).toEqual(true);
+      expect(isQuarantinedEverywhere(fleet, 'bad')).toEqual(true);
+      expect(load.refused / load.sent < 0.1).toEqual(true);
+    }
+  });
+
+  // Guards against the same where prompts have nothing else in common, so that no answer tells which parts are sound.
+  it('finds the only part that long prompts have in common', () => {
+    for (const [count, place] of [
+      [60, 59],
+      [900, 450],
+    ] as const) {
+      const fleet = fleetOf({ daemons: 6, seed: count });
+      const partsOf = (number: number) =>
+        Array.from({ length: count }, (_, index) =>
+          index === place ? 'bad' : `${number}-${index}`,
+        );
+      const load = new Load(fleet).run(8 * SECONDS, 10);
+      sendFatal(fleet, { partsOf, until: 12_000, pause: 700 });
+      fleet.play(14 * SECONDS);
+      expect(lateArrivals(fleet, 'bad') <= LATE_ARRIVALS).toEqual(true);
+      expect(load.refused).toEqual(0);
+    }
+  });
+});
--- a/src/quarantine/requestSubjects.ts
+++ b/src/quarantine/requestSubjects.ts
@@ -10,17 +10,31 @@
 import type { ComparedRequest } from './requestDigest.js';
 import { DIGEST_DIGITS, requestDigest } from './requestDigest.js';
 
-/** Maximum number of parts of one prompt that are told apart; the outermost ones. */
-const MAXIMUM_PARTS = 32;
-
 /** Maximum length of a part's name in logs and messages, in characters. */
 const MAXIMUM_NAME_LENGTH = 40;
 
+/** Hexadecimal digits of a digest that a number holds exactly. */
+const KEY_DIGITS = 13;
+
 /** A request with the parts of its prompt. */
 export interface PromptedRequest extends ComparedRequest {
   readonly service: string;
-  /** Ids of the parts that other requests share, the outermost first. */
-  readonly sharedParts: readonly string[];
+  /** Returns the ids of all parts that other requests share, the outermost first. */
+  readonly allSharedParts: () => readonly string[];
+}
+
+/** Options of {@link RequestSubjects}. */
+export interface RequestSubjectsOptions {
+  /** Digest of the request as a whole. */
+  digest: string;
+  service?: string;
+  /** Returns the ids of the parts that other requests share. */
+  partIds?: () => readonly string[];
+}
+
+function digestOfPart(service: string, id: string): string {
+  const text = JSON.stringify([service, id]);
+  return createHash('sha256').update(text).digest('hex').slice(0, DIGEST_DIGITS);
 }
 
 /**
@@ -29,13 +43,67 @@
  * @returns The part as a possible cause of crashes.
  */
 export function partSubject(service: string, id: string): CrashSubject {
-  const text = JSON.stringify([service, id]);
-  const digest = createHash('sha256').update(text).digest('hex').slice(0, DIGEST_DIGITS);
-  return { digest, part: `${service}/${id}`.slice(0, MAXIMUM_NAME_LENGTH) };
+  return {
+    digest: digestOfPart(service, id),
+    part: `${service}/${id}`.slice(0, MAXIMUM_NAME_LENGTH),
+  };
+}
+
+/**
+ * @param digest - digest of a part.
+ * @returns Its first 52 bits; a prompt may have thousands of parts, which take 8 bytes each in this form.
+ */
+export function keyOfPart(digest: string): number {
+  return Number.parseInt(digest.slice(0, KEY_DIGITS), 16);
 }
 
-/** The request as a whole, then the shared parts of its prompt. */
-export type RequestSubjects = readonly [CrashSubject, ...CrashSubject[]];
+/** The request as a whole, and the shared parts of its prompt. */
+export class RequestSubjects {
+  readonly whole: CrashSubject;
+
+  /** Keys of the parts, each once, the outermost first. */
+  readonly partKeys: Float64Array;
+
+  private readonly service: string;
+
+  private readonly partIds: () => readonly string[];
+
+  /**
+   * @param options - the digest of the request and its parts.
+   */
+  constructor({ digest, service = '', partIds = () => [] }: RequestSubjectsOptions) {
+    this.whole = { digest };
+    this.service = service;
+    this.partIds = partIds;
+    this.partKeys = Float64Array.from(this.distinctIds, (id) =>
+      keyOfPart(digestOfPart(service, id)),
+    );
+  }
+
+  /**
+   * Computes subjects, which are not kept for each request because a prompt may have thousands of parts.
+   *
+   * @param isWanted - tells by its key whether a part is wanted; all are by default.
+   * @returns The parts.
+   */
+  parts(isWanted: (key: number) => boolean = () => true): CrashSubject[] {
+    return [...this.distinctIds]
+      .filter((_, index) => isWanted(this.partKeys[index] ?? 0))
+      .map((id) => partSubject(this.service, id));
+  }
+
+  /**
+   * @param digest - digest of a request or of a part.
+   * @returns Whether it is that of one of the subjects.
+   */
+  includes(digest: string): boolean {
+    return this.whole.digest === digest || this.partKeys.includes(keyOfPart(digest));
+  }
+
+  private get distinctIds(): Set<string> {
+    return new Set(this.partIds());
+  }
+}
 
 /**
  * @param request - a completely received request.
@@ -43,11 +111,10 @@
  */
 export function requestSubjects({
   service,
-  sharedParts,
+  allSharedParts,
   ...request
 }: PromptedRequest): RequestSubjects {
-  const parts = [...new Set(sharedParts)].slice(0, MAXIMUM_PARTS);
-  return [{ digest: requestDigest(request) }, ...parts.map((part) => partSubject(service, part))];
+  return new RequestSubjects({ digest: requestDigest(request), service, partIds: allSharedParts });
 }
 
 /**
--- a/src/quarantine/testCrashFleet.ts
+++ b/src/quarantine/testCrashFleet.ts
@@ -14,9 +14,8 @@
 import type { DaemonEntry } from '../sync/FleetStore.js';
 import { ManualClock } from '../time/ManualClock.js';
 import { CrashRelay } from './CrashRelay.js';
-import type { CrashSubject } from './quarantineTypes.js';
 import { RequestQuarantine } from './RequestQuarantine.js';
-import { partSubject } from './requestSubjects.js';
+import { partSubject, RequestSubjects } from './requestSubjects.js';
 
 /** Options of a {@link TestCrashFleet}. */
 export interface TestCrashFleetOptions {
@@ -52,7 +51,7 @@
 const DOWN_MILLISECONDS = 2_000;
 
 interface RunningRequest {
-  readonly subjects: readonly CrashSubject[];
+  readonly subjects: RequestSubjects;
   /** Quarantine of the daemon that sent it. */
   readonly quarantine: RequestQuarantine;
   readonly startedAt: number;
@@ -73,8 +72,8 @@
  * @param request - a request.
  * @returns What its crashes count against.
  */
-export function subjectsOf({ digest, parts = [] }: TestRequest): readonly CrashSubject[] {
-  return [{ digest }, ...parts.map((part) => partSubject(SERVICE, part))];
+export function subjectsOf({ digest, parts = [] }: TestRequest): RequestSubjects {
+  return new RequestSubjects({ digest, service: SERVICE, partIds: () => parts });
 }
 
 type Handler = (message: Uint8Array) => void;
@@ -103,14 +102,14 @@
 
   readonly clock = new ManualClock();
 
-  /** Arrival times of requests at runners by digest, in monotonic ms. */
-  readonly arrivals = new Map<string, number[]>();
+  /** Arrivals of requests at runners, in monotonic ms. */
+  private readonly arrivals: { readonly at: number; readonly subjects: RequestSubjects }[] = [];
 
   /** Time of each runner crash, in monotonic ms. */
   readonly crashes: number[] = [];
 
-  /** Crashes that a request caused, with the digests of its subjects. */
-  readonly fatalCrashes: { readonly at: number; readonly digests: readonly string[] }[] = [];
+  /** Crashes that requests caused. */
+  readonly fatalCrashes: { readonly at: number; readonly subjects: RequestSubjects }[] = [];
 
   readonly random: () => number;
 
@@ -211,6 +210,23 @@
     relay.start();
   }
 
+  /**
+   * @param digest - digest of a request or of a part of prompts.
+   * @returns When requests with it reached runners, in monotonic ms.
+   */
+  arrivalsOf(digest: string): number[] {
+    return this.arrivals.filter(({ subjects }) => subjects.includes(digest)).map(({ at }) => at);
+  }
+
+  /**
+   * @param part - id of a part.
+   * @returns When requests with it crashed runners, in monotonic ms.
+   */
+  crashesUnder(part: string): number[] {
+    const { digest } = partSubject(SERVICE, part);
+    return this.fatalCrashes.flatMap(({ subjects, at }) => (subjects.includes(digest) ? at : []));
+  }
+
   /**
    * Sends a request to a daemon.
    *
@@ -224,7 +240,8 @@
     end: (end: TestOutcome) => void = () => undefined,
   ): void {
     const { quarantine } = daemon;
-    const admission = quarantine.admit({ subjects: subjectsOf(request), service: SERVICE });
+    const subjects = subjectsOf(request);
+    const admission = quarantine.admit({ subjects, service: SERVICE });
     const version = admission.kind === 'admitted' ? admission.softwareVersion : undefined;
     const up = this.runners.filter(
       ({ isUp, softwareVersion }) => isUp && softwareVersion === (version ?? softwareVersion),
@@ -296,25 +313,23 @@
         const { softwareVersion } = runner;
         const isStopped = !isTrial && quarantine.isBlocked(subjects, [softwareVersion]);
         if (!isStopped || !all.delete(running)) return;
-        quarantine.end(subjects, running.onVerdict);
+        quarantine.end(running.onVerdict);
         end('refused');
       },
     };
     const { onVerdict } = running;
     quarantine.begin(subjects, onVerdict);
     runner.running.add(running);
-    for (const { digest } of subjects) {
-      this.arrivals.set(digest, [...(this.arrivals.get(digest) ?? []), this.now]);
-    }
+    this.arrivals.push({ at: this.now, subjects });
     this.after(milliseconds, () => {
       if (!runner.running.has(running)) return;
       if (isFatal && fatalVersion === runner.softwareVersion) {
-        this.fatalCrashes.push({ at: this.now, digests: subjects.map(({ digest }) => digest) });
+        this.fatalCrashes.push({ at: this.now, subjects });
         this.crash(runner);
         return;
       }
       runner.running.delete(running);
-      quarantine.end(subjects, onVerdict);
+      quarantine.end(onVerdict);
       quarantine.answered(subjects, runner.softwareVersion);
       end('answered');
     });
@@ -327,7 +342,7 @@
     this.crashes.push(this.now);
     for (const { subjects, quarantine, startedAt, end, onVerdict } of broken) {
       this.after(ROUND_TRIP_MILLISECONDS, () => {
-        quarantine.end(subjects, onVerdict);
+        quarantine.end(onVerdict);
         if (listed) quarantine.broke(listed, { subjects, startedAt });
         end('broken');
       });
--- a/tests/fatalPromptParts.spec.ts
+++ b/tests/fatalPromptParts.spec.ts
@@ -57,6 +57,11 @@
   readonly companion?: { readonly parts: readonly string[]; readonly from: number };
 }
 
+/** The same parts, save one. */
+function partsWith(count: number, place: number, part: string): readonly string[] {
+  return Array.from({ length: count }, (_, index) => (index === place ? part : `c${index}`));
+}
+
 const PLAYS: readonly Play[] = [
   {
     name: 'the second of its parts, in streams that may be resumed',
@@ -70,6 +75,20 @@
     fatalParts: ['fa7a1'],
     partsOf: (part, number) => [part, `b${number % SECOND_PARTS}`],
   },
+  {
+    name: 'the 37th of its 40 parts',
+    path: '/chat/',
+    fatalParts: ['fa7a1'],
+    partsOf: (part) => partsWith(40, 36, part),
+    companion: { parts: partsWith(40, 36, 'e1'), from: 0 },
+  },
+  {
+    name: 'the last of its 300 parts',
+    path: '/chat/',
+    fatalParts: ['fa7a1'],
+    partsOf: (part) => partsWith(300, 299, part),
+    companion: { parts: partsWith(300, 299, 'e1'), from: 0 },
+  },
   {
     name: 'beside a part that such requests always have',
     path: '/chat/',
