--- a/src/daemon/runDaemon.ts
+++ b/src/daemon/runDaemon.ts
@@ -21,6 +21,8 @@
 export async function runDaemon(settings: Settings): Promise<number> {
   const log = createDaemonLog(settings.daemon);
   const stop = Promise.race([once(process, 'SIGTERM'), once(process, 'SIGINT')]);
+  // Without a listener, a second signal would end the process while requests are in progress.
+  process.on('SIGTERM', () => undefined);
   process.on('uncaughtException', (error) => {
     log.write(daemonLogEvents.failed, { error: VError.fullStack(error) });
   });
