Nothing is passed on behind the answer that ends its connection

What callers saw: a request sent behind another one on the same connection ran and got no answer, from the SIGTERM of its daemon on. Cause: the next request of a connection began when an answer had been sent, also when that one had ended the connection. Change: the end of the connection is looked at. Measured: tests/plannedStops.spec.ts, 'passes nothing on', fails before (both requests ran).

--- a/src/clients/ClientConnection.ts
+++ b/src/clients/ClientConnection.ts
@@ -278,7 +278,8 @@
     }
     const [next] = this.requests;
     const run = next?.run;
-    if (!next || !run || this.socket.destroyed) return;
+    // The answer that ends a connection may have been the last one; what follows it gets none and must not run.
+    if (!next || !run || this.socket.destroyed || this.socket.writableEnded) return;
     next.run = undefined;
     next.memory.pin();
     run();
--- a/tests/plannedStops.spec.ts
+++ b/tests/plannedStops.spec.ts
@@ -99,4 +99,17 @@
     expect(statuses).toEqual([200, 200, 200]);
     expect(await daemon.ended()).toEqual(0);
   });
+
+  // Guards against a request that is passed on behind the answer that ends its connection, and gets none itself.
+  it('passes nothing on behind the answer that ends a connection', async () => {
+    const both = open();
+    both.socket.write(headOf('first', 0));
+    await site.until(() => ran.length === 1);
+    both.socket.write(headOf('second', 0));
+    daemon.signal('SIGTERM');
+    await both.closed;
+    expect(both.text.match(/HTTP\/1\.1 200 /gu)?.length).toEqual(1);
+    expect(ran).toEqual(['first']);
+    expect(await daemon.ended()).toEqual(0);
+  });
 });
