A request that begins while its daemon refuses others is refused too

What callers saw: uploads whose body ended late in a planned stop were passed on and cut at its end. Cause: the phase of the stop was looked at when the head came, and not again when the request began. Change: it is looked at again when the body is there and the request's turn has come. Measured: tests/plannedStops.spec.ts, 'refuses a request whose body ends', fails before (cut).

--- a/src/forwarding/ForwardingServer.ts
+++ b/src/forwarding/ForwardingServer.ts
@@ -13,7 +13,7 @@
 import type { HostAndPort } from '../http/parseAddress.js';
 import type { CallerLimits } from '../routes/routeTypes.js';
 import { storePositionOf } from '../sync/orderedRevision.js';
-import { admitRequest } from './admitRequest.js';
+import { admitRequest, STOPPING } from './admitRequest.js';
 import { AnswerRelay } from './AnswerRelay.js';
 import type { DaemonAnswer } from './AnswerRelay.js';
 import { forwardingLogEvents } from './forwardingFeature.js';
@@ -172,7 +172,11 @@
     });
     const { request: admitted } = admission;
     this.readBody(request, admitted, relay, (body) => {
-      this.clients.runInTurn(response, () => this.forward(admitted, body, relay, response));
+      this.clients.runInTurn(response, () => {
+        // The daemon may have begun to refuse requests while the body arrived, or earlier ones were answered.
+        if (this.context.stopPhase() === 'closing') this.answerRejection(request, relay, STOPPING);
+        else this.forward(admitted, body, relay, response);
+      });
     });
   }
 
--- a/src/forwarding/admitRequest.ts
+++ b/src/forwarding/admitRequest.ts
@@ -41,6 +41,13 @@
 /** `Retry-After` while this daemon stops, in seconds; another daemon can take the request at once. */
 const STOPPING_RETRY_SECONDS = 0.02;
 
+/** Refusal of a request that this daemon, which stops, has not begun. */
+export const STOPPING: DaemonAnswer = {
+  status: 503,
+  reason: 'stopping',
+  retryAfterSeconds: STOPPING_RETRY_SECONDS,
+};
+
 /**
  * `Retry-After` when no region is a home region of both the route and the client account, in seconds. That stays so
  * until operators change the configuration.
@@ -174,7 +181,7 @@
     const retryAfterSeconds = isOutage ? OUTAGE_RETRY_SECONDS : CONFIGURATION_RETRY_SECONDS;
     return rejected(503, 'no_configuration', retryAfterSeconds);
   }
-  if (context.stopPhase() === 'closing') return rejected(503, 'stopping', STOPPING_RETRY_SECONDS);
+  if (context.stopPhase() === 'closing') return { kind: 'rejected', own: STOPPING };
   const { names } = context.protocol;
   const { headers, url = '/', method = 'GET' } = request;
   const { limits } = table.configuration;
--- a/tests/plannedStops.spec.ts
+++ b/tests/plannedStops.spec.ts
@@ -100,6 +100,20 @@
     expect(await daemon.ended()).toEqual(0);
   });
 
+  // Guards against a request that is passed on though the daemon refuses others, and is cut at the end of the stop.
+  it('refuses a request whose body ends when others are refused', async () => {
+    const late = open();
+    late.socket.write(headOf('late', BODY.length));
+    await wait(300);
+    daemon.signal('SIGTERM');
+    await wait(REFUSING_MILLISECONDS);
+    late.socket.write(BODY);
+    await late.closed;
+    expect(late.text.startsWith('HTTP/1.1 503 ')).toEqual(true);
+    expect(late.text.includes('"stopping"')).toEqual(true);
+    expect(ran).toEqual([]);
+  });
+
   // Guards against a request that is passed on behind the answer that ends its connection, and gets none itself.
   it('passes nothing on behind the answer that ends a connection', async () => {
     const both = open();
