A planned stop waits for handed over requests, and answers what does not end in time

What callers saw: writes that another daemon had handed over were cut once the stopping daemon's own callers were served, and what needed longer than the stop got no answer at all. Cause: only the daemon's own requests were counted, and connections were closed at the end. Change: both are counted; at the end each request in progress is answered, 503 where no runner has had it, 502 where one may have.

--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -10,6 +10,7 @@
 import { stepAfterHandOver } from '../handover/stepAfterHandOver.js';
 import type { Choice } from '../runners/RunnerChoice.js';
 import type { SelectionRefusal } from '../runners/RunnerSelector.js';
+import { STOPPING } from './admitRequest.js';
 import type { BufferedAnswer } from './AnswerRelay.js';
 import { framingOf } from './answerFraming.js';
 import { daemonAnswerFor, refusedAnswer } from './daemonAnswerFor.js';
@@ -76,6 +77,13 @@
     this.end('callerLeft', 'caller_left');
   }
 
+  /** The daemon ends, and no answer of a runner can be passed on any more. */
+  endForStop(): void {
+    this.endAfterThrow(() => {
+      if (!this.relay.isDone) this.endWithRefusal(STOPPING);
+    });
+  }
+
   override answered(attempt: RunnerAttempt, answer: IncomingMessage): void {
     this.waits.recordHeard();
     this.report.answerBegun(framingOf(answer));
--- a/src/forwarding/ForwardingServer.ts
+++ b/src/forwarding/ForwardingServer.ts
@@ -19,6 +19,7 @@
 import { forwardingLogEvents } from './forwardingFeature.js';
 import { ForwardedRequest } from './ForwardedRequest.js';
 import type { AdmittedRequest, ForwardingContext } from './forwardingTypes.js';
+import { RequestsInProgress } from './RequestsInProgress.js';
 
 /** Header limit of the HTTP parser before the first configuration, in bytes. */
 const PARSER_HEADER_BYTES = 65_536;
@@ -66,6 +67,8 @@
 
   private readonly context: ForwardingContext;
 
+  private readonly remaining = new RequestsInProgress();
+
   private readonly clients: ClientConnections;
 
   private readonly server: Server;
@@ -128,6 +131,11 @@
     for (const serve of [...this.awaitingConfiguration]) serve();
   }
 
+  /** Answers the requests that are still being forwarded, as there is no time left for their runners. */
+  endRemaining(): void {
+    this.remaining.end();
+  }
+
   /** Accepts no more connections and closes idle ones; requests in progress finish. */
   close(): void {
     this.server.close();
@@ -229,7 +237,7 @@
   ): void {
     if (response.destroyed) return;
     const forwarded = new ForwardedRequest({ request, body, relay, context: this.context });
-    response.once('close', () => forwarded.callerLeft());
+    this.remaining.add(forwarded, response);
     forwarded.start();
   }
 
--- a/src/handover/HandOverParts.ts
+++ b/src/handover/HandOverParts.ts
@@ -42,6 +42,8 @@
   /** Hands requests over. */
   readonly task: HandOverTask;
 
+  private server: HandOverServer | undefined;
+
   private readonly monitor: RunnerPathMonitor;
 
   private readonly options: HandOverPartsOptions;
@@ -81,9 +83,20 @@
     const { path, options } = this;
     const { secret } = options;
     const server = new HandOverServer({ context, path, isAllowedHost, secret, budget });
+    this.server = server;
     return (request, response) => server.take(request, response);
   }
 
+  /** @returns Number of requests of other daemons whose answers are not complete. */
+  get inProgress(): number {
+    return this.server?.inProgress ?? 0;
+  }
+
+  /** Ends the requests of other daemons, as this daemon stops. */
+  endRemaining(): void {
+    this.server?.endRemaining();
+  }
+
   /** Starts to look at the path. */
   start(): void {
     this.monitor.start();
--- a/src/handover/HandOverServer.ts
+++ b/src/handover/HandOverServer.ts
@@ -10,6 +10,7 @@
 import { ForwardedRequest } from '../forwarding/ForwardedRequest.js';
 import { forwardingLogEvents } from '../forwarding/forwardingFeature.js';
 import type { ForwardingContext } from '../forwarding/forwardingTypes.js';
+import { RequestsInProgress } from '../forwarding/RequestsInProgress.js';
 import { TriedRunners } from '../forwarding/TriedRunners.js';
 import { REFUSED_HEADER } from './handOverHeaders.js';
 import { decodeHandOver, HandOverError } from './handOverMessage.js';
@@ -52,6 +53,8 @@
   /** Number of requests whose answers are not complete. */
   inProgress = 0;
 
+  private readonly remaining = new RequestsInProgress();
+
   private readonly options: Required<HandOverServerOptions>;
 
   /** The context without a task that hands requests over, so that no request goes on to a third daemon. */
@@ -92,6 +95,11 @@
     response.writeContinue();
   }
 
+  /** Ends the requests in progress, as this daemon stops. */
+  endRemaining(): void {
+    this.remaining.end();
+  }
+
   private get refusal(): HandOverRefusal | undefined {
     const { path, secret, context } = this.options;
     if (context.stopPhase() !== 'serving') return 'stopping';
@@ -157,7 +165,7 @@
     context.log.write(forwardingLogEvents.takenOver, { request: request.id, from: sender });
     const before = { isCounted, tried, softwareVersion };
     const forwarded = new ForwardedRequest({ request, body, relay, context, before });
-    response.once('close', () => forwarded.callerLeft());
+    this.remaining.add(forwarded, response);
     forwarded.start();
   }
 }
--- a/src/handover/receivedPrompt.spec.ts
+++ b/src/handover/receivedPrompt.spec.ts
@@ -1,3 +1,4 @@
+import type { IncomingHttpHeaders } from 'node:http';
 import { describe, it } from 'node:test';
 
 import { expect } from 'earl';
@@ -6,7 +7,9 @@
 import type { HandOver } from './handOverMessage.js';
 import { receivedPrompt } from './receivedPrompt.js';
 
-const PROTOCOL = { sharedPartsOf: ({ prompt }: { prompt?: unknown }) => String(prompt).split(',') };
+const PROTOCOL = {
+  sharedPartsOf: (headers: IncomingHttpHeaders) => String(headers.prompt).split(','),
+};
 
 function requestWith(parts: readonly string[]): HandOver['request'] {
   const headers = ['Host', 'chat.example', 'Prompt', parts.join()];
--- a/src/router/RouterDaemon.ts
+++ b/src/router/RouterDaemon.ts
@@ -286,8 +286,8 @@
       if (phase === 'closing') this.coordination.refuseWaiting();
     };
     const withdrawn = this.registration.stop();
-    const { front, clock, settings } = this;
-    await runPlannedStop({ front, clock, settings, setPhase });
+    const { front, handOver: handedOver, clock, settings } = this;
+    await runPlannedStop({ front, handedOver, clock, settings, setPhase });
     await withdrawn;
     this.follower.stop();
     this.coordination.liveness.stop();
--- a/tests/plannedStops.spec.ts
+++ b/tests/plannedStops.spec.ts
@@ -126,4 +126,17 @@
     expect(ran).toEqual(['first']);
     expect(await daemon.ended()).toEqual(0);
   });
+
+  // Guards against callers without an answer at the end of the stop.
+  it('answers what does not end in time', async () => {
+    const slow = open();
+    daemon.signal('SIGTERM');
+    await wait(REFUSING_MILLISECONDS - 450);
+    slow.socket.write(headOf('slow', 0));
+    await slow.closed;
+    expect(slow.text.startsWith('HTTP/1.1 ')).toEqual(true);
+    expect(slow.text.includes('\r\n\r\n')).toEqual(true);
+    expect(ran.length === 0 || !slow.text.startsWith('HTTP/1.1 503 ')).toEqual(true);
+    expect(await daemon.ended()).toEqual(0);
+  });
 });
