Part of an answer to an upload does not pass as the whole of it

What callers saw, by a report of other operators: a runner answered a long upload at once with a 200 without a length, sent part of it and closed its connection; the part came as a complete answer.

Cause: the end of the connection ends such an answer, and nobody asked whether the request had been written by then. A runner that closes in order first and resets the connection after that was taken for one that is done: the library closes the connection at its end, and the reset meets nobody.

The reset that was reported (data and reset together) was found before.

A status of 000 got to no caller before either.

--- a/src/forwarding/ForwardedRequest.spec.ts
+++ b/src/forwarding/ForwardedRequest.spec.ts
@@ -366,7 +366,7 @@
     expect(await caller).toInclude('500 Internal Server Error');
   });
 
-  for (const status of ['020', '099', '600', '999']) {
+  for (const status of ['000', '020', '099', '600', '999']) {
     // Guards against a caller that gets no answer at all, or one that is none.
     it(`takes the status ${status} of a runner for a broken answer`, async () => {
       const { runner, caller } = await begin({ route: { kind: 'at_most_once', resumable: false } });
--- a/src/forwarding/RunnerAttempt.spec.ts
+++ b/src/forwarding/RunnerAttempt.spec.ts
@@ -12,6 +12,12 @@
 
 const HEAD = 'HTTP/1.1 200 OK\r\nSignature: s\r\nRequest-Id: r-1\r\n';
 
+/** More than the socket buffers of both ends hold. */
+const UPLOAD_BYTES = 32_000_000;
+
+/** How long after the end of a connection a runner resets it, in ms. */
+const LATE_RESET_MILLISECONDS = 30;
+
 /** How long this thread is kept from reading, so that data and reset arrive together; in ms. */
 const BUSY_MILLISECONDS = 100;
 
@@ -38,15 +44,19 @@
 
 describe('RunnerAttempt', () => {
   const servers: Server[] = [];
+  const accepted: Socket[] = [];
   const workers: Worker[] = [];
 
   afterEach(async () => {
+    // A paused socket does not see that its peer has closed the connection.
+    for (const socket of accepted.splice(0)) socket.destroy();
     for (const server of servers.splice(0)) server.close();
     await Promise.all(workers.splice(0).map((worker) => worker.terminate()));
   });
 
   function listen(take: (socket: Socket) => void): Promise<number> {
     const server = createServer((socket) => {
+      accepted.push(socket);
       socket.on('error', () => undefined);
       take(socket);
     });
@@ -88,6 +98,72 @@
     });
   });
 
+  // Guards against a part of an answer that is taken for the whole: its runner gave up while the upload was being written.
+  it('takes no end of a connection for the end of an answer while the request is still being written', async () => {
+    for (const kind of ['close', 'reset'] as const) {
+      const port = await listen((socket) => {
+        socket.once('data', () => {
+          socket.pause();
+          const close = () => (kind === 'reset' ? socket.resetAndDestroy() : socket.end());
+          socket.write(`${HEAD}Connection: close\r\n\r\nhalf`, close);
+        });
+      });
+      const body = Buffer.alloc(UPLOAD_BYTES);
+      expect((await attemptAt({ port, body })).outcome).toEqual('broken');
+    }
+  });
+
+  // Guards against the same with an upload that fits the buffers of the operating system, of which the runner reads little.
+  it('takes no end of a connection for the end of an answer if a reset follows', async () => {
+    for (const uploadBytes of [100_000, 200_000, 3_000_000]) {
+      const port = await listen((socket) => {
+        socket.once('data', () => {
+          socket.pause();
+          socket.write(`${HEAD}Connection: close\r\n\r\nhalf`, () => {
+            socket.end();
+            setTimeout(() => socket.resetAndDestroy(), LATE_RESET_MILLISECONDS);
+          });
+        });
+      });
+      expect((await attemptAt({ port, body: Buffer.alloc(uploadBytes) })).outcome).toEqual(
+        'broken',
+      );
+    }
+  });
+
+  it('takes an orderly end behind a long upload for the end of an answer without a length', async () => {
+    const body = Buffer.alloc(200_000);
+    const port = await listen((socket) => {
+      let received = 0;
+      socket.on('data', (chunk) => {
+        received += chunk.length;
+        if (received > body.length) socket.end(`${HEAD}Connection: close\r\n\r\nwhole`);
+      });
+    });
+    expect(await attemptAt({ port, body })).toEqual({
+      outcome: 'ended',
+      status: 200,
+      body: 'whole',
+    });
+  });
+
+  it('takes a whole answer with a length while the request is still being written', async () => {
+    const port = await listen((socket) => {
+      socket.once('data', () => {
+        socket.pause();
+        socket.write(`${HEAD}Connection: close\r\nContent-Length: 4\r\n\r\nfull`, () =>
+          socket.end(),
+        );
+      });
+    });
+    const body = Buffer.alloc(UPLOAD_BYTES);
+    expect(await attemptAt({ port, body })).toEqual({
+      outcome: 'ended',
+      status: 200,
+      body: 'full',
+    });
+  });
+
   it('rejects the answer to another request', async () => {
     // Guards against sending one caller's answer to another. A runner sends a late second answer to the previous request,
     // which arrives when the answer to this request is expected; only the id differs.
--- a/src/forwarding/RunnerAttempt.ts
+++ b/src/forwarding/RunnerAttempt.ts
@@ -7,6 +7,7 @@
 
 import type { AttemptWork } from '../capacity/AttemptWork.js';
 import { isFinalStatus } from '../http/isFinalStatus.js';
+import { isSuccess } from '../http/isSuccess.js';
 import { onceUnanswered } from '../http/onceUnanswered.js';
 import type { Runner } from '../runners/Runner.js';
 import type { Clock } from '../time/Clock.js';
@@ -14,12 +15,13 @@
 import { framingOf } from './answerFraming.js';
 import type { AnswerSource } from './AnswerOwnership.js';
 import type { LinkCheck } from './LinkCheck.js';
+import { mayBeCutOff } from './mayBeCutOff.js';
 import { isRemoteError, probeRunner } from './probeRunner.js';
 import type { ProbeResult } from './probeRunner.js';
+import { ResetDetector } from './ResetDetector.js';
 import type { RunnerAgent } from './RunnerAgent.js';
 import type { RunnerProtocol } from './RunnerProtocol.js';
 import type { RunnerNotices } from './RunnerNotices.js';
-import { isEventStream } from './StreamedAnswer.js';
 
 /**
  * How an attempt failed.
@@ -85,13 +87,9 @@
 const REFUSAL_READ_MILLISECONDS = 1_000;
 
 const MISDIRECTED = 421;
-const SUCCESS = 200;
-const NO_CONTENT = 204;
-const REDIRECT = 300;
 
-function isSuccess(status: number): boolean {
-  return status >= SUCCESS && status < REDIRECT;
-}
+/** Length from which a runner may answer and end the connection with much of a body unread; in bytes. */
+const UPLOAD_BYTES = 65_536;
 
 /** Prefix of the codes of errors in bytes that are no answer. */
 const PARSE_ERROR = 'HPE_';
@@ -119,7 +117,7 @@
 
   private connected = false;
 
-  private wasReset = false;
+  private resets: ResetDetector | undefined;
 
   /** Whether reading has ever been paused. */
   private wasPaused = false;
@@ -232,31 +230,10 @@
       // A connection that could not be opened at all has failed by now, and was never connected.
       this.connected = !socket.destroyed;
     }
-    this.watchReset(socket);
-    this.request?.once('close', this.byteLimit.watch(socket));
-  }
-
-  /**
-   * Detects connection resets, so that a truncated answer is not taken for a complete one.
-   *
-   * An answer without a length ends when its connection is closed. The HTTP library treats a reset by the runner as the
-   * end of the answer, too; and if the reset arrives together with data, the event loop reports an ordinary end without
-   * an error. The symptom is a truncated body with a success status. A connection that was reset no longer has a peer
-   * address, while one that was closed in order still has it. These listeners have to run before the library's own.
-   */
-  private watchReset(socket: Socket): void {
-    const onError = () => {
-      this.wasReset = true;
-    };
-    const onEnd = () => {
-      this.wasReset ||= socket.remoteAddress === undefined;
-    };
-    socket.prependListener('error', onError);
-    socket.prependListener('end', onEnd);
-    this.request?.once('close', () => {
-      socket.off('error', onError);
-      socket.off('end', onEnd);
-    });
+    const { request } = this;
+    if (!request) return;
+    this.resets = new ResetDetector(request, socket);
+    request.once('close', this.byteLimit.watch(socket));
   }
 
   private handleError(error: NodeJS.ErrnoException): void {
@@ -308,6 +285,8 @@
     this.answer = answer;
     this.runner.backlog.recordAnswered();
     this.byteLimit.readBody(answer);
+    const isUpload = (this.options.body?.length ?? 0) >= UPLOAD_BYTES;
+    if (isUpload && framingOf(answer) === 'until_close') this.resets?.delayEnd();
     answer.once('pause', () => {
       this.wasPaused = true;
     });
@@ -350,7 +329,10 @@
 
   private handleEnd(answer: IncomingMessage): void {
     if (this.settled) return;
-    if (!answer.complete || this.wasReset || this.mayLackItsBody(answer)) {
+    const { method } = this.options;
+    const { hasBytes } = this;
+    const isRequestWritten = this.request?.writableFinished === true;
+    if (this.resets?.wasReset || mayBeCutOff(answer, { method, hasBytes, isRequestWritten })) {
       this.fail('broken');
       return;
     }
@@ -358,17 +340,6 @@
     this.options.observer.ended(this);
   }
 
-  /**
-   * Tells whether a success may have been broken off behind its head: only the end of the connection ends its body, of which
-   * no byte has come. Nothing may be left of a stream that goes on, so that this is no evidence about streams.
-   */
-  private mayLackItsBody(answer: IncomingMessage): boolean {
-    const { statusCode = 0 } = answer;
-    const hasBody = this.options.method !== 'HEAD' && statusCode !== NO_CONTENT;
-    if (!hasBody || this.hasBytes || isEventStream(answer)) return false;
-    return isSuccess(statusCode) && framingOf(answer) === 'until_close';
-  }
-
   private fail(failure: AttemptFailure, destroys = true): void {
     if (this.settled) return;
     this.markSettled();
--- a/src/forwarding/testAttempt.ts
+++ b/src/forwarding/testAttempt.ts
@@ -58,6 +58,8 @@
   port: number;
   target?: string;
   requestId?: string;
+  /** Sent with its length; without it, the request has no body. */
+  body?: Buffer;
   agent?: RunnerAgent;
   /** Whether the daemon reaches no runner. */
   isPathLost?: boolean;
@@ -74,6 +76,7 @@
   port,
   target = '/',
   requestId = 'r-1',
+  body,
   agent = new RunnerAgent(),
   isPathLost = false,
   onAttempt = () => undefined,
@@ -90,10 +93,13 @@
       link: { ask: (_suspect, listener) => listener(true), accepted: () => undefined, isPathLost },
       connectMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
       observer: new CollectingObserver(done),
-      method: 'GET',
+      method: body ? 'POST' : 'GET',
       target,
-      headers: ['Host', 'plain.example', 'Request-Id', requestId],
-      body: undefined,
+      headers: [
+        ...['Host', 'plain.example', 'Request-Id', requestId],
+        ...(body ? ['Content-Length', String(body.length)] : []),
+      ],
+      body,
       requestId,
     });
     onAttempt(attempt);
