One client's new prompts do not displace the places that others come back to

What callers would see: beside a client whose prompts are all different, chats that return after a pause reach runners that have to read them again.

Cause: the cache of places dropped the least recently used key, and a prompt of many parts brings a hundred new keys at once; so a client of five requests a second replaced all of them in 40 s (by reading).

Change: two segments. A key moves to the second one when this daemon uses it again; keys of a single use are dropped first, down to a quarter of the bound. The saved copy keeps keys of repeated use before the others. The number of uses is kept with the places, so that it cannot outlive them.

Measured: the test of 50 chats beside 50,000 other keys fails without the change (none of them is left); src/runners, placement, news and sync 172 of 172.

--- a/src/runners/WarmPlaces.spec.ts
+++ b/src/runners/WarmPlaces.spec.ts
@@ -59,4 +59,24 @@
     expect(warmPlaces.livesOf('own-0')).toEqual([]);
     expect(warmPlaces.livesOf('own-199')).toEqual(['runner-2']);
   });
+
+  // Guards against a client whose prompts are all different, beside which the others find no warm runner any more.
+  it('keeps the places that are used again beside many that are used once', () => {
+    const warmPlaces = new WarmPlaces({ maximumBytes: 100_000 });
+    const chats = Array.from({ length: 50 }, (_, index) => `chat-${index}`);
+    for (const chat of [...chats, ...chats]) warmPlaces.remember(chat, 'runner-1');
+    for (let index = 0; index < 50_000; index += 1) warmPlaces.remember(`own-${index}`, 'runner-2');
+    expect(chats.filter((chat) => warmPlaces.livesOf(chat).length === 0)).toEqual([]);
+    const saved = new Set(warmPlaces.export(50).map(({ key }) => key));
+    expect(chats.filter((chat) => !saved.has(chat))).toEqual([]);
+  });
+
+  it('keeps places that are new beside many that are used again', () => {
+    const warmPlaces = new WarmPlaces({ maximumBytes: 100_000 });
+    for (let index = 0; index < 10_000; index += 1) {
+      for (let use = 0; use < 2; use += 1) warmPlaces.remember(`chat-${index}`, 'runner-1');
+    }
+    for (let index = 0; index < 50; index += 1) warmPlaces.remember(`new-${index}`, 'runner-2');
+    expect(warmPlaces.livesOf('new-0')).toEqual(['runner-2']);
+  });
 });
--- a/src/runners/WarmPlaces.ts
+++ b/src/runners/WarmPlaces.ts
@@ -9,6 +9,7 @@
  */
 
 import { heapShare } from '../memory/heapShare.js';
+import { RecencyMap } from '../memory/RecencyMap.js';
 import { boundedId } from '../prompts/promptSegments.js';
 
 /** Maximum number of keys, more than the shared prompts of a large site. */
@@ -17,6 +18,9 @@
 /** Share of the heap that all keys and places may take. */
 const HEAP_SHARE = 1 / 24;
 
+/** Share of the bound that keys of a single use keep, so that a new key is still there when it is used again. */
+const SINGLE_USE_SHARE = 1 / 4;
+
 /** Memory of a key and of a place besides their characters, in bytes. */
 const KEY_BYTES = 160;
 const PLACE_BYTES = 24;
@@ -42,21 +46,35 @@
   maximumBytes?: number;
 }
 
-function bytesOf(key: string, lives: readonly string[]): number {
+/** Places of a key, and how often this daemon has chosen a runner for it. */
+interface KeyUse {
+  readonly lives: readonly string[];
+  readonly uses: number;
+}
+
+/** A place to add, and the segment that holds its key from then on. */
+interface PlaceOptions {
+  key: string;
+  life: string;
+  segment: RecencyMap<KeyUse>;
+}
+
+function bytesOf(key: string, { lives }: KeyUse): number {
   return lives.reduce((sum, life) => sum + PLACE_BYTES + life.length, KEY_BYTES + key.length);
 }
 
-/** An LRU cache of places by key. */
+/**
+ * A cache of places by key, in two segments. Keys of a single use are dropped first, so that a client whose prompts are all
+ * different does not displace what the others come back to.
+ */
 export class WarmPlaces {
   private readonly maximumBytes: number;
 
-  /** Estimated memory of the keys and places. */
-  private bytes = 0;
-
-  private readonly places = new Map<string, readonly string[]>();
+  /** Keys that this daemon has used once, or has only learnt of. */
+  private readonly single = new RecencyMap<KeyUse>({ bytesOf });
 
-  /** How often this daemon has used each key, for as long as the key is remembered. */
-  private readonly uses = new Map<string, number>();
+  /** Keys that this daemon has used again. */
+  private readonly repeated = new RecencyMap<KeyUse>({ bytesOf });
 
   /**
    * @param options - the bound.
@@ -72,7 +90,7 @@
    * @returns Incarnations of the runners, the first place first.
    */
   livesOf(key: string): readonly string[] {
-    return this.places.get(key) ?? [];
+    return this.useOf(key)?.lives ?? [];
   }
 
   /**
@@ -83,15 +101,8 @@
    * @returns Whether the place is new.
    */
   remember(key: string, life: string): boolean {
-    const known = this.places.get(key) ?? [];
-    const isNew = !known.includes(life) && known.length < MAXIMUM_PLACES;
-    this.set(key, isNew ? [...known, life] : known, { isUsed: true });
-    while (this.places.size > MAXIMUM_KEYS || this.bytes > this.maximumBytes) {
-      const [oldest] = this.places.keys();
-      if (oldest === undefined) break;
-      this.forget(oldest);
-    }
-    return isNew;
+    const isKnown = this.useOf(key) !== undefined;
+    return this.add({ key, life, segment: isKnown ? this.repeated : this.single });
   }
 
   /**
@@ -100,7 +111,8 @@
    * @param key - the shared parts of its prompt.
    */
   countUse(key: string): void {
-    this.uses.set(key, this.usesOf(key) + 1);
+    const known = this.useOf(key);
+    if (known) this.segmentOf(key).set(key, { ...known, uses: known.uses + 1 });
   }
 
   /**
@@ -108,7 +120,7 @@
    * @returns How often this daemon has chosen a runner for it.
    */
   usesOf(key: string): number {
-    return this.uses.get(key) ?? 0;
+    return this.useOf(key)?.uses ?? 0;
   }
 
   /**
@@ -118,7 +130,9 @@
    * @param life - incarnation of the runner that the other daemon sent a request to.
    */
   learn(key: string, life: string): void {
-    if (life.length <= MAXIMUM_LIFE_LENGTH) this.remember(boundedId(key), life);
+    if (life.length > MAXIMUM_LIFE_LENGTH) return;
+    const bounded = boundedId(key);
+    this.add({ key: bounded, life, segment: this.segmentOf(bounded) });
   }
 
   /**
@@ -128,9 +142,9 @@
    * @param isListed - whether an incarnation is still listed.
    */
   prune(key: string, isListed: (life: string) => boolean): void {
-    const known = this.places.get(key);
-    if (!known || known.every(isListed)) return;
-    this.set(key, known.filter(isListed));
+    const known = this.useOf(key);
+    if (!known || known.lives.every(isListed)) return;
+    this.segmentOf(key).set(key, { ...known, lives: known.lives.filter(isListed) });
   }
 
   /**
@@ -141,25 +155,24 @@
    * @param life - incarnation of the runner.
    */
   forgetRunner(life: string): void {
-    for (const [key, lives] of this.places) {
-      if (lives.includes(life)) {
-        this.set(
-          key,
-          lives.filter((one) => one !== life),
-        );
+    for (const segment of [this.single, this.repeated]) {
+      for (const [key, use] of segment.toArray()) {
+        if (use.lives.includes(life)) {
+          segment.set(key, { ...use, lives: use.lives.filter((one) => one !== life) });
+        }
       }
     }
   }
 
   /**
-   * Exports the most recently used keys for storage.
+   * Exports the most recently used keys for storage, those of repeated use before the others.
    *
    * @param maximumKeys - how many keys to export at most.
    * @returns The keys with their places.
    */
   export(maximumKeys: number): WarmPlace[] {
-    const all = [...this.places].slice(-maximumKeys);
-    return all.map(([key, lives]) => ({ key, lives }));
+    const all = [...this.single.toArray(), ...this.repeated.toArray()].slice(-maximumKeys);
+    return all.map(([key, { lives }]) => ({ key, lives }));
   }
 
   /**
@@ -169,22 +182,41 @@
    */
   import(stored: readonly WarmPlace[]): void {
     for (const { key, lives } of stored) {
-      if (!this.places.has(boundedId(key))) for (const id of lives) this.learn(key, id);
+      if (!this.useOf(boundedId(key))) for (const id of lives) this.learn(key, id);
     }
   }
 
-  /** The least recently used key is dropped first, so a key that is used goes to the end. */
-  private set(key: string, lives: readonly string[], { isUsed = false } = {}): void {
-    const known = this.places.get(key);
-    if (known) this.bytes -= bytesOf(key, known);
-    if (isUsed) this.places.delete(key);
-    this.places.set(key, lives);
-    this.bytes += bytesOf(key, lives);
+  private useOf(key: string): KeyUse | undefined {
+    return this.repeated.get(key) ?? this.single.get(key);
+  }
+
+  private segmentOf(key: string): RecencyMap<KeyUse> {
+    return this.repeated.get(key) ? this.repeated : this.single;
   }
 
-  private forget(key: string): void {
-    this.bytes -= bytesOf(key, this.livesOf(key));
-    this.places.delete(key);
-    this.uses.delete(key);
+  private add({ key, life, segment }: PlaceOptions): boolean {
+    const { lives, uses } = this.useOf(key) ?? { lives: [], uses: 0 };
+    const isNew = !lives.includes(life) && lives.length < MAXIMUM_PLACES;
+    // A key that is added again goes to the end of its segment.
+    this.segmentOf(key).delete(key);
+    segment.set(key, { lives: isNew ? [...lives, life] : lives, uses });
+    this.dropOldest();
+    return isNew;
+  }
+
+  private dropOldest(): void {
+    const { single, repeated } = this;
+    while (
+      single.size + repeated.size > MAXIMUM_KEYS ||
+      single.bytes + repeated.bytes > this.maximumBytes
+    ) {
+      const isSingleAtShare =
+        single.bytes <= this.maximumBytes * SINGLE_USE_SHARE &&
+        single.size <= MAXIMUM_KEYS * SINGLE_USE_SHARE;
+      const segment = isSingleAtShare && repeated.size > 0 ? repeated : single;
+      const oldest = segment.oldestKey;
+      if (oldest === undefined) return;
+      segment.delete(oldest);
+    }
   }
 }
