--- a/src/forwarding/EventStreamBuffer.ts
+++ b/src/forwarding/EventStreamBuffer.ts
@@ -70,6 +70,12 @@
 
   private hasInformation = false;
 
+  /** Id of the last event, and whether there was one with information, before the last chunk. */
+  private before: { readonly lastId: string | undefined; readonly hasInformation: boolean } = {
+    lastId: undefined,
+    hasInformation: false,
+  };
+
   private unproductiveBytes = 0;
 
   /** @returns Id of the last complete event, or `undefined` before the first one. */
@@ -102,8 +108,9 @@
    * @returns All events that are complete now, or `undefined` if there is none.
    */
   push(chunk: Buffer): Buffer | undefined {
+    const { held, lastId, hasInformation } = this;
+    this.before = { lastId, hasInformation };
     this.unproductiveBytes += chunk.length + CHUNK_COST_BYTES;
-    const { held } = this;
     const tail = held.subarray(-BLANK_LINE_BYTES);
     const end = endOfLastEvent(joined(tail, chunk), tail.length) - tail.length;
     if (end <= 0) {
@@ -124,6 +131,12 @@
     return held.length > 0 ? held : undefined;
   }
 
+  /** Takes the events of the last chunk for not received, since the caller does not get them. */
+  rejectLast(): void {
+    this.lastId = this.before.lastId;
+    this.hasInformation = this.before.hasInformation;
+  }
+
   /** Drops the incomplete event of a runner whose stream broke off. */
   drop(): void {
     this.clear();
--- a/src/forwarding/StreamedAnswer.spec.ts
+++ b/src/forwarding/StreamedAnswer.spec.ts
@@ -28,4 +28,20 @@
     expect(passed).toEqual([]);
     expect(stream.softwareVersion).toEqual('v1');
   });
+
+  it('resumes behind the last event that the caller has, not behind rejected ones', () => {
+    // Guards against a stream that goes on without the events that a runner of another version has sent.
+    const relay = {
+      ...{ hasHead: true, begin: () => true, release: () => undefined },
+      pass: () => 'written',
+    };
+    const stream = new StreamedAnswer(relay as Partial<AnswerRelay> as AnswerRelay);
+    const source = { sourceName: 'runner-1' };
+    stream.take(source, {} as IncomingMessage, () => 'v1');
+    stream.pass(EVENT);
+    stream.breakOff();
+    stream.take(source, {} as IncomingMessage, () => 'v2');
+    expect(stream.pass(Buffer.from('id: 2\ndata: piece\n\n'))).toEqual('rejected');
+    expect(stream.lastEventId).toEqual('1');
+  });
 });
--- a/src/forwarding/StreamedAnswer.ts
+++ b/src/forwarding/StreamedAnswer.ts
@@ -133,7 +133,10 @@
     const version = this.versionOf();
     const { versionBefore = version } = this;
     // The runner has started again at another version than the one that the stream was to go on at.
-    if (version !== versionBefore && version !== undefined) return 'rejected';
+    if (version !== versionBefore && version !== undefined) {
+      this.cut.rejectLast();
+      return 'rejected';
+    }
     this.boundVersion = version ?? this.boundVersion;
     if (!this.begin()) return 'rejected';
     this.forward(events);
--- a/src/runners/RunnerTable.spec.ts
+++ b/src/runners/RunnerTable.spec.ts
@@ -63,4 +63,19 @@
     expect(table.ofLife('a@1')?.entry.id).toEqual('a');
     expect(table.leavingLives).toEqual(['a@1']);
   });
+
+  it('knows the version that answers on a connection to a runner that has started again', () => {
+    // Guards against streams of two versions: the list drops the former incarnation before it has the next one.
+    const former = table.get('a')!;
+    table.remove('a');
+    table.put({ ...entryOf('a', 'a@2'), softwareVersion: 'v2' });
+    expect(former.answeringVersion).toEqual('v2');
+  });
+
+  it('keeps the version of a runner whose id another address has taken over', () => {
+    const former = table.get('a')!;
+    table.remove('a');
+    table.put({ ...entryOf('a', 'a@2'), port: 8_001, softwareVersion: 'v2' });
+    expect(former.answeringVersion).toEqual('');
+  });
 });
--- a/src/runners/RunnerTable.ts
+++ b/src/runners/RunnerTable.ts
@@ -18,15 +18,26 @@
  */
 const MAXIMUM_LEAVING = 4_096;
 
+/** Maximum number of removed runners to remember, for the same reason. */
+const MAXIMUM_REMOVED = 4_096;
+
 /** Why a listed runner gets no new work from any daemon. */
 export type ExclusionReason = Exclude<RunnerState, 'ready'> | 'leaving' | 'evacuated';
 
+/** At the same address, a connection to one incarnation may have reached the next one; at another address it cannot. */
+function isSuccessor(entry: RunnerEntry, former: RunnerEntry): boolean {
+  return entry.life !== former.life && entry.host === former.host && entry.port === former.port;
+}
+
 /** Indexes the runners, and keeps the state of each one when its entry changes. */
 export class RunnerTable {
   private readonly byId = new Map<string, Runner>();
 
   private readonly byLife = new Map<string, Runner>();
 
+  /** Runners whose ids nobody has taken over, the oldest first; requests may still be in progress there. */
+  private readonly removed = new Map<string, Runner>();
+
   /** Failure share over all runners of a service, by service. */
   private readonly failureShares = new Map<string, FailureShare>();
 
@@ -106,6 +117,9 @@
     if (!known) return;
     this.byId.delete(id);
     this.byLife.delete(known.entry.life);
+    this.removed.set(id, known);
+    const [oldest] = this.removed.keys();
+    if (this.removed.size > MAXIMUM_REMOVED && oldest !== undefined) this.removed.delete(oldest);
     this.clearCaches();
   }
 
@@ -203,9 +217,10 @@
 
   private add(entry: RunnerEntry): Runner {
     const runner = new Runner(entry, this.failureShareOf(entry.service));
-    const replaced = this.byId.get(entry.id);
-    if (replaced) replaced.successor = runner;
     this.remove(entry.id);
+    const replaced = this.removed.get(entry.id);
+    if (replaced && isSuccessor(entry, replaced.entry)) replaced.successor = runner;
+    this.removed.delete(entry.id);
     this.byId.set(entry.id, runner);
     this.byLife.set(entry.life, runner);
     return runner;
