--- a/src/forwarding/VersionWait.ts
+++ b/src/forwarding/VersionWait.ts
@@ -8,7 +8,7 @@
 /** Interval between looks whether the version is known, in ms. */
 const CHECK_MILLISECONDS = 20;
 
-/** Longest time for which events are held back, in ms: a runner that reports is asked at once, and others mostly are the same. */
+/** Longest time for which events are held back, in ms; a runner that can say whether it has started again has done so by then. */
 const LONGEST_WAIT_MILLISECONDS = 500;
 
 /** Holds back the answer of one attempt after the other. */
--- a/tests/longPrompts.spec.ts
+++ b/tests/longPrompts.spec.ts
@@ -32,6 +32,7 @@
   { parts: 1_400, digits: 8 },
   { parts: 2_300, digits: 4 },
   { parts: 3, digits: 5_000 },
+  { parts: 300, digits: 40 },
 ];
 
 describe('Prompts of many parts', () => {
