Ports of stand-in daemons are free for datagrams too

Cause: a port was looked at for connections only, and programs that reserve nothing at the separate address may use it for datagrams.

Measured: the new test of freePort.spec.ts got 24002, on which another socket receives datagrams, before, and gets the free port after it.

--- a/standIns/site/freePort.spec.ts
+++ b/standIns/site/freePort.spec.ts
@@ -1,4 +1,6 @@
 import { execFile } from 'node:child_process';
+import { createSocket } from 'node:dgram';
+import { once } from 'node:events';
 import { describe, it } from 'node:test';
 import { promisify } from 'node:util';
 
@@ -26,4 +28,15 @@
     const failures = (await Promise.all(runs)).map(({ stdout }) => stdout.trim());
     expect(failures).toEqual(Array.from({ length: PROCESSES }, () => '0'));
   });
+
+  it('gives no port on which another process receives datagrams', async () => {
+    // Guards against a daemon that cannot start beside one of another program, which uses the port for datagrams only.
+    const [lowest, end] = [24_000, 24_004];
+    const taken = Array.from({ length: end - lowest - 1 }, (_, index) => lowest + index);
+    const sockets = taken.map((port) => createSocket('udp4').bind(port, '127.0.0.1'));
+    await Promise.all(sockets.map((socket) => once(socket, 'listening')));
+    const port = await freePort({ lowest, end });
+    for (const socket of sockets) socket.close();
+    expect(port).toEqual(end - 1);
+  });
 });
--- a/standIns/site/freePort.ts
+++ b/standIns/site/freePort.ts
@@ -6,6 +6,8 @@
  * separate loopback address, which is used for nothing else and which all callers of this function try first.
  */
 import { randomInt } from 'node:crypto';
+import { createSocket } from 'node:dgram';
+import { once } from 'node:events';
 import { createServer } from 'node:net';
 import type { Server } from 'node:net';
 
@@ -46,14 +48,31 @@
   });
 }
 
+/** Daemons send each other datagrams, and open the port for these too. */
+async function isFreeForDatagrams(port: number): Promise<boolean> {
+  const socket = createSocket('udp4');
+  try {
+    const listening = once(socket, 'listening');
+    socket.bind(port, HOST);
+    await listening;
+    return true;
+  } catch {
+    // Not an error: the port is in use.
+    return false;
+  } finally {
+    socket.close();
+  }
+}
+
 async function reserve(port: number): Promise<boolean> {
   const reservation = await open(RESERVATION_HOST, port);
   if (!reservation) return false;
   reservation.unref();
   const probe = await open(HOST, port);
   if (probe) await close(probe);
-  else await close(reservation);
-  return probe !== undefined;
+  const isFree = probe !== undefined && (await isFreeForDatagrams(port));
+  if (!isFree) await close(reservation);
+  return isFree;
 }
 
 /**
