--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -17,7 +17,6 @@
 import type { AttemptVerdict, RetryDecision } from './retryDecision.js';
 import type { AttemptFailure, RunnerAttempt } from './RunnerAttempt.js';
 import { RequestParts } from './RequestParts.js';
-import { VersionWait } from './VersionWait.js';
 import { readmissionAt } from './waitLimits.js';
 import { isEventStream } from './StreamedAnswer.js';
 
@@ -37,8 +36,6 @@
   /** Whether the request waits until runners that refused the connection may be up. */
   private isWaitingForRunner = false;
 
-  private readonly versionWait = new VersionWait(this.context.clock);
-
   /** Sends the first attempt. */
   start(): void {
     this.endAfterThrow(() => this.begin());
@@ -115,14 +112,6 @@
   }
 
   private receiveEvents(attempt: RunnerAttempt, chunk: Buffer): void {
-    if (this.relay.isDone || !this.stream.isFrom(attempt)) return;
-    if (this.versions.awaitsVersion) {
-      if (this.versionWait.hold(attempt, () => this.receiveEvents(attempt, chunk))) return;
-      if (attempt.runner.restart.hasRestarted) {
-        attempt.breakOff();
-        return;
-      }
-    }
     const progress = this.stream.pass(chunk);
     this.waits.recordHeard(progress === 'event');
     if (progress === 'event') this.quarantine.streamed(attempt, this.now());
--- a/src/forwarding/RequestParts.ts
+++ b/src/forwarding/RequestParts.ts
@@ -165,8 +165,6 @@
     tried.recordAttempt(chosen.runner.entry.life);
     this.report.chosen(chosen);
     this.versions.record(chosen.runner);
-    const { runner } = chosen;
-    if (this.stream.isBound && runner.restart.isSuspected) context.onVersionDoubted?.(runner);
     const resumesAfter = this.stream.lastEventId;
     const options = { chosen, request, body, context, tried, observer: this, resumesAfter };
     const attempt = createAttempt(options);
--- a/src/forwarding/RunnerAttempt.ts
+++ b/src/forwarding/RunnerAttempt.ts
@@ -183,16 +183,6 @@
     this.destroy();
   }
 
-  /** Stops reading the answer; its runner is held up once the buffers are full. */
-  pause(): void {
-    this.answer?.pause();
-  }
-
-  /** Goes on reading the answer. */
-  resume(): void {
-    this.answer?.resume();
-  }
-
   /** Fails the attempt and closes its connection, since the runner sends bytes that are no answer. */
   breakOff(): void {
     this.fail('broken');
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -40,8 +40,6 @@
   readonly onConnectionRefused?: (runner: Runner) => void;
   /** Called when the connection of a request is lost before its answer is complete. */
   readonly onConnectionBroken?: (runner: Runner) => void;
-  /** Called when a stream is to go on at a runner that may have started again. */
-  readonly onVersionDoubted?: (runner: Runner) => void;
   readonly quarantine: RequestQuarantine;
   readonly statements: RunnerNotices;
   /** Learns the speed of runners from attempts; missing if runners are chosen by counts only. */
--- a/src/router/createForwardingContext.ts
+++ b/src/router/createForwardingContext.ts
@@ -96,7 +96,6 @@
     link: new LinkCheck({ runners, clock, log, metrics, path }),
     selector: coordination.selector,
     onConnectionRefused: (runner) => coordination.restartNotices.recordLost(runner, 'refused'),
-    onVersionDoubted: (runner) => coordination.restartNotices.ask(runner),
     onConnectionBroken: (runner) => coordination.restartNotices.recordBroken(runner),
     statements: new RunnerNotices({
       protocol,
--- a/src/streamVersions/RestartDoubts.ts
+++ b/src/streamVersions/RestartDoubts.ts
@@ -140,16 +140,6 @@
     if (doubt) doubt.renewAt = this.nextRenewal;
   }
 
-  /**
-   * Asks a runner in doubt at once, unless it is being asked or too many are.
-   *
-   * @param runner - a runner.
-   */
-  askSoon(runner: Runner): void {
-    const doubt = this.doubts.get(runner);
-    if (doubt && this.mayAsk(runner, doubt)) this.ask(runner);
-  }
-
   /** Ends the task. */
   stop(): void {
     this.isStopped = true;
@@ -204,17 +194,13 @@
       doubt.renewAt = this.nextRenewal;
       this.onLasting(runner, doubt.cause !== 'notice');
     }
-    if (!this.mayAsk(runner, doubt)) return;
+    if (doubt.isAsking || runner.restart.hasRestarted || this.asked >= MAXIMUM_ASKED) return;
     // Those that wait are asked before it is asked again.
     this.doubts.delete(runner);
     this.doubts.set(runner, doubt);
     this.ask(runner);
   }
 
-  private mayAsk(runner: Runner, { isAsking }: Doubt): boolean {
-    return !isAsking && !runner.restart.hasRestarted && this.asked < MAXIMUM_ASKED;
-  }
-
   private ask(runner: Runner): void {
     const doubt = this.doubts.get(runner);
     if (!doubt) return;
--- a/src/streamVersions/RestartNotices.ts
+++ b/src/streamVersions/RestartNotices.ts
@@ -96,15 +96,6 @@
     if (runner.restart.isSuspected) this.tell(runner);
   }
 
-  /**
-   * Asks a runner in doubt at once whether it has started again.
-   *
-   * @param runner - the runner.
-   */
-  ask(runner: Runner): void {
-    this.options.doubts.askSoon(runner);
-  }
-
   /** Stops sending notices. */
   stop(): void {
     this.news.stop();
--- a/src/streamVersions/StreamVersionSession.ts
+++ b/src/streamVersions/StreamVersionSession.ts
@@ -30,9 +30,6 @@
   /** Runner that supplies the stream, or did until it broke off, if its version is in doubt. */
   private doubted: Runner | undefined;
 
-  /** Returns the version of the runner that answers, `undefined` as long as it is in doubt. */
-  private currentVersion: (() => string | undefined) | undefined;
-
   /** Key of the stream, once it has been recorded. */
   private key: bigint | undefined;
 
@@ -58,12 +55,6 @@
     return task !== undefined && request.takesUp !== undefined && !stream.isBound;
   }
 
-  /** @returns Whether the stream is to go on at a runner whose version is not known. */
-  get awaitsVersion(): boolean {
-    const { stream } = this.options;
-    return stream.isBound && !!this.currentVersion && this.currentVersion() === undefined;
-  }
-
   /**
    * Finds the version and binds the stream to it.
    *
@@ -96,10 +87,8 @@
       restart.isSuspected && restart.isSameLifeAt(connectedAt)
         ? runner.softwareVersion
         : runner.settledVersion;
-    const currentVersion = () => (isInDoubt ? settledVersion() : runner.answeringVersion);
-    this.currentVersion = currentVersion;
     return () => {
-      const version = currentVersion();
+      const version = isInDoubt ? settledVersion() : runner.answeringVersion;
       this.doubted = version === undefined ? runner : undefined;
       return version;
     };
