--- a/src/collections/RecencyMap.ts
+++ b/src/collections/RecencyMap.ts
@@ -18,7 +18,7 @@
   private readonly bytesOf: (key: string, value: Value) => number;
 
   /**
-   * @param options - how entries are measured.
+   * @param options - estimates the memory of an entry.
    */
   constructor({ bytesOf }: RecencyMapOptions<Value>) {
     this.bytesOf = bytesOf;
--- a/src/explanations/classifyLoss.ts
+++ b/src/explanations/classifyLoss.ts
@@ -8,6 +8,7 @@
 import { match, P } from 'ts-pattern';
 
 import { forwardingLogEvents } from '../forwarding/forwardingFeature.js';
+import { isSuccess } from '../http/isSuccess.js';
 import type { LogLine } from './logLine.js';
 import type { FailedAttempt, Loss, LossCause } from './lossTypes.js';
 import { UNKNOWN_VALUE } from './lossTypes.js';
@@ -17,9 +18,6 @@
 /** Status by which a runner, or a daemon that gives up, reports that the deadline has passed. */
 const GATEWAY_TIMEOUT = 504;
 
-const SUCCESS = 200;
-const REDIRECT = 300;
-
 const { answered, callerLeft, rejected } = forwardingLogEvents;
 
 type Fields = LogLine['fields'];
@@ -165,7 +163,7 @@
   const status = numberOrUndefined(value);
   if (status === undefined) return UNKNOWN_VALUE;
   if (status === 0) return 'none';
-  return status >= SUCCESS && status < REDIRECT ? `${status} cut` : String(status);
+  return isSuccess(status) ? `${status} cut` : String(status);
 }
 
 /**
--- a/src/quarantine/CrashRelay.ts
+++ b/src/quarantine/CrashRelay.ts
@@ -7,6 +7,7 @@
  */
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 
+import { inBatches } from '../collections/inBatches.js';
 import { CrashReportSchema, MessageKind } from '../generated/baobabdock/v1/news_pb.js';
 import type { CrashReport } from '../generated/baobabdock/v1/news_pb.js';
 import { parseAddress } from '../http/parseAddress.js';
@@ -67,11 +68,6 @@
 /** Messages that arrive within this time after a standstill may have waited for its end, in ms. */
 const STALE_MILLISECONDS = 500;
 
-function inBatches<Item>(items: readonly Item[], size: number): (readonly Item[])[] {
-  const starts = Array.from({ length: Math.ceil(items.length / size) }, (_, index) => index * size);
-  return starts.map((start) => items.slice(start, start + size));
-}
-
 /** A group of parts fills a datagram; of single records there are a few at a time. */
 function datagramsOf(records: readonly CrashSummary[]): (readonly AlikeSubjects[])[] {
   const groups = groupAlike(records);
--- a/src/quarantine/alikeSubjects.ts
+++ b/src/quarantine/alikeSubjects.ts
@@ -2,6 +2,7 @@
  * Groups records that differ only in their subject. A prompt may have thousands of parts, and the crash of a runner counts
  * against all of them alike, so that they are sent and saved together.
  */
+import { inBatches } from '../collections/inBatches.js';
 import { UNNAMED_PART } from './CrashRecord.js';
 import type { CrashSummary } from './quarantineTypes.js';
 
@@ -25,12 +26,9 @@
 
 function groupsOf(records: readonly CrashSummary[]): AlikeSubjects[] {
   if (records.length <= MAXIMUM_SEPARATE) return records.map((summary) => ({ summary, alike: [] }));
-  const groups: AlikeSubjects[] = [];
-  for (let start = 0; start < records.length; start += MAXIMUM_ALIKE) {
-    const [summary, ...others] = records.slice(start, start + MAXIMUM_ALIKE);
-    if (summary) groups.push({ summary, alike: others.map(({ digest }) => digest) });
-  }
-  return groups;
+  return inBatches(records, MAXIMUM_ALIKE).flatMap(([summary, ...others]) =>
+    summary ? [{ summary, alike: others.map(({ digest }) => digest) }] : [],
+  );
 }
 
 /**
--- a/src/runners/RunnerTable.ts
+++ b/src/runners/RunnerTable.ts
@@ -1,6 +1,7 @@
 /**
  * The runners in the platform's list, by id, by incarnation and by service.
  */
+import { setLatest } from '../collections/setLatest.js';
 import { FailureShare } from './FailureShare.js';
 import { Runner } from './Runner.js';
 import type { RunnerEntry, RunnerState } from './Runner.js';
@@ -117,9 +118,7 @@
     if (!known) return;
     this.byId.delete(id);
     this.byLife.delete(known.entry.life);
-    this.removed.set(id, known);
-    const [oldest] = this.removed.keys();
-    if (this.removed.size > MAXIMUM_REMOVED && oldest !== undefined) this.removed.delete(oldest);
+    setLatest(this.removed, id, known, MAXIMUM_REMOVED);
     this.clearCaches();
   }
 
--- a/src/runners/WarmPlaces.ts
+++ b/src/runners/WarmPlaces.ts
@@ -8,8 +8,8 @@
  * choice.
  */
 
+import { RecencyMap } from '../collections/RecencyMap.js';
 import { heapShare } from '../memory/heapShare.js';
-import { RecencyMap } from '../memory/RecencyMap.js';
 import { boundedId } from '../prompts/promptSegments.js';
 
 /** Maximum number of keys, more than the shared prompts of a large site. */
