A daemon without room is not preferred for the next request that is handed over

Cause: a daemon that confirmed counted as one that takes requests even if it then had no room. Two such daemons were asked first, and the third one only in a random quarter of the cases. Ruled out: load, no time is involved.

Change: recordFull takes the mark back. The new test in HandOverPeers.spec.ts fails without it; src/handover: 105 of 105.

--- a/src/handover/HandOverPeers.spec.ts
+++ b/src/handover/HandOverPeers.spec.ts
@@ -147,6 +147,18 @@
     expect(peers.choose(question)?.name).toEqual('daemon-0');
   });
 
+  // Guards against refusals for want of room while a daemon that has not been asked yet has room.
+  it('are not preferred for requests that they had no room for', () => {
+    const daemons = [entryOf(0), entryOf(3), entryOf(6)];
+    const peers = new HandOverPeers({ dataCentre: 'north', random: () => 0.9 });
+    const question = { daemons, asked: new Set<string>(), hasNoPath: () => false, now: 1 };
+    for (const name of ['daemon-0', 'daemon-3']) {
+      peers.recordAccepted(name, 0);
+      peers.recordFull(name);
+    }
+    expect(peers.choose(question)?.name).toEqual('daemon-6');
+  });
+
   it('are asked again a second after a refusal', () => {
     const daemons = [entryOf(0)];
     const peers = new HandOverPeers({ dataCentre: 'north' });
--- a/src/handover/HandOverPeers.ts
+++ b/src/handover/HandOverPeers.ts
@@ -85,6 +85,13 @@
     this.refusedAt.delete(name);
   }
 
+  /**
+   * @param name - a daemon that took a request and had no room for it; it is not preferred to others for that.
+   */
+  recordFull(name: string): void {
+    this.acceptedAt.delete(name);
+  }
+
   /**
    * Chooses at random among the best daemons, so that the requests of many daemons spread.
    *
--- a/src/handover/HandOverTask.ts
+++ b/src/handover/HandOverTask.ts
@@ -134,6 +134,14 @@
     this.results.increment({ result: 'taken' });
   }
 
+  /**
+   * @param name - daemon that had no room for a request that it took.
+   */
+  recordFull(name: string): void {
+    this.peers.recordFull(name);
+    this.results.increment({ result: 'full' });
+  }
+
   /**
    * @param name - daemon that refused a request.
    */
--- a/src/handover/HandedOverRequest.ts
+++ b/src/handover/HandedOverRequest.ts
@@ -181,7 +181,9 @@
       this.lose(offer);
       return;
     }
-    if (answer.headers[FULL_HEADER] !== undefined && this.mayAskAfterFull()) {
+    const isFull = answer.headers[FULL_HEADER] !== undefined;
+    if (isFull) this.options.task.recordFull(offer.peer.name);
+    if (isFull && this.mayAskAfterFull()) {
       answer.resume();
       this.taken = undefined;
       this.askNext();
