--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -236,8 +236,27 @@
     this.context.selector.select(question, (...result) => this.sendTo(...result), isAbandoned);
   }
 
-  /** Sends the next attempt, unless the caller has left or another attempt has answered during the selection. */
   private sendTo(chosen: Choice | undefined, refusal?: SelectionRefusal): void {
+    const { lifeChecks } = this.context;
+    if (!chosen || !lifeChecks || !this.stream.softwareVersion || this.relay.isDone) {
+      this.endSelection(chosen, refusal);
+      return;
+    }
+    const { runner } = chosen;
+    const wasSuspected = runner.restart.isSuspected;
+    lifeChecks.check(runner, (finding) => {
+      const isNewDoubt = finding === 'unknown' && !wasSuspected && runner.restart.isSuspected;
+      const hasEnded = finding === 'restarted' || runner.successor !== undefined;
+      this.endAfterThrow(() => {
+        if (hasEnded) this.tried.exclude(runner.entry.life);
+        if ((hasEnded || isNewDoubt) && !this.relay.isDone) this.sendNext();
+        else this.endSelection(chosen);
+      });
+    });
+  }
+
+  /** Sends the next attempt, unless the caller has left or another attempt has answered during the selection. */
+  private endSelection(chosen: Choice | undefined, refusal?: SelectionRefusal): void {
     this.isSelecting = false;
     if (this.relay.isDone) return;
     if (chosen) this.send(chosen);
--- a/src/forwarding/TriedRunners.ts
+++ b/src/forwarding/TriedRunners.ts
@@ -124,6 +124,15 @@
     this.mayRunAt.add(life);
   }
 
+  /**
+   * Leaves out a runner that has not had the request.
+   *
+   * @param life - incarnation that has ended.
+   */
+  exclude(life: string): void {
+    this.asked.add(life);
+  }
+
   /**
    * Records a failed attempt.
    *
--- a/src/forwarding/forwardingFeature.ts
+++ b/src/forwarding/forwardingFeature.ts
@@ -171,7 +171,7 @@
     number: 2625,
     name: 'forwarding.restart_doubted',
     level: 'info',
-    text: 'A runner may have started again, at another software version perhaps: it has closed an idle connection or refused one, or another daemon says so. It gets no streams that may be taken up, as long as enough other runners are left.',
+    text: 'A runner may have started again, at another software version perhaps: it has closed an idle connection or refused one, or says so itself, or another daemon does. It gets no streams that may be taken up, as long as enough other runners are left.',
     operatorAction: 'None; line 2626 of the same runner shows what ended the doubt.',
   }),
   restartDoubtEnded: defineLogEvent({
--- a/src/forwarding/forwardingTypes.ts
+++ b/src/forwarding/forwardingTypes.ts
@@ -12,6 +12,7 @@
 import type { Runner } from '../runners/Runner.js';
 import type { RunnerSelector } from '../runners/RunnerSelector.js';
 import type { Unavailability } from '../runners/unavailability.js';
+import type { LifeChecks } from '../streamVersions/LifeChecks.js';
 import type { StreamVersionTask } from '../streamVersions/StreamVersionTask.js';
 import type { AnnouncedRevision } from '../sync/StoreFollower.js';
 import type { Clock } from '../time/Clock.js';
@@ -40,6 +41,8 @@
   readonly onConnectionRefused?: (runner: Runner) => void;
   /** Called when the connection of a request is lost before its answer is complete. */
   readonly onConnectionBroken?: (runner: Runner) => void;
+  /** Asks runners which incarnation they are before streams go on there; without it, their entries count. */
+  readonly lifeChecks?: Pick<LifeChecks, 'check'> | undefined;
   readonly quarantine: RequestQuarantine;
   readonly statements: RunnerNotices;
   /** Learns the speed of runners from attempts; missing if runners are chosen by counts only. */
--- a/src/router/createForwardingContext.ts
+++ b/src/router/createForwardingContext.ts
@@ -3,6 +3,7 @@
  */
 import type { CapacityParts } from '../capacity/CapacityParts.js';
 import type { FleetCoordination } from '../coordination/FleetCoordination.js';
+import { fetchRunnerLife } from '../forwarding/fetchRunnerLife.js';
 import { createForwardingMetrics } from '../forwarding/ForwardingMetrics.js';
 import type { ForwardingContext } from '../forwarding/forwardingTypes.js';
 import { LinkCheck } from '../forwarding/LinkCheck.js';
@@ -11,6 +12,7 @@
 import type { RunnerPath } from '../handover/RunnerPath.js';
 import type { MetricRegistry } from '../metrics/MetricRegistry.js';
 import { unavailabilityOf } from '../runners/unavailability.js';
+import { LifeChecks } from '../streamVersions/LifeChecks.js';
 import type { FleetKnowledge } from '../sync/FleetKnowledge.js';
 import type { StoreFollower } from '../sync/StoreFollower.js';
 import type { RouterSettings } from './routerFeature.js';
@@ -89,8 +91,14 @@
       const now = clock.monotonicMilliseconds();
       return runners().filter((runner) => admission.isCold(runner, now)).length;
     });
+  const lifeChecks = new LifeChecks({
+    clock,
+    fetchLife: (runner, done) => fetchRunnerLife({ runner, protocol }, done),
+    onLife: (...report) => coordination.restartNotices.recordLife(...report),
+  });
   return {
     ...parts,
+    lifeChecks,
     daemons,
     metrics,
     link: new LinkCheck({ runners, clock, log, metrics, path }),
--- /dev/null
+++ b/src/streamVersions/LifeChecks.ts
@@ -0,0 +1,93 @@
+/**
+ * Asks a runner which incarnation it is before a stream goes on there. The list may not have the entry of a runner that has
+ * just started again, and events of two software versions do not fit together.
+ */
+import type { CallScheduler } from '../news/MessageRepeater.js';
+import type { Runner } from '../runners/Runner.js';
+import type { Clock } from '../time/Clock.js';
+
+/** Result of a check; `unknown`: the runner does not say, or has not answered in time. */
+export type LifeFinding = 'same_life' | 'restarted' | 'unknown';
+
+/** Receives the result of a check. */
+export type LifeFindingListener = (finding: LifeFinding) => void;
+
+/** Options of {@link LifeChecks}. */
+export interface LifeChecksOptions {
+  clock: Clock;
+  /** Asks a runner which life it is; calls back with `undefined` if it does not say. */
+  fetchLife: (runner: Runner, done: (life: string | undefined) => void) => void;
+  /** Called with each answer of a runner, and when it was asked, monotonic ms. */
+  onLife?: (runner: Runner, life: string, askedAt: number) => void;
+  /** Schedules a call; replaced by tests. */
+  later?: CallScheduler;
+}
+
+/** Longest wait for the answer of a runner, in ms; a stream must not pause for longer because its next runner is busy. */
+const PATIENCE_MILLISECONDS = 250;
+
+/** The same for a runner that may have started again, in ms. */
+const DOUBTED_PATIENCE_MILLISECONDS = 500;
+
+/** How long an answer holds, in ms; no runner ends and is up again within it. */
+const VALID_MILLISECONDS = 100;
+
+/** Requests that wait for the answer of one runner share one question. */
+export class LifeChecks {
+  private readonly options: Required<LifeChecksOptions>;
+
+  private readonly waiting = new Map<Runner, Set<LifeFindingListener>>();
+
+  /** When each runner was last asked with the answer that it is the same, monotonic ms. */
+  private readonly sameAt = new WeakMap<Runner, number>();
+
+  /**
+   * @param options - the clock, and how runners are asked.
+   */
+  constructor(options: LifeChecksOptions) {
+    const later: CallScheduler = (call, milliseconds) => setTimeout(call, milliseconds).unref();
+    this.options = { later, onLife: () => undefined, ...options };
+  }
+
+  /**
+   * @param runner - runner that a stream is to go on at.
+   * @param done - called once, at once if the runner was asked a moment ago.
+   */
+  check(runner: Runner, done: LifeFindingListener): void {
+    if (this.now - (this.sameAt.get(runner) ?? Number.NEGATIVE_INFINITY) < VALID_MILLISECONDS) {
+      done('same_life');
+      return;
+    }
+    const isAsked = this.waiting.has(runner);
+    const listeners = this.waiting.get(runner) ?? new Set();
+    let isOpen = true;
+    const finish = (finding: LifeFinding) => {
+      if (!isOpen) return;
+      isOpen = false;
+      listeners.delete(finish);
+      done(finding);
+    };
+    this.waiting.set(runner, listeners.add(finish));
+    const { isSuspected } = runner.restart;
+    const patience = isSuspected ? DOUBTED_PATIENCE_MILLISECONDS : PATIENCE_MILLISECONDS;
+    this.options.later(() => finish('unknown'), patience);
+    if (!isAsked) this.ask(runner);
+  }
+
+  private get now(): number {
+    return this.options.clock.monotonicMilliseconds();
+  }
+
+  private ask(runner: Runner): void {
+    const askedAt = this.now;
+    this.options.fetchLife(runner, (life) => {
+      const listeners = this.waiting.get(runner) ?? [];
+      this.waiting.delete(runner);
+      const isSame = life === runner.entry.life;
+      if (isSame) this.sameAt.set(runner, askedAt);
+      if (life !== undefined) this.options.onLife(runner, life, askedAt);
+      const sameOrOther = isSame ? 'same_life' : 'restarted';
+      for (const finish of [...listeners]) finish(life === undefined ? 'unknown' : sameOrOther);
+    });
+  }
+}
--- a/src/streamVersions/RestartDoubts.ts
+++ b/src/streamVersions/RestartDoubts.ts
@@ -13,9 +13,9 @@
 
 /**
  * Why a runner may have started again. `connection_closed`: its instance has closed an idle connection; `refused`: it has
- * refused one; `notice`: another daemon says so.
+ * refused one; `notice`: another daemon says so; `report`: it says so itself.
  */
-export type DoubtCause = 'connection_closed' | 'refused' | 'notice';
+export type DoubtCause = 'connection_closed' | 'refused' | 'notice' | 'report';
 
 /**
  * What has ended a doubt. `entry`: the entry of another life; `report`: the runner's own report; `list`: the list, current
@@ -140,6 +140,24 @@
     if (doubt) doubt.renewAt = this.nextRenewal;
   }
 
+  /**
+   * Takes the report of a runner, in doubt or not.
+   *
+   * @param runner - the runner.
+   * @param life - incarnation that it names.
+   * @param askedAt - when it was asked, monotonic ms.
+   */
+  recordLife(runner: Runner, life: string, askedAt: number): void {
+    const isSame = life === runner.entry.life;
+    const isReplaced = this.options.runners.ofLife(runner.entry.life) !== runner;
+    if (!isSame && !isReplaced) this.begin(runner, 'report');
+    const doubt = this.doubts.get(runner);
+    if (!doubt || runner.restart.hasRestarted) return;
+    const finding = runner.restart.takeReport(isSame, askedAt);
+    if (finding === 'same_life') this.end(runner, 'report');
+    if (finding === 'restarted') this.recordRestarted(runner, doubt);
+  }
+
   /** Ends the task. */
   stop(): void {
     this.isStopped = true;
@@ -210,10 +228,8 @@
     this.options.fetchLife(runner, (life) => {
       doubt.isAsking = false;
       this.asked -= 1;
-      if (life === undefined || this.doubts.get(runner) !== doubt) return;
-      const finding = runner.restart.takeReport(life === runner.entry.life, askedAt);
-      if (finding === 'same_life') this.end(runner, 'report');
-      if (finding === 'restarted') this.recordRestarted(runner, doubt);
+      if (life !== undefined && this.doubts.get(runner) === doubt)
+        this.recordLife(runner, life, askedAt);
     });
   }
 
--- a/src/streamVersions/RestartNotices.spec.ts
+++ b/src/streamVersions/RestartNotices.spec.ts
@@ -220,4 +220,15 @@
     pass(2 * KNOWN_MILLISECONDS);
     expect([1, 2].map((daemon) => countFor(daemon, 'v1'))).toEqual([RUNNERS / 2, RUNNERS / 2]);
   });
+
+  it('are told to others when they say themselves that they have started again', () => {
+    // Guards against a small fleet in which two runners of three that start again count as a failed link.
+    silentSince = 0;
+    lose(0, RUNNERS - 1);
+    const [runner] = runnersOf(0);
+    notices[0]!.recordLife(runner!, 'runner-0@2', clock.monotonicMilliseconds());
+    pass(KNOWN_MILLISECONDS / 2);
+    expect([0, 1, 2].map((daemon) => countFor(daemon, 'v1'))).toEqual([2, 2, 2]);
+    expect(runner!.restart.hasRestarted).toEqual(true);
+  });
 });
--- a/src/streamVersions/RestartNotices.ts
+++ b/src/streamVersions/RestartNotices.ts
@@ -12,7 +12,7 @@
 import type { CallScheduler, RepeatedItem } from '../news/MessageRepeater.js';
 import type { Runner } from '../runners/Runner.js';
 import type { RunnerTable } from '../runners/RunnerTable.js';
-import type { DoubtCause, RestartDoubts } from './RestartDoubts.js';
+import type { RestartDoubts } from './RestartDoubts.js';
 
 /** Options of {@link RestartNotices}. */
 export interface RestartNoticesOptions {
@@ -79,7 +79,7 @@
    * @param runner - the runner.
    * @param cause - which of them.
    */
-  recordLost(runner: Runner, cause: Exclude<DoubtCause, 'notice'>): void {
+  recordLost(runner: Runner, cause: 'connection_closed' | 'refused'): void {
     const isNew = this.options.doubts.begin(runner, cause);
     const { lostAt } = runner.restart;
     if (isNew) this.held.set(runner, lostAt);
@@ -96,6 +96,22 @@
     if (runner.restart.isSuspected) this.tell(runner);
   }
 
+  /**
+   * Takes the report of a runner that was asked for its incarnation.
+   *
+   * @param runner - the runner.
+   * @param life - incarnation that it names.
+   * @param askedAt - when it was asked, monotonic ms.
+   */
+  recordLife(runner: Runner, life: string, askedAt: number): void {
+    const { restart, entry } = runner;
+    const wasKnown = restart.hasRestarted;
+    this.options.doubts.recordLife(runner, life, askedAt);
+    if (wasKnown || !restart.hasRestarted) return;
+    this.held.delete(runner);
+    this.news.add({ key: entry.life, isSeen: true });
+  }
+
   /** Stops sending notices. */
   stop(): void {
     this.news.stop();
@@ -133,9 +149,12 @@
   }
 
   private send(news: readonly RepeatedItem[], isLasting: boolean): void {
-    const { reportRecipients, broadcastRecipients } = this.options;
-    const seen = news.filter(({ isSeen }) => isSeen);
-    if (!this.isOwnLinkSuspect) this.sendTo(seen, isLasting, reportRecipients());
+    const { runners, reportRecipients, broadcastRecipients } = this.options;
+    const { isOwnLinkSuspect } = this;
+    // The word of a runner that it has started again does not depend on this daemon's link.
+    const isCertain = (life: string) => runners.ofLife(life)?.restart.hasRestarted === true;
+    const seen = news.filter(({ isSeen, key }) => isSeen && (!isOwnLinkSuspect || isCertain(key)));
+    this.sendTo(seen, isLasting, reportRecipients());
     this.sendTo(news, isLasting, broadcastRecipients());
   }
 
