A connection that is read in slices reads no more while bytes of it wait

Cause: the HTTP library resumes its connection whenever a part of a body is taken, so each slice of 4 KiB read up to 64 KiB more, which were kept and copied each time.

Change: a connection whose bytes wait cannot be resumed.

Measured: SlicedReading.spec.ts fails before (884,789 bytes wait, 262,144 allowed).

--- a/src/clients/SlicedReading.ts
+++ b/src/clients/SlicedReading.ts
@@ -30,6 +30,7 @@
       onPending(chunk.length);
     });
     socket.pause();
+    this.keepPaused();
   }
 
   /** @returns Number of bytes that wait. */
@@ -57,8 +58,15 @@
       socket.resume();
       return false;
     }
-    // The parser resumes its connection after each part of a body.
-    socket.pause();
     return true;
   }
+
+  /** The parser resumes its connection whenever a part of a body has been taken, also later in the same turn. */
+  private keepPaused(): void {
+    const { socket } = this;
+    const resume = socket.resume.bind(socket);
+    Object.assign(socket, {
+      resume: () => (this.pending === undefined ? resume() : socket),
+    });
+  }
 }
