--- a/src/forwarding/ForwardedRequest.ts
+++ b/src/forwarding/ForwardedRequest.ts
@@ -237,12 +237,22 @@
   }
 
   private sendTo(chosen: Choice | undefined, refusal?: SelectionRefusal): void {
+    const mustCheck = this.stream.softwareVersion !== undefined && !this.relay.isDone;
+    if (chosen && mustCheck) this.checkLife(chosen);
+    else this.endSelection(chosen, refusal);
+  }
+
+  /**
+   * Lets a stream go on at a runner unless that has started again, perhaps at another version. While the runner is asked,
+   * its new entry may arrive, or a doubt that another daemon has; then a runner is chosen anew.
+   */
+  private checkLife(chosen: Choice): void {
     const { lifeChecks } = this.context;
-    if (!chosen || !lifeChecks || !this.stream.softwareVersion || this.relay.isDone) {
-      this.endSelection(chosen, refusal);
+    const { runner } = chosen;
+    if (!lifeChecks || runner.softwareVersion === '') {
+      this.endSelection(chosen);
       return;
     }
-    const { runner } = chosen;
     const wasSuspected = runner.restart.isSuspected;
     lifeChecks.check(runner, (finding) => {
       const isNewDoubt = finding === 'unknown' && !wasSuspected && runner.restart.isSuspected;
