A test waits for the configuration before it takes the store back

It waited for the runners only, so that the store could go back before all daemons had read configuration 9; then nothing had been brought back.

The test now waits for both.

--- a/tests/restoredStore.spec.ts
+++ b/tests/restoredStore.spec.ts
@@ -122,15 +122,15 @@
       write(1, 'draining');
       write(2);
       const isKnown = (one: SiteDaemon) => readyAt(one).join() === 'plain-0,plain-3';
-      await site.until(() => site.daemons.every(isKnown));
+      const versionAt = ({ daemon }: SiteDaemon) => daemon.knowledge.routes?.configuration.version;
+      await site.until(() => site.daemons.every((one) => isKnown(one) && versionAt(one) === 9));
       site.store.restore(copy);
       const wrong = new Set<string>();
       const until = performance.now() + BOUND_MILLISECONDS;
       await site.until(() => {
         for (const one of site.daemons) {
           if (!isKnown(one)) wrong.add(`${one.settings.name}: ${readyAt(one).join()}`);
-          const { version } = one.daemon.knowledge.routes?.configuration ?? {};
-          if (version !== 9) wrong.add(`${one.settings.name}: ${version}`);
+          if (versionAt(one) !== 9) wrong.add(`${one.settings.name}: ${versionAt(one)}`);
         }
         return performance.now() > until;
       });
