Streams do not wait for runners of a service that never says which life it is

Cause: its runners report nothing, so that streams only lose the time of the question, while the next runner starts again.

Change: streams wait once a runner of the service has said which life it is, or where the runner is in doubt; a service whose runners never say so is asked twice in 30 s.

--- a/src/streamVersions/LifeChecks.spec.ts
+++ b/src/streamVersions/LifeChecks.spec.ts
@@ -32,8 +32,17 @@
     checks.check(runner, (finding) => findings.push(finding));
   }
 
+  /** Lets a runner of the service say which life it is. */
+  function learn(): void {
+    check();
+    asked[0]?.('one/1');
+    clock.advance(1_000);
+    [asked, timers, findings] = [[], [], []];
+  }
+
   // Guards against a question for each of many streams that break off at the same moment.
   it('share one question', () => {
+    learn();
     check();
     check();
     expect(asked.length).toEqual(1);
@@ -46,6 +55,7 @@
   });
 
   it('find that it has started again, each time anew', () => {
+    learn();
     check();
     asked[0]?.('one/2');
     check();
@@ -55,6 +65,7 @@
 
   // Guards against streams that wait for a runner that is silent.
   it('end without an answer in time', () => {
+    learn();
     check();
     timers[0]?.();
     asked[0]?.(undefined);
@@ -62,4 +73,36 @@
     asked[1]?.(undefined);
     expect(findings).toEqual(['unknown', 'unknown']);
   });
+
+  // Guards against streams that wait at each step for runners that serve no report.
+  it('are not waited for until a runner of the service has said it, and end if none does', () => {
+    for (let question = 0; question < 2; question += 1) {
+      check();
+      expect(findings.length).toEqual(question + 1);
+      asked[question]?.(undefined);
+    }
+    check();
+    expect([asked.length, findings.length]).toEqual([2, 3]);
+    clock.advance(30_000);
+    check();
+    expect(asked.length).toEqual(3);
+  });
+
+  it('are waited for at once where a runner is in doubt', () => {
+    runner.restart.record(0);
+    check();
+    expect(findings).toEqual([]);
+    asked[0]?.('one/2');
+    expect(findings).toEqual(['onLife one/2', 'restarted']);
+  });
+
+  // Guards against a runner that is not asked any more because its connections fail.
+  it('go on for a service whose runners have said it', () => {
+    for (const life of ['one/1', undefined, undefined, undefined]) {
+      check();
+      asked.at(-1)?.(life);
+      clock.advance(1_000);
+    }
+    expect(asked.length).toEqual(4);
+  });
 });
--- a/src/streamVersions/LifeChecks.ts
+++ b/src/streamVersions/LifeChecks.ts
@@ -2,6 +2,7 @@
  * Asks a runner which incarnation it is before a stream goes on there. The list may not have the entry of a runner that has
  * just started again, and events of two software versions do not fit together.
  */
+import { setLatest } from '../collections/setLatest.js';
 import type { CallScheduler } from '../news/MessageRepeater.js';
 import type { Runner } from '../runners/Runner.js';
 import type { Clock } from '../time/Clock.js';
@@ -32,7 +33,27 @@
 /** How long an answer holds, in ms; no runner ends and is up again within it. */
 const VALID_MILLISECONDS = 100;
 
-/** Requests that wait for the answer of one runner share one question. */
+/** Questions without an answer, before any runner of the service has said which life it is, after which none is asked. */
+const UNANSWERED_QUESTIONS = 2;
+
+/** How long the runners of such a service are not asked, in ms: they serve no report, and streams would wait in vain. */
+const SILENT_MILLISECONDS = 30_000;
+
+/** Maximum number of services that are remembered; those asked last. */
+const MAXIMUM_SERVICES = 1_024;
+
+/** Whether the runners of a service say which life they are. */
+interface ServiceReports {
+  hasReported: boolean;
+  unanswered: number;
+  /** When the last question was left without an answer, monotonic ms. */
+  unansweredAt: number;
+}
+
+/**
+ * Requests that wait for the answer of one runner share one question. Until a runner of the service has said which life it
+ * is, streams wait only for runners in doubt: where none serves a report, the time of the question would be lost.
+ */
 export class LifeChecks {
   private readonly options: Required<LifeChecksOptions>;
 
@@ -41,6 +62,8 @@
   /** When each runner was last asked with the answer that it is the same, monotonic ms. */
   private readonly sameAt = new WeakMap<Runner, number>();
 
+  private readonly services = new Map<string, ServiceReports>();
+
   /**
    * @param options - the clock, and how runners are asked.
    */
@@ -51,15 +74,25 @@
 
   /**
    * @param runner - runner that a stream is to go on at.
-   * @param done - called once, at once if the runner was asked a moment ago.
+   * @param done - called once; at once if the runner was asked a moment ago, or is not waited for.
    */
   check(runner: Runner, done: LifeFindingListener): void {
     if (this.now - (this.sameAt.get(runner) ?? Number.NEGATIVE_INFINITY) < VALID_MILLISECONDS) {
       done('same_life');
       return;
     }
+    const { service } = runner.entry;
+    const { isSuspected } = runner.restart;
     const isAsked = this.waiting.has(runner);
     const listeners = this.waiting.get(runner) ?? new Set();
+    const isSilent = this.isSilent(service);
+    if (isSilent || (!isSuspected && !this.services.get(service)?.hasReported)) {
+      done('unknown');
+      if (isSilent || isAsked) return;
+      this.waiting.set(runner, listeners);
+      this.ask(runner);
+      return;
+    }
     let isOpen = true;
     const finish = (finding: LifeFinding) => {
       if (!isOpen) return;
@@ -68,7 +101,6 @@
       done(finding);
     };
     this.waiting.set(runner, listeners.add(finish));
-    const { isSuspected } = runner.restart;
     const patience = isSuspected ? DOUBTED_PATIENCE_MILLISECONDS : PATIENCE_MILLISECONDS;
     this.options.later(() => finish('unknown'), patience);
     if (!isAsked) this.ask(runner);
@@ -83,6 +115,7 @@
     this.options.fetchLife(runner, (life) => {
       const listeners = this.waiting.get(runner) ?? [];
       this.waiting.delete(runner);
+      this.recordAnswer(runner.entry.service, life !== undefined);
       const isSame = life === runner.entry.life;
       if (isSame) this.sameAt.set(runner, askedAt);
       if (life !== undefined) this.options.onLife(runner, life, askedAt);
@@ -90,4 +123,25 @@
       for (const finish of [...listeners]) finish(life === undefined ? 'unknown' : sameOrOther);
     });
   }
+
+  private isSilent(service: string): boolean {
+    const reports = this.services.get(service);
+    if (!reports || reports.hasReported || reports.unanswered < UNANSWERED_QUESTIONS) return false;
+    return this.now - reports.unansweredAt < SILENT_MILLISECONDS;
+  }
+
+  private recordAnswer(service: string, hasLife: boolean): void {
+    const known = this.services.get(service);
+    const { hasReported = false, unanswered = 0 } = known ?? {};
+    setLatest(
+      this.services,
+      service,
+      {
+        hasReported: hasReported || hasLife,
+        unanswered: hasLife ? 0 : unanswered + 1,
+        unansweredAt: this.now,
+      },
+      MAXIMUM_SERVICES,
+    );
+  }
 }
