The question to a runner is in one place, with its listeners

From reading the change once more: check() kept the listeners, asked and waited in one nested step, and counted what follows from hasReported.

--- a/src/streamVersions/LifeChecks.ts
+++ b/src/streamVersions/LifeChecks.ts
@@ -16,7 +16,7 @@
 /** Options of {@link LifeChecks}. */
 export interface LifeChecksOptions {
   clock: Clock;
-  /** Asks a runner which life it is; calls back with `undefined` if it does not say. */
+  /** Asks a runner which life it is; calls back later, with `undefined` if it does not say. */
   fetchLife: (runner: Runner, done: (life: string | undefined) => void) => void;
   /** Called with each answer of a runner, and when it was asked, monotonic ms. */
   onLife?: (runner: Runner, life: string, askedAt: number) => void;
@@ -82,38 +82,38 @@
       return;
     }
     const { service } = runner.entry;
-    const { isSuspected } = runner.restart;
-    const isAsked = this.waiting.has(runner);
-    const listeners = this.waiting.get(runner) ?? new Set();
     const isSilent = this.isSilent(service);
-    if (isSilent || (!isSuspected && !this.services.get(service)?.hasReported)) {
-      done('unknown');
-      if (isSilent || isAsked) return;
-      this.waiting.set(runner, listeners);
-      this.ask(runner);
-      return;
-    }
-    let isOpen = true;
-    const finish = (finding: LifeFinding) => {
-      if (!isOpen) return;
-      isOpen = false;
-      listeners.delete(finish);
-      done(finding);
-    };
-    this.waiting.set(runner, listeners.add(finish));
-    const patience = isSuspected ? DOUBTED_PATIENCE_MILLISECONDS : PATIENCE_MILLISECONDS;
-    this.options.later(() => finish('unknown'), patience);
-    if (!isAsked) this.ask(runner);
+    const mayWait = runner.restart.isSuspected || this.services.get(service)?.hasReported;
+    const listeners = isSilent ? undefined : this.ask(runner);
+    if (listeners && mayWait) this.waitAmong(listeners, runner, done);
+    else done('unknown');
   }
 
   private get now(): number {
     return this.options.clock.monotonicMilliseconds();
   }
 
-  private ask(runner: Runner): void {
+  private waitAmong(
+    listeners: Set<LifeFindingListener>,
+    { restart }: Runner,
+    done: LifeFindingListener,
+  ): void {
+    const finish = (finding: LifeFinding) => {
+      if (listeners.delete(finish)) done(finding);
+    };
+    listeners.add(finish);
+    const patience = restart.isSuspected ? DOUBTED_PATIENCE_MILLISECONDS : PATIENCE_MILLISECONDS;
+    this.options.later(() => finish('unknown'), patience);
+  }
+
+  /** Asks a runner unless it is being asked, and returns the listeners for its answer. */
+  private ask(runner: Runner): Set<LifeFindingListener> {
+    const known = this.waiting.get(runner);
+    if (known) return known;
+    const listeners = new Set<LifeFindingListener>();
+    this.waiting.set(runner, listeners);
     const askedAt = this.now;
     this.options.fetchLife(runner, (life) => {
-      const listeners = this.waiting.get(runner) ?? [];
       this.waiting.delete(runner);
       this.recordAnswer(runner.entry.service, life !== undefined);
       const isSame = life === runner.entry.life;
@@ -122,6 +122,7 @@
       const sameOrOther = isSame ? 'same_life' : 'restarted';
       for (const finish of [...listeners]) finish(life === undefined ? 'unknown' : sameOrOther);
     });
+    return listeners;
   }
 
   private isSilent(service: string): boolean {
@@ -131,17 +132,12 @@
   }
 
   private recordAnswer(service: string, hasLife: boolean): void {
-    const known = this.services.get(service);
-    const { hasReported = false, unanswered = 0 } = known ?? {};
-    setLatest(
-      this.services,
-      service,
-      {
-        hasReported: hasReported || hasLife,
-        unanswered: hasLife ? 0 : unanswered + 1,
-        unansweredAt: this.now,
-      },
-      MAXIMUM_SERVICES,
-    );
+    const { hasReported = false, unanswered = 0 } = this.services.get(service) ?? {};
+    const reports = {
+      hasReported: hasReported || hasLife,
+      unanswered: unanswered + 1,
+      unansweredAt: this.now,
+    };
+    setLatest(this.services, service, reports, MAXIMUM_SERVICES);
   }
 }
