--- a/src/coordination/LeaveNotices.ts
+++ b/src/coordination/LeaveNotices.ts
@@ -4,6 +4,7 @@
  */
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 
+import { inBatches } from '../collections/inBatches.js';
 import type { RunnerConnections } from '../forwarding/RunnerConnections.js';
 import { LeavingRunnersSchema, MessageKind } from '../generated/baobabdock/v1/news_pb.js';
 import type { HostAndPort } from '../http/parseAddress.js';
@@ -96,8 +97,8 @@
   private sendTo(news: readonly RepeatedItem[], recipients: readonly HostAndPort[]): void {
     const { daemon, socket } = this.options;
     if (recipients.length === 0) return;
-    for (let start = 0; start < news.length; start += LIVES_IN_DATAGRAM) {
-      const lives = news.slice(start, start + LIVES_IN_DATAGRAM).map(({ key }) => key);
+    for (const batch of inBatches(news, LIVES_IN_DATAGRAM)) {
+      const lives = batch.map(({ key }) => key);
       const message = create(LeavingRunnersSchema, { daemon, lives });
       const bytes = toBinary(LeavingRunnersSchema, message);
       socket.send(MessageKind.LEAVING_RUNNERS, bytes, recipients);
--- a/src/streamVersions/RecordSender.ts
+++ b/src/streamVersions/RecordSender.ts
@@ -3,6 +3,7 @@
  */
 import { create, toBinary } from '@bufbuild/protobuf';
 
+import { inBatches } from '../collections/inBatches.js';
 import { MessageKind, StreamVersionsSchema } from '../generated/baobabdock/v1/news_pb.js';
 import { parseAddress } from '../http/parseAddress.js';
 import type { HostAndPort } from '../http/parseAddress.js';
@@ -186,8 +187,7 @@
     kind: MessageKind,
   ): void {
     if (recipients.length === 0) return;
-    for (let start = 0; start < begun.length; start += STREAMS_IN_DATAGRAM) {
-      const part = begun.slice(start, start + STREAMS_IN_DATAGRAM);
+    for (const part of inBatches(begun, STREAMS_IN_DATAGRAM)) {
       const services = new Set(part.map(({ service }) => service));
       const groups = [...services].flatMap((service) =>
         groupByVersion(part.filter((one) => one.service === service)).map(
--- a/src/streamVersions/RestartNotices.ts
+++ b/src/streamVersions/RestartNotices.ts
@@ -4,6 +4,7 @@
  */
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 
+import { inBatches } from '../collections/inBatches.js';
 import { MessageKind, SuspectedRestartsSchema } from '../generated/baobabdock/v1/news_pb.js';
 import type { SuspectedRestarts } from '../generated/baobabdock/v1/news_pb.js';
 import type { HostAndPort } from '../http/parseAddress.js';
@@ -165,8 +166,8 @@
   ): void {
     const { daemon, socket } = this.options;
     if (recipients.length === 0) return;
-    for (let start = 0; start < news.length; start += LIVES_IN_DATAGRAM) {
-      const lives = news.slice(start, start + LIVES_IN_DATAGRAM).map(({ key }) => key);
+    for (const batch of inBatches(news, LIVES_IN_DATAGRAM)) {
+      const lives = batch.map(({ key }) => key);
       const message = create(SuspectedRestartsSchema, { daemon, lives, isLasting });
       const bytes = toBinary(SuspectedRestartsSchema, message);
       socket.send(MessageKind.SUSPECTED_RESTARTS, bytes, recipients);
